--- /dev/null
+++ b/Source/coordination/LoadReport.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "protocol/Ids.h"
+#include "protocol/Time.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace Knapweedquay {
+
+/// Load of one endpoint as the node beside it sees it. It rides on each answer, refusal and probe answer.
+struct LoadReport {
+    /// Calls running at the backend server now.
+    std::uint32_t running = 0;
+    /// Calls that the node lets run at once now.
+    std::uint32_t concurrencyLimit = 0;
+    /// Calls waiting, per priority; index 0 is the most urgent.
+    std::vector<std::uint32_t> queued;
+    /// Smoothed time that the backend server takes for one call.
+    Duration serviceTime { 0 };
+    /// Calls completed since the backend server announced itself.
+    std::uint64_t completedCalls = 0;
+    bool draining = false;
+};
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Tests/protocol/ResultCodeTest.cpp
@@ -0,0 +1,15 @@
+#include "protocol/ResultCode.h"
+
+#include <gtest/gtest.h>
+
+using namespace Knapweedquay;
+
+namespace {
+
+TEST(ResultCodeTest, Overloaded_AskedForStatus_IsServiceUnavailable)
+{
+    EXPECT_EQ(503, httpStatus(ResultCode::Overloaded));
+    EXPECT_STREQ("Overloaded", title(ResultCode::Overloaded));
+}
+
+} // namespace
--- /dev/null
+++ b/Utilities/Scripts/check-tidy.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Runs clang-tidy over every source file. Usage: check-tidy.sh [build folder] [file pattern]
+set -euo pipefail
+cd "$(dirname "$0")/../.."
+build=${1:-build/release}
+git ls-files "${2:-*.cpp}" | xargs -r -P "$(nproc)" -n 2 clang-tidy -p "$build" --quiet 2>/dev/null
--- /dev/null
+++ b/cmake/Dependencies.cmake
@@ -0,0 +1,20 @@
+# Every library comes from the package manager; Utilities/Scripts/packages.txt lists them.
+find_package(Threads REQUIRED)
+find_package(Boost 1.74 REQUIRED COMPONENTS program_options)
+find_package(nlohmann_json REQUIRED)
+find_package(tomlplusplus REQUIRED)
+find_package(prometheus-cpp CONFIG REQUIRED)
+find_package(PkgConfig REQUIRED)
+pkg_check_modules(LOG4CXX REQUIRED IMPORTED_TARGET liblog4cxx)
+find_package(CURL REQUIRED)
+find_package(fmt REQUIRED)
+find_library(HTTP_PARSER_LIBRARY http_parser REQUIRED)
+find_library(XXHASH_LIBRARY xxhash REQUIRED)
+
+# RESTinio and websocketpp on standalone Asio. Their headers are system headers, so that the
+# warnings of this project apply to its own code only.
+add_library(knapweedquayNetworkLibraries INTERFACE)
+target_compile_definitions(knapweedquayNetworkLibraries INTERFACE
+  ASIO_STANDALONE _WEBSOCKETPP_CPP11_STL_ RESTINIO_USE_EXTERNAL_HTTP_PARSER)
+target_link_libraries(knapweedquayNetworkLibraries INTERFACE
+  fmt::fmt ${HTTP_PARSER_LIBRARY} CURL::libcurl Threads::Threads)
