--- /dev/null
+++ b/Source/state/ControlService.cpp
@@ -0,0 +1,391 @@
+#include "state/ControlService.h"
+
+#include <algorithm>
+
+namespace Knapweedquay {
+
+namespace {
+
+    constexpr std::size_t maximumSenderAddresses = 64;
+
+    Error unknownOutcome()
+    {
+        return Error { ResultCode::NoQuorum, "this replica ceased to lead; whether the change was accepted is unknown: send it again with the same id" };
+    }
+
+    // Turns a handler of one kind of result into a handler of any.
+    template <typename Typed>
+    std::function<void(Result<ControlResult>)> typedHandler(std::function<void(Result<Typed>)> handler)
+    {
+        return [handler = std::move(handler)](Result<ControlResult> result) {
+            if (result.has_error())
+                handler(result.error());
+            else
+                handler(std::get<Typed>(result.value()));
+        };
+    }
+
+} // namespace
+
+ControlService::ControlService(ControlServiceSettings settings, FileSystem& fileSystem, ControlServiceHooks hooks, TimePoint now)
+    : m_settings(std::move(settings))
+    , m_fileSystem(fileSystem)
+    , m_hooks(std::move(hooks))
+    , m_nextJoin(now)
+{
+}
+
+Result<std::unique_ptr<ControlService>> ControlService::open(ControlServiceSettings settings, FileSystem& fileSystem, ControlServiceHooks hooks, TimePoint now)
+{
+    std::unique_ptr<ControlService> service(new ControlService(std::move(settings), fileSystem, std::move(hooks), now));
+    BOOST_OUTCOME_TRYV(service->start(now));
+    return service;
+}
+
+Result<void> ControlService::start(TimePoint now)
+{
+    BOOST_OUTCOME_TRY(storage, LogStorage::open(m_fileSystem, m_settings.folder));
+    m_storage = std::move(storage);
+    if (!m_storage->identity()) {
+        if (m_settings.peers.empty() && !m_settings.bootstrap)
+            return Error { ResultCode::InvalidSettings, m_settings.folder + " is empty: bootstrap a new store, or name the peers whose store to join" };
+        if (m_settings.peers.empty())
+            return found(now);
+        return BOOST_OUTCOME_V2_NAMESPACE::success();
+    }
+    StoredLog stored = m_storage->takeStored();
+    BOOST_OUTCOME_TRY(state, ControlState::load(*stored.snapshot.state));
+    m_state = std::move(state);
+    startLog(std::move(stored), now);
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+Result<void> ControlService::found(TimePoint now)
+{
+    BOOST_OUTCOME_TRYV(m_storage->initialize({ m_settings.newCluster, m_settings.newReplica }, ReplicatedLog::bootstrap(m_settings.newReplica, m_settings.address)));
+    startLog(m_storage->takeStored(), now);
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+void ControlService::startLog(StoredLog stored, TimePoint now)
+{
+    ReplicatedLogSettings settings = m_settings.log;
+    settings.self = m_storage->identity()->replica;
+    settings.cluster = m_storage->identity()->cluster;
+    m_log = std::make_unique<ReplicatedLog>(settings, std::move(stored), now);
+}
+
+void ControlService::tick(TimePoint now)
+{
+    if (m_failure)
+        return;
+    const bool holdsNothing = !m_log || m_log->log().lastIndex() == LogIndex();
+    if (holdsNothing && now >= m_nextJoin)
+        requestAdmission(now);
+    if (m_log)
+        m_log->tick(now);
+}
+
+void ControlService::receive(const ReplicaMessage& message, TimePoint now)
+{
+    if (m_failure)
+        return;
+    if (std::holds_alternative<JoinRequest>(message.body)) {
+        handleJoin(message.from, message.fromAddress, now);
+        return;
+    }
+    if (const auto* response = std::get_if<JoinResponse>(&message.body)) {
+        handleJoinResponse(*response, message.fromAddress, now);
+        return;
+    }
+    if (!m_log || message.cluster != m_log->cluster())
+        return;
+    if (m_senderAddresses.size() < maximumSenderAddresses || m_senderAddresses.count(message.from) > 0)
+        m_senderAddresses[message.from] = message.fromAddress;
+    m_log->receive(message, now);
+}
+
+void ControlService::flush(TimePoint now)
+{
+    while (m_log && !m_failure) {
+        const std::vector<LogAction> actions = m_log->takeActions(now);
+        if (actions.empty())
+            return;
+        for (const LogAction& action : actions)
+            if (!m_failure)
+                std::visit([this, now](const auto& typed) { perform(typed, now); }, action);
+        if (!m_failure)
+            trimLog();
+    }
+}
+
+void ControlService::edit(const DocumentEdit& edit, EditHandler handler, TimePoint now)
+{
+    const Result<void> valid = DocumentRegister::validate(edit);
+    if (valid.has_error()) {
+        handler(valid.error());
+        return;
+    }
+    propose(edit, typedHandler<EditResult>(std::move(handler)), now);
+}
+
+void ControlService::claim(const ClaimRequest& request, ClaimHandler handler, TimePoint now)
+{
+    propose(request, typedHandler<ClaimResult>(std::move(handler)), now);
+}
+
+void ControlService::update(const ClaimUpdate& update, ClaimHandler handler, TimePoint now)
+{
+    propose(update, typedHandler<ClaimResult>(std::move(handler)), now);
+}
+
+Result<void> ControlService::removeMember(ReplicaId id, TimePoint now)
+{
+    if (!m_log)
+        return Error { ResultCode::NotLeader, "this replica belongs to no store yet" };
+    return m_log->removeMember(id, now);
+}
+
+void ControlService::propose(const ControlCommand& command, ResultHandler handler, TimePoint now)
+{
+    if (m_failure) {
+        handler(*m_failure);
+        return;
+    }
+    if (!m_log) {
+        handler(Error { ResultCode::NotLeader, "this replica belongs to no store yet" });
+        return;
+    }
+    if (voterCount(m_log->members()) < m_settings.minimumVoters) {
+        handler(Error { ResultCode::NotLeader, "the store has fewer than " + std::to_string(m_settings.minimumVoters) + " voters yet" });
+        return;
+    }
+    const auto index = m_log->propose(encodeCommand(command), now);
+    if (index.has_error()) {
+        handler(index.error());
+        return;
+    }
+    m_proposals[index.value()] = { m_log->term(), std::move(handler) };
+}
+
+void ControlService::failProposals(const Error& error)
+{
+    std::map<LogIndex, Proposal> proposals;
+    proposals.swap(m_proposals);
+    for (auto& [index, proposal] : proposals)
+        proposal.handler(error);
+}
+
+void ControlService::stop(const Error& error)
+{
+    m_failure = error;
+    failProposals(error);
+    if (m_hooks.stopped)
+        m_hooks.stopped(error);
+}
+
+std::optional<Freshness> ControlService::freshness(TimePoint now) const
+{
+    const bool isFormed = m_log && !m_failure && voterCount(m_log->members()) >= m_settings.minimumVoters;
+    return isFormed ? m_log->freshness(now) : std::nullopt;
+}
+
+std::string ControlService::leaderAddress() const
+{
+    if (!m_log)
+        return {};
+    const Member* leader = findMember(m_log->members(), m_log->leader());
+    return leader ? leader->address : std::string();
+}
+
+ControlStatus ControlService::status(TimePoint now) const
+{
+    ControlStatus status;
+    if (!m_log)
+        return status;
+    status.replica = m_log->self();
+    status.cluster = m_log->cluster();
+    status.term = m_log->term();
+    status.leading = !m_failure && m_log->isLeader();
+    status.leaderAddress = leaderAddress();
+    status.appliedIndex = m_log->appliedIndex();
+    status.lastIndex = m_log->log().lastIndex();
+    status.freshness = freshness(now);
+    status.survivesAnotherLoss = !m_failure && m_log->survivesAnotherLoss(now);
+    status.members = m_log->memberStatus(now);
+    return status;
+}
+
+// Admission of a replica with an empty disk.
+
+void ControlService::requestAdmission(TimePoint now)
+{
+    m_nextJoin = now + m_settings.joinInterval;
+    // A peer that does not answer may hold the store whose disk was lost here.
+    if (!m_log && m_settings.bootstrap && m_emptyPeers.size() >= m_settings.peers.size()) {
+        const Result<void> founded = found(now);
+        if (founded.has_error())
+            stop(founded.error());
+        return;
+    }
+    const ReplicaId self = m_log ? m_log->self() : m_settings.newReplica;
+    for (const std::string& peer : m_settings.peers)
+        sendTo(peer, { ClusterId(), self, noReplica(), JoinRequest {}, {} });
+}
+
+void ControlService::handleJoin(ReplicaId from, const std::string& address, TimePoint now)
+{
+    JoinResponse response;
+    if (!m_log) {
+        response.code = ResultCode::UnknownReplica;
+    } else if (!m_log->isLeader()) {
+        response.code = ResultCode::NotLeader;
+        response.cluster = m_log->cluster();
+    } else {
+        response.cluster = m_log->cluster();
+        ReplicaId replaces;
+        bool isAlive = false;
+        for (const MemberStatus& status : m_log->memberStatus(now)) {
+            if (status.member.address != address || status.member.id == from)
+                continue;
+            // A learner that never took its place is dropped anyway; the voter is the one to replace.
+            if (status.member.voter || replaces == noReplica())
+                replaces = status.member.id;
+            isAlive = isAlive || (status.lastHeard && *status.lastHeard < m_settings.log.electionTimeout);
+        }
+        // Two processes with one address would take each other's place in turn.
+        const Result<void> added = isAlive
+            ? Result<void>(Error { ResultCode::MembershipChangeRefused, "a replica at this address is alive" })
+            : m_log->addLearner(from, address, replaces, now);
+        response.code = added.has_error() ? added.error().code : ResultCode::Ok;
+    }
+    sendTo(address, { response.cluster, m_log ? m_log->self() : noReplica(), from, response, {} });
+}
+
+void ControlService::handleJoinResponse(const JoinResponse& response, const std::string& from, TimePoint now)
+{
+    if (m_log)
+        return;
+    if (response.cluster == ClusterId()) {
+        const bool isPeer = std::find(m_settings.peers.begin(), m_settings.peers.end(), from) != m_settings.peers.end();
+        if (isPeer)
+            m_emptyPeers.insert(from);
+        return;
+    }
+    // A store exists, so this replica never creates another one.
+    m_settings.bootstrap = false;
+    if (response.code != ResultCode::Ok)
+        return;
+    const Result<void> initialized = m_storage->initialize({ response.cluster, m_settings.newReplica }, StoredLog {});
+    if (initialized.has_error()) {
+        stop(initialized.error());
+        return;
+    }
+    startLog(m_storage->takeStored(), now);
+}
+
+void ControlService::sendTo(const std::string& address, ReplicaMessage message)
+{
+    message.fromAddress = m_settings.address;
+    if (m_hooks.send)
+        m_hooks.send(address, message);
+}
+
+// Actions of the log.
+
+void ControlService::perform(const SendMessage& action, TimePoint)
+{
+    const ReplicaId to = action.message.to;
+    const auto sender = m_senderAddresses.find(to);
+    if (const Member* member = findMember(m_log->members(), to))
+        sendTo(member->address, action.message);
+    else if (sender != m_senderAddresses.end())
+        sendTo(sender->second, action.message);
+}
+
+void ControlService::perform(const WriteLog& action, TimePoint now)
+{
+    Result<void> written = m_storage->write(action);
+    if (written.has_value())
+        written = m_storage->sync();
+    if (written.has_error())
+        stop(written.error());
+    else
+        m_log->synced(action.sequence, now);
+}
+
+void ControlService::perform(const StoreSnapshot& action, TimePoint now)
+{
+    const Result<void> stored = m_storage->store(action);
+    if (stored.has_error())
+        stop(stored.error());
+    else
+        m_log->synced(action.sequence, now);
+}
+
+void ControlService::perform(const ApplyEntry& action, TimePoint)
+{
+    const LogEntry& entry = action.entry;
+    if (entry.kind != LogEntryKind::Command)
+        return;
+    auto result = m_state.apply(entry.payload);
+    const auto* edit = result.has_value() ? std::get_if<EditResult>(&result.value()) : nullptr;
+    const bool isAccepted = edit && edit->code == ResultCode::Ok;
+    if (isAccepted && m_hooks.documentChanged) {
+        const auto command = decodeCommand(entry.payload);
+        m_hooks.documentChanged(*m_state.documents().find(std::get<DocumentEdit>(command.value()).service));
+    }
+    const auto found = m_proposals.find(entry.index);
+    if (found == m_proposals.end())
+        return;
+    const Proposal proposal = std::move(found->second);
+    m_proposals.erase(found);
+    if (proposal.term == entry.term)
+        proposal.handler(std::move(result));
+    else
+        proposal.handler(unknownOutcome());
+}
+
+void ControlService::perform(const InstallState& action, TimePoint)
+{
+    auto loaded = ControlState::load(*action.snapshot.state);
+    if (loaded.has_error()) {
+        stop(loaded.error());
+        return;
+    }
+    const ControlState before = std::move(m_state);
+    m_state = std::move(loaded.value());
+    announceNewer(before.documents());
+}
+
+void ControlService::perform(const LeadershipChanged& action, TimePoint)
+{
+    if (!action.leading)
+        failProposals(unknownOutcome());
+}
+
+void ControlService::announceNewer(const DocumentRegister& before)
+{
+    if (!m_hooks.documentChanged)
+        return;
+    for (const StoredDocument* document : m_state.documents().documents()) {
+        const StoredDocument* earlier = before.find(document->service);
+        if (!earlier || earlier->version < document->version)
+            m_hooks.documentChanged(*document);
+    }
+}
+
+void ControlService::trimLog()
+{
+    const LogBuffer& log = m_log->log();
+    const std::uint64_t applied = m_log->appliedIndex().value() - log.snapshot().lastIndex.value();
+    if (applied < m_settings.snapshotEntries)
+        return;
+    // A large state is not written again for a few small entries, and the log still stays bounded.
+    constexpr std::size_t maximumFactor = 16;
+    const bool isLargerThanState = log.entryBytes() >= log.snapshot().state->size();
+    if (isLargerThanState || applied >= maximumFactor * m_settings.snapshotEntries)
+        m_log->compact(m_state.save());
+}
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Source/state/ControlService.h
@@ -0,0 +1,150 @@
+#pragma once
+
+#include "protocol/ReplicaMessages.h"
+#include "protocol/Result.h"
+#include "protocol/Time.h"
+#include "state/ControlState.h"
+#include "state/FileSystem.h"
+#include "state/LogStorage.h"
+#include "state/ReplicatedLog.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Knapweedquay {
+
+struct ControlServiceSettings {
+    /// Data folder of this replica.
+    std::string folder;
+    /// Address under which the other replicas reach this one.
+    std::string address;
+    /// Addresses of the other replicas, to ask for admission with an empty disk.
+    std::vector<std::string> peers;
+    /// Create a new store when the folder is empty and every peer says that it has none either. For one replica only.
+    bool bootstrap = false;
+    /// Ids for an empty folder, drawn at random by the owner; never used again once the disk is lost.
+    ReplicaId newReplica;
+    ClusterId newCluster;
+    /// Edits are refused, and the state counts as stale, while the store has fewer voters than this.
+    std::size_t minimumVoters = 1;
+    /// Time between two requests for admission.
+    Duration joinInterval { 200000 };
+    /// Applied entries after which the log is trimmed, if it is larger than the state.
+    std::size_t snapshotEntries = 512;
+    /// Timing and bounds of the log; the ids are filled in.
+    ReplicatedLogSettings log;
+};
+
+/// What the service asks of its owner. Unset hooks are not called.
+struct ControlServiceHooks {
+    std::function<void(const std::string& address, const ReplicaMessage&)> send;
+    /// A document of a newer version was applied.
+    std::function<void(const StoredDocument&)> documentChanged;
+    /// The replica must stop: its storage failed. Nothing is accepted or promised from then on.
+    std::function<void(const Error&)> stopped;
+};
+
+/// What operators see of this replica.
+struct ControlStatus {
+    ReplicaId replica;
+    ClusterId cluster;
+    Term term;
+    bool leading = false;
+    /// Address of the leader as far as known; empty when none is.
+    std::string leaderAddress;
+    LogIndex appliedIndex;
+    LogIndex lastIndex;
+    std::optional<Freshness> freshness;
+    /// Known to the leader only.
+    bool survivesAnotherLoss = false;
+    std::vector<MemberStatus> members;
+};
+
+/// One replica of the control store: the log, its storage and the state, without sockets or threads.
+///
+/// The owner hands in events and calls flush() once it has handed in all that are there; all edits
+/// between two flushes share one sync.
+class ControlService {
+public:
+    using EditHandler = std::function<void(Result<EditResult>)>;
+    using ClaimHandler = std::function<void(Result<ClaimResult>)>;
+
+    /// Errors: StorageFailed, StorageCorrupt, InvalidSettings (an empty folder with neither peers nor bootstrap).
+    static Result<std::unique_ptr<ControlService>> open(ControlServiceSettings, FileSystem&, ControlServiceHooks, TimePoint now);
+
+    void tick(TimePoint);
+    void receive(const ReplicaMessage&, TimePoint);
+    /// Sends, writes, syncs and applies until nothing is left to do.
+    void flush(TimePoint);
+
+    /// Errors given to the handler: MalformedRequest, RequestTooLarge, NotLeader, Overloaded, StorageFailed, and NoQuorum when
+    /// the outcome is unknown (the same change id then gets the true result). The result itself may be a refusal.
+    void edit(const DocumentEdit&, EditHandler, TimePoint);
+    void claim(const ClaimRequest&, ClaimHandler, TimePoint);
+    void update(const ClaimUpdate&, ClaimHandler, TimePoint);
+    /// Errors: as ReplicatedLog::removeMember.
+    Result<void> removeMember(ReplicaId, TimePoint);
+
+    const ControlState& state() const { return m_state; }
+    /// Empty when nothing proves that the documents here are recent.
+    std::optional<Freshness> freshness(TimePoint) const;
+    ControlStatus status(TimePoint) const;
+    /// Null until this replica belongs to a store.
+    const ReplicatedLog* log() const { return m_log.get(); }
+    bool isStopped() const { return m_failure.has_value(); }
+    std::string leaderAddress() const;
+
+private:
+    using ResultHandler = std::function<void(Result<ControlResult>)>;
+    struct Proposal {
+        Term term;
+        ResultHandler handler;
+    };
+
+    ControlService(ControlServiceSettings, FileSystem&, ControlServiceHooks, TimePoint);
+
+    Result<void> start(TimePoint);
+    Result<void> found(TimePoint);
+    void startLog(StoredLog, TimePoint);
+    void propose(const ControlCommand&, ResultHandler, TimePoint);
+    void failProposals(const Error&);
+    void stop(const Error&);
+
+    // Admission of a replica with an empty disk.
+    void requestAdmission(TimePoint);
+    void handleJoin(ReplicaId, const std::string& address, TimePoint);
+    void handleJoinResponse(const JoinResponse&, const std::string& from, TimePoint);
+    void sendTo(const std::string& address, ReplicaMessage);
+
+    // Actions of the log.
+    void perform(const SendMessage&, TimePoint);
+    void perform(const WriteLog&, TimePoint);
+    void perform(const StoreSnapshot&, TimePoint);
+    void perform(const ApplyEntry&, TimePoint);
+    void perform(const InstallState&, TimePoint);
+    void perform(const LeadershipChanged&, TimePoint);
+    void trimLog();
+    void announceNewer(const DocumentRegister& before);
+
+    ControlServiceSettings m_settings;
+    FileSystem& m_fileSystem;
+    ControlServiceHooks m_hooks;
+    std::unique_ptr<LogStorage> m_storage;
+    std::unique_ptr<ReplicatedLog> m_log;
+    ControlState m_state;
+    std::map<LogIndex, Proposal> m_proposals;
+    std::optional<Error> m_failure;
+    TimePoint m_nextJoin;
+    /// Peers that said, since the start, that they have no store either.
+    std::set<std::string> m_emptyPeers;
+    /// Addresses of senders, for answers to those that the member list does not name yet.
+    std::map<ReplicaId, std::string> m_senderAddresses;
+};
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Source/state/LogStorage.cpp
@@ -0,0 +1,266 @@
+#include "state/LogStorage.h"
+
+#include "state/Checksum.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+
+namespace Knapweedquay {
+
+namespace {
+
+    const std::string logPrefix = "log-";
+    const std::string snapshotPrefix = "snapshot-";
+    const std::string temporarySuffix = ".tmp";
+
+    std::string numbered(const std::string& prefix, std::uint64_t generation)
+    {
+        char digits[24];
+        std::snprintf(digits, sizeof digits, "%016llx", static_cast<unsigned long long>(generation));
+        return prefix + digits;
+    }
+
+    // 0 when the name is not that of a numbered file.
+    std::uint64_t generationOf(const std::string& name, const std::string& prefix)
+    {
+        constexpr int hexadecimal = 16;
+        if (name.compare(0, prefix.size(), prefix) != 0)
+            return 0;
+        const std::uint64_t generation = std::strtoull(name.c_str() + prefix.size(), nullptr, hexadecimal);
+        return numbered(prefix, generation) == name ? generation : 0;
+    }
+
+    Error corrupt(const std::string& name, const std::string& reason)
+    {
+        return Error { ResultCode::StorageCorrupt, name + ": " + reason };
+    }
+
+    // True when a whole record after the damage says that the damaged bytes were synced.
+    bool wasSynced(std::string_view file, std::size_t damagedAt)
+    {
+        for (std::size_t offset = damagedAt + 1; offset < file.size(); ++offset) {
+            const auto later = readRecord(file, offset);
+            if (later && later->syncedBytes > damagedAt && later->syncedBytes <= offset)
+                return true;
+        }
+        return false;
+    }
+
+} // namespace
+
+Result<std::unique_ptr<LogStorage>> LogStorage::open(FileSystem& fileSystem, std::string folder)
+{
+    std::unique_ptr<LogStorage> storage(new LogStorage(fileSystem, std::move(folder)));
+    BOOST_OUTCOME_TRYV(storage->load());
+    return storage;
+}
+
+Result<void> LogStorage::load()
+{
+    BOOST_OUTCOME_TRY(names, m_fileSystem.list(m_folder));
+    bool holdsSnapshot = false;
+    for (const std::string& name : names) {
+        m_generation = std::max(m_generation, generationOf(name, logPrefix));
+        holdsSnapshot = holdsSnapshot || generationOf(name, snapshotPrefix) > 0;
+    }
+    if (m_generation == 0) {
+        // The first log file is in place before any snapshot is written.
+        if (holdsSnapshot)
+            return corrupt(m_folder, "a snapshot without a log file");
+        return BOOST_OUTCOME_V2_NAMESPACE::success();
+    }
+    const std::string name = numbered(logPrefix, m_generation);
+    BOOST_OUTCOME_TRY(file, m_fileSystem.read(path(name)));
+    BOOST_OUTCOME_TRYV(replay(file, name));
+    const bool isTorn = m_writtenBytes < file.size();
+    if (isTorn)
+        return startFile(m_stored.hardState, m_stored.snapshot, m_stored.entries);
+    BOOST_OUTCOME_TRY(opened, m_fileSystem.openToAppend(path(name)));
+    m_file = std::move(opened);
+    // What a crash left unsynced was read, and may be promised to others from now on.
+    BOOST_OUTCOME_TRYV(sync());
+    return removeOthers(name, m_snapshotFile);
+}
+
+Result<void> LogStorage::replay(const std::string& file, const std::string& name)
+{
+    std::size_t offset = 0;
+    while (offset < file.size()) {
+        const auto framed = readRecord(file, offset);
+        if (!framed) {
+            // The header was synced before the file got its name, so damage to it is never a torn end.
+            if (offset == 0 || wasSynced(file, offset))
+                return corrupt(name, "damaged record at byte " + std::to_string(offset) + ", and it was synced");
+            break;
+        }
+        const bool isHeader = std::holds_alternative<LogFileHeader>(framed->record);
+        if (isHeader != (offset == 0))
+            return corrupt(name, "header expected at the start of the file and nowhere else");
+        BOOST_OUTCOME_TRYV(replayRecord(framed->record));
+        offset += framed->length;
+    }
+    if (!m_identity)
+        return corrupt(name, "empty log file");
+    m_writtenBytes = offset;
+    m_syncedBytes = 0;
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+Result<void> LogStorage::replayRecord(const LogRecord& record)
+{
+    if (const auto* header = std::get_if<LogFileHeader>(&record)) {
+        m_identity = ReplicaIdentity { header->cluster, header->replica };
+        return loadSnapshot(*header);
+    }
+    if (const auto* hardState = std::get_if<HardState>(&record)) {
+        m_stored.hardState = *hardState;
+        return BOOST_OUTCOME_V2_NAMESPACE::success();
+    }
+    auto& entries = m_stored.entries;
+    if (const auto* truncate = std::get_if<TruncateRecord>(&record)) {
+        while (!entries.empty() && entries.back().index >= truncate->first)
+            entries.pop_back();
+        return BOOST_OUTCOME_V2_NAMESPACE::success();
+    }
+    const auto* entry = std::get_if<LogEntry>(&record);
+    if (!entry)
+        return BOOST_OUTCOME_V2_NAMESPACE::success();
+    const LogIndex last = entries.empty() ? m_stored.snapshot.lastIndex : entries.back().index;
+    if (entry->index != nextIndex(last))
+        return corrupt(m_folder, "entry " + std::to_string(entry->index.value()) + " follows entry " + std::to_string(last.value()));
+    entries.push_back(*entry);
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+Result<void> LogStorage::loadSnapshot(const LogFileHeader& header)
+{
+    m_snapshotFile = header.snapshotFile;
+    m_snapshotIndex = header.snapshotIndex;
+    m_stored.snapshot.lastIndex = header.snapshotIndex;
+    m_stored.snapshot.lastTerm = header.snapshotTerm;
+    m_stored.snapshot.members = header.snapshotMembers;
+    if (m_snapshotFile.empty())
+        return BOOST_OUTCOME_V2_NAMESPACE::success();
+    BOOST_OUTCOME_TRY(names, m_fileSystem.list(m_folder));
+    if (std::find(names.begin(), names.end(), m_snapshotFile) == names.end())
+        return corrupt(m_snapshotFile, "missing");
+    BOOST_OUTCOME_TRY(state, m_fileSystem.read(path(m_snapshotFile)));
+    if (crc32c(state) != header.snapshotChecksum)
+        return corrupt(m_snapshotFile, "wrong checksum");
+    m_stored.snapshot.state = std::make_shared<const std::string>(std::move(state));
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+Result<void> LogStorage::initialize(ReplicaIdentity identity, StoredLog stored)
+{
+    m_identity = identity;
+    BOOST_OUTCOME_TRYV(check(startFile(stored.hardState, stored.snapshot, stored.entries)));
+    m_stored = std::move(stored);
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+Result<void> LogStorage::write(const WriteLog& write)
+{
+    if (m_failure)
+        return *m_failure;
+    if (write.truncateFrom) {
+        BOOST_OUTCOME_TRYV(append(TruncateRecord { *write.truncateFrom }));
+    }
+    BOOST_OUTCOME_TRYV(append(write.hardState));
+    for (const LogEntry& entry : write.entries) {
+        BOOST_OUTCOME_TRYV(append(entry));
+    }
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+Result<void> LogStorage::append(const LogRecord& record)
+{
+    const std::string framed = frameRecord(record, m_syncedBytes);
+    BOOST_OUTCOME_TRYV(check(m_file->append(framed)));
+    m_writtenBytes += framed.size();
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+Result<void> LogStorage::sync()
+{
+    if (m_failure)
+        return *m_failure;
+    BOOST_OUTCOME_TRYV(check(m_file->sync()));
+    m_syncedBytes = m_writtenBytes;
+    return append(SyncMark {});
+}
+
+Result<void> LogStorage::store(const StoreSnapshot& snapshot)
+{
+    if (m_failure)
+        return *m_failure;
+    return check(startFile(snapshot.hardState, snapshot.snapshot, snapshot.entries));
+}
+
+Result<void> LogStorage::startFile(const HardState& hardState, const Snapshot& snapshot, const std::vector<LogEntry>& entries)
+{
+    ++m_generation;
+    if (snapshot.lastIndex != m_snapshotIndex) {
+        BOOST_OUTCOME_TRY(snapshotFile, writeSnapshot(snapshot));
+        m_snapshotFile = std::move(snapshotFile);
+        m_snapshotIndex = snapshot.lastIndex;
+    }
+    LogFileHeader header;
+    header.cluster = m_identity->cluster;
+    header.replica = m_identity->replica;
+    header.snapshotFile = m_snapshotFile;
+    header.snapshotChecksum = crc32c(*snapshot.state);
+    header.snapshotIndex = snapshot.lastIndex;
+    header.snapshotTerm = snapshot.lastTerm;
+    header.snapshotMembers = snapshot.members;
+    std::string content = frameRecord(header, 0) + frameRecord(hardState, 0);
+    for (const LogEntry& entry : entries)
+        content += frameRecord(entry, 0);
+    const std::string name = numbered(logPrefix, m_generation);
+    BOOST_OUTCOME_TRY(file, replaceFile(name, content));
+    m_file = std::move(file);
+    m_writtenBytes = content.size();
+    m_syncedBytes = content.size();
+    BOOST_OUTCOME_TRYV(append(SyncMark {}));
+    return removeOthers(name, m_snapshotFile);
+}
+
+Result<std::string> LogStorage::writeSnapshot(const Snapshot& snapshot)
+{
+    std::string name = numbered(snapshotPrefix, m_generation);
+    BOOST_OUTCOME_TRYV(replaceFile(name, *snapshot.state));
+    return name;
+}
+
+Result<std::unique_ptr<AppendFile>> LogStorage::replaceFile(const std::string& name, const std::string& content)
+{
+    const std::string temporary = path(name + temporarySuffix);
+    BOOST_OUTCOME_TRY(file, m_fileSystem.create(temporary));
+    BOOST_OUTCOME_TRYV(file->append(content));
+    BOOST_OUTCOME_TRYV(file->sync());
+    BOOST_OUTCOME_TRYV(m_fileSystem.rename(temporary, path(name)));
+    BOOST_OUTCOME_TRYV(m_fileSystem.syncFolder(m_folder));
+    return std::move(file);
+}
+
+Result<void> LogStorage::removeOthers(const std::string& log, const std::string& snapshot)
+{
+    BOOST_OUTCOME_TRY(names, m_fileSystem.list(m_folder));
+    for (const std::string& name : names) {
+        const bool isOurs = name.compare(0, logPrefix.size(), logPrefix) == 0 || name.compare(0, snapshotPrefix.size(), snapshotPrefix) == 0;
+        if (isOurs && name != log && name != snapshot) {
+            BOOST_OUTCOME_TRYV(m_fileSystem.remove(path(name)));
+        }
+    }
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+Result<void> LogStorage::check(Result<void> result)
+{
+    if (result.has_error() && !m_failure)
+        m_failure = result.error();
+    return result;
+}
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Source/state/ReplicatedLog.cpp
@@ -0,0 +1,177 @@
+#include "state/ReplicatedLog.h"
+
+#include <algorithm>
+
+namespace Knapweedquay {
+
+ReplicatedLog::ReplicatedLog(ReplicatedLogSettings settings, StoredLog stored, TimePoint now)
+    : m_settings(settings)
+    , m_random(settings.seed)
+    , m_log(std::move(stored.snapshot), std::move(stored.entries))
+    , m_hardState(stored.hardState)
+    , m_writes(m_log.lastIndex())
+    , m_commitIndex(m_log.snapshot().lastIndex)
+    , m_appliedIndex(m_commitIndex)
+    , m_takenIndex(m_commitIndex)
+    , m_performedIndex(m_commitIndex)
+    , m_now(now)
+    , m_followerFreshness(m_random())
+{
+    m_followerFreshness.applied(m_appliedIndex);
+    resetElectionDeadline();
+}
+
+StoredLog ReplicatedLog::bootstrap(ReplicaId self, const std::string& address)
+{
+    StoredLog stored;
+    stored.hardState.term = Term(1);
+    const Member first { self, address, true, noReplica() };
+    stored.entries.push_back({ LogIndex(1), Term(1), LogEntryKind::Members, encodeMembers({ first }) });
+    return stored;
+}
+
+void ReplicatedLog::tick(TimePoint now)
+{
+    advance(now);
+    if (isLeader()) {
+        if (m_now < m_nextHeartbeat)
+            return;
+        advanceLearners();
+        startRound();
+        return;
+    }
+    if (m_now >= m_electionDeadline && isVoter(members(), self()))
+        startElection(true);
+}
+
+void ReplicatedLog::receive(const ReplicaMessage& message, TimePoint now)
+{
+    advance(now);
+    if (message.cluster != m_settings.cluster || message.to != self() || message.from == self())
+        return;
+    std::visit([this, &message](const auto& body) { handle(message.from, body); }, message.body);
+}
+
+void ReplicatedLog::synced(WriteSequence sequence, TimePoint now)
+{
+    advance(now);
+    m_writes.synced(sequence);
+    if (m_role == ReplicaRole::Candidate)
+        countVotes();
+    if (isLeader())
+        updateCommit();
+    applyCommitted();
+    releaseDelayed();
+}
+
+void ReplicatedLog::compact(std::string state)
+{
+    if (m_takenIndex <= m_log.snapshot().lastIndex)
+        return;
+    Snapshot snapshot { m_takenIndex, m_log.termAt(m_takenIndex), m_log.membersAt(m_takenIndex), std::make_shared<const std::string>(std::move(state)) };
+    m_log.compact(snapshot);
+    m_writes.storeSnapshot(std::move(snapshot), m_log.allFrom(nextIndex(m_takenIndex)));
+}
+
+std::vector<LogAction> ReplicatedLog::takeActions(TimePoint now)
+{
+    advance(now);
+    m_performedIndex = m_takenIndex;
+    m_followerFreshness.applied(m_performedIndex);
+    if (isLeader())
+        for (auto& [id, peer] : m_peers)
+            if (!peer.sentAt && peer.nextIndex <= m_log.lastIndex())
+                sendNext(id, peer);
+    std::vector<LogAction> actions = std::move(m_actions);
+    m_actions.clear();
+    m_takenIndex = m_appliedIndex;
+    // The write comes after the messages that do not depend on it, so that followers write at the same time.
+    if (auto write = m_writes.take(m_hardState))
+        actions.push_back(std::move(*write));
+    return actions;
+}
+
+std::optional<Freshness> ReplicatedLog::freshness(TimePoint now) const
+{
+    const bool isProvenLeader = isLeader() && m_rounds.confirmed().value() > 0 && m_performedIndex >= m_barrierIndex && m_performedIndex >= m_commitIndex;
+    if (isProvenLeader)
+        return Freshness { term(), m_rounds.confirmed(), std::max(now, m_now) - m_rounds.confirmedSentAt() };
+    return m_followerFreshness.at(std::max(now, m_now));
+}
+
+bool ReplicatedLog::canAccept(TimePoint now) const
+{
+    return isLeader() && isLeaseValid(now) && m_commitIndex >= m_barrierIndex;
+}
+
+void ReplicatedLog::advance(TimePoint now)
+{
+    m_now = std::max(m_now, now);
+    if (isLeader() && !isLeaseValid(m_now))
+        becomeFollower(term(), noReplica());
+}
+
+bool ReplicatedLog::isLeaseValid(TimePoint now) const
+{
+    return now - m_rounds.confirmedSentAt() <= m_settings.electionTimeout;
+}
+
+bool ReplicatedLog::hearsLeader(TimePoint now) const
+{
+    if (isLeader())
+        return true;
+    return m_leader != noReplica() && now - m_leaderHeardAt < m_settings.electionTimeout;
+}
+
+void ReplicatedLog::resetElectionDeadline()
+{
+    std::uniform_int_distribution<std::int64_t> extra(0, m_settings.electionTimeout.count());
+    m_electionDeadline = m_now + m_settings.electionTimeout + Duration(extra(m_random));
+}
+
+void ReplicatedLog::setHardState(HardState hardState)
+{
+    if (hardState == m_hardState)
+        return;
+    m_hardState = hardState;
+    m_writes.noteHardState();
+}
+
+void ReplicatedLog::send(ReplicaId to, ReplicaMessageBody body)
+{
+    m_actions.push_back(SendMessage { { m_settings.cluster, self(), to, std::move(body), {} } });
+}
+
+void ReplicatedLog::sendWhenSynced(ReplicaId to, ReplicaMessageBody body)
+{
+    if (m_writes.isSynced()) {
+        send(to, std::move(body));
+        return;
+    }
+    m_delayed.push_back({ m_writes.lastSequence(), SendMessage { { m_settings.cluster, self(), to, std::move(body), {} } } });
+}
+
+void ReplicatedLog::releaseDelayed()
+{
+    while (!m_delayed.empty() && m_delayed.front().sequence <= m_writes.syncedSequence()) {
+        m_actions.push_back(std::move(m_delayed.front().action));
+        m_delayed.pop_front();
+    }
+}
+
+void ReplicatedLog::commitTo(LogIndex index)
+{
+    m_commitIndex = std::max(m_commitIndex, std::min(index, m_log.lastIndex()));
+    applyCommitted();
+}
+
+void ReplicatedLog::applyCommitted()
+{
+    const LogIndex limit = std::min(m_commitIndex, m_writes.durableIndex());
+    while (m_appliedIndex < limit) {
+        m_appliedIndex = nextIndex(m_appliedIndex);
+        m_actions.push_back(ApplyEntry { m_log.at(m_appliedIndex) });
+    }
+}
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Source/state/ReplicatedLogMembership.cpp
@@ -0,0 +1,154 @@
+#include "state/ReplicatedLog.h"
+
+#include <algorithm>
+
+// Membership: one change at a time, learners first (Raft dissertation, chapter 4).
+namespace Knapweedquay {
+
+namespace {
+
+    Error refusal(const std::string& reason)
+    {
+        return Error { ResultCode::MembershipChangeRefused, reason };
+    }
+
+} // namespace
+
+void ReplicatedLog::updatePeers()
+{
+    for (auto peer = m_peers.begin(); peer != m_peers.end();)
+        peer = findMember(members(), peer->first) ? std::next(peer) : m_peers.erase(peer);
+    for (const Member& member : members()) {
+        if (member.id == self() || m_peers.count(member.id) > 0)
+            continue;
+        Peer peer;
+        peer.nextIndex = m_log.lastIndex();
+        m_peers.emplace(member.id, peer);
+    }
+}
+
+Result<void> ReplicatedLog::addLearner(ReplicaId id, const std::string& address, ReplicaId replaces, TimePoint now)
+{
+    advance(now);
+    if (!isLeader())
+        return Error { ResultCode::NotLeader, "this replica is not the leader" };
+    if (findMember(members(), id))
+        return BOOST_OUTCOME_V2_NAMESPACE::success();
+    if (id == noReplica() || address.size() > maximumAddressBytes)
+        return refusal("a replica needs an id and an address of at most " + std::to_string(maximumAddressBytes) + " bytes");
+    if (replaces == self())
+        return refusal("the leader itself cannot be replaced");
+    if (replaces != noReplica() && !findMember(members(), replaces))
+        return Error { ResultCode::UnknownReplica, "replica " + std::to_string(replaces.value()) + " is not a member" };
+    if (members().size() >= maximumMembers)
+        return refusal("the store already has " + std::to_string(maximumMembers) + " members");
+    MemberList changed = members();
+    // A learner that was to take the same place, and never did, makes room.
+    changed.erase(std::remove_if(changed.begin(), changed.end(), [&](const Member& member) { return !member.voter && member.address == address; }), changed.end());
+    const bool isGone = replaces != noReplica() && !findMember(changed, replaces);
+    changed.push_back({ id, address, false, isGone ? noReplica() : replaces });
+    return proposeMembers(std::move(changed));
+}
+
+Result<void> ReplicatedLog::removeMember(ReplicaId id, TimePoint now)
+{
+    advance(now);
+    if (!isLeader())
+        return Error { ResultCode::NotLeader, "this replica is not the leader" };
+    if (!findMember(members(), id))
+        return Error { ResultCode::UnknownReplica, "replica " + std::to_string(id.value()) + " is not a member" };
+    MemberList changed = members();
+    changed.erase(std::remove_if(changed.begin(), changed.end(), [id](const Member& member) { return member.id == id; }), changed.end());
+    for (Member& member : changed)
+        if (member.replaces == id)
+            member.replaces = noReplica();
+    const auto reachable = std::count_if(changed.begin(), changed.end(), [this](const Member& member) { return member.voter && isReachable(member.id, m_now); });
+    if (voterCount(changed) == 0 || static_cast<std::size_t>(reachable) < majorityOf(changed))
+        return refusal("the voters that would be left are not reachable");
+    return proposeMembers(std::move(changed));
+}
+
+Result<void> ReplicatedLog::proposeMembers(MemberList changed)
+{
+    if (m_commitIndex < m_barrierIndex)
+        return refusal("the leader has not committed an entry of its term yet");
+    if (m_log.membersIndex() > m_commitIndex)
+        return refusal("another membership change is not committed yet");
+    appendAsLeader(LogEntryKind::Members, encodeMembers(changed));
+    updatePeers();
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+void ReplicatedLog::advanceLearners()
+{
+    if (m_commitIndex < m_barrierIndex || m_log.membersIndex() > m_commitIndex)
+        return;
+    for (const Member& member : members()) {
+        if (member.voter || !isCaughtUp(member.id))
+            continue;
+        advanceLearner(Member(member));
+        return;
+    }
+}
+
+void ReplicatedLog::advanceLearner(const Member& learner)
+{
+    // The lost voter goes first: it counts in the majority and answers nobody.
+    if (findMember(members(), learner.replaces)) {
+        static_cast<void>(removeMember(learner.replaces, m_now));
+        return;
+    }
+    MemberList changed = members();
+    for (Member& member : changed)
+        if (member.id == learner.id)
+            member = { learner.id, learner.address, true, noReplica() };
+    static_cast<void>(proposeMembers(std::move(changed)));
+}
+
+bool ReplicatedLog::isCaughtUp(ReplicaId id) const
+{
+    const auto peer = m_peers.find(id);
+    return peer != m_peers.end() && isReachable(id, m_now) && peer->second.matchIndex >= m_commitAtLastRound;
+}
+
+bool ReplicatedLog::isReachable(ReplicaId id, TimePoint now) const
+{
+    return id == self() || m_rounds.acknowledgedSentAt(id) + m_settings.electionTimeout >= now;
+}
+
+bool ReplicatedLog::survivesAnotherLoss(TimePoint now) const
+{
+    const bool isSettled = canAccept(now) && m_log.membersIndex() <= m_commitIndex;
+    if (!isSettled)
+        return false;
+    std::size_t holding = 0;
+    for (const Member& member : members()) {
+        if (!member.voter || !isReachable(member.id, now))
+            continue;
+        const auto peer = m_peers.find(member.id);
+        const LogIndex synced = member.id == self() ? m_writes.durableIndex() : peer->second.matchIndex;
+        if (synced >= m_log.membersIndex() && synced >= m_barrierIndex)
+            ++holding;
+    }
+    return holding > majorityOf(members());
+}
+
+std::vector<MemberStatus> ReplicatedLog::memberStatus(TimePoint now) const
+{
+    std::vector<MemberStatus> status;
+    if (!isLeader())
+        return status;
+    for (const Member& member : members()) {
+        const auto peer = m_peers.find(member.id);
+        if (peer == m_peers.end()) {
+            status.push_back({ member, m_writes.durableIndex(), Duration(0) });
+            continue;
+        }
+        const TimePoint heard = m_rounds.acknowledgedSentAt(member.id);
+        const std::optional<Duration> lastHeard = heard == TimePoint::min() ? std::nullopt : std::optional<Duration>(now - heard);
+        status.push_back({ member, peer->second.matchIndex, lastHeard });
+    }
+    return status;
+}
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Source/state/ReplicatedLogReplication.cpp
@@ -0,0 +1,266 @@
+#include "state/ReplicatedLog.h"
+
+#include "state/Checksum.h"
+
+#include <algorithm>
+
+// Replication: heartbeat rounds, entries, snapshots and commitment (Raft, 5.3, 5.4.2 and 7).
+namespace Knapweedquay {
+
+namespace {
+
+    // Entries that got no answer in this many heartbeat intervals are sent again.
+    constexpr int resendIntervals = 3;
+
+} // namespace
+
+// Follower.
+
+bool ReplicatedLog::acceptLeader(ReplicaId from, Term leaderTerm)
+{
+    if (leaderTerm < term())
+        return false;
+    if (leaderTerm > term() || m_role != ReplicaRole::Follower)
+        becomeFollower(leaderTerm, from);
+    m_leader = from;
+    m_leaderHeardAt = m_now;
+    resetElectionDeadline();
+    return true;
+}
+
+void ReplicatedLog::handle(ReplicaId from, const AppendRequest& request)
+{
+    if (!acceptLeader(from, request.term)) {
+        answerAppend(from, false, LogIndex(), request.round);
+        return;
+    }
+    const bool isBeforeSnapshot = request.previousIndex < m_log.snapshot().lastIndex;
+    if (!isBeforeSnapshot && !m_log.matches(request.previousIndex, request.previousTerm)) {
+        // Step back over the whole term that does not match, never below what is committed.
+        LogIndex tryFrom = std::min(request.previousIndex, nextIndex(m_log.lastIndex()));
+        const Term conflicting = m_log.termAt(tryFrom);
+        while (tryFrom > nextIndex(m_commitIndex) && m_log.termAt(previousIndex(tryFrom)) == conflicting)
+            tryFrom = previousIndex(tryFrom);
+        answerAppend(from, false, tryFrom, request.round);
+        return;
+    }
+    appendFromLeader(request);
+    const LogIndex matched(request.previousIndex.value() + request.entries.size());
+    commitTo(std::min(request.commitIndex, matched));
+    m_followerFreshness.heard(request, m_now);
+    answerAppend(from, true, matched, request.round);
+}
+
+void ReplicatedLog::appendFromLeader(const AppendRequest& request)
+{
+    for (const LogEntry& entry : request.entries) {
+        if (entry.index <= m_commitIndex || m_log.matches(entry.index, entry.term))
+            continue;
+        if (m_log.holds(entry.index)) {
+            m_log.truncateFrom(entry.index);
+            m_writes.truncateFrom(entry.index);
+        }
+        m_log.append(entry);
+        m_writes.append(entry);
+    }
+}
+
+void ReplicatedLog::answerAppend(ReplicaId to, bool accepted, LogIndex index, QuorumRound round)
+{
+    sendWhenSynced(to, AppendResponse { term(), accepted, index, round, m_followerFreshness.clock(m_now) });
+}
+
+void ReplicatedLog::handle(ReplicaId from, const SnapshotChunk& chunk)
+{
+    if (!acceptLeader(from, chunk.term)) {
+        answerAppend(from, false, LogIndex(), chunk.round);
+        return;
+    }
+    if (chunk.lastIndex <= m_commitIndex || m_log.matches(chunk.lastIndex, chunk.lastTerm)) {
+        commitTo(chunk.lastIndex);
+        answerAppend(from, true, chunk.lastIndex, chunk.round);
+        return;
+    }
+    std::optional<Snapshot> snapshot = m_snapshotReceiver.add(chunk);
+    if (!snapshot) {
+        sendWhenSynced(from, SnapshotResponse { term(), chunk.lastIndex, chunk.round, m_snapshotReceiver.nextOffset(), m_followerFreshness.clock(m_now) });
+        return;
+    }
+    m_log.reset(*snapshot);
+    m_writes.storeSnapshot(*snapshot, {});
+    m_commitIndex = snapshot->lastIndex;
+    m_appliedIndex = snapshot->lastIndex;
+    m_actions.push_back(InstallState { std::move(*snapshot) });
+    answerAppend(from, true, chunk.lastIndex, chunk.round);
+}
+
+// Leader.
+
+Result<LogIndex> ReplicatedLog::propose(std::string payload, TimePoint now)
+{
+    advance(now);
+    if (!isLeader())
+        return Error { ResultCode::NotLeader, "this replica is not the leader" };
+    if (payload.size() > maximumEntryBytes)
+        return Error { ResultCode::MessageTooLarge, "command of " + std::to_string(payload.size()) + " bytes; at most " + std::to_string(maximumEntryBytes) };
+    std::size_t uncommitted = payload.size();
+    for (LogIndex index = m_log.lastIndex(); index > m_commitIndex; index = previousIndex(index))
+        uncommitted += m_log.at(index).payload.size();
+    if (uncommitted > m_settings.maximumUncommittedBytes)
+        return Error { ResultCode::Overloaded, "too many edits wait for a majority" };
+    return appendAsLeader(LogEntryKind::Command, std::move(payload));
+}
+
+LogIndex ReplicatedLog::appendAsLeader(LogEntryKind kind, std::string payload)
+{
+    const LogEntry entry { nextIndex(m_log.lastIndex()), term(), kind, std::move(payload) };
+    m_log.append(entry);
+    m_writes.append(entry);
+    return entry.index;
+}
+
+void ReplicatedLog::startRound()
+{
+    m_rounds.start(m_now);
+    m_rounds.update(self(), members());
+    m_commitAtLastRound = m_commitIndex;
+    m_nextHeartbeat = m_now + m_settings.heartbeatInterval;
+    for (auto& [id, peer] : m_peers) {
+        peer.roundClock = peer.clock;
+        sendHeartbeat(id, peer);
+    }
+}
+
+void ReplicatedLog::sendHeartbeat(ReplicaId id, Peer& peer)
+{
+    if (peer.sentAt && m_now - *peer.sentAt >= resendIntervals * m_settings.heartbeatInterval)
+        peer.sentAt.reset();
+    if (!peer.sentAt && peer.nextIndex <= m_log.lastIndex()) {
+        sendNext(id, peer);
+        return;
+    }
+    // Index 0 is common to all logs; it stands in when the matching entry is trimmed here.
+    const bool isMatchKnown = peer.matchIndex >= m_log.snapshot().lastIndex;
+    send(id, appendRequest(peer, isMatchKnown ? peer.matchIndex : LogIndex()));
+}
+
+void ReplicatedLog::sendNext(ReplicaId id, Peer& peer)
+{
+    peer.sentAt = m_now;
+    if (peer.nextIndex <= m_log.snapshot().lastIndex) {
+        sendSnapshotChunk(id, peer);
+        return;
+    }
+    AppendRequest request = appendRequest(peer, previousIndex(peer.nextIndex));
+    request.entries = m_log.from(peer.nextIndex, m_settings.maximumAppendBytes, maximumEntriesPerAppend);
+    send(id, std::move(request));
+}
+
+AppendRequest ReplicatedLog::appendRequest(const Peer& peer, LogIndex previous) const
+{
+    AppendRequest request;
+    request.term = term();
+    request.previousIndex = previous;
+    request.previousTerm = m_log.termAt(previous);
+    request.commitIndex = m_commitIndex;
+    request.round = m_rounds.current();
+    if (m_commitIndex >= m_barrierIndex)
+        request.confirmedRound = m_rounds.confirmed();
+    request.echo = peer.roundClock;
+    return request;
+}
+
+void ReplicatedLog::sendSnapshotChunk(ReplicaId id, Peer& peer)
+{
+    const Snapshot& snapshot = m_log.snapshot();
+    if (m_snapshotChecksumIndex != snapshot.lastIndex) {
+        m_snapshotChecksum = crc32c(*snapshot.state);
+        m_snapshotChecksumIndex = snapshot.lastIndex;
+    }
+    SnapshotChunk chunk;
+    chunk.term = term();
+    chunk.lastIndex = snapshot.lastIndex;
+    chunk.lastTerm = snapshot.lastTerm;
+    chunk.round = m_rounds.current();
+    chunk.totalBytes = snapshot.state->size();
+    chunk.checksum = m_snapshotChecksum;
+    chunk.offset = std::min<std::uint64_t>(peer.snapshotOffset, chunk.totalBytes);
+    chunk.members = snapshot.members;
+    chunk.bytes = snapshot.state->substr(chunk.offset, m_settings.snapshotChunkBytes);
+    send(id, std::move(chunk));
+}
+
+ReplicatedLog::Peer* ReplicatedLog::acknowledgedPeer(ReplicaId from, Term answered, QuorumRound round, std::uint64_t clock)
+{
+    if (answered > term()) {
+        becomeFollower(answered, noReplica());
+        return nullptr;
+    }
+    const auto found = m_peers.find(from);
+    if (!isLeader() || answered < term() || found == m_peers.end())
+        return nullptr;
+    // A late answer may bring an earlier value, which only makes the follower look older.
+    found->second.clock = clock;
+    m_rounds.acknowledge(from, round);
+    m_rounds.update(self(), members());
+    return &found->second;
+}
+
+void ReplicatedLog::handle(ReplicaId from, const AppendResponse& response)
+{
+    Peer* peer = acknowledgedPeer(from, response.term, response.round, response.clock);
+    if (!peer)
+        return;
+    if (!response.accepted) {
+        const LogIndex latest = std::min(peer->nextIndex, response.index);
+        peer->nextIndex = std::max(nextIndex(peer->matchIndex), latest);
+        peer->sentAt.reset();
+        return;
+    }
+    if (response.index > m_log.lastIndex())
+        return;
+    peer->matchIndex = std::max(peer->matchIndex, response.index);
+    if (peer->matchIndex >= peer->nextIndex) {
+        peer->nextIndex = nextIndex(peer->matchIndex);
+        peer->snapshotOffset = 0;
+        peer->sentAt.reset();
+    }
+    updateCommit();
+}
+
+void ReplicatedLog::handle(ReplicaId from, const SnapshotResponse& response)
+{
+    Peer* peer = acknowledgedPeer(from, response.term, response.round, response.clock);
+    if (!peer)
+        return;
+    const bool isCurrent = response.lastIndex == m_log.snapshot().lastIndex;
+    peer->snapshotOffset = isCurrent ? response.nextOffset : 0;
+    peer->sentAt.reset();
+}
+
+void ReplicatedLog::updateCommit()
+{
+    std::vector<LogIndex> synced;
+    for (const Member& member : members()) {
+        if (!member.voter)
+            continue;
+        const auto peer = m_peers.find(member.id);
+        if (member.id == self())
+            synced.push_back(m_writes.durableIndex());
+        else
+            synced.push_back(peer == m_peers.end() ? LogIndex() : peer->second.matchIndex);
+    }
+    if (synced.empty())
+        return;
+    std::sort(synced.begin(), synced.end(), std::greater<>());
+    const LogIndex onMajority = synced[synced.size() / 2];
+    // Entries of earlier terms are committed only together with one of this term (Raft, 5.4.2).
+    if (onMajority <= m_commitIndex || m_log.termAt(onMajority) != term())
+        return;
+    commitTo(onMajority);
+    const bool isRemoved = m_log.membersIndex() <= m_commitIndex && !isVoter(members(), self());
+    if (isRemoved)
+        becomeFollower(term(), noReplica());
+}
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Tests/state/FakeFileSystem.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "state/FileSystem.h"
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+
+namespace Knapweedquay {
+
+/// Files in memory that forget what was not synced when the machine crashes.
+class FakeFileSystem final : public FileSystem {
+public:
+    Result<std::vector<std::string>> list(const std::string& folder) override;
+    Result<std::string> read(const std::string& path) override;
+    Result<std::unique_ptr<AppendFile>> create(const std::string& path) override;
+    Result<std::unique_ptr<AppendFile>> openToAppend(const std::string& path) override;
+    Result<void> rename(const std::string& from, const std::string& to) override;
+    Result<void> remove(const std::string& path) override;
+    Result<void> syncFolder(const std::string& folder) override;
+
+    /// Loses a random part of what was not synced: the tail of a file, bytes within it, or changes of names.
+    void crash(std::mt19937_64&);
+    void loseDisk();
+    /// The given number of operations from now on succeed, and all later ones fail.
+    void failAfter(std::size_t operations) { m_operationsLeft = operations; }
+    void recover() { m_operationsLeft = unlimited; }
+    std::string& content(const std::string& path) { return m_files.at(path)->content; }
+    std::size_t syncCount() const { return m_syncs; }
+
+private:
+    struct File {
+        std::string content;
+        std::size_t syncedBytes = 0;
+    };
+    class Handle;
+    using Names = std::map<std::string, std::shared_ptr<File>>;
+
+    static constexpr std::size_t unlimited = static_cast<std::size_t>(-1);
+
+    Result<void> operate(const char* name);
+
+    Names m_files;
+    Names m_syncedNames;
+    std::size_t m_operationsLeft = unlimited;
+    std::size_t m_syncs = 0;
+};
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Tests/state/StoreSimulation.cpp
@@ -0,0 +1,358 @@
+#include "state/StoreSimulation.h"
+
+#include <algorithm>
+
+namespace Knapweedquay {
+
+namespace {
+
+    constexpr Duration stepTime { 5000 };
+    constexpr Duration usualDelay { 1000 };
+    constexpr Duration lossNoticeTime { 500000 };
+    constexpr Duration longestDelay { 2000000 };
+    constexpr std::uint64_t clusterId = 77;
+    const std::string folder = "data";
+
+} // namespace
+
+StoreSimulation::StoreSimulation(std::size_t replicas, std::uint64_t seed, std::size_t snapshotEntries)
+    : m_random(seed)
+    , m_replicas(replicas)
+    , m_snapshotEntries(snapshotEntries)
+{
+    for (std::size_t i = 0; i < replicas; ++i)
+        m_replicas[i].address = "replica-" + std::to_string(i);
+    m_replicas[0].founder = true;
+    for (std::size_t i = 0; i < replicas; ++i)
+        start(i);
+}
+
+void StoreSimulation::start(std::size_t index)
+{
+    Replica& replica = m_replicas[index];
+    ControlServiceSettings settings;
+    settings.folder = folder;
+    settings.address = replica.address;
+    for (const Replica& other : m_replicas)
+        if (other.address != replica.address)
+            settings.peers.push_back(other.address);
+    settings.bootstrap = replica.founder;
+    settings.newReplica = ReplicaId(m_nextId++);
+    settings.newCluster = ClusterId(clusterId);
+    settings.minimumVoters = m_replicas.size() / 2 + 1;
+    settings.snapshotEntries = m_snapshotEntries;
+    settings.log.seed = m_random();
+    settings.log.snapshotChunkBytes = 256;
+    ControlServiceHooks hooks;
+    hooks.send = [this, index](const std::string& address, const ReplicaMessage& message) { post(index, address, message); };
+    auto opened = ControlService::open(settings, replica.disk, hooks, m_now);
+    if (opened.has_error() && opened.error().code == ResultCode::StorageFailed)
+        return;
+    if (opened.has_error())
+        report(replica.address + " does not start: " + opened.error().detail);
+    else
+        replica.service = std::move(opened.value());
+}
+
+void StoreSimulation::post(std::size_t from, const std::string& address, const ReplicaMessage& message)
+{
+    const auto to = std::find_if(m_replicas.begin(), m_replicas.end(), [&address](const Replica& replica) { return replica.address == address; });
+    if (to == m_replicas.end() || m_random() % 100 < m_faults.loss)
+        return;
+    const Envelope envelope { static_cast<std::size_t>(to - m_replicas.begin()), from, encodeReplicaMessage(message) };
+    const int copies = m_random() % 100 < m_faults.duplication ? 2 : 1;
+    for (int copy = 0; copy < copies; ++copy) {
+        const bool isLong = m_random() % 100 < m_faults.longDelay;
+        const Duration most = isLong ? longestDelay : usualDelay;
+        m_network.emplace(m_now + usualDelay + Duration(m_random() % most.count()), envelope);
+    }
+}
+
+void StoreSimulation::deliver(const Envelope& envelope)
+{
+    const auto message = decodeReplicaMessage(envelope.bytes);
+    if (message.has_error())
+        report("message does not decode: " + message.error().detail);
+    else
+        m_replicas[envelope.to].service->receive(message.value(), m_now);
+}
+
+bool StoreSimulation::isRunning(std::size_t index) const
+{
+    return m_replicas[index].service && m_replicas[index].frozenUntil <= m_now;
+}
+
+void StoreSimulation::step()
+{
+    m_now += stepTime;
+    std::vector<std::pair<TimePoint, Envelope>> later;
+    while (!m_network.empty() && m_network.begin()->first <= m_now) {
+        Envelope envelope = std::move(m_network.begin()->second);
+        m_network.erase(m_network.begin());
+        const Replica& to = m_replicas[envelope.to];
+        if (!to.service || to.cutOff || m_replicas[envelope.from].cutOff)
+            continue;
+        // What arrives while a process is frozen waits in its socket.
+        if (to.frozenUntil > m_now)
+            later.emplace_back(to.frozenUntil, std::move(envelope));
+        else
+            deliver(envelope);
+    }
+    for (auto& [time, envelope] : later)
+        m_network.emplace(time, std::move(envelope));
+    for (std::size_t i = 0; i < m_replicas.size(); ++i) {
+        if (!isRunning(i))
+            continue;
+        m_replicas[i].service->tick(m_now);
+        m_replicas[i].service->flush(m_now);
+        check(i);
+    }
+}
+
+void StoreSimulation::run(Duration time)
+{
+    const TimePoint end = m_now + time;
+    while (m_now < end)
+        step();
+}
+
+bool StoreSimulation::runUntil(const std::function<bool()>& condition, Duration time)
+{
+    const TimePoint end = m_now + time;
+    while (m_now < end && !condition())
+        step();
+    return condition();
+}
+
+void StoreSimulation::crash(std::size_t index)
+{
+    m_replicas[index].service.reset();
+    m_replicas[index].seen.clear();
+    m_replicas[index].disk.crash(m_random);
+}
+
+void StoreSimulation::restart(std::size_t index)
+{
+    if (!m_replicas[index].service)
+        start(index);
+}
+
+void StoreSimulation::loseDisk(std::size_t index)
+{
+    crash(index);
+    m_replicas[index].disk.loseDisk();
+    m_lastLoss = m_now;
+}
+
+void StoreSimulation::freeze(std::size_t index, Duration time)
+{
+    m_replicas[index].frozenUntil = m_now + time;
+}
+
+void StoreSimulation::cutOff(std::size_t index, bool isCutOff)
+{
+    m_replicas[index].cutOff = isCutOff;
+}
+
+void StoreSimulation::failStorageSoon(std::size_t index)
+{
+    m_replicas[index].disk.failAfter(m_random() % 8);
+}
+
+void StoreSimulation::heal()
+{
+    m_faults = {};
+    for (std::size_t i = 0; i < m_replicas.size(); ++i) {
+        Replica& replica = m_replicas[i];
+        replica.frozenUntil = m_now;
+        replica.cutOff = false;
+        replica.disk.recover();
+        if (replica.service && replica.service->isStopped())
+            crash(i);
+        restart(i);
+    }
+}
+
+void StoreSimulation::disturb()
+{
+    const std::size_t index = m_random() % m_replicas.size();
+    switch (m_random() % 10) {
+    case 0:
+    case 1:
+        crash(index);
+        break;
+    case 2:
+    case 3:
+    case 4:
+        if (m_replicas[index].service && m_replicas[index].service->isStopped())
+            crash(index);
+        restart(index);
+        break;
+    case 5:
+        freeze(index, Duration(m_random() % 3000000));
+        break;
+    case 6:
+        cutOff(index, true);
+        break;
+    case 7:
+        cutOff(index, false);
+        break;
+    case 8:
+        failStorageSoon(index);
+        break;
+    default:
+        // A disk may be lost when the store, having had the time to notice the last loss, says that it survives it.
+        if (m_now - m_lastLoss >= lossNoticeTime && survivesAnotherLoss())
+            loseDisk(index);
+        break;
+    }
+}
+
+std::optional<std::size_t> StoreSimulation::leader() const
+{
+    for (std::size_t i = 0; i < m_replicas.size(); ++i)
+        if (isRunning(i) && !m_replicas[i].cutOff && m_replicas[i].service->log() && m_replicas[i].service->log()->canAccept(m_now))
+            return i;
+    return std::nullopt;
+}
+
+bool StoreSimulation::survivesAnotherLoss() const
+{
+    return std::any_of(m_replicas.begin(), m_replicas.end(), [this](const Replica& replica) {
+        return replica.service && replica.frozenUntil <= m_now && replica.service->status(m_now).survivesAnotherLoss;
+    });
+}
+
+bool StoreSimulation::haveAllConverged() const
+{
+    LogIndex applied;
+    for (const Replica& replica : m_replicas) {
+        if (!replica.service || !replica.service->log() || !replica.service->freshness(m_now))
+            return false;
+        const ReplicatedLog& log = *replica.service->log();
+        if (voterCount(log.members()) != m_replicas.size() || log.members().size() != m_replicas.size())
+            return false;
+        if (log.appliedIndex() != log.log().lastIndex() || (applied.value() > 0 && applied != log.appliedIndex()))
+            return false;
+        applied = log.appliedIndex();
+    }
+    return true;
+}
+
+void StoreSimulation::sendEdit(std::size_t replica, const std::string& service, std::uint64_t expectedBeyond)
+{
+    if (!isRunning(replica))
+        return;
+    DocumentEdit edit;
+    edit.service = ServiceName(service);
+    const StoredDocument* document = m_replicas[replica].service->state().documents().find(edit.service);
+    edit.expected = DocumentVersion((document ? document->version.value() : 0) + expectedBeyond);
+    edit.change = ChangeId("change-" + std::to_string(m_nextChange++));
+    edit.text = "text of " + edit.change.value();
+    edit.author = "operator";
+    edit.authenticatedTeam = "team-" + service;
+    m_sent.push_back(edit);
+    submit(replica, edit);
+}
+
+void StoreSimulation::resendEdit()
+{
+    const std::size_t replica = m_random() % m_replicas.size();
+    if (!m_sent.empty() && isRunning(replica))
+        submit(replica, m_sent[m_random() % m_sent.size()]);
+}
+
+void StoreSimulation::submit(std::size_t replica, const DocumentEdit& edit)
+{
+    m_replicas[replica].service->edit(
+        edit, [this, edit](const Result<EditResult>& result) {
+            if (result.has_value())
+                noteResult(edit, result.value());
+        },
+        m_now);
+}
+
+void StoreSimulation::noteResult(const DocumentEdit& edit, const EditResult& result)
+{
+    const auto [first, isFirst] = m_firstResults.emplace(edit.change, result);
+    if (!isFirst && !(first->second == result))
+        report(edit.change.value() + " got two different results");
+    if (result.code != ResultCode::Ok || !isFirst)
+        return;
+    const auto [accepted, isNew] = m_accepted[edit.service].emplace(result.version, Accepted { edit, m_now });
+    if (!isNew)
+        report(edit.service.value() + ": two winners of version " + std::to_string(result.version.value()));
+    if (result.version.value() != edit.expected.value() + 1)
+        report(edit.change.value() + " was accepted out of turn");
+    ++m_acceptedCount;
+}
+
+void StoreSimulation::sendClaim(std::size_t replica)
+{
+    if (!isRunning(replica))
+        return;
+    constexpr std::uint64_t keys = 20;
+    ClaimRequest request;
+    request.key = { ServiceName("dispatch"), IdempotencyKey("key-" + std::to_string(m_random() % keys)) };
+    request.attempt = { NodeId("node"), Incarnation(1), m_nextChange++ };
+    request.node = NodeId("node");
+    request.expiry = WallTime(static_cast<std::uint64_t>(-1));
+    m_replicas[replica].service->claim(
+        request, [this, request](const Result<ClaimResult>& result) {
+            if (result.has_error() || result.value().code != ResultCode::Ok)
+                return;
+            const auto [granted, isFirst] = m_granted.emplace(request.key, request.attempt);
+            if (!isFirst && granted->second != request.attempt)
+                report(request.key.key.value() + " was granted twice");
+        },
+        m_now);
+}
+
+void StoreSimulation::check(std::size_t index)
+{
+    if (m_replicas[index].service->isStopped())
+        return;
+    checkDocuments(index);
+    checkFreshness(index);
+}
+
+void StoreSimulation::checkDocuments(std::size_t index)
+{
+    Replica& replica = m_replicas[index];
+    const DocumentRegister& documents = replica.service->state().documents();
+    for (const auto& [service, versions] : m_accepted) {
+        const StoredDocument* document = documents.find(service);
+        const DocumentVersion version = document ? document->version : DocumentVersion();
+        if (version < replica.seen[service])
+            report(replica.address + ": " + service.value() + " went back to an older version");
+        replica.seen[service] = version;
+        const auto accepted = versions.find(version);
+        if (accepted != versions.end() && accepted->second.edit.text != document->text)
+            report(replica.address + ": " + service.value() + " holds another text than was accepted");
+    }
+}
+
+void StoreSimulation::checkFreshness(std::size_t index)
+{
+    const Replica& replica = m_replicas[index];
+    const auto freshness = replica.service->freshness(m_now);
+    if (!freshness)
+        return;
+    const TimePoint asOf = m_now - freshness->age;
+    for (const auto& [service, versions] : m_accepted) {
+        const StoredDocument* document = replica.service->state().documents().find(service);
+        const DocumentVersion version = document ? document->version : DocumentVersion();
+        const auto newest = versions.rbegin();
+        if (newest->first > version && newest->second.at < asOf)
+            report(replica.address + " claims to be fresh without version " + std::to_string(newest->first.value()) + " of " + service.value());
+    }
+}
+
+void StoreSimulation::report(const std::string& violation)
+{
+    constexpr std::size_t maximumReports = 10;
+    if (m_violations.size() < maximumReports)
+        m_violations.push_back(violation);
+}
+
+} // namespace Knapweedquay
