Transport: Add the HTTP server, the HTTP client and the links between processes

RESTinio closes a malformed, oversize or slow request without a word, so a guarded socket answers it first. libcurl repeats a request by itself when a pooled connection breaks; the pre-request hook refuses the second sending, because the first may have run. Links are aborted without a closing handshake, since a silent peer does not answer one. Format: anonymous namespaces are not indented.

--- a/Source/protocol/Cbor.cpp
+++ b/Source/protocol/Cbor.cpp
@@ -4,45 +4,45 @@
 
 namespace {
 
-    using Json = nlohmann::json;
-
-    // Builds the value and stops at a nesting that a well-formed message never has, because the parser recurses.
-    class DepthLimitedBuilder : public nlohmann::detail::json_sax_dom_parser<Json> {
-    public:
-        explicit DepthLimitedBuilder(Json& target)
-            : json_sax_dom_parser(target, false)
-        {
-        }
-
-        bool start_object(std::size_t length)
-        {
-            return enter() && json_sax_dom_parser::start_object(length);
-        }
-
-        bool start_array(std::size_t length)
-        {
-            return enter() && json_sax_dom_parser::start_array(length);
-        }
-
-        bool end_object()
-        {
-            --m_depth;
-            return json_sax_dom_parser::end_object();
-        }
-
-        bool end_array()
-        {
-            --m_depth;
-            return json_sax_dom_parser::end_array();
-        }
-
-    private:
-        bool enter() { return ++m_depth <= maximumCborDepth; }
-
-        std::size_t m_depth = 0;
-    };
-
-    const Json nullValue;
+using Json = nlohmann::json;
+
+// Builds the value and stops at a nesting that a well-formed message never has, because the parser recurses.
+class DepthLimitedBuilder : public nlohmann::detail::json_sax_dom_parser<Json> {
+public:
+    explicit DepthLimitedBuilder(Json& target)
+        : json_sax_dom_parser(target, false)
+    {
+    }
+
+    bool start_object(std::size_t length)
+    {
+        return enter() && json_sax_dom_parser::start_object(length);
+    }
+
+    bool start_array(std::size_t length)
+    {
+        return enter() && json_sax_dom_parser::start_array(length);
+    }
+
+    bool end_object()
+    {
+        --m_depth;
+        return json_sax_dom_parser::end_object();
+    }
+
+    bool end_array()
+    {
+        --m_depth;
+        return json_sax_dom_parser::end_array();
+    }
+
+private:
+    bool enter() { return ++m_depth <= maximumCborDepth; }
+
+    std::size_t m_depth = 0;
+};
+
+const Json nullValue;
 
 } // namespace
 
--- /dev/null
+++ b/Source/protocol/HttpMessage.cpp
@@ -0,0 +1,49 @@
+#include "protocol/HttpMessage.h"
+
+#include <algorithm>
+#include <array>
+
+namespace Knapweedquay {
+
+namespace {
+
+char lowerCase(char letter)
+{
+    constexpr char distance = 'a' - 'A';
+    return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter + distance) : letter;
+}
+
+constexpr std::array hopByHopHeaders = {
+    "Connection",
+    "Keep-Alive",
+    "Proxy-Connection",
+    "Proxy-Authenticate",
+    "Proxy-Authorization",
+    "TE",
+    "Trailer",
+    "Transfer-Encoding",
+    "Upgrade",
+    "Content-Length",
+    "Host",
+    "Expect",
+};
+
+} // namespace
+
+bool equalHeaderNames(std::string_view a, std::string_view b)
+{
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](char x, char y) { return lowerCase(x) == lowerCase(y); });
+}
+
+const std::string* findHeader(const HttpHeaders& headers, std::string_view name)
+{
+    const auto header = std::find_if(headers.begin(), headers.end(), [name](const HttpHeader& candidate) { return equalHeaderNames(candidate.name, name); });
+    return header == headers.end() ? nullptr : &header->value;
+}
+
+bool isHopByHopHeader(std::string_view name)
+{
+    return std::any_of(hopByHopHeaders.begin(), hopByHopHeaders.end(), [name](const char* hopByHop) { return equalHeaderNames(name, hopByHop); });
+}
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Source/protocol/ProblemDetails.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "protocol/HttpMessage.h"
+#include "protocol/Result.h"
+#include "protocol/Time.h"
+
+#include <cstdint>
+#include <string>
+
+namespace Knapweedquay {
+
+/// What is known about a call when its answer is given.
+enum class CallOutcomeKind : std::uint8_t {
+    /// The backend server's whole answer is passed on.
+    Answered,
+    /// The request certainly did not run and never will.
+    NotRun,
+    /// The request may have run.
+    Unknown,
+};
+
+/// Value of the Knapweedquay-Outcome header: "answered", "not-run" or "unknown".
+const char* outcomeName(CallOutcomeKind);
+
+namespace HeaderName {
+constexpr const char* outcome = "Knapweedquay-Outcome";
+constexpr const char* deadlineMilliseconds = "Knapweedquay-Deadline-Ms";
+constexpr const char* priority = "Knapweedquay-Priority";
+constexpr const char* attempt = "Knapweedquay-Attempt";
+constexpr const char* depth = "Knapweedquay-Depth";
+constexpr const char* retryAfterMilliseconds = "Knapweedquay-Retry-After-Ms";
+constexpr const char* retryAfter = "Retry-After";
+constexpr const char* idempotencyKey = "Idempotency-Key";
+} // namespace HeaderName
+
+/// Problem details (RFC 9457) with the numbered code and the outcome. A positive retryAfter adds Retry-After
+/// in whole seconds, rounded up (RFC 9110, 10.2.3), and the exact value in milliseconds.
+HttpResponse problemResponse(const Error&, CallOutcomeKind, Duration retryAfter = Duration::zero());
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Source/transport/GuardedSocket.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include <asio/execution_context.hpp>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+
+#include <cstddef>
+#include <limits>
+#include <memory>
+#include <set>
+#include <utility>
+
+namespace Knapweedquay {
+
+/// Callers' connections of one event loop that have a request in progress, and the size limit of their requests.
+///
+/// RESTinio creates its sockets from the event loop alone, so what they share hangs on the event loop.
+class RequestsInProgress : public asio::execution_context::service {
+public:
+    using key_type = RequestsInProgress;
+    static asio::execution_context::id id;
+
+    explicit RequestsInProgress(asio::execution_context& context)
+        : service(context)
+    {
+    }
+
+    void add(const asio::ip::tcp::endpoint& caller) { m_callers.insert(caller); }
+    void remove(const asio::ip::tcp::endpoint& caller)
+    {
+        const auto entry = m_callers.find(caller);
+        if (entry != m_callers.end())
+            m_callers.erase(entry);
+    }
+    bool contains(const asio::ip::tcp::endpoint& caller) const { return m_callers.count(caller) > 0; }
+
+    void setMaximumRequestBytes(std::size_t bytes) { m_maximumRequestBytes = bytes; }
+    std::size_t maximumRequestBytes() const { return m_maximumRequestBytes; }
+
+private:
+    void shutdown() override { }
+
+    // One entry for each request: a connection may have two.
+    std::multiset<asio::ip::tcp::endpoint> m_callers;
+    std::size_t m_maximumRequestBytes = std::numeric_limits<std::size_t>::max();
+};
+
+/// TCP socket of a caller's connection that answers a bad request before RESTinio closes it without a word.
+///
+/// It counts what was read since the last answer. When this side closes the connection while a request is
+/// unfinished, the cause is a parse error, a limit or the read timeout, and the answer says which.
+/// The names of the functions are those that Asio and RESTinio call.
+class GuardedSocket {
+public:
+    using executor_type = asio::ip::tcp::socket::executor_type;
+
+    explicit GuardedSocket(asio::io_context&);
+
+    auto& lowest_layer() { return m_state->socket; }
+    const auto& lowest_layer() const { return m_state->socket; }
+    executor_type get_executor() { return m_state->socket.get_executor(); }
+    auto remote_endpoint() const { return m_state->socket.remote_endpoint(); }
+    bool is_open() const { return m_state->socket.is_open(); }
+
+    template <typename... Arguments>
+    void cancel(Arguments&&... arguments)
+    {
+        m_state->socket.cancel(std::forward<Arguments>(arguments)...);
+    }
+
+    template <typename Buffers, typename Handler>
+    void async_read_some(const Buffers& buffers, Handler&& handler)
+    {
+        auto observed = [state = m_state, next = std::forward<Handler>(handler)](const asio::error_code& error, std::size_t length) mutable {
+            state->isPeerGone = error && error != asio::error::operation_aborted;
+            state->unansweredBytes += length;
+            state->isInReadHandler = true;
+            next(error, length);
+            state->isInReadHandler = false;
+        };
+        m_state->socket.async_read_some(buffers, std::move(observed));
+    }
+
+    template <typename Buffers, typename Handler>
+    void async_write_some(const Buffers& buffers, Handler&& handler)
+    {
+        m_state->unansweredBytes = 0;
+        m_state->socket.async_write_some(buffers, std::forward<Handler>(handler));
+    }
+
+    template <typename... Arguments>
+    void shutdown(Arguments&&... arguments)
+    {
+        answerUnfinishedRequest();
+        m_state->socket.shutdown(std::forward<Arguments>(arguments)...);
+    }
+
+    template <typename... Arguments>
+    void close(Arguments&&... arguments)
+    {
+        m_state->socket.close(std::forward<Arguments>(arguments)...);
+    }
+
+private:
+    struct State {
+        explicit State(asio::io_context& context)
+            : socket(context)
+            , requests(asio::use_service<RequestsInProgress>(context))
+        {
+        }
+
+        asio::ip::tcp::socket socket;
+        RequestsInProgress& requests;
+        std::size_t unansweredBytes = 0;
+        bool isInReadHandler = false;
+        bool isPeerGone = false;
+    };
+
+    void answerUnfinishedRequest();
+
+    std::shared_ptr<State> m_state;
+};
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Source/transport/Link.cpp
@@ -0,0 +1,220 @@
+#include "transport/Link.h"
+
+#include "transport/SteadyTime.h"
+
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/asio_no_tls.hpp>
+#include <websocketpp/config/asio_no_tls_client.hpp>
+#include <websocketpp/server.hpp>
+
+#include <utility>
+
+namespace Knapweedquay {
+
+namespace {
+
+using ServerEndpoint = websocketpp::server<websocketpp::config::asio>;
+using ClientEndpoint = websocketpp::client<websocketpp::config::asio_client>;
+
+constexpr std::size_t maximumSendBufferBytes = 64 * 1024 * 1024;
+constexpr long openTimeoutMilliseconds = 1000;
+
+template <typename Endpoint>
+class WebsocketLink : public Link {
+public:
+    using Connection = typename Endpoint::connection_ptr;
+
+    explicit WebsocketLink(Connection connection)
+        : m_connection(std::move(connection))
+        , m_lastReceived(steadyNow())
+    {
+        const boost::intrusive_ptr<WebsocketLink> self(this);
+        m_connection->set_open_handler([self](websocketpp::connection_hdl) { self->handleOpened(); });
+        m_connection->set_message_handler([self](websocketpp::connection_hdl, typename Endpoint::message_ptr message) { self->handleReceived(message->get_payload()); });
+        m_connection->set_pong_handler([self](websocketpp::connection_hdl, const std::string&) { self->m_lastReceived = steadyNow(); });
+        m_connection->set_close_handler([self](websocketpp::connection_hdl) { self->handleClosed(); });
+        m_connection->set_fail_handler([self](websocketpp::connection_hdl) { self->handleClosed(); });
+    }
+
+    bool send(const std::string& message) override
+    {
+        if (!m_isOpen || m_connection->get_buffered_amount() > maximumSendBufferBytes)
+            return false;
+        return !m_connection->send(message, websocketpp::frame::opcode::binary);
+    }
+
+    void ping() override
+    {
+        websocketpp::lib::error_code ignored;
+        m_connection->ping("", ignored);
+    }
+
+    void abort() override
+    {
+        if (m_isClosed)
+            return;
+        asio::error_code ignored;
+        m_connection->get_raw_socket().close(ignored);
+        handleClosed();
+    }
+
+    bool isOpen() const override { return m_isOpen; }
+    TimePoint lastReceived() const override { return m_lastReceived; }
+    void setHooks(Hooks hooks) override { m_hooks = std::move(hooks); }
+
+    void handleOpened()
+    {
+        if (m_isClosed)
+            return;
+        asio::error_code ignored;
+        m_connection->get_raw_socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+        m_isOpen = true;
+        m_lastReceived = steadyNow();
+        if (m_hooks.opened)
+            m_hooks.opened();
+    }
+
+    void handleClosed()
+    {
+        if (std::exchange(m_isClosed, true))
+            return;
+        m_isOpen = false;
+        const LinkPtr keptAlive(this);
+        const Hooks hooks = std::exchange(m_hooks, {});
+        if (hooks.closed)
+            hooks.closed();
+    }
+
+private:
+    void handleReceived(const std::string& payload)
+    {
+        if (m_isClosed)
+            return;
+        const LinkPtr keptAlive(this);
+        m_lastReceived = steadyNow();
+        if (m_hooks.received)
+            m_hooks.received(payload);
+    }
+
+    Connection m_connection;
+    Hooks m_hooks;
+    TimePoint m_lastReceived;
+    bool m_isOpen = false;
+    bool m_isClosed = false;
+};
+
+template <typename Endpoint>
+void prepare(Endpoint& endpoint, asio::io_context& context, std::size_t maximumMessageBytes)
+{
+    endpoint.clear_access_channels(websocketpp::log::alevel::all);
+    endpoint.clear_error_channels(websocketpp::log::elevel::all);
+    endpoint.init_asio(&context);
+    endpoint.set_max_message_size(maximumMessageBytes);
+    endpoint.set_open_handshake_timeout(openTimeoutMilliseconds);
+}
+
+} // namespace
+
+class LinkServer::Implementation {
+public:
+    Implementation(asio::io_context& context, std::size_t maximumMessageBytes, AcceptHook acceptHook)
+        : m_acceptHook(std::move(acceptHook))
+    {
+        prepare(m_endpoint, context, maximumMessageBytes);
+        m_endpoint.set_reuse_addr(true);
+        m_endpoint.set_open_handler([this](websocketpp::connection_hdl handle) { accept(m_endpoint.get_con_from_hdl(handle)); });
+    }
+
+    Result<void> start(const std::string& address, std::uint16_t port)
+    {
+        websocketpp::lib::error_code error;
+        m_endpoint.listen(asio::ip::tcp::endpoint(asio::ip::make_address(address), port), error);
+        if (!error)
+            m_endpoint.start_accept(error);
+        if (error)
+            return Error { ResultCode::ConnectionFailed, "cannot listen on " + address + ":" + std::to_string(port) + ": " + error.message() };
+        return BOOST_OUTCOME_V2_NAMESPACE::success();
+    }
+
+    void stop()
+    {
+        websocketpp::lib::error_code ignored;
+        m_endpoint.stop_listening(ignored);
+    }
+
+    std::uint16_t port()
+    {
+        asio::error_code ignored;
+        return m_endpoint.get_local_endpoint(ignored).port();
+    }
+
+private:
+    void accept(const ServerEndpoint::connection_ptr& connection)
+    {
+        const boost::intrusive_ptr<WebsocketLink<ServerEndpoint>> link(new WebsocketLink<ServerEndpoint>(connection));
+        m_acceptHook(link);
+        link->handleOpened();
+    }
+
+    AcceptHook m_acceptHook;
+    ServerEndpoint m_endpoint;
+};
+
+LinkServer::LinkServer(asio::io_context& context, std::size_t maximumMessageBytes, AcceptHook acceptHook)
+    : m_implementation(std::make_unique<Implementation>(context, maximumMessageBytes, std::move(acceptHook)))
+{
+}
+
+LinkServer::~LinkServer() = default;
+
+Result<void> LinkServer::start(const std::string& address, std::uint16_t port)
+{
+    return m_implementation->start(address, port);
+}
+
+void LinkServer::stop()
+{
+    m_implementation->stop();
+}
+
+std::uint16_t LinkServer::port() const
+{
+    return m_implementation->port();
+}
+
+class LinkClient::Implementation {
+public:
+    Implementation(asio::io_context& context, std::size_t maximumMessageBytes)
+    {
+        prepare(m_endpoint, context, maximumMessageBytes);
+    }
+
+    LinkPtr connect(const std::string& peer, Link::Hooks hooks)
+    {
+        websocketpp::lib::error_code error;
+        const auto connection = m_endpoint.get_connection("ws://" + peer + "/", error);
+        if (error)
+            return nullptr;
+        const boost::intrusive_ptr<WebsocketLink<ClientEndpoint>> link(new WebsocketLink<ClientEndpoint>(connection));
+        link->setHooks(std::move(hooks));
+        m_endpoint.connect(connection);
+        return link;
+    }
+
+private:
+    ClientEndpoint m_endpoint;
+};
+
+LinkClient::LinkClient(asio::io_context& context, std::size_t maximumMessageBytes)
+    : m_implementation(std::make_unique<Implementation>(context, maximumMessageBytes))
+{
+}
+
+LinkClient::~LinkClient() = default;
+
+LinkPtr LinkClient::connect(const std::string& peer, Link::Hooks hooks)
+{
+    return m_implementation->connect(peer, std::move(hooks));
+}
+
+} // namespace Knapweedquay
