--- /dev/null
+++ b/Source/coordination/OutgoingCall.cpp
@@ -0,0 +1,371 @@
+#include "coordination/OutgoingCall.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Knapweedquay {
+
+namespace {
+
+    // These refusals are about one endpoint and cost it nothing; another one is tried outside of the retry budget.
+    bool isRedirect(ResultCode code)
+    {
+        return code == ResultCode::Draining || code == ResultCode::PeerUnreachable;
+    }
+
+    bool canAnotherEndpointAccept(const Refusal& refusal)
+    {
+        if (refusal.isFleetWide)
+            return false;
+        return isRedirect(refusal.code) || refusal.code == ResultCode::Overloaded || refusal.code == ResultCode::DeadlineCannotBeMet
+            || refusal.code == ResultCode::StaleConfiguration;
+    }
+
+} // namespace
+
+OutgoingCall::OutgoingCall(const CallParameters& parameters, CallBudgets budgets, std::function<AttemptId()> nextAttemptId)
+    : m_parameters(parameters)
+    , m_budgets(budgets)
+    , m_nextAttemptId(std::move(nextAttemptId))
+{
+}
+
+CallActions OutgoingCall::handle(const CallEvent& event, TimePoint now)
+{
+    m_actions.clear();
+    if (m_phase == Phase::Finished)
+        return {};
+    m_now = std::max(m_now, now);
+    // A whole answer is worth more than the expiry that is noticed in the same moment.
+    if (!std::holds_alternative<AttemptAnswered>(event))
+        checkDueTimes();
+    if (m_phase != Phase::Finished)
+        std::visit([this](const auto& typedEvent) { on(typedEvent); }, event);
+    if (m_phase != Phase::Finished)
+        updateTimer();
+    return std::move(m_actions);
+}
+
+void OutgoingCall::on(const CallStarted&)
+{
+    if (m_phase != Phase::Idle)
+        return;
+    m_phase = Phase::Active;
+    if (!m_parameters.isRepeat) {
+        m_budgets.retries.addCall();
+        m_budgets.hedges.addCall();
+    }
+    if (hasTimeLeft())
+        requestEndpoint(false);
+    else
+        finishUnanswered({ ResultCode::DeadlineExpired });
+}
+
+void OutgoingCall::on(const EndpointChosen& chosen)
+{
+    if (!std::exchange(m_isChoosing, false))
+        return;
+    if (!hasTimeLeft()) {
+        if (m_attempts.empty())
+            m_refusal = { ResultCode::DeadlineExpired };
+        return concludeIfSettled();
+    }
+    if (m_attempts.empty())
+        m_firstSentAt = m_now;
+    m_attempts.push_back({ m_nextAttemptId(), chosen.node, chosen.incarnation, AttemptState::Sent, m_now });
+    send(m_attempts.back(), false);
+}
+
+void OutgoingCall::on(const NoEndpointLeft& event)
+{
+    if (!std::exchange(m_isChoosing, false))
+        return;
+    // After an attempt its own refusal tells the caller more.
+    if (m_attempts.empty())
+        m_refusal = event.refusal;
+    concludeIfSettled();
+}
+
+void OutgoingCall::on(const AttemptAccepted& event)
+{
+    Attempt* attempt = find(event.attempt);
+    if (attempt && isOutstanding(*attempt))
+        attempt->state = AttemptState::Accepted;
+}
+
+void OutgoingCall::on(const AttemptAnswered& event)
+{
+    Attempt* attempt = find(event.attempt);
+    if (!attempt || attempt->state == AttemptState::NotRun)
+        return;
+    attempt->state = AttemptState::Answered;
+    finish({ CallOutcome::Kind::Answered, event.answer });
+}
+
+void OutgoingCall::on(const AttemptRefused& event)
+{
+    Attempt* attempt = find(event.attempt);
+    if (!attempt || attempt->state == AttemptState::NotRun)
+        return;
+    attempt->state = AttemptState::NotRun;
+    m_refusal = event.refusal;
+    if (!hasOutstanding())
+        tryRetryRefused(event.refusal);
+    concludeIfSettled();
+}
+
+void OutgoingCall::on(const AttemptUnknown& event)
+{
+    Attempt* attempt = find(event.attempt);
+    if (!attempt || !isOutstanding(*attempt))
+        return;
+    attempt->state = AttemptState::Unknown;
+    m_unknownCode = event.code;
+    tryRetryLost();
+    concludeIfSettled();
+}
+
+void OutgoingCall::on(const CancelAcknowledged& event)
+{
+    Attempt* attempt = find(event.attempt);
+    if (!attempt || !isOutstanding(*attempt))
+        return;
+    switch (event.result) {
+    case CancelResult::NotRun:
+        attempt->state = AttemptState::NotRun;
+        break;
+    case CancelResult::Unknown:
+        attempt->state = AttemptState::Unknown;
+        break;
+    case CancelResult::Running:
+        // With the caller gone nobody waits, so the answer may still come and serve a resent idempotency key.
+        attempt->state = m_isCallerGone ? AttemptState::Accepted : AttemptState::Unknown;
+        break;
+    }
+    concludeIfSettled();
+}
+
+void OutgoingCall::on(const LinkLost& event)
+{
+    bool hasLostAttempt = false;
+    for (Attempt& attempt : m_attempts) {
+        if (attempt.node != event.node || !isOutstanding(attempt))
+            continue;
+        attempt.state = AttemptState::Detached;
+        hasLostAttempt = true;
+    }
+    if (hasLostAttempt)
+        tryRetryLost();
+}
+
+void OutgoingCall::on(const LinkRestored& event)
+{
+    for (Attempt& attempt : m_attempts) {
+        if (attempt.node != event.node || !isOutstanding(attempt))
+            continue;
+        if (attempt.incarnation != event.incarnation)
+            attempt.state = AttemptState::Unknown;
+        else if (m_phase == Phase::Cancelling)
+            cancel(attempt);
+        else
+            send(attempt, true);
+    }
+    tryRetryLost();
+    concludeIfSettled();
+}
+
+void OutgoingCall::on(const TimerFired&)
+{
+    // Due times were checked before the event.
+    m_timer.reset();
+}
+
+void OutgoingCall::on(const CallerGone&)
+{
+    m_isCallerGone = true;
+    if (m_phase == Phase::Active)
+        giveUp({ ResultCode::CancelledBeforeStart }, m_parameters.deadline);
+}
+
+void OutgoingCall::checkDueTimes()
+{
+    if (m_phase == Phase::Cancelling && m_giveUpAt <= m_now)
+        return finishUnanswered(m_refusal);
+    if (m_phase != Phase::Active)
+        return;
+    if (m_parameters.deadline <= m_now)
+        return giveUp({ ResultCode::DeadlineExpired }, m_now + cancelGrace);
+    checkAcceptance();
+    checkHedge();
+}
+
+void OutgoingCall::checkAcceptance()
+{
+    bool hasSilentLink = false;
+    for (Attempt& attempt : m_attempts) {
+        if (attempt.state != AttemptState::Sent || attempt.acceptBy > m_now)
+            continue;
+        attempt.state = AttemptState::Detached;
+        m_actions.push_back(ReplaceLink { attempt.node });
+        hasSilentLink = true;
+    }
+    if (hasSilentLink)
+        tryRetryLost();
+}
+
+void OutgoingCall::checkHedge()
+{
+    const auto at = hedgeTime();
+    if (!at || *at > m_now)
+        return;
+    m_hasHedged = true;
+    if (hasTimeLeft() && m_budgets.hedges.tryTake())
+        requestEndpoint(true);
+}
+
+// A repeatable call ends at once; for another one the cancel's acknowledgement may still prove "not run".
+void OutgoingCall::giveUp(const Refusal& reason, TimePoint giveUpAt)
+{
+    m_refusal = reason;
+    m_isChoosing = false;
+    if (m_parameters.isIdempotent)
+        return finishUnanswered(reason);
+    m_phase = Phase::Cancelling;
+    m_giveUpAt = giveUpAt;
+    for (const Attempt& attempt : m_attempts) {
+        if (isOutstanding(attempt))
+            cancel(attempt);
+    }
+    concludeIfSettled();
+}
+
+void OutgoingCall::requestEndpoint(bool isHedge)
+{
+    m_isChoosing = true;
+    ChooseEndpoint choose;
+    choose.isHedge = isHedge;
+    for (const Attempt& attempt : m_attempts)
+        choose.excluded.push_back(attempt.node);
+    m_actions.push_back(std::move(choose));
+}
+
+void OutgoingCall::send(Attempt& attempt, bool isResend)
+{
+    attempt.state = AttemptState::Sent;
+    attempt.acceptBy = m_now + m_parameters.acceptanceTimeout;
+    SendAttempt action { attempt.id, attempt.node, attempt.incarnation };
+    action.remaining = std::max(m_parameters.deadline - m_now - hopMargin, Duration(0));
+    action.isResend = isResend;
+    action.isRepeat = m_parameters.isRepeat || std::any_of(m_attempts.begin(), m_attempts.end(), [&](const Attempt& other) {
+        return other.id != attempt.id && other.state != AttemptState::NotRun;
+    });
+    m_actions.push_back(std::move(action));
+}
+
+void OutgoingCall::cancel(const Attempt& attempt)
+{
+    m_actions.push_back(CancelAttempt { attempt.id, attempt.node, attempt.incarnation });
+}
+
+void OutgoingCall::tryRetryRefused(const Refusal& refusal)
+{
+    if (!canStartAttempt() || !canAnotherEndpointAccept(refusal))
+        return;
+    if (isRedirect(refusal.code) || m_budgets.retries.tryTake())
+        requestEndpoint(false);
+}
+
+void OutgoingCall::tryRetryLost()
+{
+    const bool hasLiveAttempt = std::any_of(m_attempts.begin(), m_attempts.end(), [](const Attempt& attempt) {
+        return attempt.state == AttemptState::Sent || attempt.state == AttemptState::Accepted;
+    });
+    if (!m_parameters.isIdempotent || m_parameters.isRepeat || hasLiveAttempt || !canStartAttempt())
+        return;
+    if (m_budgets.retries.tryTake())
+        requestEndpoint(false);
+}
+
+bool OutgoingCall::canStartAttempt() const
+{
+    return m_phase == Phase::Active && !m_isChoosing && hasTimeLeft() && m_attempts.size() < m_parameters.limits.maximumAttempts;
+}
+
+bool OutgoingCall::hasTimeLeft() const
+{
+    return m_parameters.deadline - m_now > hopMargin;
+}
+
+void OutgoingCall::concludeIfSettled()
+{
+    if (m_phase != Phase::Finished && !m_isChoosing && !hasOutstanding())
+        finishUnanswered(m_refusal);
+}
+
+void OutgoingCall::finishUnanswered(const Refusal& reason)
+{
+    const bool mayHaveRun = std::any_of(m_attempts.begin(), m_attempts.end(), [](const Attempt& attempt) {
+        return attempt.state != AttemptState::NotRun;
+    });
+    if (mayHaveRun)
+        return finish({ CallOutcome::Kind::Unknown, nullptr, m_unknownCode });
+    const Duration retryAfter = reason.retryAfter > Duration(0) ? reason.retryAfter : defaultRetryAfter;
+    finish({ CallOutcome::Kind::NotRun, nullptr, reason.code, retryAfter });
+}
+
+void OutgoingCall::finish(CallOutcome outcome)
+{
+    for (const Attempt& attempt : m_attempts) {
+        if (isOutstanding(attempt) && m_phase != Phase::Cancelling)
+            cancel(attempt);
+    }
+    m_phase = Phase::Finished;
+    if (m_timer)
+        m_actions.push_back(ClearTimer {});
+    m_actions.push_back(FinishCall { std::move(outcome) });
+}
+
+void OutgoingCall::updateTimer()
+{
+    if (m_phase == Phase::Idle)
+        return;
+    TimePoint next = m_phase == Phase::Cancelling ? m_giveUpAt : m_parameters.deadline;
+    if (m_phase == Phase::Active) {
+        for (const Attempt& attempt : m_attempts) {
+            if (attempt.state == AttemptState::Sent)
+                next = std::min(next, attempt.acceptBy);
+        }
+        if (const auto at = hedgeTime())
+            next = std::min(next, *at);
+    }
+    if (m_timer == next)
+        return;
+    m_timer = next;
+    m_actions.push_back(SetTimer { next });
+}
+
+OutgoingCall::Attempt* OutgoingCall::find(const AttemptId& id)
+{
+    const auto found = std::find_if(m_attempts.begin(), m_attempts.end(), [&](const Attempt& attempt) { return attempt.id == id; });
+    return found == m_attempts.end() ? nullptr : &*found;
+}
+
+bool OutgoingCall::isOutstanding(const Attempt& attempt)
+{
+    return attempt.state == AttemptState::Sent || attempt.state == AttemptState::Accepted || attempt.state == AttemptState::Detached;
+}
+
+bool OutgoingCall::hasOutstanding() const
+{
+    return std::any_of(m_attempts.begin(), m_attempts.end(), isOutstanding);
+}
+
+std::optional<TimePoint> OutgoingCall::hedgeTime() const
+{
+    const bool mayHedge = m_phase == Phase::Active && m_parameters.hedgeDelay && m_parameters.isIdempotent && !m_parameters.isRepeat;
+    if (!mayHedge || m_hasHedged || m_isChoosing || m_attempts.size() != 1 || m_parameters.limits.maximumAttempts < 2)
+        return std::nullopt;
+    return m_firstSentAt + *m_parameters.hedgeDelay;
+}
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Tests/coordination/OutgoingCallTest.cpp
@@ -0,0 +1,186 @@
+#include "coordination/OutgoingCall.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <memory>
+
+using namespace Knapweedquay;
+
+namespace {
+
+class OutgoingCallTest : public ::testing::Test {
+protected:
+    OutgoingCallTest() { m_parameters.deadline = m_now + Duration(1000000); }
+
+    static AttemptId attempt(std::uint64_t sequence) { return { NodeId("origin"), Incarnation(1), sequence }; }
+
+    void begin()
+    {
+        m_call = std::make_unique<OutgoingCall>(m_parameters, CallBudgets { m_retries, m_hedges }, [this] { return attempt(++m_sequence); });
+        handle(CallStarted {});
+        handle(EndpointChosen { NodeId("a"), Incarnation(1) });
+    }
+
+    void handle(const CallEvent& event)
+    {
+        for (auto& action : m_call->handle(event, m_now))
+            m_actions.push_back(std::move(action));
+    }
+
+    void advance(Duration duration)
+    {
+        m_now += duration;
+        handle(TimerFired {});
+    }
+
+    template <typename Action>
+    std::size_t count() const
+    {
+        return std::count_if(m_actions.begin(), m_actions.end(), [](const auto& action) { return std::holds_alternative<Action>(action); });
+    }
+
+    template <typename Action>
+    const Action& last() const
+    {
+        const auto found = std::find_if(m_actions.rbegin(), m_actions.rend(), [](const auto& action) { return std::holds_alternative<Action>(action); });
+        return std::get<Action>(*found);
+    }
+
+    void expectOutcome(CallOutcome::Kind kind, ResultCode code)
+    {
+        ASSERT_TRUE(m_call->isFinished());
+        EXPECT_EQ(kind, last<FinishCall>().outcome.kind);
+        EXPECT_EQ(code, last<FinishCall>().outcome.code);
+    }
+
+    TimePoint m_now {};
+    CallParameters m_parameters;
+    RetryBudget m_retries { 0.1 };
+    RetryBudget m_hedges { 0.1 };
+    std::uint64_t m_sequence = 0;
+    std::unique_ptr<OutgoingCall> m_call;
+    CallActions m_actions;
+};
+
+TEST_F(OutgoingCallTest, ExpiredCall_Started_IsNotRun)
+{
+    m_parameters.deadline = m_now + hopMargin;
+    begin();
+    EXPECT_EQ(0u, count<SendAttempt>());
+    expectOutcome(CallOutcome::Kind::NotRun, ResultCode::DeadlineExpired);
+}
+
+TEST_F(OutgoingCallTest, Attempt_Answered_FinishesWithItsAnswer)
+{
+    begin();
+    EXPECT_EQ(Duration(1000000) - hopMargin, last<SendAttempt>().remaining);
+    handle(AttemptAnswered { attempt(1), std::make_shared<const std::string>("answer") });
+    expectOutcome(CallOutcome::Kind::Answered, ResultCode::Ok);
+    EXPECT_EQ("answer", *last<FinishCall>().outcome.answer);
+}
+
+TEST_F(OutgoingCallTest, NonIdempotentDeadline_CancelAcknowledgedNotRun_IsNotRun)
+{
+    begin();
+    handle(AttemptAccepted { attempt(1) });
+    advance(Duration(1000000));
+    EXPECT_EQ(1u, count<CancelAttempt>());
+    EXPECT_FALSE(m_call->isFinished());
+    handle(CancelAcknowledged { attempt(1), CancelResult::NotRun });
+    expectOutcome(CallOutcome::Kind::NotRun, ResultCode::DeadlineExpired);
+}
+
+TEST_F(OutgoingCallTest, NonIdempotentDeadline_NoAcknowledgement_IsUnknownAfterGrace)
+{
+    begin();
+    handle(AttemptAccepted { attempt(1) });
+    advance(Duration(1000000));
+    advance(cancelGrace);
+    expectOutcome(CallOutcome::Kind::Unknown, ResultCode::OutcomeUnknown);
+}
+
+TEST_F(OutgoingCallTest, SilentLink_AcceptanceTimeout_IsReplacedAndAttemptResent)
+{
+    begin();
+    advance(m_parameters.acceptanceTimeout);
+    EXPECT_EQ(1u, count<ReplaceLink>());
+    handle(LinkRestored { NodeId("a"), Incarnation(1) });
+    EXPECT_EQ(2u, count<SendAttempt>());
+    EXPECT_TRUE(last<SendAttempt>().isResend);
+    EXPECT_EQ(attempt(1), last<SendAttempt>().attempt);
+}
+
+TEST_F(OutgoingCallTest, NonIdempotentLinkLost_NewIncarnation_IsUnknown)
+{
+    begin();
+    handle(LinkLost { NodeId("a") });
+    EXPECT_EQ(1u, count<ChooseEndpoint>());
+    handle(LinkRestored { NodeId("a"), Incarnation(2) });
+    EXPECT_EQ(1u, count<SendAttempt>());
+    expectOutcome(CallOutcome::Kind::Unknown, ResultCode::OutcomeUnknown);
+}
+
+TEST_F(OutgoingCallTest, NonIdempotentRefused_OtherEndpoint_IsTried)
+{
+    begin();
+    handle(AttemptRefused { attempt(1), { ResultCode::Overloaded, Duration(5), false } });
+    ASSERT_EQ(2u, count<ChooseEndpoint>());
+    EXPECT_EQ(std::vector<NodeId> { NodeId("a") }, last<ChooseEndpoint>().excluded);
+    handle(EndpointChosen { NodeId("b"), Incarnation(1) });
+    EXPECT_FALSE(last<SendAttempt>().isRepeat);
+}
+
+TEST_F(OutgoingCallTest, FleetWideOverload_Refused_IsToldAtOnceWithRetryAfter)
+{
+    begin();
+    handle(AttemptRefused { attempt(1), { ResultCode::Overloaded, Duration(5), true } });
+    expectOutcome(CallOutcome::Kind::NotRun, ResultCode::Overloaded);
+    EXPECT_EQ(Duration(5), last<FinishCall>().outcome.retryAfter);
+}
+
+TEST_F(OutgoingCallTest, IdempotentLinkLost_OtherEndpoint_IsTriedAsRepeat)
+{
+    m_parameters.isIdempotent = true;
+    begin();
+    handle(LinkLost { NodeId("a") });
+    handle(EndpointChosen { NodeId("b"), Incarnation(1) });
+    EXPECT_TRUE(last<SendAttempt>().isRepeat);
+    handle(AttemptRefused { attempt(2), { ResultCode::Overloaded, Duration(0), true } });
+    advance(Duration(1000000));
+    expectOutcome(CallOutcome::Kind::Unknown, ResultCode::OutcomeUnknown);
+}
+
+TEST_F(OutgoingCallTest, RepeatOfUpperLevel_LinkLost_IsNotRetried)
+{
+    m_parameters.isIdempotent = true;
+    m_parameters.isRepeat = true;
+    begin();
+    handle(LinkLost { NodeId("a") });
+    EXPECT_EQ(1u, count<ChooseEndpoint>());
+}
+
+TEST_F(OutgoingCallTest, SlowIdempotentCall_HedgeAnswersFirst_OtherIsCancelled)
+{
+    m_parameters.isIdempotent = true;
+    m_parameters.hedgeDelay = Duration(1000);
+    begin();
+    handle(AttemptAccepted { attempt(1) });
+    advance(Duration(1000));
+    EXPECT_TRUE(last<ChooseEndpoint>().isHedge);
+    handle(EndpointChosen { NodeId("b"), Incarnation(1) });
+    handle(AttemptAnswered { attempt(2), std::make_shared<const std::string>("answer") });
+    expectOutcome(CallOutcome::Kind::Answered, ResultCode::Ok);
+    EXPECT_EQ(attempt(1), last<CancelAttempt>().attempt);
+}
+
+TEST_F(OutgoingCallTest, CallerGone_NonIdempotentQueued_IsCancelled)
+{
+    begin();
+    handle(CallerGone {});
+    EXPECT_EQ(1u, count<CancelAttempt>());
+    handle(CancelAcknowledged { attempt(1), CancelResult::NotRun });
+    expectOutcome(CallOutcome::Kind::NotRun, ResultCode::CancelledBeforeStart);
+}
+
+} // namespace
