--- a/Source/coordination/CallEvents.h
+++ b/Source/coordination/CallEvents.h
@@ -104,7 +104,7 @@
 
     Kind kind = Kind::Unknown;
     /// The answer of one attempt, when answered.
-    AnswerBytes answer;
+    AnswerBytes answer = nullptr;
     /// The reason, when not answered.
     ResultCode code = ResultCode::Ok;
     Duration retryAfter { 0 };
--- a/Source/coordination/FateTable.cpp
+++ b/Source/coordination/FateTable.cpp
@@ -8,13 +8,13 @@
 FateTable::FateTable(Incarnation self, FateTableLimits limits)
     : m_self(self)
     , m_limits(limits)
+    , m_answers(limits.maximumAnswerBytes)
 {
 }
 
 FateTable::~FateTable()
 {
     m_finished.clear();
-    m_answers.clear();
 }
 
 FateActions FateTable::receive(const AttemptRequest& request, TimePoint now)
@@ -110,7 +110,7 @@
         return {};
     finish(*attempt, Fate::Answered, now);
     const SendAnswer send { attempt->connection, id, answer };
-    keepAnswer(*attempt, std::move(answer));
+    m_answers.keep(attempt->answer, std::move(answer));
     return { send };
 }
 
@@ -210,30 +210,10 @@
     m_finished.push_back(attempt);
 }
 
-void FateTable::keepAnswer(Attempt& attempt, AnswerBytes answer)
-{
-    if (answer->size() > m_limits.maximumAnswerBytes)
-        return;
-    while (m_answerBytes + answer->size() > m_limits.maximumAnswerBytes)
-        dropAnswer(m_answers.front());
-    m_answerBytes += answer->size();
-    attempt.answer = std::move(answer);
-    m_answers.push_back(attempt);
-}
-
-void FateTable::dropAnswer(Attempt& attempt)
-{
-    if (!attempt.answer)
-        return;
-    m_answerBytes -= attempt.answer->size();
-    attempt.answer.reset();
-    m_answers.erase(m_answers.iterator_to(attempt));
-}
-
 void FateTable::forget(Attempt& attempt)
 {
     close(attempt.id, attempt.fate != Fate::NotRun);
-    dropAnswer(attempt);
+    m_answers.drop(attempt.answer);
     m_finished.erase(m_finished.iterator_to(attempt));
     --m_origins.at(attempt.id.node).attemptCount;
     m_attempts.erase(AttemptId(attempt.id));
@@ -259,8 +239,8 @@
     case Fate::NotRun:
         return SendRefusal { attempt.connection, attempt.id, attempt.refusal };
     case Fate::Answered:
-        if (attempt.answer)
-            return SendAnswer { attempt.connection, attempt.id, attempt.answer };
+        if (attempt.answer.bytes)
+            return SendAnswer { attempt.connection, attempt.id, attempt.answer.bytes };
         return SendUnknown { attempt.connection, attempt.id, ResultCode::AlreadyRan };
     case Fate::Unknown:
         break;
--- a/Source/coordination/FateTable.h
+++ b/Source/coordination/FateTable.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/AttemptOutcome.h"
+#include "coordination/AnswerCache.h"
 #include "protocol/Ids.h"
 #include "protocol/Time.h"
 
@@ -118,7 +118,7 @@
     void expire(TimePoint now);
 
     std::size_t size() const { return m_attempts.size(); }
-    std::size_t answerBytes() const { return m_answerBytes; }
+    std::size_t answerBytes() const { return m_answers.bytes(); }
     std::size_t originCount() const { return m_origins.size(); }
 
 private:
@@ -128,18 +128,15 @@
         NotRun,
         Unknown };
 
-    using ListHook = boost::intrusive::list_member_hook<>;
-
     struct Attempt {
         AttemptId id;
         ConnectionId connection;
         Fate fate = Fate::Queued;
         Refusal refusal;
         ResultCode unknownCode = ResultCode::OutcomeUnknown;
-        AnswerBytes answer;
+        CachedAnswer answer;
         TimePoint finishedAt;
-        ListHook finishedHook;
-        ListHook answerHook;
+        boost::intrusive::list_member_hook<> finishedHook;
     };
 
     /// Watermarks of one run of an origin node.
@@ -153,8 +150,7 @@
         TimePoint lastSeen;
     };
 
-    using FinishedList = boost::intrusive::list<Attempt, boost::intrusive::member_hook<Attempt, ListHook, &Attempt::finishedHook>>;
-    using AnswerList = boost::intrusive::list<Attempt, boost::intrusive::member_hook<Attempt, ListHook, &Attempt::answerHook>>;
+    using FinishedList = boost::intrusive::list<Attempt, boost::intrusive::member_hook<Attempt, boost::intrusive::list_member_hook<>, &Attempt::finishedHook>>;
 
     enum class Admissibility : std::uint8_t { New,
         CertainlyNotRun,
@@ -167,8 +163,6 @@
     Attempt* find(const AttemptId&);
     Attempt& add(const AttemptId&, ConnectionId);
     void finish(Attempt&, Fate, TimePoint now);
-    void keepAnswer(Attempt&, AnswerBytes);
-    void dropAnswer(Attempt&);
     void forget(Attempt&);
     void close(const AttemptId&, bool mayHaveRun);
     static bool isFinal(Fate);
@@ -180,8 +174,7 @@
     std::map<NodeId, Origin> m_origins;
     /// Oldest outcome first.
     FinishedList m_finished;
-    AnswerList m_answers;
-    std::size_t m_answerBytes = 0;
+    AnswerCache m_answers;
     bool m_hasForgottenOrigin = false;
 };
 
