--- /dev/null
+++ b/Source/transport/PosixFileSystem.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "state/FileSystem.h"
+
+namespace Knapweedquay {
+
+/// Files of this machine. sync() returns once the system says that the bytes are on the disk.
+class PosixFileSystem final : public FileSystem {
+public:
+    Result<std::vector<std::string>> list(const std::string& folder) override;
+    Result<std::string> read(const std::string& path) override;
+    Result<std::unique_ptr<AppendFile>> create(const std::string& path) override;
+    Result<std::unique_ptr<AppendFile>> openToAppend(const std::string& path) override;
+    Result<void> rename(const std::string& from, const std::string& to) override;
+    Result<void> remove(const std::string& path) override;
+    Result<void> syncFolder(const std::string& folder) override;
+};
+
+/// Keeps a second process out of a data folder for as long as it lives.
+class FolderLock {
+public:
+    /// Errors: StorageFailed when the folder cannot be used or another process holds it.
+    static Result<std::unique_ptr<FolderLock>> acquire(const std::string& folder);
+    ~FolderLock();
+    FolderLock(const FolderLock&) = delete;
+    FolderLock& operator=(const FolderLock&) = delete;
+
+private:
+    explicit FolderLock(int descriptor)
+        : m_descriptor(descriptor)
+    {
+    }
+
+    int m_descriptor;
+};
+
+} // namespace Knapweedquay
