--- a/Source/state/DocumentRegister.cpp
+++ b/Source/state/DocumentRegister.cpp
@@ -10,58 +10,58 @@
 
 namespace {
 
-    using Json = nlohmann::json;
+using Json = nlohmann::json;
 
-    std::uint64_t digestOf(const DocumentEdit& edit)
-    {
-        const std::string content = edit.service.value() + '\0' + std::to_string(edit.expected.value()) + '\0' + edit.authenticatedTeam + '\0' + edit.text;
-        return XXH3_64bits(content.data(), content.size());
-    }
+std::uint64_t digestOf(const DocumentEdit& edit)
+{
+    const std::string content = edit.service.value() + '\0' + std::to_string(edit.expected.value()) + '\0' + edit.authenticatedTeam + '\0' + edit.text;
+    return XXH3_64bits(content.data(), content.size());
+}
 
-    Json saveEntry(const AuditEntry& entry)
-    {
-        return Json::array({ entry.sequence, entry.service.value(), entry.change.value(), entry.author, entry.team,
-            entry.time.value(), entry.fromVersion.value(), static_cast<std::uint64_t>(entry.result.code), entry.result.version.value(),
-            entry.result.winner.value(), entry.result.winnerAuthor, entry.digest, entry.textBytes });
-    }
+Json saveEntry(const AuditEntry& entry)
+{
+    return Json::array({ entry.sequence, entry.service.value(), entry.change.value(), entry.author, entry.team,
+        entry.time.value(), entry.fromVersion.value(), static_cast<std::uint64_t>(entry.result.code), entry.result.version.value(),
+        entry.result.winner.value(), entry.result.winnerAuthor, entry.digest, entry.textBytes });
+}
 
-    AuditEntry loadEntry(const Json& fields, FieldReader& parent)
-    {
-        FieldReader reader(fields);
-        AuditEntry entry;
-        entry.sequence = reader.unsignedInteger();
-        entry.service = ServiceName(reader.text());
-        entry.change = ChangeId(reader.text());
-        entry.author = reader.text();
-        entry.team = reader.text();
-        entry.time = WallTime(reader.unsignedInteger());
-        entry.fromVersion = DocumentVersion(reader.unsignedInteger());
-        entry.result.code = static_cast<ResultCode>(reader.unsignedInteger());
-        entry.result.version = DocumentVersion(reader.unsignedInteger());
-        entry.result.winner = ChangeId(reader.text());
-        entry.result.winnerAuthor = reader.text();
-        entry.digest = reader.unsignedInteger();
-        entry.textBytes = reader.unsignedInteger();
-        if (reader.finish().has_error())
-            parent.fail("malformed audit entry");
-        return entry;
-    }
+AuditEntry loadEntry(const Json& fields, FieldReader& parent)
+{
+    FieldReader reader(fields);
+    AuditEntry entry;
+    entry.sequence = reader.unsignedInteger();
+    entry.service = ServiceName(reader.text());
+    entry.change = ChangeId(reader.text());
+    entry.author = reader.text();
+    entry.team = reader.text();
+    entry.time = WallTime(reader.unsignedInteger());
+    entry.fromVersion = DocumentVersion(reader.unsignedInteger());
+    entry.result.code = static_cast<ResultCode>(reader.unsignedInteger());
+    entry.result.version = DocumentVersion(reader.unsignedInteger());
+    entry.result.winner = ChangeId(reader.text());
+    entry.result.winnerAuthor = reader.text();
+    entry.digest = reader.unsignedInteger();
+    entry.textBytes = reader.unsignedInteger();
+    if (reader.finish().has_error())
+        parent.fail("malformed audit entry");
+    return entry;
+}
 
-    std::deque<AuditEntry> loadEntries(const Json& list, FieldReader& parent)
-    {
-        std::deque<AuditEntry> entries;
-        for (const Json& fields : list)
-            entries.push_back(loadEntry(fields, parent));
-        return entries;
-    }
+std::deque<AuditEntry> loadEntries(const Json& list, FieldReader& parent)
+{
+    std::deque<AuditEntry> entries;
+    for (const Json& fields : list)
+        entries.push_back(loadEntry(fields, parent));
+    return entries;
+}
 
-    Json saveEntries(const std::deque<AuditEntry>& entries)
-    {
-        Json list = Json::array();
-        for (const AuditEntry& entry : entries)
-            list.push_back(saveEntry(entry));
-        return list;
-    }
+Json saveEntries(const std::deque<AuditEntry>& entries)
+{
+    Json list = Json::array();
+    for (const AuditEntry& entry : entries)
+        list.push_back(saveEntry(entry));
+    return list;
+}
 
 } // namespace
 
@@ -107,7 +107,7 @@
     }
     entry.result = decide(service, edit);
     entry.sequence = m_nextSequence++;
-    const EditResult result = entry.result;
+    EditResult result = entry.result;
     record(service, std::move(entry));
     if (result.code == ResultCode::Ok) {
         service.document = { edit.service, result.version, edit.change, edit.authenticatedTeam, edit.text };
@@ -163,7 +163,7 @@
 
 EditResult DocumentRegister::refuseUnauthorized(AuditEntry entry, DocumentVersion current)
 {
-    const EditResult result { ResultCode::NotAuthorized, current, {}, {} };
+    EditResult result { ResultCode::NotAuthorized, current, {}, {} };
     entry.result = result;
     entry.sequence = m_nextSequence++;
     m_unauthorized.push_back(std::move(entry));
--- a/Source/state/ReplicatedLog.h
+++ b/Source/state/ReplicatedLog.h
@@ -167,7 +167,7 @@
     void updateCommit();
     void advanceLearners();
     void advanceLearner(const Member&);
-    Result<void> proposeMembers(MemberList);
+    Result<void> proposeMembers(const MemberList&);
     bool isCaughtUp(ReplicaId) const;
     bool isReachable(ReplicaId, TimePoint) const;
 
--- a/Source/state/ReplicatedLogMembership.cpp
+++ b/Source/state/ReplicatedLogMembership.cpp
@@ -7,10 +7,10 @@
 
 namespace {
 
-    Error refusal(const std::string& reason)
-    {
-        return Error { ResultCode::MembershipChangeRefused, reason };
-    }
+Error refusal(const std::string& reason)
+{
+    return Error { ResultCode::MembershipChangeRefused, reason };
+}
 
 } // namespace
 
@@ -47,7 +47,7 @@
     changed.erase(std::remove_if(changed.begin(), changed.end(), [&](const Member& member) { return !member.voter && member.address == address; }), changed.end());
     const bool isGone = replaces != noReplica() && !findMember(changed, replaces);
     changed.push_back({ id, address, false, isGone ? noReplica() : replaces });
-    return proposeMembers(std::move(changed));
+    return proposeMembers(changed);
 }
 
 Result<void> ReplicatedLog::removeMember(ReplicaId id, TimePoint now)
@@ -65,10 +65,10 @@
     const auto reachable = std::count_if(changed.begin(), changed.end(), [this](const Member& member) { return member.voter && isReachable(member.id, m_now); });
     if (voterCount(changed) == 0 || static_cast<std::size_t>(reachable) < majorityOf(changed))
         return refusal("the voters that would be left are not reachable");
-    return proposeMembers(std::move(changed));
+    return proposeMembers(changed);
 }
 
-Result<void> ReplicatedLog::proposeMembers(MemberList changed)
+Result<void> ReplicatedLog::proposeMembers(const MemberList& changed)
 {
     if (m_commitIndex < m_barrierIndex)
         return refusal("the leader has not committed an entry of its term yet");
@@ -102,7 +102,7 @@
     for (Member& member : changed)
         if (member.id == learner.id)
             member = { learner.id, learner.address, true, noReplica() };
-    static_cast<void>(proposeMembers(std::move(changed)));
+    static_cast<void>(proposeMembers(changed));
 }
 
 bool ReplicatedLog::isCaughtUp(ReplicaId id) const
--- a/Tests/state/StoreSimulationTest.cpp
+++ b/Tests/state/StoreSimulationTest.cpp
@@ -96,7 +96,10 @@
     store.cutOff(old, true);
     const std::size_t before = store.acceptedCount();
     store.sendEdit(old, "dispatch");
-    store.run(3s);
+    store.run(300ms);
+    const auto early = store.service(old)->freshness(store.now());
+    EXPECT_TRUE(!early || early->age >= 290ms);
+    store.run(2700ms);
     store.sendEdit(old, "dispatch");
     store.run(1s);
     EXPECT_EQ(before, store.acceptedCount());
