--- a/Source/state/ControlService.cpp
+++ b/Source/state/ControlService.cpp
@@ -206,7 +206,7 @@
     status.replica = m_log->self();
     status.cluster = m_log->cluster();
     status.term = m_log->term();
-    status.leading = !m_failure && m_log->isLeader();
+    status.leading = isLeading();
     status.leaderAddress = leaderAddress();
     status.appliedIndex = m_log->appliedIndex();
     status.lastIndex = m_log->log().lastIndex();
--- a/Source/state/ControlService.h
+++ b/Source/state/ControlService.h
@@ -97,6 +97,7 @@
     ControlStatus status(TimePoint) const;
     /// Null until this replica belongs to a store.
     const ReplicatedLog* log() const { return m_log.get(); }
+    bool isLeading() const { return !m_failure && m_log && m_log->isLeader(); }
     bool isStopped() const { return m_failure.has_value(); }
     std::string leaderAddress() const;
 
--- a/Source/state/LogStorage.cpp
+++ b/Source/state/LogStorage.cpp
@@ -164,21 +164,19 @@
 {
     if (m_failure)
         return *m_failure;
-    if (write.truncateFrom) {
-        BOOST_OUTCOME_TRYV(append(TruncateRecord { *write.truncateFrom }));
-    }
-    BOOST_OUTCOME_TRYV(append(write.hardState));
-    for (const LogEntry& entry : write.entries) {
-        BOOST_OUTCOME_TRYV(append(entry));
-    }
-    return BOOST_OUTCOME_V2_NAMESPACE::success();
+    std::string records;
+    if (write.truncateFrom)
+        records += frameRecord(TruncateRecord { *write.truncateFrom }, m_syncedBytes);
+    records += frameRecord(write.hardState, m_syncedBytes);
+    for (const LogEntry& entry : write.entries)
+        records += frameRecord(entry, m_syncedBytes);
+    return append(records);
 }
 
-Result<void> LogStorage::append(const LogRecord& record)
+Result<void> LogStorage::append(const std::string& records)
 {
-    const std::string framed = frameRecord(record, m_syncedBytes);
-    BOOST_OUTCOME_TRYV(check(m_file->append(framed)));
-    m_writtenBytes += framed.size();
+    BOOST_OUTCOME_TRYV(check(m_file->append(records)));
+    m_writtenBytes += records.size();
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
@@ -188,7 +186,7 @@
         return *m_failure;
     BOOST_OUTCOME_TRYV(check(m_file->sync()));
     m_syncedBytes = m_writtenBytes;
-    return append(SyncMark {});
+    return append(frameRecord(SyncMark {}, m_syncedBytes));
 }
 
 Result<void> LogStorage::store(const StoreSnapshot& snapshot)
@@ -222,7 +220,7 @@
     m_file = std::move(file);
     m_writtenBytes = content.size();
     m_syncedBytes = content.size();
-    BOOST_OUTCOME_TRYV(append(SyncMark {}));
+    BOOST_OUTCOME_TRYV(append(frameRecord(SyncMark {}, m_syncedBytes)));
     return removeOthers(name, m_snapshotFile);
 }
 
--- a/Source/state/LogStorage.h
+++ b/Source/state/LogStorage.h
@@ -63,7 +63,7 @@
     Result<std::string> writeSnapshot(const Snapshot&);
     Result<std::unique_ptr<AppendFile>> replaceFile(const std::string& name, const std::string& content);
     Result<void> removeOthers(const std::string& log, const std::string& snapshot);
-    Result<void> append(const LogRecord&);
+    Result<void> append(const std::string& records);
     Result<void> check(Result<void>);
     std::string path(const std::string& name) const { return m_folder + "/" + name; }
 
--- a/Source/state/ReplicatedLog.cpp
+++ b/Source/state/ReplicatedLog.cpp
@@ -161,7 +161,11 @@
 
 void ReplicatedLog::commitTo(LogIndex index)
 {
-    m_commitIndex = std::max(m_commitIndex, std::min(index, m_log.lastIndex()));
+    const LogIndex limit = std::min(index, m_log.lastIndex());
+    while (m_commitIndex < limit) {
+        m_commitIndex = nextIndex(m_commitIndex);
+        m_uncommittedBytes -= std::min(m_uncommittedBytes, m_log.at(m_commitIndex).payload.size());
+    }
     applyCommitted();
 }
 
--- a/Source/state/ReplicatedLog.h
+++ b/Source/state/ReplicatedLog.h
@@ -203,6 +203,8 @@
     QuorumRounds m_rounds;
     TimePoint m_nextHeartbeat;
     LogIndex m_barrierIndex;
+    /// Payload bytes of the leader's entries after the commit index.
+    std::size_t m_uncommittedBytes = 0;
     LogIndex m_commitAtLastRound;
     std::uint32_t m_snapshotChecksum = 0;
     LogIndex m_snapshotChecksumIndex;
--- a/Source/state/ReplicatedLogElection.cpp
+++ b/Source/state/ReplicatedLogElection.cpp
@@ -63,6 +63,9 @@
     m_rounds.reset(m_votesRequestedAt);
     m_actions.push_back(LeadershipChanged { true, term() });
     m_peers.clear();
+    m_uncommittedBytes = 0;
+    for (LogIndex index = nextIndex(m_commitIndex); m_log.holds(index); index = nextIndex(index))
+        m_uncommittedBytes += m_log.at(index).payload.size();
     m_barrierIndex = appendAsLeader(LogEntryKind::Barrier, {});
     m_commitAtLastRound = m_barrierIndex;
     updatePeers();
--- a/Source/state/ReplicatedLogReplication.cpp
+++ b/Source/state/ReplicatedLogReplication.cpp
@@ -103,10 +103,7 @@
         return Error { ResultCode::NotLeader, "this replica is not the leader" };
     if (payload.size() > maximumEntryBytes)
         return Error { ResultCode::MessageTooLarge, "command of " + std::to_string(payload.size()) + " bytes; at most " + std::to_string(maximumEntryBytes) };
-    std::size_t uncommitted = payload.size();
-    for (LogIndex index = m_log.lastIndex(); index > m_commitIndex; index = previousIndex(index))
-        uncommitted += m_log.at(index).payload.size();
-    if (uncommitted > m_settings.maximumUncommittedBytes)
+    if (m_uncommittedBytes + payload.size() > m_settings.maximumUncommittedBytes)
         return Error { ResultCode::Overloaded, "too many edits wait for a majority" };
     return appendAsLeader(LogEntryKind::Command, std::move(payload));
 }
@@ -114,6 +111,7 @@
 LogIndex ReplicatedLog::appendAsLeader(LogEntryKind kind, std::string payload)
 {
     const LogEntry entry { nextIndex(m_log.lastIndex()), term(), kind, std::move(payload) };
+    m_uncommittedBytes += entry.payload.size();
     m_log.append(entry);
     m_writes.append(entry);
     return entry.index;
