--- a/Tests/state/ReplicatedLogTest.cpp
+++ b/Tests/state/ReplicatedLogTest.cpp
@@ -65,6 +65,18 @@
         receive(AppendResponse { Term(2), true, index, round, 0 });
     }
 
+    /// One heartbeat round that the follower answers, and the given replica too with its synced index.
+    void runRound(ReplicaId other, LogIndex otherIndex)
+    {
+        m_now += 60ms;
+        m_log->tick(m_now);
+        take();
+        const QuorumRound round = sent<AppendRequest>().back().round;
+        acknowledge(m_log->log().lastIndex(), round);
+        receive(AppendResponse { Term(2), true, otherIndex, round, 0 }, other);
+        take();
+    }
+
     template <typename Body>
     std::vector<Body> sent()
     {
@@ -180,6 +192,32 @@
     EXPECT_EQ(ResultCode::MembershipChangeRefused, m_log->removeMember(followerId, m_now).error().code);
 }
 
+TEST_F(ReplicatedLogTest, LearnerBehind_Heard_BecomesVoterOnlyOnceCaughtUp)
+{
+    becomeLeader();
+    ASSERT_TRUE(m_log->addLearner(ReplicaId(4), "d", noReplica(), m_now).has_value());
+    for (int round = 0; round < 5; ++round)
+        runRound(ReplicaId(4), LogIndex(1));
+    EXPECT_FALSE(isVoter(m_log->members(), ReplicaId(4)));
+    for (int round = 0; round < 3; ++round)
+        runRound(ReplicaId(4), LogIndex(3));
+    EXPECT_TRUE(isVoter(m_log->members(), ReplicaId(4)));
+}
+
+TEST_F(ReplicatedLogTest, VoterBehind_Heard_DoesNotCountForAnotherLoss)
+{
+    becomeLeader();
+    runRound(ReplicaId(3), LogIndex(1));
+    EXPECT_FALSE(m_log->survivesAnotherLoss(m_now));
+    runRound(ReplicaId(3), LogIndex(2));
+    EXPECT_TRUE(m_log->survivesAnotherLoss(m_now));
+    m_now += 399ms;
+    m_log->tick(m_now);
+    EXPECT_TRUE(m_log->survivesAnotherLoss(m_now));
+    m_now += 2ms;
+    EXPECT_FALSE(m_log->survivesAnotherLoss(m_now));
+}
+
 TEST_F(ReplicatedLogTest, TooMuchUncommitted_Proposed_IsRefusedAsOverloaded)
 {
     becomeLeader();
