--- /dev/null
+++ b/Source/control/ControlDaemon.cpp
@@ -0,0 +1,232 @@
+#include "control/ControlDaemon.h"
+
+#include "protocol/LinkChannel.h"
+
+#include <asio/post.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <random>
+#include <utility>
+
+namespace Knapweedquay {
+
+namespace {
+
+constexpr Duration tickInterval { 20000 };
+constexpr std::size_t maximumForwardedClaims = 10000;
+/// Time for which a key is kept; callers resend within minutes.
+constexpr std::uint64_t claimKeepMicroseconds = 600ULL * 1000 * 1000;
+
+std::uint64_t randomId()
+{
+    std::random_device device;
+    return std::uniform_int_distribution<std::uint64_t>(1)(device);
+}
+
+ClaimKey keyOf(const ServiceName& service, const IdempotencyKey& key)
+{
+    return { service, key };
+}
+
+HttpServer::Settings httpSettings(const ControlSettings& settings)
+{
+    constexpr std::size_t maximumBodyBytes = 256 * 1024;
+    constexpr std::size_t maximumConnections = 200;
+    HttpServer::Settings server;
+    server.address = settings.http.ip;
+    server.port = settings.http.port;
+    server.maximumBodyBytes = maximumBodyBytes;
+    server.maximumConnections = maximumConnections;
+    return server;
+}
+
+} // namespace
+
+ControlDaemon::ControlDaemon(const ControlSettings& settings)
+    : m_settings(settings)
+    , m_replicaLinks(m_context, maximumReplicaMessageBytes + 1, [this](std::string_view bytes) { receiveFromReplica(bytes); })
+    , m_linkServer(m_context, maximumReplicaMessageBytes + 1, [this](const LinkPtr& link) { accept(link); })
+    , m_httpServer(m_context, httpSettings(settings), [this](const HttpExchangePtr& exchange) { m_operators->handle(exchange); })
+    , m_signals(m_context, SIGINT, SIGTERM)
+    , m_tickTimer(m_context, [this] { tick(); })
+{
+}
+
+ControlDaemon::~ControlDaemon() = default;
+
+Result<void> ControlDaemon::run()
+{
+    BOOST_OUTCOME_TRYV(openStore());
+    BOOST_OUTCOME_TRYV(m_linkServer.start(m_settings.links.ip, m_settings.links.port));
+    BOOST_OUTCOME_TRYV(m_httpServer.start());
+    m_signals.async_wait([this](const asio::error_code& error, int) {
+        if (!error)
+            m_context.stop();
+    });
+    tick();
+    m_context.restart();
+    m_context.run();
+    return m_end;
+}
+
+Result<void> ControlDaemon::openStore()
+{
+    ControlServiceSettings settings;
+    settings.folder = m_settings.folder;
+    settings.address = toText(m_settings.links);
+    settings.peers = m_settings.peers;
+    settings.bootstrap = m_settings.bootstrap;
+    settings.newReplica = ReplicaId(randomId());
+    settings.newCluster = ClusterId(randomId());
+    settings.minimumVoters = m_settings.minimumVoters;
+    settings.log.seed = randomId();
+    ControlServiceHooks hooks;
+    hooks.send = [this](const std::string& address, const ReplicaMessage& message) {
+        m_replicaLinks.send(address, LinkChannel::wrap(LinkChannel::replica, encodeReplicaMessage(message)));
+    };
+    hooks.documentChanged = [this](const StoredDocument& document) {
+        if (m_subscriptions)
+            m_subscriptions->documentChanged(document);
+    };
+    hooks.stopped = [this](const Error& error) {
+        m_end = error;
+        m_context.stop();
+    };
+    auto service = ControlService::open(settings, m_files, std::move(hooks), steadyNow());
+    if (service.has_error())
+        return service.error();
+    m_service = std::move(service.value());
+    m_subscriptions = std::make_unique<NodeSubscriptions>(*m_service);
+    m_operators = std::make_unique<OperatorInterface>(*m_service, *m_subscriptions, m_settings, [this] { scheduleFlush(); });
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+void ControlDaemon::tick()
+{
+    m_service->tick(steadyNow());
+    m_service->flush(steadyNow());
+    m_tickTimer.setAfter(tickInterval);
+}
+
+// One flush for all that has come in, so that edits of the same moment share one sync.
+void ControlDaemon::scheduleFlush()
+{
+    if (std::exchange(m_isFlushScheduled, true))
+        return;
+    asio::post(m_context, [this] {
+        m_isFlushScheduled = false;
+        m_service->flush(steadyNow());
+    });
+}
+
+void ControlDaemon::accept(const LinkPtr& link)
+{
+    const NodeSubscriptions::SubscriberId id = m_subscriptions->add(link);
+    Link::Hooks hooks;
+    hooks.received = [this, id](std::string_view bytes) {
+        if (bytes.empty())
+            return;
+        if (bytes.front() == LinkChannel::replica)
+            receiveFromReplica(bytes);
+        else
+            receiveNodeMessage(id, LinkChannel::unwrap(bytes));
+    };
+    hooks.closed = [this, id] { m_subscriptions->remove(id); };
+    link->setHooks(std::move(hooks));
+}
+
+void ControlDaemon::receiveNodeMessage(NodeSubscriptions::SubscriberId id, std::string_view bytes)
+{
+    const auto decoded = decodeControlMessage(bytes);
+    if (decoded.has_error())
+        return;
+    const ControlMessage& message = decoded.value();
+    if (const auto* subscribe = std::get_if<SubscribeMessage>(&message))
+        m_subscriptions->subscribe(id, *subscribe);
+    else if (const auto* request = std::get_if<FreshnessRequestMessage>(&message))
+        m_subscriptions->answerFreshness(id, *request, steadyNow());
+    else if (const auto* inForce = std::get_if<InForceMessage>(&message))
+        m_subscriptions->reportInForce(id, *inForce);
+    else if (const auto* claim = std::get_if<ClaimRequestMessage>(&message))
+        handleClaim(id, *claim);
+    else if (const auto* release = std::get_if<ClaimReleaseMessage>(&message))
+        handleRelease(*release);
+}
+
+void ControlDaemon::receiveFromReplica(std::string_view bytes)
+{
+    if (bytes.empty())
+        return;
+    if (bytes.front() == LinkChannel::replica) {
+        const auto message = decodeReplicaMessage(LinkChannel::unwrap(bytes));
+        if (message.has_error())
+            return;
+        m_service->receive(message.value(), steadyNow());
+        scheduleFlush();
+        return;
+    }
+    const auto message = decodeControlMessage(LinkChannel::unwrap(bytes));
+    if (message.has_error())
+        return;
+    if (const auto* answer = std::get_if<ClaimAnswerMessage>(&message.value()))
+        handleForwardedAnswer(*answer);
+}
+
+void ControlDaemon::handleClaim(NodeSubscriptions::SubscriberId id, const ClaimRequestMessage& message)
+{
+    if (!m_service->status(steadyNow()).leading) {
+        if (m_forwarded.size() >= maximumForwardedClaims)
+            m_forwarded.clear();
+        m_forwarded[message.owner] = id;
+        return forwardToLeader(message);
+    }
+    ClaimRequest request;
+    request.key = keyOf(message.service, message.key);
+    request.fingerprint = message.fingerprint;
+    request.attempt = message.owner;
+    request.node = message.owner.node;
+    request.time = wallNow();
+    request.expiry = WallTime(request.time.value() + claimKeepMicroseconds);
+    m_service->claim(
+        request, [this, id, owner = message.owner](Result<ClaimResult> result) {
+            const ResultCode code = result.has_error() ? ResultCode::ClaimUnavailable : result.value().code;
+            m_subscriptions->send(id, ClaimAnswerMessage { owner, code });
+        },
+        steadyNow());
+    scheduleFlush();
+}
+
+void ControlDaemon::handleRelease(const ClaimReleaseMessage& message)
+{
+    if (!m_service->status(steadyNow()).leading)
+        return forwardToLeader(message);
+    ClaimUpdate update;
+    update.key = keyOf(message.service, message.key);
+    update.attempt = message.owner;
+    update.node = message.owner.node;
+    update.change = ClaimChange::Release;
+    update.time = wallNow();
+    m_service->update(
+        update, [](const Result<ClaimResult>&) {}, steadyNow());
+    scheduleFlush();
+}
+
+void ControlDaemon::forwardToLeader(const ControlMessage& message)
+{
+    const std::string leader = m_service->leaderAddress();
+    if (!leader.empty() && leader != toText(m_settings.links))
+        m_replicaLinks.send(leader, LinkChannel::wrap(LinkChannel::node, encode(message)));
+}
+
+void ControlDaemon::handleForwardedAnswer(const ClaimAnswerMessage& answer)
+{
+    const auto entry = m_forwarded.find(answer.owner);
+    if (entry == m_forwarded.end())
+        return;
+    m_subscriptions->send(entry->second, answer);
+    m_forwarded.erase(entry);
+}
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Source/control/ControlDaemon.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "control/ControlSettings.h"
+#include "control/NodeSubscriptions.h"
+#include "control/OperatorInterface.h"
+#include "control/ReplicaLinks.h"
+#include "state/ControlService.h"
+#include "transport/HttpServer.h"
+#include "transport/Link.h"
+#include "transport/PosixFileSystem.h"
+#include "transport/SteadyTime.h"
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace Knapweedquay {
+
+/// The control process: one replica of the store, its links to nodes and replicas, and the operators' HTTP interface.
+class ControlDaemon {
+public:
+    explicit ControlDaemon(const ControlSettings&);
+    ~ControlDaemon();
+
+    /// Runs until a signal or a storage failure ends it.
+    Result<void> run();
+
+private:
+    Result<void> openStore();
+    void accept(const LinkPtr&);
+    void receiveNodeMessage(NodeSubscriptions::SubscriberId, std::string_view bytes);
+    void receiveFromReplica(std::string_view bytes);
+    void handleClaim(NodeSubscriptions::SubscriberId, const ClaimRequestMessage&);
+    void handleRelease(const ClaimReleaseMessage&);
+    void forwardToLeader(const ControlMessage&);
+    void handleForwardedAnswer(const ClaimAnswerMessage&);
+    void tick();
+    void scheduleFlush();
+
+    ControlSettings m_settings;
+    asio::io_context m_context;
+    PosixFileSystem m_files;
+    std::unique_ptr<ControlService> m_service;
+    std::unique_ptr<NodeSubscriptions> m_subscriptions;
+    std::unique_ptr<OperatorInterface> m_operators;
+    ReplicaLinks m_replicaLinks;
+    LinkServer m_linkServer;
+    HttpServer m_httpServer;
+    asio::signal_set m_signals;
+    Timer m_tickTimer;
+    bool m_isFlushScheduled = false;
+    /// Claims that were passed on to the leader, and the subscriber that waits for each.
+    std::map<AttemptId, NodeSubscriptions::SubscriberId> m_forwarded;
+    Result<void> m_end = BOOST_OUTCOME_V2_NAMESPACE::success();
+};
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Source/control/ControlSettings.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "protocol/Result.h"
+#include "protocol/SocketAddress.h"
+
+#include <cstddef>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Knapweedquay {
+
+/// Settings of a control daemon; docs/CONFIGURATION.md has the keys.
+struct ControlSettings {
+    /// Data folder of this replica.
+    std::string folder;
+    /// HTTP address for operators.
+    SocketAddress http { "127.0.0.1", 0 };
+    /// TCP address for links from nodes and from the other replicas.
+    SocketAddress links { "127.0.0.1", 0 };
+    /// Link addresses of the other replicas.
+    std::vector<std::string> peers;
+    /// Create a new store when the folder is empty and no peer has one.
+    bool bootstrap = false;
+    /// Edits are refused while the store has fewer voters than this.
+    std::size_t minimumVoters = 1;
+    /// Secret of each team, by the team's name.
+    std::map<std::string, std::string> credentials;
+};
+
+/// Errors: FileUnreadable; InvalidSettings with file, line, column, key and what was expected.
+Result<ControlSettings> loadControlSettings(const std::string& path);
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Source/control/NodeSubscriptions.cpp
@@ -0,0 +1,77 @@
+#include "control/NodeSubscriptions.h"
+
+#include "protocol/LinkChannel.h"
+
+namespace Knapweedquay {
+
+NodeSubscriptions::NodeSubscriptions(const ControlService& service)
+    : m_service(service)
+{
+}
+
+NodeSubscriptions::SubscriberId NodeSubscriptions::add(const LinkPtr& link)
+{
+    m_subscribers[++m_lastId].link = link;
+    return m_lastId;
+}
+
+void NodeSubscriptions::remove(SubscriberId id)
+{
+    m_subscribers.erase(id);
+}
+
+void NodeSubscriptions::subscribe(SubscriberId id, const SubscribeMessage& message)
+{
+    const auto entry = m_subscribers.find(id);
+    if (entry == m_subscribers.end())
+        return;
+    Subscriber& subscriber = entry->second;
+    subscriber.node = message.node;
+    subscriber.incarnation = message.incarnation;
+    subscriber.isSubscribed = true;
+    subscriber.inForce = message.inForce;
+    subscriber.sent = message.inForce;
+    for (const StoredDocument* document : m_service.state().documents().documents())
+        sendDocument(subscriber, *document);
+}
+
+void NodeSubscriptions::reportInForce(SubscriberId id, const InForceMessage& message)
+{
+    const auto entry = m_subscribers.find(id);
+    if (entry != m_subscribers.end())
+        entry->second.inForce = message.inForce;
+}
+
+void NodeSubscriptions::send(SubscriberId id, const ControlMessage& message)
+{
+    const auto entry = m_subscribers.find(id);
+    if (entry != m_subscribers.end())
+        entry->second.link->send(LinkChannel::wrap(LinkChannel::node, encode(message)));
+}
+
+void NodeSubscriptions::documentChanged(const StoredDocument& document)
+{
+    for (auto& entry : m_subscribers) {
+        if (entry.second.isSubscribed)
+            sendDocument(entry.second, document);
+    }
+}
+
+void NodeSubscriptions::answerFreshness(SubscriberId id, const FreshnessRequestMessage& request, TimePoint now)
+{
+    const auto freshness = m_service.freshness(now);
+    if (freshness)
+        send(id, FreshnessMessage { request.clock, freshness->term.value(), freshness->round.value(), freshness->age });
+}
+
+void NodeSubscriptions::sendDocument(Subscriber& subscriber, const StoredDocument& document)
+{
+    DocumentVersion& sent = subscriber.sent[document.service];
+    if (document.version <= sent)
+        return;
+    sent = document.version;
+    const DocumentMessage message { document.service, document.version, document.text };
+    subscriber.link->send(LinkChannel::wrap(LinkChannel::node, encode(ControlMessage(message))));
+}
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Source/control/OperatorInterface.cpp
@@ -0,0 +1,225 @@
+#include "control/OperatorInterface.h"
+
+#include "protocol/ProblemDetails.h"
+#include "state/DocumentParser.h"
+#include "transport/SteadyTime.h"
+
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+#include <optional>
+#include <string_view>
+
+namespace Knapweedquay {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::string_view documentsPath = "/v1/documents";
+constexpr std::string_view historyPath = "/v1/history/";
+constexpr std::string_view replicasPath = "/v1/replicas/";
+constexpr std::size_t maximumHistoryEntries = 1000;
+
+constexpr const char* expectedVersionHeader = "Knapweedquay-Expected-Version";
+constexpr const char* changeIdHeader = "Knapweedquay-Change-Id";
+constexpr const char* authorHeader = "Knapweedquay-Author";
+
+HttpResponse jsonResponse(const Json& body)
+{
+    return { 200, { { "Content-Type", "application/json" } }, body.dump(-1, ' ', false, Json::error_handler_t::replace) };
+}
+
+HttpResponse refusal(const Error& error)
+{
+    return problemResponse(error, CallOutcomeKind::NotRun);
+}
+
+std::optional<std::uint64_t> parseNumber(std::string_view text)
+{
+    std::uint64_t number = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (error != std::errc() || end != text.data() + text.size())
+        return std::nullopt;
+    return number;
+}
+
+// Compares in a time that does not depend on where the first difference is.
+bool equalSecrets(std::string_view a, std::string_view b)
+{
+    if (a.size() != b.size())
+        return false;
+    unsigned difference = 0;
+    for (std::size_t index = 0; index < a.size(); ++index)
+        difference |= static_cast<unsigned char>(a[index]) ^ static_cast<unsigned char>(b[index]);
+    return difference == 0;
+}
+
+Json memberJson(const MemberStatus& status)
+{
+    Json json = { { "replica", status.member.id.value() }, { "address", status.member.address }, { "voter", status.member.voter }, { "synced_index", status.syncedIndex.value() } };
+    if (status.lastHeard)
+        json["last_heard_ms"] = toMilliseconds(*status.lastHeard);
+    return json;
+}
+
+HttpResponse editResponse(const EditResult& result)
+{
+    if (result.code == ResultCode::Ok)
+        return jsonResponse({ { "code", 0 }, { "version", result.version.value() } });
+    HttpResponse response = refusal({ result.code, title(result.code) });
+    Json body = Json::parse(response.body);
+    body["version"] = result.version.value();
+    body["winner"] = result.winner.value();
+    body["winner_author"] = result.winnerAuthor;
+    response.body = body.dump();
+    return response;
+}
+
+} // namespace
+
+OperatorInterface::OperatorInterface(ControlService& service, const NodeSubscriptions& subscriptions, const ControlSettings& settings, std::function<void()> flush)
+    : m_service(service)
+    , m_subscriptions(subscriptions)
+    , m_settings(settings)
+    , m_flush(std::move(flush))
+{
+}
+
+void OperatorInterface::handle(const HttpExchangePtr& exchange)
+{
+    const HttpRequest& request = exchange->request();
+    const std::string_view path = request.target;
+    const auto rest = [path](std::string_view prefix) { return std::string(path.substr(prefix.size())); };
+    const auto isBelow = [path](std::string_view prefix) { return path.size() > prefix.size() && path.substr(0, prefix.size()) == prefix; };
+    const std::string documentPrefix = std::string(documentsPath) + "/";
+    if (request.method == "PUT" && isBelow(documentPrefix))
+        return putDocument(exchange, rest(documentPrefix));
+    if (request.method == "DELETE" && isBelow(replicasPath))
+        return exchange->respond(removeReplica(rest(replicasPath)));
+    if (request.method == "GET" && path == documentsPath)
+        return exchange->respond(listDocuments());
+    if (request.method == "GET" && isBelow(documentPrefix))
+        return exchange->respond(getDocument(rest(documentPrefix)));
+    if (request.method == "GET" && isBelow(historyPath))
+        return exchange->respond(history(rest(historyPath)));
+    if (request.method == "GET" && path == "/v1/status")
+        return exchange->respond(status());
+    if (request.method == "GET" && path == "/v1/nodes")
+        return exchange->respond(nodes());
+    exchange->respond(refusal({ ResultCode::UnknownResource, "no such resource" }));
+}
+
+std::string OperatorInterface::authenticatedTeam(const HttpHeaders& headers) const
+{
+    constexpr std::string_view scheme = "Bearer ";
+    const std::string* header = findHeader(headers, "Authorization");
+    if (!header || header->compare(0, scheme.size(), scheme) != 0)
+        return {};
+    const std::string_view secret = std::string_view(*header).substr(scheme.size());
+    for (const auto& [team, expected] : m_settings.credentials) {
+        if (equalSecrets(secret, expected))
+            return team;
+    }
+    return {};
+}
+
+void OperatorInterface::putDocument(const HttpExchangePtr& exchange, const std::string& service)
+{
+    const HttpRequest& request = exchange->request();
+    const std::string* expected = findHeader(request.headers, expectedVersionHeader);
+    const std::string* change = findHeader(request.headers, changeIdHeader);
+    const auto version = expected ? parseNumber(*expected) : std::nullopt;
+    if (!version || !change || change->empty())
+        return exchange->respond(refusal({ ResultCode::MalformedRequest, std::string(expectedVersionHeader) + " and " + changeIdHeader + " are needed" }));
+    const auto document = parseDocument(request.body);
+    if (document.has_error())
+        return exchange->respond(refusal(document.error()));
+    if (document.value().service.value() != service)
+        return exchange->respond(refusal({ ResultCode::InvalidDocument, "the document is of service '" + document.value().service.value() + "'" }));
+    DocumentEdit edit;
+    edit.service = ServiceName(service);
+    edit.expected = DocumentVersion(*version);
+    edit.change = ChangeId(*change);
+    edit.text = request.body;
+    if (const std::string* author = findHeader(request.headers, authorHeader))
+        edit.author = *author;
+    edit.authenticatedTeam = authenticatedTeam(request.headers);
+    if (edit.authenticatedTeam != document.value().team)
+        edit.authenticatedTeam.clear();
+    edit.time = wallNow();
+    m_service.edit(
+        edit, [exchange](Result<EditResult> result) {
+            exchange->respond(result.has_error() ? refusal(result.error()) : editResponse(result.value()));
+        },
+        steadyNow());
+    m_flush();
+}
+
+HttpResponse OperatorInterface::listDocuments() const
+{
+    Json list = Json::array();
+    for (const StoredDocument* document : m_service.state().documents().documents())
+        list.push_back({ { "service", document->service.value() }, { "version", document->version.value() }, { "team", document->team } });
+    return jsonResponse(list);
+}
+
+HttpResponse OperatorInterface::getDocument(const std::string& service) const
+{
+    const StoredDocument* document = m_service.state().documents().find(ServiceName(service));
+    if (!document)
+        return refusal({ ResultCode::UnknownDocument, "no document for service '" + service + "'" });
+    return jsonResponse({ { "service", service }, { "version", document->version.value() }, { "team", document->team },
+        { "change", document->change.value() }, { "text", document->text } });
+}
+
+HttpResponse OperatorInterface::history(const std::string& service) const
+{
+    Json list = Json::array();
+    for (const AuditEntry& entry : m_service.state().documents().audit(ServiceName(service), maximumHistoryEntries)) {
+        list.push_back({ { "sequence", entry.sequence }, { "change", entry.change.value() }, { "author", entry.author }, { "team", entry.team },
+            { "time_us", entry.time.value() }, { "from_version", entry.fromVersion.value() }, { "code", static_cast<int>(entry.result.code) },
+            { "result", title(entry.result.code) }, { "version", entry.result.version.value() }, { "bytes", entry.textBytes } });
+    }
+    return jsonResponse(list);
+}
+
+HttpResponse OperatorInterface::status() const
+{
+    const ControlStatus status = m_service.status(steadyNow());
+    Json members = Json::array();
+    for (const MemberStatus& member : status.members)
+        members.push_back(memberJson(member));
+    Json body = { { "replica", status.replica.value() }, { "leading", status.leading }, { "leader", status.leaderAddress }, { "term", status.term.value() },
+        { "applied_index", status.appliedIndex.value() }, { "last_index", status.lastIndex.value() },
+        { "survives_another_loss", status.survivesAnotherLoss }, { "members", members } };
+    if (status.freshness)
+        body["freshness_age_ms"] = toMilliseconds(status.freshness->age);
+    return jsonResponse(body);
+}
+
+HttpResponse OperatorInterface::nodes() const
+{
+    Json list = Json::array();
+    for (const auto& [id, subscriber] : m_subscriptions.subscribers()) {
+        if (!subscriber.isSubscribed)
+            continue;
+        Json versions = Json::object();
+        for (const auto& [service, version] : subscriber.inForce)
+            versions[service.value()] = version.value();
+        list.push_back({ { "node", subscriber.node.value() }, { "incarnation", subscriber.incarnation.value() }, { "in_force", versions } });
+    }
+    return jsonResponse(list);
+}
+
+HttpResponse OperatorInterface::removeReplica(const std::string& id)
+{
+    const auto number = parseNumber(id);
+    if (!number)
+        return refusal({ ResultCode::UnknownReplica, "a replica is named by its number" });
+    const auto removed = m_service.removeMember(ReplicaId(*number), steadyNow());
+    m_flush();
+    return removed.has_error() ? refusal(removed.error()) : jsonResponse({ { "code", 0 } });
+}
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Source/control/ReplicaLinks.cpp
@@ -0,0 +1,68 @@
+#include "control/ReplicaLinks.h"
+
+namespace Knapweedquay {
+
+namespace {
+
+constexpr Duration retryInterval { 100000 };
+constexpr Duration checkInterval { 200000 };
+constexpr Duration replaceAfter { 1000000 };
+
+} // namespace
+
+ReplicaLinks::ReplicaLinks(asio::io_context& context, std::size_t maximumMessageBytes, ReceiveHook receive)
+    : m_client(context, maximumMessageBytes)
+    , m_receive(std::move(receive))
+    , m_checkTimer(context, [this] { check(); })
+{
+    m_checkTimer.setAfter(checkInterval);
+}
+
+void ReplicaLinks::send(const std::string& address, const std::string& bytes)
+{
+    Peer& peer = m_peers[address];
+    if (peer.link && peer.link->isOpen()) {
+        peer.link->send(bytes);
+        return;
+    }
+    // Only the newest message waits: older ones are repeated by the protocols anyway.
+    peer.waiting = bytes;
+    if (!peer.link && steadyNow() >= peer.retryAt)
+        connect(address, peer);
+}
+
+void ReplicaLinks::connect(const std::string& address, Peer& peer)
+{
+    Link::Hooks hooks;
+    hooks.opened = [&peer] {
+        if (!peer.waiting.empty())
+            peer.link->send(peer.waiting);
+        peer.waiting.clear();
+    };
+    hooks.received = m_receive;
+    hooks.closed = [&peer] {
+        peer.link.reset();
+        peer.retryAt = steadyNow() + retryInterval;
+    };
+    peer.openedAt = steadyNow();
+    peer.link = m_client.connect(address, std::move(hooks));
+}
+
+void ReplicaLinks::check()
+{
+    const TimePoint now = steadyNow();
+    for (auto& entry : m_peers) {
+        Peer& peer = entry.second;
+        if (!peer.link || !peer.link->isOpen())
+            continue;
+        if (now - peer.link->lastReceived() > replaceAfter && peer.lastPing > peer.link->lastReceived())
+            LinkPtr(peer.link)->abort();
+        else {
+            peer.lastPing = now;
+            peer.link->ping();
+        }
+    }
+    m_checkTimer.setAfter(checkInterval);
+}
+
+} // namespace Knapweedquay
--- a/Source/coordination/OutgoingCall.cpp
+++ b/Source/coordination/OutgoingCall.cpp
@@ -7,19 +7,19 @@
 
 namespace {
 
-    // These refusals are about one endpoint and cost it nothing; another one is tried outside of the retry budget.
-    bool isRedirect(ResultCode code)
-    {
-        return code == ResultCode::Draining || code == ResultCode::PeerUnreachable;
-    }
+// These refusals are about one endpoint and cost it nothing; another one is tried outside of the retry budget.
+bool isRedirect(ResultCode code)
+{
+    return code == ResultCode::Draining || code == ResultCode::PeerUnreachable;
+}
 
-    bool canAnotherEndpointAccept(const Refusal& refusal)
-    {
-        if (refusal.isFleetWide)
-            return false;
-        return isRedirect(refusal.code) || refusal.code == ResultCode::Overloaded || refusal.code == ResultCode::DeadlineCannotBeMet
-            || refusal.code == ResultCode::StaleConfiguration;
-    }
+bool canAnotherEndpointAccept(const Refusal& refusal)
+{
+    if (refusal.isFleetWide)
+        return false;
+    return isRedirect(refusal.code) || refusal.code == ResultCode::Overloaded || refusal.code == ResultCode::DeadlineCannotBeMet
+        || refusal.code == ResultCode::StaleConfiguration;
+}
 
 } // namespace
 
--- /dev/null
+++ b/Source/coordination/QuantileEstimate.cpp
@@ -0,0 +1,42 @@
+#include "coordination/QuantileEstimate.h"
+
+#include <algorithm>
+
+namespace Knapweedquay {
+
+namespace {
+
+constexpr std::uint64_t minimumCount = 50;
+constexpr double meanWeight = 0.05;
+/// Step of the estimate as a share of the mean; small enough for a steady estimate, large enough to follow a change of load.
+constexpr double stepShare = 0.1;
+
+} // namespace
+
+QuantileEstimate::QuantileEstimate(double quantile)
+    : m_quantile(quantile)
+{
+}
+
+void QuantileEstimate::add(Duration duration)
+{
+    const double value = static_cast<double>(duration.count());
+    if (m_count++ == 0) {
+        m_meanMicroseconds = value;
+        m_microseconds = value;
+        return;
+    }
+    m_meanMicroseconds += meanWeight * (value - m_meanMicroseconds);
+    const double step = stepShare * m_meanMicroseconds;
+    m_microseconds += value > m_microseconds ? step * m_quantile : -step * (1 - m_quantile);
+    m_microseconds = std::max(m_microseconds, 0.0);
+}
+
+std::optional<Duration> QuantileEstimate::value() const
+{
+    if (m_count < minimumCount)
+        return std::nullopt;
+    return Duration(static_cast<std::int64_t>(m_microseconds));
+}
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Source/node/CallGateway.cpp
@@ -0,0 +1,461 @@
+#include "node/CallGateway.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace Knapweedquay {
+
+namespace {
+
+constexpr std::size_t maximumSessions = 20000;
+constexpr Duration overloadRetryAfter { 1000000 };
+constexpr Duration expiryInterval { 1000000 };
+constexpr std::uint16_t firstServerErrorStatus = 500;
+
+RequestFingerprint fingerprintOf(const HttpRequest& request)
+{
+    const std::string text = request.method + ' ' + request.target + '\n' + request.body;
+    return RequestFingerprint(XXH3_64bits(text.data(), text.size()));
+}
+
+HttpResponse forCaller(HttpResponse response)
+{
+    HttpHeaders kept;
+    for (HttpHeader& header : response.headers) {
+        if (!isHopByHopHeader(header.name))
+            kept.push_back(std::move(header));
+    }
+    kept.push_back({ HeaderName::outcome, outcomeName(CallOutcomeKind::Answered) });
+    response.headers = std::move(kept);
+    return response;
+}
+
+// Whether an earlier request with the same key ran, or may run, is not known here; this request itself does not run.
+CallOutcomeKind kindOfRejectedKey(ResultCode code)
+{
+    return code == ResultCode::ClaimUnavailable || code == ResultCode::KeyReusedForOtherRequest ? CallOutcomeKind::NotRun : CallOutcomeKind::Unknown;
+}
+
+} // namespace
+
+CallGateway::CallGateway(asio::io_context& context, NodeIdentity self, EndpointRunner& local, ChoiceSettings choice, ClaimHooks claims)
+    : m_context(context)
+    , m_self(std::move(self))
+    , m_local(local)
+    , m_choice(choice)
+    , m_claims(std::move(claims))
+    , m_links(context, m_self,
+          { [this](const NodeId& from, const PeerMessage& message) { receive(from, message); },
+              [this](const NodeId& node) { feedNode(node, LinkLost { node }); },
+              [this](const NodeId& node, Incarnation incarnation) { feedNode(node, LinkRestored { node, incarnation }); },
+              [this](const NodeId&, const PeerMessage& message) {
+                  if (const auto* request = std::get_if<CallRequestMessage>(&message); request && !request->isResend)
+                      feedAttempt(request->attempt, AttemptRefused { request->attempt, { ResultCode::PeerUnreachable, overloadRetryAfter } });
+              } })
+    , m_random(std::random_device {}())
+    , m_expiryTimer(context, [this] {
+        m_keys.expire(steadyNow());
+        m_expiryTimer.setAfter(expiryInterval);
+    })
+{
+    m_expiryTimer.setAfter(expiryInterval);
+}
+
+CallGateway::~CallGateway() = default;
+
+ServiceTraffic* CallGateway::traffic(const ServiceName& service)
+{
+    const auto entry = m_services.find(service);
+    return entry == m_services.end() ? nullptr : entry->second.get();
+}
+
+void CallGateway::handle(const HttpExchangePtr& exchange)
+{
+    ++m_counters.calls;
+    if (!m_isConfigurationFresh)
+        return refuse(exchange, { ResultCode::StaleConfiguration, "this node has no fresh configuration yet" }, overloadRetryAfter);
+    if (m_sessions.size() >= maximumSessions)
+        return refuse(exchange, { ResultCode::Overloaded, "this node has too many calls in progress" }, overloadRetryAfter);
+    const auto session = createSession(exchange);
+    if (session.has_error())
+        return refuse(exchange, session.error());
+    startSession(session.value());
+}
+
+void CallGateway::refuse(const HttpExchangePtr& exchange, const Error& error, Duration retryAfter)
+{
+    ++m_counters.notRun;
+    exchange->respond(problemResponse(error, CallOutcomeKind::NotRun, retryAfter));
+}
+
+Result<CallGateway::SessionPtr> CallGateway::createSession(const HttpExchangePtr& exchange)
+{
+    auto parsed = parseCall(exchange->request());
+    if (parsed.has_error())
+        return parsed.error();
+    const SessionPtr session = std::make_shared<CallSession>();
+    session->exchange = exchange;
+    session->parsed = std::move(parsed.value());
+    const ParsedCall& call = session->parsed;
+    const ServiceTraffic* service = traffic(call.service);
+    if (!service)
+        return Error { ResultCode::UnknownService, "no document for service '" + call.service.value() + "'" };
+    const ServiceDocument& document = service->document();
+    if (call.request.body.size() > document.maximumBodyBytes)
+        return Error { ResultCode::RequestTooLarge, "the service takes bodies of at most " + std::to_string(document.maximumBodyBytes) + " bytes" };
+    const auto classification = service->classify(call.request.method, call.request.target);
+    const auto priority = choosePriority(*service, call, classification.priority);
+    if (priority.has_error())
+        return priority.error();
+    session->id = ++m_lastSequence;
+    session->priority = priority.value();
+    session->isIdempotent = classification.isIdempotent;
+    session->startedAt = steadyNow();
+    session->deadline = session->startedAt + std::min(call.deadline.value_or(document.defaultDeadline), document.maximumDeadline);
+    return session;
+}
+
+Result<PriorityIndex> CallGateway::choosePriority(const ServiceTraffic& service, const ParsedCall& call, PriorityIndex byRoute) const
+{
+    if (!call.priority)
+        return byRoute;
+    const auto named = service.priorityNamed(*call.priority);
+    if (!named)
+        return Error { ResultCode::UnknownPriority, "the service has no priority '" + *call.priority + "'" };
+    // A caller may ask for less urgency than the document gives, never for more.
+    return std::max(*named, byRoute);
+}
+
+void CallGateway::startSession(const SessionPtr& session)
+{
+    m_sessions.emplace(session->id, session);
+    session->timer = std::make_unique<Timer>(m_context, [this, weak = std::weak_ptr<CallSession>(session)] {
+        if (const SessionPtr kept = weak.lock())
+            feed(kept, TimerFired());
+    });
+    session->exchange->setDisconnectHook([this, weak = std::weak_ptr<CallSession>(session)] {
+        if (const SessionPtr kept = weak.lock())
+            callerGone(kept);
+    });
+    ServiceTraffic& service = *traffic(session->parsed.service);
+    CallParameters parameters;
+    parameters.isIdempotent = session->isIdempotent;
+    parameters.isRepeat = session->parsed.isRepeat;
+    parameters.deadline = session->deadline;
+    if (session->isIdempotent)
+        parameters.hedgeDelay = service.hedgeDelay(session->priority);
+    parameters.limits = service.document().retries;
+    session->call = std::make_unique<OutgoingCall>(parameters, service.budgets(),
+        [this] { return AttemptId { m_self.node, m_self.incarnation, ++m_lastSequence }; });
+    if (session->isIdempotent || session->parsed.key.value().empty())
+        feed(session, CallStarted());
+    else
+        startKeyed(session);
+}
+
+void CallGateway::startKeyed(const SessionPtr& session)
+{
+    const ClaimOwner owner { m_self.node, m_self.incarnation, ++m_lastSequence };
+    session->claim = owner;
+    m_keyed.emplace(owner, session);
+    performKeyActions(m_keys.request({ session->parsed.service, session->parsed.key, fingerprintOf(session->parsed.request) }, owner));
+}
+
+void CallGateway::claimAnswered(const ClaimOwner& owner, ResultCode code)
+{
+    if (code == ResultCode::Ok)
+        performKeyActions(m_keys.claimGranted(owner));
+    else if (code == ResultCode::AlreadyRunning || code == ResultCode::AlreadyRan || code == ResultCode::KeyReusedForOtherRequest)
+        performKeyActions(m_keys.claimDenied(owner, code));
+    else
+        performKeyActions(m_keys.claimUnavailable(owner));
+}
+
+void CallGateway::performKeyActions(const KeyActions& actions)
+{
+    for (const KeyAction& action : actions) {
+        if (const auto* request = std::get_if<RequestClaim>(&action)) {
+            m_claims.request(*request);
+            continue;
+        }
+        if (const auto* release = std::get_if<ReleaseClaim>(&action)) {
+            m_claims.release(*release);
+            continue;
+        }
+        const ClaimOwner& owner = std::visit([](const auto& typed) { return typed.owner; }, action);
+        const auto entry = m_keyed.find(owner);
+        if (entry == m_keyed.end())
+            continue;
+        const SessionPtr session = entry->second;
+        if (std::holds_alternative<RunKeyedCall>(action)) {
+            feed(session, CallStarted());
+            continue;
+        }
+        // The key decides; the claim belongs to another request, so it is not finished here.
+        session->claim.reset();
+        m_keyed.erase(owner);
+        CallOutcome outcome;
+        if (const auto* replay = std::get_if<ReplayAnswer>(&action)) {
+            outcome.kind = CallOutcome::Kind::Answered;
+            outcome.answer = replay->answer;
+        } else if (const auto* reject = std::get_if<RejectKeyedCall>(&action)) {
+            outcome.kind = kindOfRejectedKey(reject->code) == CallOutcomeKind::NotRun ? CallOutcome::Kind::NotRun : CallOutcome::Kind::Unknown;
+            outcome.code = reject->code;
+            outcome.retryAfter = overloadRetryAfter;
+        }
+        answer(session, outcome);
+        forget(session);
+    }
+}
+
+void CallGateway::callerGone(const SessionPtr& session)
+{
+    session->isCallerGone = true;
+    feed(session, CallerGone());
+}
+
+void CallGateway::feed(const SessionPtr& session, const CallEvent& event)
+{
+    const CallActions actions = session->call->handle(event, steadyNow());
+    for (const CallAction& action : actions)
+        std::visit([this, &session](const auto& typed) { perform(session, typed); }, action);
+}
+
+void CallGateway::perform(const SessionPtr& session, const ChooseEndpoint& action)
+{
+    EndpointChooser& chooser = traffic(session->parsed.service)->chooser();
+    std::vector<EndpointId> excluded;
+    for (const NodeId& node : action.excluded) {
+        const auto member = m_members.find(node);
+        if (member != m_members.end())
+            excluded.push_back({ node, member->second.version.incarnation });
+    }
+    const auto chosen = chooser.choose(excluded, session->priority, steadyNow(), m_random);
+    if (!chosen) {
+        feed(session, NoEndpointLeft { { ResultCode::NoEndpoint, overloadRetryAfter } });
+        return;
+    }
+    feed(session, EndpointChosen { chosen->node, chosen->incarnation });
+}
+
+void CallGateway::perform(const SessionPtr& session, const SendAttempt& action)
+{
+    if (action.isResend) {
+        ++m_counters.resends;
+    } else {
+        ++m_counters.attempts;
+        session->attempts.push_back(action.attempt.sequence);
+        m_attempts.emplace(action.attempt.sequence, OutgoingAttempt { session, action.node });
+        m_links.addDueAnswers(action.node, 1);
+        traffic(session->parsed.service)->chooser().callSent({ action.node, action.target }, CallTicket(action.attempt.sequence), session->priority, steadyNow());
+    }
+    CallRequestMessage message;
+    message.attempt = action.attempt;
+    message.targetIncarnation = action.target;
+    message.isResend = action.isResend;
+    message.isRepeat = action.isRepeat;
+    message.service = session->parsed.service;
+    message.priority = session->priority;
+    message.isIdempotent = session->isIdempotent;
+    message.remaining = action.remaining;
+    message.depth = session->parsed.depth;
+    message.idempotencyKey = session->parsed.key;
+    message.request = session->parsed.request;
+    sendTo(action.node, message);
+}
+
+void CallGateway::perform(const SessionPtr&, const CancelAttempt& action)
+{
+    sendTo(action.node, CallCancelMessage { action.attempt, action.target });
+}
+
+void CallGateway::perform(const SessionPtr& session, const ReplaceLink& action)
+{
+    if (action.node == m_self.node || !m_links.replaceIfSilent(action.node)) {
+        // The link is alive, so the node is only slow; the resend that follows finds the attempt there.
+        const Incarnation incarnation = action.node == m_self.node ? m_self.incarnation : m_links.incarnation(action.node);
+        m_context.post([this, session, node = action.node, incarnation] { feed(session, LinkRestored { node, incarnation }); });
+    }
+}
+
+void CallGateway::perform(const SessionPtr& session, const SetTimer& action)
+{
+    session->timer->setAt(action.at);
+}
+
+void CallGateway::perform(const SessionPtr& session, const ClearTimer&)
+{
+    session->timer->clear();
+}
+
+void CallGateway::perform(const SessionPtr& session, const FinishCall& action)
+{
+    const CallOutcome& outcome = action.outcome;
+    if (outcome.kind == CallOutcome::Kind::Answered && !session->isCallerGone)
+        traffic(session->parsed.service)->addLatency(session->priority, steadyNow() - session->startedAt);
+    answer(session, outcome);
+    if (session->claim) {
+        m_keyed.erase(*session->claim);
+        performKeyActions(m_keys.finish(*session->claim, outcome, steadyNow()));
+    }
+    forget(session);
+}
+
+void CallGateway::answer(const SessionPtr& session, const CallOutcome& outcome)
+{
+    if (outcome.kind == CallOutcome::Kind::Answered) {
+        auto response = decodeResponse(*outcome.answer);
+        if (response.has_value()) {
+            ++m_counters.answered;
+            session->exchange->respond(forCaller(std::move(response.value())));
+            return;
+        }
+    }
+    const CallOutcomeKind kind = outcome.kind == CallOutcome::Kind::NotRun ? CallOutcomeKind::NotRun : CallOutcomeKind::Unknown;
+    ++(kind == CallOutcomeKind::NotRun ? m_counters.notRun : m_counters.unknown);
+    const ResultCode code = outcome.code == ResultCode::Ok ? ResultCode::OutcomeUnknown : outcome.code;
+    session->exchange->respond(problemResponse({ code, title(code) }, kind, outcome.retryAfter));
+}
+
+void CallGateway::forget(const SessionPtr& session)
+{
+    session->timer->clear();
+    m_sessions.erase(session->id);
+    for (const std::uint64_t sequence : session->attempts)
+        settle({ m_self.node, m_self.incarnation, sequence }, session->isCallerGone ? CallEnd::Refused : CallEnd::Lost);
+}
+
+void CallGateway::sendTo(const NodeId& node, const PeerMessage& message)
+{
+    if (node == m_self.node) {
+        // Posted, so that the reply never comes while the session is still handling its actions.
+        m_context.post([this, message] {
+            if (const auto* request = std::get_if<CallRequestMessage>(&message))
+                m_local.receive(*request, ConnectionId());
+            else if (const auto* cancel = std::get_if<CallCancelMessage>(&message))
+                m_local.cancel(*cancel, ConnectionId());
+        });
+        return;
+    }
+    if (m_links.send(node, message))
+        return;
+    if (const auto* request = std::get_if<CallRequestMessage>(&message); request && !request->isResend) {
+        m_context.post([this, attempt = request->attempt] {
+            feedAttempt(attempt, AttemptRefused { attempt, { ResultCode::PeerUnreachable, overloadRetryAfter } });
+        });
+    }
+}
+
+void CallGateway::settle(const AttemptId& attempt, CallEnd end)
+{
+    const auto entry = m_attempts.find(attempt.sequence);
+    if (entry == m_attempts.end())
+        return;
+    m_links.addDueAnswers(entry->second.node, -1);
+    traffic(entry->second.session->parsed.service)->chooser().callFinished(CallTicket(attempt.sequence), end, steadyNow());
+    m_attempts.erase(entry);
+}
+
+void CallGateway::report(const AttemptId& attempt, const NodeId& from, const LoadReport& load)
+{
+    const auto entry = m_attempts.find(attempt.sequence);
+    const auto member = m_members.find(from);
+    if (entry == m_attempts.end() || member == m_members.end())
+        return;
+    traffic(entry->second.session->parsed.service)->chooser().report({ from, member->second.version.incarnation }, load, steadyNow());
+}
+
+void CallGateway::feedAttempt(const AttemptId& attempt, const CallEvent& event)
+{
+    const auto entry = m_attempts.find(attempt.sequence);
+    if (entry == m_attempts.end() || attempt.incarnation != m_self.incarnation)
+        return;
+    const SessionPtr session = entry->second.session;
+    const bool isRefused = std::holds_alternative<AttemptRefused>(event);
+    if (isRefused)
+        settle(attempt, std::get<AttemptRefused>(event).refusal.code == ResultCode::PeerUnreachable ? CallEnd::Failed : CallEnd::Refused);
+    if (std::holds_alternative<AttemptUnknown>(event))
+        settle(attempt, CallEnd::Failed);
+    feed(session, event);
+}
+
+void CallGateway::feedNode(const NodeId& node, const CallEvent& event)
+{
+    std::vector<SessionPtr> sessions;
+    for (const auto& entry : m_attempts) {
+        if (entry.second.node == node && std::find(sessions.begin(), sessions.end(), entry.second.session) == sessions.end())
+            sessions.push_back(entry.second.session);
+    }
+    for (const SessionPtr& session : sessions)
+        feed(session, event);
+}
+
+void CallGateway::receive(const NodeId& from, const PeerMessage& message)
+{
+    if (const auto* accepted = std::get_if<CallAcceptedMessage>(&message)) {
+        report(accepted->attempt, from, accepted->load);
+        feedAttempt(accepted->attempt, AttemptAccepted { accepted->attempt });
+    } else if (const auto* answered = std::get_if<CallAnswerMessage>(&message)) {
+        const auto entry = m_attempts.find(answered->attempt.sequence);
+        if (entry == m_attempts.end() || answered->attempt.incarnation != m_self.incarnation)
+            return;
+        const SessionPtr session = entry->second.session;
+        const auto response = decodeResponse(answered->response);
+        const bool isFailure = response.has_error() || response.value().status >= firstServerErrorStatus;
+        EndpointChooser& chooser = traffic(session->parsed.service)->chooser();
+        chooser.callFinished(CallTicket(answered->attempt.sequence), isFailure ? CallEnd::Failed : CallEnd::Answered, steadyNow());
+        report(answered->attempt, from, answered->load);
+        settle(answered->attempt, CallEnd::Answered);
+        feed(session, AttemptAnswered { answered->attempt, std::make_shared<const std::string>(answered->response) });
+    } else if (const auto* refused = std::get_if<CallRefusalMessage>(&message)) {
+        report(refused->attempt, from, refused->load);
+        feedAttempt(refused->attempt, AttemptRefused { refused->attempt, { refused->code, refused->retryAfter, refused->isFleetWide } });
+    } else if (const auto* unknown = std::get_if<CallUnknownMessage>(&message)) {
+        report(unknown->attempt, from, unknown->load);
+        feedAttempt(unknown->attempt, AttemptUnknown { unknown->attempt, unknown->code });
+    } else if (const auto* cancelled = std::get_if<CallCancelledMessage>(&message)) {
+        feedAttempt(cancelled->attempt, CancelAcknowledged { cancelled->attempt, cancelled->result });
+    }
+}
+
+void CallGateway::setDocument(const ServiceDocument& document)
+{
+    std::unique_ptr<ServiceTraffic>& service = m_services[document.service];
+    if (service) {
+        service->setDocument(document);
+        return;
+    }
+    service = std::make_unique<ServiceTraffic>(document, m_self.dataCentre, m_choice);
+    for (const auto& entry : m_members)
+        setMember(MemberRecord(entry.second));
+}
+
+void CallGateway::setMember(const MemberRecord& member)
+{
+    const auto previous = m_members.find(member.node);
+    if (previous != m_members.end()) {
+        ServiceTraffic* before = traffic(previous->second.endpoint.service);
+        const bool isReplaced = previous->second.version.incarnation != member.version.incarnation || previous->second.endpoint.service != member.endpoint.service;
+        if (before && isReplaced)
+            before->chooser().remove({ member.node, previous->second.version.incarnation });
+    }
+    m_members[member.node] = member;
+    if (member.node != m_self.node && !member.peerAddress.isEmpty())
+        m_links.setAddress(member.node, toText(member.peerAddress));
+    ServiceTraffic* service = traffic(member.endpoint.service);
+    if (!service)
+        return;
+    const EndpointId id { member.node, member.version.incarnation };
+    const bool hasEndpoint = member.isPresent() && (member.endpoint.lifecycle == EndpointLifecycle::Ready || member.endpoint.lifecycle == EndpointLifecycle::Draining);
+    if (!hasEndpoint) {
+        service->chooser().remove(id);
+        return;
+    }
+    const std::uint32_t slots = member.endpoint.slots > 0 ? member.endpoint.slots : service->document().defaultSlots;
+    service->chooser().update(id, { member.dataCentre, slots, member.endpoint.announcedAt, member.endpoint.lifecycle == EndpointLifecycle::Draining });
+}
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Source/node/CallGateway.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include "coordination/IdempotencyKeyTable.h"
+#include "node/CallRequestParser.h"
+#include "node/CallSession.h"
+#include "node/EndpointRunner.h"
+#include "node/NodeIdentity.h"
+#include "node/PeerLinks.h"
+#include "node/ServiceTraffic.h"
+#include "protocol/MemberRecord.h"
+#include "protocol/ProblemDetails.h"
+#include "transport/HttpServer.h"
+
+#include <asio/io_context.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace Knapweedquay {
+
+/// Takes the calls of callers and carries out what OutgoingCall decides.
+///
+/// Lives on the traffic thread. One CallSession for each call; attempts go to the nodes beside the chosen
+/// endpoints over PeerLinks, or straight to this node's own EndpointRunner.
+class CallGateway {
+public:
+    /// Asks the control store for an idempotency key; the answer comes by claimAnswered().
+    struct ClaimHooks {
+        std::function<void(const RequestClaim&)> request;
+        std::function<void(const ReleaseClaim&)> release;
+    };
+
+    struct Counters {
+        std::uint64_t calls = 0;
+        std::uint64_t answered = 0;
+        std::uint64_t notRun = 0;
+        std::uint64_t unknown = 0;
+        std::uint64_t attempts = 0;
+        std::uint64_t resends = 0;
+    };
+
+    CallGateway(asio::io_context&, NodeIdentity self, EndpointRunner& local, ChoiceSettings, ClaimHooks);
+    ~CallGateway();
+
+    /// A caller's request came in.
+    void handle(const HttpExchangePtr&);
+
+    /// Puts a newer document in force.
+    void setDocument(const ServiceDocument&);
+    /// Calls are refused until the first proof that the documents are recent.
+    void setConfigurationFresh() { m_isConfigurationFresh = true; }
+    /// A node of the deployment changed, came or went.
+    void setMember(const MemberRecord&);
+
+    /// Reply to ClaimHooks::request: Ok when granted, else the code of the refusal.
+    void claimAnswered(const ClaimOwner&, ResultCode);
+
+    /// Message of the local endpoint runner or of another node about an attempt of this node.
+    void receive(const NodeId& from, const PeerMessage&);
+
+    std::size_t sessionCount() const { return m_sessions.size(); }
+    const Counters& counters() const { return m_counters; }
+
+private:
+    using SessionPtr = std::shared_ptr<CallSession>;
+
+    struct OutgoingAttempt {
+        SessionPtr session;
+        NodeId node;
+    };
+
+    void refuse(const HttpExchangePtr&, const Error&, Duration retryAfter = Duration::zero());
+    Result<SessionPtr> createSession(const HttpExchangePtr&);
+    Result<PriorityIndex> choosePriority(const ServiceTraffic&, const ParsedCall&, PriorityIndex byRoute) const;
+    void startSession(const SessionPtr&);
+    void startKeyed(const SessionPtr&);
+    void performKeyActions(const KeyActions&);
+    void callerGone(const SessionPtr&);
+
+    void feed(const SessionPtr&, const CallEvent&);
+    void perform(const SessionPtr&, const ChooseEndpoint&);
+    void perform(const SessionPtr&, const SendAttempt&);
+    void perform(const SessionPtr&, const CancelAttempt&);
+    void perform(const SessionPtr&, const ReplaceLink&);
+    void perform(const SessionPtr&, const SetTimer&);
+    void perform(const SessionPtr&, const ClearTimer&);
+    void perform(const SessionPtr&, const FinishCall&);
+    void answer(const SessionPtr&, const CallOutcome&);
+    void forget(const SessionPtr&);
+
+    void sendTo(const NodeId&, const PeerMessage&);
+    void settle(const AttemptId&, CallEnd);
+    void report(const AttemptId&, const NodeId& from, const LoadReport&);
+    void feedAttempt(const AttemptId&, const CallEvent&);
+    void feedNode(const NodeId&, const CallEvent&);
+    ServiceTraffic* traffic(const ServiceName&);
+
+    asio::io_context& m_context;
+    NodeIdentity m_self;
+    EndpointRunner& m_local;
+    ChoiceSettings m_choice;
+    ClaimHooks m_claims;
+    PeerLinks m_links;
+    EndpointChooser::RandomEngine m_random;
+    bool m_isConfigurationFresh = false;
+    std::uint64_t m_lastSequence = 0;
+    std::map<ServiceName, std::unique_ptr<ServiceTraffic>> m_services;
+    std::map<NodeId, MemberRecord> m_members;
+    std::unordered_map<std::uint64_t, SessionPtr> m_sessions;
+    /// Attempts that have no outcome yet, by their sequence number.
+    std::unordered_map<std::uint64_t, OutgoingAttempt> m_attempts;
+    IdempotencyKeyTable m_keys;
+    std::unordered_map<ClaimOwner, SessionPtr> m_keyed;
+    Timer m_expiryTimer;
+    Counters m_counters;
+};
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Source/node/CallRequestParser.cpp
@@ -0,0 +1,128 @@
+#include "node/CallRequestParser.h"
+
+#include "protocol/ProblemDetails.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <string_view>
+
+namespace Knapweedquay {
+
+namespace {
+
+constexpr std::string_view callPrefix = "/call/";
+constexpr std::uint64_t maximumDeadlineMilliseconds = 24ULL * 3600 * 1000;
+constexpr std::uint64_t maximumDepth = 32;
+constexpr std::size_t maximumKeyBytes = 255;
+
+constexpr std::array ownHeaders = {
+    HeaderName::deadlineMilliseconds,
+    HeaderName::priority,
+    HeaderName::attempt,
+    HeaderName::depth,
+    HeaderName::idempotencyKey,
+    HeaderName::outcome,
+};
+
+bool isOwnHeader(std::string_view name)
+{
+    return std::any_of(ownHeaders.begin(), ownHeaders.end(), [name](const char* own) { return equalHeaderNames(name, own); });
+}
+
+std::optional<std::uint64_t> parseNumber(std::string_view text)
+{
+    std::uint64_t number = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (error != std::errc() || end != text.data() + text.size() || text.empty())
+        return std::nullopt;
+    return number;
+}
+
+bool isValidKey(std::string_view key)
+{
+    constexpr char firstPrintable = 0x21;
+    constexpr char lastPrintable = 0x7e;
+    return !key.empty() && key.size() <= maximumKeyBytes
+        && std::all_of(key.begin(), key.end(), [](char letter) { return letter >= firstPrintable && letter <= lastPrintable; });
+}
+
+Result<void> readDeadline(const HttpHeaders& headers, ParsedCall& call)
+{
+    const std::string* text = findHeader(headers, HeaderName::deadlineMilliseconds);
+    if (!text)
+        return BOOST_OUTCOME_V2_NAMESPACE::success();
+    const auto milliseconds = parseNumber(*text);
+    if (!milliseconds || *milliseconds == 0 || *milliseconds > maximumDeadlineMilliseconds)
+        return Error { ResultCode::InvalidDeadline, std::string(HeaderName::deadlineMilliseconds) + " must be a whole number of milliseconds from 1 to " + std::to_string(maximumDeadlineMilliseconds) };
+    call.deadline = std::chrono::milliseconds(*milliseconds);
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+Result<void> readLevels(const HttpHeaders& headers, ParsedCall& call)
+{
+    if (const std::string* attempt = findHeader(headers, HeaderName::attempt)) {
+        const auto number = parseNumber(*attempt);
+        if (!number)
+            return Error { ResultCode::InvalidHeader, std::string(HeaderName::attempt) + " must be a whole number" };
+        call.isRepeat = *number > 0;
+    }
+    if (const std::string* depth = findHeader(headers, HeaderName::depth)) {
+        const auto number = parseNumber(*depth);
+        if (!number)
+            return Error { ResultCode::InvalidHeader, std::string(HeaderName::depth) + " must be a whole number" };
+        if (*number > maximumDepth)
+            return Error { ResultCode::TooManyLevels, "a chain of calls may have at most " + std::to_string(maximumDepth) + " levels" };
+        call.depth = static_cast<std::uint32_t>(*number);
+    }
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+Result<void> readKey(const HttpHeaders& headers, ParsedCall& call)
+{
+    const std::string* key = findHeader(headers, HeaderName::idempotencyKey);
+    if (!key)
+        return BOOST_OUTCOME_V2_NAMESPACE::success();
+    if (!isValidKey(*key))
+        return Error { ResultCode::InvalidIdempotencyKey, std::string(HeaderName::idempotencyKey) + " must have 1 to " + std::to_string(maximumKeyBytes) + " printable ASCII characters" };
+    call.key = IdempotencyKey(*key);
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+Result<void> readTarget(const HttpRequest& source, ParsedCall& call)
+{
+    const std::string_view target = source.target;
+    if (target.substr(0, callPrefix.size()) != callPrefix)
+        return Error { ResultCode::UnknownResource, "calls go to " + std::string(callPrefix) + "SERVICE/PATH" };
+    const std::string_view rest = target.substr(callPrefix.size());
+    const std::size_t end = std::min(rest.find_first_of("/?"), rest.size());
+    if (end == 0)
+        return Error { ResultCode::UnknownResource, "calls go to " + std::string(callPrefix) + "SERVICE/PATH" };
+    call.service = ServiceName(std::string(rest.substr(0, end)));
+    call.request.target = std::string(rest.substr(end));
+    if (call.request.target.empty() || call.request.target.front() != '/')
+        call.request.target.insert(0, 1, '/');
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+} // namespace
+
+Result<ParsedCall> parseCall(const HttpRequest& source)
+{
+    ParsedCall call;
+    BOOST_OUTCOME_TRYV(readTarget(source, call));
+    BOOST_OUTCOME_TRYV(readDeadline(source.headers, call));
+    BOOST_OUTCOME_TRYV(readLevels(source.headers, call));
+    BOOST_OUTCOME_TRYV(readKey(source.headers, call));
+    if (const std::string* priority = findHeader(source.headers, HeaderName::priority))
+        call.priority = *priority;
+    call.request.method = source.method;
+    call.request.body = source.body;
+    for (const HttpHeader& header : source.headers) {
+        if (!isHopByHopHeader(header.name) && !isOwnHeader(header.name))
+            call.request.headers.push_back(header);
+    }
+    return call;
+}
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Source/node/CallSession.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "coordination/IdempotencyKeyTable.h"
+#include "coordination/OutgoingCall.h"
+#include "node/CallRequestParser.h"
+#include "transport/HttpServer.h"
+#include "transport/SteadyTime.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace Knapweedquay {
+
+/// One caller's call at the node that took it, from its request to its answer.
+struct CallSession {
+    std::uint64_t id = 0;
+    HttpExchangePtr exchange;
+    ParsedCall parsed;
+    PriorityIndex priority;
+    bool isIdempotent = false;
+    TimePoint startedAt;
+    TimePoint deadline;
+    std::optional<ClaimOwner> claim;
+    std::unique_ptr<OutgoingCall> call;
+    std::unique_ptr<Timer> timer;
+    bool isCallerGone = false;
+    /// Sequence numbers of all attempts of this call.
+    std::vector<std::uint64_t> attempts;
+};
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Source/node/ControlSubscription.cpp
@@ -0,0 +1,178 @@
+#include "node/ControlSubscription.h"
+
+#include "protocol/LinkChannel.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Knapweedquay {
+
+namespace {
+
+constexpr Duration checkInterval { 100000 };
+constexpr Duration freshnessInterval { 500000 };
+/// A replica whose proof is older than this is left.
+constexpr Duration maximumStaleness { 2000000 };
+constexpr std::size_t maximumPendingClaims = 4096;
+constexpr std::size_t maximumPendingReleases = 4096;
+
+} // namespace
+
+ControlSubscription::ControlSubscription(asio::io_context& context, NodeIdentity self, std::vector<std::string> replicas, Hooks hooks)
+    : m_self(std::move(self))
+    , m_replicas(std::move(replicas))
+    , m_hooks(std::move(hooks))
+    , m_client(context, maximumControlMessageBytes)
+    , m_checkTimer(context, [this] { check(); })
+{
+    // Nodes start at different replicas, so that the subscriptions spread over them.
+    if (!m_replicas.empty())
+        m_current = XXH3_64bits(m_self.node.value().data(), m_self.node.value().size()) % m_replicas.size();
+}
+
+void ControlSubscription::start()
+{
+    if (m_replicas.empty())
+        return;
+    m_current = (m_current + m_replicas.size() - 1) % m_replicas.size();
+    connectNext();
+    m_checkTimer.setAfter(checkInterval);
+}
+
+void ControlSubscription::connectNext()
+{
+    m_current = (m_current + 1) % m_replicas.size();
+    m_connectedAt = steadyNow();
+    Link::Hooks hooks;
+    hooks.opened = [this] { handleOpened(); };
+    hooks.received = [this](std::string_view bytes) { handleReceived(bytes); };
+    hooks.closed = [this] { m_link.reset(); };
+    m_link = m_client.connect(m_replicas[m_current], std::move(hooks));
+}
+
+void ControlSubscription::leave()
+{
+    ++m_switchCount;
+    if (m_link)
+        LinkPtr(m_link)->abort();
+    m_link.reset();
+}
+
+void ControlSubscription::handleOpened()
+{
+    send(SubscribeMessage { m_self.node, m_self.incarnation, m_inForce });
+    requestFreshness();
+    for (const auto& entry : m_claims)
+        send(entry.second.message);
+    for (const ClaimReleaseMessage& release : std::exchange(m_releases, {}))
+        send(release);
+}
+
+bool ControlSubscription::send(const ControlMessage& message)
+{
+    return m_link->send(LinkChannel::wrap(LinkChannel::node, encode(message)));
+}
+
+void ControlSubscription::handleReceived(std::string_view bytes)
+{
+    if (bytes.empty() || bytes.front() != LinkChannel::node)
+        return leave();
+    const auto message = decodeControlMessage(LinkChannel::unwrap(bytes));
+    if (message.has_error())
+        return leave();
+    std::visit([this](const auto& typed) { handle(typed); }, message.value());
+}
+
+bool ControlSubscription::offer(const DocumentMessage& message)
+{
+    if (message.version <= m_inForce[message.service] || !m_hooks.document(message))
+        return false;
+    m_inForce[message.service] = message.version;
+    m_texts[message.service] = message.text;
+    return true;
+}
+
+void ControlSubscription::handle(const DocumentMessage& message)
+{
+    if (offer(message) && m_link)
+        send(InForceMessage { m_inForce });
+}
+
+void ControlSubscription::requestFreshness()
+{
+    m_askedAt = steadyNow();
+    send(FreshnessRequestMessage { static_cast<std::uint64_t>(m_askedAt.time_since_epoch().count()) });
+}
+
+void ControlSubscription::handle(const FreshnessMessage& message)
+{
+    const TimePoint now = steadyNow();
+    const TimePoint askedAt { Duration(static_cast<std::int64_t>(message.echo)) };
+    const TimePoint provedAt = askedAt - message.age;
+    if (askedAt > now || message.age < Duration::zero() || now - provedAt > maximumStaleness)
+        return;
+    m_provedAt = std::max(m_provedAt, provedAt);
+    if (!std::exchange(m_isFresh, true))
+        m_hooks.fresh();
+}
+
+void ControlSubscription::handle(const ClaimAnswerMessage& message)
+{
+    if (m_claims.erase(message.owner) > 0)
+        m_hooks.claimAnswered(message.owner, message.code);
+}
+
+void ControlSubscription::requestClaim(const ClaimRequestMessage& message, Duration timeout)
+{
+    if (m_claims.size() >= maximumPendingClaims) {
+        m_hooks.claimAnswered(message.owner, ResultCode::ClaimUnavailable);
+        return;
+    }
+    m_claims[message.owner] = { message, steadyNow() + timeout };
+    if (m_link)
+        send(message);
+}
+
+void ControlSubscription::releaseClaim(const ClaimReleaseMessage& message)
+{
+    if (m_link && send(message))
+        return;
+    // Without room the key stays taken until the store lets it expire.
+    if (m_releases.size() < maximumPendingReleases)
+        m_releases.push_back(message);
+}
+
+Duration ControlSubscription::staleness(TimePoint now) const
+{
+    return m_isFresh ? now - m_provedAt : Duration::max();
+}
+
+void ControlSubscription::expireClaims(TimePoint now)
+{
+    std::vector<AttemptId> expired;
+    for (const auto& entry : m_claims) {
+        if (entry.second.expiry <= now)
+            expired.push_back(entry.first);
+    }
+    for (const AttemptId& owner : expired) {
+        m_claims.erase(owner);
+        m_hooks.claimAnswered(owner, ResultCode::ClaimUnavailable);
+    }
+}
+
+void ControlSubscription::check()
+{
+    const TimePoint now = steadyNow();
+    expireClaims(now);
+    if (m_link && now - std::max(m_provedAt, m_connectedAt) > maximumStaleness)
+        leave();
+    if (!m_link)
+        connectNext();
+    else if (m_link->isOpen() && now - m_askedAt >= freshnessInterval)
+        requestFreshness();
+    m_checkTimer.setAfter(checkInterval);
+}
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Source/node/ControlSubscription.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "node/NodeIdentity.h"
+#include "protocol/ControlMessages.h"
+#include "transport/Link.h"
+#include "transport/SteadyTime.h"
+
+#include <asio/io_context.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Knapweedquay {
+
+/// Keeps this node subscribed to one control replica whose documents are provably recent.
+///
+/// Freshness comes as the age of a quorum round of the store. A replica that cannot prove it, because it is cut off
+/// or frozen, is left for the next one of the list. Versions only go up, whatever a replica sends.
+class ControlSubscription {
+public:
+    struct Hooks {
+        /// A version newer than the one in force; true when it was put in force.
+        std::function<bool(const DocumentMessage&)> document;
+        /// All documents were proved recent for the first time.
+        std::function<void()> fresh;
+        std::function<void(const AttemptId& owner, ResultCode)> claimAnswered;
+    };
+
+    ControlSubscription(asio::io_context&, NodeIdentity, std::vector<std::string> replicas, Hooks);
+
+    void start();
+    void requestClaim(const ClaimRequestMessage&, Duration timeout);
+    void releaseClaim(const ClaimReleaseMessage&);
+    /// A document that another node had; in force if newer. False when it is not newer.
+    bool offer(const DocumentMessage&);
+
+    const DocumentVersions& inForce() const { return m_inForce; }
+    const std::string& text(const ServiceName& service) { return m_texts[service]; }
+    bool isFresh() const { return m_isFresh; }
+    /// Time since the documents were last proved recent; the largest value when never.
+    Duration staleness(TimePoint now) const;
+    std::string currentReplica() const { return m_link ? m_replicas[m_current] : std::string(); }
+    std::size_t switchCount() const { return m_switchCount; }
+
+private:
+    struct PendingClaim {
+        ClaimRequestMessage message;
+        TimePoint expiry;
+    };
+
+    void connectNext();
+    void leave();
+    void handleOpened();
+    bool send(const ControlMessage&);
+    void handleReceived(std::string_view bytes);
+    void handle(const DocumentMessage&);
+    void handle(const FreshnessMessage&);
+    void handle(const ClaimAnswerMessage&);
+    void handle(const SubscribeMessage&) { }
+    void handle(const FreshnessRequestMessage&) { }
+    void handle(const InForceMessage&) { }
+    void handle(const ClaimRequestMessage&) { }
+    void handle(const ClaimReleaseMessage&) { }
+    void requestFreshness();
+    void expireClaims(TimePoint now);
+    void check();
+
+    NodeIdentity m_self;
+    std::vector<std::string> m_replicas;
+    Hooks m_hooks;
+    LinkClient m_client;
+    LinkPtr m_link;
+    std::size_t m_current = 0;
+    std::size_t m_switchCount = 0;
+    TimePoint m_connectedAt;
+    TimePoint m_provedAt;
+    TimePoint m_askedAt;
+    bool m_isFresh = false;
+    DocumentVersions m_inForce;
+    std::map<ServiceName, std::string> m_texts;
+    std::map<AttemptId, PendingClaim> m_claims;
+    /// Releases that no replica has got yet.
+    std::vector<ClaimReleaseMessage> m_releases;
+    Timer m_checkTimer;
+};
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Source/node/EndpointRunner.cpp
@@ -0,0 +1,297 @@
+#include "node/EndpointRunner.h"
+
+#include "protocol/ProblemDetails.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Knapweedquay {
+
+namespace {
+
+// An answer that comes within this time also says that the attempt arrived, and saves a message.
+constexpr Duration confirmAfter { 20000 };
+constexpr Duration expiryInterval { 1000000 };
+constexpr Duration drainRetryAfter { 1000000 };
+constexpr std::uint16_t statusServiceUnavailable = 503;
+constexpr std::uint16_t firstServerErrorStatus = 500;
+
+BackendOutcome outcomeOf(std::uint16_t status)
+{
+    if (status == statusServiceUnavailable)
+        return BackendOutcome::Shed;
+    return status >= firstServerErrorStatus ? BackendOutcome::Failed : BackendOutcome::Succeeded;
+}
+
+} // namespace
+
+EndpointRunner::EndpointRunner(asio::io_context& context, NodeIdentity self, HttpClient& client, ReplyHook reply)
+    : m_self(std::move(self))
+    , m_client(client)
+    , m_reply(std::move(reply))
+    , m_fates(m_self.incarnation)
+    , m_queueTimer(context, [this] { startDueJobs(); })
+    , m_confirmTimer(context, [this] { confirmLongJobs(); })
+    , m_expiryTimer(context, [this] { expire(); })
+{
+    m_confirmTimer.setAfter(confirmAfter);
+    m_expiryTimer.setAfter(expiryInterval);
+}
+
+void EndpointRunner::setBackend(const LocalBackend& backend)
+{
+    const bool isOtherService = m_backend && m_backend->service != backend.service;
+    m_backend = backend;
+    if (isOtherService)
+        m_document.reset();
+    if (m_queue)
+        m_queue->setBackend(backend.slots > 0 ? std::optional(backend.slots) : std::nullopt);
+}
+
+void EndpointRunner::removeBackend()
+{
+    m_backend.reset();
+}
+
+void EndpointRunner::setDocument(const ServiceDocument& document)
+{
+    if (!m_backend || m_backend->service != document.service)
+        return;
+    m_document = document;
+    if (m_queue)
+        m_queue->setDocument(document);
+    else
+        m_queue = std::make_unique<AdmissionQueue>(document, m_backend->slots > 0 ? std::optional(m_backend->slots) : std::nullopt);
+}
+
+void EndpointRunner::drain()
+{
+    m_isDraining = true;
+    if (!m_queue)
+        return;
+    m_queue->drain(steadyNow());
+    startDueJobs();
+}
+
+void EndpointRunner::undrain()
+{
+    if (!std::exchange(m_isDraining, false) || !m_queue || !m_document || !m_jobs.empty())
+        return;
+    m_queue = std::make_unique<AdmissionQueue>(*m_document, m_backend && m_backend->slots > 0 ? std::optional(m_backend->slots) : std::nullopt);
+}
+
+LoadReport EndpointRunner::loadReport() const
+{
+    LoadReport report = m_queue ? m_queue->report() : LoadReport();
+    report.draining = report.draining || m_isDraining || !m_backend;
+    return report;
+}
+
+void EndpointRunner::receive(const CallRequestMessage& message, ConnectionId connection)
+{
+    m_received = &message;
+    m_receivedOver = connection;
+    perform(m_fates.receive({ message.attempt, message.targetIncarnation, message.isResend, connection }, steadyNow()));
+    m_received = nullptr;
+    startDueJobs();
+}
+
+void EndpointRunner::cancel(const CallCancelMessage& message, ConnectionId connection)
+{
+    perform(m_fates.cancel(message.attempt, message.targetIncarnation, connection, steadyNow()));
+    startDueJobs();
+}
+
+void EndpointRunner::probe(const ProbeMessage& message, ConnectionId connection)
+{
+    m_reply(connection, ProbeAnswerMessage { message.sequence, message.service, loadReport() });
+}
+
+void EndpointRunner::perform(const FateActions& actions)
+{
+    for (const FateAction& action : actions)
+        std::visit([this](const auto& typed) { perform(typed); }, action);
+}
+
+std::optional<Refusal> EndpointRunner::reasonNotToAdmit(const Job& job) const
+{
+    if (!m_backend || m_backend->service != job.message.service)
+        return Refusal { ResultCode::Draining, drainRetryAfter };
+    if (!m_queue)
+        return Refusal { ResultCode::StaleConfiguration, drainRetryAfter };
+    if (m_isDraining)
+        return Refusal { ResultCode::Draining, drainRetryAfter };
+    return std::nullopt;
+}
+
+void EndpointRunner::perform(const AdmitAttempt& action)
+{
+    const TimePoint now = steadyNow();
+    const JobPtr job = std::make_shared<Job>();
+    job->ticket = CallTicket(++m_lastTicket);
+    job->message = *m_received;
+    job->connection = m_receivedOver;
+    job->deadline = now + m_received->remaining;
+    if (const auto refusal = reasonNotToAdmit(*job)) {
+        perform(m_fates.refuse(action.attempt, *refusal, now));
+        return;
+    }
+    const AdmissionDecision decision = m_queue->offer(job->ticket, job->message.priority, job->deadline, now);
+    if (decision.kind == AdmissionKind::Refused) {
+        perform(m_fates.refuse(action.attempt, { decision.code, decision.retryAfter }, now));
+        return;
+    }
+    m_jobs.emplace(action.attempt, job);
+    m_jobsByTicket.emplace(job->ticket, job);
+    m_unconfirmed.emplace_back(action.attempt, now + confirmAfter);
+    if (decision.kind == AdmissionKind::Started)
+        start(*job);
+}
+
+void EndpointRunner::perform(const RemoveFromQueue& action)
+{
+    const auto entry = m_jobs.find(action.attempt);
+    if (entry == m_jobs.end())
+        return;
+    const JobPtr job = entry->second;
+    m_queue->cancel(job->ticket);
+    m_jobsByTicket.erase(job->ticket);
+    m_jobs.erase(action.attempt);
+}
+
+void EndpointRunner::perform(const AbortRunning& action)
+{
+    const auto entry = m_jobs.find(action.attempt);
+    if (entry == m_jobs.end())
+        return;
+    const JobPtr job = entry->second;
+    m_client.cancel(job->request);
+    finish(job, BackendOutcome::Failed);
+    perform(m_fates.loseOutcome(action.attempt, ResultCode::OutcomeUnknown, steadyNow()));
+}
+
+void EndpointRunner::perform(const SendInProgress& action)
+{
+    const auto entry = m_jobs.find(action.attempt);
+    if (entry != m_jobs.end())
+        entry->second->connection = action.connection;
+    m_reply(action.connection, CallAcceptedMessage { action.attempt, loadReport() });
+}
+
+void EndpointRunner::perform(const SendAnswer& action)
+{
+    ++m_counters.answered;
+    m_reply(action.connection, CallAnswerMessage { action.attempt, loadReport(), *action.answer });
+}
+
+void EndpointRunner::perform(const SendRefusal& action)
+{
+    ++m_counters.refused;
+    const Refusal& refusal = action.refusal;
+    m_reply(action.connection, CallRefusalMessage { action.attempt, loadReport(), refusal.code, refusal.retryAfter, refusal.isFleetWide });
+}
+
+void EndpointRunner::perform(const SendUnknown& action)
+{
+    ++m_counters.unknown;
+    m_reply(action.connection, CallUnknownMessage { action.attempt, loadReport(), action.code });
+}
+
+void EndpointRunner::perform(const SendCancelResult& action)
+{
+    m_reply(action.connection, CallCancelledMessage { action.attempt, action.result });
+}
+
+void EndpointRunner::startDueJobs()
+{
+    if (!m_queue)
+        return;
+    const TimePoint now = steadyNow();
+    const StartableCalls calls = m_queue->takeStartable(now);
+    for (const GivenUpCall& call : calls.givenUp) {
+        const JobPtr job = m_jobsByTicket.at(call.ticket);
+        m_jobsByTicket.erase(call.ticket);
+        m_jobs.erase(job->message.attempt);
+        perform(m_fates.refuse(job->message.attempt, { call.code, call.retryAfter }, now));
+    }
+    for (const CallTicket& ticket : calls.started)
+        start(*m_jobsByTicket.at(ticket));
+    if (const auto next = m_queue->nextTimer())
+        m_queueTimer.setAt(*next);
+    else
+        m_queueTimer.clear();
+}
+
+void EndpointRunner::start(Job& job)
+{
+    const JobPtr kept = m_jobsByTicket.at(job.ticket);
+    if (!m_fates.tryStart(job.message.attempt) || !m_backend) {
+        finish(kept, BackendOutcome::Failed);
+        perform(m_fates.refuse(job.message.attempt, { ResultCode::Draining, drainRetryAfter }, steadyNow()));
+        return;
+    }
+    ++m_counters.started;
+    job.isRunning = true;
+    HttpClient::Options options;
+    options.timeout = std::max(job.deadline - steadyNow(), Duration(1000));
+    options.maximumBodyBytes = m_document->maximumBodyBytes;
+    job.request = m_client.send(m_backend->address, backendRequest(job), options,
+        [this, kept](HttpClient::Outcome outcome) { handleOutcome(kept, std::move(outcome)); });
+}
+
+HttpRequest EndpointRunner::backendRequest(const Job& job) const
+{
+    const CallRequestMessage& message = job.message;
+    HttpRequest request = message.request;
+    const auto milliseconds = std::chrono::floor<std::chrono::milliseconds>(job.deadline - steadyNow()).count();
+    request.headers.push_back({ HeaderName::deadlineMilliseconds, std::to_string(std::max<std::int64_t>(1, milliseconds)) });
+    request.headers.push_back({ HeaderName::attempt, message.isRepeat ? "1" : "0" });
+    request.headers.push_back({ HeaderName::depth, std::to_string(message.depth + 1) });
+    if (!message.idempotencyKey.value().empty())
+        request.headers.push_back({ HeaderName::idempotencyKey, message.idempotencyKey.value() });
+    return request;
+}
+
+void EndpointRunner::handleOutcome(const JobPtr& job, HttpClient::Outcome outcome)
+{
+    const TimePoint now = steadyNow();
+    const AttemptId attempt = job->message.attempt;
+    if (outcome.succeeded) {
+        finish(job, outcomeOf(outcome.response.status));
+        perform(m_fates.answer(attempt, std::make_shared<const std::string>(encodeResponse(outcome.response)), now));
+    } else if (outcome.failure.mayHaveRun) {
+        finish(job, BackendOutcome::Failed);
+        perform(m_fates.loseOutcome(attempt, outcome.failure.error.code, now));
+    } else {
+        finish(job, BackendOutcome::Failed);
+        perform(m_fates.refuse(attempt, { ResultCode::PeerUnreachable, drainRetryAfter }, now));
+    }
+    startDueJobs();
+}
+
+void EndpointRunner::finish(const JobPtr& job, BackendOutcome outcome)
+{
+    m_queue->finished(job->ticket, outcome, steadyNow());
+    m_jobsByTicket.erase(job->ticket);
+    m_jobs.erase(job->message.attempt);
+}
+
+void EndpointRunner::confirmLongJobs()
+{
+    const TimePoint now = steadyNow();
+    while (!m_unconfirmed.empty() && m_unconfirmed.front().second <= now) {
+        const auto entry = m_jobs.find(m_unconfirmed.front().first);
+        m_unconfirmed.pop_front();
+        if (entry != m_jobs.end())
+            m_reply(entry->second->connection, CallAcceptedMessage { entry->first, loadReport() });
+    }
+    m_confirmTimer.setAfter(confirmAfter);
+}
+
+void EndpointRunner::expire()
+{
+    m_fates.expire(steadyNow());
+    m_expiryTimer.setAfter(expiryInterval);
+}
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Source/node/EndpointRunner.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include "coordination/AdmissionQueue.h"
+#include "coordination/FateTable.h"
+#include "node/NodeIdentity.h"
+#include "protocol/PeerMessages.h"
+#include "protocol/SocketAddress.h"
+#include "state/ServiceDocument.h"
+#include "transport/HttpClient.h"
+#include "transport/SteadyTime.h"
+
+#include <asio/io_context.hpp>
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace Knapweedquay {
+
+/// The backend server beside this node, as it announced itself.
+struct LocalBackend {
+    ServiceName service;
+    /// "ip:port".
+    std::string address;
+    /// 0 when it did not say.
+    std::uint32_t slots = 0;
+};
+
+/// Runs the attempts that reach this node against the backend server beside it.
+///
+/// Ties the fate table, the admission queue and the HTTP client together. Replies leave through the hook, by the
+/// number of the connection that the attempt came over last.
+class EndpointRunner {
+public:
+    using ReplyHook = std::function<void(ConnectionId, const PeerMessage&)>;
+
+    struct Counters {
+        std::uint64_t started = 0;
+        std::uint64_t answered = 0;
+        std::uint64_t refused = 0;
+        std::uint64_t unknown = 0;
+    };
+
+    EndpointRunner(asio::io_context&, NodeIdentity self, HttpClient&, ReplyHook);
+
+    /// A backend server announced itself, or changed what it announced.
+    void setBackend(const LocalBackend&);
+    /// The backend server is gone: new attempts are refused, running ones go on.
+    void removeBackend();
+    /// Puts a newer document of the backend server's service in force.
+    void setDocument(const ServiceDocument&);
+    /// Refuses new attempts from now on; attempts in flight finish.
+    void drain();
+    void undrain();
+    bool isIdle() const { return m_jobs.empty(); }
+
+    void receive(const CallRequestMessage&, ConnectionId);
+    void cancel(const CallCancelMessage&, ConnectionId);
+    void probe(const ProbeMessage&, ConnectionId);
+
+    const Counters& counters() const { return m_counters; }
+    LoadReport loadReport() const;
+
+private:
+    /// One admitted attempt.
+    struct Job {
+        CallTicket ticket;
+        CallRequestMessage message;
+        ConnectionId connection;
+        TimePoint deadline;
+        bool isRunning = false;
+        HttpClient::RequestId request = 0;
+    };
+    using JobPtr = std::shared_ptr<Job>;
+
+    void perform(const FateActions&);
+    void perform(const AdmitAttempt&);
+    void perform(const RemoveFromQueue&);
+    void perform(const AbortRunning&);
+    void perform(const SendInProgress&);
+    void perform(const SendAnswer&);
+    void perform(const SendRefusal&);
+    void perform(const SendUnknown&);
+    void perform(const SendCancelResult&);
+
+    std::optional<Refusal> reasonNotToAdmit(const Job&) const;
+    void startDueJobs();
+    void start(Job&);
+    void handleOutcome(const JobPtr&, HttpClient::Outcome);
+    void finish(const JobPtr&, BackendOutcome);
+    HttpRequest backendRequest(const Job&) const;
+    void confirmLongJobs();
+    void expire();
+
+    NodeIdentity m_self;
+    HttpClient& m_client;
+    ReplyHook m_reply;
+    FateTable m_fates;
+    std::optional<LocalBackend> m_backend;
+    std::optional<ServiceDocument> m_document;
+    std::unique_ptr<AdmissionQueue> m_queue;
+    bool m_isDraining = false;
+    std::uint64_t m_lastTicket = 0;
+    /// The request that is being received, until the fate table admits it.
+    const CallRequestMessage* m_received = nullptr;
+    ConnectionId m_receivedOver;
+    std::unordered_map<AttemptId, JobPtr> m_jobs;
+    std::unordered_map<CallTicket, JobPtr> m_jobsByTicket;
+    /// Admitted attempts whose origin has not been told that they are here, oldest first.
+    std::deque<std::pair<AttemptId, TimePoint>> m_unconfirmed;
+    Counters m_counters;
+    Timer m_queueTimer;
+    Timer m_confirmTimer;
+    Timer m_expiryTimer;
+};
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Source/node/NodeDaemon.cpp
@@ -0,0 +1,174 @@
+#include "node/NodeDaemon.h"
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/post.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <csignal>
+#include <future>
+#include <thread>
+#include <utility>
+
+namespace Knapweedquay {
+
+namespace {
+
+constexpr Duration idleCheckInterval { 20000 };
+constexpr Duration maximumStopTime { 30000000 };
+constexpr Duration claimTimeout { 1000000 };
+
+/// Milliseconds since 1970: greater at each start of a node, even one without a disk.
+Incarnation newIncarnation()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return Incarnation(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count()));
+}
+
+} // namespace
+
+NodeDaemon::NodeDaemon(const NodeSettings& settings)
+    : m_settings(settings)
+    , m_self { settings.node, newIncarnation(), settings.dataCentre }
+    , m_traffic(std::make_unique<NodeTraffic>(m_trafficContext, m_self, settings, claimHooks()))
+    , m_control(std::make_unique<NodeControl>(m_controlContext, m_self, settings, controlHooks()))
+    , m_signals(m_controlContext, SIGINT, SIGTERM)
+    , m_idleTimer(m_controlContext, [this] { stopWhenIdle(); })
+{
+}
+
+NodeDaemon::~NodeDaemon() = default;
+
+Result<void> NodeDaemon::run()
+{
+    BOOST_OUTCOME_TRYV(m_traffic->start());
+    BOOST_OUTCOME_TRYV(m_control->start(m_traffic->peersPort()));
+    waitForSignal();
+    const auto trafficWork = asio::make_work_guard(m_trafficContext);
+    m_trafficContext.restart();
+    std::thread trafficThread([this] { m_trafficContext.run(); });
+    m_controlContext.restart();
+    m_controlContext.run();
+    m_trafficContext.stop();
+    trafficThread.join();
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+CallGateway::ClaimHooks NodeDaemon::claimHooks()
+{
+    CallGateway::ClaimHooks hooks;
+    hooks.request = [this](const RequestClaim& claim) {
+        asio::post(m_controlContext, [this, claim] {
+            m_control->subscription().requestClaim({ claim.owner, claim.request.service, claim.request.key, claim.request.fingerprint.value() }, claimTimeout);
+        });
+    };
+    hooks.release = [this](const ReleaseClaim& claim) {
+        asio::post(m_controlContext, [this, claim] {
+            m_control->subscription().releaseClaim({ claim.owner, claim.request.service, claim.request.key, claim.request.fingerprint.value() });
+        });
+    };
+    return hooks;
+}
+
+NodeControl::Hooks NodeDaemon::controlHooks()
+{
+    NodeControl::Hooks hooks;
+    hooks.memberChanged = [this](const MemberRecord& member) {
+        asio::post(m_trafficContext, [this, member] { m_traffic->gateway().setMember(member); });
+    };
+    hooks.documentChanged = [this](const ServiceDocument& document) {
+        asio::post(m_trafficContext, [this, document] { putInForce(document); });
+    };
+    hooks.configurationFresh = [this] {
+        asio::post(m_trafficContext, [this] { m_traffic->gateway().setConfigurationFresh(); });
+    };
+    hooks.claimAnswered = [this](const AttemptId& owner, ResultCode code) {
+        asio::post(m_trafficContext, [this, owner, code] { m_traffic->gateway().claimAnswered(owner, code); });
+    };
+    hooks.backendAnnounced = [this](const LocalBackend& backend) {
+        asio::post(m_trafficContext, [this, backend] {
+            m_traffic->runner().setBackend(backend);
+            m_traffic->runner().undrain();
+            const auto document = m_documents.find(backend.service);
+            if (document != m_documents.end())
+                m_traffic->runner().setDocument(document->second);
+        });
+    };
+    hooks.backendGone = [this] {
+        asio::post(m_trafficContext, [this] { m_traffic->runner().removeBackend(); });
+    };
+    hooks.backendLeaving = [this] {
+        asio::post(m_trafficContext, [this] { m_traffic->runner().drain(); });
+    };
+    hooks.superseded = [this] { stop(); };
+    hooks.metrics = [] { return std::string(); };
+    hooks.trafficStatus = [this] { return trafficStatus(); };
+    return hooks;
+}
+
+void NodeDaemon::putInForce(const ServiceDocument& document)
+{
+    m_documents[document.service] = document;
+    m_traffic->gateway().setDocument(document);
+    m_traffic->runner().setDocument(document);
+}
+
+std::string NodeDaemon::trafficStatus()
+{
+    const auto promise = std::make_shared<std::promise<std::string>>();
+    auto future = promise->get_future();
+    asio::post(m_trafficContext, [this, promise] {
+        const CallGateway::Counters& calls = m_traffic->gateway().counters();
+        const EndpointRunner::Counters& runs = m_traffic->runner().counters();
+        const nlohmann::json status = { { "sessions", m_traffic->gateway().sessionCount() }, { "calls", calls.calls }, { "answered", calls.answered },
+            { "not_run", calls.notRun }, { "unknown", calls.unknown }, { "attempts", calls.attempts }, { "resends", calls.resends },
+            { "endpoint_started", runs.started }, { "endpoint_idle", m_traffic->runner().isIdle() } };
+        promise->set_value(status.dump());
+    });
+    // A traffic thread that is stuck must not hold the control thread as well.
+    constexpr std::chrono::milliseconds patience { 200 };
+    return future.wait_for(patience) == std::future_status::ready ? future.get() : "null";
+}
+
+void NodeDaemon::waitForSignal()
+{
+    m_signals.async_wait([this](const asio::error_code& error, int) {
+        if (error)
+            return;
+        if (std::exchange(m_isStopping, true))
+            return stop();
+        stopGracefully();
+        waitForSignal();
+    });
+}
+
+void NodeDaemon::stopGracefully()
+{
+    m_stopBy = steadyNow() + maximumStopTime;
+    m_control->leave();
+    asio::post(m_trafficContext, [this] { m_traffic->drain(); });
+    m_idleTimer.setAfter(idleCheckInterval);
+}
+
+void NodeDaemon::stopWhenIdle()
+{
+    if (steadyNow() > m_stopBy)
+        return stop();
+    asio::post(m_trafficContext, [this] {
+        const bool isIdle = m_traffic->isIdle();
+        asio::post(m_controlContext, [this, isIdle] {
+            if (isIdle && m_control->hasSpreadLeave())
+                stop();
+            else
+                m_idleTimer.setAfter(idleCheckInterval);
+        });
+    });
+}
+
+void NodeDaemon::stop()
+{
+    m_controlContext.stop();
+}
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Source/node/NodeDaemon.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "node/NodeControl.h"
+#include "node/NodeSettings.h"
+#include "node/NodeTraffic.h"
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+
+#include <memory>
+#include <string>
+
+namespace Knapweedquay {
+
+/// The node process: one thread for control state, one for traffic, and an orderly end.
+class NodeDaemon {
+public:
+    explicit NodeDaemon(const NodeSettings&);
+    ~NodeDaemon();
+
+    /// Runs until a signal ends it. Errors: ConnectionFailed when a port cannot be opened.
+    Result<void> run();
+
+private:
+    NodeControl::Hooks controlHooks();
+    CallGateway::ClaimHooks claimHooks();
+    void putInForce(const ServiceDocument&);
+    void waitForSignal();
+    void stopGracefully();
+    void stopWhenIdle();
+    void stop();
+    std::string trafficStatus();
+
+    NodeSettings m_settings;
+    NodeIdentity m_self;
+    asio::io_context m_controlContext;
+    asio::io_context m_trafficContext;
+    std::unique_ptr<NodeTraffic> m_traffic;
+    std::unique_ptr<NodeControl> m_control;
+    asio::signal_set m_signals;
+    Timer m_idleTimer;
+    TimePoint m_stopBy;
+    bool m_isStopping = false;
+    /// Newest documents, on the traffic thread, for a backend server that announces itself later.
+    std::map<ServiceName, ServiceDocument> m_documents;
+};
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Source/node/NodeTraffic.cpp
@@ -0,0 +1,84 @@
+#include "node/NodeTraffic.h"
+
+namespace Knapweedquay {
+
+namespace {
+
+HttpServer::Settings callServerSettings(const NodeSettings& settings)
+{
+    HttpServer::Settings server;
+    server.address = settings.calls.ip;
+    server.port = settings.calls.port;
+    return server;
+}
+
+} // namespace
+
+NodeTraffic::NodeTraffic(asio::io_context& context, NodeIdentity self, const NodeSettings& settings, CallGateway::ClaimHooks claims)
+    : m_self(std::move(self))
+    , m_settings(settings)
+    , m_client(context)
+    , m_runner(context, m_self, m_client, [this](ConnectionId connection, const PeerMessage& message) { reply(connection, message); })
+    , m_gateway(context, m_self, m_runner, ChoiceSettings { settings.policy }, std::move(claims))
+    , m_callServer(context, callServerSettings(settings), [this](const HttpExchangePtr& exchange) { m_gateway.handle(exchange); })
+    , m_linkServer(context, maximumPeerMessageBytes, [this](const LinkPtr& link) { accept(link); })
+{
+}
+
+Result<void> NodeTraffic::start()
+{
+    BOOST_OUTCOME_TRYV(m_callServer.start());
+    return m_linkServer.start(m_settings.peers.ip, m_settings.peers.port);
+}
+
+void NodeTraffic::drain()
+{
+    m_callServer.stop();
+    m_runner.drain();
+}
+
+void NodeTraffic::accept(const LinkPtr& link)
+{
+    const ConnectionId id(++m_lastConnection);
+    Link::Hooks hooks;
+    hooks.opened = [this, link] { link->send(encode(HelloMessage { m_self.node, m_self.incarnation })); };
+    hooks.received = [this, id](std::string_view bytes) { receive(id, bytes); };
+    hooks.closed = [this, id] { m_connections.erase(id); };
+    link->setHooks(std::move(hooks));
+    m_connections.emplace(id, Connection { link });
+}
+
+void NodeTraffic::receive(ConnectionId id, std::string_view bytes)
+{
+    const auto entry = m_connections.find(id);
+    if (entry == m_connections.end())
+        return;
+    const auto message = decodePeerMessage(bytes);
+    if (message.has_error()) {
+        LinkPtr(entry->second.link)->abort();
+        return;
+    }
+    if (std::holds_alternative<HelloMessage>(message.value()))
+        entry->second.isGreeted = true;
+    else if (!entry->second.isGreeted)
+        LinkPtr(entry->second.link)->abort();
+    else if (const auto* request = std::get_if<CallRequestMessage>(&message.value()))
+        m_runner.receive(*request, id);
+    else if (const auto* cancel = std::get_if<CallCancelMessage>(&message.value()))
+        m_runner.cancel(*cancel, id);
+    else if (const auto* probe = std::get_if<ProbeMessage>(&message.value()))
+        m_runner.probe(*probe, id);
+}
+
+void NodeTraffic::reply(ConnectionId id, const PeerMessage& message)
+{
+    if (id == ConnectionId()) {
+        m_gateway.receive(m_self.node, message);
+        return;
+    }
+    const auto entry = m_connections.find(id);
+    if (entry != m_connections.end())
+        entry->second.link->send(encode(message));
+}
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Source/node/NodeTraffic.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "node/CallGateway.h"
+#include "node/EndpointRunner.h"
+#include "node/NodeIdentity.h"
+#include "node/NodeSettings.h"
+#include "transport/HttpClient.h"
+#include "transport/HttpServer.h"
+#include "transport/Link.h"
+
+#include <asio/io_context.hpp>
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+
+namespace Knapweedquay {
+
+/// Everything of a node that lives on its traffic thread.
+class NodeTraffic {
+public:
+    NodeTraffic(asio::io_context&, NodeIdentity, const NodeSettings&, CallGateway::ClaimHooks);
+
+    Result<void> start();
+    /// Takes no new callers' connections and no new attempts; calls in progress finish.
+    void drain();
+    bool isIdle() const { return m_gateway.sessionCount() == 0 && m_runner.isIdle(); }
+
+    CallGateway& gateway() { return m_gateway; }
+    EndpointRunner& runner() { return m_runner; }
+    std::uint16_t callsPort() const { return m_callServer.port(); }
+    std::uint16_t peersPort() const { return m_linkServer.port(); }
+
+private:
+    struct Connection {
+        LinkPtr link;
+        bool isGreeted = false;
+    };
+
+    void accept(const LinkPtr&);
+    void receive(ConnectionId, std::string_view bytes);
+    void reply(ConnectionId, const PeerMessage&);
+
+    NodeIdentity m_self;
+    NodeSettings m_settings;
+    HttpClient m_client;
+    EndpointRunner m_runner;
+    CallGateway m_gateway;
+    HttpServer m_callServer;
+    LinkServer m_linkServer;
+    /// Links that other nodes opened to send attempts here. Number 0 stands for this node itself.
+    std::map<ConnectionId, Connection> m_connections;
+    std::uint64_t m_lastConnection = 0;
+};
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Source/node/PeerLinks.cpp
@@ -0,0 +1,185 @@
+#include "node/PeerLinks.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Knapweedquay {
+
+namespace {
+
+constexpr Duration checkInterval { 100000 };
+/// Silence after which a link with answers due is pinged.
+constexpr Duration pingAfter { 400000 };
+/// Silence after which a link with answers due is replaced.
+constexpr Duration replaceAfter { 1200000 };
+/// A link that brought something within this time is not silent.
+constexpr Duration aliveWithin { 150000 };
+constexpr Duration firstBackoff { 50000 };
+constexpr Duration longestBackoff { 1000000 };
+constexpr std::size_t maximumWaitingMessages = 1000;
+
+} // namespace
+
+PeerLinks::PeerLinks(asio::io_context& context, NodeIdentity self, Hooks hooks)
+    : m_self(std::move(self))
+    , m_hooks(std::move(hooks))
+    , m_client(context, maximumPeerMessageBytes)
+    , m_checkTimer(context, [this] { checkLinks(); })
+{
+    m_checkTimer.setAfter(checkInterval);
+}
+
+void PeerLinks::setAddress(const NodeId& node, const std::string& address)
+{
+    std::unique_ptr<Peer>& peer = m_peers[node];
+    if (!peer) {
+        peer = std::make_unique<Peer>();
+        peer->node = node;
+    }
+    if (peer->address == address)
+        return;
+    peer->address = address;
+    if (peer->link)
+        LinkPtr(peer->link)->abort();
+}
+
+bool PeerLinks::send(const NodeId& node, const PeerMessage& message)
+{
+    const auto entry = m_peers.find(node);
+    if (entry == m_peers.end())
+        return false;
+    Peer& peer = *entry->second;
+    if (peer.isReady && peer.link->send(encode(message)))
+        return true;
+    if (peer.waiting.size() >= maximumWaitingMessages)
+        return false;
+    peer.waiting.push_back(message);
+    if (!peer.link)
+        connect(peer);
+    return true;
+}
+
+void PeerLinks::addDueAnswers(const NodeId& node, int change)
+{
+    const auto entry = m_peers.find(node);
+    if (entry != m_peers.end())
+        entry->second->dueAnswers += change;
+}
+
+bool PeerLinks::replaceIfSilent(const NodeId& node)
+{
+    const auto entry = m_peers.find(node);
+    if (entry == m_peers.end())
+        return false;
+    Peer& peer = *entry->second;
+    if (!peer.isReady)
+        return true;
+    if (steadyNow() - peer.link->lastReceived() < aliveWithin)
+        return false;
+    LinkPtr(peer.link)->abort();
+    return true;
+}
+
+Incarnation PeerLinks::incarnation(const NodeId& node) const
+{
+    const auto entry = m_peers.find(node);
+    return entry == m_peers.end() || !entry->second->isReady ? Incarnation() : entry->second->incarnation;
+}
+
+void PeerLinks::connect(Peer& peer)
+{
+    Link::Hooks hooks;
+    hooks.opened = [this, &peer] { handleOpened(peer); };
+    hooks.received = [this, &peer](std::string_view bytes) { handleReceived(peer, bytes); };
+    hooks.closed = [this, &peer] { handleClosed(peer); };
+    peer.link = m_client.connect(peer.address, std::move(hooks));
+    if (!peer.link)
+        returnWaiting(peer);
+}
+
+void PeerLinks::handleOpened(Peer& peer)
+{
+    peer.link->send(encode(HelloMessage { m_self.node, m_self.incarnation }));
+}
+
+void PeerLinks::handleReceived(Peer& peer, std::string_view bytes)
+{
+    const auto message = decodePeerMessage(bytes);
+    if (message.has_error()) {
+        LinkPtr(peer.link)->abort();
+        return;
+    }
+    if (const auto* hello = std::get_if<HelloMessage>(&message.value()))
+        handleHello(peer, *hello);
+    else if (peer.isReady)
+        m_hooks.received(peer.node, message.value());
+}
+
+void PeerLinks::handleHello(Peer& peer, const HelloMessage& hello)
+{
+    if (hello.node != peer.node) {
+        // The address now belongs to another node.
+        LinkPtr(peer.link)->abort();
+        return;
+    }
+    peer.isReady = true;
+    peer.incarnation = hello.incarnation;
+    peer.backoff = Duration::zero();
+    std::deque<PeerMessage> waiting = std::exchange(peer.waiting, {});
+    if (std::exchange(peer.wasLost, false))
+        m_hooks.restored(peer.node, hello.incarnation);
+    for (const PeerMessage& message : waiting)
+        send(peer.node, message);
+}
+
+void PeerLinks::handleClosed(Peer& peer)
+{
+    peer.link.reset();
+    const bool wasReady = std::exchange(peer.isReady, false);
+    peer.wasLost = peer.wasLost || wasReady;
+    peer.backoff = std::clamp(2 * peer.backoff, firstBackoff, longestBackoff);
+    // After a loss the first new link is tried at once; the backoff is for those that fail to open.
+    peer.reconnectAt = steadyNow() + (wasReady ? Duration::zero() : peer.backoff);
+    returnWaiting(peer);
+    if (wasReady)
+        m_hooks.lost(peer.node);
+}
+
+void PeerLinks::returnWaiting(Peer& peer)
+{
+    const std::deque<PeerMessage> waiting = std::exchange(peer.waiting, {});
+    for (const PeerMessage& message : waiting)
+        m_hooks.unsent(peer.node, message);
+}
+
+void PeerLinks::checkLinks()
+{
+    const TimePoint now = steadyNow();
+    for (auto& entry : m_peers)
+        check(*entry.second, now);
+    m_checkTimer.setAfter(checkInterval);
+}
+
+void PeerLinks::check(Peer& peer, TimePoint now)
+{
+    if (peer.dueAnswers <= 0)
+        return;
+    if (!peer.link) {
+        if (now >= peer.reconnectAt)
+            connect(peer);
+        return;
+    }
+    if (!peer.isReady)
+        return;
+    const Duration silence = now - peer.link->lastReceived();
+    if (silence > replaceAfter && peer.lastPing > peer.link->lastReceived()) {
+        LinkPtr(peer.link)->abort();
+        return;
+    }
+    if (silence > pingAfter && now - peer.lastPing > pingAfter) {
+        peer.lastPing = now;
+        peer.link->ping();
+    }
+}
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Source/node/ServiceTraffic.cpp
@@ -0,0 +1,79 @@
+#include "node/ServiceTraffic.h"
+
+#include <algorithm>
+#include <array>
+
+namespace Knapweedquay {
+
+namespace {
+
+constexpr double hedgeQuantile = 0.95;
+constexpr std::array idempotentMethods = { "GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE" };
+
+bool isIdempotentMethod(std::string_view method)
+{
+    return std::find(idempotentMethods.begin(), idempotentMethods.end(), method) != idempotentMethods.end();
+}
+
+bool matches(const Route& route, std::string_view method, std::string_view path)
+{
+    const bool matchesMethod = route.method == "*" || route.method == method;
+    return matchesMethod && path.substr(0, route.path.size()) == route.path;
+}
+
+} // namespace
+
+ServiceTraffic::ServiceTraffic(const ServiceDocument& document, const DataCentre& local, ChoiceSettings settings)
+    : m_document(document)
+    , m_chooser(document, local, settings)
+    , m_retries(document.retries.retryShare)
+    , m_hedges(document.retries.hedgeShare)
+    , m_latencies(document.priorities.size(), QuantileEstimate(hedgeQuantile))
+{
+}
+
+void ServiceTraffic::setDocument(const ServiceDocument& document)
+{
+    m_document = document;
+    m_chooser.setDocument(document);
+    m_retries.setShare(document.retries.retryShare);
+    m_hedges.setShare(document.retries.hedgeShare);
+    m_latencies.assign(document.priorities.size(), QuantileEstimate(hedgeQuantile));
+}
+
+ServiceTraffic::Classification ServiceTraffic::classify(std::string_view method, std::string_view path) const
+{
+    const Route* best = nullptr;
+    for (const Route& route : m_document.routes) {
+        if (matches(route, method, path) && (!best || route.path.size() > best->path.size()))
+            best = &route;
+    }
+    if (best)
+        return { best->priority, best->idempotent };
+    const std::size_t last = m_document.priorities.empty() ? 0 : m_document.priorities.size() - 1;
+    return { PriorityIndex(static_cast<std::uint32_t>(last)), isIdempotentMethod(method) };
+}
+
+std::optional<PriorityIndex> ServiceTraffic::priorityNamed(std::string_view name) const
+{
+    for (std::size_t index = 0; index < m_document.priorities.size(); ++index) {
+        if (m_document.priorities[index].name == name)
+            return PriorityIndex(static_cast<std::uint32_t>(index));
+    }
+    return std::nullopt;
+}
+
+void ServiceTraffic::addLatency(PriorityIndex priority, Duration latency)
+{
+    if (priority.value() < m_latencies.size())
+        m_latencies[priority.value()].add(latency);
+}
+
+std::optional<Duration> ServiceTraffic::hedgeDelay(PriorityIndex priority) const
+{
+    if (priority.value() >= m_latencies.size() || m_document.retries.hedgeShare <= 0)
+        return std::nullopt;
+    return m_latencies[priority.value()].value();
+}
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Source/node/ServiceTraffic.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "coordination/EndpointChooser.h"
+#include "coordination/OutgoingCall.h"
+#include "coordination/QuantileEstimate.h"
+#include "coordination/RetryBudget.h"
+#include "protocol/HttpMessage.h"
+#include "state/ServiceDocument.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Knapweedquay {
+
+/// What this node keeps for the calls that it sends to one service.
+class ServiceTraffic {
+public:
+    ServiceTraffic(const ServiceDocument&, const DataCentre& local, ChoiceSettings);
+
+    void setDocument(const ServiceDocument&);
+    const ServiceDocument& document() const { return m_document; }
+    EndpointChooser& chooser() { return m_chooser; }
+    CallBudgets budgets() { return { m_retries, m_hedges }; }
+
+    struct Classification {
+        PriorityIndex priority;
+        bool isIdempotent = false;
+    };
+    /// Priority and idempotency of a call by the longest matching route; a call without a route is of the least
+    /// urgent priority and idempotent as its method says (RFC 9110, 9.2.2).
+    Classification classify(std::string_view method, std::string_view path) const;
+    std::optional<PriorityIndex> priorityNamed(std::string_view name) const;
+
+    void addLatency(PriorityIndex, Duration);
+    /// When a second attempt is worth its cost (The Tail at Scale, CACM '13): the 95th percentile of the latency.
+    std::optional<Duration> hedgeDelay(PriorityIndex) const;
+
+private:
+    ServiceDocument m_document;
+    EndpointChooser m_chooser;
+    RetryBudget m_retries;
+    RetryBudget m_hedges;
+    std::vector<QuantileEstimate> m_latencies;
+};
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Source/protocol/ControlMessages.cpp
@@ -0,0 +1,154 @@
+#include "protocol/ControlMessages.h"
+
+#include "protocol/Cbor.h"
+#include "protocol/MessageFields.h"
+
+namespace Knapweedquay {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::size_t maximumServices = 4096;
+
+void append(Json& fields, const DocumentVersions& versions)
+{
+    Json list = Json::array();
+    for (const auto& [service, version] : versions) {
+        list.push_back(service.value());
+        list.push_back(version.value());
+    }
+    fields.push_back(std::move(list));
+}
+
+DocumentVersions readVersions(FieldReader& reader)
+{
+    const Json& list = reader.array();
+    if (list.size() > 2 * maximumServices)
+        reader.fail("too many services");
+    DocumentVersions versions;
+    FieldReader pairs(list.is_array() ? list : Json::array());
+    while (!reader.failed() && pairs.remaining() > 0 && !pairs.failed()) {
+        const ServiceName service(pairs.text());
+        versions[service] = DocumentVersion(pairs.unsignedInteger());
+    }
+    if (pairs.failed())
+        reader.fail("document versions are not pairs of name and number");
+    return versions;
+}
+
+void appendFields(Json& fields, const SubscribeMessage& message)
+{
+    fields.push_back(message.node.value());
+    fields.push_back(message.incarnation.value());
+    append(fields, message.inForce);
+}
+
+void readFields(FieldReader& reader, SubscribeMessage& message)
+{
+    message.node = NodeId(reader.text());
+    message.incarnation = Incarnation(reader.unsignedInteger());
+    message.inForce = readVersions(reader);
+}
+
+void appendFields(Json& fields, const DocumentMessage& message)
+{
+    fields.push_back(message.service.value());
+    fields.push_back(message.version.value());
+    fields.push_back(cborBytes(message.text));
+}
+
+void readFields(FieldReader& reader, DocumentMessage& message)
+{
+    message.service = ServiceName(reader.text());
+    message.version = DocumentVersion(reader.unsignedInteger());
+    message.text = reader.bytes();
+}
+
+void appendFields(Json& fields, const FreshnessRequestMessage& message)
+{
+    fields.push_back(message.clock);
+}
+
+void readFields(FieldReader& reader, FreshnessRequestMessage& message)
+{
+    message.clock = reader.unsignedInteger();
+}
+
+void appendFields(Json& fields, const FreshnessMessage& message)
+{
+    fields.push_back(message.echo);
+    fields.push_back(message.term);
+    fields.push_back(message.round);
+    fields.push_back(message.age.count());
+}
+
+void readFields(FieldReader& reader, FreshnessMessage& message)
+{
+    message.echo = reader.unsignedInteger();
+    message.term = reader.unsignedInteger();
+    message.round = reader.unsignedInteger();
+    message.age = reader.duration();
+}
+
+void appendFields(Json& fields, const InForceMessage& message)
+{
+    append(fields, message.inForce);
+}
+
+void readFields(FieldReader& reader, InForceMessage& message)
+{
+    message.inForce = readVersions(reader);
+}
+
+template <typename Claim>
+void appendClaim(Json& fields, const Claim& message)
+{
+    append(fields, message.owner);
+    fields.push_back(message.service.value());
+    fields.push_back(cborBytes(message.key.value()));
+    fields.push_back(message.fingerprint);
+}
+
+template <typename Claim>
+void readClaim(FieldReader& reader, Claim& message)
+{
+    message.owner = readAttempt(reader);
+    message.service = ServiceName(reader.text());
+    message.key = IdempotencyKey(reader.bytes());
+    message.fingerprint = reader.unsignedInteger();
+}
+
+void appendFields(Json& fields, const ClaimRequestMessage& message) { appendClaim(fields, message); }
+void readFields(FieldReader& reader, ClaimRequestMessage& message) { readClaim(reader, message); }
+void appendFields(Json& fields, const ClaimReleaseMessage& message) { appendClaim(fields, message); }
+void readFields(FieldReader& reader, ClaimReleaseMessage& message) { readClaim(reader, message); }
+
+void appendFields(Json& fields, const ClaimAnswerMessage& message)
+{
+    append(fields, message.owner);
+    fields.push_back(static_cast<std::uint16_t>(message.code));
+}
+
+void readFields(FieldReader& reader, ClaimAnswerMessage& message)
+{
+    message.owner = readAttempt(reader);
+    message.code = readCode(reader);
+}
+
+} // namespace
+
+std::string encode(const ControlMessage& message)
+{
+    Json fields = Json::array();
+    fields.push_back(message.index());
+    std::visit([&fields](const auto& typed) { appendFields(fields, typed); }, message);
+    return encodeCbor(fields);
+}
+
+Result<ControlMessage> decodeControlMessage(std::string_view bytes)
+{
+    return decodeVariant<ControlMessage>(bytes, maximumControlMessageBytes, [](FieldReader& reader, auto& message) { readFields(reader, message); });
+}
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Source/protocol/MessageFields.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "protocol/Cbor.h"
+#include "protocol/Ids.h"
+#include "protocol/Result.h"
+
+#include <cstddef>
+#include <string_view>
+#include <utility>
+#include <variant>
+
+namespace Knapweedquay {
+
+/// Fields that messages of several kinds have in common, and the decoding of a message of any of the types of a variant.
+
+void append(nlohmann::json& fields, const AttemptId&);
+AttemptId readAttempt(FieldReader&);
+ResultCode readCode(FieldReader&);
+/// Latches an error for a number that needs more than 32 bits.
+std::uint32_t readUnsigned32(FieldReader&);
+
+/// Gives the variant a default value of the type with that place; false when there is none.
+template <typename Variant, std::size_t... indices>
+bool emplaceAlternative(Variant& message, std::uint64_t type, std::index_sequence<indices...>)
+{
+    return ((type == indices ? (message.template emplace<indices>(), true) : false) || ...);
+}
+
+/// Reads [type, fields...], where the type is the place of the message in the variant.
+///
+/// readFields is called as readFields(FieldReader&, Message&) with the message of that type.
+/// Errors: MalformedMessage, MessageTooLarge.
+template <typename Variant, typename ReadFields>
+Result<Variant> decodeVariant(std::string_view bytes, std::size_t maximumBytes, ReadFields readFields)
+{
+    const auto decoded = decodeCbor(bytes, maximumBytes);
+    if (decoded.has_error())
+        return decoded.error();
+    FieldReader reader(decoded.value());
+    const std::uint64_t type = reader.unsignedInteger();
+    Variant message;
+    const bool isKnown = emplaceAlternative(message, type, std::make_index_sequence<std::variant_size_v<Variant>>());
+    if (reader.failed() || !isKnown)
+        return Error { ResultCode::MalformedMessage, reader.failed() ? "no message type" : "unknown message type" };
+    std::visit([&reader, &readFields](auto& typed) { readFields(reader, typed); }, message);
+    const auto finished = reader.finish();
+    if (finished.has_error())
+        return finished.error();
+    return message;
+}
+
+} // namespace Knapweedquay
--- a/Source/protocol/PeerMessages.h
+++ b/Source/protocol/PeerMessages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/AttemptOutcome.h"
 #include "coordination/LoadReport.h"
 #include "protocol/HttpMessage.h"
 #include "protocol/Ids.h"
@@ -35,8 +36,8 @@
     bool isIdempotent = false;
     /// Time left until the caller's deadline when the message was sent.
     Duration remaining { 0 };
-    /// 0 for the first attempt of the call.
-    std::uint32_t attemptNumber = 0;
+    /// True when the attempt repeats work, here or at an upper level of a chain of calls.
+    bool isRepeat = false;
     /// Number of calls above this one in a chain of calls.
     std::uint32_t depth = 0;
     IdempotencyKey idempotencyKey;
@@ -53,35 +54,36 @@
 struct CallAnswerMessage {
     AttemptId attempt;
     LoadReport load;
-    HttpResponse response;
+    /// The response as encodeResponse() gives it.
+    std::string response;
 };
 
-/// The attempt gets no answer.
+/// The attempt certainly did not run and never will.
 struct CallRefusalMessage {
     AttemptId attempt;
     LoadReport load;
-    /// True: the attempt did not run and never will. False: it may have run.
-    bool isCertainlyNotRun = false;
-    ResultCode code = ResultCode::Ok;
+    ResultCode code = ResultCode::Overloaded;
     Duration retryAfter { 0 };
     /// True when other endpoints of the service are expected to refuse too.
     bool isFleetWide = false;
 };
 
-/// The caller no longer wants the answer.
-struct CallCancelMessage {
+/// The attempt may have run, and there is no answer to give.
+struct CallUnknownMessage {
     AttemptId attempt;
+    LoadReport load;
+    ResultCode code = ResultCode::OutcomeUnknown;
 };
 
-enum class CancelFate : std::uint8_t {
-    NotRun = 0,
-    StillRunning = 1,
-    Unknown = 2,
+/// The caller no longer wants the answer.
+struct CallCancelMessage {
+    AttemptId attempt;
+    Incarnation targetIncarnation;
 };
 
 struct CallCancelledMessage {
     AttemptId attempt;
-    CancelFate fate = CancelFate::Unknown;
+    CancelResult result = CancelResult::Unknown;
 };
 
 struct ProbeMessage {
@@ -95,12 +97,17 @@
     LoadReport load;
 };
 
-using PeerMessage = std::variant<HelloMessage, CallRequestMessage, CallAcceptedMessage, CallAnswerMessage, CallRefusalMessage,
+using PeerMessage = std::variant<HelloMessage, CallRequestMessage, CallAcceptedMessage, CallAnswerMessage, CallRefusalMessage, CallUnknownMessage,
     CallCancelMessage, CallCancelledMessage, ProbeMessage, ProbeAnswerMessage>;
 
 /// CBOR array [type, fields...]; docs/PROTOCOL.md lists the types.
 std::string encode(const PeerMessage&);
 
+/// A whole HTTP response as one byte string, for the answer of an attempt.
+std::string encodeResponse(const HttpResponse&);
+/// Errors: MalformedMessage, MessageTooLarge.
+Result<HttpResponse> decodeResponse(std::string_view bytes);
+
 /// Errors: MalformedMessage, MessageTooLarge.
 Result<PeerMessage> decodePeerMessage(std::string_view bytes);
 
--- a/Source/transport/SteadyTime.cpp
+++ b/Source/transport/SteadyTime.cpp
@@ -12,8 +12,15 @@
     return TimePoint(std::chrono::duration_cast<Duration>(sinceStart));
 }
 
+WallTime wallNow()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return WallTime(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count()));
+}
+
 Timer::Timer(asio::io_context& context, std::function<void()> hook)
     : m_timer(context)
+    , m_generation(std::make_shared<std::uint64_t>(0))
     , m_hook(std::move(hook))
 {
 }
@@ -25,15 +32,18 @@
 
 void Timer::setAfter(Duration delay)
 {
+    const std::uint64_t generation = ++*m_generation;
     m_timer.expires_after(delay);
-    m_timer.async_wait([this](const asio::error_code& error) {
-        if (!error)
+    m_timer.async_wait([this, generation, current = std::weak_ptr<std::uint64_t>(m_generation)](const asio::error_code& error) {
+        const auto alive = current.lock();
+        if (!error && alive && *alive == generation)
             m_hook();
     });
 }
 
 void Timer::clear()
 {
+    ++*m_generation;
     m_timer.cancel();
 }
 
