--- /dev/null
+++ b/Utilities/Models/AtMostOnce.pml
@@ -0,0 +1,291 @@
+/*
+ * At most once, and a true "not run": one keyed call that must not be repeated, which its caller
+ * sends through one origin node and resends through another.
+ *
+ * docs/design/AT_MOST_ONCE.md maps each step to the function that does it.
+ *
+ * The network loses, reorders and duplicates: a message that was sent stays in it for ever, and may be
+ * delivered at any time, any number of times, or never. Timeouts may come at any moment. A node
+ * restart loses its table; work that the backend server began goes on.
+ *
+ * Each -D flag of AtMostOnce.mutations puts one fault in; the assertions must then fail.
+ */
+
+#define ORIGINS 2
+#define ENDPOINTS 2
+/* An origin's first attempt goes to endpoint 0, its second one to endpoint 1. */
+#define ATTEMPTS 4
+#define LAST_INCARNATION 2
+
+#define originOf(a) ((a) / ENDPOINTS)
+#define endpointOf(a) ((a) % ENDPOINTS)
+#define attemptOf(o, k) ((o) * ENDPOINTS + (k))
+/* A reply that its origin no longer reads is not kept: this saves states and changes nothing. */
+#define isRead(a) (told[originOf(a)] == Nothing)
+
+mtype = { Unseen, Queued, Running, Answered, NotRun, Tombstone, Lost, ClosedRan, ClosedNotRun };
+mtype = { Idle, Claiming, Sending, Waiting, Cancelling, Done };
+mtype = { Nothing, ToldAnswered, ToldNotRun, ToldUnknown, ToldRejected };
+
+/* Endpoint nodes */
+byte incarnation[ENDPOINTS] = 1;
+mtype fate[ATTEMPTS] = Unseen;
+
+/* Messages in the network */
+bool requestSent[ATTEMPTS];
+bool cancelSent[ATTEMPTS];
+byte target[ATTEMPTS];
+bool answerSent[ATTEMPTS];
+bool notRunSent[ATTEMPTS];
+bool unknownSent[ATTEMPTS];
+
+/* Claim register of the control store; 0 is free, o + 1 is held by origin o. */
+byte claimHolder = 0;
+bool claimSent[ORIGINS];
+bool claimGranted[ORIGINS];
+bool claimDenied[ORIGINS];
+bool releaseSent[ORIGINS];
+bool releaseSeen[ORIGINS];
+
+/* What really happened, for the assertions */
+byte runs = 0;
+byte runsOf[ORIGINS];
+mtype told[ORIGINS] = Nothing;
+
+inline tell(o, outcome) {
+    told[o] = outcome;
+    answerSent[attemptOf(o, 0)] = false;
+    notRunSent[attemptOf(o, 0)] = false;
+    unknownSent[attemptOf(o, 0)] = false;
+    answerSent[attemptOf(o, 1)] = false;
+    notRunSent[attemptOf(o, 1)] = false;
+    unknownSent[attemptOf(o, 1)] = false;
+    claimGranted[o] = false;
+    claimDenied[o] = false;
+    state = Done
+}
+
+inline tellNotRun(o) {
+    tell(o, ToldNotRun);
+    releaseSent[o] = true;
+    assert(runsOf[o] == 0)
+}
+
+inline tellUnknown(o) {
+    tell(o, ToldUnknown);
+#ifdef RELEASE_CLAIM_ON_UNKNOWN
+    releaseSent[o] = true;
+#endif
+}
+
+/* An origin node: IdempotencyKeyTable and OutgoingCall. */
+proctype Origin(byte o) {
+    mtype state = Idle;
+    byte k = 0;
+    byte a;
+
+    do
+    /* The caller sends its request here, at any time. */
+    :: atomic { state == Idle -> claimSent[o] = true; state = Claiming }
+    :: atomic { state == Claiming && claimGranted[o] -> state = Sending }
+    :: atomic { state == Claiming && claimDenied[o] -> tell(o, ToldRejected) }
+    :: atomic { state == Claiming ->
+        /* No quorum in time; the claim may still be committed. */
+#ifdef RUN_WITHOUT_CLAIM
+        state = Sending
+#else
+        tellNotRun(o)
+#endif
+    }
+    :: atomic { state == Sending ->
+        a = attemptOf(o, k);
+        target[a] = incarnation[endpointOf(a)];
+        requestSent[a] = true;
+        state = Waiting
+    }
+    :: atomic { (state == Waiting || state == Cancelling) && answerSent[a] ->
+        tell(o, ToldAnswered)
+    }
+    :: atomic { (state == Waiting || state == Cancelling) && notRunSent[a] ->
+        tellNotRun(o)
+    }
+    /* Only a certain "not run" lets another endpoint be tried. */
+    :: atomic { state == Waiting && notRunSent[a] && k + 1 < ENDPOINTS -> k++; state = Sending }
+    :: atomic { (state == Waiting || state == Cancelling) && unknownSent[a] ->
+        tellUnknown(o)
+    }
+    /* The link came back with a new run of the endpoint's node. */
+    :: atomic { state == Waiting && incarnation[endpointOf(a)] != target[a] ->
+#ifdef RETRY_AFTER_LINK_LOSS
+        if
+        :: k + 1 < ENDPOINTS -> k++; state = Sending
+        :: else -> tellUnknown(o)
+        fi
+#else
+        tellUnknown(o)
+#endif
+    }
+    /* The deadline passed or the caller has gone. */
+    :: atomic { state == Waiting -> cancelSent[a] = true; state = Cancelling }
+    /* The grace after the deadline ended without an acknowledgement. */
+    :: atomic { state == Cancelling ->
+#ifdef NOT_RUN_ON_TIMEOUT
+        tellNotRun(o)
+#else
+        tellUnknown(o)
+#endif
+    }
+    :: state == Done -> break
+    od
+}
+
+inline receiveRequest(a) {
+    if
+#ifndef NEW_INCARNATION_RUNS_RESEND
+    :: target[a] != incarnation[endpointOf(a)] -> unknownSent[a] = isRead(a)
+    :: target[a] == incarnation[endpointOf(a)] ->
+#else
+    :: true ->
+#endif
+        if
+        :: fate[a] == Unseen -> fate[a] = Queued
+        /* The table is full of attempts without an outcome. */
+        :: fate[a] == Unseen ->
+            notRunSent[a] = isRead(a);
+#ifndef REFUSE_WITHOUT_RECORD
+            fate[a] = ClosedNotRun
+#endif
+        :: fate[a] == Answered -> answerSent[a] = isRead(a)
+        :: fate[a] == NotRun || fate[a] == ClosedNotRun -> notRunSent[a] = isRead(a)
+        :: fate[a] == Tombstone ->
+#ifdef RUN_AFTER_TOMBSTONE
+            fate[a] = Queued
+#else
+            notRunSent[a] = isRead(a)
+#endif
+        :: fate[a] == Lost || fate[a] == ClosedRan -> unknownSent[a] = isRead(a)
+        :: fate[a] == Queued || fate[a] == Running -> skip
+        fi
+    fi
+}
+
+inline receiveCancel(a) {
+    if
+#ifndef NEW_INCARNATION_ACKNOWLEDGES_CANCEL
+    :: target[a] != incarnation[endpointOf(a)] -> unknownSent[a] = isRead(a)
+    :: target[a] == incarnation[endpointOf(a)] ->
+#else
+    :: true ->
+#endif
+        if
+        :: fate[a] == Unseen -> fate[a] = Tombstone; notRunSent[a] = isRead(a)
+        :: fate[a] == Queued -> fate[a] = NotRun; notRunSent[a] = isRead(a)
+        :: fate[a] == Running ->
+#ifdef CANCEL_OF_RUNNING_IS_NOT_RUN
+            notRunSent[a] = isRead(a)
+#else
+            unknownSent[a] = isRead(a)
+#endif
+        :: fate[a] == Answered -> answerSent[a] = isRead(a)
+        :: fate[a] == NotRun || fate[a] == Tombstone || fate[a] == ClosedNotRun -> notRunSent[a] = isRead(a)
+        :: fate[a] == Lost || fate[a] == ClosedRan -> unknownSent[a] = isRead(a)
+        fi
+    fi
+}
+
+inline start(a) {
+    fate[a] = Running;
+    runs++;
+    runsOf[originOf(a)]++;
+    assert(runs <= 1);
+    assert(told[originOf(a)] != ToldNotRun)
+}
+
+/* A fate older than the limits is forgotten; the origin's watermarks take its place. */
+inline forget(a) {
+#ifdef FORGET_WITHOUT_WATERMARK
+    fate[a] = Unseen
+#else
+    if
+    :: fate[a] == Answered || fate[a] == Lost ->
+#ifdef FORGOTTEN_RUN_IS_REFUSED
+        fate[a] = ClosedNotRun
+#else
+        fate[a] = ClosedRan
+#endif
+    :: fate[a] == NotRun || fate[a] == Tombstone -> fate[a] = ClosedNotRun
+    fi
+#endif
+}
+
+inline restart(e) {
+    incarnation[e]++;
+    fate[attemptOf(0, e)] = Unseen;
+    fate[attemptOf(1, e)] = Unseen
+}
+
+/* FateTable and the backend server, for one attempt at its endpoint. */
+proctype Endpoint(byte a) {
+end:
+    do
+    :: atomic { requestSent[a] -> receiveRequest(a) }
+    :: atomic { cancelSent[a] -> receiveCancel(a) }
+    :: atomic { fate[a] == Queued -> start(a) }
+    /* The admission queue refuses. */
+    :: atomic { fate[a] == Queued -> fate[a] = NotRun; notRunSent[a] = isRead(a) }
+    :: atomic { fate[a] == Running -> fate[a] = Answered; answerSent[a] = isRead(a) }
+    :: atomic { fate[a] == Running -> fate[a] = Lost; unknownSent[a] = isRead(a) }
+    :: atomic { fate[a] == Answered || fate[a] == Lost || fate[a] == NotRun || fate[a] == Tombstone -> forget(a) }
+    /* The forgetting of a later attempt raises the watermarks over this one. */
+    :: atomic { fate[a] == Unseen -> fate[a] = ClosedNotRun }
+    :: atomic { fate[a] == Unseen -> fate[a] = ClosedRan }
+    od
+}
+
+proctype Restarts() {
+end:
+    do
+    :: atomic { incarnation[0] < LAST_INCARNATION -> restart(0) }
+    :: atomic { incarnation[1] < LAST_INCARNATION -> restart(1) }
+    od
+}
+
+/* One register of the replicated control store, for one key. */
+proctype ClaimRegister(byte o) {
+end:
+    do
+    :: atomic { claimSent[o] && !releaseSeen[o] ->
+        if
+        :: claimHolder == 0 || claimHolder == o + 1 -> claimHolder = o + 1; claimGranted[o] = (told[o] == Nothing)
+#ifdef CLAIM_GRANTED_TWICE
+        :: else -> claimGranted[o] = (told[o] == Nothing)
+#else
+        :: else -> claimDenied[o] = (told[o] == Nothing)
+#endif
+        fi
+    }
+    :: atomic { releaseSent[o] && !releaseSeen[o] ->
+        releaseSeen[o] = true;
+        if
+        :: claimHolder == o + 1 -> claimHolder = 0
+        :: else -> skip
+        fi
+    }
+    od
+}
+
+init {
+    byte i = 0;
+    atomic {
+        do
+        :: i < ATTEMPTS -> run Endpoint(i); i++
+        :: else -> break
+        od;
+        i = 0;
+        do
+        :: i < ORIGINS -> run Origin(i); run ClaimRegister(i); i++
+        :: else -> break
+        od;
+        run Restarts()
+    }
+}
