--- /dev/null
+++ b/Tests/coordination/FateTablePropertyTest.cpp
@@ -0,0 +1,288 @@
+#include "coordination/FateTable.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+using namespace Knapweedquay;
+
+namespace {
+
+enum class StepKind { Receive,
+    Cancel,
+    Start,
+    Refuse,
+    Answer,
+    LoseOutcome,
+    Expire,
+    Restart };
+
+/// One step of a schedule, in small numbers, so that ids and connections meet often.
+struct Step {
+    StepKind kind;
+    int origin;
+    int incarnation;
+    int sequence;
+    int connection;
+    int delay;
+    bool isResend;
+    bool isForEarlierRun;
+};
+
+std::ostream& operator<<(std::ostream& stream, const Step& step)
+{
+    return stream << "{kind " << static_cast<int>(step.kind) << " id " << step.origin << '/' << step.incarnation << '/' << step.sequence << " connection "
+                  << step.connection << " delay " << step.delay << (step.isResend ? " resend" : "") << (step.isForEarlierRun ? " earlier run" : "") << '}';
+}
+
+rc::Gen<Step> steps()
+{
+    const auto kinds = rc::gen::weightedElement<StepKind>({ { 8, StepKind::Receive }, { 3, StepKind::Cancel }, { 6, StepKind::Start }, { 1, StepKind::Refuse },
+        { 5, StepKind::Answer }, { 1, StepKind::LoseOutcome }, { 2, StepKind::Expire }, { 1, StepKind::Restart } });
+    using rc::gen::inRange;
+    return rc::gen::construct<Step>(kinds, inRange(0, 3), inRange(1, 3), inRange(1, 7), inRange(1, 5), inRange(0, 30), rc::gen::arbitrary<bool>(),
+        rc::gen::map(inRange(0, 6), [](int value) { return value == 0; }));
+}
+
+/// The naive version: remembers every attempt for ever, also across restarts of the node.
+struct NaiveFate {
+    bool isQueued = false;
+    bool hasStarted = false;
+    bool isToldNotRun = false;
+    bool hasUnknownOutcome = false;
+    std::optional<std::string> answer;
+    ConnectionId newest;
+    Incarnation table;
+    TimePoint firstSeen;
+};
+
+/// Drives a fate table and the naive version by the same steps.
+class FateComparison {
+public:
+    /// isExact: the limits are so wide that the table must say all that the naive version says.
+    FateComparison(FateTableLimits limits, bool isExact)
+        : m_limits(limits)
+        , m_isExact(isExact)
+    {
+        restart();
+    }
+
+    void apply(const Step& step)
+    {
+        m_now += Duration(step.delay);
+        const AttemptId id { NodeId(std::to_string(step.origin)), Incarnation(step.incarnation), static_cast<std::uint64_t>(step.sequence) };
+        const ConnectionId connection(step.connection);
+        switch (step.kind) {
+        case StepKind::Receive:
+            return receive(id, connection, step.isResend, step.isForEarlierRun);
+        case StepKind::Cancel:
+            return cancel(id, connection, step.isForEarlierRun);
+        case StepKind::Start:
+            return start(id);
+        case StepKind::Refuse:
+            return check(id, m_table->refuse(id, {}, m_now));
+        case StepKind::Answer:
+            return answer(id);
+        case StepKind::LoseOutcome:
+            return check(id, m_table->loseOutcome(id, ResultCode::AnswerIncomplete, m_now));
+        case StepKind::Expire:
+            return m_table->expire(m_now);
+        case StepKind::Restart:
+            return restart();
+        }
+    }
+
+    void checkBounds() const
+    {
+        RC_ASSERT(m_table->size() <= m_limits.maximumAttempts);
+        RC_ASSERT(m_table->answerBytes() <= m_limits.maximumAnswerBytes);
+        RC_ASSERT(m_table->originCount() <= m_limits.maximumOrigins);
+    }
+
+private:
+    void restart()
+    {
+        m_self = Incarnation(m_self.value() + 1);
+        m_table = std::make_unique<FateTable>(m_self, m_limits);
+    }
+
+    // The stated assumption: no first send is delivered when something sent after it came originKeepTime ago.
+    bool isTooOldForNetwork(const AttemptId& id) const
+    {
+        return std::any_of(m_fates.begin(), m_fates.end(), [&](const auto& entry) {
+            return entry.first.node == id.node && !(entry.first < id) && entry.second.firstSeen + m_limits.originKeepTime <= m_now;
+        });
+    }
+
+    NaiveFate* seen(const AttemptId& id, Incarnation target, ConnectionId connection)
+    {
+        auto [entry, isNew] = m_fates.try_emplace(id);
+        NaiveFate& fate = entry->second;
+        if (isNew) {
+            fate.firstSeen = m_now;
+            fate.table = target;
+        }
+        if (fate.table == m_self)
+            fate.newest = std::max(fate.newest, connection);
+        return &fate;
+    }
+
+    bool isOfNewestOriginRun(const AttemptId& id) const
+    {
+        return std::none_of(m_fates.begin(), m_fates.end(), [&](const auto& entry) {
+            return entry.first.node == id.node && entry.first.incarnation > id.incarnation && entry.second.table == m_self;
+        });
+    }
+
+    bool isNewestOfOrigin(const AttemptId& id) const
+    {
+        return std::none_of(m_fates.begin(), m_fates.end(), [&](const auto& entry) { return entry.first.node == id.node && !(entry.first < id); });
+    }
+
+    // An attempt keeps the target of its first send.
+    Incarnation target(const AttemptId& id, bool isForEarlierRun) const
+    {
+        const auto found = m_fates.find(id);
+        return found != m_fates.end() ? found->second.table : Incarnation(m_self.value() - isForEarlierRun);
+    }
+
+    void receive(const AttemptId& id, ConnectionId connection, bool isResend, bool isForEarlierRun)
+    {
+        if (!isResend && isTooOldForNetwork(id))
+            return;
+        const bool isNew = !m_fates.count(id);
+        const Incarnation run = target(id, isForEarlierRun);
+        const bool isAdmissible = isNew && run == m_self && isOfNewestOriginRun(id);
+        const bool hasRoom = m_table->size() < m_limits.maximumAttempts && m_table->originCount() < m_limits.maximumOrigins;
+        const bool mustBeAdmitted = !isResend && run == m_self && hasRoom && isNewestOfOrigin(id);
+        const NaiveFate fate = *seen(id, run, connection);
+        const auto actions = m_table->receive({ id, run, isResend, connection }, m_now);
+        check(id, actions);
+        if (mustBeAdmitted)
+            RC_ASSERT(std::holds_alternative<AdmitAttempt>(actions.back()));
+        if (m_isExact)
+            checkExactReceive(fate, isAdmissible, actions);
+    }
+
+    void checkExactReceive(const NaiveFate& fate, bool isAdmissible, const FateActions& actions) const
+    {
+        RC_ASSERT(std::holds_alternative<AdmitAttempt>(actions.back()) == isAdmissible);
+        if (isAdmissible)
+            return;
+        RC_ASSERT(actions.size() == 1U);
+        const bool isKnown = fate.table == m_self;
+        RC_ASSERT(std::holds_alternative<SendAnswer>(actions[0]) == (isKnown && fate.answer.has_value()));
+        RC_ASSERT(std::holds_alternative<SendRefusal>(actions[0]) == (isKnown && fate.isToldNotRun));
+        const bool isInProgress = isKnown && (fate.isQueued || fate.hasStarted) && !fate.answer && !fate.isToldNotRun && !fate.hasUnknownOutcome;
+        RC_ASSERT(std::holds_alternative<SendInProgress>(actions[0]) == isInProgress);
+    }
+
+    void cancel(const AttemptId& id, ConnectionId connection, bool isForEarlierRun)
+    {
+        const Incarnation run = target(id, isForEarlierRun);
+        const bool isProvable = run == m_self && isOfNewestOriginRun(id);
+        const NaiveFate fate = *seen(id, run, connection);
+        const auto actions = m_table->cancel(id, run, connection, m_now);
+        check(id, actions);
+        if (m_isExact && isProvable)
+            RC_ASSERT(m_fates[id].isToldNotRun == (fate.isToldNotRun || !fate.hasStarted));
+    }
+
+    void start(const AttemptId& id)
+    {
+        if (!m_table->tryStart(id))
+            return;
+        NaiveFate& fate = m_fates[id];
+        RC_ASSERT(fate.isQueued);
+        RC_ASSERT(fate.table == m_self);
+        RC_ASSERT(!fate.hasStarted);
+        RC_ASSERT(!fate.isToldNotRun);
+        fate.hasStarted = true;
+    }
+
+    void answer(const AttemptId& id)
+    {
+        const auto bytes = std::make_shared<const std::string>("answer " + std::to_string(++m_answerCount));
+        const auto actions = m_table->answer(id, bytes, m_now);
+        if (actions.empty())
+            return;
+        NaiveFate& fate = m_fates[id];
+        RC_ASSERT(fate.hasStarted);
+        RC_ASSERT(!fate.answer);
+        RC_ASSERT(!fate.isToldNotRun);
+        fate.answer = *bytes;
+        check(id, actions);
+    }
+
+    void check(const AttemptId& id, const FateActions& actions)
+    {
+        for (const FateAction& action : actions)
+            std::visit([&](const auto& typedAction) { RC_ASSERT(typedAction.attempt == id); checkAction(m_fates[id], typedAction); }, action);
+    }
+
+    void checkAction(NaiveFate& fate, const AdmitAttempt&) const
+    {
+        RC_ASSERT(!fate.isQueued);
+        RC_ASSERT(!fate.isToldNotRun);
+        fate.isQueued = true;
+    }
+
+    void checkAction(NaiveFate& fate, const SendAnswer& action) const
+    {
+        RC_ASSERT(fate.answer == *action.answer);
+        RC_ASSERT(fate.newest == action.connection);
+    }
+
+    // An attempt that had started may only be refused by its own runner, before anything of it ran.
+    void checkAction(NaiveFate& fate, const SendRefusal&) const
+    {
+        RC_ASSERT(!fate.answer);
+        RC_ASSERT(!fate.hasUnknownOutcome);
+        fate.isToldNotRun = true;
+    }
+
+    void checkAction(NaiveFate& fate, const SendCancelResult& action) const
+    {
+        if (action.result != CancelResult::NotRun)
+            return;
+        RC_ASSERT(!fate.hasStarted || fate.isToldNotRun);
+        fate.isToldNotRun = true;
+    }
+
+    void checkAction(NaiveFate& fate, const SendUnknown& action) const { fate.hasUnknownOutcome |= action.code == ResultCode::AnswerIncomplete; }
+    void checkAction(NaiveFate& fate, const SendInProgress&) const { RC_ASSERT(!fate.answer); }
+    void checkAction(NaiveFate& fate, const RemoveFromQueue&) const { RC_ASSERT(!fate.hasStarted); }
+    void checkAction(NaiveFate& fate, const AbortRunning&) const { RC_ASSERT(fate.hasStarted); }
+
+    FateTableLimits m_limits;
+    bool m_isExact;
+    Incarnation m_self { 1 };
+    TimePoint m_now {};
+    std::unique_ptr<FateTable> m_table;
+    std::map<AttemptId, NaiveFate> m_fates;
+    int m_answerCount = 0;
+};
+
+RC_GTEST_PROP(FateTableProperty, WideLimits_AnySchedule_EqualsNaiveVersion, ())
+{
+    FateComparison comparison({}, true);
+    for (const Step& step : *rc::gen::container<std::vector<Step>>(steps()).as("steps"))
+        comparison.apply(step);
+}
+
+RC_GTEST_PROP(FateTableProperty, TightLimits_AnySchedule_NeverContradictsNaiveVersion, ())
+{
+    const FateTableLimits limits { Duration(60), 4, 24, 2, Duration(200) };
+    FateComparison comparison(limits, false);
+    for (const Step& step : *rc::gen::container<std::vector<Step>>(steps()).as("steps")) {
+        comparison.apply(step);
+        comparison.checkBounds();
+    }
+}
+
+} // namespace
--- a/Tests/coordination/OutgoingCallTest.cpp
+++ b/Tests/coordination/OutgoingCallTest.cpp
@@ -183,4 +183,13 @@
     expectOutcome(CallOutcome::Kind::NotRun, ResultCode::CancelledBeforeStart);
 }
 
+TEST_F(OutgoingCallTest, FrozenOrigin_WokenByRefusalAfterDeadline_StartsNothing)
+{
+    begin();
+    m_now += Duration(5000000);
+    handle(AttemptRefused { attempt(1), Refusal { ResultCode::Overloaded } });
+    EXPECT_EQ(1u, count<ChooseEndpoint>());
+    EXPECT_EQ(CallOutcome::Kind::NotRun, last<FinishCall>().outcome.kind);
+}
+
 } // namespace
