--- a/Tests/coordination/FateTableTest.cpp
+++ b/Tests/coordination/FateTableTest.cpp
@@ -137,6 +137,14 @@
     EXPECT_TRUE(only<SendUnknown>(receive(attempt(9, 1))));
 }
 
+TEST_F(FateTableTest, RestartedOrigin_FirstAttempt_IsAdmittedDespiteForgottenOnes)
+{
+    runToAnswer(attempt(5, 1));
+    m_now += m_limits.keepTime;
+    m_table.expire(m_now);
+    EXPECT_EQ(2u, receive(attempt(1, 2)).size());
+}
+
 TEST_F(FateTableTest, ForgottenOrigin_ResentFrom_NeverRuns)
 {
     runToAnswer(attempt(5));
--- a/Tests/coordination/OutgoingCallTest.cpp
+++ b/Tests/coordination/OutgoingCallTest.cpp
@@ -67,6 +67,7 @@
 {
     m_parameters.deadline = m_now + hopMargin;
     begin();
+    EXPECT_EQ(0u, count<ChooseEndpoint>());
     EXPECT_EQ(0u, count<SendAttempt>());
     expectOutcome(CallOutcome::Kind::NotRun, ResultCode::DeadlineExpired);
 }
@@ -174,6 +175,17 @@
     EXPECT_EQ(attempt(1), last<CancelAttempt>().attempt);
 }
 
+TEST_F(OutgoingCallTest, SlowIdempotentCall_HedgeBudgetSpent_IsNotHedged)
+{
+    while (m_hedges.tryTake()) { }
+    m_parameters.isIdempotent = true;
+    m_parameters.hedgeDelay = Duration(1000);
+    begin();
+    handle(AttemptAccepted { attempt(1) });
+    advance(Duration(1000));
+    EXPECT_EQ(1u, count<ChooseEndpoint>());
+}
+
 TEST_F(OutgoingCallTest, CallerGone_NonIdempotentQueued_IsCancelled)
 {
     begin();
--- /dev/null
+++ b/Utilities/CallBench/CallBench.cpp
@@ -0,0 +1,85 @@
+#include "coordination/FateTable.h"
+#include "coordination/OutgoingCall.h"
+
+#include <benchmark/benchmark.h>
+
+#include <malloc.h>
+
+#include <memory>
+#include <string>
+
+// What the decision core of one call costs: processor time at both nodes, and memory per fate kept.
+
+using namespace Knapweedquay;
+
+namespace {
+
+const NodeId origin("node-of-a-caller-0001");
+const NodeId endpointNode("node-of-an-endpoint-0001");
+
+void originDecidesOneCall(benchmark::State& state)
+{
+    RetryBudget retries(0.1);
+    RetryBudget hedges(0.1);
+    std::uint64_t sequence = 0;
+    TimePoint now {};
+    const auto answer = std::make_shared<const std::string>("answer");
+    for (auto unused : state) {
+        (void)unused;
+        now += Duration(10);
+        CallParameters parameters;
+        parameters.deadline = now + Duration(1000000);
+        OutgoingCall call(parameters, { retries, hedges }, [&] { return AttemptId { origin, Incarnation(1), ++sequence }; });
+        benchmark::DoNotOptimize(call.handle(CallStarted {}, now));
+        benchmark::DoNotOptimize(call.handle(EndpointChosen { endpointNode, Incarnation(1) }, now));
+        const AttemptId id { origin, Incarnation(1), sequence };
+        benchmark::DoNotOptimize(call.handle(AttemptAccepted { id }, now));
+        benchmark::DoNotOptimize(call.handle(AttemptAnswered { id, answer }, now));
+    }
+}
+BENCHMARK(originDecidesOneCall);
+
+void runOneAttempt(FateTable& table, std::uint64_t sequence, const AnswerBytes& answer, TimePoint now)
+{
+    const AttemptId id { origin, Incarnation(1), sequence };
+    benchmark::DoNotOptimize(table.receive({ id, Incarnation(1), false, ConnectionId(1) }, now));
+    benchmark::DoNotOptimize(table.tryStart(id));
+    benchmark::DoNotOptimize(table.answer(id, answer, now));
+}
+
+// With the table full, so that each attempt also forgets one.
+void fullTableKeepsOneFate(benchmark::State& state)
+{
+    FateTable table(Incarnation(1));
+    std::uint64_t sequence = 0;
+    const auto answer = std::make_shared<const std::string>("answer");
+    for (std::size_t count = 0; count < FateTableLimits().maximumAttempts; ++count)
+        runOneAttempt(table, ++sequence, answer, {});
+    for (auto unused : state) {
+        (void)unused;
+        runOneAttempt(table, ++sequence, answer, {});
+    }
+}
+BENCHMARK(fullTableKeepsOneFate);
+
+std::size_t allocatedBytes()
+{
+    return mallinfo2().uordblks;
+}
+
+void bytesPerFate(benchmark::State& state)
+{
+    const auto fates = static_cast<std::uint64_t>(state.range(0));
+    const auto answer = std::make_shared<const std::string>("answer");
+    for (auto unused : state) {
+        (void)unused;
+        const std::size_t before = allocatedBytes();
+        FateTable table(Incarnation(1));
+        for (std::uint64_t sequence = 1; sequence <= fates; ++sequence)
+            runOneAttempt(table, sequence, answer, {});
+        state.counters["bytes_per_fate"] = static_cast<double>(allocatedBytes() - before) / static_cast<double>(fates);
+    }
+}
+BENCHMARK(bytesPerFate)->Arg(1000)->Arg(4000)->Arg(16000)->Unit(benchmark::kMillisecond);
+
+} // namespace
