Utilities: Add the load tool, the stand-in backend server and the forwarder

The path through real processes needs something that drives it and counts what it promises. knapweedquay-backend has slots, a queue, drawn service times and faults on command, and records each request id that starts. knapweedquay-load sends open loop and counts wrong answers, double runs and false "not run" exactly, from those records. knapweedquay-forwarder stops passing bytes without telling either end.

--- /dev/null
+++ b/Utilities/Load/HttpConnection.cpp
@@ -0,0 +1,63 @@
+#include "Load/HttpConnection.h"
+
+#include <asio/write.hpp>
+
+namespace Knapweedquay {
+
+HttpConnection::HttpConnection(asio::ip::tcp::socket socket, RequestHandler handler)
+    : m_socket(std::move(socket))
+    , m_handler(std::move(handler))
+{
+    asio::error_code ignored;
+    m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+}
+
+void HttpConnection::start()
+{
+    read();
+}
+
+void HttpConnection::send(std::string bytes, bool closeAfter)
+{
+    if (!isOpen())
+        return;
+    auto kept = std::make_shared<std::string>(std::move(bytes));
+    asio::async_write(m_socket, asio::buffer(*kept), [self = shared_from_this(), kept, closeAfter](const asio::error_code& error, std::size_t) {
+        if (error || closeAfter)
+            self->close();
+    });
+}
+
+void HttpConnection::close()
+{
+    asio::error_code ignored;
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+    m_socket.close(ignored);
+    if (const auto closed = std::exchange(onClosed, nullptr))
+        closed();
+    m_handler = nullptr;
+}
+
+void HttpConnection::read()
+{
+    m_socket.async_read_some(asio::buffer(m_buffer), [self = shared_from_this()](const asio::error_code& error, std::size_t size) {
+        if (error)
+            self->close();
+        else
+            self->deliver(size);
+    });
+}
+
+void HttpConnection::deliver(std::size_t size)
+{
+    if (!m_parser.feed({ m_buffer.data(), size }))
+        return send(serializeAnswer(textAnswer(400, "malformed request\n")), true);
+    while (auto message = m_parser.next()) {
+        if (m_handler)
+            m_handler(std::move(*message), shared_from_this());
+    }
+    if (isOpen())
+        read();
+}
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Utilities/Load/HttpServer.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "Load/HttpConnection.h"
+
+#include <asio/io_context.hpp>
+
+#include <cstdint>
+
+namespace Knapweedquay {
+
+/// Accepts connections on the loopback address and hands on their requests.
+class HttpServer {
+public:
+    /// Port 0 takes a free one. Throws asio::system_error when the port cannot be had.
+    HttpServer(asio::io_context&, std::uint16_t port, HttpConnection::RequestHandler);
+
+    std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+
+private:
+    void accept();
+
+    asio::ip::tcp::acceptor m_acceptor;
+    HttpConnection::RequestHandler m_handler;
+};
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Utilities/Load/LatencyHistogram.cpp
@@ -0,0 +1,45 @@
+#include "Load/LatencyHistogram.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Knapweedquay {
+
+namespace {
+
+    constexpr double lowestMilliseconds = 0.01;
+    constexpr double highestMilliseconds = 100000;
+    constexpr double bucketRatio = 1.01;
+
+    unsigned bucketCount()
+    {
+        return static_cast<unsigned>(std::ceil(std::log(highestMilliseconds / lowestMilliseconds) / std::log(bucketRatio)));
+    }
+
+} // namespace
+
+LatencyHistogram::LatencyHistogram()
+    : m_buckets(boost::histogram::make_histogram(Axis(bucketCount(), lowestMilliseconds, highestMilliseconds)))
+{
+}
+
+void LatencyHistogram::add(double milliseconds)
+{
+    m_buckets(std::max(milliseconds, lowestMilliseconds));
+    m_longest = std::max(m_longest, milliseconds);
+    ++m_count;
+}
+
+double LatencyHistogram::quantile(double share) const
+{
+    const double wanted = std::ceil(share * static_cast<double>(m_count));
+    double seen = 0;
+    for (auto&& bucket : boost::histogram::indexed(m_buckets)) {
+        seen += *bucket;
+        if (seen >= wanted && seen > 0)
+            return std::min(bucket.bin().upper(), m_longest);
+    }
+    return m_longest;
+}
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Utilities/Load/LoadGenerator.cpp
@@ -0,0 +1,200 @@
+#include "Load/LoadGenerator.h"
+
+#include "Load/EchoAnswer.h"
+#include "Load/ExecutionRecord.h"
+
+namespace Knapweedquay {
+
+namespace {
+
+    /// An answer at the deadline still counts as one; after this time more the call counts as an error.
+    constexpr std::chrono::milliseconds answerGrace { 2000 };
+    constexpr unsigned firstServerError = 500;
+
+    std::string codeOf(const HttpMessage& answer)
+    {
+        const auto problem = nlohmann::json::parse(answer.body, nullptr, false);
+        if (!problem.is_object() || !problem.contains("code"))
+            return "status " + std::to_string(answer.status);
+        return problem["code"].dump();
+    }
+
+} // namespace
+
+/// One class of calls with its arrival process, its counts and what each call was told.
+struct LoadGenerator::Stream {
+    Stream(asio::io_context& context, const CallClass& calls, std::uint64_t seed)
+        : random(seed)
+        , timer(context)
+    {
+        result.calls = calls;
+    }
+
+    std::mt19937_64 random;
+    asio::steady_timer timer;
+    Clock::time_point nextSend;
+    CallClassResult result;
+    std::vector<std::string> idsToldNotRun;
+    std::vector<std::string> idsAnswered;
+    std::vector<std::string> idsSent;
+};
+
+struct LoadGenerator::SentCall {
+    std::string id;
+    Clock::time_point intended;
+};
+
+LoadGenerator::LoadGenerator(asio::io_context& context, LoadOptions options)
+    : m_context(context)
+    , m_options(std::move(options))
+    , m_client(context)
+{
+    std::uint64_t seed = m_options.seed;
+    for (const CallClass& calls : m_options.classes)
+        m_streams.push_back(std::make_unique<Stream>(m_context, calls, ++seed));
+}
+
+LoadGenerator::~LoadGenerator() = default;
+
+void LoadGenerator::start()
+{
+    m_start = Clock::now();
+    for (const auto& stream : m_streams) {
+        stream->nextSend = m_start;
+        scheduleNext(*stream);
+    }
+}
+
+void LoadGenerator::scheduleNext(Stream& stream)
+{
+    const double gapSeconds = std::exponential_distribution<>(stream.result.calls.rate)(stream.random);
+    stream.nextSend += std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(gapSeconds));
+    if (stream.nextSend > m_start + m_options.duration)
+        return;
+    stream.timer.expires_at(stream.nextSend);
+    stream.timer.async_wait([this, &stream](const asio::error_code& error) {
+        if (error)
+            return;
+        sendCall(stream);
+        scheduleNext(stream);
+    });
+}
+
+void LoadGenerator::sendCall(Stream& stream)
+{
+    const CallClass& calls = stream.result.calls;
+    auto call = std::make_shared<SentCall>();
+    call->id = m_options.runName + "-" + calls.name + "-" + std::to_string(stream.idsSent.size());
+    call->intended = stream.nextSend;
+    stream.idsSent.push_back(call->id);
+    const std::size_t first = drawAddress(stream);
+    sendOnce(stream, call, first);
+    const bool isResent = calls.isKeyed && std::uniform_real_distribution<>()(stream.random) < calls.resendShare;
+    if (isResent)
+        sendOnce(stream, call, (first + 1) % m_options.addresses.size());
+}
+
+std::size_t LoadGenerator::drawAddress(Stream& stream)
+{
+    return std::uniform_int_distribution<std::size_t>(0, m_options.addresses.size() - 1)(stream.random);
+}
+
+void LoadGenerator::sendOnce(Stream& stream, const std::shared_ptr<SentCall>& call, std::size_t addressIndex)
+{
+    ++stream.result.sent;
+    ++m_openCalls;
+    const auto timeout = std::chrono::milliseconds(stream.result.calls.deadlineMs) + answerGrace;
+    m_client.send(m_options.addresses[addressIndex], requestOf(stream, *call), timeout, [this, &stream, call](ExchangeFailure failure, const HttpMessage& answer) {
+        finish(stream, *call, failure, answer);
+    });
+}
+
+HttpMessage LoadGenerator::requestOf(const Stream& stream, const SentCall& call) const
+{
+    const CallClass& calls = stream.result.calls;
+    HttpMessage request;
+    request.method = calls.method;
+    request.target = calls.path + "?id=" + call.id + "&size=" + std::to_string(calls.answerBytes);
+    request.headers["knapweedquay-deadline-ms"] = std::to_string(calls.deadlineMs);
+    if (!calls.priority.empty())
+        request.headers["knapweedquay-priority"] = calls.priority;
+    if (calls.isKeyed)
+        request.headers["idempotency-key"] = call.id;
+    request.body = requestBody(call.id, calls.requestBytes);
+    return request;
+}
+
+void LoadGenerator::finish(Stream& stream, const SentCall& call, ExchangeFailure failure, const HttpMessage& answer)
+{
+    --m_openCalls;
+    CallClassResult& result = stream.result;
+    if (failure != ExchangeFailure::None) {
+        ++result.errors;
+        return;
+    }
+    const std::string outcome = m_options.isDirect ? "answered" : answer.header("knapweedquay-outcome");
+    if (outcome == "answered")
+        return countAnswer(stream, call, answer);
+    ++result.codes[codeOf(answer)];
+    if (outcome == "not-run") {
+        ++result.notRun;
+        stream.idsToldNotRun.push_back(call.id);
+        return;
+    }
+    ++result.unknown;
+}
+
+void LoadGenerator::countAnswer(Stream& stream, const SentCall& call, const HttpMessage& answer)
+{
+    CallClassResult& result = stream.result;
+    if (answer.status >= firstServerError) {
+        ++result.failed;
+        return;
+    }
+    const std::string expected = echoAnswer(call.id, requestBody(call.id, result.calls.requestBytes), result.calls.answerBytes);
+    if (answer.body != expected) {
+        ++result.wrong;
+        return;
+    }
+    stream.idsAnswered.push_back(call.id);
+    ++result.answered;
+    const double milliseconds = std::chrono::duration<double, std::milli>(Clock::now() - call.intended).count();
+    result.latency.add(milliseconds);
+    if (milliseconds <= static_cast<double>(result.calls.targetMs))
+        ++result.withinTarget;
+}
+
+bool LoadGenerator::isFinished() const
+{
+    return m_openCalls == 0 && Clock::now() > m_start + m_options.duration;
+}
+
+void LoadGenerator::checkRecords()
+{
+    const auto runs = readExecutionRecords(m_options.recordFiles);
+    const auto runsOf = [&runs](const std::string& id) {
+        const auto found = runs.find(id);
+        return found == runs.end() ? 0 : found->second;
+    };
+    for (const auto& stream : m_streams) {
+        CallClassResult& result = stream->result;
+        // A call that was sent twice may be refused at one node and run through the other.
+        const bool isEachSentOnce = !(result.calls.resendShare > 0);
+        for (const std::string& id : stream->idsSent)
+            result.doubleRuns += result.calls.mustRunOnce() && runsOf(id) > 1 ? 1 : 0;
+        for (const std::string& id : stream->idsToldNotRun)
+            result.falseNotRun += isEachSentOnce && runsOf(id) > 0 ? 1 : 0;
+        for (const std::string& id : stream->idsAnswered)
+            result.answeredWithoutRun += runsOf(id) == 0 ? 1 : 0;
+    }
+}
+
+std::vector<CallClassResult> LoadGenerator::results() const
+{
+    std::vector<CallClassResult> results;
+    for (const auto& stream : m_streams)
+        results.push_back(stream->result);
+    return results;
+}
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Utilities/Load/StandInBackend.cpp
@@ -0,0 +1,228 @@
+#include "Load/StandInBackend.h"
+
+#include "Load/EchoAnswer.h"
+
+#include <algorithm>
+
+namespace Knapweedquay {
+
+namespace {
+
+    constexpr std::chrono::seconds announceInterval { 1 };
+    constexpr std::chrono::seconds announceTimeout { 1 };
+    constexpr std::chrono::milliseconds idleCheckInterval { 20 };
+    /// Calls that the node had sent before it knew of the leave arrive within this time.
+    constexpr std::chrono::seconds leaveGrace { 1 };
+
+    HttpMessage jsonRequest(const std::string& target, const nlohmann::json& body)
+    {
+        HttpMessage request;
+        request.method = "POST";
+        request.target = target;
+        request.headers["content-type"] = "application/json";
+        request.body = body.dump();
+        return request;
+    }
+
+} // namespace
+
+/// One request and the connection that waits for its answer.
+struct StandInBackend::Call {
+    Call(asio::io_context& context, HttpMessage message, std::shared_ptr<HttpConnection> owner)
+        : request(std::move(message))
+        , connection(std::move(owner))
+        , timer(context)
+    {
+    }
+
+    HttpMessage request;
+    std::shared_ptr<HttpConnection> connection;
+    asio::steady_timer timer;
+};
+
+StandInBackend::StandInBackend(asio::io_context& context, const BackendOptions& options)
+    : m_context(context)
+    , m_options(options)
+    , m_times(options.seed)
+    , m_record(options.recordFile)
+    , m_client(context)
+    , m_server(context, options.port, [this](HttpMessage request, const std::shared_ptr<HttpConnection>& connection) { handle(std::move(request), connection); })
+    , m_controlServer(context, options.controlPort, [this](const HttpMessage& request, const std::shared_ptr<HttpConnection>& connection) { handleControl(request, connection); })
+    , m_announceTimer(context)
+    , m_idleTimer(context)
+{
+    for (const std::string& rule : options.serviceTimes)
+        m_times.add(rule);
+    if (!m_options.node.empty())
+        announce();
+}
+
+void StandInBackend::handle(HttpMessage request, const std::shared_ptr<HttpConnection>& connection)
+{
+    if (m_modes.refuse || m_queue.size() >= m_options.maximumQueue)
+        return connection->send(serializeAnswer(textAnswer(503, "refused\n")));
+    if (m_modes.failFast) {
+        m_record.add(request.query("id"));
+        return connection->send(serializeAnswer(textAnswer(500, "failed\n")));
+    }
+    auto call = std::make_shared<Call>(m_context, std::move(request), connection);
+    connection->onClosed = [this, weak = std::weak_ptr<Call>(call)] {
+        if (const auto closed = weak.lock())
+            cancel(closed);
+    };
+    m_queue.push_back(std::move(call));
+    startQueued();
+}
+
+void StandInBackend::startQueued()
+{
+    while (!m_queue.empty() && m_running.size() < m_options.slots) {
+        const CallPointer call = m_queue.front();
+        m_queue.pop_front();
+        start(call);
+    }
+}
+
+void StandInBackend::start(const CallPointer& call)
+{
+    m_running.insert(call);
+    m_record.add(call->request.query("id"));
+    m_lastStart = Clock::now();
+    call->timer.expires_after(drawTime(call->request.path()));
+    call->timer.async_wait([this, call](const asio::error_code& error) {
+        if (!error)
+            finish(call);
+    });
+}
+
+std::chrono::microseconds StandInBackend::drawTime(const std::string& path)
+{
+    double factor = m_modes.slowdown;
+    if (m_modes.coldCalls > 0) {
+        --m_modes.coldCalls;
+        factor *= m_modes.coldFactor;
+    }
+    return std::chrono::duration_cast<std::chrono::microseconds>(m_times.draw(path) * factor);
+}
+
+void StandInBackend::finish(const CallPointer& call)
+{
+    if (m_modes.freezeAnswers) {
+        m_held.push_back(call);
+        return;
+    }
+    if (m_modes.answerDelayMs == 0)
+        return answer(call);
+    call->timer.expires_after(std::chrono::milliseconds(m_modes.answerDelayMs));
+    call->timer.async_wait([this, call](const asio::error_code& error) {
+        if (!error)
+            answer(call);
+    });
+}
+
+void StandInBackend::answer(const CallPointer& call)
+{
+    const std::string size = call->request.query("size");
+    const std::string body = echoAnswer(call->request.query("id"), call->request.body, size.empty() ? 0 : std::stoul(size));
+    std::string bytes = serializeAnswer(textAnswer(200, body));
+    call->connection->onClosed = nullptr;
+    if (m_modes.shortBody)
+        bytes.resize(bytes.size() - body.size() / 2);
+    call->connection->send(std::move(bytes), m_modes.shortBody);
+    release(call);
+}
+
+void StandInBackend::release(const CallPointer& call)
+{
+    m_running.erase(call);
+    startQueued();
+}
+
+void StandInBackend::cancel(const CallPointer& call)
+{
+    ++m_cancelled;
+    call->timer.cancel();
+    m_queue.erase(std::remove(m_queue.begin(), m_queue.end(), call), m_queue.end());
+    m_held.erase(std::remove(m_held.begin(), m_held.end(), call), m_held.end());
+    release(call);
+}
+
+void StandInBackend::handleControl(const HttpMessage& request, const std::shared_ptr<HttpConnection>& connection)
+{
+    const auto reply = [&](unsigned status, const std::string& text) { connection->send(serializeAnswer(textAnswer(status, text))); };
+    if (request.path() == "/executed")
+        return reply(200, m_record.text());
+    if (request.path() == "/stats")
+        return reply(200, stats());
+    if (request.path() != "/modes")
+        return reply(404, "known are /executed, /stats and /modes\n");
+    if (request.method == "POST") {
+        try {
+            // Keys that are not given keep their value.
+            nlohmann::json modes = m_modes;
+            modes.update(nlohmann::json::parse(request.body));
+            setModes(modes.get<BackendModes>());
+        } catch (const nlohmann::json::exception& error) {
+            return reply(400, std::string(error.what()) + "\n");
+        }
+    }
+    reply(200, nlohmann::json(m_modes).dump() + "\n");
+}
+
+void StandInBackend::setModes(const BackendModes& modes)
+{
+    m_modes = modes;
+    if (m_modes.freezeAnswers)
+        return;
+    for (const CallPointer& call : std::exchange(m_held, {}))
+        finish(call);
+}
+
+std::string StandInBackend::stats() const
+{
+    nlohmann::json values;
+    values["running"] = m_running.size();
+    values["queued"] = m_queue.size();
+    values["executed"] = m_record.total();
+    values["cancelled"] = m_cancelled;
+    values["leaving"] = m_leftAt.has_value();
+    // Milliseconds from the leave to the last start of a call; negative when none started since.
+    if (m_leftAt)
+        values["lastStartAfterLeaveMs"] = std::chrono::duration<double, std::milli>(m_lastStart - *m_leftAt).count();
+    return values.dump() + "\n";
+}
+
+void StandInBackend::announce()
+{
+    if (m_leftAt)
+        return;
+    const nlohmann::json body { { "service", m_options.service }, { "address", "127.0.0.1:" + std::to_string(port()) }, { "slots", m_options.slots } };
+    m_client.send(m_options.node, jsonRequest("/announce", body), announceTimeout, [](ExchangeFailure, const HttpMessage&) {});
+    m_announceTimer.expires_after(announceInterval);
+    m_announceTimer.async_wait([this](const asio::error_code& error) {
+        if (!error)
+            announce();
+    });
+}
+
+void StandInBackend::leave(const std::function<void()>& finished)
+{
+    if (m_leftAt)
+        return;
+    m_leftAt = Clock::now();
+    m_announceTimer.cancel();
+    if (m_options.node.empty())
+        return endWhenIdle(finished);
+    m_client.send(m_options.node, jsonRequest("/leave", { { "service", m_options.service } }), announceTimeout, [this, finished](ExchangeFailure, const HttpMessage&) { endWhenIdle(finished); });
+}
+
+void StandInBackend::endWhenIdle(const std::function<void()>& finished)
+{
+    const bool isOver = Clock::now() - *m_leftAt > leaveGrace;
+    if (isOver && m_running.empty() && m_queue.empty())
+        return finished();
+    m_idleTimer.expires_after(idleCheckInterval);
+    m_idleTimer.async_wait([this, finished](const asio::error_code&) { endWhenIdle(finished); });
+}
+
+} // namespace Knapweedquay
