--- a/Tests/load/LoadToolTest.cpp
+++ b/Tests/load/LoadToolTest.cpp
@@ -10,65 +10,65 @@
 #include <fstream>
 #include <unistd.h>
 
-namespace Knapweedquay {
+namespace Knapweedquay::Load {
 
 namespace {
 
-    /// The load tool must see each broken promise, or a run without one proves nothing.
-    class LoadToolTest : public ::testing::Test {
-    protected:
-        LoadToolTest()
-            : m_recordFile(::testing::TempDir() + "knapweedquay-record-" + std::to_string(::getpid()))
-        {
-        }
-
-        ~LoadToolTest() override { std::remove(m_recordFile.c_str()); }
-
-        /// Sends some calls to a server that answers by a handler, and returns what the tool counted.
-        CallClassResult measure(const std::string& calls, const HttpConnection::RequestHandler& handler)
-        {
-            HttpServer server(m_context, 0, handler);
-            return measureAt(server.port(), calls, false);
-        }
-
-        CallClassResult measureAt(std::uint16_t port, const std::string& calls, bool isDirect)
-        {
-            LoadOptions options;
-            options.addresses = { "127.0.0.1:" + std::to_string(port), "127.0.0.1:" + std::to_string(port) };
-            options.classes = { parseCallClass("name=calls,path=/p,rate=200,deadline=1," + calls) };
-            options.duration = std::chrono::milliseconds(100);
-            options.isDirect = isDirect;
-            options.recordFiles = { m_recordFile };
-            LoadGenerator generator(m_context, options);
-            generator.start();
-            while (!generator.isFinished())
-                m_context.run_one_for(std::chrono::milliseconds(100));
-            generator.checkRecords();
-            return generator.results().front();
-        }
-
-        void recordRun(const HttpMessage& request)
-        {
-            std::ofstream(m_recordFile, std::ios::app) << request.query("id") << "\n";
-        }
-
-        static HttpMessage rightAnswer(const HttpMessage& request)
-        {
-            HttpMessage answer = textAnswer(200, echoAnswer(request.query("id"), request.body, std::stoul(request.query("size"))));
-            answer.headers["knapweedquay-outcome"] = "answered";
-            return answer;
-        }
-
-        static HttpMessage refusal(const std::string& outcome)
-        {
-            HttpMessage answer = textAnswer(503, R"({"code":200})");
-            answer.headers["knapweedquay-outcome"] = outcome;
-            return answer;
-        }
-
-        asio::io_context m_context;
-        std::string m_recordFile;
-    };
+/// The load tool must see each broken promise, or a run without one proves nothing.
+class LoadToolTest : public ::testing::Test {
+protected:
+    LoadToolTest()
+        : m_recordFile(::testing::TempDir() + "knapweedquay-record-" + std::to_string(::getpid()))
+    {
+    }
+
+    ~LoadToolTest() override { std::remove(m_recordFile.c_str()); }
+
+    /// Sends some calls to a server that answers by a handler, and returns what the tool counted.
+    CallClassResult measure(const std::string& calls, const HttpConnection::RequestHandler& handler)
+    {
+        HttpServer server(m_context, 0, handler);
+        return measureAt(server.port(), calls, false);
+    }
+
+    CallClassResult measureAt(std::uint16_t port, const std::string& calls, bool isDirect)
+    {
+        LoadOptions options;
+        options.addresses = { "127.0.0.1:" + std::to_string(port), "127.0.0.1:" + std::to_string(port) };
+        options.classes = { parseCallClass("name=calls,path=/p,rate=200,deadline=1," + calls) };
+        options.duration = std::chrono::milliseconds(100);
+        options.isDirect = isDirect;
+        options.recordFiles = { m_recordFile };
+        LoadGenerator generator(m_context, options);
+        generator.start();
+        while (!generator.isFinished())
+            m_context.run_one_for(std::chrono::milliseconds(100));
+        generator.checkRecords();
+        return generator.results().front();
+    }
+
+    void recordRun(const HttpMessage& request)
+    {
+        std::ofstream(m_recordFile, std::ios::app) << request.query("id") << "\n";
+    }
+
+    static HttpMessage rightAnswer(const HttpMessage& request)
+    {
+        HttpMessage answer = textAnswer(200, echoAnswer(request.query("id"), request.body, std::stoul(request.query("size"))));
+        answer.headers["knapweedquay-outcome"] = "answered";
+        return answer;
+    }
+
+    static HttpMessage refusal(const std::string& outcome)
+    {
+        HttpMessage answer = textAnswer(503, R"({"code":200})");
+        answer.headers["knapweedquay-outcome"] = outcome;
+        return answer;
+    }
+
+    asio::io_context m_context;
+    std::string m_recordFile;
+};
 
 } // namespace
 
@@ -178,4 +178,4 @@
     EXPECT_NEAR(histogram.quantile(1), 1000, 0.01);
 }
 
-} // namespace Knapweedquay
+} // namespace Knapweedquay::Load
--- a/Utilities/Load/BackendMain.cpp
+++ b/Utilities/Load/BackendMain.cpp
@@ -10,7 +10,7 @@
 
 namespace po = boost::program_options;
 
-po::options_description describeOptions(Knapweedquay::BackendOptions& options)
+po::options_description describeOptions(Knapweedquay::Load::BackendOptions& options)
 {
     po::options_description description("knapweedquay-backend: a stand-in backend server");
     description.add_options()("help", "print this text");
@@ -26,10 +26,10 @@
     return description;
 }
 
-void run(const Knapweedquay::BackendOptions& options)
+void run(const Knapweedquay::Load::BackendOptions& options)
 {
     asio::io_context context;
-    Knapweedquay::StandInBackend backend(context, options);
+    Knapweedquay::Load::StandInBackend backend(context, options);
     asio::signal_set signals(context, SIGTERM, SIGINT);
     signals.async_wait([&](const asio::error_code&, int) {
         backend.leave([&] { context.stop(); });
@@ -42,7 +42,7 @@
 
 int main(int argumentCount, char** arguments)
 {
-    Knapweedquay::BackendOptions options;
+    Knapweedquay::Load::BackendOptions options;
     const po::options_description description = describeOptions(options);
     try {
         po::variables_map values;
--- a/Utilities/Load/BackendModes.h
+++ b/Utilities/Load/BackendModes.h
@@ -4,7 +4,7 @@
 
 #include <cstdint>
 
-namespace Knapweedquay {
+namespace Knapweedquay::Load {
 
 /// How a stand-in backend server misbehaves at the moment.
 struct BackendModes {
@@ -27,4 +27,4 @@
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(BackendModes, slowdown, failFast, refuse, coldCalls, coldFactor, freezeAnswers, shortBody, answerDelayMs)
 
-} // namespace Knapweedquay
+} // namespace Knapweedquay::Load
--- a/Utilities/Load/CallClass.cpp
+++ b/Utilities/Load/CallClass.cpp
@@ -7,7 +7,7 @@
 #include <sstream>
 #include <stdexcept>
 
-namespace Knapweedquay {
+namespace Knapweedquay::Load {
 
 CallClass parseCallClass(const std::string& text)
 {
@@ -38,4 +38,4 @@
     return result;
 }
 
-} // namespace Knapweedquay
+} // namespace Knapweedquay::Load
--- a/Utilities/Load/CallClass.h
+++ b/Utilities/Load/CallClass.h
@@ -3,7 +3,7 @@
 #include <cstddef>
 #include <string>
 
-namespace Knapweedquay {
+namespace Knapweedquay::Load {
 
 /// One kind of call that the load tool sends: what, how often, and what counts as in time.
 struct CallClass {
@@ -32,4 +32,4 @@
 /// Further keys: priority, resend, request-bytes, answer-bytes. Throws std::invalid_argument on an unknown key.
 CallClass parseCallClass(const std::string&);
 
-} // namespace Knapweedquay
+} // namespace Knapweedquay::Load
--- a/Utilities/Load/CallClassResult.cpp
+++ b/Utilities/Load/CallClassResult.cpp
@@ -1,6 +1,6 @@
 #include "Load/CallClassResult.h"
 
-namespace Knapweedquay {
+namespace Knapweedquay::Load {
 
 nlohmann::json toJson(const CallClassResult& result)
 {
@@ -27,4 +27,4 @@
     };
 }
 
-} // namespace Knapweedquay
+} // namespace Knapweedquay::Load
--- a/Utilities/Load/CallClassResult.h
+++ b/Utilities/Load/CallClassResult.h
@@ -9,7 +9,7 @@
 #include <map>
 #include <string>
 
-namespace Knapweedquay {
+namespace Knapweedquay::Load {
 
 /// What became of the calls of one class.
 struct CallClassResult {
@@ -41,4 +41,4 @@
 /// The result as the machine-readable output has it.
 nlohmann::json toJson(const CallClassResult&);
 
-} // namespace Knapweedquay
+} // namespace Knapweedquay::Load
--- a/Utilities/Load/EchoAnswer.cpp
+++ b/Utilities/Load/EchoAnswer.cpp
@@ -4,23 +4,23 @@
 
 #include <random>
 
-namespace Knapweedquay {
+namespace Knapweedquay::Load {
 
 namespace {
 
-    XXH64_hash_t hashOf(const std::string& text)
-    {
-        return XXH64(text.data(), text.size(), 0);
-    }
+XXH64_hash_t hashOf(const std::string& text)
+{
+    return XXH64(text.data(), text.size(), 0);
+}
 
-    std::string filler(XXH64_hash_t seed, std::size_t bytes)
-    {
-        std::mt19937_64 random(seed);
-        std::string text(bytes, 'a');
-        for (char& letter : text)
-            letter = static_cast<char>('a' + random() % 26);
-        return text;
-    }
+std::string filler(XXH64_hash_t seed, std::size_t bytes)
+{
+    std::mt19937_64 random(seed);
+    std::string text(bytes, 'a');
+    for (char& letter : text)
+        letter = static_cast<char>('a' + random() % 26);
+    return text;
+}
 
 } // namespace
 
@@ -34,4 +34,4 @@
     return filler(hashOf(requestId) + 1, bytes);
 }
 
-} // namespace Knapweedquay
+} // namespace Knapweedquay::Load
--- a/Utilities/Load/EchoAnswer.h
+++ b/Utilities/Load/EchoAnswer.h
@@ -3,7 +3,7 @@
 #include <cstddef>
 #include <string>
 
-namespace Knapweedquay {
+namespace Knapweedquay::Load {
 
 /// The one right answer body to a request: its id, a hash of its body, and filler drawn from the id.
 ///
@@ -13,4 +13,4 @@
 /// A request body of some length drawn from the request's id.
 std::string requestBody(const std::string& requestId, std::size_t bytes);
 
-} // namespace Knapweedquay
+} // namespace Knapweedquay::Load
--- a/Utilities/Load/ExecutionRecord.cpp
+++ b/Utilities/Load/ExecutionRecord.cpp
@@ -1,6 +1,6 @@
 #include "Load/ExecutionRecord.h"
 
-namespace Knapweedquay {
+namespace Knapweedquay::Load {
 
 ExecutionRecord::ExecutionRecord(const std::string& path)
 {
@@ -35,4 +35,4 @@
     return counts;
 }
 
-} // namespace Knapweedquay
+} // namespace Knapweedquay::Load
--- a/Utilities/Load/ExecutionRecord.h
+++ b/Utilities/Load/ExecutionRecord.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-namespace Knapweedquay {
+namespace Knapweedquay::Load {
 
 /// Which requests a stand-in has begun to run, kept in a file too so that the record outlives a kill.
 class ExecutionRecord {
@@ -28,4 +28,4 @@
 /// How many times each request id stands in record files of one or more stand-ins.
 std::map<std::string, std::uint64_t> readExecutionRecords(const std::vector<std::string>& paths);
 
-} // namespace Knapweedquay
+} // namespace Knapweedquay::Load
--- a/Utilities/Load/Forwarder.cpp
+++ b/Utilities/Load/Forwarder.cpp
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <array>
 
-namespace Knapweedquay {
+namespace Knapweedquay::Load {
 
 /// The two connections of one forwarded connection.
 class Forwarder::Pair : public std::enable_shared_from_this<Pair> {
@@ -116,4 +116,4 @@
     });
 }
 
-} // namespace Knapweedquay
+} // namespace Knapweedquay::Load
--- a/Utilities/Load/Forwarder.h
+++ b/Utilities/Load/Forwarder.h
@@ -7,7 +7,7 @@
 #include <memory>
 #include <vector>
 
-namespace Knapweedquay {
+namespace Knapweedquay::Load {
 
 /// Passes TCP bytes between a port and a target, and stops doing so on command without telling either end.
 ///
@@ -37,4 +37,4 @@
     std::vector<std::weak_ptr<Pair>> m_pairs;
 };
 
-} // namespace Knapweedquay
+} // namespace Knapweedquay::Load
--- a/Utilities/Load/ForwarderMain.cpp
+++ b/Utilities/Load/ForwarderMain.cpp
@@ -12,8 +12,8 @@
 
 namespace po = boost::program_options;
 
-using Knapweedquay::Forwarder;
-using Knapweedquay::HttpMessage;
+using Knapweedquay::Load::Forwarder;
+using Knapweedquay::Load::HttpMessage;
 
 struct Arguments {
     std::uint16_t port = 0;
@@ -30,15 +30,15 @@
     else if (command == "/heal")
         forwarder.setCut(false);
     else if (command != "/open")
-        return Knapweedquay::textAnswer(404, "known are /silence, /cut, /heal and /open\n");
-    return Knapweedquay::textAnswer(200, std::to_string(forwarder.openCount()) + "\n");
+        return Knapweedquay::Load::textAnswer(404, "known are /silence, /cut, /heal and /open\n");
+    return Knapweedquay::Load::textAnswer(200, std::to_string(forwarder.openCount()) + "\n");
 }
 
 void run(const Arguments& arguments)
 {
     asio::io_context context;
-    Forwarder forwarder(context, arguments.port, Knapweedquay::parseEndpoint(arguments.target));
-    Knapweedquay::HttpServer control(context, arguments.controlPort, [&](const HttpMessage& request, const auto& connection) {
+    Forwarder forwarder(context, arguments.port, Knapweedquay::Load::parseEndpoint(arguments.target));
+    Knapweedquay::Load::HttpServer control(context, arguments.controlPort, [&](const HttpMessage& request, const auto& connection) {
         connection->send(serializeAnswer(runCommand(forwarder, request.path())));
     });
     asio::signal_set signals(context, SIGTERM, SIGINT);
--- a/Utilities/Load/HttpClient.cpp
+++ b/Utilities/Load/HttpClient.cpp
@@ -5,7 +5,7 @@
 
 #include <array>
 
-namespace Knapweedquay {
+namespace Knapweedquay::Load {
 
 /// One request on its way: connects if need be, writes, reads the answer, and hands the connection back.
 class HttpClient::Exchange : public std::enable_shared_from_this<Exchange> {
@@ -140,4 +140,4 @@
     return received;
 }
 
-} // namespace Knapweedquay
+} // namespace Knapweedquay::Load
--- a/Utilities/Load/HttpClient.h
+++ b/Utilities/Load/HttpClient.h
@@ -12,7 +12,7 @@
 #include <string>
 #include <vector>
 
-namespace Knapweedquay {
+namespace Knapweedquay::Load {
 
 /// Why an exchange ended without a whole answer.
 enum class ExchangeFailure {
@@ -55,4 +55,4 @@
 /// Sends one request over a new connection and waits for its answer; the failure stands in the status 0.
 HttpMessage exchangeOnce(const std::string& address, HttpMessage request, std::chrono::milliseconds timeout);
 
-} // namespace Knapweedquay
+} // namespace Knapweedquay::Load
--- a/Utilities/Load/HttpConnection.cpp
+++ b/Utilities/Load/HttpConnection.cpp
@@ -2,7 +2,7 @@
 
 #include <asio/write.hpp>
 
-namespace Knapweedquay {
+namespace Knapweedquay::Load {
 
 HttpConnection::HttpConnection(asio::ip::tcp::socket socket, RequestHandler handler)
     : m_socket(std::move(socket))
@@ -60,4 +60,4 @@
         read();
 }
 
-} // namespace Knapweedquay
+} // namespace Knapweedquay::Load
--- a/Utilities/Load/HttpConnection.h
+++ b/Utilities/Load/HttpConnection.h
@@ -8,7 +8,7 @@
 #include <functional>
 #include <memory>
 
-namespace Knapweedquay {
+namespace Knapweedquay::Load {
 
 /// One accepted connection of a stand-in, which may answer late, short or not at all.
 class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
@@ -35,4 +35,4 @@
     std::array<char, 16384> m_buffer {};
 };
 
-} // namespace Knapweedquay
+} // namespace Knapweedquay::Load
--- a/Utilities/Load/HttpMessage.cpp
+++ b/Utilities/Load/HttpMessage.cpp
@@ -2,24 +2,24 @@
 
 #include <http_parser.h>
 
-namespace Knapweedquay {
+namespace Knapweedquay::Load {
 
 namespace {
 
-    const char* reasonOf(unsigned status)
-    {
-        return http_status_str(static_cast<http_status>(status));
-    }
+const char* reasonOf(unsigned status)
+{
+    return http_status_str(static_cast<http_status>(status));
+}
 
-    std::string withHeadersAndBody(std::string firstLine, const HttpMessage& message)
-    {
-        std::string bytes = std::move(firstLine);
-        for (const auto& [name, value] : message.headers)
-            bytes.append(name).append(": ").append(value).append("\r\n");
-        bytes += "content-length: " + std::to_string(message.body.size()) + "\r\n\r\n";
-        bytes += message.body;
-        return bytes;
-    }
+std::string withHeadersAndBody(std::string firstLine, const HttpMessage& message)
+{
+    std::string bytes = std::move(firstLine);
+    for (const auto& [name, value] : message.headers)
+        bytes.append(name).append(": ").append(value).append("\r\n");
+    bytes += "content-length: " + std::to_string(message.body.size()) + "\r\n\r\n";
+    bytes += message.body;
+    return bytes;
+}
 
 } // namespace
 
@@ -76,4 +76,4 @@
     return message;
 }
 
-} // namespace Knapweedquay
+} // namespace Knapweedquay::Load
--- a/Utilities/Load/HttpMessage.h
+++ b/Utilities/Load/HttpMessage.h
@@ -3,7 +3,7 @@
 #include <map>
 #include <string>
 
-namespace Knapweedquay {
+namespace Knapweedquay::Load {
 
 /// One HTTP request or answer as a stand-in sees it. Header names are in lower case.
 struct HttpMessage {
@@ -31,4 +31,4 @@
 /// An answer with a text body.
 HttpMessage textAnswer(unsigned status, std::string body);
 
-} // namespace Knapweedquay
+} // namespace Knapweedquay::Load
--- a/Utilities/Load/HttpParser.cpp
+++ b/Utilities/Load/HttpParser.cpp
@@ -3,15 +3,15 @@
 #include <algorithm>
 #include <cctype>
 
-namespace Knapweedquay {
+namespace Knapweedquay::Load {
 
 namespace {
 
-    std::string lowerCase(std::string text)
-    {
-        std::transform(text.begin(), text.end(), text.begin(), [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
-        return text;
-    }
+std::string lowerCase(std::string text)
+{
+    std::transform(text.begin(), text.end(), text.begin(), [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
+    return text;
+}
 
 } // namespace
 
@@ -96,4 +96,4 @@
     m_message = HttpMessage();
 }
 
-} // namespace Knapweedquay
+} // namespace Knapweedquay::Load
--- a/Utilities/Load/HttpParser.h
+++ b/Utilities/Load/HttpParser.h
@@ -8,7 +8,7 @@
 #include <optional>
 #include <string_view>
 
-namespace Knapweedquay {
+namespace Knapweedquay::Load {
 
 /// Turns the bytes of one connection into whole messages, by http_parser.
 class HttpParser {
@@ -42,4 +42,4 @@
     std::deque<HttpMessage> m_whole;
 };
 
-} // namespace Knapweedquay
+} // namespace Knapweedquay::Load
--- a/Utilities/Load/HttpServer.cpp
+++ b/Utilities/Load/HttpServer.cpp
@@ -1,6 +1,6 @@
 #include "Load/HttpServer.h"
 
-namespace Knapweedquay {
+namespace Knapweedquay::Load {
 
 HttpServer::HttpServer(asio::io_context& context, std::uint16_t port, HttpConnection::RequestHandler handler)
     : m_acceptor(context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), port))
@@ -20,4 +20,4 @@
     });
 }
 
-} // namespace Knapweedquay
+} // namespace Knapweedquay::Load
--- a/Utilities/Load/HttpServer.h
+++ b/Utilities/Load/HttpServer.h
@@ -6,7 +6,7 @@
 
 #include <cstdint>
 
-namespace Knapweedquay {
+namespace Knapweedquay::Load {
 
 /// Accepts connections on the loopback address and hands on their requests.
 class HttpServer {
@@ -23,4 +23,4 @@
     HttpConnection::RequestHandler m_handler;
 };
 
-} // namespace Knapweedquay
+} // namespace Knapweedquay::Load
--- a/Utilities/Load/LatencyHistogram.cpp
+++ b/Utilities/Load/LatencyHistogram.cpp
@@ -3,18 +3,18 @@
 #include <algorithm>
 #include <cmath>
 
-namespace Knapweedquay {
+namespace Knapweedquay::Load {
 
 namespace {
 
-    constexpr double lowestMilliseconds = 0.01;
-    constexpr double highestMilliseconds = 100000;
-    constexpr double bucketRatio = 1.01;
+constexpr double lowestMilliseconds = 0.01;
+constexpr double highestMilliseconds = 100000;
+constexpr double bucketRatio = 1.01;
 
-    unsigned bucketCount()
-    {
-        return static_cast<unsigned>(std::ceil(std::log(highestMilliseconds / lowestMilliseconds) / std::log(bucketRatio)));
-    }
+unsigned bucketCount()
+{
+    return static_cast<unsigned>(std::ceil(std::log(highestMilliseconds / lowestMilliseconds) / std::log(bucketRatio)));
+}
 
 } // namespace
 
@@ -42,4 +42,4 @@
     return m_longest;
 }
 
-} // namespace Knapweedquay
+} // namespace Knapweedquay::Load
--- a/Utilities/Load/LatencyHistogram.h
+++ b/Utilities/Load/LatencyHistogram.h
@@ -2,7 +2,7 @@
 
 #include <boost/histogram.hpp>
 
-namespace Knapweedquay {
+namespace Knapweedquay::Load {
 
 /// Latencies in buckets that are 1% wide, from 10 us to 100 s.
 class LatencyHistogram {
@@ -22,4 +22,4 @@
     double m_longest = 0;
 };
 
-} // namespace Knapweedquay
+} // namespace Knapweedquay::Load
--- a/Utilities/Load/LoadGenerator.cpp
+++ b/Utilities/Load/LoadGenerator.cpp
@@ -3,21 +3,21 @@
 #include "Load/EchoAnswer.h"
 #include "Load/ExecutionRecord.h"
 
-namespace Knapweedquay {
+namespace Knapweedquay::Load {
 
 namespace {
 
-    /// An answer at the deadline still counts as one; after this time more the call counts as an error.
-    constexpr std::chrono::milliseconds answerGrace { 2000 };
-    constexpr unsigned firstServerError = 500;
+/// An answer at the deadline still counts as one; after this time more the call counts as an error.
+constexpr std::chrono::milliseconds answerGrace { 2000 };
+constexpr unsigned firstServerError = 500;
 
-    std::string codeOf(const HttpMessage& answer)
-    {
-        const auto problem = nlohmann::json::parse(answer.body, nullptr, false);
-        if (!problem.is_object() || !problem.contains("code"))
-            return "status " + std::to_string(answer.status);
-        return problem["code"].dump();
-    }
+std::string codeOf(const HttpMessage& answer)
+{
+    const auto problem = nlohmann::json::parse(answer.body, nullptr, false);
+    if (!problem.is_object() || !problem.contains("code"))
+        return "status " + std::to_string(answer.status);
+    return problem["code"].dump();
+}
 
 } // namespace
 
@@ -197,4 +197,4 @@
     return results;
 }
 
-} // namespace Knapweedquay
+} // namespace Knapweedquay::Load
--- a/Utilities/Load/LoadGenerator.h
+++ b/Utilities/Load/LoadGenerator.h
@@ -8,7 +8,7 @@
 #include <random>
 #include <vector>
 
-namespace Knapweedquay {
+namespace Knapweedquay::Load {
 
 struct LoadOptions {
     /// Addresses that calls are spread over, "IP:port".
@@ -58,4 +58,4 @@
     std::size_t m_openCalls = 0;
 };
 
-} // namespace Knapweedquay
+} // namespace Knapweedquay::Load
--- a/Utilities/Load/LoadMain.cpp
+++ b/Utilities/Load/LoadMain.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-using Knapweedquay::CallClassResult;
-using Knapweedquay::LoadOptions;
+using Knapweedquay::Load::CallClassResult;
+using Knapweedquay::Load::LoadOptions;
 
 namespace po = boost::program_options;
 
@@ -68,8 +68,8 @@
     asio::io_context context;
     arguments.load.duration = std::chrono::milliseconds(static_cast<std::int64_t>(arguments.seconds * 1000));
     for (const std::string& text : arguments.classes)
-        arguments.load.classes.push_back(Knapweedquay::parseCallClass(text));
-    Knapweedquay::LoadGenerator generator(context, arguments.load);
+        arguments.load.classes.push_back(Knapweedquay::Load::parseCallClass(text));
+    Knapweedquay::Load::LoadGenerator generator(context, arguments.load);
     generator.start();
     context.run();
     generator.checkRecords();
--- a/Utilities/Load/ServiceTimes.cpp
+++ b/Utilities/Load/ServiceTimes.cpp
@@ -4,7 +4,7 @@
 #include <set>
 #include <stdexcept>
 
-namespace Knapweedquay {
+namespace Knapweedquay::Load {
 
 void ServiceTimes::add(const std::string& text)
 {
@@ -40,4 +40,4 @@
     return std::lognormal_distribution<>(std::log(rule.meanMilliseconds) - sigma * sigma / 2, sigma)(m_random);
 }
 
-} // namespace Knapweedquay
+} // namespace Knapweedquay::Load
--- a/Utilities/Load/ServiceTimes.h
+++ b/Utilities/Load/ServiceTimes.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-namespace Knapweedquay {
+namespace Knapweedquay::Load {
 
 /// Draws how long a stand-in works on a request, by the prefix of its path.
 class ServiceTimes {
@@ -35,4 +35,4 @@
     std::vector<Rule> m_rules;
 };
 
-} // namespace Knapweedquay
+} // namespace Knapweedquay::Load
--- a/Utilities/Load/StandInBackend.cpp
+++ b/Utilities/Load/StandInBackend.cpp
@@ -4,25 +4,25 @@
 
 #include <algorithm>
 
-namespace Knapweedquay {
+namespace Knapweedquay::Load {
 
 namespace {
 
-    constexpr std::chrono::seconds announceInterval { 1 };
-    constexpr std::chrono::seconds announceTimeout { 1 };
-    constexpr std::chrono::milliseconds idleCheckInterval { 20 };
-    /// Calls that the node had sent before it knew of the leave arrive within this time.
-    constexpr std::chrono::seconds leaveGrace { 1 };
+constexpr std::chrono::seconds announceInterval { 1 };
+constexpr std::chrono::seconds announceTimeout { 1 };
+constexpr std::chrono::milliseconds idleCheckInterval { 20 };
+/// Calls that the node had sent before it knew of the leave arrive within this time.
+constexpr std::chrono::seconds leaveGrace { 1 };
 
-    HttpMessage jsonRequest(const std::string& target, const nlohmann::json& body)
-    {
-        HttpMessage request;
-        request.method = "POST";
-        request.target = target;
-        request.headers["content-type"] = "application/json";
-        request.body = body.dump();
-        return request;
-    }
+HttpMessage jsonRequest(const std::string& target, const nlohmann::json& body)
+{
+    HttpMessage request;
+    request.method = "POST";
+    request.target = target;
+    request.headers["content-type"] = "application/json";
+    request.body = body.dump();
+    return request;
+}
 
 } // namespace
 
@@ -225,4 +225,4 @@
     m_idleTimer.async_wait([this, finished](const asio::error_code&) { endWhenIdle(finished); });
 }
 
-} // namespace Knapweedquay
+} // namespace Knapweedquay::Load
--- a/Utilities/Load/StandInBackend.h
+++ b/Utilities/Load/StandInBackend.h
@@ -12,7 +12,7 @@
 #include <optional>
 #include <set>
 
-namespace Knapweedquay {
+namespace Knapweedquay::Load {
 
 struct BackendOptions {
     std::uint16_t port = 0;
@@ -76,4 +76,4 @@
     Clock::time_point m_lastStart;
 };
 
-} // namespace Knapweedquay
+} // namespace Knapweedquay::Load
