--- a/Tests/load/LoadToolTest.cpp
+++ b/Tests/load/LoadToolTest.cpp
@@ -141,7 +141,10 @@
 
 TEST_F(LoadToolTest, Backend_WithShortBodies_GivesErrorsAndNoAnswers)
 {
-    StandInBackend backend(m_context, { 0, 0, "", "", 12, 1000, 1, { "/=constant:1" }, m_recordFile });
+    BackendOptions options;
+    options.serviceTimes = { "/=constant:1" };
+    options.recordFile = m_recordFile;
+    StandInBackend backend(m_context, options);
     HttpClient client(m_context);
     client.send("127.0.0.1:" + std::to_string(backend.controlPort()), plainRequest("POST", "/modes", R"({"shortBody":true})"), std::chrono::seconds(1), [](ExchangeFailure, const HttpMessage& answer) { EXPECT_EQ(answer.status, 200u); });
     const auto result = measureAt(backend.port(), "method=GET", true);
--- /dev/null
+++ b/Tests/processes/FailureTest.cpp
@@ -0,0 +1,177 @@
+#include "processes/ProcessFixture.h"
+
+#include "Load/Waiting.h"
+
+#include <algorithm>
+#include <csignal>
+#include <functional>
+
+namespace Knapweedquay::Load {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+class FailureTest : public ProcessTest {
+protected:
+    std::size_t countOf(const std::function<bool(const TestCall&)>& condition) const
+    {
+        return static_cast<std::size_t>(std::count_if(m_caller.calls().begin(), m_caller.calls().end(), [&](const TestCallPointer& call) { return condition(*call); }));
+    }
+
+    /// Sends calls through "a" until the stand-in of a node runs more of them; false when it does not within the patience.
+    bool getsCallsAgain(const std::string& node, std::chrono::milliseconds patience)
+    {
+        const std::uint64_t before = executedBy(node);
+        return waitUntil(
+            [&] {
+                sendMany(10, "a", "GET", "/stock", 1s);
+                return executedBy(node) > before;
+            },
+            patience);
+    }
+};
+
+bool isRight(const TestCall& call) { return call.isAnsweredRightly(); }
+
+} // namespace
+
+TEST_F(FailureTest, Node_KilledWithPostsInFlight_KeepsThePromises)
+{
+    start();
+    sendMany(40, "a", "POST", "/bookings/slow", 3s);
+    m_deployment->node("b").kill();
+    sendMany(40, "a", "POST", "/bookings/slow", 3s);
+    ASSERT_TRUE(m_caller.finish(10s));
+    expectPromisesKept();
+    EXPECT_EQ(countOf([](const TestCall& call) { return call.failure != ExchangeFailure::None; }), 0u);
+    EXPECT_GT(countOf([](const TestCall& call) { return call.outcome() == "unknown"; }), 0u) << "nothing was in flight at the killed node";
+    EXPECT_GT(countOf(isRight), 40u);
+}
+
+TEST_F(FailureTest, Node_FrozenAndWoken_KeepsThePromises)
+{
+    start();
+    sendMany(20, "a", "POST", "/bookings/slow", 1s);
+    m_deployment->node("b").signal(SIGSTOP);
+    sendMany(40, "a", "POST", "/bookings/slow", 1s);
+    m_caller.run(3s);
+    m_deployment->node("b").signal(SIGCONT);
+    sendMany(20, "a", "POST", "/bookings", 1s);
+    ASSERT_TRUE(m_caller.finish(8s));
+    // Whatever the frozen node still has to do, it does now.
+    m_caller.run(1s);
+    expectPromisesKept();
+    EXPECT_GT(countOf(isRight), 40u);
+}
+
+TEST_F(FailureTest, BackendServer_Killed_KeepsThePromises)
+{
+    start();
+    sendMany(40, "a", "POST", "/bookings/slow", 3s);
+    m_deployment->backend("b").kill();
+    sendMany(40, "a", "POST", "/bookings/slow", 3s);
+    ASSERT_TRUE(m_caller.finish(10s));
+    expectPromisesKept();
+    EXPECT_GT(countOf(isRight), 40u);
+}
+
+TEST_F(FailureTest, Key_ResentThroughAnotherNode_RunsOnce)
+{
+    start(3);
+    std::vector<TestCallPointer> firsts;
+    for (int number = 0; number < 20; ++number) {
+        firsts.push_back(m_caller.send(calls("a"), "POST", "/bookings", 3s, "key-" + std::to_string(number)));
+        m_caller.resend(calls("b"), *firsts.back());
+        m_caller.run(5ms);
+    }
+    ASSERT_TRUE(m_caller.finish(10s));
+    for (const TestCallPointer& first : firsts)
+        m_caller.resend(calls("c"), *first);
+    ASSERT_TRUE(m_caller.finish(10s));
+    for (const TestCallPointer& first : firsts)
+        EXPECT_EQ(runsOf(first->id), 1u) << first->id;
+}
+
+TEST_F(FailureTest, Key_ResentAfterItsNodeWasKilled_RunsOnce)
+{
+    start(3);
+    std::vector<TestCallPointer> firsts;
+    for (int number = 0; number < 20; ++number) {
+        firsts.push_back(m_caller.send(calls("a"), "POST", "/bookings/slow", 3s, "key-" + std::to_string(number)));
+        m_caller.run(5ms);
+    }
+    m_deployment->node("a").kill();
+    for (const TestCallPointer& first : firsts)
+        m_caller.resend(calls("b"), *first);
+    ASSERT_TRUE(m_caller.finish(10s));
+    for (const TestCallPointer& first : firsts)
+        EXPECT_LE(runsOf(first->id), 1u) << first->id;
+}
+
+TEST_F(FailureTest, BackendServer_WithShortBodies_IsNeverPassedOffAsWhole)
+{
+    start();
+    ASSERT_TRUE(m_deployment->setModes("b", { { "shortBody", true } }));
+    sendMany(60, "a", "POST", "/bookings", 2s);
+    sendMany(60, "a", "GET", "/stock", 2s);
+    ASSERT_TRUE(m_caller.finish(10s));
+    EXPECT_GT(executedBy("b"), 0u);
+    expectPromisesKept();
+    for (const TestCallPointer& call : m_caller.calls())
+        EXPECT_TRUE(call->isAnsweredRightly() || call->outcome() == "unknown" || call->outcome() == "not-run") << call->id << call->answer.status << call->answer.body;
+}
+
+TEST_F(FailureTest, Answers_LaterThanTheirDeadline_ReachNoOtherCall)
+{
+    start();
+    ASSERT_TRUE(m_deployment->setModes("b", { { "answerDelayMs", 400 } }));
+    sendMany(60, "a", "GET", "/stock", 200ms);
+    sendMany(20, "a", "POST", "/bookings", 200ms);
+    ASSERT_TRUE(m_deployment->setModes("b", { { "answerDelayMs", 0 }, { "freezeAnswers", true } }));
+    sendMany(20, "a", "GET", "/stock", 200ms);
+    ASSERT_TRUE(m_deployment->setModes("b", { { "freezeAnswers", false } }));
+    sendMany(60, "a", "GET", "/stock", 1s);
+    ASSERT_TRUE(m_caller.finish(10s));
+    expectPromisesKept();
+    EXPECT_GT(countOf(isRight), 100u);
+}
+
+TEST_F(FailureTest, ConnectionsToABackendServer_GoneSilent_AreReplaced)
+{
+    plans[1].isBackendForwarded = true;
+    start();
+    sendMany(30, "a", "POST", "/bookings", 2s);
+    ASSERT_GT(executedBy("b"), 0u);
+    ASSERT_TRUE(Deployment::command(m_deployment->backendLink("b"), "/silence"));
+    EXPECT_TRUE(getsCallsAgain("b", 10s));
+    sendMany(20, "a", "POST", "/bookings", 2s);
+    ASSERT_TRUE(m_caller.finish(6s));
+    expectPromisesKept();
+}
+
+TEST_F(FailureTest, ConnectionsBetweenNodes_GoneSilent_AreReplaced)
+{
+    plans[1].arePeersForwarded = true;
+    start();
+    sendMany(30, "a", "POST", "/bookings", 2s);
+    ASSERT_GT(executedBy("b"), 0u);
+    ASSERT_TRUE(Deployment::command(m_deployment->peerLink("b"), "/silence"));
+    EXPECT_TRUE(getsCallsAgain("b", 10s));
+    sendMany(20, "a", "POST", "/bookings", 2s);
+    ASSERT_TRUE(m_caller.finish(6s));
+    expectPromisesKept();
+}
+
+TEST_F(FailureTest, ConnectionsToTheControlReplicas_GoneSilent_AreReplaced)
+{
+    plans[0].isControlForwarded = true;
+    start();
+    for (const ForwardedLink& link : m_deployment->controlLinks("a"))
+        ASSERT_TRUE(Deployment::command(link, "/silence"));
+    const std::string second = "service = \"inventory\"\nteam = \"operations\"\n[[priorities]]\nname = \"stock\"\n[[routes]]\npriority = \"stock\"\n";
+    ASSERT_TRUE(m_deployment->apply(second, 0, 5s));
+    EXPECT_TRUE(waitUntil([&] { return m_deployment->nodeStatus("a")["documents"].contains("inventory"); }, 10s));
+}
+
+} // namespace Knapweedquay::Load
--- /dev/null
+++ b/Tests/processes/HttpInputTest.cpp
@@ -0,0 +1,134 @@
+#include "processes/ProcessFixture.h"
+
+#include "Load/Waiting.h"
+
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+
+#include <algorithm>
+
+namespace Knapweedquay::Load {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Sends bytes as they are and returns the answer's text; empty when none comes within the patience.
+std::string exchangeRaw(const std::string& address, const std::string& bytes, std::chrono::milliseconds patience)
+{
+    asio::io_context context;
+    asio::ip::tcp::socket socket(context);
+    socket.connect(parseEndpoint(address));
+    std::string received;
+    HttpParser parser(HttpParser::Kind::Answers);
+    std::array<char, 4096> buffer {};
+    std::function<void()> read = [&] {
+        socket.async_read_some(asio::buffer(buffer), [&](const asio::error_code& error, std::size_t size) {
+            received.append(buffer.data(), size);
+            if (!error && parser.feed({ buffer.data(), size }) && !parser.next())
+                read();
+            else
+                context.stop();
+        });
+    };
+    read();
+    asio::async_write(socket, asio::buffer(bytes), [](const asio::error_code&, std::size_t) {});
+    context.run_for(patience);
+    return received;
+}
+
+bool isProblem(const std::string& answer, int code)
+{
+    return answer.find("application/problem+json") != std::string::npos && answer.find("\"code\":" + std::to_string(code)) != std::string::npos;
+}
+
+class HttpInputTest : public ProcessTest {
+protected:
+    /// The node still answers a right call after whatever came before.
+    void expectStillServing()
+    {
+        const auto call = m_caller.send(calls("a"), "GET", "/stock", 2s);
+        EXPECT_TRUE(m_caller.finish(6s));
+        EXPECT_TRUE(call->isAnsweredRightly()) << call->answer.status << call->answer.body;
+    }
+};
+
+} // namespace
+
+TEST_F(HttpInputTest, Headers_ThatAreWrong_GetNumberedRefusals)
+{
+    start();
+    const auto ask = [&](const std::string& target, const std::string& header, const std::string& value) {
+        HttpMessage request = plainRequest("GET", target);
+        request.headers[header] = value;
+        return exchangeOnce(calls("a"), request, 5s);
+    };
+    const auto expectCode = [](const HttpMessage& answer, int code) {
+        EXPECT_EQ(answer.header("knapweedquay-outcome"), "not-run") << answer.body;
+        EXPECT_EQ(answer.header("content-type"), "application/problem+json");
+        const auto problem = nlohmann::json::parse(answer.body, nullptr, false);
+        ASSERT_TRUE(problem.is_object()) << answer.body;
+        EXPECT_EQ(problem.value("code", 0), code) << answer.body;
+        for (const char* member : { "type", "title", "status", "detail" })
+            EXPECT_TRUE(problem.contains(member)) << member;
+    };
+    expectCode(ask("/call/nosuch/x", "accept", "*/*"), 103);
+    expectCode(ask("/elsewhere", "accept", "*/*"), 109);
+    for (const char* deadline : { "soon", "-5", "0", "1e3", "99999999999999999999" })
+        expectCode(ask("/call/dispatch/stock", "knapweedquay-deadline-ms", deadline), 104);
+    expectCode(ask("/call/dispatch/stock", "knapweedquay-priority", "nosuch"), 105);
+    expectCode(ask("/call/dispatch/stock", "knapweedquay-depth", "1000"), 106);
+    expectCode(ask("/call/dispatch/stock", "idempotency-key", std::string(300, 'k')), 107);
+    expectStillServing();
+}
+
+TEST_F(HttpInputTest, Bytes_ThatAreNoHttp_GetANumberedRefusal)
+{
+    start();
+    for (const char* bytes : { "\x16\x03\x01 no HTTP at all\r\n\r\n", "GET /call/dispatch/stock HTTP/1.1\r\nContent-Length: many\r\n\r\n", "POST /call/dispatch/bookings HTTP/1.1\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nabcde" }) {
+        const std::string answer = exchangeRaw(calls("a"), bytes, 5s);
+        EXPECT_TRUE(isProblem(answer, 100)) << answer;
+    }
+    expectStillServing();
+}
+
+TEST_F(HttpInputTest, Body_BeyondTheDocumentsLimit_IsRefused)
+{
+    start();
+    const std::string body(100000, 'x');
+    const HttpMessage answer = exchangeOnce(calls("a"), plainRequest("POST", "/call/dispatch/bookings?id=large", body), 5s);
+    EXPECT_EQ(answer.header("knapweedquay-outcome"), "not-run") << answer.status << answer.body;
+    EXPECT_EQ(nlohmann::json::parse(answer.body, nullptr, false).value("code", 0), 101) << answer.body;
+    EXPECT_EQ(runsOf("large"), 0u);
+    const std::string raw = exchangeRaw(calls("a"), "POST /call/dispatch/bookings HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999999\r\n\r\nabc", 5s);
+    EXPECT_TRUE(isProblem(raw, 101)) << raw;
+    expectStillServing();
+}
+
+TEST_F(HttpInputTest, Requests_ThatNeverEnd_DoNotHoldUpOthers)
+{
+    start();
+    constexpr std::size_t slowSenders = 200;
+    asio::io_context context;
+    std::vector<asio::ip::tcp::socket> sockets;
+    for (std::size_t index = 0; index < slowSenders; ++index) {
+        sockets.emplace_back(context).connect(parseEndpoint(calls("a")));
+        asio::write(sockets.back(), asio::buffer(std::string("POST /call/dispatch/bookings HTTP/1.1\r\nContent-Length: 100\r\n\r\nhalf")));
+    }
+    expectStillServing();
+}
+
+TEST_F(HttpInputTest, Body_ShorterThanItsLength_DoesNotRun)
+{
+    start();
+    {
+        asio::io_context context;
+        asio::ip::tcp::socket socket(context);
+        socket.connect(parseEndpoint(calls("a")));
+        asio::write(socket, asio::buffer(std::string("POST /call/dispatch/bookings?id=cut HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\nhalf")));
+    }
+    expectStillServing();
+    EXPECT_EQ(runsOf("cut"), 0u);
+}
+
+} // namespace Knapweedquay::Load
--- /dev/null
+++ b/Tests/processes/ProcessFixture.cpp
@@ -0,0 +1,140 @@
+#include "processes/ProcessFixture.h"
+
+#include "Load/ExecutionRecord.h"
+#include "Load/Waiting.h"
+
+#include <cstdlib>
+#include <filesystem>
+
+namespace Knapweedquay::Load {
+
+namespace {
+
+constexpr std::chrono::milliseconds startPatience { 12000 };
+constexpr std::chrono::milliseconds sendInterval { 5 };
+
+constexpr const char* dispatchDocument = R"(service = "dispatch"
+team = "operations"
+[limits]
+default_slots = 12
+default_deadline_ms = 2000
+maximum_deadline_ms = 10000
+maximum_body_bytes = 65536
+[[priorities]]
+name = "booking"
+target_ms = 200
+worth = 10
+minimum_share = 0.4
+maximum_queue_ms = 2000
+[[priorities]]
+name = "stock"
+target_ms = 100
+worth = 5
+minimum_share = 0.2
+maximum_queue_ms = 1000
+[[priorities]]
+name = "catalogue"
+target_ms = 1000
+worth = 1
+minimum_share = 0.1
+maximum_queue_ms = 2000
+[[routes]]
+method = "POST"
+path = "/bookings"
+priority = "booking"
+idempotent = false
+[[routes]]
+method = "GET"
+path = "/stock"
+priority = "stock"
+idempotent = true
+[[routes]]
+method = "GET"
+path = "/catalogue"
+priority = "catalogue"
+idempotent = true
+)";
+
+std::string makeFolder()
+{
+    std::string pattern = ::testing::TempDir() + "knapweedquay-XXXXXX";
+    return mkdtemp(pattern.data()) ? pattern : std::string();
+}
+
+} // namespace
+
+ProcessTest::ProcessTest()
+    : m_folder(makeFolder())
+{
+    const std::vector<std::string> serviceTimes { "/=constant:5", "/bookings/slow=constant:300", "/catalogue/slow=constant:2000" };
+    for (const char* name : { "a", "b", "c" }) {
+        NodePlan plan;
+        plan.name = name;
+        plan.dataCentre = std::string("amman-") + name;
+        plan.service = "dispatch";
+        plan.serviceTimes = serviceTimes;
+        plans.push_back(plan);
+    }
+}
+
+ProcessTest::~ProcessTest()
+{
+    m_deployment.reset();
+    if (!HasFailure())
+        std::filesystem::remove_all(m_folder);
+}
+
+void ProcessTest::SetUp()
+{
+    ASSERT_FALSE(m_folder.empty());
+    m_deployment = std::make_unique<Deployment>(Programs { KNAPWEEDQUAY_CONTROL, KNAPWEEDQUAY_NODE, KNAPWEEDQUAY_BACKEND, KNAPWEEDQUAY_FORWARDER }, m_folder);
+}
+
+void ProcessTest::start(std::size_t controls)
+{
+    m_deployment->startControls(controls);
+    for (const NodePlan& plan : plans)
+        m_deployment->startNode(plan);
+    ASSERT_TRUE(m_deployment->apply(dispatchDocument, 0, startPatience)) << "see " << m_folder;
+    ASSERT_TRUE(m_deployment->waitUntilReady(startPatience)) << m_deployment->nodeStatus("a") << " see " << m_folder;
+}
+
+void ProcessTest::sendMany(std::size_t count, const std::string& node, const std::string& method, const std::string& path, std::chrono::milliseconds deadline)
+{
+    for (std::size_t sent = 0; sent < count; ++sent) {
+        m_caller.send(calls(node), method, path, deadline);
+        m_caller.run(sendInterval);
+    }
+}
+
+std::uint64_t ProcessTest::runsOf(const std::string& id) const
+{
+    const auto runs = readExecutionRecords(m_deployment->recordFiles());
+    const auto found = runs.find(id);
+    return found == runs.end() ? 0 : found->second;
+}
+
+std::uint64_t ProcessTest::executedBy(const std::string& node)
+{
+    return m_deployment->backendStats(node).value("executed", std::uint64_t { 0 });
+}
+
+void ProcessTest::expectPromisesKept() const
+{
+    const auto runs = readExecutionRecords(m_deployment->recordFiles());
+    for (const TestCallPointer& call : m_caller.calls()) {
+        const auto found = runs.find(call->id);
+        const std::uint64_t count = found == runs.end() ? 0 : found->second;
+        if (call->request.method == "POST") {
+            EXPECT_LE(count, 1u) << call->id << " ran " << count << " times";
+        }
+        if (call->isToldNotRun()) {
+            EXPECT_EQ(count, 0u) << call->id << " was told not run with code " << call->code();
+        }
+        if (call->outcome() == "answered" && call->answer.status == 200) {
+            EXPECT_TRUE(call->isAnsweredRightly()) << call->id << " got " << call->answer.body.substr(0, 100);
+        }
+    }
+}
+
+} // namespace Knapweedquay::Load
--- a/Utilities/Load/BackendMain.cpp
+++ b/Utilities/Load/BackendMain.cpp
@@ -18,6 +18,7 @@
     description.add_options()("control-port", po::value(&options.controlPort), "port for /modes, /executed and /stats");
     description.add_options()("node", po::value(&options.node), "admin address of its node, IP:port");
     description.add_options()("service", po::value(&options.service), "service that it announces");
+    description.add_options()("announce", po::value(&options.announcedAddress), "address that it announces; its own unless given");
     description.add_options()("slots", po::value(&options.slots), "requests that run at once");
     description.add_options()("queue", po::value(&options.maximumQueue), "requests that wait at most");
     description.add_options()("seed", po::value(&options.seed), "seed of the service times");
--- a/Utilities/Load/StandInBackend.cpp
+++ b/Utilities/Load/StandInBackend.cpp
@@ -196,7 +196,8 @@
 {
     if (m_leftAt)
         return;
-    const nlohmann::json body { { "service", m_options.service }, { "address", "127.0.0.1:" + std::to_string(port()) }, { "slots", m_options.slots } };
+    const std::string address = m_options.announcedAddress.empty() ? "127.0.0.1:" + std::to_string(port()) : m_options.announcedAddress;
+    const nlohmann::json body { { "service", m_options.service }, { "address", address }, { "slots", m_options.slots } };
     m_client.send(m_options.node, jsonRequest("/announce", body), announceTimeout, [](ExchangeFailure, const HttpMessage&) {});
     m_announceTimer.expires_after(announceInterval);
     m_announceTimer.async_wait([this](const asio::error_code& error) {
--- a/Utilities/Load/StandInBackend.h
+++ b/Utilities/Load/StandInBackend.h
@@ -20,6 +20,8 @@
     /// Admin address of its node; empty for a stand-in that announces itself to none.
     std::string node;
     std::string service;
+    /// Address that it announces; empty for its own.
+    std::string announcedAddress;
     std::size_t slots = 12;
     std::size_t maximumQueue = 1000;
     std::uint64_t seed = 1;
--- /dev/null
+++ b/Utilities/Load/Waiting.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <chrono>
+#include <thread>
+
+namespace Knapweedquay::Load {
+
+/// Waits until a condition holds; false when it does not within the patience.
+template <typename Condition>
+bool waitUntil(Condition condition, std::chrono::milliseconds patience)
+{
+    constexpr std::chrono::milliseconds pollInterval { 20 };
+    const auto end = std::chrono::steady_clock::now() + patience;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > end)
+            return false;
+        std::this_thread::sleep_for(pollInterval);
+    }
+    return true;
+}
+
+} // namespace Knapweedquay::Load
