--- /dev/null
+++ b/Utilities/Load/DemoMain.cpp
@@ -0,0 +1,241 @@
+#include "Load/Deployment.h"
+#include "Load/LoadGenerator.h"
+#include "Load/Waiting.h"
+
+#include <boost/program_options.hpp>
+#include <fmt/format.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <stdexcept>
+#include <thread>
+
+namespace {
+
+namespace po = boost::program_options;
+using namespace Knapweedquay::Load;
+
+constexpr std::chrono::milliseconds startPatience { 30000 };
+constexpr std::chrono::seconds drainAt { 2 };
+constexpr std::chrono::seconds killAt { 7 };
+constexpr std::chrono::seconds sendingTime { 10 };
+/// A backend server that leaves gets no new work after this time.
+constexpr std::chrono::seconds leaveTime { 3 };
+constexpr const char* drainedNode = "dispatch-marka";
+constexpr const char* killedNode = "dispatch-abdoun";
+
+struct Arguments {
+    std::string documents = "Utilities/Examples";
+    std::string folder;
+    bool isKept = false;
+};
+
+/// One line of the verdict.
+struct Promise {
+    std::string text;
+    bool isKept = false;
+};
+
+std::string readFile(const std::string& path)
+{
+    std::ifstream file(path);
+    if (!file)
+        throw std::runtime_error("cannot read " + path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+void startNodes(Deployment& deployment)
+{
+    for (const char* service : { "dispatch", "inventory" }) {
+        for (const char* dataCentre : { "sweileh", "marka", "abdoun" }) {
+            NodePlan plan;
+            plan.name = std::string(service) + "-" + dataCentre;
+            plan.dataCentre = std::string("amman-") + dataCentre;
+            plan.service = service;
+            plan.serviceTimes = { "/=lognormal:20" };
+            deployment.startNode(plan);
+        }
+    }
+}
+
+void startAll(Deployment& deployment, const Arguments& arguments)
+{
+    constexpr std::size_t replicas = 3;
+    std::cout << "starting 3 control replicas, 6 nodes in 3 data centres and 6 stand-in backend servers" << std::endl;
+    deployment.startControls(replicas);
+    startNodes(deployment);
+    for (const char* service : { "dispatch", "inventory" }) {
+        if (!deployment.apply(readFile(fmt::format("{}/{}.toml", arguments.documents, service)), 0, startPatience))
+            throw std::runtime_error(fmt::format("the document of {} was not accepted", service));
+        std::cout << "accepted: the document of " << service << std::endl;
+    }
+    if (!deployment.waitUntilReady(startPatience))
+        throw std::runtime_error("not every node became ready");
+    std::cout << "ready: the documents are in force on every node" << std::endl;
+}
+
+LoadOptions makeLoad(Deployment& deployment)
+{
+    LoadOptions load;
+    for (const std::string& name : deployment.nodeNames()) {
+        if (name != killedNode)
+            load.addresses.push_back(deployment.addresses(name).calls);
+    }
+    for (const char* text : {
+             "name=booking,method=POST,path=/call/dispatch/bookings,rate=40,target=400,deadline=2000,keyed=1,resend=0.1,request-bytes=300",
+             "name=stock,path=/call/dispatch/stock,rate=40,target=300,deadline=1000",
+             "name=status,path=/call/dispatch/status,rate=30,target=800,deadline=2000",
+             "name=catalogue,path=/call/dispatch/catalogue,rate=30,target=2000,deadline=3000",
+             "name=check,path=/call/inventory/check,rate=40,target=200,deadline=1000",
+             "name=archive,path=/call/inventory/archive,rate=30,target=2000,deadline=3000" })
+        load.classes.push_back(parseCallClass(text));
+    load.duration = sendingTime;
+    load.recordFiles = deployment.recordFiles();
+    load.runName = "demo";
+    return load;
+}
+
+/// Drains one backend server and kills one node; true when the drained one got no new work after the stated time.
+bool causeTrouble(Deployment& deployment)
+{
+    std::this_thread::sleep_for(drainAt);
+    std::cout << "draining the backend server beside " << drainedNode << std::endl;
+    exchangeOnce(deployment.addresses(drainedNode).admin, plainRequest("POST", "/leave", R"({"service":"dispatch"})"), leaveTime);
+    std::this_thread::sleep_for(leaveTime);
+    const auto executed = [&] { return deployment.backendStats(drainedNode).value("executed", std::uint64_t { 0 }); };
+    const std::uint64_t before = executed();
+    std::this_thread::sleep_for(killAt - drainAt - leaveTime);
+    std::cout << "killing the node " << killedNode << std::endl;
+    deployment.node(killedNode).kill();
+    std::this_thread::sleep_for(sendingTime - killAt);
+    return executed() == before;
+}
+
+void printTable(const std::vector<CallClassResult>& results)
+{
+    constexpr const char* row = "{:<10} {:>6} {:>9} {:>8} {:>8} {:>7} {:>9} {:>9} {:>8}\n";
+    std::cout << "\n"
+              << fmt::format(row, "priority", "sent", "answered", "not run", "unknown", "errors", "p50 ms", "p99 ms", "in time");
+    for (const CallClassResult& result : results) {
+        std::cout << fmt::format(row, result.calls.name, result.sent, result.answered, result.notRun, result.unknown, result.errors + result.failed,
+            fmt::format("{:.1f}", result.latency.quantile(0.5)), fmt::format("{:.1f}", result.latency.quantile(0.99)), fmt::format("{:.1f}%", 100 * result.withinTargetShare()));
+    }
+    std::cout << "\n";
+}
+
+std::vector<Promise> judge(const std::vector<CallClassResult>& results, bool isDrainKept)
+{
+    // A killed node takes at most the calls in its slots along.
+    constexpr std::uint64_t slots = 12;
+    std::uint64_t wrong = 0;
+    std::uint64_t doubles = 0;
+    std::uint64_t falseNotRun = 0;
+    std::uint64_t errors = 0;
+    std::uint64_t unknown = 0;
+    bool areAllAnswered = true;
+    for (const CallClassResult& result : results) {
+        wrong += result.wrong + result.answeredWithoutRun;
+        doubles += result.doubleRuns;
+        falseNotRun += result.falseNotRun;
+        errors += result.errors + result.failed;
+        // The second sending of a key is told that the first one runs, so it may end as unknown.
+        unknown += result.calls.resendShare > 0 ? 0 : result.unknown;
+        areAllAnswered = areAllAnswered && result.answered > 0;
+    }
+    return {
+        { "every priority got answers", areAllAnswered },
+        { fmt::format("each caller got the whole answer to its own call ({} wrong)", wrong), wrong == 0 },
+        { fmt::format("bookings ran at most once, also when resent through another node ({} double)", doubles), doubles == 0 },
+        { fmt::format("what was told not run did not run ({} false)", falseNotRun), falseNotRun == 0 },
+        { fmt::format("every caller got an answer, an outcome at least ({} without)", errors), errors == 0 },
+        { fmt::format("only calls in flight at the killed node are unknown ({} of at most {})", unknown, slots), unknown <= slots },
+        { "the drained backend server got no new work after 3 s", isDrainKept },
+    };
+}
+
+bool printVerdict(const std::vector<Promise>& promises)
+{
+    bool areAllKept = true;
+    for (const Promise& promise : promises) {
+        std::cout << (promise.isKept ? "kept    " : "BROKEN  ") << promise.text << "\n";
+        areAllKept = areAllKept && promise.isKept;
+    }
+    return areAllKept;
+}
+
+void keepRunning(Deployment& deployment)
+{
+    const std::string& calls = deployment.addresses("dispatch-sweileh").calls;
+    std::cout << "\nLeft running until Ctrl-C. To try:\n"
+              << "  curl -i 'http://" << calls << "/call/dispatch/stock?id=mine'\n"
+              << "  curl -i -X POST -H 'Idempotency-Key: k1' 'http://" << calls << "/call/dispatch/bookings?id=k1'\n"
+              << "  curl http://" << deployment.addresses("dispatch-sweileh").admin << "/status\n"
+              << "  curl http://" << deployment.controlHttp(0) << "/v1/status\n"
+              << "  curl http://" << deployment.controlHttp(0) << "/v1/nodes\n"
+              << std::flush;
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGTERM);
+    int received = 0;
+    sigwait(&signals, &received);
+}
+
+bool runDemo(const Arguments& arguments)
+{
+    Deployment deployment({ KNAPWEEDQUAY_CONTROL, KNAPWEEDQUAY_NODE, KNAPWEEDQUAY_BACKEND, KNAPWEEDQUAY_FORWARDER }, arguments.folder);
+    startAll(deployment, arguments);
+    asio::io_context context;
+    LoadGenerator generator(context, makeLoad(deployment));
+    std::cout << "sending calls of every priority for " << sendingTime.count() << " s" << std::endl;
+    generator.start();
+    bool isDrainKept = false;
+    std::thread trouble([&] { isDrainKept = causeTrouble(deployment); });
+    context.run();
+    trouble.join();
+    generator.checkRecords();
+    printTable(generator.results());
+    const bool areAllKept = printVerdict(judge(generator.results(), isDrainKept));
+    if (arguments.isKept)
+        keepRunning(deployment);
+    return areAllKept;
+}
+
+} // namespace
+
+int main(int argumentCount, char** argumentValues)
+{
+    Arguments arguments;
+    po::options_description description("knapweedquay-demo: a small deployment on this machine, with calls, a drain and a kill");
+    description.add_options()("help", "print this text");
+    description.add_options()("documents", po::value(&arguments.documents), "folder with dispatch.toml and inventory.toml");
+    description.add_options()("folder", po::value(&arguments.folder)->required(), "empty folder for settings, logs and data");
+    description.add_options()("keep", po::bool_switch(&arguments.isKept), "leave everything running and print commands to try");
+    try {
+        po::variables_map values;
+        po::store(po::parse_command_line(argumentCount, argumentValues, description), values);
+        if (values.count("help") > 0) {
+            std::cout << description;
+            return 0;
+        }
+        po::notify(values);
+        // Blocked in every thread, so that only keepRunning() takes these signals.
+        if (arguments.isKept) {
+            sigset_t signals;
+            sigemptyset(&signals);
+            sigaddset(&signals, SIGINT);
+            sigaddset(&signals, SIGTERM);
+            pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+        }
+        return runDemo(arguments) ? 0 : 1;
+    } catch (const std::exception& error) {
+        std::cerr << "knapweedquay-demo: " << error.what() << "\n";
+        return 2;
+    }
+}
--- a/Utilities/Load/Deployment.cpp
+++ b/Utilities/Load/Deployment.cpp
@@ -35,14 +35,19 @@
     return nlohmann::json::parse(exchangeOnce(address, plainRequest("GET", path), requestTimeout).body, nullptr, false);
 }
 
-/// The text behind `service = "` of a document.
-std::string serviceOf(const std::string& document)
+/// The quoted value of the first line of a document that sets a key.
+std::string quotedValue(const std::string& document, const std::string& key)
 {
-    constexpr const char* key = "service = \"";
-    const std::size_t start = document.find(key) + std::char_traits<char>::length(key);
+    const std::string opening = key + " = \"";
+    const std::size_t start = document.find(opening) + opening.size();
     return document.substr(start, document.find('"', start) - start);
 }
 
+std::string secretOf(const std::string& team)
+{
+    return "secret-of-" + team;
+}
+
 bool canBind(std::uint16_t port)
 {
     asio::io_context context;
@@ -67,6 +72,11 @@
     return port;
 }
 
+std::vector<std::string> deploymentTeams()
+{
+    return { "operations", "dispatch", "inventory", "inschrijving", "tijdwaarneming" };
+}
+
 Deployment::Deployment(Programs programs, std::string folder)
     : m_programs(std::move(programs))
     , m_folder(std::move(folder))
@@ -103,7 +113,9 @@
     file << fmt::format("folder = \"{}\"\n", pathOf(fmt::format("control-{}", index)));
     file << fmt::format("[listen]\nhttp = \"{}\"\nlinks = \"{}\"\n", m_controls[index].http, m_controls[index].links);
     file << fmt::format("[store]\nbootstrap = {}\nminimum_voters = {}\npeers = {}\n", index == 0, m_controls.size(), quotedList(peers));
-    file << fmt::format("[credentials]\n{} = \"{}\"\n", deploymentTeam, deploymentSecret);
+    file << "[credentials]\n";
+    for (const std::string& team : deploymentTeams())
+        file << fmt::format("{} = \"{}\"\n", team, secretOf(team));
 }
 
 void Deployment::startNode(const NodePlan& plan)
@@ -168,9 +180,9 @@
 
 bool Deployment::apply(const std::string& document, std::uint64_t expectedVersion, std::chrono::milliseconds patience)
 {
-    const std::string service = serviceOf(document);
+    const std::string service = quotedValue(document, "service");
     HttpMessage request = plainRequest("PUT", "/v1/documents/" + service, document);
-    request.headers["authorization"] = std::string("Bearer ") + deploymentSecret;
+    request.headers["authorization"] = "Bearer " + secretOf(quotedValue(document, "team"));
     request.headers["knapweedquay-expected-version"] = std::to_string(expectedVersion);
     // A resend of the same change gets the first answer, so trying the next replica is safe.
     request.headers["knapweedquay-change-id"] = fmt::format("{}-{}-{}", service, expectedVersion, ::getpid());
--- a/Utilities/Load/Deployment.h
+++ b/Utilities/Load/Deployment.h
@@ -132,8 +132,7 @@
 /// A port of the loopback address that nothing listens on, below the range that outgoing connections use.
 std::uint16_t freePort();
 
-/// Team and secret that deployments accept edits from.
-constexpr const char* deploymentTeam = "operations";
-constexpr const char* deploymentSecret = "secret-of-operations";
+/// Teams that a deployment accepts edits from; the secret of each is "secret-of-" and its name.
+std::vector<std::string> deploymentTeams();
 
 } // namespace Knapweedquay::Load
--- /dev/null
+++ b/Utilities/Load/MeasureCase.cpp
@@ -0,0 +1,68 @@
+#include "Load/MeasureCase.h"
+
+#include <algorithm>
+
+namespace Knapweedquay::Load {
+
+namespace {
+
+constexpr double steadyShare = 0.7;
+constexpr double floodFactor = 4;
+constexpr double millisecondsPerSecond = 1000;
+
+CallClass makeClass(const std::string& name, const std::string& method, const std::string& path, double rate, std::size_t targetMs, std::size_t deadlineMs)
+{
+    CallClass calls;
+    calls.name = name;
+    calls.method = method;
+    calls.path = path;
+    calls.rate = rate;
+    calls.targetMs = targetMs;
+    calls.deadlineMs = deadlineMs;
+    return calls;
+}
+
+/// The four kinds of calls of Utilities/Examples/dispatch.toml, most urgent first, with its targets.
+std::vector<CallClass> dispatchClasses(double rate)
+{
+    return {
+        makeClass("booking", "POST", "/call/dispatch/bookings", 0.2 * rate, 400, 1000),
+        makeClass("stock", "GET", "/call/dispatch/stock", 0.3 * rate, 300, 600),
+        makeClass("status", "GET", "/call/dispatch/status", 0.25 * rate, 800, 1500),
+        makeClass("catalogue", "GET", "/call/dispatch/catalogue", 0.25 * rate, 2000, 3000),
+    };
+}
+
+void silencePeers(Deployment& deployment)
+{
+    for (const std::string& name : deployment.nodeNames())
+        Deployment::command(deployment.peerLink(name), "/silence");
+}
+
+} // namespace
+
+double MeasureSettings::capacity() const
+{
+    return static_cast<double>(endpoints * slots) * millisecondsPerSecond / serviceMilliseconds;
+}
+
+std::vector<MeasureCase> measureCases(const MeasureSettings& settings)
+{
+    const std::vector<CallClass> steady = dispatchClasses(steadyShare * settings.capacity());
+    const std::string affected = settings.affectedName();
+    const auto setModes = [affected](const nlohmann::json& modes) {
+        return [affected, modes](Deployment& deployment) { deployment.setModes(affected, modes); };
+    };
+    MeasureCase quiet { "steady 70%", steady, 0, nullptr, false };
+    MeasureCase straggler { "straggler x10", steady, 0.25, setModes({ { "slowdown", 10 } }), false };
+    MeasureCase failFast { "fail fast", steady, 0.25, setModes({ { "failFast", true } }), false };
+    MeasureCase lowestFlood { "lowest floods", steady, 0, nullptr, false };
+    lowestFlood.classes.back().rate = floodFactor * settings.capacity();
+    MeasureCase highestFlood { "highest floods", steady, 0, nullptr, false };
+    highestFlood.classes.front().rate = floodFactor * settings.capacity();
+    MeasureCase killed { "node killed", steady, 0.25, [affected](Deployment& deployment) { deployment.node(affected).kill(); }, false };
+    MeasureCase silent { "links silent", steady, 0.25, silencePeers, true };
+    return { quiet, straggler, failFast, lowestFlood, highestFlood, killed, silent };
+}
+
+} // namespace Knapweedquay::Load
