Transport: Keep a moved-from caller socket usable

RESTinio moves the accepted socket out of its pool and accepts the next connection on the same element. GuardedSocket left a null state behind, so a daemon ended with a segmentation fault in async_accept at the first connection after its first (seen with gdb: call_accept_now, peer=0x0).

--- a/Source/transport/GuardedSocket.h
+++ b/Source/transport/GuardedSocket.h
@@ -55,6 +55,13 @@
     using executor_type = asio::ip::tcp::socket::executor_type;
 
     explicit GuardedSocket(asio::io_context&);
+    /// The source stays usable, as a moved-from Asio socket does: RESTinio accepts its next connection on it.
+    GuardedSocket(GuardedSocket&& other)
+        : m_state(std::exchange(other.m_state, std::make_shared<State>(other.m_state->context)))
+    {
+    }
+    GuardedSocket& operator=(GuardedSocket&&) = default;
+    ~GuardedSocket() = default;
 
     auto& lowest_layer() { return m_state->socket; }
     const auto& lowest_layer() const { return m_state->socket; }
@@ -103,12 +110,14 @@
 
 private:
     struct State {
-        explicit State(asio::io_context& context)
-            : socket(context)
-            , requests(asio::use_service<RequestsInProgress>(context))
+        explicit State(asio::io_context& ioContext)
+            : context(ioContext)
+            , socket(ioContext)
+            , requests(asio::use_service<RequestsInProgress>(ioContext))
         {
         }
 
+        asio::io_context& context;
         asio::ip::tcp::socket socket;
         RequestsInProgress& requests;
         std::size_t unansweredBytes = 0;
--- a/Utilities/Load/ChildProcess.cpp
+++ b/Utilities/Load/ChildProcess.cpp
@@ -22,24 +22,35 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : signalExitCodeBase + WTERMSIG(status);
 }
 
-/// Sends standard output and standard error of the child to a file.
-class OutputRedirection {
+/// How a child starts: its output in a file, and no signal blocked that its parent blocks.
+class SpawnSetup {
 public:
-    explicit OutputRedirection(const std::string& file)
+    explicit SpawnSetup(const std::string& file)
     {
+        sigset_t nothing;
+        sigemptyset(&nothing);
+        posix_spawnattr_init(&m_attributes);
+        posix_spawnattr_setsigmask(&m_attributes, &nothing);
+        posix_spawnattr_setflags(&m_attributes, POSIX_SPAWN_SETSIGMASK);
         constexpr int permissions = 0644;
         posix_spawn_file_actions_init(&m_actions);
         posix_spawn_file_actions_addopen(&m_actions, STDOUT_FILENO, file.c_str(), O_WRONLY | O_CREAT | O_APPEND, permissions);
         posix_spawn_file_actions_adddup2(&m_actions, STDOUT_FILENO, STDERR_FILENO);
     }
-    ~OutputRedirection() { posix_spawn_file_actions_destroy(&m_actions); }
-    OutputRedirection(const OutputRedirection&) = delete;
-    OutputRedirection& operator=(const OutputRedirection&) = delete;
+    ~SpawnSetup()
+    {
+        posix_spawn_file_actions_destroy(&m_actions);
+        posix_spawnattr_destroy(&m_attributes);
+    }
+    SpawnSetup(const SpawnSetup&) = delete;
+    SpawnSetup& operator=(const SpawnSetup&) = delete;
 
     const posix_spawn_file_actions_t* actions() const { return &m_actions; }
+    const posix_spawnattr_t* attributes() const { return &m_attributes; }
 
 private:
     posix_spawn_file_actions_t m_actions;
+    posix_spawnattr_t m_attributes;
 };
 
 } // namespace
@@ -50,8 +61,8 @@
     for (const std::string& argument : command)
         arguments.push_back(const_cast<char*>(argument.c_str()));
     arguments.push_back(nullptr);
-    const OutputRedirection redirection(outputFile);
-    const int error = posix_spawn(&m_pid, arguments.front(), redirection.actions(), nullptr, arguments.data(), environ);
+    const SpawnSetup setup(outputFile);
+    const int error = posix_spawn(&m_pid, arguments.front(), setup.actions(), setup.attributes(), arguments.data(), environ);
     if (error != 0)
         throw std::system_error(error, std::generic_category(), command.front());
 }
