--- a/Source/protocol/Cbor.h
+++ b/Source/protocol/Cbor.h
@@ -35,6 +35,8 @@
 class FieldReader {
 public:
     explicit FieldReader(const nlohmann::json&);
+    /// The fields are read in place, so they must outlive the reader.
+    explicit FieldReader(nlohmann::json&&) = delete;
 
     std::uint64_t unsignedInteger();
     std::int64_t signedInteger();
--- a/Tests/processes/ProcessFixture.cpp
+++ b/Tests/processes/ProcessFixture.cpp
@@ -5,6 +5,7 @@
 
 #include <cstdlib>
 #include <filesystem>
+#include <stdexcept>
 
 namespace Knapweedquay::Load {
 
@@ -95,8 +96,10 @@
     m_deployment->startControls(controls);
     for (const NodePlan& plan : plans)
         m_deployment->startNode(plan);
-    ASSERT_TRUE(m_deployment->apply(dispatchDocument, 0, startPatience)) << "see " << m_folder;
-    ASSERT_TRUE(m_deployment->waitUntilReady(startPatience)) << m_deployment->nodeStatus("a") << " see " << m_folder;
+    if (!m_deployment->apply(dispatchDocument, 0, startPatience))
+        throw std::runtime_error("the document was not accepted; " + m_deployment->describe());
+    if (!m_deployment->waitUntilReady(startPatience))
+        throw std::runtime_error("not every node is ready: " + m_deployment->nodeStatus("a").dump() + "; " + m_deployment->describe());
 }
 
 void ProcessTest::sendMany(std::size_t count, const std::string& node, const std::string& method, const std::string& path, std::chrono::milliseconds deadline)
--- a/Utilities/Load/Deployment.cpp
+++ b/Utilities/Load/Deployment.cpp
@@ -190,7 +190,12 @@
     constexpr unsigned accepted = 200;
     const bool isApplied = waitUntil([&] {
         return std::any_of(m_controls.begin(), m_controls.end(), [&](const Control& control) {
-            return control.process->isRunning() && exchangeOnce(control.http, request, requestTimeout).status == accepted;
+            if (!control.process->isRunning())
+                return false;
+            const HttpMessage answer = exchangeOnce(control.http, request, requestTimeout);
+            if (answer.status != accepted)
+                m_lastRefusal = fmt::format("{} {}", answer.status, answer.body);
+            return answer.status == accepted;
         });
     },
         patience);
@@ -222,6 +227,20 @@
     return hasServices && ready >= expected;
 }
 
+std::string Deployment::describe()
+{
+    std::string text = m_lastRefusal.empty() ? std::string() : "last refusal: " + m_lastRefusal + "; ";
+    for (std::size_t index = 0; index < m_controls.size(); ++index) {
+        if (const auto code = m_controls[index].process->exitCode())
+            text += fmt::format("control {} ended with {}; ", index, *code);
+    }
+    for (auto& [name, node] : m_nodes) {
+        if (const auto code = node.process->exitCode())
+            text += fmt::format("node {} ended with {}; ", name, *code);
+    }
+    return text + "see " + m_folder;
+}
+
 bool Deployment::setModes(const std::string& node, const nlohmann::json& modes)
 {
     constexpr unsigned accepted = 200;
--- a/Utilities/Load/Deployment.h
+++ b/Utilities/Load/Deployment.h
@@ -76,6 +76,8 @@
     bool apply(const std::string& document, std::uint64_t expectedVersion, std::chrono::milliseconds patience);
     /// True once every running node has a fresh configuration with all applied services and sees every endpoint.
     bool waitUntilReady(std::chrono::milliseconds patience);
+    /// Which processes have ended and what the last refused edit was told, for the message of a failure.
+    std::string describe();
     bool setModes(const std::string& node, const nlohmann::json& modes);
     nlohmann::json backendStats(const std::string& node);
     nlohmann::json nodeStatus(const std::string& node);
@@ -126,6 +128,7 @@
     std::vector<Control> m_controls;
     std::map<std::string, Node> m_nodes;
     std::vector<std::string> m_services;
+    std::string m_lastRefusal;
     std::size_t m_startCount = 0;
 };
 
