Membership: Add gossip membership of nodes

Backend servers come and go with no list of them, and a region that is cut off has to go on. A star over the control replicas was ruled out for that reason; members gossip (SWIM with Lifeguard's refinements) and repair by digests.

Tests seen failing on a mutated version: - table merge without the order by health, death reports taken at once: MembershipTableTest, Partition test - expected tick not bounded by now: QuietSpell test - no announcement after a freeze: LateTick test; no retry of dead members: Partition test - no indirect probes: OneWayLink test; repair without requests: TwoTables test Leaving the probe under way in place after a freeze was not noticed by any test: its answer waits in the buffer.

--- /dev/null
+++ b/Source/coordination/AntiEntropy.cpp
@@ -0,0 +1,66 @@
+#include "coordination/AntiEntropy.h"
+
+#include <algorithm>
+#include <map>
+
+namespace Knapweedquay {
+
+namespace {
+
+    constexpr std::size_t bytesPerBucket = sizeof(RecordHash);
+    constexpr std::size_t bytesPerSummary = 2 * sizeof(RecordHash);
+    constexpr std::size_t maximumRequested = maximumRepairBytes / sizeof(RecordHash);
+
+} // namespace
+
+std::optional<GossipSummary> summarizeDifferences(const MembershipTable& table, const GossipDigest& digest, std::uint32_t start)
+{
+    GossipSummary summary;
+    std::size_t bytes = 0;
+    for (std::uint32_t offset = 0; offset < digestBuckets; ++offset) {
+        const std::uint32_t bucket = (start + offset) % digestBuckets;
+        if (digest.buckets[bucket] == table.digest()[bucket])
+            continue;
+        const std::vector<RecordSummary> records = table.summarize(bucket);
+        bytes += bytesPerBucket + records.size() * bytesPerSummary;
+        if (bytes > maximumRepairBytes)
+            break;
+        summary.buckets.push_back(bucket);
+        summary.records.insert(summary.records.end(), records.begin(), records.end());
+    }
+    if (summary.buckets.empty())
+        return std::nullopt;
+    return summary;
+}
+
+Differences findDifferences(const MembershipTable& table, const GossipSummary& summary)
+{
+    std::map<RecordHash, RecordHash> theirs;
+    for (const RecordSummary& record : summary.records)
+        theirs[record.node] = record.content;
+
+    Differences differences;
+    for (const std::uint32_t bucket : summary.buckets) {
+        for (const RecordSummary& mine : table.summarize(bucket)) {
+            const auto found = theirs.find(mine.node);
+            const bool isKnown = found != theirs.end();
+            const bool isEqual = isKnown && found->second == mine.content;
+            if (isKnown)
+                theirs.erase(found);
+            if (isEqual)
+                continue;
+            for (const MemberRecord* record : table.findByHash(mine.node))
+                differences.toSend.push_back(*record);
+            // Which of two different records is newer shows only when both are compared.
+            if (isKnown)
+                differences.toRequest.nodes.push_back(mine.node);
+        }
+    }
+    for (const auto& [node, content] : theirs)
+        differences.toRequest.nodes.push_back(node);
+    if (differences.toRequest.nodes.size() > maximumRequested)
+        differences.toRequest.nodes.resize(maximumRequested);
+    return differences;
+}
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Source/coordination/DocumentGossip.cpp
@@ -0,0 +1,76 @@
+#include "coordination/DocumentGossip.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <chrono>
+
+namespace Knapweedquay {
+
+namespace {
+
+    constexpr Duration hintRepetition = std::chrono::seconds(1);
+    // Bounds the memory that made-up service names could take.
+    constexpr std::size_t maximumHints = 1024;
+
+    std::uint32_t hashOf(const ServiceName& service, DocumentVersion version)
+    {
+        const auto seed = XXH32(service.value().data(), service.value().size(), 0);
+        const std::uint64_t number = version.value();
+        return XXH32(&number, sizeof number, seed);
+    }
+
+} // namespace
+
+void DocumentGossip::update(const std::vector<DocumentHint>& inForce)
+{
+    std::map<ServiceName, DocumentVersion> versions;
+    m_hash = 0;
+    for (const DocumentHint& hint : inForce) {
+        const auto previous = m_inForce.find(hint.service);
+        if (previous == m_inForce.end() || previous->second < hint.version)
+            m_rumors.add(hint.service);
+        versions[hint.service] = hint.version;
+        m_hash ^= hashOf(hint.service, hint.version);
+    }
+    m_inForce = std::move(versions);
+}
+
+bool DocumentGossip::isNews(const DocumentHint& hint, TimePoint now)
+{
+    const auto mine = m_inForce.find(hint.service);
+    if (mine != m_inForce.end() && mine->second >= hint.version)
+        return false;
+    const auto last = m_hints.find(hint.service);
+    if (last != m_hints.end() && last->second.version >= hint.version && now - last->second.at < hintRepetition)
+        return false;
+    if (last == m_hints.end() && m_hints.size() >= maximumHints)
+        m_hints.clear();
+    m_hints[hint.service] = { hint.version, now };
+    return true;
+}
+
+bool DocumentGossip::isPeerBehind(const std::vector<DocumentHint>& theirs) const
+{
+    return std::any_of(m_inForce.begin(), m_inForce.end(), [&theirs](const auto& mine) {
+        const auto found = std::find_if(theirs.begin(), theirs.end(), [&mine](const DocumentHint& hint) { return hint.service == mine.first; });
+        return found == theirs.end() || found->version < mine.second;
+    });
+}
+
+std::vector<DocumentHint> DocumentGossip::inForce() const
+{
+    std::vector<DocumentHint> hints;
+    hints.reserve(m_inForce.size());
+    for (const auto& [service, version] : m_inForce)
+        hints.push_back({ service, version });
+    return hints;
+}
+
+DocumentHint DocumentGossip::hint(const ServiceName& service) const
+{
+    const auto found = m_inForce.find(service);
+    return { service, found == m_inForce.end() ? DocumentVersion() : found->second };
+}
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Source/coordination/LocalHealth.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+
+namespace Knapweedquay {
+
+/// How far this process doubts its own timeliness: 0 is well.
+///
+/// Lifeguard's local health multiplier (2017): a process that is starved of processor time or cut off sees
+/// timeouts everywhere, so it probes more slowly before it blames others.
+class LocalHealth {
+public:
+    void recordSuccess() { m_score = m_score == 0 ? 0 : m_score - 1; }
+    void recordDoubt() { m_score = std::min(m_score + 1, maximumScore); }
+    void reset() { m_score = 0; }
+
+    /// Factor on the times of a probe, from 1.
+    std::int64_t multiplier() const { return m_score + 1; }
+
+private:
+    static constexpr std::int64_t maximumScore = 4;
+
+    std::int64_t m_score = 0;
+};
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Source/coordination/MembershipActions.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "protocol/Ids.h"
+#include "protocol/MemberRecord.h"
+#include "protocol/SocketAddress.h"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace Knapweedquay {
+
+/// Send the bytes to the address by UDP. Loss is allowed for.
+struct SendDatagram {
+    SocketAddress address;
+    std::string bytes;
+};
+
+/// A member is new, or its health, incarnation or endpoint state changed.
+struct MemberChanged {
+    MemberRecord member;
+};
+
+/// A member has a newer version of a document in force than this node; it can be fetched there.
+struct NewerDocumentHint {
+    ServiceName service;
+    DocumentVersion version;
+    NodeId member;
+};
+
+/// Another process with the same node id and a later incarnation is a member: this one must stop.
+struct IncarnationSuperseded {
+    Incarnation incarnation;
+};
+
+using MembershipAction = std::variant<SendDatagram, MemberChanged, NewerDocumentHint, IncarnationSuperseded>;
+using MembershipActions = std::vector<MembershipAction>;
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Source/coordination/PeerList.cpp
@@ -0,0 +1,51 @@
+#include "coordination/PeerList.h"
+
+#include <algorithm>
+
+namespace Knapweedquay {
+
+void PeerList::add(const NodeId& node, Random& random)
+{
+    if (std::find(m_nodes.begin(), m_nodes.end(), node) != m_nodes.end())
+        return;
+    const std::size_t place = random() % (m_nodes.size() + 1);
+    m_nodes.insert(m_nodes.begin() + static_cast<std::ptrdiff_t>(place), node);
+    if (place < m_position)
+        ++m_position;
+}
+
+void PeerList::remove(const NodeId& node)
+{
+    const auto found = std::find(m_nodes.begin(), m_nodes.end(), node);
+    if (found == m_nodes.end())
+        return;
+    if (static_cast<std::size_t>(found - m_nodes.begin()) < m_position)
+        --m_position;
+    m_nodes.erase(found);
+}
+
+const NodeId& PeerList::next(Random& random)
+{
+    if (m_position >= m_nodes.size()) {
+        std::shuffle(m_nodes.begin(), m_nodes.end(), random);
+        m_position = 0;
+    }
+    return m_nodes[m_position++];
+}
+
+std::vector<NodeId> PeerList::sample(std::size_t count, Random& random, const NodeId& excluded) const
+{
+    std::vector<NodeId> chosen;
+    if (m_nodes.empty())
+        return chosen;
+    // A few draws more than needed make up for repeated ones.
+    constexpr std::size_t drawsPerChoice = 3;
+    for (std::size_t draw = 0; draw < count * drawsPerChoice && chosen.size() < count; ++draw) {
+        const NodeId& node = m_nodes[random() % m_nodes.size()];
+        if (node != excluded && std::find(chosen.begin(), chosen.end(), node) == chosen.end())
+            chosen.push_back(node);
+    }
+    return chosen;
+}
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Source/coordination/PeerList.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "protocol/Ids.h"
+
+#include <cstddef>
+#include <random>
+#include <vector>
+
+namespace Knapweedquay {
+
+/// The present members other than this one, in a shuffled order.
+///
+/// Round robin over a shuffled list bounds the time until each member is probed (SWIM, DSN '02, 4.3); a new
+/// member enters at a random place.
+class PeerList {
+public:
+    using Random = std::mt19937_64;
+
+    void add(const NodeId&, Random&);
+    void remove(const NodeId&);
+    /// The next member in turn. The list must not be empty.
+    const NodeId& next(Random&);
+    /// Up to count different members, drawn at random, without the excluded one.
+    std::vector<NodeId> sample(std::size_t count, Random&, const NodeId& excluded = {}) const;
+
+    bool isEmpty() const { return m_nodes.empty(); }
+    std::size_t size() const { return m_nodes.size(); }
+
+private:
+    std::vector<NodeId> m_nodes;
+    std::size_t m_position = 0;
+};
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Tests/coordination/MembershipTest.cpp
@@ -0,0 +1,307 @@
+#include "MembershipBench/MembershipFleet.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <chrono>
+
+using namespace Knapweedquay;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// The promises of docs/design/MEMBERSHIP.md.
+constexpr Duration spreadLimit = seconds(3);
+constexpr Duration removalLimit = seconds(30);
+constexpr Duration healLimit = seconds(60);
+
+MembershipFleet::Options optionsFor(std::size_t members, std::uint64_t seed = 7)
+{
+    MembershipFleet::Options options;
+    options.members = members;
+    options.seed = seed;
+    return options;
+}
+
+bool isDead(const MemberRecord* record) { return record && record->health == MemberHealth::Dead; }
+bool isAlive(const MemberRecord* record) { return record && record->isPresent() && record->health == MemberHealth::Alive; }
+
+/// A settled deployment of 30 members.
+class MembershipTest : public ::testing::Test {
+protected:
+    MembershipTest()
+        : fleet(optionsFor(30))
+    {
+        fleet.startAll();
+        fleet.run(seconds(20));
+        EXPECT_TRUE(fleet.hasConverged());
+    }
+
+    bool settles(const std::function<bool()>& condition, Duration limit) { return fleet.runUntil(condition, limit) < limit; }
+
+    MembershipFleet fleet;
+};
+
+TEST_F(MembershipTest, DrainAndLeave_Announced_AreKnownEverywhereInTime)
+{
+    fleet.setLoss(0.05);
+    fleet.setLifecycle(4, EndpointLifecycle::Draining);
+    EXPECT_TRUE(settles([this] {
+        return fleet.doAllSee(4, [](const MemberRecord* record) { return record && record->endpoint.lifecycle == EndpointLifecycle::Draining; });
+    },
+        spreadLimit));
+    fleet.leave(4);
+    EXPECT_TRUE(settles([this] { return fleet.doAllSee(4, [](const MemberRecord* record) { return record && record->hasLeft(); }); }, spreadLimit));
+    EXPECT_TRUE(settles([this] { return fleet.membership(4).hasSpreadLeave(); }, spreadLimit));
+    fleet.kill(4);
+    fleet.run(seconds(30));
+    EXPECT_TRUE(fleet.doAllSee(4, [](const MemberRecord* record) { return record && record->hasLeft() && record->health == MemberHealth::Alive; }));
+    EXPECT_EQ(0u, fleet.falseDeaths());
+}
+
+TEST_F(MembershipTest, KilledMember_Silent_IsRemovedAndItsNextRunJoins)
+{
+    fleet.kill(9);
+    EXPECT_TRUE(settles([this] { return fleet.doAllSee(9, isDead); }, removalLimit));
+    fleet.start(9);
+    EXPECT_TRUE(settles([this] { return fleet.doAllSee(9, isAlive); }, spreadLimit));
+    EXPECT_TRUE(settles([this] { return fleet.hasConverged(); }, healLimit));
+}
+
+TEST_F(MembershipTest, QuickRestart_BeforeSuspicion_ReplacesOldIncarnation)
+{
+    const Incarnation old = fleet.membership(9).self().version.incarnation;
+    fleet.kill(9);
+    fleet.run(milliseconds(200));
+    fleet.start(9);
+    EXPECT_TRUE(settles([&] {
+        return fleet.doAllSee(9, [old](const MemberRecord* record) { return isAlive(record) && record->version.incarnation > old; });
+    },
+        spreadLimit));
+}
+
+TEST_F(MembershipTest, FrozenMember_Wakes_RefutesItsDeathAndBlamesNobody)
+{
+    fleet.freeze(3);
+    EXPECT_TRUE(settles([this] { return fleet.doAllSee(3, isDead); }, removalLimit));
+    const std::uint64_t before = fleet.membership(3).self().version.state;
+    fleet.wake(3);
+    EXPECT_TRUE(settles([this] { return fleet.doAllSee(3, isAlive); }, spreadLimit));
+    EXPECT_GT(fleet.membership(3).self().version.state, before);
+    fleet.run(removalLimit);
+    EXPECT_EQ(0u, fleet.falseDeaths());
+    EXPECT_EQ(0u, fleet.falseSuspicions());
+}
+
+TEST_F(MembershipTest, QuietSpell_ThenNews_IsNotTakenForFreeze)
+{
+    fleet.run(seconds(60));
+    std::vector<std::uint64_t> before;
+    for (std::size_t member = 0; member < fleet.size(); ++member)
+        before.push_back(fleet.membership(member).self().version.state);
+    fleet.kill(0);
+    fleet.run(removalLimit);
+    for (std::size_t member = 1; member < fleet.size(); ++member)
+        EXPECT_EQ(before[member], fleet.membership(member).self().version.state) << member;
+}
+
+TEST_F(MembershipTest, Partition_GoesOnInsideAndHealsAfter)
+{
+    const auto isLeft = [](std::size_t member) { return member < 12; };
+    fleet.setReachability([isLeft](std::size_t a, std::size_t b) { return isLeft(a) == isLeft(b); });
+    EXPECT_TRUE(settles([&] { return fleet.doAllSee(20, isDead, isLeft); }, 2 * removalLimit));
+    fleet.run(2 * removalLimit);
+    // Inside the part that was cut off, news still spreads.
+    fleet.setLifecycle(2, EndpointLifecycle::Draining);
+    EXPECT_TRUE(settles([&] {
+        return fleet.doAllSee(
+            2, [](const MemberRecord* record) { return record->endpoint.lifecycle == EndpointLifecycle::Draining; }, isLeft);
+    },
+        spreadLimit));
+    // Without seeds, only the memory of dead members can bring the sides together again.
+    for (std::size_t seed = 0; seed < 3; ++seed)
+        fleet.kill(seed);
+    EXPECT_TRUE(settles([&] { return fleet.doAllSee(0, isDead, isLeft); }, removalLimit));
+    fleet.setReachability({});
+    // No member of one side declares another of its own side dead on the word of the other side.
+    bool sidesStayed = true;
+    EXPECT_TRUE(settles([&] {
+        for (std::size_t subject = 3; subject < fleet.size(); ++subject)
+            sidesStayed = sidesStayed && fleet.doAllSee(
+                              subject, [](const MemberRecord* record) { return record && record->isPresent(); }, [&](std::size_t member) { return isLeft(member) == isLeft(subject); });
+        return fleet.hasConverged();
+    },
+        healLimit));
+    EXPECT_TRUE(sidesStayed);
+}
+
+TEST_F(MembershipTest, HalfTheMembersRestartedAlone_KnowingOnlySeeds_FindTheOthers)
+{
+    for (std::size_t member = 15; member < 30; ++member)
+        fleet.kill(member);
+    fleet.run(seconds(5));
+    for (std::size_t member = 15; member < 30; ++member)
+        fleet.start(member);
+    EXPECT_TRUE(settles([this] { return fleet.hasConverged(); }, healLimit));
+}
+
+TEST_F(MembershipTest, OneWayLinkBetweenTwo_IndirectProbes_KeepBothAlive)
+{
+    fleet.setReachability([](std::size_t from, std::size_t to) { return !(from == 1 && to == 2); });
+    for (int second = 0; second < 120; ++second) {
+        fleet.run(seconds(1));
+        ASSERT_EQ(0u, fleet.falseSuspicions());
+    }
+}
+
+TEST_F(MembershipTest, NewerDocument_PutInForceOnHint_ReachesAllInTime)
+{
+    const ServiceName service("dispatch");
+    std::vector<DocumentVersion> inForce(fleet.size());
+    const auto putInForce = [&](std::size_t member, DocumentVersion version) {
+        inForce[member] = version;
+        fleet.setDocuments(member, { { service, version } });
+    };
+    for (std::size_t member = 0; member < fleet.size(); ++member)
+        putInForce(member, DocumentVersion(3));
+    putInForce(5, DocumentVersion(4));
+    EXPECT_TRUE(settles([&] {
+        for (std::size_t member = 0; member < fleet.size(); ++member) {
+            for (const NewerDocumentHint& hint : std::vector<NewerDocumentHint>(fleet.hints(member))) {
+                EXPECT_EQ(DocumentVersion(4), hint.version);
+                if (inForce[member] < hint.version)
+                    putInForce(member, hint.version);
+            }
+        }
+        return std::all_of(inForce.begin(), inForce.end(), [](DocumentVersion version) { return version == DocumentVersion(4); });
+    },
+        spreadLimit));
+    EXPECT_TRUE(fleet.hints(5).empty());
+}
+
+TEST_F(MembershipTest, SteadyState_StaysWithinBytesAndDatagrams)
+{
+    std::vector<MemberTraffic> before;
+    for (std::size_t member = 0; member < fleet.size(); ++member)
+        before.push_back(fleet.traffic(member));
+    constexpr int time = 60;
+    for (int second = 0; second < time; ++second) {
+        fleet.setLifecycle(second % 30, second % 2 == 0 ? EndpointLifecycle::Draining : EndpointLifecycle::Ready);
+        fleet.run(seconds(1));
+    }
+    // Half of 22 KB/s each way, with a change of state every second.
+    for (std::size_t member = 0; member < fleet.size(); ++member) {
+        EXPECT_LT(fleet.traffic(member).bytesSent - before[member].bytesSent, 11000u * time);
+        EXPECT_LT(fleet.traffic(member).bytesReceived - before[member].bytesReceived, 11000u * time);
+    }
+}
+
+MembershipSettings settingsOf(const std::string& node, const std::string& deployment, std::uint64_t incarnation = 5)
+{
+    MembershipSettings settings;
+    settings.node = NodeId(node);
+    settings.deployment = deployment;
+    settings.incarnation = Incarnation(incarnation);
+    settings.gossipAddress = { "127.0.0.1", static_cast<std::uint16_t>(node.size()) };
+    settings.seeds = { { "127.0.0.1", 9 } };
+    return settings;
+}
+
+std::string firstDatagram(Membership& membership)
+{
+    for (const MembershipAction& action : membership.tick(TimePoint())) {
+        if (const auto* datagram = std::get_if<SendDatagram>(&action))
+            return datagram->bytes;
+    }
+    return {};
+}
+
+TEST(MembershipDatagramTest, OtherDeploymentAndRubbish_Handled_ChangeNothing)
+{
+    Membership membership(settingsOf("a", "one"), 1);
+    Membership stranger(settingsOf("bb", "two"), 2);
+    EXPECT_TRUE(membership.handle({ "127.0.0.1", 2 }, firstDatagram(stranger), TimePoint()).empty());
+    EXPECT_TRUE(membership.handle({ "127.0.0.1", 2 }, "rubbish", TimePoint()).empty());
+    EXPECT_EQ(1u, membership.table().size());
+}
+
+TEST(MembershipDatagramTest, LaterIncarnationOfSameNode_Heard_SupersedesThisOne)
+{
+    Membership membership(settingsOf("a", "one"), 1);
+    Membership peer(settingsOf("bb", "one"), 2);
+    Membership successor(settingsOf("a", "one", 6), 3);
+    peer.handle({ "127.0.0.1", 1 }, firstDatagram(successor), TimePoint());
+    const auto actions = membership.handle({ "127.0.0.1", 2 }, firstDatagram(peer), TimePoint());
+    EXPECT_TRUE(std::any_of(actions.begin(), actions.end(), [](const MembershipAction& action) { return std::holds_alternative<IncarnationSuperseded>(action); }));
+}
+
+TEST(MembershipDatagramTest, LateTick_AfterFreeze_AnnouncesNewVersionUnasked)
+{
+    Membership membership(settingsOf("a", "one"), 1);
+    membership.tick(TimePoint());
+    const std::uint64_t before = membership.self().version.state;
+    membership.tick(membership.nextTick() + seconds(10));
+    EXPECT_EQ(before + 1, membership.self().version.state);
+}
+
+RC_GTEST_PROP(MembershipScheduleTest, FaultsOfAnyOrder_Ended_ConvergeAndBlameNobody, ())
+{
+    const auto count = *rc::gen::inRange<std::size_t>(3, 13);
+    MembershipFleet::Options options = optionsFor(count, *rc::gen::arbitrary<std::uint64_t>());
+    options.loss = 0.1;
+    options.duplication = 0.1;
+    // Datagrams overtake each other by far.
+    options.maximumDelay = milliseconds(80);
+    MembershipFleet fleet(options);
+    fleet.startAll();
+    fleet.run(seconds(5));
+    const auto steps = *rc::gen::inRange(1, 8);
+    for (int step = 0; step < steps; ++step) {
+        const auto member = *rc::gen::inRange<std::size_t>(0, count);
+        switch (*rc::gen::inRange(0, 5)) {
+        case 0:
+            fleet.kill(member);
+            break;
+        case 1:
+            fleet.kill(member);
+            fleet.start(member);
+            break;
+        case 2:
+            if (fleet.isRunning(member)) {
+                fleet.freeze(member);
+                fleet.run(seconds(*rc::gen::inRange(1, 30)));
+                fleet.wake(member);
+            }
+            break;
+        case 3: {
+            const auto edge = *rc::gen::inRange<std::size_t>(1, count);
+            fleet.setReachability([edge](std::size_t a, std::size_t b) { return (a < edge) == (b < edge); });
+            fleet.run(seconds(*rc::gen::inRange(1, 60)));
+            fleet.setReachability({});
+            break;
+        }
+        default:
+            if (fleet.isRunning(member))
+                fleet.setLifecycle(member, *rc::gen::element(EndpointLifecycle::Draining, EndpointLifecycle::Ready));
+        }
+        fleet.run(milliseconds(*rc::gen::inRange(0, 20000)));
+    }
+    fleet.setLoss(0);
+    for (std::size_t member = 0; member < count; ++member) {
+        if (!fleet.isRunning(member))
+            fleet.start(member);
+    }
+    RC_ASSERT(fleet.runUntil([&fleet] { return fleet.hasConverged(); }, 2 * healLimit) < 2 * healLimit);
+    fleet.run(removalLimit);
+    RC_ASSERT(fleet.hasConverged());
+    // Each member's own word is what the others hold.
+    for (std::size_t subject = 0; subject < count; ++subject) {
+        const auto lifecycle = fleet.membership(subject).self().endpoint.lifecycle;
+        RC_ASSERT(fleet.doAllSee(subject, [lifecycle](const MemberRecord* record) { return record->endpoint.lifecycle == lifecycle; }));
+    }
+}
+
+} // namespace
--- /dev/null
+++ b/Tests/protocol/GossipMessagesTest.cpp
@@ -0,0 +1,118 @@
+#include "protocol/GossipMessages.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <chrono>
+
+using namespace Knapweedquay;
+
+namespace {
+
+const TimePoint now { std::chrono::hours(5) };
+
+MemberRecord fullRecord()
+{
+    MemberRecord record;
+    record.node = NodeId("node-1");
+    record.version = { Incarnation(1700000000123), 7 };
+    record.health = MemberHealth::Suspect;
+    record.suspectedBy = NodeId("node-9");
+    record.dataCentre = DataCentre("amman-marka");
+    record.peerAddress = { "127.0.0.1", 7300 };
+    record.gossipAddress = { "::1", 7400 };
+    record.endpoint = { ServiceName("dispatch"), { "10.0.0.1", 8080 }, 12, EndpointLifecycle::Draining, now - std::chrono::seconds(9) };
+    return record;
+}
+
+GossipMessage messageWith(GossipBody body)
+{
+    GossipMessage message;
+    message.deployment = 77;
+    message.sender = NodeId("node-2");
+    message.senderVersion = { Incarnation(5), 6 };
+    message.documentsHash = 99;
+    message.body = std::move(body);
+    message.records = { fullRecord() };
+    message.documents = { { ServiceName("dispatch"), DocumentVersion(41) } };
+    return message;
+}
+
+std::vector<GossipBody> allBodies()
+{
+    GossipDigest digest;
+    digest.buckets[63] = 0xfedcba98;
+    return { GossipPing { 1, NodeId("a") }, GossipAck { 2, NodeId("a") }, GossipIndirectPing { 3, NodeId("a"), { "10.0.0.2", 1 } }, GossipNack { 4 },
+        GossipRumors {}, digest, GossipSummary { { 63 }, { { 1, 2 } } }, GossipRequest { { 3, 4 } }, GossipDocuments { true } };
+}
+
+TEST(GossipMessagesTest, EachBody_EncodedAndDecoded_IsKept)
+{
+    for (const GossipBody& body : allBodies()) {
+        const std::string bytes = encodeGossipMessage(messageWith(body), now);
+        // The clock of the receiver has another origin; ages must survive that.
+        const TimePoint receiverNow = now + std::chrono::hours(70);
+        const auto decoded = decodeGossipMessage(bytes, receiverNow);
+        ASSERT_TRUE(decoded.has_value()) << body.index() << decoded.error().detail;
+        const GossipMessage& message = decoded.value();
+        EXPECT_EQ(body.index(), message.body.index());
+        EXPECT_EQ(99u, message.documentsHash);
+        ASSERT_EQ(1u, message.records.size());
+        EXPECT_EQ(receiverNow - std::chrono::seconds(9), message.records[0].endpoint.announcedAt);
+        EXPECT_EQ(SocketAddress({ "::1", 7400 }), message.records[0].gossipAddress);
+        EXPECT_EQ(NodeId("node-9"), message.records[0].suspectedBy);
+        // Encoding again gives the same bytes, so no field was lost.
+        EXPECT_EQ(bytes, encodeGossipMessage(message, receiverNow));
+    }
+}
+
+TEST(GossipMessagesTest, RecordsThatFitBySize_Encoded_StayInOneDatagram)
+{
+    GossipMessage message = messageWith(GossipRumors {});
+    message.records.clear();
+    std::size_t predicted = encodeGossipMessage(message, now).size();
+    while (predicted + encodedSize(fullRecord(), now) <= maximumGossipBytes) {
+        predicted += encodedSize(fullRecord(), now);
+        message.records.push_back(fullRecord());
+    }
+    const std::string bytes = encodeGossipMessage(message, now);
+    EXPECT_LE(bytes.size(), predicted);
+    EXPECT_GE(message.records.size(), 8u);
+    EXPECT_TRUE(decodeGossipMessage(bytes, now).has_value());
+}
+
+RC_GTEST_PROP(GossipMessagesTest, DamagedMessage_Decoded_IsRefusedOrWithinBounds, ())
+{
+    std::string bytes = encodeGossipMessage(messageWith(*rc::gen::elementOf(allBodies())), now);
+    const auto damages = *rc::gen::inRange(1, 5);
+    for (int damage = 0; damage < damages; ++damage)
+        bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] = *rc::gen::arbitrary<char>();
+    bytes.resize(*rc::gen::inRange<std::size_t>(bytes.size() / 2, bytes.size() + 1));
+    const auto decoded = decodeGossipMessage(bytes, now);
+    if (decoded.has_error())
+        return;
+    for (const MemberRecord& record : decoded.value().records) {
+        RC_ASSERT(record.node.value().size() <= maximumGossipNameBytes);
+        RC_ASSERT(record.health <= MemberHealth::Dead);
+        RC_ASSERT(record.endpoint.lifecycle <= EndpointLifecycle::Left);
+    }
+    if (const auto* summary = std::get_if<GossipSummary>(&decoded.value().body)) {
+        for (const std::uint32_t bucket : summary->buckets)
+            RC_ASSERT(bucket < digestBuckets);
+    }
+}
+
+TEST(SocketAddressTest, Addresses_ParsedAndPacked_AreKeptOrRefused)
+{
+    for (const char* text : { "127.0.0.1:7000", "[::1]:65535", "10.1.2.3:0" }) {
+        const auto address = parseSocketAddress(text);
+        ASSERT_TRUE(address.has_value()) << text;
+        EXPECT_EQ(text, toText(address.value()));
+        EXPECT_EQ(address.value(), unpackAddress(packAddress(address.value())).value());
+    }
+    for (const char* text : { "", "127.0.0.1", "localhost:80", "127.0.0.1:65536", "127.0.0.1:8x", "127.0.0.1:" })
+        EXPECT_TRUE(parseSocketAddress(text).has_error()) << text;
+    EXPECT_TRUE(unpackAddress("12345").has_error());
+}
+
+} // namespace
--- /dev/null
+++ b/Utilities/MembershipBench/MembershipBench.cpp
@@ -0,0 +1,234 @@
+#include "MembershipBench/MembershipFleet.h"
+
+#include <cstdio>
+#include <cstdlib>
+#include <ctime>
+#include <fstream>
+#include <unistd.h>
+
+using namespace Knapweedquay;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration settleTime = seconds(40);
+constexpr Duration steadyTime = seconds(60);
+constexpr Duration eventLimit = seconds(300);
+constexpr double lossShare = 0.01;
+
+double processorSeconds()
+{
+    timespec time {};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+    constexpr double nanosecondsPerSecond = 1e9;
+    return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_nsec) / nanosecondsPerSecond;
+}
+
+double residentBytes()
+{
+    std::ifstream file("/proc/self/statm");
+    std::size_t total = 0;
+    std::size_t resident = 0;
+    file >> total >> resident;
+    return static_cast<double>(resident) * static_cast<double>(sysconf(_SC_PAGESIZE));
+}
+
+double inSeconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+/// Rates of one node over some virtual time, averaged over all, and the largest of any.
+class Meter {
+public:
+    explicit Meter(const MembershipFleet& fleet)
+        : m_fleet(fleet)
+        , m_start(fleet.now())
+        , m_processorStart(processorSeconds())
+    {
+        for (std::size_t member = 0; member < fleet.size(); ++member)
+            m_before.push_back(fleet.traffic(member));
+    }
+
+    double elapsed() const { return inSeconds(m_fleet.now() - m_start); }
+    double sentPerNode() const { return total(&MemberTraffic::bytesSent) / elapsed() / static_cast<double>(m_fleet.size()); }
+    double largestSent() const
+    {
+        double largest = 0;
+        for (std::size_t member = 0; member < m_fleet.size(); ++member)
+            largest = std::max(largest, static_cast<double>(m_fleet.traffic(member).bytesSent - m_before[member].bytesSent) / elapsed());
+        return largest;
+    }
+    double datagramsPerNode() const { return total(&MemberTraffic::datagramsSent) / elapsed() / static_cast<double>(m_fleet.size()); }
+    /// Share of one core that one node uses.
+    double processorPerNode() const { return (processorSeconds() - m_processorStart) / elapsed() / static_cast<double>(m_fleet.size()); }
+
+private:
+    double total(std::uint64_t MemberTraffic::*field) const
+    {
+        double sum = 0;
+        for (std::size_t member = 0; member < m_fleet.size(); ++member)
+            sum += static_cast<double>(m_fleet.traffic(member).*field - m_before[member].*field);
+        return sum;
+    }
+
+    const MembershipFleet& m_fleet;
+    const TimePoint m_start;
+    const double m_processorStart;
+    std::vector<MemberTraffic> m_before;
+};
+
+struct Row {
+    std::size_t members = 0;
+    double startSeconds = 0;
+    double sent = 0;
+    double largestSent = 0;
+    double datagrams = 0;
+    double processor = 0;
+    double churnSent = 0;
+    double churnProcessor = 0;
+    double memory = 0;
+    double joinSeconds = 0;
+    double drainSeconds = 0;
+    double killSeconds = 0;
+    double frozenSeconds = 0;
+    std::size_t lossDeaths = 0;
+    std::size_t lossSuspicions = 0;
+    double healSeconds = 0;
+    double healSent = 0;
+    double healProcessor = 0;
+};
+
+MembershipFleet::Options optionsFor(std::size_t members)
+{
+    MembershipFleet::Options options;
+    options.members = members;
+    options.seed = 20261203;
+    return options;
+}
+
+double secondsUntilAllSee(MembershipFleet& fleet, std::size_t subject, const std::function<bool(const MemberRecord*)>& condition)
+{
+    return inSeconds(fleet.runUntil([&] { return fleet.doAllSee(subject, condition); }, eventLimit));
+}
+
+bool isSeenDead(const MemberRecord* record) { return record && record->health == MemberHealth::Dead; }
+bool isSeenAlive(const MemberRecord* record) { return record && record->isPresent(); }
+
+void measureSteady(MembershipFleet& fleet, Row& row)
+{
+    const Meter meter(fleet);
+    fleet.run(steadyTime);
+    row.sent = meter.sentPerNode();
+    row.largestSent = meter.largestSent();
+    row.datagrams = meter.datagramsPerNode();
+    row.processor = meter.processorPerNode();
+}
+
+// One change of state a second somewhere: far more than 50 restarts and some drains a day.
+void measureChurn(MembershipFleet& fleet, Row& row)
+{
+    const Meter meter(fleet);
+    for (std::size_t second = 0; second < 30; ++second) {
+        const std::size_t member = second * 7 % fleet.size();
+        fleet.setLifecycle(member, second % 2 == 0 ? EndpointLifecycle::Draining : EndpointLifecycle::Ready);
+        fleet.run(seconds(1));
+    }
+    row.churnSent = meter.sentPerNode();
+    row.churnProcessor = meter.processorPerNode();
+}
+
+void measureLoss(MembershipFleet& fleet, Row& row)
+{
+    fleet.setLoss(lossShare);
+    for (int second = 0; second < 60; ++second) {
+        fleet.run(seconds(1));
+        row.lossDeaths = std::max(row.lossDeaths, fleet.falseDeaths());
+        row.lossSuspicions = std::max(row.lossSuspicions, fleet.falseSuspicions());
+    }
+    fleet.setLoss(0);
+    fleet.run(settleTime);
+}
+
+void measureChanges(MembershipFleet& fleet, Row& row)
+{
+    const std::size_t subject = fleet.size() / 2;
+    fleet.setLifecycle(subject, EndpointLifecycle::Draining);
+    row.drainSeconds = secondsUntilAllSee(fleet, subject, [](const MemberRecord* record) {
+        return record && record->endpoint.lifecycle == EndpointLifecycle::Draining;
+    });
+    fleet.run(settleTime);
+    fleet.kill(subject);
+    row.killSeconds = secondsUntilAllSee(fleet, subject, isSeenDead);
+    fleet.run(settleTime);
+    fleet.start(subject);
+    row.joinSeconds = secondsUntilAllSee(fleet, subject, isSeenAlive);
+    fleet.run(settleTime);
+
+    fleet.freeze(subject);
+    fleet.run(seconds(60));
+    fleet.wake(subject);
+    row.frozenSeconds = secondsUntilAllSee(fleet, subject, isSeenAlive);
+    fleet.run(settleTime);
+}
+
+void measurePartition(MembershipFleet& fleet, Row& row)
+{
+    const std::size_t half = fleet.size() / 2;
+    fleet.setReachability([half](std::size_t a, std::size_t b) { return (a < half) == (b < half); });
+    fleet.run(seconds(180));
+    fleet.setReachability({});
+    const Meter meter(fleet);
+    row.healSeconds = inSeconds(fleet.runUntil([&fleet] { return fleet.hasConverged(); }, eventLimit));
+    row.healSent = meter.sentPerNode();
+    row.healProcessor = meter.processorPerNode();
+}
+
+Row measure(std::size_t members)
+{
+    Row row;
+    row.members = members;
+    const double memoryBefore = residentBytes();
+    MembershipFleet fleet(optionsFor(members));
+    fleet.startAll();
+    row.startSeconds = inSeconds(fleet.runUntil([&fleet] { return fleet.hasConverged(); }, eventLimit));
+    fleet.run(settleTime);
+    row.memory = (residentBytes() - memoryBefore) / static_cast<double>(members);
+    measureSteady(fleet, row);
+    measureChurn(fleet, row);
+    fleet.run(settleTime);
+    measureChanges(fleet, row);
+    measureLoss(fleet, row);
+    measurePartition(fleet, row);
+    return row;
+}
+
+void print(const Row& row)
+{
+    constexpr double percent = 100;
+    constexpr double kibibyte = 1024;
+    std::printf("| %zu | %.1f | %.0f | %.0f | %.1f | %.3f | %.0f | %.3f | %.0f | %.2f | %.2f | %.1f | %.2f | %zu / %zu | %.1f | %.0f | %.3f |\n",
+        row.members, row.startSeconds, row.sent, row.largestSent, row.datagrams, row.processor * percent, row.churnSent, row.churnProcessor * percent,
+        row.memory / kibibyte, row.joinSeconds, row.drainSeconds, row.killSeconds, row.frozenSeconds, row.lossSuspicions, row.lossDeaths, row.healSeconds,
+        row.healSent, row.healProcessor * percent);
+    std::fflush(stdout);
+}
+
+} // namespace
+
+// Usage: MembershipBench [members...]; without arguments 10 50 100 200 400 720.
+int main(int argc, char** argv)
+{
+    std::vector<std::size_t> sizes { 10, 50, 100, 200, 400, 720 };
+    if (argc > 1)
+        sizes.clear();
+    for (int argument = 1; argument < argc; ++argument)
+        sizes.push_back(std::strtoul(argv[argument], nullptr, 10));
+    std::printf("| members | all known s | sent B/s | most sent B/s | datagrams/s | core %% | churn B/s | churn core %% | KiB/node | join s | drain s | kill s | wake s | suspected/dead at 1%% loss | heal s | heal B/s | heal core %% |\n");
+    std::printf("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n");
+    for (const std::size_t members : sizes)
+        print(measure(members));
+    return 0;
+}
