Membership: Answer joining members with a few acquaintances

Cause: with 200 members starting at once, all asked the three seeds, whose budgets went on summaries that nothing could follow.

--- a/Source/coordination/AntiEntropy.cpp
+++ b/Source/coordination/AntiEntropy.cpp
@@ -9,7 +9,8 @@
 
     constexpr std::size_t bytesPerBucket = sizeof(RecordHash);
     constexpr std::size_t bytesPerSummary = 2 * sizeof(RecordHash);
-    constexpr std::size_t maximumRequested = maximumRepairBytes / sizeof(RecordHash);
+    // As many records as the asked member sends at once.
+    constexpr std::size_t maximumRequested = 40;
 
 } // namespace
 
--- a/Source/coordination/Membership.cpp
+++ b/Source/coordination/Membership.cpp
@@ -16,6 +16,15 @@
     constexpr std::size_t datagramHeaderBytes = 28;
     // Between full lists of document versions sent to peers.
     constexpr Duration documentsPeriod = std::chrono::milliseconds(500);
+    // Datagrams of records that one summary or request may bring about, and the budget to have for them.
+    constexpr std::size_t repairDatagrams = 4;
+    constexpr std::size_t repairBytes = (repairDatagrams + 1) * maximumGossipBytes;
+    // Members that a joining one is told of at first; about as many as fit into a datagram.
+    constexpr std::size_t acquaintances = 10;
+    // Up to this many, each rumor is passed on as often as is wanted.
+    constexpr std::size_t fewRumors = 16;
+    // News leaves this much of the budget to repair, which costs less per member when much has changed at once.
+    constexpr std::size_t reservedBytes = 8000;
     // A gossip message without news is not worth sending.
     constexpr std::size_t smallestRecordBytes = 40;
 
@@ -213,7 +222,8 @@
     else if (const auto* documents = std::get_if<GossipDocuments>(&message.body))
         answer(*documents, message, from);
 
-    sendRecords(from, outdated);
+    if (m_budget.isAvailable(maximumGossipBytes, m_now))
+        sendRecords(from, outdated, 1);
     compareSenderVersion(message, from);
     compareDocuments(message, from);
 }
@@ -227,12 +237,29 @@
 
 void Membership::answer(const GossipDigest& digest, const SocketAddress& from)
 {
+    // What follows a summary must not fail for want of budget, or the summary is wasted.
+    if (!m_budget.isAvailable(repairBytes, m_now))
+        return;
+    const std::size_t bucketsInUse = digestBuckets - static_cast<std::size_t>(std::count(digest.buckets.begin(), digest.buckets.end(), 0));
+    if (bucketsInUse <= 1 && m_peers.size() > 1) {
+        sendAcquaintances(from);
+        return;
+    }
     const auto start = static_cast<std::uint32_t>(m_random() % digestBuckets);
-    const auto summary = summarizeDifferences(m_table, digest, start);
-    if (summary && m_budget.isAvailable(maximumGossipBytes, m_now))
+    if (const auto summary = summarizeDifferences(m_table, digest, start))
         send(from, *summary);
 }
 
+// A member that knows nobody learns a few others, and goes on with them: many that start at once would otherwise
+// all wait for the same seed.
+void Membership::sendAcquaintances(const SocketAddress& address)
+{
+    std::vector<MemberRecord> records { self() };
+    for (const NodeId& node : m_peers.sample(acquaintances, m_random))
+        records.push_back(*m_table.find(node));
+    sendRecords(address, records, 1);
+}
+
 void Membership::answer(const GossipSummary& summary, const SocketAddress& from)
 {
     const Differences differences = findDifferences(m_table, summary);
@@ -241,9 +268,9 @@
     // Rumors mend small differences by themselves.
     if (differences.toSend.size() + differences.toRequest.nodes.size() >= m_settings.repairThreshold)
         m_nextDigestAt = std::min(m_nextDigestAt, m_now + m_settings.repairPeriod);
-    if (!differences.toRequest.nodes.empty() && m_budget.isAvailable(maximumGossipBytes, m_now))
+    if (!differences.toRequest.nodes.empty())
         send(from, differences.toRequest);
-    sendRecords(from, differences.toSend);
+    sendRecords(from, differences.toSend, repairDatagrams);
 }
 
 void Membership::answer(const GossipRequest& request, const SocketAddress& from)
@@ -253,7 +280,7 @@
         for (const MemberRecord* record : m_table.findByHash(node))
             records.push_back(*record);
     }
-    sendRecords(from, records);
+    sendRecords(from, records, repairDatagrams);
 }
 
 void Membership::answer(const GossipDocuments& documents, const GossipMessage& message, const SocketAddress& from)
@@ -280,7 +307,7 @@
     }
     // Tells the sender that it is suspected or held to be dead, so that it refutes (Lifeguard's buddy system).
     if (sender->health != MemberHealth::Alive && !sender->hasLeft())
-        sendRecords(from, { *sender });
+        sendRecords(from, { *sender }, 1);
 }
 
 MergeResult Membership::mergeRecord(const MemberRecord& record)
@@ -296,8 +323,8 @@
         followChange(before, *m_table.find(record.node));
     else if (record.health == MemberHealth::Suspect && before && before->version == record.version)
         confirmSuspicion(record);
-    // Another member spreads it as well: one transmission of this one's can be spared (Demers and others, PODC '87).
-    if (result == MergeResult::Known)
+    // Others spread it as well. When there is much news, a transmission can be spared (Demers and others, PODC '87).
+    if (result == MergeResult::Known && m_rumors.size() > fewRumors)
         m_rumors.markSent(record.node, transmissionLimit());
     return result;
 }
@@ -382,7 +409,7 @@
     m_nextGossipAt = m_now + m_settings.gossipPeriod;
     for (const NodeId& node : m_peers.sample(m_settings.gossipFanout, m_random)) {
         const MemberRecord* peer = m_table.find(node);
-        if (hasRumors() && m_budget.isAvailable(maximumGossipBytes, m_now))
+        if (hasRumors() && m_budget.isAvailable(maximumGossipBytes + reservedBytes, m_now))
             send(peer->gossipAddress, GossipRumors {});
     }
 }
@@ -443,10 +470,10 @@
     send(missing[m_random() % missing.size()], std::move(digest));
 }
 
-void Membership::sendRecords(const SocketAddress& address, const std::vector<MemberRecord>& records)
+void Membership::sendRecords(const SocketAddress& address, const std::vector<MemberRecord>& records, std::size_t maximumDatagrams)
 {
     std::size_t position = 0;
-    while (position < records.size() && m_budget.isAvailable(maximumGossipBytes, m_now)) {
+    for (std::size_t datagram = 0; datagram < maximumDatagrams && position < records.size(); ++datagram) {
         GossipMessage rumors = message(GossipRumors {});
         std::size_t bytes = encodeGossipMessage(rumors, m_now).size();
         for (; position < records.size(); ++position) {
@@ -501,7 +528,7 @@
         if (!record)
             return true;
         const std::size_t size = encodedSize(*record, m_now);
-        if (bytes + size > maximumGossipBytes || !m_budget.isAvailable(bytes + size, m_now))
+        if (bytes + size > maximumGossipBytes || !m_budget.isAvailable(bytes + size + reservedBytes, m_now))
             return false;
         bytes += size;
         outgoing.records.push_back(*record);
--- a/Source/coordination/Membership.h
+++ b/Source/coordination/Membership.h
@@ -83,7 +83,8 @@
     void exchangeDigest();
     void reconnectDead();
     void reconnectSeed();
-    void sendRecords(const SocketAddress&, const std::vector<MemberRecord>&);
+    void sendAcquaintances(const SocketAddress&);
+    void sendRecords(const SocketAddress&, const std::vector<MemberRecord>&, std::size_t maximumDatagrams);
     void sendDocuments(const SocketAddress&, bool isReply);
     void send(const SocketAddress&, const GossipBody&);
     void send(const SocketAddress&, GossipMessage);
