Coordination: Add the admission queue and the choice of endpoint

The endpoint's node queues by priority and the sending node predicts waits; both were missing. Starts are charged in slot time, not in calls, since a flood of long calls would otherwise take more than its part.

Seen failing on mutations: no credit for shares, no expiry before a start, one queue bound for all priorities, credit capped for the lane that just started, refusal by the mean service time, no idle admission, limit off by one, no stall time, no ejection bound, no trial bookkeeping, no retry of a slow endpoint.

--- /dev/null
+++ b/Source/coordination/AdmissionQueue.cpp
@@ -0,0 +1,310 @@
+#include "coordination/AdmissionQueue.h"
+
+#include <algorithm>
+#include <cmath>
+#include <iterator>
+
+namespace Knapweedquay {
+
+namespace {
+
+    constexpr std::size_t maximumQueuedPerPriority = 1024;
+    constexpr Duration minimumRetryAfter { 20000 };
+    constexpr Duration maximumRetryAfter { 10000000 };
+    /// Time that waiting calls have to start once the endpoint drains.
+    constexpr Duration drainQueueTime { 1000000 };
+    /// Cost of a call while nothing is known about it.
+    constexpr double unknownCostMicroseconds = 5000;
+    /// Time constant of the work that is counted as recent.
+    constexpr double recentMicroseconds = 500000;
+    /// Least part of the capacity that a wait is worked out with.
+    constexpr double smallestShare = 0.001;
+
+} // namespace
+
+AdmissionQueue::AdmissionQueue(const ServiceDocument& document, std::optional<std::uint32_t> slots)
+    : m_limit(slots.value_or(document.defaultSlots))
+    , m_defaultSlots(document.defaultSlots)
+    , m_announcedSlots(slots)
+{
+    setDocument(document);
+}
+
+AdmissionQueue::~AdmissionQueue()
+{
+    for (auto& lane : m_lanes)
+        lane.queue.clear();
+    m_expiryOrder.clear();
+}
+
+AdmissionDecision AdmissionQueue::offer(CallTicket ticket, PriorityIndex priority, TimePoint deadline, TimePoint now)
+{
+    if (m_calls.count(ticket))
+        return refusal(ResultCode::AlreadyRunning, Duration(0));
+    if (m_draining)
+        return refusal(ResultCode::Draining, Duration(0));
+    if (deadline <= now)
+        return refusal(ResultCode::DeadlineExpired, Duration(0));
+
+    const auto index = laneIndex(priority);
+    const auto& lane = m_lanes[index];
+    const auto wait = estimatedWait(priority, now);
+    // An idle backend server takes any call, so that an estimate that went wrong is put right.
+    if (m_running && now + wait + lane.serviceTime.lowerQuartile() > deadline)
+        return refusal(ResultCode::DeadlineCannotBeMet, wait);
+    const bool startsNow = hasFreeSlot() && !hasQueued();
+    if (!startsNow && (wait > lane.maximumQueueTime || lane.queue.size() >= maximumQueuedPerPriority))
+        return refusal(ResultCode::Overloaded, wait);
+
+    auto& call = m_calls[ticket];
+    call.ticket = ticket;
+    call.priority = index;
+    call.deadline = deadline;
+    if (startsNow) {
+        start(call, now);
+        return { AdmissionKind::Started, ResultCode::Ok, Duration(0) };
+    }
+    // Given up while there is still time to tell the caller, and to try elsewhere.
+    const auto latestStart = deadline - lane.serviceTime.lowerQuartile();
+    const auto queueEnd = now + lane.maximumQueueTime;
+    call.expiry = std::min(latestStart, queueEnd);
+    call.expiryCode = latestStart < queueEnd ? ResultCode::DeadlineCannotBeMet : ResultCode::Overloaded;
+    enqueue(call);
+    return { AdmissionKind::Queued, ResultCode::Ok, Duration(0) };
+}
+
+void AdmissionQueue::finished(CallTicket ticket, BackendOutcome outcome, TimePoint now)
+{
+    const auto found = m_calls.find(ticket);
+    if (found == m_calls.end() || found->second.expiryHook.is_linked())
+        return;
+    const auto& call = found->second;
+    auto& lane = m_lanes[call.priority];
+    const auto latency = now - call.startedAt;
+    switch (outcome) {
+    case BackendOutcome::Succeeded:
+        lane.serviceTime.observe(latency);
+        m_serviceTime.observe(latency);
+        m_limit.observe(PriorityIndex(static_cast<std::uint32_t>(call.priority)), latency, call.runningAtStart);
+        ++m_completedCalls;
+        break;
+    case BackendOutcome::Failed:
+        lane.serviceTime.observeFailure(latency);
+        m_serviceTime.observeFailure(latency);
+        break;
+    case BackendOutcome::Shed:
+        m_limit.observeShed();
+        break;
+    }
+    --m_running;
+    m_calls.erase(found);
+}
+
+CancelResult AdmissionQueue::cancel(CallTicket ticket)
+{
+    const auto found = m_calls.find(ticket);
+    if (found == m_calls.end())
+        return CancelResult::Unknown;
+    if (!found->second.expiryHook.is_linked())
+        return CancelResult::Running;
+    dequeue(found->second);
+    m_calls.erase(found);
+    return CancelResult::NotRun;
+}
+
+StartableCalls AdmissionQueue::takeStartable(TimePoint now)
+{
+    StartableCalls calls;
+    // First: after a freeze of the process many calls may be past their deadline.
+    giveUpExpired(now, calls.givenUp);
+    while (hasFreeSlot() && hasQueued()) {
+        auto& call = m_lanes[nextLane()].queue.front();
+        dequeue(call);
+        start(call, now);
+        calls.started.push_back(call.ticket);
+    }
+    return calls;
+}
+
+std::optional<TimePoint> AdmissionQueue::nextTimer() const
+{
+    if (!hasQueued())
+        return std::nullopt;
+    return m_expiryOrder.begin()->expiry;
+}
+
+void AdmissionQueue::setDocument(const ServiceDocument& document)
+{
+    std::vector<Lane> lanes(std::max<std::size_t>(document.priorities.size(), 1));
+    for (std::size_t index = 0; index < document.priorities.size(); ++index) {
+        lanes[index].minimumShare = document.priorities[index].minimumShare;
+        lanes[index].maximumQueueTime = document.priorities[index].maximumQueueTime;
+    }
+    for (std::size_t index = 0; index < m_lanes.size(); ++index) {
+        auto& target = lanes[std::min(index, lanes.size() - 1)];
+        target.queue.splice(target.queue.end(), m_lanes[index].queue);
+        if (index >= lanes.size())
+            continue;
+        target.serviceTime = m_lanes[index].serviceTime;
+        target.credit = m_lanes[index].credit;
+        target.recentWork = m_lanes[index].recentWork;
+        target.recentWorkAt = m_lanes[index].recentWorkAt;
+    }
+    m_lanes = std::move(lanes);
+    for (auto& entry : m_calls)
+        entry.second.priority = std::min(entry.second.priority, m_lanes.size() - 1);
+
+    m_defaultSlots = document.defaultSlots;
+    m_limit.setSlots(m_announcedSlots.value_or(m_defaultSlots));
+}
+
+void AdmissionQueue::setBackend(std::optional<std::uint32_t> slots)
+{
+    m_announcedSlots = slots;
+    m_limit = ConcurrencyLimit(slots.value_or(m_defaultSlots));
+    m_completedCalls = 0;
+}
+
+void AdmissionQueue::drain(TimePoint now)
+{
+    m_draining = true;
+    const auto latestStart = now + drainQueueTime;
+    while (hasQueued() && m_expiryOrder.rbegin()->expiry > latestStart) {
+        auto& call = *m_expiryOrder.rbegin();
+        m_expiryOrder.erase(m_expiryOrder.iterator_to(call));
+        call.expiry = latestStart;
+        call.expiryCode = ResultCode::Draining;
+        m_expiryOrder.insert(call);
+    }
+}
+
+LoadReport AdmissionQueue::report() const
+{
+    LoadReport report;
+    report.running = m_running;
+    report.concurrencyLimit = m_limit.value();
+    report.queued.reserve(m_lanes.size());
+    for (const auto& lane : m_lanes)
+        report.queued.push_back(static_cast<std::uint32_t>(lane.queue.size()));
+    report.serviceTime = m_serviceTime.mean();
+    report.completedCalls = m_completedCalls;
+    report.draining = m_draining;
+    return report;
+}
+
+Duration AdmissionQueue::estimatedWait(PriorityIndex priority, TimePoint now) const
+{
+    if (hasFreeSlot() && !hasQueued())
+        return Duration(0);
+    const auto index = laneIndex(priority);
+    const auto& lane = m_lanes[index];
+    double urgentWork = 0;
+    double freeShare = 1;
+    for (std::size_t other = 0; other < m_lanes.size(); ++other) {
+        const auto& otherLane = m_lanes[other];
+        if (other < index) {
+            urgentWork += cost(otherLane) * static_cast<double>(otherLane.queue.size());
+            freeShare -= recentShare(otherLane, now);
+        } else if (other > index && !otherLane.queue.empty())
+            freeShare -= otherLane.minimumShare;
+    }
+    const double ownWork = cost(lane) * static_cast<double>(lane.queue.size() + 1);
+    const double limit = m_limit.value();
+    const double waitByUrgency = (urgentWork + ownWork) / (limit * std::max(freeShare, smallestShare));
+    const double waitByShare = ownWork / (limit * std::max(lane.minimumShare, smallestShare));
+    return Duration(static_cast<Duration::rep>(std::min(waitByUrgency, waitByShare)));
+}
+
+std::size_t AdmissionQueue::laneIndex(PriorityIndex priority) const
+{
+    return std::min<std::size_t>(priority.value(), m_lanes.size() - 1);
+}
+
+double AdmissionQueue::cost(const Lane& lane) const
+{
+    if (lane.serviceTime.hasSamples())
+        return static_cast<double>(std::max<Duration::rep>(lane.serviceTime.mean().count(), 1));
+    if (m_serviceTime.hasSamples())
+        return static_cast<double>(std::max<Duration::rep>(m_serviceTime.mean().count(), 1));
+    return unknownCostMicroseconds;
+}
+
+double AdmissionQueue::recentShare(const Lane& lane, TimePoint now) const
+{
+    const auto age = static_cast<double>((now - lane.recentWorkAt).count());
+    return lane.recentWork * std::exp(-age / recentMicroseconds) / (recentMicroseconds * m_limit.value());
+}
+
+std::size_t AdmissionQueue::nextLane() const
+{
+    std::size_t mostUrgent = m_lanes.size();
+    for (std::size_t index = 0; index < m_lanes.size(); ++index) {
+        const auto& lane = m_lanes[index];
+        if (lane.queue.empty())
+            continue;
+        if (lane.credit >= cost(lane))
+            return index;
+        mostUrgent = std::min(mostUrgent, index);
+    }
+    return mostUrgent;
+}
+
+void AdmissionQueue::enqueue(Call& call)
+{
+    m_lanes[call.priority].queue.push_back(call);
+    m_expiryOrder.insert(call);
+}
+
+void AdmissionQueue::dequeue(Call& call)
+{
+    auto& queue = m_lanes[call.priority].queue;
+    queue.erase(queue.iterator_to(call));
+    m_expiryOrder.erase(m_expiryOrder.iterator_to(call));
+}
+
+void AdmissionQueue::start(Call& call, TimePoint now)
+{
+    ++m_running;
+    call.startedAt = now;
+    call.runningAtStart = m_running;
+    chargeStart(call.priority, now);
+}
+
+void AdmissionQueue::giveUpExpired(TimePoint now, std::vector<GivenUpCall>& givenUp)
+{
+    while (hasQueued() && m_expiryOrder.begin()->expiry <= now) {
+        auto& call = *m_expiryOrder.begin();
+        dequeue(call);
+        const auto code = call.deadline <= now ? ResultCode::DeadlineExpired : call.expiryCode;
+        const PriorityIndex priority(static_cast<std::uint32_t>(call.priority));
+        const auto refused = refusal(code, estimatedWait(priority, now));
+        givenUp.push_back({ call.ticket, refused.code, refused.retryAfter });
+        m_calls.erase(call.ticket);
+    }
+}
+
+void AdmissionQueue::chargeStart(std::size_t started, TimePoint now)
+{
+    auto& lane = m_lanes[started];
+    const double startedCost = cost(lane);
+    lane.credit -= startedCost;
+    for (auto& other : m_lanes) {
+        other.credit += other.minimumShare * startedCost;
+        // A priority without waiting calls keeps credit for one call only: it must not save up for a burst. The one
+        // that just started its last waiting call may have the next one at hand.
+        if (other.queue.empty() && &other != &lane)
+            other.credit = std::min(other.credit, cost(other));
+    }
+    // Not below zero: what was started on free capacity is not held against the priority later.
+    lane.credit = std::max(0.0, lane.credit);
+    const auto age = static_cast<double>((now - lane.recentWorkAt).count());
+    lane.recentWork = lane.recentWork * std::exp(-age / recentMicroseconds) + startedCost;
+    lane.recentWorkAt = now;
+}
+
+AdmissionDecision AdmissionQueue::refusal(ResultCode code, Duration wait) const
+{
+    return { AdmissionKind::Refused, code, std::clamp(wait, minimumRetryAfter, maximumRetryAfter) };
+}
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Source/coordination/AdmissionQueue.h
@@ -0,0 +1,167 @@
+#pragma once
+
+#include "coordination/CallTicket.h"
+#include "coordination/ConcurrencyLimit.h"
+#include "coordination/LoadReport.h"
+#include "coordination/ServiceTimeEstimate.h"
+#include "protocol/ResultCode.h"
+#include "protocol/Time.h"
+#include "state/ServiceDocument.h"
+
+#include <boost/intrusive/list.hpp>
+#include <boost/intrusive/set.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace Knapweedquay {
+
+enum class AdmissionKind {
+    /// The call runs now.
+    Started,
+    /// The call waits; takeStartable() will name it once.
+    Queued,
+    /// The call certainly did not run and never will.
+    Refused,
+};
+
+/// What becomes of a call that is offered.
+struct AdmissionDecision {
+    AdmissionKind kind = AdmissionKind::Refused;
+    /// Of a refusal.
+    ResultCode code = ResultCode::Ok;
+    /// Of a refusal: time after which a new attempt is expected to be admitted.
+    Duration retryAfter { 0 };
+};
+
+/// How a call ended at the backend server.
+enum class BackendOutcome {
+    Succeeded,
+    /// Failed, or given up after its start.
+    Failed,
+    /// Refused by the backend server because of its own load (503).
+    Shed,
+};
+
+enum class CancelResult {
+    /// The call was waiting; it certainly did not run and never will.
+    NotRun,
+    /// The call runs; finished() is still due.
+    Running,
+    Unknown,
+};
+
+/// A waiting call that was given up; it certainly did not run.
+struct GivenUpCall {
+    CallTicket ticket;
+    ResultCode code = ResultCode::Ok;
+    Duration retryAfter { 0 };
+};
+
+struct StartableCalls {
+    std::vector<CallTicket> started;
+    std::vector<GivenUpCall> givenUp;
+};
+
+/// Admits the calls of one endpoint at the node beside it: runs, queues or refuses them.
+///
+/// Most urgent first. Each priority earns credit, its minimum share of all slot time that is started; a priority with
+/// credit for a whole call goes first, so that no flood takes its share (the accounting of deficit round robin,
+/// SIGCOMM '95). Each priority has its own bounded queue, so that a flood is charged to itself. A call whose deadline
+/// cannot be met is refused when it comes (Breakwater, OSDI '20; DAGOR, SoCC '18).
+///
+/// After each offer(), finished(), cancel(), set...() and at nextTimer(), call takeStartable().
+/// A priority index that the document lacks counts as its least urgent one.
+class AdmissionQueue {
+public:
+    /// slots: calls that the backend server announced to run at once; nothing for the document's default.
+    AdmissionQueue(const ServiceDocument&, std::optional<std::uint32_t> slots);
+    AdmissionQueue(const AdmissionQueue&) = delete;
+    AdmissionQueue& operator=(const AdmissionQueue&) = delete;
+    ~AdmissionQueue();
+
+    /// Codes of a refusal: DeadlineExpired, DeadlineCannotBeMet, Overloaded, Draining; AlreadyRunning when the ticket
+    /// is here already.
+    AdmissionDecision offer(CallTicket, PriorityIndex, TimePoint deadline, TimePoint now);
+    /// A started call ended. Unknown tickets are ignored.
+    void finished(CallTicket, BackendOutcome, TimePoint now);
+    CancelResult cancel(CallTicket);
+    /// The calls that start now, in this order, and the waiting ones that are given up.
+    StartableCalls takeStartable(TimePoint now);
+    /// When takeStartable() is due without another event.
+    std::optional<TimePoint> nextTimer() const;
+
+    /// Puts a newer document in force; waiting calls stay.
+    void setDocument(const ServiceDocument&);
+    /// A backend server announced itself: its completed calls count from zero.
+    void setBackend(std::optional<std::uint32_t> slots);
+    /// Refuses new calls. Those that wait keep a short time to start, those that run go on.
+    void drain(TimePoint now);
+    bool isDraining() const { return m_draining; }
+    bool isEmpty() const { return m_calls.empty(); }
+
+    LoadReport report() const;
+    /// Time that a call of this priority would wait if it came now.
+    Duration estimatedWait(PriorityIndex, TimePoint now) const;
+
+private:
+    struct Call {
+        CallTicket ticket;
+        std::size_t priority = 0;
+        TimePoint deadline;
+        /// When the call is given up if it still waits.
+        TimePoint expiry;
+        ResultCode expiryCode = ResultCode::Ok;
+        TimePoint startedAt;
+        std::uint32_t runningAtStart = 0;
+        boost::intrusive::list_member_hook<> queueHook;
+        boost::intrusive::set_member_hook<> expiryHook;
+    };
+    struct ExpiresEarlier {
+        bool operator()(const Call& a, const Call& b) const { return a.expiry < b.expiry; }
+    };
+    using Queue = boost::intrusive::list<Call, boost::intrusive::member_hook<Call, boost::intrusive::list_member_hook<>, &Call::queueHook>>;
+    using ExpiryOrder = boost::intrusive::multiset<Call, boost::intrusive::compare<ExpiresEarlier>,
+        boost::intrusive::member_hook<Call, boost::intrusive::set_member_hook<>, &Call::expiryHook>>;
+
+    /// State of one priority.
+    struct Lane {
+        Queue queue;
+        double minimumShare = 0;
+        Duration maximumQueueTime { 0 };
+        ServiceTimeEstimate serviceTime;
+        /// Slot time in microseconds that this priority may start ahead of its turn.
+        double credit = 0;
+        /// Slot time in microseconds started lately, decaying.
+        double recentWork = 0;
+        TimePoint recentWorkAt;
+    };
+
+    std::size_t laneIndex(PriorityIndex) const;
+    double cost(const Lane&) const;
+    double recentShare(const Lane&, TimePoint now) const;
+    bool hasQueued() const { return !m_expiryOrder.empty(); }
+    bool hasFreeSlot() const { return m_running < m_limit.value(); }
+    std::size_t nextLane() const;
+    void enqueue(Call&);
+    void dequeue(Call&);
+    void start(Call&, TimePoint now);
+    void giveUpExpired(TimePoint now, std::vector<GivenUpCall>&);
+    void chargeStart(std::size_t lane, TimePoint now);
+    AdmissionDecision refusal(ResultCode, Duration wait) const;
+
+    std::vector<Lane> m_lanes;
+    std::unordered_map<CallTicket, Call> m_calls;
+    ExpiryOrder m_expiryOrder;
+    ConcurrencyLimit m_limit;
+    ServiceTimeEstimate m_serviceTime;
+    std::uint32_t m_defaultSlots;
+    std::optional<std::uint32_t> m_announcedSlots;
+    std::uint32_t m_running = 0;
+    std::uint64_t m_completedCalls = 0;
+    bool m_draining = false;
+};
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Source/coordination/ConcurrencyLimit.cpp
@@ -0,0 +1,106 @@
+#include "coordination/ConcurrencyLimit.h"
+
+#include <algorithm>
+
+namespace Knapweedquay {
+
+namespace {
+
+    /// Mean latency, as a multiple of the baseline, above which the limit goes down.
+    constexpr double inflationTolerance = 2;
+    /// Largest decrease of the limit in one window.
+    constexpr double smallestDecrease = 0.5;
+    constexpr double shedDecrease = 0.8;
+    /// Samples in one window of the limit; a lower limit has a shorter window.
+    constexpr std::uint32_t samplesPerSlot = 2;
+    constexpr std::uint32_t minimumSamples = 8;
+    constexpr std::uint32_t baselineSamples = 32;
+    constexpr double lowLoadShare = 0.25;
+    constexpr double lowLoadWeight = 1.0 / 16;
+    constexpr double fallingWeight = 1.0 / 8;
+    /// Small, so that the baseline does not follow the very inflation that it is there to show.
+    constexpr double risingWeight = 1.0 / 256;
+
+} // namespace
+
+ConcurrencyLimit::ConcurrencyLimit(std::uint32_t slots)
+    : m_slots(std::max(slots, 1U))
+    , m_limit(m_slots)
+{
+}
+
+std::uint32_t ConcurrencyLimit::value() const
+{
+    return static_cast<std::uint32_t>(m_limit);
+}
+
+void ConcurrencyLimit::setSlots(std::uint32_t slots)
+{
+    const bool wasAtTop = value() == m_slots;
+    m_slots = std::max(slots, 1U);
+    setLimit(wasAtTop ? m_slots : m_limit);
+}
+
+void ConcurrencyLimit::observe(PriorityIndex priority, Duration latency, std::uint32_t runningAtStart)
+{
+    if (priority.value() >= m_baselines.size())
+        m_baselines.resize(priority.value() + 1);
+    auto& baseline = m_baselines[priority.value()];
+    const auto sample = static_cast<double>(std::max<Duration::rep>(latency.count(), 1));
+    const bool isLowLoad = runningAtStart <= std::max(1.0, lowLoadShare * m_slots);
+    updateBaseline(baseline, sample, isLowLoad);
+
+    m_inflationSum += sample / baseline.microseconds;
+    m_peakRunning = std::max(m_peakRunning, runningAtStart);
+    if (++m_samples >= std::max(minimumSamples, samplesPerSlot * value()))
+        closeWindow();
+}
+
+void ConcurrencyLimit::observeShed()
+{
+    // One decrease a window: the calls shed together are one sign, not many.
+    if (m_shedInWindow)
+        return;
+    setLimit(m_limit * shedDecrease);
+    m_shedInWindow = true;
+}
+
+void ConcurrencyLimit::updateBaseline(Baseline& baseline, double latency, bool isLowLoad)
+{
+    if (baseline.microseconds == 0)
+        baseline.microseconds = latency;
+    if (isLowLoad) {
+        baseline.microseconds += lowLoadWeight * (latency - baseline.microseconds);
+        return;
+    }
+    baseline.windowSum += latency;
+    if (++baseline.windowCount < baselineSamples)
+        return;
+    const double mean = baseline.windowSum / baseline.windowCount;
+    const double weight = mean < baseline.microseconds ? fallingWeight : risingWeight;
+    baseline.microseconds += weight * (mean - baseline.microseconds);
+    baseline.windowSum = 0;
+    baseline.windowCount = 0;
+}
+
+void ConcurrencyLimit::closeWindow()
+{
+    const double inflation = m_inflationSum / m_samples;
+    // A limit that was not reached says nothing about a higher one.
+    const bool isUsed = m_peakRunning >= value();
+    if (inflation > inflationTolerance)
+        setLimit(m_limit * std::max(smallestDecrease, inflationTolerance / inflation));
+    else if (isUsed && !m_shedInWindow)
+        setLimit(m_limit + 1);
+    m_inflationSum = 0;
+    m_samples = 0;
+    m_peakRunning = 0;
+    m_shedInWindow = false;
+}
+
+void ConcurrencyLimit::setLimit(double limit)
+{
+    m_limit = std::clamp(limit, 1.0, static_cast<double>(m_slots));
+}
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Source/coordination/EndpointChooser.cpp
@@ -0,0 +1,349 @@
+#include "coordination/EndpointChooser.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Knapweedquay {
+
+namespace {
+
+    /// Round trips that are assumed until one is measured.
+    constexpr Duration unknownLocalRoundTrip { 200 };
+    constexpr Duration unknownRemoteRoundTrip { 2000 };
+    constexpr int roundTripDivisor = 8;
+    constexpr double ejectionErrorRate = 0.5;
+    /// Error rate of an endpoint that came back from its ejection.
+    constexpr double returnErrorRate = 0.2;
+    /// The time of an ejection doubles at most this often.
+    constexpr std::uint32_t maximumDoublings = 5;
+
+    std::size_t randomBelow(std::size_t bound, EndpointChooser::RandomEngine& random)
+    {
+        return std::uniform_int_distribution<std::size_t>(0, bound - 1)(random);
+    }
+
+    /// Reported load as a share of what the endpoint runs at once.
+    double reportedLoad(const EndpointRecord& record)
+    {
+        double load = record.report().running;
+        for (const auto queued : record.report().queued)
+            load += queued;
+        return load / std::max(1U, record.description().slots);
+    }
+
+} // namespace
+
+EndpointChooser::EndpointChooser(const ServiceDocument& document, DataCentre localDataCentre, ChoiceSettings settings)
+    : m_document(document)
+    , m_localDataCentre(std::move(localDataCentre))
+    , m_settings(settings)
+{
+}
+
+EndpointChooser::~EndpointChooser() = default;
+
+void EndpointChooser::setDocument(const ServiceDocument& document)
+{
+    m_document = document;
+    enforceEjectionBound();
+}
+
+void EndpointChooser::update(const EndpointId& id, const EndpointDescription& description)
+{
+    if (auto* endpoint = find(id))
+        endpoint->record.setDescription(description);
+    else
+        m_endpoints.emplace(id, std::make_unique<Endpoint>(id, description));
+    enforceEjectionBound();
+}
+
+void EndpointChooser::remove(const EndpointId& id)
+{
+    m_endpoints.erase(id);
+    updateFleetServiceTime();
+    enforceEjectionBound();
+}
+
+void EndpointChooser::callSent(const EndpointId& id, CallTicket ticket, PriorityIndex priority, TimePoint now)
+{
+    auto* endpoint = find(id);
+    if (!endpoint)
+        return;
+    auto [entry, isNew] = m_calls.try_emplace(ticket);
+    if (!isNew)
+        return;
+    auto& call = entry->second;
+    call.sentAt = now;
+    call.expected = endpoint->record.predictedTime(priority, fleetView(endpoint->record), m_document, now);
+    endpoint->record.addOutstanding(call);
+    auto& ejection = endpoint->ejection;
+    if (ejection && !ejection->trial && now >= ejection->until)
+        ejection->trial = ticket;
+}
+
+void EndpointChooser::callFinished(CallTicket ticket, CallEnd end, TimePoint now)
+{
+    const auto found = m_calls.find(ticket);
+    if (found == m_calls.end())
+        return;
+    if (auto* record = found->second.endpoint) {
+        record->endOutstanding(found->second, end);
+        judge(endpointOf(*record), ticket, end, now);
+    }
+    m_calls.erase(found);
+}
+
+void EndpointChooser::report(const EndpointId& id, const LoadReport& report, TimePoint now)
+{
+    auto* endpoint = find(id);
+    if (!endpoint)
+        return;
+    endpoint->record.takeReport(report, now);
+    updateFleetServiceTime();
+    enforceEjectionBound();
+}
+
+void EndpointChooser::roundTrip(const EndpointId& id, Duration sample)
+{
+    auto* endpoint = find(id);
+    if (!endpoint)
+        return;
+    endpoint->record.takeRoundTrip(sample);
+    auto [entry, isNew] = m_roundTrips.try_emplace(endpoint->record.description().dataCentre, sample);
+    if (!isNew)
+        entry->second += (sample - entry->second) / roundTripDivisor;
+}
+
+std::optional<EndpointId> EndpointChooser::choose(const std::vector<EndpointId>& excluded, PriorityIndex priority, TimePoint now, RandomEngine& random)
+{
+    // A retry is not risked on an endpoint that failed lately.
+    if (excluded.empty()) {
+        if (const auto* trial = dueTrial(priority, now))
+            return trial->record.id();
+    }
+    auto eligible = candidates(excluded, false);
+    if (eligible.empty())
+        eligible = candidates(excluded, true);
+    if (eligible.empty())
+        return std::nullopt;
+
+    const Endpoint* chosen = nullptr;
+    switch (m_settings.policy) {
+    case ChoicePolicy::Predicted:
+        chosen = choosePredicted(std::move(eligible), priority, now, random);
+        break;
+    case ChoicePolicy::Random:
+        chosen = eligible[randomBelow(eligible.size(), random)];
+        break;
+    case ChoicePolicy::RoundRobin:
+        chosen = eligible[m_nextInTurn++ % eligible.size()];
+        break;
+    case ChoicePolicy::LeastReportedLoad:
+        chosen = chooseLeastLoaded(eligible, random);
+        break;
+    }
+    return chosen->record.id();
+}
+
+std::vector<EndpointStatus> EndpointChooser::status(TimePoint now) const
+{
+    std::vector<EndpointStatus> all;
+    all.reserve(m_endpoints.size());
+    for (const auto& [id, endpoint] : m_endpoints) {
+        const auto& record = endpoint->record;
+        EndpointStatus status;
+        status.id = id;
+        status.outstanding = record.outstanding();
+        status.sentSinceReport = record.sentSinceReport();
+        status.reportedAt = record.reportedAt();
+        status.draining = record.isDraining();
+        status.ejected = endpoint->ejection.has_value();
+        status.errorRate = record.errorRate();
+        status.predictedTime = record.predictedTime(PriorityIndex(0), fleetView(record), m_document, now);
+        all.push_back(std::move(status));
+    }
+    return all;
+}
+
+EndpointChooser::Endpoint* EndpointChooser::find(const EndpointId& id)
+{
+    const auto found = m_endpoints.find(id);
+    return found == m_endpoints.end() ? nullptr : found->second.get();
+}
+
+EndpointChooser::Endpoint& EndpointChooser::endpointOf(const EndpointRecord& record)
+{
+    return *m_endpoints.at(record.id());
+}
+
+FleetView EndpointChooser::fleetView(const EndpointRecord& record) const
+{
+    const auto& dataCentre = record.description().dataCentre;
+    const auto measured = m_roundTrips.find(dataCentre);
+    if (measured != m_roundTrips.end())
+        return { m_fleetServiceTime, measured->second };
+    return { m_fleetServiceTime, dataCentre == m_localDataCentre ? unknownLocalRoundTrip : unknownRemoteRoundTrip };
+}
+
+void EndpointChooser::updateFleetServiceTime()
+{
+    std::vector<Duration> times;
+    times.reserve(m_endpoints.size());
+    for (const auto& entry : m_endpoints) {
+        const auto time = entry.second->record.report().serviceTime;
+        if (time > Duration(0))
+            times.push_back(time);
+    }
+    if (times.empty())
+        return;
+    const auto middle = times.begin() + static_cast<std::ptrdiff_t>((times.size() - 1) / 2);
+    std::nth_element(times.begin(), middle, times.end());
+    m_fleetServiceTime = *middle;
+}
+
+EndpointChooser::Candidates EndpointChooser::candidates(const std::vector<EndpointId>& excluded, bool ejected) const
+{
+    Candidates found;
+    found.reserve(m_endpoints.size());
+    for (const auto& [id, endpoint] : m_endpoints) {
+        if (endpoint->record.isDraining() || endpoint->ejection.has_value() != ejected)
+            continue;
+        if (std::find(excluded.begin(), excluded.end(), id) == excluded.end())
+            found.push_back(endpoint.get());
+    }
+    return found;
+}
+
+EndpointChooser::Endpoint* EndpointChooser::dueTrial(PriorityIndex priority, TimePoint now) const
+{
+    for (const auto& entry : m_endpoints) {
+        const auto& ejection = entry.second->ejection;
+        if (!ejection || ejection->trial || entry.second->record.isDraining())
+            continue;
+        // The least urgent calls take the risk; the others only when none of those came.
+        const bool isLeastUrgent = priority.value() + 1 >= m_document.priorities.size();
+        const auto due = isLeastUrgent ? ejection->until : ejection->until + m_document.ejection.baseTime;
+        if (now >= due)
+            return entry.second.get();
+    }
+    return nullptr;
+}
+
+EndpointChooser::Endpoint* EndpointChooser::choosePredicted(Candidates eligible, PriorityIndex priority, TimePoint now, RandomEngine& random) const
+{
+    std::uniform_real_distribution<double> share(0, 1);
+    Endpoint* best = nullptr;
+    Duration bestTime { 0 };
+    std::size_t compared = 0;
+    for (std::size_t drawn = 0; drawn < eligible.size() && compared < m_settings.candidates; ++drawn) {
+        std::swap(eligible[drawn], eligible[drawn + randomBelow(eligible.size() - drawn, random)]);
+        auto* candidate = eligible[drawn];
+        const auto& record = candidate->record;
+        // An endpoint that starts is drawn less often, unless it is the last one left.
+        const bool isLast = drawn + 1 == eligible.size() && !best;
+        if (!isLast && share(random) >= record.rampFactor(m_document, now))
+            continue;
+        ++compared;
+        const auto time = record.predictedTime(priority, fleetView(record), m_document, now);
+        if (!best || time < bestTime) {
+            best = candidate;
+            bestTime = time;
+        }
+    }
+    return best;
+}
+
+EndpointChooser::Endpoint* EndpointChooser::chooseLeastLoaded(const Candidates& eligible, RandomEngine& random) const
+{
+    Endpoint* best = nullptr;
+    std::size_t ties = 0;
+    for (auto* candidate : eligible) {
+        const double load = reportedLoad(candidate->record);
+        const double bestLoad = best ? reportedLoad(best->record) : load;
+        if (best && load > bestLoad)
+            continue;
+        ties = best && load == bestLoad ? ties + 1 : 1;
+        if (randomBelow(ties, random) == 0)
+            best = candidate;
+    }
+    return best;
+}
+
+void EndpointChooser::judge(Endpoint& endpoint, CallTicket ticket, CallEnd end, TimePoint now)
+{
+    if (m_settings.policy != ChoicePolicy::Predicted)
+        return;
+    auto& ejection = endpoint.ejection;
+    const bool isTrial = ejection && ejection->trial == ticket;
+    if (isTrial && end == CallEnd::Refused) {
+        ejection->trial.reset();
+        return;
+    }
+    if (isTrial && end == CallEnd::Answered) {
+        ejection.reset();
+        endpoint.record.setErrorRate(returnErrorRate);
+        return;
+    }
+    if (isTrial) {
+        eject(endpoint, now);
+        return;
+    }
+    if (!ejection && end == CallEnd::Answered && endpoint.record.errorRate() < returnErrorRate / 2)
+        endpoint.ejectionCount = 0;
+    const bool failed = end == CallEnd::Failed || end == CallEnd::Lost;
+    if (!ejection && failed && looksBad(endpoint) && ejectedCount() < maximumEjected())
+        eject(endpoint, now);
+}
+
+void EndpointChooser::eject(Endpoint& endpoint, TimePoint now)
+{
+    const auto doublings = std::min(endpoint.ejectionCount++, maximumDoublings);
+    endpoint.ejection = Ejection { now + m_document.ejection.baseTime * (1 << doublings), std::nullopt };
+}
+
+bool EndpointChooser::looksBad(const Endpoint& endpoint) const
+{
+    const double rate = endpoint.record.errorRate();
+    if (rate < ejectionErrorRate)
+        return false;
+    // Calls that fail everywhere are no reason to leave out one endpoint.
+    double others = 0;
+    for (const auto& entry : m_endpoints)
+        others += entry.second->record.errorRate();
+    others -= rate;
+    return m_endpoints.size() > 1 && others / static_cast<double>(m_endpoints.size() - 1) < rate / 2;
+}
+
+std::size_t EndpointChooser::availableCount() const
+{
+    return static_cast<std::size_t>(std::count_if(m_endpoints.begin(), m_endpoints.end(),
+        [](const auto& entry) { return !entry.second->record.isDraining(); }));
+}
+
+std::size_t EndpointChooser::ejectedCount() const
+{
+    return static_cast<std::size_t>(std::count_if(m_endpoints.begin(), m_endpoints.end(),
+        [](const auto& entry) { return entry.second->ejection && !entry.second->record.isDraining(); }));
+}
+
+std::size_t EndpointChooser::maximumEjected() const
+{
+    return static_cast<std::size_t>(std::floor(m_document.ejection.maximumShare * static_cast<double>(availableCount())));
+}
+
+void EndpointChooser::enforceEjectionBound()
+{
+    while (ejectedCount() > maximumEjected()) {
+        Endpoint* best = nullptr;
+        for (const auto& entry : m_endpoints) {
+            auto* endpoint = entry.second.get();
+            if (!endpoint->ejection || endpoint->record.isDraining())
+                continue;
+            if (!best || endpoint->record.errorRate() < best->record.errorRate())
+                best = endpoint;
+        }
+        best->ejection.reset();
+    }
+}
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Source/coordination/EndpointRecord.cpp
@@ -0,0 +1,163 @@
+#include "coordination/EndpointRecord.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Knapweedquay {
+
+namespace {
+
+    constexpr double errorWeight = 0.1;
+    /// How much worse an endpoint looks for each failure per answer.
+    constexpr double errorPenalty = 10;
+    constexpr double maximumErrorRate = 0.95;
+    constexpr double usualLoadWeight = 1.0 / 16;
+    /// Smoothing of the round trip as in RFC 6298.
+    constexpr int roundTripDivisor = 8;
+    /// Time constant after which a reported load is forgotten in favour of the usual one.
+    constexpr double reportMicroseconds = 200000;
+    /// Time constant after which a slow endpoint without completed calls is worth a new try.
+    constexpr double serviceTimeMicroseconds = 5000000;
+    /// An outstanding call counts as stalled beyond this multiple of its expected time.
+    constexpr double stallFactor = 3;
+    /// Calls over which the time of stalled calls is spread, as if that many had ended as expected.
+    constexpr double stallCalls = 4;
+    constexpr double unknownServiceMicroseconds = 5000;
+    constexpr double smallestRampFactor = 0.1;
+
+    double microseconds(Duration duration)
+    {
+        return static_cast<double>(duration.count());
+    }
+
+    /// Mean wait before one of `servers` servers, in units of one service time per server (Sakasegawa 1977 for M/M/c).
+    double waitFactor(double callsAhead, double servers)
+    {
+        const double utilisation = callsAhead / servers;
+        if (utilisation >= 1)
+            return callsAhead + 1 - servers;
+        return std::pow(utilisation, std::sqrt(2 * (servers + 1)) - 1);
+    }
+
+} // namespace
+
+EndpointRecord::EndpointRecord(EndpointId id, EndpointDescription description)
+    : m_id(std::move(id))
+    , m_description(std::move(description))
+    , m_serviceTimeAt(m_description.announcedAt)
+{
+}
+
+EndpointRecord::~EndpointRecord()
+{
+    m_outstanding.clear_and_dispose([](OutstandingCall* call) { call->endpoint = nullptr; });
+}
+
+void EndpointRecord::setDescription(const EndpointDescription& description)
+{
+    m_description = description;
+}
+
+void EndpointRecord::addOutstanding(OutstandingCall& call)
+{
+    call.endpoint = this;
+    m_outstanding.push_back(call);
+}
+
+void EndpointRecord::endOutstanding(OutstandingCall& call, CallEnd end)
+{
+    m_outstanding.erase(m_outstanding.iterator_to(call));
+    call.endpoint = nullptr;
+    // A refusal says nothing about the backend server; the report that comes with it says why.
+    if (end == CallEnd::Refused)
+        return;
+    const double sample = end == CallEnd::Answered ? 0 : 1;
+    m_errorRate += errorWeight * (sample - m_errorRate);
+}
+
+std::size_t EndpointRecord::sentSinceReport() const
+{
+    if (!m_reportedAt)
+        return m_outstanding.size();
+    // A call sent from here on was still on its way when the report was written.
+    const auto unseenSince = *m_reportedAt - m_roundTrip.value_or(Duration(0));
+    std::size_t count = 0;
+    for (auto call = m_outstanding.rbegin(); call != m_outstanding.rend() && call->sentAt >= unseenSince; ++call)
+        ++count;
+    return count;
+}
+
+void EndpointRecord::takeReport(const LoadReport& report, TimePoint now)
+{
+    if (!m_reportedAt || report.completedCalls != m_report.completedCalls)
+        m_serviceTimeAt = now;
+    double load = report.running;
+    for (const auto queued : report.queued)
+        load += queued;
+    m_usualLoad = m_reportedAt ? m_usualLoad + usualLoadWeight * (load - m_usualLoad) : load;
+    m_report = report;
+    m_reportedAt = now;
+}
+
+void EndpointRecord::takeRoundTrip(Duration sample)
+{
+    m_roundTrip = m_roundTrip ? *m_roundTrip + (sample - *m_roundTrip) / roundTripDivisor : sample;
+}
+
+double EndpointRecord::rampFactor(const ServiceDocument& document, TimePoint now) const
+{
+    if (document.rampTime <= Duration(0) || document.rampCalls == 0)
+        return 1;
+    const double byTime = microseconds(now - m_description.announcedAt) / microseconds(document.rampTime);
+    const double byCalls = static_cast<double>(m_report.completedCalls) / document.rampCalls;
+    const double progress = std::clamp(std::max(byTime, byCalls), 0.0, 1.0);
+    return smallestRampFactor + (1 - smallestRampFactor) * progress;
+}
+
+Duration EndpointRecord::predictedTime(PriorityIndex priority, const FleetView& fleet, const ServiceDocument& document, TimePoint now) const
+{
+    const double service = serviceMicroseconds(fleet, now);
+    const std::uint32_t announced = m_description.slots ? m_description.slots : document.defaultSlots;
+    const double limit = m_report.concurrencyLimit ? m_report.concurrencyLimit : announced;
+    const double servers = std::max(1.0, limit * rampFactor(document, now));
+    const double wait = service / servers * waitFactor(callsAhead(priority, now), servers);
+    const double time = microseconds(m_roundTrip.value_or(fleet.roundTrip)) + wait + service;
+    const double errors = std::min(m_errorRate, maximumErrorRate);
+    return Duration(static_cast<Duration::rep>(time * (1 + errorPenalty * errors / (1 - errors))));
+}
+
+double EndpointRecord::serviceMicroseconds(const FleetView& fleet, TimePoint now) const
+{
+    const double usual = fleet.serviceTime > Duration(0) ? microseconds(fleet.serviceTime) : unknownServiceMicroseconds;
+    double service = m_report.serviceTime > Duration(0) ? microseconds(m_report.serviceTime) : usual;
+    if (service > usual)
+        service = usual + (service - usual) * std::exp(-microseconds(now - m_serviceTimeAt) / serviceTimeMicroseconds);
+    return service + stallMicroseconds(now);
+}
+
+double EndpointRecord::stallMicroseconds(TimePoint now) const
+{
+    double stalled = 0;
+    for (const auto& call : m_outstanding) {
+        const double excess = microseconds(now - call.sentAt) - stallFactor * microseconds(call.expected);
+        if (excess > 0)
+            stalled += excess;
+    }
+    return stalled / stallCalls;
+}
+
+double EndpointRecord::callsAhead(PriorityIndex priority, TimePoint now) const
+{
+    const auto own = static_cast<double>(m_outstanding.size());
+    if (!m_reportedAt)
+        return own;
+    double reported = m_report.running;
+    const std::size_t lanes = std::min<std::size_t>(m_report.queued.size(), priority.value() + 1);
+    for (std::size_t lane = 0; lane < lanes; ++lane)
+        reported += m_report.queued[lane];
+    const double freshness = std::exp(-microseconds(now - *m_reportedAt) / reportMicroseconds);
+    const double load = m_usualLoad + (reported - m_usualLoad) * freshness;
+    return std::max(own, load + static_cast<double>(sentSinceReport()));
+}
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Tests/coordination/EndpointChooserTest.cpp
@@ -0,0 +1,326 @@
+#include "coordination/EndpointChooser.h"
+
+#include <gtest/gtest.h>
+
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+
+using namespace Knapweedquay;
+
+namespace {
+
+constexpr Duration millisecond { 1000 };
+constexpr Duration second { 1000000 };
+constexpr std::uint32_t slots = 12;
+
+EndpointId endpointId(int index)
+{
+    return { NodeId("node-" + std::to_string(index)), Incarnation(1) };
+}
+
+ServiceDocument makeDocument()
+{
+    ServiceDocument document;
+    document.priorities.resize(2);
+    return document;
+}
+
+LoadReport makeReport(std::uint32_t running, Duration serviceTime = 5 * millisecond)
+{
+    LoadReport report;
+    report.running = running;
+    report.concurrencyLimit = slots;
+    report.queued = { 0, 0 };
+    report.serviceTime = serviceTime;
+    report.completedCalls = 100000;
+    return report;
+}
+
+class EndpointChooserTest : public testing::Test {
+protected:
+    /// Endpoints that have long been there, with idle reports.
+    void addEndpoints(int count, const std::string& dataCentre = "local")
+    {
+        for (int index = 0; index < count; ++index) {
+            m_chooser.update(endpointId(m_count), { DataCentre(dataCentre), slots, m_now - 100 * second, false });
+            m_chooser.report(endpointId(m_count++), makeReport(0), m_now);
+        }
+    }
+
+    int choose(std::uint32_t priority = 0, const std::vector<EndpointId>& excluded = {})
+    {
+        const auto chosen = m_chooser.choose(excluded, PriorityIndex(priority), m_now, m_random);
+        for (int index = 0; chosen && index < m_count; ++index) {
+            if (*chosen == endpointId(index))
+                return index;
+        }
+        return -1;
+    }
+
+    CallTicket send(int endpoint)
+    {
+        const CallTicket ticket(m_nextTicket++);
+        m_chooser.callSent(endpointId(endpoint), ticket, PriorityIndex(0), m_now);
+        return ticket;
+    }
+
+    void fail(int endpoint, int count)
+    {
+        for (int call = 0; call < count; ++call)
+            m_chooser.callFinished(send(endpoint), CallEnd::Failed, m_now);
+    }
+
+    std::vector<int> chosenCounts(int draws)
+    {
+        std::vector<int> counts(static_cast<std::size_t>(m_count));
+        for (int draw = 0; draw < draws; ++draw)
+            ++counts[static_cast<std::size_t>(choose())];
+        return counts;
+    }
+
+    EndpointStatus status(int endpoint) const { return m_chooser.status(m_now)[static_cast<std::size_t>(endpoint)]; }
+
+    TimePoint m_now { 1000 * second };
+    EndpointChooser m_chooser { makeDocument(), DataCentre("local") };
+    EndpointChooser::RandomEngine m_random { 7 };
+    int m_count = 0;
+    std::uint64_t m_nextTicket = 1;
+};
+
+TEST_F(EndpointChooserTest, StaleIdleReport_ManyCallsSent_AreSpread)
+{
+    addEndpoints(4);
+    for (int index = 1; index < 4; ++index)
+        m_chooser.report(endpointId(index), makeReport(4), m_now);
+    std::vector<int> counts(4);
+    for (int call = 0; call < 32; ++call) {
+        const int chosen = choose();
+        send(chosen);
+        ++counts[static_cast<std::size_t>(chosen)];
+    }
+    // Evened out, the 12 reported and the 32 new calls are 11 an endpoint.
+    EXPECT_LE(counts[0], 14);
+    EXPECT_GE(counts[0], 8);
+    EXPECT_EQ(static_cast<std::size_t>(counts[0]), status(0).sentSinceReport);
+}
+
+TEST_F(EndpointChooserTest, Straggler_OnlyOutstandingCallsShowIt_LooksWorse)
+{
+    addEndpoints(2);
+    const auto before = status(0).predictedTime;
+    send(0);
+    const auto ticket = send(1);
+    m_now += 100 * millisecond;
+    m_chooser.callFinished(ticket, CallEnd::Answered, m_now);
+    m_chooser.report(endpointId(1), makeReport(0), m_now);
+    EXPECT_GT(status(0).predictedTime, 3 * before);
+    EXPECT_EQ(1, choose());
+}
+
+TEST_F(EndpointChooserTest, FailsFast_ShortTimes_LooksWorseAndIsLeftOut)
+{
+    addEndpoints(3);
+    const auto before = status(0).predictedTime;
+    fail(0, 2);
+    EXPECT_GT(status(0).predictedTime, before);
+    EXPECT_FALSE(status(0).ejected);
+    fail(0, 10);
+    EXPECT_TRUE(status(0).ejected);
+    EXPECT_EQ(0, chosenCounts(100)[0]);
+    EXPECT_EQ(0, choose(0, { endpointId(1), endpointId(2) }));
+}
+
+TEST_F(EndpointChooserTest, Ejected_TimePasses_OneTrialCallOfLeastUrgentDecides)
+{
+    addEndpoints(3);
+    fail(0, 12);
+    m_now += second;
+    EXPECT_NE(0, choose(0));
+    EXPECT_NE(0, choose(1, { endpointId(2) }));
+    EXPECT_EQ(0, choose(1));
+    const auto trial = send(0);
+    EXPECT_NE(0, choose(1));
+    m_chooser.callFinished(trial, CallEnd::Failed, m_now);
+    m_now += second;
+    EXPECT_NE(0, choose(1));
+    // The second ejection is twice as long. Without least urgent calls another one is tried a little later.
+    m_now += 2 * second;
+    EXPECT_EQ(0, choose(0));
+    m_chooser.callFinished(send(0), CallEnd::Answered, m_now);
+    EXPECT_FALSE(status(0).ejected);
+}
+
+TEST_F(EndpointChooserTest, AllFail_NoneIsBetter_NoneIsEjected)
+{
+    addEndpoints(3);
+    for (int round = 0; round < 30; ++round) {
+        for (int index = 0; index < 3; ++index)
+            fail(index, 1);
+    }
+    for (int index = 0; index < 3; ++index)
+        EXPECT_FALSE(status(index).ejected);
+}
+
+TEST_F(EndpointChooserTest, ColdStart_RampByTimeAndCalls_GetsItsPart)
+{
+    addEndpoints(3);
+    const EndpointDescription cold { DataCentre("local"), slots, m_now, false };
+    m_chooser.update(endpointId(m_count++), cold);
+    EXPECT_LE(chosenCounts(1000)[3], 150);
+    EXPECT_GE(chosenCounts(1000)[3], 10);
+    m_now += makeDocument().rampTime;
+    EXPECT_GE(chosenCounts(1000)[3], 180);
+    auto warm = makeReport(0);
+    warm.completedCalls = makeDocument().rampCalls;
+    m_chooser.update(endpointId(3), { DataCentre("local"), slots, m_now, false });
+    m_chooser.report(endpointId(3), warm, m_now);
+    EXPECT_GE(chosenCounts(1000)[3], 180);
+}
+
+TEST_F(EndpointChooserTest, DrainingReport_AnyDraw_IsNotChosen)
+{
+    addEndpoints(2);
+    auto report = makeReport(0);
+    report.draining = true;
+    m_chooser.report(endpointId(0), report, m_now);
+    EXPECT_EQ(0, chosenCounts(50)[0]);
+    EXPECT_EQ(-1, choose(0, { endpointId(1) }));
+}
+
+TEST_F(EndpointChooserTest, OtherDataCentre_EqualLoad_LocalIsPreferred)
+{
+    addEndpoints(2, "remote");
+    addEndpoints(2, "local");
+    m_chooser.roundTrip(endpointId(0), 3 * millisecond);
+    m_chooser.roundTrip(endpointId(2), Duration(100));
+    EXPECT_EQ(0, chosenCounts(100)[0] + chosenCounts(100)[1]);
+    // A wait that is longer than the way decides otherwise.
+    m_chooser.report(endpointId(2), makeReport(60), m_now);
+    m_chooser.report(endpointId(3), makeReport(60), m_now);
+    EXPECT_EQ(0, chosenCounts(100)[2] + chosenCounts(100)[3]);
+}
+
+TEST_F(EndpointChooserTest, SlowReport_NoCallsForLong_IsTriedAgain)
+{
+    addEndpoints(2);
+    m_chooser.report(endpointId(0), makeReport(0, 50 * millisecond), m_now);
+    EXPECT_EQ(0, chosenCounts(100)[0]);
+    const auto before = status(0).predictedTime;
+    m_now += 20 * second;
+    EXPECT_LT(status(0).predictedTime, before / 5);
+}
+
+TEST_F(EndpointChooserTest, OwnPriority_LessUrgentBacklog_DoesNotCount)
+{
+    addEndpoints(2);
+    auto flooded = makeReport(5);
+    flooded.queued = { 0, 500 };
+    auto busy = makeReport(11);
+    busy.queued = { 4, 0 };
+    m_chooser.report(endpointId(0), flooded, m_now);
+    m_chooser.report(endpointId(1), busy, m_now);
+    EXPECT_EQ(0, choose(0));
+    EXPECT_EQ(1, choose(1));
+}
+
+RC_GTEST_PROP(EndpointChooserProperty, AnyEvents_ComparedWithRecount_AreEqual, ())
+{
+    constexpr int endpoints = 6;
+    struct SentCall {
+        std::uint64_t ticket;
+        EndpointId endpoint;
+        TimePoint sentAt;
+    };
+    auto document = makeDocument();
+    document.ejection.maximumShare = *rc::gen::inRange(0, 11) / 10.0;
+    EndpointChooser chooser(document, DataCentre("local"));
+    EndpointChooser::RandomEngine random(*rc::gen::arbitrary<std::uint64_t>());
+    std::map<EndpointId, bool> present;
+    std::map<EndpointId, TimePoint> reportedAt;
+    std::vector<SentCall> sent;
+    std::vector<std::uint64_t> ended;
+    TimePoint now { 1000 * second };
+    std::uint64_t nextTicket = 1;
+
+    const int events = *rc::gen::inRange(1, 200);
+    for (int event = 0; event < events; ++event) {
+        const auto id = endpointId(*rc::gen::inRange(0, endpoints));
+        switch (*rc::gen::inRange(0, 12)) {
+        case 0: {
+            const bool draining = *rc::gen::inRange(0, 4) == 0;
+            chooser.update(id, { DataCentre("local"), slots, now, draining });
+            present[id] = draining;
+            break;
+        }
+        case 1:
+            chooser.remove(id);
+            present.erase(id);
+            reportedAt.erase(id);
+            sent.erase(std::remove_if(sent.begin(), sent.end(), [&](const auto& call) { return call.endpoint == id; }), sent.end());
+            break;
+        case 2:
+            now += *rc::gen::inRange(1, 2000) * millisecond;
+            break;
+        case 3:
+            chooser.report(id, makeReport(*rc::gen::inRange<std::uint32_t>(0, 30)), now);
+            if (present.count(id))
+                reportedAt[id] = now;
+            break;
+        case 4:
+        case 5:
+        case 6:
+        case 7:
+            if (!sent.empty()) {
+                const auto index = *rc::gen::inRange<std::size_t>(0, sent.size());
+                const auto end = *rc::gen::element(CallEnd::Answered, CallEnd::Failed, CallEnd::Failed, CallEnd::Refused, CallEnd::Lost);
+                chooser.callFinished(CallTicket(sent[index].ticket), end, now);
+                // A second end of the same call changes nothing.
+                chooser.callFinished(CallTicket(sent[index].ticket), end, now);
+                sent.erase(sent.begin() + static_cast<std::ptrdiff_t>(index));
+            }
+            break;
+        default: {
+            std::vector<EndpointId> excluded;
+            if (*rc::gen::inRange(0, 3) == 0)
+                excluded.push_back(id);
+            const auto chosen = chooser.choose(excluded, PriorityIndex(*rc::gen::inRange<std::uint32_t>(0, 2)), now, random);
+            const auto available = std::any_of(present.begin(), present.end(), [&](const auto& entry) {
+                return !entry.second && std::find(excluded.begin(), excluded.end(), entry.first) == excluded.end();
+            });
+            RC_ASSERT(chosen.has_value() == available);
+            if (!chosen)
+                break;
+            RC_ASSERT(!present.at(*chosen));
+            RC_ASSERT(std::find(excluded.begin(), excluded.end(), *chosen) == excluded.end());
+            chooser.callSent(*chosen, CallTicket(nextTicket), PriorityIndex(0), now);
+            sent.push_back({ nextTicket++, *chosen, now });
+        }
+        }
+
+        std::size_t ejected = 0;
+        std::size_t available = 0;
+        const auto statuses = chooser.status(now);
+        RC_ASSERT(statuses.size() == present.size());
+        for (const auto& status : statuses) {
+            std::size_t outstanding = 0;
+            std::size_t sentSince = 0;
+            for (const auto& call : sent) {
+                if (call.endpoint != status.id)
+                    continue;
+                ++outstanding;
+                sentSince += !reportedAt.count(status.id) || call.sentAt >= reportedAt.at(status.id);
+            }
+            RC_ASSERT(status.outstanding == outstanding);
+            RC_ASSERT(status.sentSinceReport == sentSince);
+            RC_ASSERT(status.draining == present.at(status.id));
+            available += !status.draining;
+            ejected += status.ejected && !status.draining;
+        }
+        RC_ASSERT(ejected <= std::floor(document.ejection.maximumShare * static_cast<double>(available)));
+    }
+}
+
+} // namespace
