--- a/Source/coordination/AntiEntropy.cpp
+++ b/Source/coordination/AntiEntropy.cpp
@@ -7,10 +7,10 @@
 
 namespace {
 
-    constexpr std::size_t bytesPerBucket = sizeof(RecordHash);
-    constexpr std::size_t bytesPerSummary = 2 * sizeof(RecordHash);
-    // As many records as the asked member sends at once.
-    constexpr std::size_t maximumRequested = 40;
+constexpr std::size_t bytesPerBucket = sizeof(RecordHash);
+constexpr std::size_t bytesPerSummary = 2 * sizeof(RecordHash);
+// As many records as the asked member sends at once.
+constexpr std::size_t maximumRequested = 40;
 
 } // namespace
 
--- a/Source/coordination/DocumentGossip.cpp
+++ b/Source/coordination/DocumentGossip.cpp
@@ -9,16 +9,16 @@
 
 namespace {
 
-    constexpr Duration hintRepetition = std::chrono::seconds(1);
-    // Bounds the memory that made-up service names could take.
-    constexpr std::size_t maximumHints = 1024;
+constexpr Duration hintRepetition = std::chrono::seconds(1);
+// Bounds the memory that made-up service names could take.
+constexpr std::size_t maximumHints = 1024;
 
-    std::uint32_t hashOf(const ServiceName& service, DocumentVersion version)
-    {
-        const auto seed = XXH32(service.value().data(), service.value().size(), 0);
-        const std::uint64_t number = version.value();
-        return XXH32(&number, sizeof number, seed);
-    }
+std::uint32_t hashOf(const ServiceName& service, DocumentVersion version)
+{
+    const auto seed = XXH32(service.value().data(), service.value().size(), 0);
+    const std::uint64_t number = version.value();
+    return XXH32(&number, sizeof number, seed);
+}
 
 } // namespace
 
--- a/Source/coordination/EndpointRecord.cpp
+++ b/Source/coordination/EndpointRecord.cpp
@@ -7,37 +7,37 @@
 
 namespace {
 
-    constexpr double errorWeight = 0.1;
-    /// How much worse an endpoint looks for each failure per answer.
-    constexpr double errorPenalty = 10;
-    constexpr double maximumErrorRate = 0.95;
-    constexpr double usualLoadWeight = 1.0 / 16;
-    /// Smoothing of the round trip as in RFC 6298.
-    constexpr int roundTripDivisor = 8;
-    /// Time constant after which a reported load is forgotten in favour of the usual one.
-    constexpr double reportMicroseconds = 200000;
-    /// Time constant after which a slow endpoint without completed calls is worth a new try.
-    constexpr double serviceTimeMicroseconds = 5000000;
-    /// An outstanding call counts as stalled beyond this multiple of its expected time.
-    constexpr double stallFactor = 3;
-    /// Calls over which the time of stalled calls is spread, as if that many had ended as expected.
-    constexpr double stallCalls = 4;
-    constexpr double unknownServiceMicroseconds = 5000;
-    constexpr double smallestRampFactor = 0.1;
-
-    double microseconds(Duration duration)
-    {
-        return static_cast<double>(duration.count());
-    }
+constexpr double errorWeight = 0.1;
+/// How much worse an endpoint looks for each failure per answer.
+constexpr double errorPenalty = 10;
+constexpr double maximumErrorRate = 0.95;
+constexpr double usualLoadWeight = 1.0 / 16;
+/// Smoothing of the round trip as in RFC 6298.
+constexpr int roundTripDivisor = 8;
+/// Time constant after which a reported load is forgotten in favour of the usual one.
+constexpr double reportMicroseconds = 200000;
+/// Time constant after which a slow endpoint without completed calls is worth a new try.
+constexpr double serviceTimeMicroseconds = 5000000;
+/// An outstanding call counts as stalled beyond this multiple of its expected time.
+constexpr double stallFactor = 3;
+/// Calls over which the time of stalled calls is spread, as if that many had ended as expected.
+constexpr double stallCalls = 4;
+constexpr double unknownServiceMicroseconds = 5000;
+constexpr double smallestRampFactor = 0.1;
+
+double microseconds(Duration duration)
+{
+    return static_cast<double>(duration.count());
+}
 
-    /// Mean wait before one of `servers` servers, in units of one service time per server (Sakasegawa 1977 for M/M/c).
-    double waitFactor(double callsAhead, double servers)
-    {
-        const double utilisation = callsAhead / servers;
-        if (utilisation >= 1)
-            return callsAhead + 1 - servers;
-        return std::pow(utilisation, std::sqrt(2 * (servers + 1)) - 1);
-    }
+/// Mean wait before one of `servers` servers, in units of one service time per server (Sakasegawa 1977 for M/M/c).
+double waitFactor(double callsAhead, double servers)
+{
+    const double utilisation = callsAhead / servers;
+    if (utilisation >= 1)
+        return callsAhead + 1 - servers;
+    return std::pow(utilisation, std::sqrt(2 * (servers + 1)) - 1);
+}
 
 } // namespace
 
--- a/Source/coordination/FailureDetector.cpp
+++ b/Source/coordination/FailureDetector.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-    // Bounds the memory that indirect pings of others can take.
-    constexpr std::size_t maximumRelays = 64;
+// Bounds the memory that indirect pings of others can take.
+constexpr std::size_t maximumRelays = 64;
 
 } // namespace
 
--- a/Source/coordination/Membership.cpp
+++ b/Source/coordination/Membership.cpp
@@ -12,52 +12,52 @@
 
 namespace {
 
-    // IP and UDP headers of one datagram; they count against the budget.
-    constexpr std::size_t datagramHeaderBytes = 28;
-    // Between full lists of document versions sent to peers.
-    constexpr Duration documentsPeriod = std::chrono::milliseconds(500);
-    // Datagrams of records that one summary or request may bring about, and the budget to have for them.
-    constexpr std::size_t repairDatagrams = 4;
-    constexpr std::size_t repairBytes = (repairDatagrams + 1) * maximumGossipBytes;
-    // Members that a joining one is told of at first; about as many as fit into a datagram.
-    constexpr std::size_t acquaintances = 10;
-    // Up to this many, each rumor is passed on as often as is wanted.
-    constexpr std::size_t fewRumors = 16;
-    // News leaves this much of the budget to repair, which costs less per member when much has changed at once.
-    constexpr std::size_t reservedBytes = 8000;
-    // A gossip message without news is not worth sending.
-    constexpr std::size_t smallestRecordBytes = 40;
-
-    std::uint32_t hashOf(const std::string& text)
-    {
-        return XXH32(text.data(), text.size(), 0);
-    }
+// IP and UDP headers of one datagram; they count against the budget.
+constexpr std::size_t datagramHeaderBytes = 28;
+// Between full lists of document versions sent to peers.
+constexpr Duration documentsPeriod = std::chrono::milliseconds(500);
+// Datagrams of records that one summary or request may bring about, and the budget to have for them.
+constexpr std::size_t repairDatagrams = 4;
+constexpr std::size_t repairBytes = (repairDatagrams + 1) * maximumGossipBytes;
+// Members that a joining one is told of at first; about as many as fit into a datagram.
+constexpr std::size_t acquaintances = 10;
+// Up to this many, each rumor is passed on as often as is wanted.
+constexpr std::size_t fewRumors = 16;
+// News leaves this much of the budget to repair, which costs less per member when much has changed at once.
+constexpr std::size_t reservedBytes = 8000;
+// A gossip message without news is not worth sending.
+constexpr std::size_t smallestRecordBytes = 40;
 
-    MemberRecord initialRecord(const MembershipSettings& settings)
-    {
-        MemberRecord record;
-        record.node = settings.node;
-        record.version = { settings.incarnation, 1 };
-        record.dataCentre = settings.dataCentre;
-        record.peerAddress = settings.peerAddress;
-        record.gossipAddress = settings.gossipAddress;
-        return record;
-    }
+std::uint32_t hashOf(const std::string& text)
+{
+    return XXH32(text.data(), text.size(), 0);
+}
 
-    bool isSameAnnouncement(const EndpointState& a, const EndpointState& b)
-    {
-        return a.service == b.service && a.backendServer == b.backendServer && a.slots == b.slots
-            && a.lifecycle == b.lifecycle && a.announcedAt == b.announcedAt;
-    }
+MemberRecord initialRecord(const MembershipSettings& settings)
+{
+    MemberRecord record;
+    record.node = settings.node;
+    record.version = { settings.incarnation, 1 };
+    record.dataCentre = settings.dataCentre;
+    record.peerAddress = settings.peerAddress;
+    record.gossipAddress = settings.gossipAddress;
+    return record;
+}
 
-    bool isVisibleChange(const MemberRecord& before, const MemberRecord& after)
-    {
-        const EndpointState& a = before.endpoint;
-        const EndpointState& b = after.endpoint;
-        return before.version.incarnation != after.version.incarnation || before.health != after.health
-            || before.peerAddress != after.peerAddress || a.service != b.service || a.backendServer != b.backendServer
-            || a.slots != b.slots || a.lifecycle != b.lifecycle;
-    }
+bool isSameAnnouncement(const EndpointState& a, const EndpointState& b)
+{
+    return a.service == b.service && a.backendServer == b.backendServer && a.slots == b.slots
+        && a.lifecycle == b.lifecycle && a.announcedAt == b.announcedAt;
+}
+
+bool isVisibleChange(const MemberRecord& before, const MemberRecord& after)
+{
+    const EndpointState& a = before.endpoint;
+    const EndpointState& b = after.endpoint;
+    return before.version.incarnation != after.version.incarnation || before.health != after.health
+        || before.peerAddress != after.peerAddress || a.service != b.service || a.backendServer != b.backendServer
+        || a.slots != b.slots || a.lifecycle != b.lifecycle;
+}
 
 } // namespace
 
--- a/Source/coordination/MembershipTable.cpp
+++ b/Source/coordination/MembershipTable.cpp
@@ -8,10 +8,10 @@
 
 namespace {
 
-    bool isNewer(const MemberRecord& a, const MemberRecord& b)
-    {
-        return b.version < a.version || (a.version == b.version && a.health > b.health);
-    }
+bool isNewer(const MemberRecord& a, const MemberRecord& b)
+{
+    return b.version < a.version || (a.version == b.version && a.health > b.health);
+}
 
 } // namespace
 
--- a/Source/coordination/ServiceTimeEstimate.cpp
+++ b/Source/coordination/ServiceTimeEstimate.cpp
@@ -6,15 +6,15 @@
 
 namespace {
 
-    constexpr double sampleWeight = 1.0 / 16;
-    constexpr double quartile = 0.25;
-    /// Size of one step of the quartile, relative to its value.
-    constexpr double quartileStep = 0.1;
-
-    Duration microseconds(double count)
-    {
-        return Duration(static_cast<Duration::rep>(count));
-    }
+constexpr double sampleWeight = 1.0 / 16;
+constexpr double quartile = 0.25;
+/// Size of one step of the quartile, relative to its value.
+constexpr double quartileStep = 0.1;
+
+Duration microseconds(double count)
+{
+    return Duration(static_cast<Duration::rep>(count));
+}
 
 } // namespace
 
--- a/Source/protocol/GossipMessages.cpp
+++ b/Source/protocol/GossipMessages.cpp
@@ -9,251 +9,251 @@
 
 namespace {
 
-    using Json = nlohmann::json;
+using Json = nlohmann::json;
 
-    // The head of a CBOR byte string or text of up to 64 KiB.
-    constexpr std::size_t stringHeadBytes = 3;
-    constexpr std::size_t integerBytes = 9;
-    constexpr unsigned bitsPerByte = 8;
-    constexpr std::size_t hashBytes = sizeof(RecordHash);
-    // Ages above this are all alike: every start-up ramp is long over.
-    constexpr std::chrono::milliseconds maximumAnnounceAge = std::chrono::hours(24 * 365);
+// The head of a CBOR byte string or text of up to 64 KiB.
+constexpr std::size_t stringHeadBytes = 3;
+constexpr std::size_t integerBytes = 9;
+constexpr unsigned bitsPerByte = 8;
+constexpr std::size_t hashBytes = sizeof(RecordHash);
+// Ages above this are all alike: every start-up ramp is long over.
+constexpr std::chrono::milliseconds maximumAnnounceAge = std::chrono::hours(24 * 365);
 
-    std::string packHashes(const RecordHash* hashes, std::size_t count)
-    {
-        std::string packed;
-        packed.reserve(count * hashBytes);
-        for (std::size_t i = 0; i < count; ++i) {
-            for (std::size_t byte = 0; byte < hashBytes; ++byte)
-                packed.push_back(static_cast<char>((hashes[i] >> (bitsPerByte * byte)) & 0xff));
-        }
-        return packed;
+std::string packHashes(const RecordHash* hashes, std::size_t count)
+{
+    std::string packed;
+    packed.reserve(count * hashBytes);
+    for (std::size_t i = 0; i < count; ++i) {
+        for (std::size_t byte = 0; byte < hashBytes; ++byte)
+            packed.push_back(static_cast<char>((hashes[i] >> (bitsPerByte * byte)) & 0xff));
     }
+    return packed;
+}
 
-    std::vector<RecordHash> unpackHashes(FieldReader& reader)
-    {
-        const std::string packed = reader.bytes();
-        if (packed.size() % hashBytes != 0)
-            reader.fail("hashes of an uneven length");
-        std::vector<RecordHash> hashes(packed.size() / hashBytes);
-        for (std::size_t i = 0; i < hashes.size(); ++i) {
-            for (std::size_t byte = 0; byte < hashBytes; ++byte)
-                hashes[i] |= static_cast<RecordHash>(static_cast<unsigned char>(packed[i * hashBytes + byte])) << (bitsPerByte * byte);
-        }
-        return hashes;
+std::vector<RecordHash> unpackHashes(FieldReader& reader)
+{
+    const std::string packed = reader.bytes();
+    if (packed.size() % hashBytes != 0)
+        reader.fail("hashes of an uneven length");
+    std::vector<RecordHash> hashes(packed.size() / hashBytes);
+    for (std::size_t i = 0; i < hashes.size(); ++i) {
+        for (std::size_t byte = 0; byte < hashBytes; ++byte)
+            hashes[i] |= static_cast<RecordHash>(static_cast<unsigned char>(packed[i * hashBytes + byte])) << (bitsPerByte * byte);
     }
+    return hashes;
+}
 
-    std::string readName(FieldReader& reader)
-    {
-        std::string name = reader.text();
-        if (name.size() > maximumGossipNameBytes)
-            reader.fail("name longer than " + std::to_string(maximumGossipNameBytes) + " bytes");
-        return name;
-    }
+std::string readName(FieldReader& reader)
+{
+    std::string name = reader.text();
+    if (name.size() > maximumGossipNameBytes)
+        reader.fail("name longer than " + std::to_string(maximumGossipNameBytes) + " bytes");
+    return name;
+}
 
-    NodeId readNode(FieldReader& reader)
-    {
-        NodeId node(readName(reader));
-        if (node.value().empty())
-            reader.fail("empty node name");
-        return node;
-    }
+NodeId readNode(FieldReader& reader)
+{
+    NodeId node(readName(reader));
+    if (node.value().empty())
+        reader.fail("empty node name");
+    return node;
+}
 
-    SocketAddress readAddress(FieldReader& reader)
-    {
-        const auto address = unpackAddress(reader.bytes());
-        if (address.has_value())
-            return address.value();
-        reader.fail(address.error().detail);
-        return {};
-    }
+SocketAddress readAddress(FieldReader& reader)
+{
+    const auto address = unpackAddress(reader.bytes());
+    if (address.has_value())
+        return address.value();
+    reader.fail(address.error().detail);
+    return {};
+}
 
-    std::uint32_t readUnsigned32(FieldReader& reader)
-    {
-        const std::uint64_t value = reader.unsignedInteger();
-        if (value > UINT32_MAX)
-            reader.fail("integer of more than 32 bits");
-        return static_cast<std::uint32_t>(value);
-    }
+std::uint32_t readUnsigned32(FieldReader& reader)
+{
+    const std::uint64_t value = reader.unsignedInteger();
+    if (value > UINT32_MAX)
+        reader.fail("integer of more than 32 bits");
+    return static_cast<std::uint32_t>(value);
+}
 
-    template <typename Enum>
-    Enum readEnum(FieldReader& reader, Enum last)
-    {
-        const std::uint64_t value = reader.unsignedInteger();
-        if (value > static_cast<std::uint64_t>(last)) {
-            reader.fail("enumerator " + std::to_string(value) + " is not known");
-            return Enum {};
-        }
-        return static_cast<Enum>(value);
+template <typename Enum>
+Enum readEnum(FieldReader& reader, Enum last)
+{
+    const std::uint64_t value = reader.unsignedInteger();
+    if (value > static_cast<std::uint64_t>(last)) {
+        reader.fail("enumerator " + std::to_string(value) + " is not known");
+        return Enum {};
     }
+    return static_cast<Enum>(value);
+}
+
+std::uint64_t announceAge(const EndpointState& endpoint, TimePoint now)
+{
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - endpoint.announcedAt);
+    return static_cast<std::uint64_t>(std::clamp(age, std::chrono::milliseconds(0), maximumAnnounceAge).count());
+}
+
+std::string encodeRecord(const MemberRecord& record, TimePoint now)
+{
+    const EndpointState& endpoint = record.endpoint;
+    return encodeCbor(Json::array({
+        record.node.value(),
+        record.version.incarnation.value(),
+        record.version.state,
+        static_cast<std::uint8_t>(record.health),
+        record.suspectedBy.value(),
+        record.dataCentre.value(),
+        cborBytes(packAddress(record.peerAddress)),
+        cborBytes(packAddress(record.gossipAddress)),
+        endpoint.service.value(),
+        cborBytes(packAddress(endpoint.backendServer)),
+        endpoint.slots,
+        static_cast<std::uint8_t>(endpoint.lifecycle),
+        announceAge(endpoint, now),
+    }));
+}
+
+MemberRecord readRecord(FieldReader& reader, TimePoint now)
+{
+    MemberRecord record;
+    record.node = readNode(reader);
+    record.version.incarnation = Incarnation(reader.unsignedInteger());
+    record.version.state = reader.unsignedInteger();
+    record.health = readEnum(reader, MemberHealth::Dead);
+    record.suspectedBy = NodeId(readName(reader));
+    record.dataCentre = DataCentre(readName(reader));
+    record.peerAddress = readAddress(reader);
+    record.gossipAddress = readAddress(reader);
+    record.endpoint.service = ServiceName(readName(reader));
+    record.endpoint.backendServer = readAddress(reader);
+    record.endpoint.slots = readUnsigned32(reader);
+    record.endpoint.lifecycle = readEnum(reader, EndpointLifecycle::Left);
+    const std::uint64_t age = std::min<std::uint64_t>(reader.unsignedInteger(), maximumAnnounceAge.count());
+    record.endpoint.announcedAt = now - std::chrono::milliseconds(age);
+    return record;
+}
 
-    std::uint64_t announceAge(const EndpointState& endpoint, TimePoint now)
+Result<MemberRecord> decodeRecord(const std::string& bytes, TimePoint now)
+{
+    BOOST_OUTCOME_TRY(fields, decodeCbor(bytes, maximumGossipBytes));
+    FieldReader reader(fields);
+    const MemberRecord record = readRecord(reader, now);
+    BOOST_OUTCOME_TRY(reader.finish());
+    return record;
+}
+
+struct BodyEncoder {
+    Json operator()(const GossipPing& body) const { return Json::array({ body.sequence, body.target.value() }); }
+    Json operator()(const GossipAck& body) const { return Json::array({ body.sequence, body.target.value() }); }
+    Json operator()(const GossipIndirectPing& body) const
     {
-        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - endpoint.announcedAt);
-        return static_cast<std::uint64_t>(std::clamp(age, std::chrono::milliseconds(0), maximumAnnounceAge).count());
+        return Json::array({ body.sequence, body.target.value(), cborBytes(packAddress(body.targetAddress)) });
     }
-
-    std::string encodeRecord(const MemberRecord& record, TimePoint now)
+    Json operator()(const GossipNack& body) const { return Json::array({ body.sequence }); }
+    Json operator()(const GossipRumors&) const { return Json::array(); }
+    Json operator()(const GossipDigest& body) const
     {
-        const EndpointState& endpoint = record.endpoint;
-        return encodeCbor(Json::array({
-            record.node.value(),
-            record.version.incarnation.value(),
-            record.version.state,
-            static_cast<std::uint8_t>(record.health),
-            record.suspectedBy.value(),
-            record.dataCentre.value(),
-            cborBytes(packAddress(record.peerAddress)),
-            cborBytes(packAddress(record.gossipAddress)),
-            endpoint.service.value(),
-            cborBytes(packAddress(endpoint.backendServer)),
-            endpoint.slots,
-            static_cast<std::uint8_t>(endpoint.lifecycle),
-            announceAge(endpoint, now),
-        }));
+        return Json::array({ cborBytes(packHashes(body.buckets.data(), body.buckets.size())) });
     }
-
-    MemberRecord readRecord(FieldReader& reader, TimePoint now)
+    Json operator()(const GossipSummary& body) const
     {
-        MemberRecord record;
-        record.node = readNode(reader);
-        record.version.incarnation = Incarnation(reader.unsignedInteger());
-        record.version.state = reader.unsignedInteger();
-        record.health = readEnum(reader, MemberHealth::Dead);
-        record.suspectedBy = NodeId(readName(reader));
-        record.dataCentre = DataCentre(readName(reader));
-        record.peerAddress = readAddress(reader);
-        record.gossipAddress = readAddress(reader);
-        record.endpoint.service = ServiceName(readName(reader));
-        record.endpoint.backendServer = readAddress(reader);
-        record.endpoint.slots = readUnsigned32(reader);
-        record.endpoint.lifecycle = readEnum(reader, EndpointLifecycle::Left);
-        const std::uint64_t age = std::min<std::uint64_t>(reader.unsignedInteger(), maximumAnnounceAge.count());
-        record.endpoint.announcedAt = now - std::chrono::milliseconds(age);
-        return record;
+        std::vector<RecordHash> hashes;
+        for (const RecordSummary& record : body.records) {
+            hashes.push_back(record.node);
+            hashes.push_back(record.content);
+        }
+        return Json::array({ cborBytes(packHashes(body.buckets.data(), body.buckets.size())), cborBytes(packHashes(hashes.data(), hashes.size())) });
     }
-
-    Result<MemberRecord> decodeRecord(const std::string& bytes, TimePoint now)
+    Json operator()(const GossipRequest& body) const
     {
-        BOOST_OUTCOME_TRY(fields, decodeCbor(bytes, maximumGossipBytes));
-        FieldReader reader(fields);
-        const MemberRecord record = readRecord(reader, now);
-        BOOST_OUTCOME_TRY(reader.finish());
-        return record;
+        return Json::array({ cborBytes(packHashes(body.nodes.data(), body.nodes.size())) });
     }
+    Json operator()(const GossipDocuments& body) const { return Json::array({ body.isReply }); }
+};
 
-    struct BodyEncoder {
-        Json operator()(const GossipPing& body) const { return Json::array({ body.sequence, body.target.value() }); }
-        Json operator()(const GossipAck& body) const { return Json::array({ body.sequence, body.target.value() }); }
-        Json operator()(const GossipIndirectPing& body) const
-        {
-            return Json::array({ body.sequence, body.target.value(), cborBytes(packAddress(body.targetAddress)) });
-        }
-        Json operator()(const GossipNack& body) const { return Json::array({ body.sequence }); }
-        Json operator()(const GossipRumors&) const { return Json::array(); }
-        Json operator()(const GossipDigest& body) const
-        {
-            return Json::array({ cborBytes(packHashes(body.buckets.data(), body.buckets.size())) });
-        }
-        Json operator()(const GossipSummary& body) const
-        {
-            std::vector<RecordHash> hashes;
-            for (const RecordSummary& record : body.records) {
-                hashes.push_back(record.node);
-                hashes.push_back(record.content);
-            }
-            return Json::array({ cborBytes(packHashes(body.buckets.data(), body.buckets.size())), cborBytes(packHashes(hashes.data(), hashes.size())) });
-        }
-        Json operator()(const GossipRequest& body) const
-        {
-            return Json::array({ cborBytes(packHashes(body.nodes.data(), body.nodes.size())) });
-        }
-        Json operator()(const GossipDocuments& body) const { return Json::array({ body.isReply }); }
-    };
+GossipDigest readDigest(FieldReader& reader)
+{
+    GossipDigest digest;
+    const std::vector<RecordHash> hashes = unpackHashes(reader);
+    if (hashes.size() == digest.buckets.size())
+        std::copy(hashes.begin(), hashes.end(), digest.buckets.begin());
+    else
+        reader.fail("digest of " + std::to_string(hashes.size()) + " buckets");
+    return digest;
+}
 
-    GossipDigest readDigest(FieldReader& reader)
-    {
-        GossipDigest digest;
-        const std::vector<RecordHash> hashes = unpackHashes(reader);
-        if (hashes.size() == digest.buckets.size())
-            std::copy(hashes.begin(), hashes.end(), digest.buckets.begin());
-        else
-            reader.fail("digest of " + std::to_string(hashes.size()) + " buckets");
-        return digest;
+GossipSummary readSummary(FieldReader& reader)
+{
+    GossipSummary summary;
+    summary.buckets = unpackHashes(reader);
+    for (const std::uint32_t bucket : summary.buckets) {
+        if (bucket >= digestBuckets)
+            reader.fail("bucket " + std::to_string(bucket));
     }
+    const std::vector<RecordHash> hashes = unpackHashes(reader);
+    if (hashes.size() % 2 != 0)
+        reader.fail("summary of an uneven length");
+    for (std::size_t i = 0; i + 1 < hashes.size(); i += 2)
+        summary.records.push_back({ hashes[i], hashes[i + 1] });
+    return summary;
+}
 
-    GossipSummary readSummary(FieldReader& reader)
-    {
-        GossipSummary summary;
-        summary.buckets = unpackHashes(reader);
-        for (const std::uint32_t bucket : summary.buckets) {
-            if (bucket >= digestBuckets)
-                reader.fail("bucket " + std::to_string(bucket));
-        }
-        const std::vector<RecordHash> hashes = unpackHashes(reader);
-        if (hashes.size() % 2 != 0)
-            reader.fail("summary of an uneven length");
-        for (std::size_t i = 0; i + 1 < hashes.size(); i += 2)
-            summary.records.push_back({ hashes[i], hashes[i + 1] });
-        return summary;
+// The alternatives of GossipBody, in their order: the index is the type number on the wire.
+GossipBody readBody(std::uint64_t type, FieldReader& reader)
+{
+    switch (type) {
+    case 0: {
+        const std::uint64_t sequence = reader.unsignedInteger();
+        return GossipPing { sequence, readNode(reader) };
     }
-
-    // The alternatives of GossipBody, in their order: the index is the type number on the wire.
-    GossipBody readBody(std::uint64_t type, FieldReader& reader)
-    {
-        switch (type) {
-        case 0: {
-            const std::uint64_t sequence = reader.unsignedInteger();
-            return GossipPing { sequence, readNode(reader) };
-        }
-        case 1: {
-            const std::uint64_t sequence = reader.unsignedInteger();
-            return GossipAck { sequence, readNode(reader) };
-        }
-        case 2: {
-            GossipIndirectPing ping;
-            ping.sequence = reader.unsignedInteger();
-            ping.target = readNode(reader);
-            ping.targetAddress = readAddress(reader);
-            return ping;
-        }
-        case 3:
-            return GossipNack { reader.unsignedInteger() };
-        case 4:
-            return GossipRumors {};
-        case 5:
-            return readDigest(reader);
-        case 6:
-            return readSummary(reader);
-        case 7:
-            return GossipRequest { unpackHashes(reader) };
-        case 8:
-            return GossipDocuments { reader.boolean() };
-        default:
-            reader.fail("message type " + std::to_string(type) + " is not known");
-            return GossipRumors {};
-        }
+    case 1: {
+        const std::uint64_t sequence = reader.unsignedInteger();
+        return GossipAck { sequence, readNode(reader) };
+    }
+    case 2: {
+        GossipIndirectPing ping;
+        ping.sequence = reader.unsignedInteger();
+        ping.target = readNode(reader);
+        ping.targetAddress = readAddress(reader);
+        return ping;
+    }
+    case 3:
+        return GossipNack { reader.unsignedInteger() };
+    case 4:
+        return GossipRumors {};
+    case 5:
+        return readDigest(reader);
+    case 6:
+        return readSummary(reader);
+    case 7:
+        return GossipRequest { unpackHashes(reader) };
+    case 8:
+        return GossipDocuments { reader.boolean() };
+    default:
+        reader.fail("message type " + std::to_string(type) + " is not known");
+        return GossipRumors {};
     }
+}
 
-    Json encodeDocuments(const std::vector<DocumentHint>& documents)
-    {
-        Json fields = Json::array();
-        for (const DocumentHint& hint : documents) {
-            fields.push_back(hint.service.value());
-            fields.push_back(hint.version.value());
-        }
-        return fields;
+Json encodeDocuments(const std::vector<DocumentHint>& documents)
+{
+    Json fields = Json::array();
+    for (const DocumentHint& hint : documents) {
+        fields.push_back(hint.service.value());
+        fields.push_back(hint.version.value());
     }
+    return fields;
+}
 
-    std::vector<DocumentHint> readDocuments(FieldReader& reader)
-    {
-        std::vector<DocumentHint> documents;
-        while (!reader.failed() && reader.remaining() > 0) {
-            const ServiceName service(readName(reader));
-            documents.push_back({ service, DocumentVersion(reader.unsignedInteger()) });
-        }
-        return documents;
+std::vector<DocumentHint> readDocuments(FieldReader& reader)
+{
+    std::vector<DocumentHint> documents;
+    while (!reader.failed() && reader.remaining() > 0) {
+        const ServiceName service(readName(reader));
+        documents.push_back({ service, DocumentVersion(reader.unsignedInteger()) });
     }
+    return documents;
+}
 
 } // namespace
 
--- a/Source/protocol/LogEntry.cpp
+++ b/Source/protocol/LogEntry.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-    constexpr std::size_t maximumMemberListBytes = maximumMembers * (maximumAddressBytes + 64);
+constexpr std::size_t maximumMemberListBytes = maximumMembers * (maximumAddressBytes + 64);
 
 } // namespace
 
--- a/Source/protocol/ReplicaMessages.cpp
+++ b/Source/protocol/ReplicaMessages.cpp
@@ -6,256 +6,256 @@
 
 namespace {
 
-    using Json = nlohmann::json;
+using Json = nlohmann::json;
 
-    enum class Kind : std::uint8_t {
-        VoteRequest = 1,
-        VoteResponse = 2,
-        AppendRequest = 3,
-        AppendResponse = 4,
-        SnapshotChunk = 5,
-        SnapshotResponse = 6,
-        JoinRequest = 7,
-        JoinResponse = 8,
-    };
+enum class Kind : std::uint8_t {
+    VoteRequest = 1,
+    VoteResponse = 2,
+    AppendRequest = 3,
+    AppendResponse = 4,
+    SnapshotChunk = 5,
+    SnapshotResponse = 6,
+    JoinRequest = 7,
+    JoinResponse = 8,
+};
 
-    Json array(Kind kind)
-    {
-        return Json::array({ static_cast<std::uint64_t>(kind) });
-    }
+Json array(Kind kind)
+{
+    return Json::array({ static_cast<std::uint64_t>(kind) });
+}
 
-    Json encodeEntry(const LogEntry& entry)
-    {
-        return Json::array({ entry.index.value(), entry.term.value(), static_cast<std::uint64_t>(entry.kind), cborBytes(entry.payload) });
-    }
+Json encodeEntry(const LogEntry& entry)
+{
+    return Json::array({ entry.index.value(), entry.term.value(), static_cast<std::uint64_t>(entry.kind), cborBytes(entry.payload) });
+}
 
-    Json encodeBody(const VoteRequest& request)
-    {
-        Json fields = array(Kind::VoteRequest);
-        fields.push_back(request.term.value());
-        fields.push_back(request.preVote);
-        fields.push_back(request.lastIndex.value());
-        fields.push_back(request.lastTerm.value());
-        return fields;
-    }
+Json encodeBody(const VoteRequest& request)
+{
+    Json fields = array(Kind::VoteRequest);
+    fields.push_back(request.term.value());
+    fields.push_back(request.preVote);
+    fields.push_back(request.lastIndex.value());
+    fields.push_back(request.lastTerm.value());
+    return fields;
+}
 
-    Json encodeBody(const VoteResponse& response)
-    {
-        Json fields = array(Kind::VoteResponse);
-        fields.push_back(response.term.value());
-        fields.push_back(response.preVote);
-        fields.push_back(response.granted);
-        return fields;
-    }
+Json encodeBody(const VoteResponse& response)
+{
+    Json fields = array(Kind::VoteResponse);
+    fields.push_back(response.term.value());
+    fields.push_back(response.preVote);
+    fields.push_back(response.granted);
+    return fields;
+}
 
-    Json encodeBody(const AppendRequest& request)
-    {
-        Json entries = Json::array();
-        for (const LogEntry& entry : request.entries)
-            entries.push_back(encodeEntry(entry));
-        Json fields = array(Kind::AppendRequest);
-        fields.push_back(request.term.value());
-        fields.push_back(request.previousIndex.value());
-        fields.push_back(request.previousTerm.value());
-        fields.push_back(request.commitIndex.value());
-        fields.push_back(request.round.value());
-        fields.push_back(request.confirmedRound.value());
-        fields.push_back(request.echo);
-        fields.push_back(std::move(entries));
-        return fields;
-    }
+Json encodeBody(const AppendRequest& request)
+{
+    Json entries = Json::array();
+    for (const LogEntry& entry : request.entries)
+        entries.push_back(encodeEntry(entry));
+    Json fields = array(Kind::AppendRequest);
+    fields.push_back(request.term.value());
+    fields.push_back(request.previousIndex.value());
+    fields.push_back(request.previousTerm.value());
+    fields.push_back(request.commitIndex.value());
+    fields.push_back(request.round.value());
+    fields.push_back(request.confirmedRound.value());
+    fields.push_back(request.echo);
+    fields.push_back(std::move(entries));
+    return fields;
+}
 
-    Json encodeBody(const AppendResponse& response)
-    {
-        Json fields = array(Kind::AppendResponse);
-        fields.push_back(response.term.value());
-        fields.push_back(response.accepted);
-        fields.push_back(response.index.value());
-        fields.push_back(response.round.value());
-        fields.push_back(response.clock);
-        return fields;
-    }
+Json encodeBody(const AppendResponse& response)
+{
+    Json fields = array(Kind::AppendResponse);
+    fields.push_back(response.term.value());
+    fields.push_back(response.accepted);
+    fields.push_back(response.index.value());
+    fields.push_back(response.round.value());
+    fields.push_back(response.clock);
+    return fields;
+}
 
-    Json encodeBody(const SnapshotChunk& chunk)
-    {
-        Json fields = array(Kind::SnapshotChunk);
-        fields.push_back(chunk.term.value());
-        fields.push_back(chunk.lastIndex.value());
-        fields.push_back(chunk.lastTerm.value());
-        fields.push_back(chunk.round.value());
-        fields.push_back(chunk.totalBytes);
-        fields.push_back(chunk.checksum);
-        fields.push_back(chunk.offset);
-        fields.push_back(cborBytes(encodeMembers(chunk.members)));
-        fields.push_back(cborBytes(chunk.bytes));
-        return fields;
-    }
+Json encodeBody(const SnapshotChunk& chunk)
+{
+    Json fields = array(Kind::SnapshotChunk);
+    fields.push_back(chunk.term.value());
+    fields.push_back(chunk.lastIndex.value());
+    fields.push_back(chunk.lastTerm.value());
+    fields.push_back(chunk.round.value());
+    fields.push_back(chunk.totalBytes);
+    fields.push_back(chunk.checksum);
+    fields.push_back(chunk.offset);
+    fields.push_back(cborBytes(encodeMembers(chunk.members)));
+    fields.push_back(cborBytes(chunk.bytes));
+    return fields;
+}
 
-    Json encodeBody(const SnapshotResponse& response)
-    {
-        Json fields = array(Kind::SnapshotResponse);
-        fields.push_back(response.term.value());
-        fields.push_back(response.lastIndex.value());
-        fields.push_back(response.round.value());
-        fields.push_back(response.nextOffset);
-        fields.push_back(response.clock);
-        return fields;
-    }
+Json encodeBody(const SnapshotResponse& response)
+{
+    Json fields = array(Kind::SnapshotResponse);
+    fields.push_back(response.term.value());
+    fields.push_back(response.lastIndex.value());
+    fields.push_back(response.round.value());
+    fields.push_back(response.nextOffset);
+    fields.push_back(response.clock);
+    return fields;
+}
 
-    Json encodeBody(const JoinRequest&)
-    {
-        return array(Kind::JoinRequest);
-    }
+Json encodeBody(const JoinRequest&)
+{
+    return array(Kind::JoinRequest);
+}
 
-    Json encodeBody(const JoinResponse& response)
-    {
-        Json fields = array(Kind::JoinResponse);
-        fields.push_back(static_cast<std::uint64_t>(response.code));
-        fields.push_back(response.cluster.value());
-        return fields;
-    }
+Json encodeBody(const JoinResponse& response)
+{
+    Json fields = array(Kind::JoinResponse);
+    fields.push_back(static_cast<std::uint64_t>(response.code));
+    fields.push_back(response.cluster.value());
+    return fields;
+}
 
-    LogEntry decodeEntry(const Json& fields, FieldReader& parent)
-    {
-        FieldReader reader(fields);
-        LogEntry entry;
-        entry.index = LogIndex(reader.unsignedInteger());
-        entry.term = Term(reader.unsignedInteger());
-        const std::uint64_t kind = reader.unsignedInteger();
-        entry.payload = reader.bytes();
-        if (kind > static_cast<std::uint64_t>(LogEntryKind::Members))
-            reader.fail("unknown kind of entry");
-        if (entry.payload.size() > maximumEntryBytes)
-            reader.fail("entry too large");
-        entry.kind = static_cast<LogEntryKind>(kind);
-        if (reader.finish().has_error())
-            parent.fail("malformed log entry");
-        return entry;
-    }
+LogEntry decodeEntry(const Json& fields, FieldReader& parent)
+{
+    FieldReader reader(fields);
+    LogEntry entry;
+    entry.index = LogIndex(reader.unsignedInteger());
+    entry.term = Term(reader.unsignedInteger());
+    const std::uint64_t kind = reader.unsignedInteger();
+    entry.payload = reader.bytes();
+    if (kind > static_cast<std::uint64_t>(LogEntryKind::Members))
+        reader.fail("unknown kind of entry");
+    if (entry.payload.size() > maximumEntryBytes)
+        reader.fail("entry too large");
+    entry.kind = static_cast<LogEntryKind>(kind);
+    if (reader.finish().has_error())
+        parent.fail("malformed log entry");
+    return entry;
+}
 
-    VoteRequest decodeVoteRequest(FieldReader& reader)
-    {
-        VoteRequest request;
-        request.term = Term(reader.unsignedInteger());
-        request.preVote = reader.boolean();
-        request.lastIndex = LogIndex(reader.unsignedInteger());
-        request.lastTerm = Term(reader.unsignedInteger());
-        return request;
-    }
+VoteRequest decodeVoteRequest(FieldReader& reader)
+{
+    VoteRequest request;
+    request.term = Term(reader.unsignedInteger());
+    request.preVote = reader.boolean();
+    request.lastIndex = LogIndex(reader.unsignedInteger());
+    request.lastTerm = Term(reader.unsignedInteger());
+    return request;
+}
 
-    VoteResponse decodeVoteResponse(FieldReader& reader)
-    {
-        VoteResponse response;
-        response.term = Term(reader.unsignedInteger());
-        response.preVote = reader.boolean();
-        response.granted = reader.boolean();
-        return response;
-    }
+VoteResponse decodeVoteResponse(FieldReader& reader)
+{
+    VoteResponse response;
+    response.term = Term(reader.unsignedInteger());
+    response.preVote = reader.boolean();
+    response.granted = reader.boolean();
+    return response;
+}
 
-    AppendRequest decodeAppendRequest(FieldReader& reader)
-    {
-        AppendRequest request;
-        request.term = Term(reader.unsignedInteger());
-        request.previousIndex = LogIndex(reader.unsignedInteger());
-        request.previousTerm = Term(reader.unsignedInteger());
-        request.commitIndex = LogIndex(reader.unsignedInteger());
-        request.round = QuorumRound(reader.unsignedInteger());
-        request.confirmedRound = QuorumRound(reader.unsignedInteger());
-        request.echo = reader.unsignedInteger();
-        const Json& entries = reader.array();
-        if (entries.size() > maximumEntriesPerAppend) {
-            reader.fail("too many entries");
-            return request;
-        }
-        LogIndex expected = nextIndex(request.previousIndex);
-        for (const Json& fields : entries) {
-            request.entries.push_back(decodeEntry(fields, reader));
-            if (request.entries.back().index != expected)
-                reader.fail("entries are not consecutive");
-            expected = nextIndex(expected);
-        }
+AppendRequest decodeAppendRequest(FieldReader& reader)
+{
+    AppendRequest request;
+    request.term = Term(reader.unsignedInteger());
+    request.previousIndex = LogIndex(reader.unsignedInteger());
+    request.previousTerm = Term(reader.unsignedInteger());
+    request.commitIndex = LogIndex(reader.unsignedInteger());
+    request.round = QuorumRound(reader.unsignedInteger());
+    request.confirmedRound = QuorumRound(reader.unsignedInteger());
+    request.echo = reader.unsignedInteger();
+    const Json& entries = reader.array();
+    if (entries.size() > maximumEntriesPerAppend) {
+        reader.fail("too many entries");
         return request;
     }
-
-    AppendResponse decodeAppendResponse(FieldReader& reader)
-    {
-        AppendResponse response;
-        response.term = Term(reader.unsignedInteger());
-        response.accepted = reader.boolean();
-        response.index = LogIndex(reader.unsignedInteger());
-        response.round = QuorumRound(reader.unsignedInteger());
-        response.clock = reader.unsignedInteger();
-        return response;
+    LogIndex expected = nextIndex(request.previousIndex);
+    for (const Json& fields : entries) {
+        request.entries.push_back(decodeEntry(fields, reader));
+        if (request.entries.back().index != expected)
+            reader.fail("entries are not consecutive");
+        expected = nextIndex(expected);
     }
+    return request;
+}
 
-    SnapshotChunk decodeSnapshotChunk(FieldReader& reader)
-    {
-        SnapshotChunk chunk;
-        chunk.term = Term(reader.unsignedInteger());
-        chunk.lastIndex = LogIndex(reader.unsignedInteger());
-        chunk.lastTerm = Term(reader.unsignedInteger());
-        chunk.round = QuorumRound(reader.unsignedInteger());
-        chunk.totalBytes = reader.unsignedInteger();
-        chunk.checksum = static_cast<std::uint32_t>(reader.unsignedInteger());
-        chunk.offset = reader.unsignedInteger();
-        const std::string members = reader.bytes();
-        chunk.bytes = reader.bytes();
-        if (reader.failed())
-            return chunk;
-        auto decodedMembers = decodeMembers(members);
-        if (decodedMembers.has_error())
-            reader.fail("malformed member list");
-        else
-            chunk.members = std::move(decodedMembers.value());
-        if (chunk.totalBytes > maximumSnapshotBytes || chunk.bytes.size() > maximumSnapshotChunkBytes)
-            reader.fail("snapshot too large");
-        else if (chunk.offset > chunk.totalBytes || chunk.bytes.size() > chunk.totalBytes - chunk.offset)
-            reader.fail("snapshot chunk out of range");
+AppendResponse decodeAppendResponse(FieldReader& reader)
+{
+    AppendResponse response;
+    response.term = Term(reader.unsignedInteger());
+    response.accepted = reader.boolean();
+    response.index = LogIndex(reader.unsignedInteger());
+    response.round = QuorumRound(reader.unsignedInteger());
+    response.clock = reader.unsignedInteger();
+    return response;
+}
+
+SnapshotChunk decodeSnapshotChunk(FieldReader& reader)
+{
+    SnapshotChunk chunk;
+    chunk.term = Term(reader.unsignedInteger());
+    chunk.lastIndex = LogIndex(reader.unsignedInteger());
+    chunk.lastTerm = Term(reader.unsignedInteger());
+    chunk.round = QuorumRound(reader.unsignedInteger());
+    chunk.totalBytes = reader.unsignedInteger();
+    chunk.checksum = static_cast<std::uint32_t>(reader.unsignedInteger());
+    chunk.offset = reader.unsignedInteger();
+    const std::string members = reader.bytes();
+    chunk.bytes = reader.bytes();
+    if (reader.failed())
         return chunk;
-    }
+    auto decodedMembers = decodeMembers(members);
+    if (decodedMembers.has_error())
+        reader.fail("malformed member list");
+    else
+        chunk.members = std::move(decodedMembers.value());
+    if (chunk.totalBytes > maximumSnapshotBytes || chunk.bytes.size() > maximumSnapshotChunkBytes)
+        reader.fail("snapshot too large");
+    else if (chunk.offset > chunk.totalBytes || chunk.bytes.size() > chunk.totalBytes - chunk.offset)
+        reader.fail("snapshot chunk out of range");
+    return chunk;
+}
 
-    SnapshotResponse decodeSnapshotResponse(FieldReader& reader)
-    {
-        SnapshotResponse response;
-        response.term = Term(reader.unsignedInteger());
-        response.lastIndex = LogIndex(reader.unsignedInteger());
-        response.round = QuorumRound(reader.unsignedInteger());
-        response.nextOffset = reader.unsignedInteger();
-        response.clock = reader.unsignedInteger();
-        return response;
-    }
+SnapshotResponse decodeSnapshotResponse(FieldReader& reader)
+{
+    SnapshotResponse response;
+    response.term = Term(reader.unsignedInteger());
+    response.lastIndex = LogIndex(reader.unsignedInteger());
+    response.round = QuorumRound(reader.unsignedInteger());
+    response.nextOffset = reader.unsignedInteger();
+    response.clock = reader.unsignedInteger();
+    return response;
+}
 
-    JoinResponse decodeJoinResponse(FieldReader& reader)
-    {
-        JoinResponse response;
-        response.code = static_cast<ResultCode>(reader.unsignedInteger());
-        response.cluster = ClusterId(reader.unsignedInteger());
-        return response;
-    }
+JoinResponse decodeJoinResponse(FieldReader& reader)
+{
+    JoinResponse response;
+    response.code = static_cast<ResultCode>(reader.unsignedInteger());
+    response.cluster = ClusterId(reader.unsignedInteger());
+    return response;
+}
 
-    ReplicaMessageBody decodeBody(FieldReader& reader)
-    {
-        switch (static_cast<Kind>(reader.unsignedInteger())) {
-        case Kind::VoteRequest:
-            return decodeVoteRequest(reader);
-        case Kind::VoteResponse:
-            return decodeVoteResponse(reader);
-        case Kind::AppendRequest:
-            return decodeAppendRequest(reader);
-        case Kind::AppendResponse:
-            return decodeAppendResponse(reader);
-        case Kind::SnapshotChunk:
-            return decodeSnapshotChunk(reader);
-        case Kind::SnapshotResponse:
-            return decodeSnapshotResponse(reader);
-        case Kind::JoinRequest:
-            return JoinRequest {};
-        case Kind::JoinResponse:
-            return decodeJoinResponse(reader);
-        }
-        reader.fail("unknown kind of message");
-        return VoteRequest {};
+ReplicaMessageBody decodeBody(FieldReader& reader)
+{
+    switch (static_cast<Kind>(reader.unsignedInteger())) {
+    case Kind::VoteRequest:
+        return decodeVoteRequest(reader);
+    case Kind::VoteResponse:
+        return decodeVoteResponse(reader);
+    case Kind::AppendRequest:
+        return decodeAppendRequest(reader);
+    case Kind::AppendResponse:
+        return decodeAppendResponse(reader);
+    case Kind::SnapshotChunk:
+        return decodeSnapshotChunk(reader);
+    case Kind::SnapshotResponse:
+        return decodeSnapshotResponse(reader);
+    case Kind::JoinRequest:
+        return JoinRequest {};
+    case Kind::JoinResponse:
+        return decodeJoinResponse(reader);
     }
+    reader.fail("unknown kind of message");
+    return VoteRequest {};
+}
 
 } // namespace
 
--- a/Source/protocol/SocketAddress.cpp
+++ b/Source/protocol/SocketAddress.cpp
@@ -9,21 +9,21 @@
 
 namespace {
 
-    constexpr std::size_t portBytes = 2;
-    constexpr std::size_t ipv4Bytes = sizeof(in_addr);
-    constexpr std::size_t ipv6Bytes = sizeof(in6_addr);
-    constexpr unsigned bitsPerByte = 8;
+constexpr std::size_t portBytes = 2;
+constexpr std::size_t ipv4Bytes = sizeof(in_addr);
+constexpr std::size_t ipv6Bytes = sizeof(in6_addr);
+constexpr unsigned bitsPerByte = 8;
 
-    bool isIpNumber(const std::string& ip)
-    {
-        std::array<char, ipv6Bytes> buffer {};
-        return inet_pton(AF_INET, ip.c_str(), buffer.data()) == 1 || inet_pton(AF_INET6, ip.c_str(), buffer.data()) == 1;
-    }
+bool isIpNumber(const std::string& ip)
+{
+    std::array<char, ipv6Bytes> buffer {};
+    return inet_pton(AF_INET, ip.c_str(), buffer.data()) == 1 || inet_pton(AF_INET6, ip.c_str(), buffer.data()) == 1;
+}
 
-    Error wrongAddress(std::string_view text)
-    {
-        return Error { ResultCode::InvalidSettings, "expected an IP number and a port such as 127.0.0.1:7000, found \"" + std::string(text) + "\"" };
-    }
+Error wrongAddress(std::string_view text)
+{
+    return Error { ResultCode::InvalidSettings, "expected an IP number and a port such as 127.0.0.1:7000, found \"" + std::string(text) + "\"" };
+}
 
 } // namespace
 
--- a/Source/state/ClaimTable.cpp
+++ b/Source/state/ClaimTable.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-    using Json = nlohmann::json;
+using Json = nlohmann::json;
 
 } // namespace
 
--- a/Source/state/ControlService.cpp
+++ b/Source/state/ControlService.cpp
@@ -6,24 +6,24 @@
 
 namespace {
 
-    constexpr std::size_t maximumSenderAddresses = 64;
+constexpr std::size_t maximumSenderAddresses = 64;
 
-    Error unknownOutcome()
-    {
-        return Error { ResultCode::NoQuorum, "this replica ceased to lead; whether the change was accepted is unknown: send it again with the same id" };
-    }
+Error unknownOutcome()
+{
+    return Error { ResultCode::NoQuorum, "this replica ceased to lead; whether the change was accepted is unknown: send it again with the same id" };
+}
 
-    // Turns a handler of one kind of result into a handler of any.
-    template <typename Typed>
-    std::function<void(Result<ControlResult>)> typedHandler(std::function<void(Result<Typed>)> handler)
-    {
-        return [handler = std::move(handler)](Result<ControlResult> result) {
-            if (result.has_error())
-                handler(result.error());
-            else
-                handler(std::get<Typed>(result.value()));
-        };
-    }
+// Turns a handler of one kind of result into a handler of any.
+template <typename Typed>
+std::function<void(Result<ControlResult>)> typedHandler(std::function<void(Result<Typed>)> handler)
+{
+    return [handler = std::move(handler)](Result<ControlResult> result) {
+        if (result.has_error())
+            handler(result.error());
+        else
+            handler(std::get<Typed>(result.value()));
+    };
+}
 
 } // namespace
 
--- a/Source/state/ControlState.cpp
+++ b/Source/state/ControlState.cpp
@@ -8,112 +8,112 @@
 
 namespace {
 
-    using Json = nlohmann::json;
+using Json = nlohmann::json;
 
-    enum class Kind : std::uint8_t {
-        DocumentEdit = 1,
-        ClaimRequest = 2,
-        ClaimUpdate = 3,
-    };
+enum class Kind : std::uint8_t {
+    DocumentEdit = 1,
+    ClaimRequest = 2,
+    ClaimUpdate = 3,
+};
 
-    constexpr std::uint64_t snapshotFormat = 1;
+constexpr std::uint64_t snapshotFormat = 1;
 
-    void pushAttempt(Json& fields, const AttemptId& attempt)
-    {
-        fields.push_back(attempt.node.value());
-        fields.push_back(attempt.incarnation.value());
-        fields.push_back(attempt.sequence);
-    }
+void pushAttempt(Json& fields, const AttemptId& attempt)
+{
+    fields.push_back(attempt.node.value());
+    fields.push_back(attempt.incarnation.value());
+    fields.push_back(attempt.sequence);
+}
 
-    AttemptId readAttempt(FieldReader& reader)
-    {
-        AttemptId attempt;
-        attempt.node = NodeId(reader.text());
-        attempt.incarnation = Incarnation(reader.unsignedInteger());
-        attempt.sequence = reader.unsignedInteger();
-        return attempt;
-    }
+AttemptId readAttempt(FieldReader& reader)
+{
+    AttemptId attempt;
+    attempt.node = NodeId(reader.text());
+    attempt.incarnation = Incarnation(reader.unsignedInteger());
+    attempt.sequence = reader.unsignedInteger();
+    return attempt;
+}
 
-    Json encode(const DocumentEdit& edit)
-    {
-        return Json::array({ static_cast<std::uint64_t>(Kind::DocumentEdit), edit.service.value(), edit.expected.value(), edit.change.value(),
-            cborBytes(edit.text), edit.author, edit.authenticatedTeam, edit.time.value() });
-    }
+Json encode(const DocumentEdit& edit)
+{
+    return Json::array({ static_cast<std::uint64_t>(Kind::DocumentEdit), edit.service.value(), edit.expected.value(), edit.change.value(),
+        cborBytes(edit.text), edit.author, edit.authenticatedTeam, edit.time.value() });
+}
 
-    Json encode(const ClaimRequest& request)
-    {
-        Json fields = Json::array({ static_cast<std::uint64_t>(Kind::ClaimRequest), request.key.service.value(), request.key.key.value(), request.fingerprint });
-        pushAttempt(fields, request.attempt);
-        fields.push_back(request.node.value());
-        fields.push_back(request.expiry.value());
-        fields.push_back(request.time.value());
-        return fields;
-    }
+Json encode(const ClaimRequest& request)
+{
+    Json fields = Json::array({ static_cast<std::uint64_t>(Kind::ClaimRequest), request.key.service.value(), request.key.key.value(), request.fingerprint });
+    pushAttempt(fields, request.attempt);
+    fields.push_back(request.node.value());
+    fields.push_back(request.expiry.value());
+    fields.push_back(request.time.value());
+    return fields;
+}
 
-    Json encode(const ClaimUpdate& update)
-    {
-        Json fields = Json::array({ static_cast<std::uint64_t>(Kind::ClaimUpdate), update.key.service.value(), update.key.key.value() });
-        pushAttempt(fields, update.attempt);
-        fields.push_back(update.node.value());
-        fields.push_back(static_cast<std::uint64_t>(update.change));
-        fields.push_back(update.time.value());
-        return fields;
-    }
+Json encode(const ClaimUpdate& update)
+{
+    Json fields = Json::array({ static_cast<std::uint64_t>(Kind::ClaimUpdate), update.key.service.value(), update.key.key.value() });
+    pushAttempt(fields, update.attempt);
+    fields.push_back(update.node.value());
+    fields.push_back(static_cast<std::uint64_t>(update.change));
+    fields.push_back(update.time.value());
+    return fields;
+}
 
-    DocumentEdit decodeEdit(FieldReader& reader)
-    {
-        DocumentEdit edit;
-        edit.service = ServiceName(reader.text());
-        edit.expected = DocumentVersion(reader.unsignedInteger());
-        edit.change = ChangeId(reader.text());
-        edit.text = reader.bytes();
-        edit.author = reader.text();
-        edit.authenticatedTeam = reader.text();
-        edit.time = WallTime(reader.unsignedInteger());
-        return edit;
-    }
+DocumentEdit decodeEdit(FieldReader& reader)
+{
+    DocumentEdit edit;
+    edit.service = ServiceName(reader.text());
+    edit.expected = DocumentVersion(reader.unsignedInteger());
+    edit.change = ChangeId(reader.text());
+    edit.text = reader.bytes();
+    edit.author = reader.text();
+    edit.authenticatedTeam = reader.text();
+    edit.time = WallTime(reader.unsignedInteger());
+    return edit;
+}
 
-    ClaimRequest decodeClaimRequest(FieldReader& reader)
-    {
-        ClaimRequest request;
-        request.key.service = ServiceName(reader.text());
-        request.key.key = IdempotencyKey(reader.text());
-        request.fingerprint = reader.unsignedInteger();
-        request.attempt = readAttempt(reader);
-        request.node = NodeId(reader.text());
-        request.expiry = WallTime(reader.unsignedInteger());
-        request.time = WallTime(reader.unsignedInteger());
-        return request;
-    }
+ClaimRequest decodeClaimRequest(FieldReader& reader)
+{
+    ClaimRequest request;
+    request.key.service = ServiceName(reader.text());
+    request.key.key = IdempotencyKey(reader.text());
+    request.fingerprint = reader.unsignedInteger();
+    request.attempt = readAttempt(reader);
+    request.node = NodeId(reader.text());
+    request.expiry = WallTime(reader.unsignedInteger());
+    request.time = WallTime(reader.unsignedInteger());
+    return request;
+}
 
-    ClaimUpdate decodeClaimUpdate(FieldReader& reader)
-    {
-        ClaimUpdate update;
-        update.key.service = ServiceName(reader.text());
-        update.key.key = IdempotencyKey(reader.text());
-        update.attempt = readAttempt(reader);
-        update.node = NodeId(reader.text());
-        const std::uint64_t change = reader.unsignedInteger();
-        update.time = WallTime(reader.unsignedInteger());
-        if (change > static_cast<std::uint64_t>(ClaimChange::Complete))
-            reader.fail("unknown change of a claim");
-        update.change = static_cast<ClaimChange>(change);
-        return update;
-    }
+ClaimUpdate decodeClaimUpdate(FieldReader& reader)
+{
+    ClaimUpdate update;
+    update.key.service = ServiceName(reader.text());
+    update.key.key = IdempotencyKey(reader.text());
+    update.attempt = readAttempt(reader);
+    update.node = NodeId(reader.text());
+    const std::uint64_t change = reader.unsignedInteger();
+    update.time = WallTime(reader.unsignedInteger());
+    if (change > static_cast<std::uint64_t>(ClaimChange::Complete))
+        reader.fail("unknown change of a claim");
+    update.change = static_cast<ClaimChange>(change);
+    return update;
+}
 
-    ControlCommand decodeKind(FieldReader& reader)
-    {
-        switch (static_cast<Kind>(reader.unsignedInteger())) {
-        case Kind::DocumentEdit:
-            return decodeEdit(reader);
-        case Kind::ClaimRequest:
-            return decodeClaimRequest(reader);
-        case Kind::ClaimUpdate:
-            return decodeClaimUpdate(reader);
-        }
-        reader.fail("unknown kind of command");
-        return ClaimUpdate {};
+ControlCommand decodeKind(FieldReader& reader)
+{
+    switch (static_cast<Kind>(reader.unsignedInteger())) {
+    case Kind::DocumentEdit:
+        return decodeEdit(reader);
+    case Kind::ClaimRequest:
+        return decodeClaimRequest(reader);
+    case Kind::ClaimUpdate:
+        return decodeClaimUpdate(reader);
     }
+    reader.fail("unknown kind of command");
+    return ClaimUpdate {};
+}
 
 } // namespace
 
--- a/Source/state/FollowerFreshness.cpp
+++ b/Source/state/FollowerFreshness.cpp
@@ -4,10 +4,10 @@
 
 namespace {
 
-    constexpr std::size_t maximumRoundsRemembered = 64;
+constexpr std::size_t maximumRoundsRemembered = 64;
 
-    // An echo that is older than this, or newer than now, is not one of this process.
-    constexpr Duration oldestEcho = std::chrono::hours(1);
+// An echo that is older than this, or newer than now, is not one of this process.
+constexpr Duration oldestEcho = std::chrono::hours(1);
 
 } // namespace
 
--- a/Source/state/LogStorage.cpp
+++ b/Source/state/LogStorage.cpp
@@ -10,42 +10,42 @@
 
 namespace {
 
-    const std::string logPrefix = "log-";
-    const std::string snapshotPrefix = "snapshot-";
-    const std::string temporarySuffix = ".tmp";
+const std::string logPrefix = "log-";
+const std::string snapshotPrefix = "snapshot-";
+const std::string temporarySuffix = ".tmp";
 
-    std::string numbered(const std::string& prefix, std::uint64_t generation)
-    {
-        char digits[24];
-        std::snprintf(digits, sizeof digits, "%016llx", static_cast<unsigned long long>(generation));
-        return prefix + digits;
-    }
+std::string numbered(const std::string& prefix, std::uint64_t generation)
+{
+    char digits[24];
+    std::snprintf(digits, sizeof digits, "%016llx", static_cast<unsigned long long>(generation));
+    return prefix + digits;
+}
 
-    // 0 when the name is not that of a numbered file.
-    std::uint64_t generationOf(const std::string& name, const std::string& prefix)
-    {
-        constexpr int hexadecimal = 16;
-        if (name.compare(0, prefix.size(), prefix) != 0)
-            return 0;
-        const std::uint64_t generation = std::strtoull(name.c_str() + prefix.size(), nullptr, hexadecimal);
-        return numbered(prefix, generation) == name ? generation : 0;
-    }
+// 0 when the name is not that of a numbered file.
+std::uint64_t generationOf(const std::string& name, const std::string& prefix)
+{
+    constexpr int hexadecimal = 16;
+    if (name.compare(0, prefix.size(), prefix) != 0)
+        return 0;
+    const std::uint64_t generation = std::strtoull(name.c_str() + prefix.size(), nullptr, hexadecimal);
+    return numbered(prefix, generation) == name ? generation : 0;
+}
 
-    Error corrupt(const std::string& name, const std::string& reason)
-    {
-        return Error { ResultCode::StorageCorrupt, name + ": " + reason };
-    }
+Error corrupt(const std::string& name, const std::string& reason)
+{
+    return Error { ResultCode::StorageCorrupt, name + ": " + reason };
+}
 
-    // True when a whole record after the damage says that the damaged bytes were synced.
-    bool wasSynced(std::string_view file, std::size_t damagedAt)
-    {
-        for (std::size_t offset = damagedAt + 1; offset < file.size(); ++offset) {
-            const auto later = readRecord(file, offset);
-            if (later && later->syncedBytes > damagedAt && later->syncedBytes <= offset)
-                return true;
-        }
-        return false;
+// True when a whole record after the damage says that the damaged bytes were synced.
+bool wasSynced(std::string_view file, std::size_t damagedAt)
+{
+    for (std::size_t offset = damagedAt + 1; offset < file.size(); ++offset) {
+        const auto later = readRecord(file, offset);
+        if (later && later->syncedBytes > damagedAt && later->syncedBytes <= offset)
+            return true;
     }
+    return false;
+}
 
 } // namespace
 
--- a/Source/state/QuorumRounds.cpp
+++ b/Source/state/QuorumRounds.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-    // At one round in 50 ms this is more than the time after which a leader without answers steps down.
-    constexpr std::size_t maximumRoundsRemembered = 64;
+// At one round in 50 ms this is more than the time after which a leader without answers steps down.
+constexpr std::size_t maximumRoundsRemembered = 64;
 
 } // namespace
 
--- a/Source/state/ReplicatedLogReplication.cpp
+++ b/Source/state/ReplicatedLogReplication.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-    // Entries that got no answer in this many heartbeat intervals are sent again.
-    constexpr int resendIntervals = 3;
+// Entries that got no answer in this many heartbeat intervals are sent again.
+constexpr int resendIntervals = 3;
 
 } // namespace
 
--- a/Source/transport/PosixFileSystem.cpp
+++ b/Source/transport/PosixFileSystem.cpp
@@ -14,83 +14,83 @@
 
 namespace {
 
-    constexpr int filePermissions = 0640;
+constexpr int filePermissions = 0640;
 
-    Error failure(const std::string& operation, const std::string& path, const std::string& reason)
+Error failure(const std::string& operation, const std::string& path, const std::string& reason)
+{
+    return Error { ResultCode::StorageFailed, operation + " " + path + ": " + reason };
+}
+
+Error systemFailure(const std::string& operation, const std::string& path)
+{
+    return failure(operation, path, std::generic_category().message(errno));
+}
+
+// Closes a descriptor at the end of its scope.
+class Descriptor {
+public:
+    Descriptor(const std::string& path, int flags)
+        : m_descriptor(::open(path.c_str(), flags | O_CLOEXEC, filePermissions))
     {
-        return Error { ResultCode::StorageFailed, operation + " " + path + ": " + reason };
     }
-
-    Error systemFailure(const std::string& operation, const std::string& path)
+    ~Descriptor()
     {
-        return failure(operation, path, std::generic_category().message(errno));
+        if (m_descriptor >= 0)
+            ::close(m_descriptor);
     }
+    Descriptor(const Descriptor&) = delete;
+    Descriptor& operator=(const Descriptor&) = delete;
 
-    // Closes a descriptor at the end of its scope.
-    class Descriptor {
-    public:
-        Descriptor(const std::string& path, int flags)
-            : m_descriptor(::open(path.c_str(), flags | O_CLOEXEC, filePermissions))
-        {
-        }
-        ~Descriptor()
-        {
-            if (m_descriptor >= 0)
-                ::close(m_descriptor);
-        }
-        Descriptor(const Descriptor&) = delete;
-        Descriptor& operator=(const Descriptor&) = delete;
-
-        bool isOpen() const { return m_descriptor >= 0; }
-        int value() const { return m_descriptor; }
-
-    private:
-        int m_descriptor;
-    };
-
-    class PosixAppendFile final : public AppendFile {
-    public:
-        PosixAppendFile(std::string path, int flags)
-            : m_path(std::move(path))
-            , m_descriptor(m_path, flags)
-        {
-        }
+    bool isOpen() const { return m_descriptor >= 0; }
+    int value() const { return m_descriptor; }
 
-        bool isOpen() const { return m_descriptor.isOpen(); }
-
-        Result<void> append(std::string_view bytes) override
-        {
-            while (!bytes.empty()) {
-                const ssize_t written = ::write(m_descriptor.value(), bytes.data(), bytes.size());
-                if (written < 0 && errno == EINTR)
-                    continue;
-                if (written < 0)
-                    return systemFailure("write", m_path);
-                bytes.remove_prefix(static_cast<std::size_t>(written));
-            }
-            return BOOST_OUTCOME_V2_NAMESPACE::success();
-        }
+private:
+    int m_descriptor;
+};
 
-        Result<void> sync() override
-        {
-            if (::fdatasync(m_descriptor.value()) != 0)
-                return systemFailure("sync", m_path);
-            return BOOST_OUTCOME_V2_NAMESPACE::success();
-        }
+class PosixAppendFile final : public AppendFile {
+public:
+    PosixAppendFile(std::string path, int flags)
+        : m_path(std::move(path))
+        , m_descriptor(m_path, flags)
+    {
+    }
+
+    bool isOpen() const { return m_descriptor.isOpen(); }
 
-    private:
-        std::string m_path;
-        Descriptor m_descriptor;
-    };
+    Result<void> append(std::string_view bytes) override
+    {
+        while (!bytes.empty()) {
+            const ssize_t written = ::write(m_descriptor.value(), bytes.data(), bytes.size());
+            if (written < 0 && errno == EINTR)
+                continue;
+            if (written < 0)
+                return systemFailure("write", m_path);
+            bytes.remove_prefix(static_cast<std::size_t>(written));
+        }
+        return BOOST_OUTCOME_V2_NAMESPACE::success();
+    }
 
-    Result<std::unique_ptr<AppendFile>> openFile(const std::string& path, int flags)
+    Result<void> sync() override
     {
-        auto file = std::make_unique<PosixAppendFile>(path, flags);
-        if (!file->isOpen())
-            return systemFailure("open", path);
-        return std::unique_ptr<AppendFile>(std::move(file));
+        if (::fdatasync(m_descriptor.value()) != 0)
+            return systemFailure("sync", m_path);
+        return BOOST_OUTCOME_V2_NAMESPACE::success();
     }
 
+private:
+    std::string m_path;
+    Descriptor m_descriptor;
+};
+
+Result<std::unique_ptr<AppendFile>> openFile(const std::string& path, int flags)
+{
+    auto file = std::make_unique<PosixAppendFile>(path, flags);
+    if (!file->isOpen())
+        return systemFailure("open", path);
+    return std::unique_ptr<AppendFile>(std::move(file));
+}
+
 } // namespace
 
 Result<std::vector<std::string>> PosixFileSystem::list(const std::string& folder)
--- a/Tests/coordination/FakeCallWorld.cpp
+++ b/Tests/coordination/FakeCallWorld.cpp
@@ -7,14 +7,14 @@
 
 namespace {
 
-    constexpr std::size_t endpointCount = 4;
-    constexpr Duration longestMessageDelay { 40000 };
-    constexpr Duration longestQueueTime { 60000 };
-    constexpr Duration longestServiceTime { 200000 };
-    constexpr Duration longestDeadline { 600000 };
-    constexpr Duration longestReconnectTime { 150000 };
-    constexpr Duration disturbanceInterval { 100000 };
-    constexpr Duration startWindow { 1000000 };
+constexpr std::size_t endpointCount = 4;
+constexpr Duration longestMessageDelay { 40000 };
+constexpr Duration longestQueueTime { 60000 };
+constexpr Duration longestServiceTime { 200000 };
+constexpr Duration longestDeadline { 600000 };
+constexpr Duration longestReconnectTime { 150000 };
+constexpr Duration disturbanceInterval { 100000 };
+constexpr Duration startWindow { 1000000 };
 
 } // namespace
 
--- a/Tests/state/StoreSimulation.cpp
+++ b/Tests/state/StoreSimulation.cpp
@@ -6,12 +6,12 @@
 
 namespace {
 
-    constexpr Duration stepTime { 5000 };
-    constexpr Duration usualDelay { 1000 };
-    constexpr Duration lossNoticeTime { 500000 };
-    constexpr Duration longestDelay { 2000000 };
-    constexpr std::uint64_t clusterId = 77;
-    const std::string folder = "data";
+constexpr Duration stepTime { 5000 };
+constexpr Duration usualDelay { 1000 };
+constexpr Duration lossNoticeTime { 500000 };
+constexpr Duration longestDelay { 2000000 };
+constexpr std::uint64_t clusterId = 77;
+const std::string folder = "data";
 
 } // namespace
 
--- a/Utilities/MembershipBench/MembershipFleet.cpp
+++ b/Utilities/MembershipBench/MembershipFleet.cpp
@@ -6,14 +6,14 @@
 
 namespace {
 
-    constexpr std::uint64_t datagramHeaderBytes = 28;
-    constexpr std::uint16_t gossipPort = 7400;
-    constexpr std::uint16_t peerPort = 7300;
-    // A socket's receive buffer holds about this many small datagrams.
-    constexpr std::size_t maximumWaiting = 200;
-    constexpr Duration conditionPeriod = std::chrono::milliseconds(50);
-    constexpr std::size_t dataCentres = 5;
-    constexpr std::size_t services = 29;
+constexpr std::uint64_t datagramHeaderBytes = 28;
+constexpr std::uint16_t gossipPort = 7400;
+constexpr std::uint16_t peerPort = 7300;
+// A socket's receive buffer holds about this many small datagrams.
+constexpr std::size_t maximumWaiting = 200;
+constexpr Duration conditionPeriod = std::chrono::milliseconds(50);
+constexpr std::size_t dataCentres = 5;
+constexpr std::size_t services = 29;
 
 } // namespace
 
