--- a/Tests/processes/FailureTest.cpp
+++ b/Tests/processes/FailureTest.cpp
@@ -143,7 +143,7 @@
     start();
     sendMany(30, "a", "POST", "/bookings", 2s);
     ASSERT_GT(executedBy("b"), 0u);
-    ASSERT_TRUE(Deployment::command(m_deployment->backendLink("b"), "/silence"));
+    ASSERT_GT(Deployment::command(m_deployment->backendLink("b"), "/silence"), 0u);
     EXPECT_TRUE(getsCallsAgain("b", 10s));
     sendMany(20, "a", "POST", "/bookings", 2s);
     ASSERT_TRUE(m_caller.finish(6s));
@@ -156,7 +156,7 @@
     start();
     sendMany(30, "a", "POST", "/bookings", 2s);
     ASSERT_GT(executedBy("b"), 0u);
-    ASSERT_TRUE(Deployment::command(m_deployment->peerLink("b"), "/silence"));
+    ASSERT_GT(Deployment::command(m_deployment->peerLink("b"), "/silence"), 0u);
     EXPECT_TRUE(getsCallsAgain("b", 10s));
     sendMany(20, "a", "POST", "/bookings", 2s);
     ASSERT_TRUE(m_caller.finish(6s));
@@ -168,7 +168,7 @@
     plans[0].isControlForwarded = true;
     start();
     for (const ForwardedLink& link : m_deployment->controlLinks("a"))
-        ASSERT_TRUE(Deployment::command(link, "/silence"));
+        ASSERT_GT(Deployment::command(link, "/silence"), 0u);
     const std::string second = "service = \"inventory\"\nteam = \"operations\"\n[[priorities]]\nname = \"stock\"\n[[routes]]\npriority = \"stock\"\n";
     ASSERT_TRUE(m_deployment->apply(second, 0, 5s));
     EXPECT_TRUE(waitUntil([&] { return m_deployment->nodeStatus("a")["documents"].contains("inventory"); }, 10s));
--- a/Utilities/Load/Deployment.cpp
+++ b/Utilities/Load/Deployment.cpp
@@ -286,10 +286,11 @@
     return link;
 }
 
-bool Deployment::command(const ForwardedLink& link, const std::string& path)
+std::size_t Deployment::command(const ForwardedLink& link, const std::string& path)
 {
     constexpr unsigned accepted = 200;
-    return exchangeOnce(link.control, plainRequest("POST", path), requestTimeout).status == accepted;
+    const HttpMessage answer = exchangeOnce(link.control, plainRequest("POST", path), requestTimeout);
+    return answer.status == accepted ? std::stoul(answer.body) : 0;
 }
 
 } // namespace Knapweedquay::Load
--- a/Utilities/Load/Deployment.h
+++ b/Utilities/Load/Deployment.h
@@ -98,8 +98,8 @@
 
     /// A forwarder to a target, ended with its handle.
     ForwardedLink forwardTo(const std::string& target);
-    /// Sends "/silence", "/cut", "/heal" or "/open" to a forwarder.
-    static bool command(const ForwardedLink&, const std::string& path);
+    /// Sends "/silence", "/cut", "/heal" or "/open" to a forwarder; gives the connections it has open, 0 when it is gone.
+    static std::size_t command(const ForwardedLink&, const std::string& path);
 
 private:
     struct Node {
