Control: Lock the folder, end stuck links and test the store with real processes

A document that a node's link could not take was marked as sent, so a later proof of freshness spoke for it; such a link is ended now. Claims passed to the leader expire instead of being dropped all at once. A second daemon on one folder ends at once.

The deployment asked for as many voters as replicas, so the store would have refused edits between the removal of a lost replica and the promotion of its replacement; a majority is asked.

--- a/Source/control/ControlDaemon.cpp
+++ b/Source/control/ControlDaemon.cpp
@@ -16,6 +16,8 @@
 
 constexpr Duration tickInterval { 20000 };
 constexpr std::size_t maximumForwardedClaims = 10000;
+/// Nodes wait less than this for the answer to a claim.
+constexpr Duration forwardedClaimTimeout { 10000000 };
 /// Time for which a key is kept; callers resend within minutes.
 constexpr std::uint64_t claimKeepMicroseconds = 600ULL * 1000 * 1000;
 
@@ -73,6 +75,8 @@
 
 Result<void> ControlDaemon::openStore()
 {
+    BOOST_OUTCOME_TRY(folderLock, FolderLock::acquire(m_settings.folder));
+    m_folderLock = std::move(folderLock);
     ControlServiceSettings settings;
     settings.folder = m_settings.folder;
     settings.address = toText(m_settings.links);
@@ -105,8 +109,11 @@
 
 void ControlDaemon::tick()
 {
-    m_service->tick(steadyNow());
-    m_service->flush(steadyNow());
+    const TimePoint now = steadyNow();
+    m_service->tick(now);
+    m_service->flush(now);
+    for (auto entry = m_forwarded.begin(); entry != m_forwarded.end();)
+        entry = entry->second.expiry <= now ? m_forwarded.erase(entry) : std::next(entry);
     m_tickTimer.setAfter(tickInterval);
 }
 
@@ -176,10 +183,12 @@
 
 void ControlDaemon::handleClaim(NodeSubscriptions::SubscriberId id, const ClaimRequestMessage& message)
 {
-    if (!m_service->status(steadyNow()).leading) {
-        if (m_forwarded.size() >= maximumForwardedClaims)
-            m_forwarded.clear();
-        m_forwarded[message.owner] = id;
+    if (!m_service->isLeading()) {
+        if (m_forwarded.size() >= maximumForwardedClaims) {
+            m_subscriptions->send(id, ClaimAnswerMessage { message.owner, ResultCode::ClaimUnavailable });
+            return;
+        }
+        m_forwarded[message.owner] = { id, steadyNow() + forwardedClaimTimeout };
         return forwardToLeader(message);
     }
     ClaimRequest request;
@@ -200,7 +209,7 @@
 
 void ControlDaemon::handleRelease(const ClaimReleaseMessage& message)
 {
-    if (!m_service->status(steadyNow()).leading)
+    if (!m_service->isLeading())
         return forwardToLeader(message);
     ClaimUpdate update;
     update.key = keyOf(message.service, message.key);
@@ -225,7 +234,7 @@
     const auto entry = m_forwarded.find(answer.owner);
     if (entry == m_forwarded.end())
         return;
-    m_subscriptions->send(entry->second, answer);
+    m_subscriptions->send(entry->second.subscriber, answer);
     m_forwarded.erase(entry);
 }
 
--- a/Source/control/ControlDaemon.h
+++ b/Source/control/ControlDaemon.h
@@ -29,6 +29,11 @@
     Result<void> run();
 
 private:
+    struct ForwardedClaim {
+        NodeSubscriptions::SubscriberId subscriber = 0;
+        TimePoint expiry;
+    };
+
     Result<void> openStore();
     void accept(const LinkPtr&);
     void receiveNodeMessage(NodeSubscriptions::SubscriberId, std::string_view bytes);
@@ -43,6 +48,7 @@
     ControlSettings m_settings;
     asio::io_context m_context;
     PosixFileSystem m_files;
+    std::unique_ptr<FolderLock> m_folderLock;
     std::unique_ptr<ControlService> m_service;
     std::unique_ptr<NodeSubscriptions> m_subscriptions;
     std::unique_ptr<OperatorInterface> m_operators;
@@ -53,7 +59,7 @@
     Timer m_tickTimer;
     bool m_isFlushScheduled = false;
     /// Claims that were passed on to the leader, and the subscriber that waits for each.
-    std::map<AttemptId, NodeSubscriptions::SubscriberId> m_forwarded;
+    std::map<AttemptId, ForwardedClaim> m_forwarded;
     Result<void> m_end = BOOST_OUTCOME_V2_NAMESPACE::success();
 };
 
--- a/Source/control/NodeSubscriptions.cpp
+++ b/Source/control/NodeSubscriptions.cpp
@@ -31,8 +31,12 @@
     subscriber.isSubscribed = true;
     subscriber.inForce = message.inForce;
     subscriber.sent = message.inForce;
+    const LinkPtr link = subscriber.link;
+    bool isSent = true;
     for (const StoredDocument* document : m_service.state().documents().documents())
-        sendDocument(subscriber, *document);
+        isSent = isSent && sendDocument(subscriber, *document);
+    if (!isSent)
+        link->abort();
 }
 
 void NodeSubscriptions::reportInForce(SubscriberId id, const InForceMessage& message)
@@ -51,10 +55,13 @@
 
 void NodeSubscriptions::documentChanged(const StoredDocument& document)
 {
+    std::vector<LinkPtr> stuck;
     for (auto& entry : m_subscribers) {
-        if (entry.second.isSubscribed)
-            sendDocument(entry.second, document);
+        if (entry.second.isSubscribed && !sendDocument(entry.second, document))
+            stuck.push_back(entry.second.link);
     }
+    for (const LinkPtr& link : stuck)
+        link->abort();
 }
 
 void NodeSubscriptions::answerFreshness(SubscriberId id, const FreshnessRequestMessage& request, TimePoint now)
@@ -64,14 +71,14 @@
         send(id, FreshnessMessage { request.clock, freshness->term.value(), freshness->round.value(), freshness->age });
 }
 
-void NodeSubscriptions::sendDocument(Subscriber& subscriber, const StoredDocument& document)
+bool NodeSubscriptions::sendDocument(Subscriber& subscriber, const StoredDocument& document)
 {
     DocumentVersion& sent = subscriber.sent[document.service];
     if (document.version <= sent)
-        return;
+        return true;
     sent = document.version;
     const DocumentMessage message { document.service, document.version, document.text };
-    subscriber.link->send(LinkChannel::wrap(LinkChannel::node, encode(ControlMessage(message))));
+    return subscriber.link->send(LinkChannel::wrap(LinkChannel::node, encode(ControlMessage(message))));
 }
 
 } // namespace Knapweedquay
--- a/Source/control/NodeSubscriptions.h
+++ b/Source/control/NodeSubscriptions.h
@@ -43,7 +43,9 @@
     const std::map<SubscriberId, Subscriber>& subscribers() const { return m_subscribers; }
 
 private:
-    static void sendDocument(Subscriber&, const StoredDocument&);
+    /// False when the link could not take the document. The link must end then, because a later proof of
+    /// freshness on it would speak for a document that never arrived.
+    static bool sendDocument(Subscriber&, const StoredDocument&);
 
     const ControlService& m_service;
     std::map<SubscriberId, Subscriber> m_subscribers;
--- a/Utilities/Load/Deployment.cpp
+++ b/Utilities/Load/Deployment.cpp
@@ -96,12 +96,17 @@
         m_controls.push_back({ newAddress(), newAddress(), nullptr });
     for (std::size_t index = 0; index < count; ++index) {
         writeControlSettings(index);
-        const std::string name = fmt::format("control-{}", index);
-        m_controls[index].process = std::make_unique<ChildProcess>(
-            std::vector<std::string> { m_programs.control, "--config", pathOf(name + ".toml") }, pathOf(name + ".out"));
+        restartControl(index);
     }
 }
 
+void Deployment::restartControl(std::size_t index)
+{
+    const std::string name = fmt::format("control-{}", index);
+    m_controls[index].process = std::make_unique<ChildProcess>(
+        std::vector<std::string> { m_programs.control, "--config", pathOf(name + ".toml") }, pathOf(name + ".out"));
+}
+
 void Deployment::writeControlSettings(std::size_t index)
 {
     std::vector<std::string> peers;
@@ -112,7 +117,7 @@
     std::ofstream file(pathOf(fmt::format("control-{}.toml", index)));
     file << fmt::format("folder = \"{}\"\n", pathOf(fmt::format("control-{}", index)));
     file << fmt::format("[listen]\nhttp = \"{}\"\nlinks = \"{}\"\n", m_controls[index].http, m_controls[index].links);
-    file << fmt::format("[store]\nbootstrap = {}\nminimum_voters = {}\npeers = {}\n", index == 0, m_controls.size(), quotedList(peers));
+    file << fmt::format("[store]\nbootstrap = {}\nminimum_voters = {}\npeers = {}\n", index == 0, m_controls.size() / 2 + 1, quotedList(peers));
     file << "[credentials]\n";
     for (const std::string& team : deploymentTeams())
         file << fmt::format("{} = \"{}\"\n", team, secretOf(team));
--- a/Utilities/Load/Deployment.h
+++ b/Utilities/Load/Deployment.h
@@ -67,6 +67,9 @@
     ~Deployment();
 
     void startControls(std::size_t count);
+    /// Starts a control replica again that has ended, with the same settings.
+    void restartControl(std::size_t index);
+    std::string controlFolder(std::size_t index) const { return pathOf("control-" + std::to_string(index)); }
     void startNode(const NodePlan&);
     /// Starts a node again that has ended, with the same settings.
     void restartNode(const std::string& name);
