Protocol: Read the fields of nested arrays in place

The first run of three nodes against a control daemon ended it: a reader held a temporary copy of a list. The copies are gone, array() gives an empty array when there is none, and a reader over a temporary no longer compiles.

--- a/Source/protocol/Cbor.cpp
+++ b/Source/protocol/Cbor.cpp
@@ -43,6 +43,7 @@
 };
 
 const Json nullValue;
+const Json emptyArray = Json::array();
 
 } // namespace
 
@@ -180,10 +181,10 @@
 {
     const Json* field = next();
     if (!field)
-        return nullValue;
+        return emptyArray;
     if (!field->is_array()) {
         fail("field " + std::to_string(m_position - 1) + ": expected an array");
-        return nullValue;
+        return emptyArray;
     }
     return *field;
 }
--- a/Source/protocol/Cbor.h
+++ b/Source/protocol/Cbor.h
@@ -34,7 +34,9 @@
 /// fields plainly and checks once at the end.
 class FieldReader {
 public:
+    /// The fields must outlive the reader.
     explicit FieldReader(const nlohmann::json&);
+    explicit FieldReader(const nlohmann::json&&) = delete;
     /// The fields are read in place, so they must outlive the reader.
     explicit FieldReader(nlohmann::json&&) = delete;
 
@@ -47,7 +49,7 @@
     Duration duration();
     /// The next field, of any type; a null value when there is none.
     const nlohmann::json& any();
-    /// The next field, which must be an array.
+    /// The next field, which must be an array; an empty array when it is not.
     const nlohmann::json& array();
 
     /// Latches an error that the decoder itself found.
--- a/Source/protocol/ControlMessages.cpp
+++ b/Source/protocol/ControlMessages.cpp
@@ -27,7 +27,7 @@
     if (list.size() > 2 * maximumServices)
         reader.fail("too many services");
     DocumentVersions versions;
-    FieldReader pairs(list.is_array() ? list : Json::array());
+    FieldReader pairs(list);
     while (!reader.failed() && pairs.remaining() > 0 && !pairs.failed()) {
         const ServiceName service(pairs.text());
         versions[service] = DocumentVersion(pairs.unsignedInteger());
--- a/Source/protocol/PeerMessages.cpp
+++ b/Source/protocol/PeerMessages.cpp
@@ -35,7 +35,7 @@
     const Json& queued = reader.array();
     if (queued.size() > maximumPriorities)
         reader.fail("too many priorities in a load report");
-    FieldReader lengths(queued.is_array() ? queued : Json::array());
+    FieldReader lengths(queued);
     while (!reader.failed() && lengths.remaining() > 0 && !lengths.failed())
         load.queued.push_back(readUnsigned32(lengths));
     if (lengths.failed())
@@ -62,7 +62,7 @@
     if (list.size() > 2 * maximumHeaders)
         reader.fail("too many headers");
     HttpHeaders headers;
-    FieldReader pairs(list.is_array() ? list : Json::array());
+    FieldReader pairs(list);
     while (!reader.failed() && pairs.remaining() > 0 && !pairs.failed()) {
         std::string name = pairs.bytes();
         headers.push_back({ std::move(name), pairs.bytes() });
