--- a/Source/coordination/ConcurrencyLimit.cpp
+++ b/Source/coordination/ConcurrencyLimit.cpp
@@ -12,11 +12,11 @@
     constexpr double smallestDecrease = 0.5;
     constexpr double shedDecrease = 0.8;
     /// Samples in one window of the limit; a lower limit has a shorter window.
-    constexpr std::uint32_t samplesPerSlot = 2;
-    constexpr std::uint32_t minimumSamples = 8;
-    constexpr std::uint32_t baselineSamples = 32;
+    constexpr std::uint32_t samplesPerSlot = 6;
+    constexpr std::uint32_t minimumSamples = 16;
+    constexpr std::uint32_t baselineSamples = 128;
     constexpr double lowLoadShare = 0.25;
-    constexpr double lowLoadWeight = 1.0 / 16;
+    constexpr double lowLoadWeight = 1.0 / 64;
     constexpr double fallingWeight = 1.0 / 8;
     /// Small, so that the baseline does not follow the very inflation that it is there to show.
     constexpr double risingWeight = 1.0 / 256;
@@ -67,8 +67,11 @@
 
 void ConcurrencyLimit::updateBaseline(Baseline& baseline, double latency, bool isLowLoad)
 {
-    if (baseline.microseconds == 0)
-        baseline.microseconds = latency;
+    // The first samples are averaged as they are, so that one odd call does not set the baseline.
+    if (baseline.samples < baselineSamples) {
+        baseline.microseconds += (latency - baseline.microseconds) / ++baseline.samples;
+        return;
+    }
     if (isLowLoad) {
         baseline.microseconds += lowLoadWeight * (latency - baseline.microseconds);
         return;
--- a/Source/coordination/ConcurrencyLimit.h
+++ b/Source/coordination/ConcurrencyLimit.h
@@ -32,6 +32,7 @@
 private:
     struct Baseline {
         double microseconds = 0;
+        std::uint32_t samples = 0;
         double windowSum = 0;
         std::uint32_t windowCount = 0;
     };
