--- /dev/null
+++ b/Source/protocol/PeerMessages.cpp
@@ -0,0 +1,279 @@
+#include "protocol/PeerMessages.h"
+
+#include "protocol/Cbor.h"
+#include "protocol/MessageFields.h"
+
+#include <type_traits>
+
+namespace Knapweedquay {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::size_t maximumHeaders = 200;
+constexpr std::size_t maximumPriorities = 32;
+
+void append(Json& fields, const LoadReport& load)
+{
+    Json queued = Json::array();
+    for (const std::uint32_t length : load.queued)
+        queued.push_back(length);
+    fields.push_back(load.running);
+    fields.push_back(load.concurrencyLimit);
+    fields.push_back(std::move(queued));
+    fields.push_back(load.serviceTime.count());
+    fields.push_back(load.completedCalls);
+    fields.push_back(load.draining);
+}
+
+LoadReport readLoad(FieldReader& reader)
+{
+    LoadReport load;
+    load.running = readUnsigned32(reader);
+    load.concurrencyLimit = readUnsigned32(reader);
+    const Json& queued = reader.array();
+    if (queued.size() > maximumPriorities)
+        reader.fail("too many priorities in a load report");
+    FieldReader lengths(queued.is_array() ? queued : Json::array());
+    while (!reader.failed() && lengths.remaining() > 0 && !lengths.failed())
+        load.queued.push_back(readUnsigned32(lengths));
+    if (lengths.failed())
+        reader.fail("queue lengths of a load report are not numbers");
+    load.serviceTime = reader.duration();
+    load.completedCalls = reader.unsignedInteger();
+    load.draining = reader.boolean();
+    return load;
+}
+
+void append(Json& fields, const HttpHeaders& headers)
+{
+    Json list = Json::array();
+    for (const HttpHeader& header : headers) {
+        list.push_back(cborBytes(header.name));
+        list.push_back(cborBytes(header.value));
+    }
+    fields.push_back(std::move(list));
+}
+
+HttpHeaders readHeaders(FieldReader& reader)
+{
+    const Json& list = reader.array();
+    if (list.size() > 2 * maximumHeaders)
+        reader.fail("too many headers");
+    HttpHeaders headers;
+    FieldReader pairs(list.is_array() ? list : Json::array());
+    while (!reader.failed() && pairs.remaining() > 0 && !pairs.failed()) {
+        std::string name = pairs.bytes();
+        headers.push_back({ std::move(name), pairs.bytes() });
+    }
+    if (pairs.failed())
+        reader.fail("headers are not pairs of byte strings");
+    return headers;
+}
+
+void appendFields(Json& fields, const HelloMessage& message)
+{
+    fields.push_back(message.node.value());
+    fields.push_back(message.incarnation.value());
+}
+
+void readFields(FieldReader& reader, HelloMessage& message)
+{
+    message.node = NodeId(reader.text());
+    message.incarnation = Incarnation(reader.unsignedInteger());
+}
+
+void appendFields(Json& fields, const CallRequestMessage& message)
+{
+    append(fields, message.attempt);
+    fields.push_back(message.targetIncarnation.value());
+    fields.push_back(message.isResend);
+    fields.push_back(message.service.value());
+    fields.push_back(message.priority.value());
+    fields.push_back(message.isIdempotent);
+    fields.push_back(message.remaining.count());
+    fields.push_back(message.isRepeat);
+    fields.push_back(message.depth);
+    fields.push_back(cborBytes(message.idempotencyKey.value()));
+    fields.push_back(cborBytes(message.request.method));
+    fields.push_back(cborBytes(message.request.target));
+    append(fields, message.request.headers);
+    fields.push_back(cborBytes(message.request.body));
+}
+
+void readFields(FieldReader& reader, CallRequestMessage& message)
+{
+    message.attempt = readAttempt(reader);
+    message.targetIncarnation = Incarnation(reader.unsignedInteger());
+    message.isResend = reader.boolean();
+    message.service = ServiceName(reader.text());
+    message.priority = PriorityIndex(readUnsigned32(reader));
+    message.isIdempotent = reader.boolean();
+    message.remaining = reader.duration();
+    message.isRepeat = reader.boolean();
+    message.depth = readUnsigned32(reader);
+    message.idempotencyKey = IdempotencyKey(reader.bytes());
+    message.request.method = reader.bytes();
+    message.request.target = reader.bytes();
+    message.request.headers = readHeaders(reader);
+    message.request.body = reader.bytes();
+}
+
+void appendFields(Json& fields, const CallAcceptedMessage& message)
+{
+    append(fields, message.attempt);
+    append(fields, message.load);
+}
+
+void readFields(FieldReader& reader, CallAcceptedMessage& message)
+{
+    message.attempt = readAttempt(reader);
+    message.load = readLoad(reader);
+}
+
+void appendFields(Json& fields, const CallAnswerMessage& message)
+{
+    append(fields, message.attempt);
+    append(fields, message.load);
+    fields.push_back(cborBytes(message.response));
+}
+
+void readFields(FieldReader& reader, CallAnswerMessage& message)
+{
+    message.attempt = readAttempt(reader);
+    message.load = readLoad(reader);
+    message.response = reader.bytes();
+}
+
+void appendFields(Json& fields, const CallRefusalMessage& message)
+{
+    append(fields, message.attempt);
+    append(fields, message.load);
+    fields.push_back(static_cast<std::uint16_t>(message.code));
+    fields.push_back(message.retryAfter.count());
+    fields.push_back(message.isFleetWide);
+}
+
+void readFields(FieldReader& reader, CallRefusalMessage& message)
+{
+    message.attempt = readAttempt(reader);
+    message.load = readLoad(reader);
+    message.code = readCode(reader);
+    message.retryAfter = reader.duration();
+    message.isFleetWide = reader.boolean();
+}
+
+void appendFields(Json& fields, const CallUnknownMessage& message)
+{
+    append(fields, message.attempt);
+    append(fields, message.load);
+    fields.push_back(static_cast<std::uint16_t>(message.code));
+}
+
+void readFields(FieldReader& reader, CallUnknownMessage& message)
+{
+    message.attempt = readAttempt(reader);
+    message.load = readLoad(reader);
+    message.code = readCode(reader);
+}
+
+void appendFields(Json& fields, const CallCancelMessage& message)
+{
+    append(fields, message.attempt);
+    fields.push_back(message.targetIncarnation.value());
+}
+
+void readFields(FieldReader& reader, CallCancelMessage& message)
+{
+    message.attempt = readAttempt(reader);
+    message.targetIncarnation = Incarnation(reader.unsignedInteger());
+}
+
+void appendFields(Json& fields, const CallCancelledMessage& message)
+{
+    append(fields, message.attempt);
+    fields.push_back(static_cast<std::uint8_t>(message.result));
+}
+
+void readFields(FieldReader& reader, CallCancelledMessage& message)
+{
+    message.attempt = readAttempt(reader);
+    const std::uint64_t result = reader.unsignedInteger();
+    if (result > static_cast<std::uint64_t>(CancelResult::Unknown))
+        reader.fail("unknown result of a cancel");
+    message.result = static_cast<CancelResult>(result);
+}
+
+void appendFields(Json& fields, const ProbeMessage& message)
+{
+    fields.push_back(message.sequence);
+    fields.push_back(message.service.value());
+}
+
+void readFields(FieldReader& reader, ProbeMessage& message)
+{
+    message.sequence = reader.unsignedInteger();
+    message.service = ServiceName(reader.text());
+}
+
+void appendFields(Json& fields, const ProbeAnswerMessage& message)
+{
+    fields.push_back(message.sequence);
+    fields.push_back(message.service.value());
+    append(fields, message.load);
+}
+
+void readFields(FieldReader& reader, ProbeAnswerMessage& message)
+{
+    message.sequence = reader.unsignedInteger();
+    message.service = ServiceName(reader.text());
+    message.load = readLoad(reader);
+}
+
+} // namespace
+
+std::string encode(const PeerMessage& message)
+{
+    Json fields = Json::array();
+    fields.push_back(message.index());
+    std::visit([&fields](const auto& typed) { appendFields(fields, typed); }, message);
+    return encodeCbor(fields);
+}
+
+std::string encodeResponse(const HttpResponse& response)
+{
+    Json fields = Json::array();
+    fields.push_back(response.status);
+    append(fields, response.headers);
+    fields.push_back(cborBytes(response.body));
+    return encodeCbor(fields);
+}
+
+Result<HttpResponse> decodeResponse(std::string_view bytes)
+{
+    constexpr std::uint64_t lowestStatus = 100;
+    constexpr std::uint64_t highestStatus = 999;
+    const auto decoded = decodeCbor(bytes, maximumPeerMessageBytes);
+    if (decoded.has_error())
+        return decoded.error();
+    FieldReader reader(decoded.value());
+    HttpResponse response;
+    const std::uint64_t status = reader.unsignedInteger();
+    if (status < lowestStatus || status > highestStatus)
+        reader.fail("HTTP status out of range");
+    response.status = static_cast<std::uint16_t>(status);
+    response.headers = readHeaders(reader);
+    response.body = reader.bytes();
+    const auto finished = reader.finish();
+    if (finished.has_error())
+        return finished.error();
+    return response;
+}
+
+Result<PeerMessage> decodePeerMessage(std::string_view bytes)
+{
+    return decodeVariant<PeerMessage>(bytes, maximumPeerMessageBytes, [](FieldReader& reader, auto& message) { readFields(reader, message); });
+}
+
+} // namespace Knapweedquay
