Coordination: Share CancelResult, tell abandoned calls apart

The queue's CancelResult clashed with that of the attempt outcomes; they say the same. A call that the sender gives up, as it does with the loser of a hedge, says nothing about the endpoint: counted as lost, hedges would raise the error rate of healthy endpoints.

--- a/Source/coordination/AdmissionQueue.cpp
+++ b/Source/coordination/AdmissionQueue.cpp
@@ -8,21 +8,21 @@
 
 namespace {
 
-    constexpr std::size_t maximumQueuedPerPriority = 1024;
-    constexpr Duration minimumRetryAfter { 20000 };
-    constexpr Duration maximumRetryAfter { 10000000 };
-    /// Time that waiting calls have to start once the endpoint drains.
-    constexpr Duration drainQueueTime { 1000000 };
-    /// A queue that has not been empty for this long is a standing one, not a burst.
-    constexpr Duration standingQueueTime { 100000 };
-    /// Multiple of the mean service time that is left for the service itself within the target.
-    constexpr int serviceTailFactor = 4;
-    /// Cost of a call while nothing is known about it.
-    constexpr double unknownCostMicroseconds = 5000;
-    /// Time constant of the work that is counted as recent.
-    constexpr double recentMicroseconds = 500000;
-    /// Least part of the capacity that a wait is worked out with.
-    constexpr double smallestShare = 0.001;
+constexpr std::size_t maximumQueuedPerPriority = 1024;
+constexpr Duration minimumRetryAfter { 20000 };
+constexpr Duration maximumRetryAfter { 10000000 };
+/// Time that waiting calls have to start once the endpoint drains.
+constexpr Duration drainQueueTime { 1000000 };
+/// A queue that has not been empty for this long is a standing one, not a burst.
+constexpr Duration standingQueueTime { 100000 };
+/// Multiple of the mean service time that is left for the service itself within the target.
+constexpr int serviceTailFactor = 4;
+/// Cost of a call while nothing is known about it.
+constexpr double unknownCostMicroseconds = 5000;
+/// Time constant of the work that is counted as recent.
+constexpr double recentMicroseconds = 500000;
+/// Least part of the capacity that a wait is worked out with.
+constexpr double smallestShare = 0.001;
 
 } // namespace
 
--- a/Source/coordination/AdmissionQueue.h
+++ b/Source/coordination/AdmissionQueue.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/AttemptOutcome.h"
 #include "coordination/CallTicket.h"
 #include "coordination/ConcurrencyLimit.h"
 #include "coordination/LoadReport.h"
@@ -45,14 +46,6 @@
     Shed,
 };
 
-enum class CancelResult {
-    /// The call was waiting; it certainly did not run and never will.
-    NotRun,
-    /// The call runs; finished() is still due.
-    Running,
-    Unknown,
-};
-
 /// A waiting call that was given up; it certainly did not run.
 struct GivenUpCall {
     CallTicket ticket;
--- a/Source/coordination/ConcurrencyLimit.cpp
+++ b/Source/coordination/ConcurrencyLimit.cpp
@@ -6,20 +6,20 @@
 
 namespace {
 
-    /// Mean latency, as a multiple of the baseline, above which the limit goes down.
-    constexpr double inflationTolerance = 2;
-    /// Largest decrease of the limit in one window.
-    constexpr double smallestDecrease = 0.5;
-    constexpr double shedDecrease = 0.8;
-    /// Samples in one window of the limit; a lower limit has a shorter window.
-    constexpr std::uint32_t samplesPerSlot = 6;
-    constexpr std::uint32_t minimumSamples = 16;
-    constexpr std::uint32_t baselineSamples = 128;
-    constexpr double lowLoadShare = 0.25;
-    constexpr double lowLoadWeight = 1.0 / 64;
-    constexpr double fallingWeight = 1.0 / 8;
-    /// Small, so that the baseline does not follow the very inflation that it is there to show.
-    constexpr double risingWeight = 1.0 / 256;
+/// Mean latency, as a multiple of the baseline, above which the limit goes down.
+constexpr double inflationTolerance = 2;
+/// Largest decrease of the limit in one window.
+constexpr double smallestDecrease = 0.5;
+constexpr double shedDecrease = 0.8;
+/// Samples in one window of the limit; a lower limit has a shorter window.
+constexpr std::uint32_t samplesPerSlot = 6;
+constexpr std::uint32_t minimumSamples = 16;
+constexpr std::uint32_t baselineSamples = 128;
+constexpr double lowLoadShare = 0.25;
+constexpr double lowLoadWeight = 1.0 / 64;
+constexpr double fallingWeight = 1.0 / 8;
+/// Small, so that the baseline does not follow the very inflation that it is there to show.
+constexpr double risingWeight = 1.0 / 256;
 
 } // namespace
 
--- a/Source/coordination/EndpointChooser.cpp
+++ b/Source/coordination/EndpointChooser.cpp
@@ -7,29 +7,29 @@
 
 namespace {
 
-    /// Round trips that are assumed until one is measured.
-    constexpr Duration unknownLocalRoundTrip { 200 };
-    constexpr Duration unknownRemoteRoundTrip { 2000 };
-    constexpr int roundTripDivisor = 8;
-    constexpr double ejectionErrorRate = 0.5;
-    /// Error rate of an endpoint that came back from its ejection.
-    constexpr double returnErrorRate = 0.2;
-    /// The time of an ejection doubles at most this often.
-    constexpr std::uint32_t maximumDoublings = 5;
-
-    std::size_t randomBelow(std::size_t bound, EndpointChooser::RandomEngine& random)
-    {
-        return std::uniform_int_distribution<std::size_t>(0, bound - 1)(random);
-    }
+/// Round trips that are assumed until one is measured.
+constexpr Duration unknownLocalRoundTrip { 200 };
+constexpr Duration unknownRemoteRoundTrip { 2000 };
+constexpr int roundTripDivisor = 8;
+constexpr double ejectionErrorRate = 0.5;
+/// Error rate of an endpoint that came back from its ejection.
+constexpr double returnErrorRate = 0.2;
+/// The time of an ejection doubles at most this often.
+constexpr std::uint32_t maximumDoublings = 5;
+
+std::size_t randomBelow(std::size_t bound, EndpointChooser::RandomEngine& random)
+{
+    return std::uniform_int_distribution<std::size_t>(0, bound - 1)(random);
+}
 
-    /// Reported load as a share of what the endpoint runs at once.
-    double reportedLoad(const EndpointRecord& record)
-    {
-        double load = record.report().running;
-        for (const auto queued : record.report().queued)
-            load += queued;
-        return load / std::max(1U, record.description().slots);
-    }
+/// Reported load as a share of what the endpoint runs at once.
+double reportedLoad(const EndpointRecord& record)
+{
+    double load = record.report().running;
+    for (const auto queued : record.report().queued)
+        load += queued;
+    return load / std::max(1U, record.description().slots);
+}
 
 } // namespace
 
@@ -275,7 +275,7 @@
         return;
     auto& ejection = endpoint.ejection;
     const bool isTrial = ejection && ejection->trial == ticket;
-    if (isTrial && end == CallEnd::Refused) {
+    if (isTrial && (end == CallEnd::Refused || end == CallEnd::Abandoned)) {
         ejection->trial.reset();
         return;
     }
--- a/Source/coordination/EndpointRecord.cpp
+++ b/Source/coordination/EndpointRecord.cpp
@@ -7,40 +7,40 @@
 
 namespace {
 
-    constexpr double errorWeight = 0.1;
-    /// How much worse an endpoint looks for each failure per answer.
-    constexpr double errorPenalty = 10;
-    constexpr double maximumErrorRate = 0.95;
-    constexpr double usualLoadWeight = 1.0 / 64;
-    /// Smoothing of the round trip as in RFC 6298.
-    constexpr int roundTripDivisor = 8;
-    /// Service times after which a reported load is forgotten in favour of the usual one: calls come and go.
-    constexpr double reportServiceTimes = 1;
-    /// Differences of service time up to this factor are taken for noise; following them would send all to the endpoint
-    /// that happened to look best.
-    constexpr double serviceTimeNoise = 2;
-    /// Time constant after which a slow endpoint without completed calls is worth a new try.
-    constexpr double serviceTimeMicroseconds = 5000000;
-    /// An outstanding call counts as stalled beyond this multiple of its expected time.
-    constexpr double stallFactor = 3;
-    /// Calls over which the time of stalled calls is spread, as if that many had ended as expected.
-    constexpr double stallCalls = 4;
-    constexpr double unknownServiceMicroseconds = 5000;
-    constexpr double smallestRampFactor = 0.1;
-
-    double microseconds(Duration duration)
-    {
-        return static_cast<double>(duration.count());
-    }
+constexpr double errorWeight = 0.1;
+/// How much worse an endpoint looks for each failure per answer.
+constexpr double errorPenalty = 10;
+constexpr double maximumErrorRate = 0.95;
+constexpr double usualLoadWeight = 1.0 / 64;
+/// Smoothing of the round trip as in RFC 6298.
+constexpr int roundTripDivisor = 8;
+/// Service times after which a reported load is forgotten in favour of the usual one: calls come and go.
+constexpr double reportServiceTimes = 1;
+/// Differences of service time up to this factor are taken for noise; following them would send all to the endpoint
+/// that happened to look best.
+constexpr double serviceTimeNoise = 2;
+/// Time constant after which a slow endpoint without completed calls is worth a new try.
+constexpr double serviceTimeMicroseconds = 5000000;
+/// An outstanding call counts as stalled beyond this multiple of its expected time.
+constexpr double stallFactor = 3;
+/// Calls over which the time of stalled calls is spread, as if that many had ended as expected.
+constexpr double stallCalls = 4;
+constexpr double unknownServiceMicroseconds = 5000;
+constexpr double smallestRampFactor = 0.1;
+
+double microseconds(Duration duration)
+{
+    return static_cast<double>(duration.count());
+}
 
-    /// Mean wait before one of `servers` servers, in units of one service time per server (Sakasegawa 1977 for M/M/c).
-    double waitFactor(double callsAhead, double servers)
-    {
-        const double utilisation = callsAhead / servers;
-        if (utilisation >= 1)
-            return callsAhead + 1 - servers;
-        return std::pow(utilisation, std::sqrt(2 * (servers + 1)) - 1);
-    }
+/// Mean wait before one of `servers` servers, in units of one service time per server (Sakasegawa 1977 for M/M/c).
+double waitFactor(double callsAhead, double servers)
+{
+    const double utilisation = callsAhead / servers;
+    if (utilisation >= 1)
+        return callsAhead + 1 - servers;
+    return std::pow(utilisation, std::sqrt(2 * (servers + 1)) - 1);
+}
 
 } // namespace
 
@@ -72,7 +72,7 @@
     m_outstanding.erase(m_outstanding.iterator_to(call));
     call.endpoint = nullptr;
     // A refusal says nothing about the backend server; the report that comes with it says why.
-    if (end == CallEnd::Refused)
+    if (end == CallEnd::Refused || end == CallEnd::Abandoned)
         return;
     const double sample = end == CallEnd::Answered ? 0 : 1;
     m_errorRate += errorWeight * (sample - m_errorRate);
--- a/Source/coordination/EndpointRecord.h
+++ b/Source/coordination/EndpointRecord.h
@@ -33,6 +33,8 @@
     Refused,
     /// No answer came in time.
     Lost,
+    /// The sender gave it up for a reason of its own: the caller went away, or another attempt was answered first.
+    Abandoned,
 };
 
 class EndpointRecord;
--- a/Source/coordination/MeasurementBudget.cpp
+++ b/Source/coordination/MeasurementBudget.cpp
@@ -6,14 +6,14 @@
 
 namespace {
 
-    constexpr std::uint64_t oneProbe = 1000000;
-    constexpr double largestLimit = 1e9;
-    constexpr Duration second { 1000000 };
+constexpr std::uint64_t oneProbe = 1000000;
+constexpr double largestLimit = 1e9;
+constexpr Duration second { 1000000 };
 
-    std::uint64_t roundedDown(double value)
-    {
-        return static_cast<std::uint64_t>(std::clamp(value, 0.0, largestLimit));
-    }
+std::uint64_t roundedDown(double value)
+{
+    return static_cast<std::uint64_t>(std::clamp(value, 0.0, largestLimit));
+}
 
 } // namespace
 
--- a/Source/coordination/ProbePlanner.cpp
+++ b/Source/coordination/ProbePlanner.cpp
@@ -7,38 +7,38 @@
 
 namespace {
 
-    /// After this time a probe without an answer no longer keeps the next one back.
-    constexpr Duration probeTimeout { 1000000 };
-    /// An endpoint is likely to be chosen up to this multiple of the median predicted time.
-    constexpr int likelyFactor = 2;
+/// After this time a probe without an answer no longer keeps the next one back.
+constexpr Duration probeTimeout { 1000000 };
+/// An endpoint is likely to be chosen up to this multiple of the median predicted time.
+constexpr int likelyFactor = 2;
 
-    enum class Interest {
-        Likely,
-        Ejected,
-        Slow,
-    };
+enum class Interest {
+    Likely,
+    Ejected,
+    Slow,
+};
 
-    Duration medianPredictedTime(const std::vector<EndpointStatus>& endpoints)
-    {
-        std::vector<Duration> times;
-        times.reserve(endpoints.size());
-        for (const auto& endpoint : endpoints) {
-            if (!endpoint.draining)
-                times.push_back(endpoint.predictedTime);
-        }
-        if (times.empty())
-            return Duration(0);
-        const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
-        std::nth_element(times.begin(), middle, times.end());
-        return *middle;
+Duration medianPredictedTime(const std::vector<EndpointStatus>& endpoints)
+{
+    std::vector<Duration> times;
+    times.reserve(endpoints.size());
+    for (const auto& endpoint : endpoints) {
+        if (!endpoint.draining)
+            times.push_back(endpoint.predictedTime);
     }
+    if (times.empty())
+        return Duration(0);
+    const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+    std::nth_element(times.begin(), middle, times.end());
+    return *middle;
+}
 
-    Interest interestOf(const EndpointStatus& endpoint, Duration median)
-    {
-        if (endpoint.ejected)
-            return Interest::Ejected;
-        return endpoint.predictedTime <= median * likelyFactor ? Interest::Likely : Interest::Slow;
-    }
+Interest interestOf(const EndpointStatus& endpoint, Duration median)
+{
+    if (endpoint.ejected)
+        return Interest::Ejected;
+    return endpoint.predictedTime <= median * likelyFactor ? Interest::Likely : Interest::Slow;
+}
 
 } // namespace
 
--- a/Source/coordination/ServiceTimeEstimate.cpp
+++ b/Source/coordination/ServiceTimeEstimate.cpp
@@ -6,17 +6,17 @@
 
 namespace {
 
-    /// Samples that the mean goes back over. Fewer follow a change faster, but the wait of a full queue is worked out
-    /// from the mean and would be wrong by its noise.
-    constexpr std::uint32_t meanSamples = 64;
-    constexpr double quartile = 0.25;
-    /// Size of one step of the quartile, relative to its value.
-    constexpr double quartileStep = 0.1;
-
-    Duration microseconds(double count)
-    {
-        return Duration(static_cast<Duration::rep>(count));
-    }
+/// Samples that the mean goes back over. Fewer follow a change faster, but the wait of a full queue is worked out
+/// from the mean and would be wrong by its noise.
+constexpr std::uint32_t meanSamples = 64;
+constexpr double quartile = 0.25;
+/// Size of one step of the quartile, relative to its value.
+constexpr double quartileStep = 0.1;
+
+Duration microseconds(double count)
+{
+    return Duration(static_cast<Duration::rep>(count));
+}
 
 } // namespace
 
--- a/Tests/coordination/EndpointChooserTest.cpp
+++ b/Tests/coordination/EndpointChooserTest.cpp
@@ -154,7 +154,10 @@
     EXPECT_EQ(0, choose(1));
     const auto trial = send(0);
     EXPECT_NE(0, choose(1));
-    m_chooser.callFinished(trial, CallEnd::Failed, m_now);
+    m_chooser.callFinished(trial, CallEnd::Abandoned, m_now);
+    EXPECT_TRUE(status(0).ejected);
+    EXPECT_EQ(0, choose(1));
+    m_chooser.callFinished(send(0), CallEnd::Failed, m_now);
     m_now += second;
     EXPECT_NE(0, choose(1));
     // The second ejection is twice as long. Without least urgent calls another one is tried a little later.
@@ -295,7 +298,7 @@
         case 7:
             if (!sent.empty()) {
                 const auto index = *rc::gen::inRange<std::size_t>(0, sent.size());
-                const auto end = *rc::gen::element(CallEnd::Answered, CallEnd::Failed, CallEnd::Failed, CallEnd::Refused, CallEnd::Lost);
+                const auto end = *rc::gen::element(CallEnd::Answered, CallEnd::Failed, CallEnd::Failed, CallEnd::Refused, CallEnd::Lost, CallEnd::Abandoned);
                 chooser.callFinished(CallTicket(sent[index].ticket), end, now);
                 // A second end of the same call changes nothing.
                 chooser.callFinished(CallTicket(sent[index].ticket), end, now);
