--- a/Source/coordination/EndpointChooser.cpp
+++ b/Source/coordination/EndpointChooser.cpp
@@ -145,6 +145,14 @@
     return chosen->record.id();
 }
 
+bool EndpointChooser::isFleetOverloaded(PriorityIndex priority, TimePoint now) const
+{
+    const auto available = candidates({}, false);
+    return !available.empty() && std::all_of(available.begin(), available.end(), [&](const Endpoint* endpoint) {
+        return endpoint->record.isSaturated(priority, now);
+    });
+}
+
 std::vector<EndpointStatus> EndpointChooser::status(TimePoint now) const
 {
     std::vector<EndpointStatus> all;
--- a/Source/coordination/EndpointChooser.h
+++ b/Source/coordination/EndpointChooser.h
@@ -75,6 +75,10 @@
     /// Nothing when every endpoint is excluded or drains. An ejected endpoint is used when there is no other.
     std::optional<EndpointId> choose(const std::vector<EndpointId>& excluded, PriorityIndex, TimePoint now, RandomEngine&);
 
+    /// True when recent reports show that calls of this priority wait at every endpoint, so that a refusal for overload
+    /// is not worth a retry elsewhere.
+    bool isFleetOverloaded(PriorityIndex, TimePoint now) const;
+
     std::vector<EndpointStatus> status(TimePoint now) const;
     bool isEmpty() const { return m_endpoints.empty(); }
 
--- a/Source/coordination/EndpointRecord.cpp
+++ b/Source/coordination/EndpointRecord.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace Knapweedquay {
 
@@ -25,6 +26,8 @@
 constexpr double stallFactor = 3;
 /// Calls over which the time of stalled calls is spread, as if that many had ended as expected.
 constexpr double stallCalls = 4;
+/// Age beyond which a report no longer tells of overload.
+constexpr Duration saturationAge { 500000 };
 constexpr double unknownServiceMicroseconds = 5000;
 constexpr double smallestRampFactor = 0.1;
 
@@ -33,6 +36,13 @@
     return static_cast<double>(duration.count());
 }
 
+/// Calls that wait and are at least as urgent as this priority.
+double queuedUpTo(const LoadReport& report, PriorityIndex priority)
+{
+    const std::size_t lanes = std::min<std::size_t>(report.queued.size(), priority.value() + 1);
+    return std::accumulate(report.queued.begin(), report.queued.begin() + static_cast<std::ptrdiff_t>(lanes), 0.0);
+}
+
 /// Mean wait before one of `servers` servers, in units of one service time per server (Sakasegawa 1977 for M/M/c).
 double waitFactor(double callsAhead, double servers)
 {
@@ -107,6 +117,13 @@
     m_roundTrip = m_roundTrip ? *m_roundTrip + (sample - *m_roundTrip) / roundTripDivisor : sample;
 }
 
+bool EndpointRecord::isSaturated(PriorityIndex priority, TimePoint now) const
+{
+    if (!m_reportedAt || now - *m_reportedAt > saturationAge)
+        return false;
+    return m_report.running >= m_report.concurrencyLimit && queuedUpTo(m_report, priority) > 0;
+}
+
 double EndpointRecord::rampFactor(const ServiceDocument& document, TimePoint now) const
 {
     if (document.rampTime <= Duration(0) || document.rampCalls == 0)
@@ -156,10 +173,7 @@
     const auto own = static_cast<double>(m_outstanding.size());
     if (!m_reportedAt)
         return own;
-    double reported = m_report.running;
-    const std::size_t lanes = std::min<std::size_t>(m_report.queued.size(), priority.value() + 1);
-    for (std::size_t lane = 0; lane < lanes; ++lane)
-        reported += m_report.queued[lane];
+    const double reported = m_report.running + queuedUpTo(m_report, priority);
     // A backlog lasts longer than the calls that run.
     const double memory = reportServiceTimes * service * std::max(1.0, reported / limit);
     const double freshness = std::exp(-microseconds(now - *m_reportedAt) / memory);
--- a/Source/coordination/EndpointRecord.h
+++ b/Source/coordination/EndpointRecord.h
@@ -91,6 +91,8 @@
     double errorRate() const { return m_errorRate; }
     void setErrorRate(double rate) { m_errorRate = rate; }
 
+    /// True when a recent report shows that calls of this priority wait there.
+    bool isSaturated(PriorityIndex, TimePoint now) const;
     /// Part of its calls that the endpoint is to get while it starts, 0.1..1.
     double rampFactor(const ServiceDocument&, TimePoint now) const;
     /// Time that a call would take: round trip, wait and service, made worse by the error rate.
--- a/Tests/coordination/EndpointChooserTest.cpp
+++ b/Tests/coordination/EndpointChooserTest.cpp
@@ -246,6 +246,19 @@
     EXPECT_EQ(1, choose(1));
 }
 
+TEST_F(EndpointChooserTest, Overload_AtEveryEndpoint_IsFleetWideForItsPriority)
+{
+    addEndpoints(2);
+    auto full = makeReport(slots);
+    full.queued = { 0, 3 };
+    m_chooser.report(endpointId(0), full, m_now);
+    EXPECT_FALSE(m_chooser.isFleetOverloaded(PriorityIndex(1), m_now));
+    m_chooser.report(endpointId(1), full, m_now);
+    EXPECT_TRUE(m_chooser.isFleetOverloaded(PriorityIndex(1), m_now));
+    EXPECT_FALSE(m_chooser.isFleetOverloaded(PriorityIndex(0), m_now));
+    EXPECT_FALSE(m_chooser.isFleetOverloaded(PriorityIndex(1), m_now + second));
+}
+
 RC_GTEST_PROP(EndpointChooserProperty, AnyEvents_ComparedWithRecount_AreEqual, ())
 {
     constexpr int endpoints = 6;
