--- a/Tests/load/LoadToolTest.cpp
+++ b/Tests/load/LoadToolTest.cpp
@@ -113,7 +113,7 @@
         connection->send(serializeAnswer(rightAnswer(request)));
     });
     EXPECT_GT(result.sent, 0u);
-    EXPECT_EQ(result.doubleRuns * 2, result.sent);
+    EXPECT_EQ(result.doubleRuns, result.sent);
 }
 
 TEST_F(LoadToolTest, Refusals_OfCallsThatRan_CountAsFalseNotRun)
--- a/Utilities/Load/CallClassResult.cpp
+++ b/Utilities/Load/CallClassResult.cpp
@@ -1,7 +1,17 @@
 #include "Load/CallClassResult.h"
 
+#include <fmt/format.h>
+
 namespace Knapweedquay::Load {
 
+std::string CallClassResult::describeCodes() const
+{
+    std::string text;
+    for (const auto& [code, count] : codes)
+        text += fmt::format("{}{} x{}", text.empty() ? "" : ", ", code, count);
+    return text;
+}
+
 nlohmann::json toJson(const CallClassResult& result)
 {
     return {
--- a/Utilities/Load/CallClassResult.h
+++ b/Utilities/Load/CallClassResult.h
@@ -35,6 +35,8 @@
     std::uint64_t falseNotRun = 0;
     std::uint64_t answeredWithoutRun = 0;
 
+    /// The codes of refusals with their counts, such as "200 x3, 302 x1".
+    std::string describeCodes() const;
     double withinTargetShare() const { return sent == 0 ? 1 : static_cast<double>(withinTarget) / static_cast<double>(sent); }
 };
 
--- a/Utilities/Load/DemoMain.cpp
+++ b/Utilities/Load/DemoMain.cpp
@@ -119,12 +119,12 @@
 
 void printTable(const std::vector<CallClassResult>& results)
 {
-    constexpr const char* row = "{:<10} {:>6} {:>9} {:>8} {:>8} {:>7} {:>9} {:>9} {:>8}\n";
+    constexpr const char* row = "{:<10} {:>6} {:>9} {:>8} {:>8} {:>7} {:>9} {:>9} {:>8}  {}\n";
     std::cout << "\n"
-              << fmt::format(row, "priority", "sent", "answered", "not run", "unknown", "errors", "p50 ms", "p99 ms", "in time");
+              << fmt::format(row, "priority", "sent", "answered", "not run", "unknown", "errors", "p50 ms", "p99 ms", "in time", "codes");
     for (const CallClassResult& result : results) {
         std::cout << fmt::format(row, result.calls.name, result.sent, result.answered, result.notRun, result.unknown, result.errors + result.failed,
-            fmt::format("{:.1f}", result.latency.quantile(0.5)), fmt::format("{:.1f}", result.latency.quantile(0.99)), fmt::format("{:.1f}%", 100 * result.withinTargetShare()));
+            fmt::format("{:.1f}", result.latency.quantile(0.5)), fmt::format("{:.1f}", result.latency.quantile(0.99)), fmt::format("{:.1f}%", 100 * result.withinTargetShare()), result.describeCodes());
     }
     std::cout << "\n";
 }
@@ -144,8 +144,7 @@
         doubles += result.doubleRuns;
         falseNotRun += result.falseNotRun;
         errors += result.errors + result.failed;
-        // The second sending of a key is told that the first one runs, so it may end as unknown.
-        unknown += result.calls.resendShare > 0 ? 0 : result.unknown;
+        unknown += result.unknown;
         areAllAnswered = areAllAnswered && result.answered > 0;
     }
     return {
--- a/Utilities/Load/LoadGenerator.cpp
+++ b/Utilities/Load/LoadGenerator.cpp
@@ -3,6 +3,9 @@
 #include "Load/EchoAnswer.h"
 #include "Load/ExecutionRecord.h"
 
+#include <optional>
+#include <utility>
+
 namespace Knapweedquay::Load {
 
 namespace {
@@ -39,9 +42,14 @@
     std::vector<std::string> idsSent;
 };
 
+/// One call, which is sent once or, when it is resent, twice; it counts once, as the better of its outcomes.
 struct LoadGenerator::SentCall {
     std::string id;
     Clock::time_point intended;
+    std::size_t exchanges = 0;
+    bool isCounted = false;
+    /// The outcome of an ended exchange that was no answer.
+    std::optional<std::pair<ExchangeFailure, HttpMessage>> lesser;
 };
 
 LoadGenerator::LoadGenerator(asio::io_context& context, LoadOptions options)
@@ -87,9 +95,11 @@
     call->id = m_options.runName + "-" + calls.name + "-" + std::to_string(stream.idsSent.size());
     call->intended = stream.nextSend;
     stream.idsSent.push_back(call->id);
+    ++stream.result.sent;
     const std::size_t first = drawAddress(stream);
-    sendOnce(stream, call, first);
     const bool isResent = calls.isKeyed && std::uniform_real_distribution<>()(stream.random) < calls.resendShare;
+    call->exchanges = isResent ? 2 : 1;
+    sendOnce(stream, call, first);
     if (isResent)
         sendOnce(stream, call, (first + 1) % m_options.addresses.size());
 }
@@ -101,7 +111,6 @@
 
 void LoadGenerator::sendOnce(Stream& stream, const std::shared_ptr<SentCall>& call, std::size_t addressIndex)
 {
-    ++stream.result.sent;
     ++m_openCalls;
     const auto timeout = std::chrono::milliseconds(stream.result.calls.deadlineMs) + answerGrace;
     m_client.send(m_options.addresses[addressIndex], requestOf(stream, *call), timeout, [this, &stream, call](ExchangeFailure failure, const HttpMessage& answer) {
@@ -124,19 +133,34 @@
     return request;
 }
 
-void LoadGenerator::finish(Stream& stream, const SentCall& call, ExchangeFailure failure, const HttpMessage& answer)
+std::string LoadGenerator::outcomeOf(const HttpMessage& answer) const
+{
+    return m_options.isDirect ? "answered" : answer.header("knapweedquay-outcome");
+}
+
+void LoadGenerator::finish(Stream& stream, SentCall& call, ExchangeFailure failure, const HttpMessage& answer)
 {
     --m_openCalls;
+    --call.exchanges;
+    if (failure == ExchangeFailure::None && outcomeOf(answer) == "answered")
+        return countAnswer(stream, call, answer);
+    // One exchange that was not run says nothing of the other one.
+    if (!call.lesser || outcomeOf(answer) != "not-run")
+        call.lesser = { failure, answer };
+    if (call.exchanges == 0 && !call.isCounted)
+        countLesser(stream, call);
+}
+
+void LoadGenerator::countLesser(Stream& stream, const SentCall& call)
+{
     CallClassResult& result = stream.result;
+    const auto& [failure, answer] = *call.lesser;
     if (failure != ExchangeFailure::None) {
         ++result.errors;
         return;
     }
-    const std::string outcome = m_options.isDirect ? "answered" : answer.header("knapweedquay-outcome");
-    if (outcome == "answered")
-        return countAnswer(stream, call, answer);
     ++result.codes[codeOf(answer)];
-    if (outcome == "not-run") {
+    if (outcomeOf(answer) == "not-run") {
         ++result.notRun;
         stream.idsToldNotRun.push_back(call.id);
         return;
@@ -144,11 +168,12 @@
     ++result.unknown;
 }
 
-void LoadGenerator::countAnswer(Stream& stream, const SentCall& call, const HttpMessage& answer)
+void LoadGenerator::countAnswer(Stream& stream, SentCall& call, const HttpMessage& answer)
 {
     CallClassResult& result = stream.result;
+    const bool isFirst = !std::exchange(call.isCounted, true);
     if (answer.status >= firstServerError) {
-        ++result.failed;
+        result.failed += isFirst ? 1 : 0;
         return;
     }
     const std::string expected = echoAnswer(call.id, requestBody(call.id, result.calls.requestBytes), result.calls.answerBytes);
@@ -156,6 +181,8 @@
         ++result.wrong;
         return;
     }
+    if (!isFirst)
+        return;
     stream.idsAnswered.push_back(call.id);
     ++result.answered;
     const double milliseconds = std::chrono::duration<double, std::milli>(Clock::now() - call.intended).count();
@@ -178,12 +205,10 @@
     };
     for (const auto& stream : m_streams) {
         CallClassResult& result = stream->result;
-        // A call that was sent twice may be refused at one node and run through the other.
-        const bool isEachSentOnce = !(result.calls.resendShare > 0);
         for (const std::string& id : stream->idsSent)
             result.doubleRuns += result.calls.mustRunOnce() && runsOf(id) > 1 ? 1 : 0;
         for (const std::string& id : stream->idsToldNotRun)
-            result.falseNotRun += isEachSentOnce && runsOf(id) > 0 ? 1 : 0;
+            result.falseNotRun += runsOf(id) > 0 ? 1 : 0;
         for (const std::string& id : stream->idsAnswered)
             result.answeredWithoutRun += runsOf(id) == 0 ? 1 : 0;
     }
--- a/Utilities/Load/LoadGenerator.h
+++ b/Utilities/Load/LoadGenerator.h
@@ -45,8 +45,10 @@
     void scheduleNext(Stream&);
     void sendCall(Stream&);
     void sendOnce(Stream&, const std::shared_ptr<SentCall>&, std::size_t addressIndex);
-    void finish(Stream&, const SentCall&, ExchangeFailure, const HttpMessage&);
-    void countAnswer(Stream&, const SentCall&, const HttpMessage&);
+    std::string outcomeOf(const HttpMessage&) const;
+    void finish(Stream&, SentCall&, ExchangeFailure, const HttpMessage&);
+    void countAnswer(Stream&, SentCall&, const HttpMessage&);
+    void countLesser(Stream&, const SentCall&);
     HttpMessage requestOf(const Stream&, const SentCall&) const;
     std::size_t drawAddress(Stream&);
 
--- a/Utilities/Load/LoadMain.cpp
+++ b/Utilities/Load/LoadMain.cpp
@@ -35,14 +35,6 @@
     return description;
 }
 
-std::string describeCodes(const CallClassResult& result)
-{
-    std::string text;
-    for (const auto& [code, count] : result.codes)
-        text += fmt::format("{}{} x{}", text.empty() ? "" : ", ", code, count);
-    return text;
-}
-
 void printTable(const std::vector<CallClassResult>& results)
 {
     constexpr const char* row = "{:<14} {:>8} {:>8} {:>7} {:>7} {:>7} {:>7} {:>6} {:>9} {:>9} {:>9} {:>8} {:>7} {:>9}  {}\n";
@@ -50,7 +42,7 @@
     for (const CallClassResult& result : results) {
         const auto milliseconds = [&](double share) { return fmt::format("{:.2f}", result.latency.quantile(share)); };
         const std::string inTime = fmt::format("{:.1f}%", 100 * result.withinTargetShare());
-        std::cout << fmt::format(row, result.calls.name, result.sent, result.answered, result.failed, result.notRun, result.unknown, result.errors, result.wrong, milliseconds(0.5), milliseconds(0.99), milliseconds(0.999), inTime, result.doubleRuns, result.falseNotRun, describeCodes(result));
+        std::cout << fmt::format(row, result.calls.name, result.sent, result.answered, result.failed, result.notRun, result.unknown, result.errors, result.wrong, milliseconds(0.5), milliseconds(0.99), milliseconds(0.999), inTime, result.doubleRuns, result.falseNotRun, result.describeCodes());
     }
 }
 
