--- a/Source/control/ControlMain.cpp
+++ b/Source/control/ControlMain.cpp
@@ -1,49 +1,20 @@
 #include "control/ControlDaemon.h"
+#include "transport/DaemonMain.h"
 
-#include <boost/program_options.hpp>
-
-#include <cstdlib>
-#include <iostream>
-#include <string>
-
-namespace {
-
-constexpr int exitWrongUsage = 2;
-constexpr int exitFailed = 1;
-
-int fail(const Knapweedquay::Error& error, int exitCode)
-{
-    std::cerr << "knapweedquay-control: " << static_cast<int>(error.code) << " " << error.detail << '\n';
-    return exitCode;
-}
-
-} // namespace
+using namespace Knapweedquay;
 
 int main(int argc, char** argv)
 {
-    namespace Options = boost::program_options;
-    Options::options_description description("knapweedquay-control");
-    std::string config;
-    description.add_options()("help", "print this text")("config", Options::value(&config)->required(), "settings file (TOML)")("check-config", "check the settings and end");
-    Options::variables_map values;
-    try {
-        Options::store(Options::parse_command_line(argc, argv, description), values);
-        if (values.count("help") > 0) {
-            std::cout << description;
-            return EXIT_SUCCESS;
-        }
-        Options::notify(values);
-    } catch (const Options::error& error) {
-        std::cerr << "knapweedquay-control: " << error.what() << '\n'
-                  << description;
-        return exitWrongUsage;
-    }
-    const auto settings = Knapweedquay::loadControlSettings(config);
-    if (settings.has_error())
-        return fail(settings.error(), exitWrongUsage);
-    if (values.count("check-config") > 0)
-        return EXIT_SUCCESS;
-    Knapweedquay::ControlDaemon daemon(settings.value());
-    const auto ended = daemon.run();
-    return ended.has_error() ? fail(ended.error(), exitFailed) : EXIT_SUCCESS;
+    ControlSettings settings;
+    const auto load = [&settings](const std::string& path, const std::vector<SettingOverride>& overrides) -> Result<LogSettings> {
+        BOOST_OUTCOME_TRY(loaded, loadControlSettings(path, overrides));
+        settings = loaded;
+        return settings.log;
+    };
+    const auto run = [&settings]() -> Result<void> {
+        log(LogEvent::Started, { { "folder", settings.folder }, { "http", toText(settings.http) }, { "links", toText(settings.links) } });
+        ControlDaemon daemon(settings);
+        return daemon.run();
+    };
+    return DaemonMain("knapweedquay-control", { load, run }).run(argc, argv);
 }
--- a/Source/control/ControlSettings.cpp
+++ b/Source/control/ControlSettings.cpp
@@ -1,35 +1,51 @@
 #include "control/ControlSettings.h"
 
-#include <toml++/toml.h>
-
 namespace Knapweedquay {
 
-Result<ControlSettings> loadControlSettings(const std::string& path)
+namespace {
+
+// Instances that may be set aside for control.
+constexpr std::uint64_t largestReplicaCount = 8;
+
+bool isPath(std::string_view text) { return !text.empty(); }
+bool isSecret(std::string_view text)
+{
+    constexpr std::size_t longestSecret = 256;
+    return !text.empty() && text.size() <= longestSecret;
+}
+
+void readStore(TomlReader store, ControlSettings& settings)
+{
+    settings.bootstrap = store.boolean("bootstrap", settings.bootstrap);
+    settings.minimumVoters = store.integer("minimum_voters", settings.minimumVoters, 1, largestReplicaCount);
+    settings.peers = store.texts("peers", isSocketAddress, socketAddressExpectation);
+    store.finish();
+}
+
+void readCredentials(TomlReader credentials, ControlSettings& settings)
+{
+    for (const std::string& team : credentials.keys())
+        settings.credentials[team] = credentials.text(team, {}, isSecret, "a secret of 1 to 256 bytes");
+}
+
+void read(TomlReader& reader, ControlSettings& settings)
+{
+    settings.folder = reader.requiredText("folder", isPath, "the path of the data folder");
+    TomlReader listen = reader.section("listen");
+    settings.http = readAddress(listen, "http", settings.http);
+    settings.links = readAddress(listen, "links", settings.links);
+    listen.finish();
+    readStore(reader.section("store"), settings);
+    readCredentials(reader.section("credentials"), settings);
+    settings.log = readLogSettings(reader);
+}
+
+} // namespace
+
+Result<ControlSettings> loadControlSettings(const std::string& path, const std::vector<SettingOverride>& overrides)
 {
-    toml::table table;
-    try {
-        table = toml::parse_file(path);
-    } catch (const toml::parse_error& error) {
-        return Error { ResultCode::InvalidSettings, path + ": " + std::string(error.description()) };
-    }
     ControlSettings settings;
-    settings.folder = table["folder"].value_or(std::string());
-    settings.bootstrap = table["store"]["bootstrap"].value_or(false);
-    settings.minimumVoters = table["store"]["minimum_voters"].value_or(settings.minimumVoters);
-    BOOST_OUTCOME_TRY(http, parseSocketAddress(table["listen"]["http"].value_or(std::string())));
-    settings.http = http;
-    BOOST_OUTCOME_TRY(links, parseSocketAddress(table["listen"]["links"].value_or(std::string())));
-    settings.links = links;
-    if (const toml::array* peers = table["store"]["peers"].as_array()) {
-        for (const auto& peer : *peers)
-            settings.peers.push_back(peer.value_or(std::string()));
-    }
-    if (const toml::table* credentials = table["credentials"].as_table()) {
-        for (const auto& [team, secret] : *credentials)
-            settings.credentials.emplace(team.str(), secret.value_or(std::string()));
-    }
-    if (settings.folder.empty())
-        return Error { ResultCode::InvalidSettings, path + ": folder is needed" };
+    BOOST_OUTCOME_TRYV(readSettingsFile(path, overrides, [&settings](TomlReader& reader) { read(reader, settings); }));
     return settings;
 }
 
--- a/Source/control/ControlSettings.h
+++ b/Source/control/ControlSettings.h
@@ -2,6 +2,8 @@
 
 #include "protocol/Result.h"
 #include "protocol/SocketAddress.h"
+#include "state/SettingsFile.h"
+#include "transport/Logger.h"
 
 #include <cstddef>
 #include <map>
@@ -26,9 +28,10 @@
     std::size_t minimumVoters = 1;
     /// Secret of each team, by the team's name.
     std::map<std::string, std::string> credentials;
+    LogSettings log;
 };
 
-/// Errors: FileUnreadable; InvalidSettings with file, line, column, key and what was expected.
-Result<ControlSettings> loadControlSettings(const std::string& path);
+/// Errors: FileUnreadable; InvalidSettings with file, line, column, key and what was expected for each problem.
+Result<ControlSettings> loadControlSettings(const std::string& path, const std::vector<SettingOverride>& = {});
 
 } // namespace Knapweedquay
--- a/Source/node/NodeSettings.h
+++ b/Source/node/NodeSettings.h
@@ -4,6 +4,8 @@
 #include "protocol/Ids.h"
 #include "protocol/Result.h"
 #include "protocol/SocketAddress.h"
+#include "state/SettingsFile.h"
+#include "transport/Logger.h"
 
 #include <string>
 #include <vector>
@@ -28,9 +30,10 @@
     /// Gossip addresses of some other nodes.
     std::vector<SocketAddress> seeds;
     ChoicePolicy policy = ChoicePolicy::Predicted;
+    LogSettings log;
 };
 
-/// Errors: FileUnreadable; InvalidSettings with file, line, column, key and what was expected.
-Result<NodeSettings> loadNodeSettings(const std::string& path);
+/// Errors: FileUnreadable; InvalidSettings with file, line, column, key and what was expected for each problem.
+Result<NodeSettings> loadNodeSettings(const std::string& path, const std::vector<SettingOverride>& = {});
 
 } // namespace Knapweedquay
--- /dev/null
+++ b/Source/protocol/LogEvent.cpp
@@ -0,0 +1,74 @@
+#include "protocol/LogEvent.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace Knapweedquay {
+
+namespace {
+
+struct Row {
+    LogEvent event;
+    LogLevel level;
+    const char* text;
+};
+
+constexpr Row rows[] = {
+    { LogEvent::Started, LogLevel::Info, "started" },
+    { LogEvent::Stopping, LogLevel::Info, "stopping" },
+    { LogEvent::Stopped, LogLevel::Info, "stopped" },
+    { LogEvent::StartFailed, LogLevel::Error, "start failed" },
+    { LogEvent::SettingsRefused, LogLevel::Error, "settings refused" },
+    { LogEvent::MemberJoined, LogLevel::Info, "member joined" },
+    { LogEvent::MemberSuspected, LogLevel::Warning, "member suspected" },
+    { LogEvent::MemberDied, LogLevel::Warning, "member declared dead" },
+    { LogEvent::MemberLeft, LogLevel::Info, "member left" },
+    { LogEvent::EndpointChanged, LogLevel::Info, "endpoint changed" },
+    { LogEvent::NodeSuperseded, LogLevel::Error, "another process runs under this node's name" },
+    { LogEvent::DocumentInForce, LogLevel::Info, "document in force" },
+    { LogEvent::DocumentRefused, LogLevel::Error, "document refused" },
+    { LogEvent::ConfigurationFresh, LogLevel::Info, "configuration fresh" },
+    { LogEvent::ConfigurationStale, LogLevel::Warning, "configuration stale" },
+    { LogEvent::BackendAnnounced, LogLevel::Info, "backend server announced" },
+    { LogEvent::BackendDraining, LogLevel::Info, "backend server draining" },
+    { LogEvent::BackendSilent, LogLevel::Warning, "backend server silent" },
+    { LogEvent::StoreOpened, LogLevel::Info, "store opened" },
+    { LogEvent::StorageStopped, LogLevel::Error, "storage failed, replica stopped" },
+    { LogEvent::EditAccepted, LogLevel::Info, "edit accepted" },
+    { LogEvent::EditRefused, LogLevel::Warning, "edit refused" },
+    { LogEvent::ReplicaRemoved, LogLevel::Warning, "replica removed" },
+};
+
+const Row& rowOf(LogEvent event)
+{
+    const auto row = std::find_if(std::begin(rows), std::end(rows), [event](const Row& candidate) { return candidate.event == event; });
+    return row == std::end(rows) ? rows[0] : *row;
+}
+
+} // namespace
+
+LogLevel level(LogEvent event)
+{
+    return rowOf(event).level;
+}
+
+const char* text(LogEvent event)
+{
+    return rowOf(event).text;
+}
+
+std::vector<LogEvent> allLogEvents()
+{
+    std::vector<LogEvent> events;
+    for (const Row& row : rows)
+        events.push_back(row.event);
+    return events;
+}
+
+const char* toText(LogLevel level)
+{
+    constexpr const char* names[] = { "debug", "info", "warning", "error" };
+    return names[static_cast<std::size_t>(level)];
+}
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Source/protocol/LogEvent.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+namespace Knapweedquay {
+
+enum class LogLevel : std::uint8_t {
+    Debug = 0,
+    Info = 1,
+    Warning = 2,
+    Error = 3,
+};
+
+/// Numbered events of the log. docs/LOG_EVENTS.md has the catalogue; numbers are never reused.
+enum class LogEvent : std::uint16_t {
+    // 1xx: the process itself.
+    Started = 100,
+    Stopping = 101,
+    Stopped = 102,
+    StartFailed = 103,
+    SettingsRefused = 104,
+
+    // 2xx: membership.
+    MemberJoined = 200,
+    MemberSuspected = 201,
+    MemberDied = 202,
+    MemberLeft = 203,
+    EndpointChanged = 204,
+    NodeSuperseded = 205,
+
+    // 3xx: documents.
+    DocumentInForce = 300,
+    DocumentRefused = 301,
+    ConfigurationFresh = 302,
+    ConfigurationStale = 303,
+
+    // 4xx: the backend server beside this node.
+    BackendAnnounced = 400,
+    BackendDraining = 401,
+    BackendSilent = 402,
+
+    // 5xx: the control store.
+    StoreOpened = 500,
+    StorageStopped = 501,
+    EditAccepted = 502,
+    EditRefused = 503,
+    ReplicaRemoved = 504,
+};
+
+/// Level of an event.
+LogLevel level(LogEvent);
+/// Fixed text of an event, as it stands in the catalogue.
+const char* text(LogEvent);
+/// All events in the order of their numbers.
+std::vector<LogEvent> allLogEvents();
+
+const char* toText(LogLevel);
+
+} // namespace Knapweedquay
--- a/Source/state/DocumentParser.cpp
+++ b/Source/state/DocumentParser.cpp
@@ -1,5 +1,6 @@
 #include "state/DocumentParser.h"
 
+#include "state/SettingsFile.h"
 #include "state/TomlReader.h"
 
 #include <algorithm>
@@ -34,19 +35,9 @@
 constexpr std::size_t longestName = 64;
 constexpr std::size_t longestPath = 256;
 
-constexpr std::string_view nameExpectation = "a name of 1 to 64 letters, digits, '-', '_' or '.'";
 constexpr std::string_view methodExpectation = "an HTTP method in capitals, or \"*\"";
 constexpr std::string_view pathExpectation = "a path of at most 256 bytes that begins with \"/\"";
 
-bool isLetter(char character) { return (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z'); }
-
-bool isName(std::string_view text)
-{
-    return !text.empty() && text.size() <= longestName && std::all_of(text.begin(), text.end(), [](char character) {
-        return isLetter(character) || (character >= '0' && character <= '9') || character == '-' || character == '_' || character == '.';
-    });
-}
-
 bool isMethod(std::string_view text)
 {
     return text == "*" || (!text.empty() && text.size() <= longestName && std::all_of(text.begin(), text.end(), [](char character) { return character >= 'A' && character <= 'Z'; }));
@@ -107,7 +98,7 @@
 Priority readPriority(TomlReader& reader)
 {
     Priority priority;
-    priority.name = reader.requiredText("name", isName, nameExpectation);
+    priority.name = reader.requiredText("name", isPlainName, plainNameExpectation);
     priority.target = reader.milliseconds("target_ms", priority.target, shortestTime, longestCallTime);
     priority.worth = reader.real("worth", priority.worth, smallestWorth, largestWorth);
     priority.minimumShare = reader.real("minimum_share", priority.minimumShare, 0, 1);
@@ -143,7 +134,7 @@
         route.method = section.text("method", route.method, isMethod, methodExpectation);
         route.path = section.text("path", route.path, isPath, pathExpectation);
         route.idempotent = section.boolean("idempotent", route.idempotent);
-        const std::string priority = section.requiredText("priority", isName, "the name of a priority");
+        const std::string priority = section.requiredText("priority", isPlainName, "the name of a priority");
         route.priority = PriorityIndex(indexOf(document, priority));
         if (!priority.empty() && route.priority.value() == document.priorities.size())
             section.problem("priority", "expected the name of a priority of this document, found \"" + priority + "\"");
@@ -158,8 +149,8 @@
 ServiceDocument readDocument(TomlReader reader)
 {
     ServiceDocument document;
-    document.service = ServiceName(reader.requiredText("service", isName, nameExpectation));
-    document.team = reader.requiredText("team", isName, nameExpectation);
+    document.service = ServiceName(reader.requiredText("service", isPlainName, plainNameExpectation));
+    document.team = reader.requiredText("team", isPlainName, plainNameExpectation);
     readLimits(reader.section("limits"), document);
     readMeasurement(reader.section("measurement"), document.measurement);
     readRetries(reader.section("retries"), document.retries);
