--- a/Source/coordination/EndpointRecord.h
+++ b/Source/coordination/EndpointRecord.h
@@ -33,6 +33,8 @@
     Refused,
     /// No answer came in time.
     Lost,
+    /// The sender gave it up for a reason of its own: the caller went away, or another attempt was answered first.
+    Abandoned,
 };
 
 class EndpointRecord;
@@ -89,6 +91,8 @@
     double errorRate() const { return m_errorRate; }
     void setErrorRate(double rate) { m_errorRate = rate; }
 
+    /// True when a recent report shows that calls of this priority wait there.
+    bool isSaturated(PriorityIndex, TimePoint now) const;
     /// Part of its calls that the endpoint is to get while it starts, 0.1..1.
     double rampFactor(const ServiceDocument&, TimePoint now) const;
     /// Time that a call would take: round trip, wait and service, made worse by the error rate.
@@ -100,7 +104,8 @@
 
     double serviceMicroseconds(const FleetView&, TimePoint now) const;
     double stallMicroseconds(TimePoint now) const;
-    double callsAhead(PriorityIndex, TimePoint now) const;
+    /// service in microseconds; limit: calls that run at once.
+    double callsAhead(PriorityIndex, double service, double limit, TimePoint now) const;
 
     EndpointId m_id;
     EndpointDescription m_description;
--- a/Tests/coordination/EndpointChooserTest.cpp
+++ b/Tests/coordination/EndpointChooserTest.cpp
@@ -154,7 +154,10 @@
     EXPECT_EQ(0, choose(1));
     const auto trial = send(0);
     EXPECT_NE(0, choose(1));
-    m_chooser.callFinished(trial, CallEnd::Failed, m_now);
+    m_chooser.callFinished(trial, CallEnd::Abandoned, m_now);
+    EXPECT_TRUE(status(0).ejected);
+    EXPECT_EQ(0, choose(1));
+    m_chooser.callFinished(send(0), CallEnd::Failed, m_now);
     m_now += second;
     EXPECT_NE(0, choose(1));
     // The second ejection is twice as long. Without least urgent calls another one is tried a little later.
@@ -182,9 +185,12 @@
     m_chooser.update(endpointId(m_count++), cold);
     EXPECT_LE(chosenCounts(1000)[3], 150);
     EXPECT_GE(chosenCounts(1000)[3], 10);
+    std::vector<CallTicket> tickets;
     for (const int endpoint : { 0, 0, 3, 3 })
-        send(endpoint);
+        tickets.push_back(send(endpoint));
     EXPECT_GT(status(3).predictedTime, status(0).predictedTime);
+    for (const auto ticket : tickets)
+        m_chooser.callFinished(ticket, CallEnd::Answered, m_now);
     m_now += makeDocument().rampTime;
     EXPECT_GE(chosenCounts(1000)[3], 180);
     auto warm = makeReport(0);
@@ -240,6 +246,19 @@
     EXPECT_EQ(1, choose(1));
 }
 
+TEST_F(EndpointChooserTest, Overload_AtEveryEndpoint_IsFleetWideForItsPriority)
+{
+    addEndpoints(2);
+    auto full = makeReport(slots);
+    full.queued = { 0, 3 };
+    m_chooser.report(endpointId(0), full, m_now);
+    EXPECT_FALSE(m_chooser.isFleetOverloaded(PriorityIndex(1), m_now));
+    m_chooser.report(endpointId(1), full, m_now);
+    EXPECT_TRUE(m_chooser.isFleetOverloaded(PriorityIndex(1), m_now));
+    EXPECT_FALSE(m_chooser.isFleetOverloaded(PriorityIndex(0), m_now));
+    EXPECT_FALSE(m_chooser.isFleetOverloaded(PriorityIndex(1), m_now + second));
+}
+
 RC_GTEST_PROP(EndpointChooserProperty, AnyEvents_ComparedWithRecount_AreEqual, ())
 {
     constexpr int endpoints = 6;
@@ -292,7 +311,7 @@
         case 7:
             if (!sent.empty()) {
                 const auto index = *rc::gen::inRange<std::size_t>(0, sent.size());
-                const auto end = *rc::gen::element(CallEnd::Answered, CallEnd::Failed, CallEnd::Failed, CallEnd::Refused, CallEnd::Lost);
+                const auto end = *rc::gen::element(CallEnd::Answered, CallEnd::Failed, CallEnd::Failed, CallEnd::Refused, CallEnd::Lost, CallEnd::Abandoned);
                 chooser.callFinished(CallTicket(sent[index].ticket), end, now);
                 // A second end of the same call changes nothing.
                 chooser.callFinished(CallTicket(sent[index].ticket), end, now);
