State: Sync on another thread, so that a slow disk does not depose the leader

The write stays on the control thread, the sync runs elsewhere, at most one at a time, and the next covers all that was written meanwhile.

--- a/Source/control/ControlDaemon.cpp
+++ b/Source/control/ControlDaemon.cpp
@@ -90,6 +90,14 @@
     hooks.send = [this](const std::string& address, const ReplicaMessage& message) {
         m_replicaLinks.send(address, LinkChannel::wrap(LinkChannel::replica, encodeReplicaMessage(message)));
     };
+    hooks.runSync = [this](std::function<Result<void>()> sync, std::function<void(Result<void>, TimePoint)> done) {
+        asio::post(m_syncThread, [this, sync = std::move(sync), done = std::move(done)] {
+            asio::post(m_context, [this, done, result = sync()] {
+                done(result, steadyNow());
+                m_service->flush(steadyNow());
+            });
+        });
+    };
     hooks.documentChanged = [this](const StoredDocument& document) {
         if (m_subscriptions)
             m_subscriptions->documentChanged(document);
--- a/Source/control/ControlDaemon.h
+++ b/Source/control/ControlDaemon.h
@@ -12,6 +12,7 @@
 
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
+#include <asio/thread_pool.hpp>
 
 #include <map>
 #include <memory>
@@ -50,6 +51,8 @@
     PosixFileSystem m_files;
     std::unique_ptr<FolderLock> m_folderLock;
     std::unique_ptr<ControlService> m_service;
+    /// Syncs files, so that a slow disk doesn't hold up the control thread.
+    asio::thread_pool m_syncThread { 1 };
     std::unique_ptr<NodeSubscriptions> m_subscriptions;
     std::unique_ptr<OperatorInterface> m_operators;
     ReplicaLinks m_replicaLinks;
--- a/Source/state/ControlService.cpp
+++ b/Source/state/ControlService.cpp
@@ -305,22 +305,58 @@
 
 void ControlService::perform(const WriteLog& action, TimePoint now)
 {
-    Result<void> written = m_storage->write(action);
-    if (written.has_value())
-        written = m_storage->sync();
-    if (written.has_error())
+    const Result<void> written = m_storage->write(action);
+    if (written.has_error()) {
         stop(written.error());
-    else
-        m_log->synced(action.sequence, now);
+        return;
+    }
+    m_written = action.sequence;
+    startSync(now);
+}
+
+void ControlService::startSync(TimePoint now)
+{
+    if (m_isSyncing || m_written == m_synced || m_failure)
+        return;
+    m_isSyncing = true;
+    const LogStorage::SyncTask task = m_storage->startSync();
+    if (!m_hooks.runSync) {
+        finishSync(task, m_written, task.file->sync(), now);
+        return;
+    }
+    const std::weak_ptr<char> life = m_life;
+    m_hooks.runSync([file = task.file] { return file->sync(); },
+        [this, life, task, sequence = m_written](Result<void> synced, TimePoint finishedAt) {
+            if (!life.expired())
+                finishSync(task, sequence, std::move(synced), finishedAt);
+        });
+}
+
+void ControlService::finishSync(const LogStorage::SyncTask& task, WriteSequence sequence, Result<void> synced, TimePoint now)
+{
+    m_isSyncing = false;
+    if (m_failure)
+        return;
+    const Result<void> finished = m_storage->finishSync(task, std::move(synced));
+    if (finished.has_error()) {
+        stop(finished.error());
+        return;
+    }
+    m_synced = std::max(m_synced, sequence);
+    m_log->synced(sequence, now);
+    startSync(now);
 }
 
 void ControlService::perform(const StoreSnapshot& action, TimePoint now)
 {
     const Result<void> stored = m_storage->store(action);
-    if (stored.has_error())
+    if (stored.has_error()) {
         stop(stored.error());
-    else
-        m_log->synced(action.sequence, now);
+        return;
+    }
+    m_written = action.sequence;
+    m_synced = action.sequence;
+    m_log->synced(action.sequence, now);
 }
 
 void ControlService::perform(const ApplyEntry& action, TimePoint)
--- a/Source/state/ControlService.h
+++ b/Source/state/ControlService.h
@@ -44,6 +44,9 @@
 /// What the service asks of its owner. Unset hooks are not called.
 struct ControlServiceHooks {
     std::function<void(const std::string& address, const ReplicaMessage&)> send;
+    /// Runs a sync of a file elsewhere, so that a slow disk doesn't hold up heartbeats, and hands its result back on
+    /// the thread of the service. Unset: the sync runs at once, within flush().
+    std::function<void(std::function<Result<void>()> sync, std::function<void(Result<void>, TimePoint)> done)> runSync;
     /// A document of a newer version was applied.
     std::function<void(const StoredDocument&)> documentChanged;
     /// The replica must stop: its storage failed. Nothing is accepted or promised from then on.
@@ -123,6 +126,10 @@
     void handleJoinResponse(const JoinResponse&, const std::string& from, TimePoint);
     void sendTo(const std::string& address, ReplicaMessage);
 
+    // Syncs; at most one is under way, and the next one covers all that was written meanwhile.
+    void startSync(TimePoint);
+    void finishSync(const LogStorage::SyncTask&, WriteSequence, Result<void>, TimePoint);
+
     // Actions of the log.
     void perform(const SendMessage&, TimePoint);
     void perform(const WriteLog&, TimePoint);
@@ -141,6 +148,11 @@
     ControlState m_state;
     std::map<LogIndex, Proposal> m_proposals;
     std::optional<Error> m_failure;
+    WriteSequence m_written;
+    WriteSequence m_synced;
+    bool m_isSyncing = false;
+    /// Ends with the service; a sync that outlives it is forgotten.
+    std::shared_ptr<char> m_life = std::make_shared<char>();
     TimePoint m_nextJoin;
     /// Peers that said, since the start, that they have no store either.
     std::set<std::string> m_emptyPeers;
--- a/Source/state/LogStorage.cpp
+++ b/Source/state/LogStorage.cpp
@@ -184,8 +184,19 @@
 {
     if (m_failure)
         return *m_failure;
-    BOOST_OUTCOME_TRYV(check(m_file->sync()));
-    m_syncedBytes = m_writtenBytes;
+    const SyncTask task = startSync();
+    return finishSync(task, task.file->sync());
+}
+
+Result<void> LogStorage::finishSync(const SyncTask& task, Result<void> synced)
+{
+    if (m_failure)
+        return *m_failure;
+    BOOST_OUTCOME_TRYV(check(std::move(synced)));
+    // A snapshot has started another file meanwhile, which was synced as a whole.
+    if (task.file != m_file)
+        return BOOST_OUTCOME_V2_NAMESPACE::success();
+    m_syncedBytes = std::max(m_syncedBytes, task.bytes);
     return append(frameRecord(SyncMark {}, m_syncedBytes));
 }
 
--- a/Source/state/LogStorage.h
+++ b/Source/state/LogStorage.h
@@ -29,6 +29,12 @@
 /// because the system may have dropped the bytes.
 class LogStorage {
 public:
+    /// A file, and how many of its bytes last once it is synced.
+    struct SyncTask {
+        std::shared_ptr<AppendFile> file;
+        std::uint64_t bytes = 0;
+    };
+
     /// Opens a folder. Errors: StorageFailed; StorageCorrupt when bytes are damaged that were synced once.
     static Result<std::unique_ptr<LogStorage>> open(FileSystem&, std::string folder);
 
@@ -42,6 +48,9 @@
     /// Writes without syncing.
     Result<void> write(const WriteLog&);
     Result<void> sync();
+    /// Syncs in two steps: the task's file may be synced on another thread while more is written here.
+    SyncTask startSync() const { return { m_file, m_writtenBytes }; }
+    Result<void> finishSync(const SyncTask&, Result<void> synced);
     /// Writes a snapshot and starts a new log file after it, all synced.
     Result<void> store(const StoreSnapshot&);
 
@@ -74,7 +83,7 @@
     std::uint64_t m_generation = 0;
     std::string m_snapshotFile;
     LogIndex m_snapshotIndex;
-    std::unique_ptr<AppendFile> m_file;
+    std::shared_ptr<AppendFile> m_file;
     std::uint64_t m_writtenBytes = 0;
     std::uint64_t m_syncedBytes = 0;
     std::optional<Error> m_failure;
--- a/Tests/state/StoreSimulation.cpp
+++ b/Tests/state/StoreSimulation.cpp
@@ -9,6 +9,8 @@
 constexpr Duration stepTime { 5000 };
 constexpr Duration usualDelay { 1000 };
 constexpr Duration lossNoticeTime { 500000 };
+constexpr Duration usualSync { 20000 };
+constexpr Duration slowestSync { 800000 };
 constexpr Duration longestDelay { 2000000 };
 constexpr std::uint64_t clusterId = 77;
 const std::string folder = "data";
@@ -19,6 +21,7 @@
     : m_random(seed)
     , m_replicas(replicas)
     , m_snapshotEntries(snapshotEntries)
+    , m_areSyncsSlow(seed % 2 == 0)
 {
     for (std::size_t i = 0; i < replicas; ++i)
         m_replicas[i].address = "replica-" + std::to_string(i);
@@ -45,6 +48,13 @@
     settings.log.snapshotChunkBytes = 256;
     ControlServiceHooks hooks;
     hooks.send = [this, index](const std::string& address, const ReplicaMessage& message) { post(index, address, message); };
+    const std::size_t run = ++replica.runs;
+    if (m_areSyncsSlow) {
+        hooks.runSync = [this, index, run](std::function<Result<void>()> sync, std::function<void(Result<void>, TimePoint)> done) {
+            const Duration most = m_random() % 20 == 0 ? slowestSync : usualSync;
+            m_syncs.emplace(m_now + Duration(m_random() % most.count()), PendingSync { index, run, std::move(sync), std::move(done) });
+        };
+    }
     auto opened = ControlService::open(settings, replica.disk, hooks, m_now);
     if (opened.has_error() && opened.error().code == ResultCode::StorageFailed)
         return;
@@ -77,6 +87,21 @@
         m_replicas[envelope.to].service->receive(message.value(), m_now);
 }
 
+void StoreSimulation::finishSyncs()
+{
+    while (!m_syncs.empty() && m_syncs.begin()->first <= m_now) {
+        const PendingSync pending = std::move(m_syncs.begin()->second);
+        m_syncs.erase(m_syncs.begin());
+        const Replica& replica = m_replicas[pending.replica];
+        if (!replica.service || replica.runs != pending.run)
+            continue;
+        if (replica.frozenUntil > m_now)
+            m_syncs.emplace(replica.frozenUntil, pending);
+        else
+            pending.done(pending.sync(), m_now);
+    }
+}
+
 bool StoreSimulation::isRunning(std::size_t index) const
 {
     return m_replicas[index].service && m_replicas[index].frozenUntil <= m_now;
@@ -100,6 +125,7 @@
     }
     for (auto& [time, envelope] : later)
         m_network.emplace(time, std::move(envelope));
+    finishSyncs();
     for (std::size_t i = 0; i < m_replicas.size(); ++i) {
         if (!isRunning(i))
             continue;
--- a/Tests/state/StoreSimulation.h
+++ b/Tests/state/StoreSimulation.h
@@ -3,6 +3,7 @@
 #include "state/ControlService.h"
 #include "state/FakeFileSystem.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -69,6 +70,8 @@
         TimePoint frozenUntil;
         bool cutOff = false;
         bool founder = false;
+        /// Starts of this process so far.
+        std::size_t runs = 0;
         /// Versions seen by something attached to this process; they must never go back.
         std::map<ServiceName, DocumentVersion> seen;
     };
@@ -77,6 +80,12 @@
         std::size_t from = 0;
         std::string bytes;
     };
+    struct PendingSync {
+        std::size_t replica = 0;
+        std::size_t run = 0;
+        std::function<Result<void>()> sync;
+        std::function<void(Result<void>, TimePoint)> done;
+    };
     struct Accepted {
         DocumentEdit edit;
         TimePoint at;
@@ -86,6 +95,7 @@
     void start(std::size_t);
     void post(std::size_t from, const std::string& address, const ReplicaMessage&);
     void deliver(const Envelope&);
+    void finishSyncs();
     bool isRunning(std::size_t) const;
     void submit(std::size_t replica, const DocumentEdit&);
     void noteResult(const DocumentEdit&, const EditResult&);
@@ -98,6 +108,9 @@
     std::vector<Replica> m_replicas;
     std::multimap<TimePoint, Envelope> m_network;
     std::size_t m_snapshotEntries;
+    /// True when syncs take their time while the replica goes on.
+    bool m_areSyncsSlow;
+    std::multimap<TimePoint, PendingSync> m_syncs;
     Faults m_faults;
     TimePoint m_now { Duration(1000000) };
     TimePoint m_lastLoss;
--- a/Utilities/StoreBench/BenchReplica.cpp
+++ b/Utilities/StoreBench/BenchReplica.cpp
@@ -1,5 +1,7 @@
 #include "StoreBench/BenchReplica.h"
 
+#include <asio/post.hpp>
+
 #include <chrono>
 #include <cstdlib>
 #include <iostream>
@@ -15,6 +17,11 @@
 {
     ControlServiceHooks hooks;
     hooks.send = [send = std::move(send)](const std::string& address, const ReplicaMessage& message) { send(address, encodeReplicaMessage(message)); };
+    hooks.runSync = [this](std::function<Result<void>()> sync, std::function<void(Result<void>, TimePoint)> done) {
+        asio::post(m_syncThread, [this, sync = std::move(sync), done = std::move(done)] {
+            post([done, result = sync()](ControlService&, TimePoint now) { done(result, now); });
+        });
+    };
     hooks.stopped = [](const Error& error) {
         std::cerr << "replica stopped: " << error.detail << '\n';
         std::exit(EXIT_FAILURE);
@@ -46,6 +53,7 @@
     m_wake.notify_one();
     if (m_thread.joinable())
         m_thread.join();
+    m_syncThread.join();
 }
 
 void BenchReplica::post(Task task)
--- a/Utilities/StoreBench/BenchReplica.h
+++ b/Utilities/StoreBench/BenchReplica.h
@@ -3,6 +3,8 @@
 #include "state/ControlService.h"
 #include "transport/PosixFileSystem.h"
 
+#include <asio/thread_pool.hpp>
+
 #include <condition_variable>
 #include <functional>
 #include <memory>
@@ -41,6 +43,7 @@
     std::vector<Task> m_tasks;
     bool m_isStopping = false;
     std::thread m_thread;
+    asio::thread_pool m_syncThread { 1 };
 };
 
 TimePoint benchNow();
