Tests: Let a slow sync cover only what was written before it began

The mutation that counts writes made during a sync as synced passed the simulation, whose syncs covered everything written until their end. The second daemon on one folder gets ports of its own, so that only the folder's lock can end it.

--- a/Tests/processes/ControlStoreTest.cpp
+++ b/Tests/processes/ControlStoreTest.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <csignal>
 #include <filesystem>
+#include <fstream>
 #include <future>
 
 namespace Knapweedquay::Load {
@@ -229,8 +230,10 @@
 
 TEST_F(ControlStoreTest, FolderInUse_SecondDaemonStarted_Ends)
 {
-    startStore(1 + 2);
-    const std::string settings = m_deployment->folder() + "/control-0.toml";
+    startStore(3);
+    // The second daemon listens elsewhere, so that only the folder is in its way.
+    const std::string settings = m_deployment->folder() + "/second.toml";
+    std::ofstream(settings) << "folder = \"" << m_deployment->controlFolder(0) << "\"\n[listen]\nhttp = \"127.0.0.1:" << freePort() << "\"\nlinks = \"127.0.0.1:" << freePort() << "\"\n";
     ChildProcess second({ KNAPWEEDQUAY_CONTROL, "--config", settings }, m_deployment->folder() + "/second.out");
     ASSERT_TRUE(waitUntil([&] { return !second.isRunning(); }, patience));
     EXPECT_EQ(1, second.exitCode());
--- a/Tests/state/StoreSimulation.cpp
+++ b/Tests/state/StoreSimulation.cpp
@@ -52,6 +52,9 @@
     if (m_areSyncsSlow) {
         hooks.runSync = [this, index, run](std::function<Result<void>()> sync, std::function<void(Result<void>, TimePoint)> done) {
             const Duration most = m_random() % 20 == 0 ? slowestSync : usualSync;
+            // What is written while a sync is under way may or may not be covered by it.
+            if (m_random() % 2 == 0)
+                sync = [result = sync()] { return result; };
             m_syncs.emplace(m_now + Duration(m_random() % most.count()), PendingSync { index, run, std::move(sync), std::move(done) });
         };
     }
