Node: Add probes inside the measuring budget, metrics and an advertised peer address

Probes fill gaps only: after a call is sent the planner names the endpoint with the oldest report, and the budget of the service's document decides. Spend and processor time of measuring are metrics. A refusal counts as fleet-wide when the chooser holds every endpoint for overloaded. A body beyond the limit is refused by its announced length. A setting without a text form no longer ends the node at its start (found by the process tests).

--- a/Source/node/CallGateway.cpp
+++ b/Source/node/CallGateway.cpp
@@ -13,6 +13,9 @@
 constexpr std::size_t maximumSessions = 20000;
 constexpr Duration overloadRetryAfter { 1000000 };
 constexpr Duration expiryInterval { 1000000 };
+/// A probe and the largest answer that it may have, with the headers of the link.
+constexpr std::size_t largestProbeBytes = 512;
+constexpr std::size_t maximumSentProbes = 1000;
 constexpr std::uint16_t firstServerErrorStatus = 500;
 
 RequestFingerprint fingerprintOf(const HttpRequest& request)
@@ -41,12 +44,13 @@
 
 } // namespace
 
-CallGateway::CallGateway(asio::io_context& context, NodeIdentity self, EndpointRunner& local, ChoiceSettings choice, ClaimHooks claims)
+CallGateway::CallGateway(asio::io_context& context, NodeIdentity self, EndpointRunner& local, ChoiceSettings choice, ClaimHooks claims, NodeMetrics& metrics)
     : m_context(context)
     , m_self(std::move(self))
     , m_local(local)
     , m_choice(choice)
     , m_claims(std::move(claims))
+    , m_metrics(metrics)
     , m_links(context, m_self,
           { [this](const NodeId& from, const PeerMessage& message) { receive(from, message); },
               [this](const NodeId& node) { feedNode(node, LinkLost { node }); },
@@ -251,6 +255,8 @@
         m_attempts.emplace(action.attempt.sequence, OutgoingAttempt { session, action.node });
         m_links.addDueAnswers(action.node, 1);
         traffic(session->parsed.service)->chooser().callSent({ action.node, action.target }, CallTicket(action.attempt.sequence), session->priority, steadyNow());
+        traffic(session->parsed.service)->measurement().callSent();
+        traffic(session->parsed.service)->metrics().attemptSent();
     }
     CallRequestMessage message;
     message.attempt = action.attempt;
@@ -265,6 +271,8 @@
     message.idempotencyKey = session->parsed.key;
     message.request = session->parsed.request;
     sendTo(action.node, message);
+    if (!action.isResend)
+        probeIfDue(*traffic(session->parsed.service));
 }
 
 void CallGateway::perform(const SessionPtr&, const CancelAttempt& action)
@@ -306,16 +314,22 @@
 
 void CallGateway::answer(const SessionPtr& session, const CallOutcome& outcome)
 {
+    ServiceTraffic& service = *traffic(session->parsed.service);
+    const Duration latency = steadyNow() - session->startedAt;
     if (outcome.kind == CallOutcome::Kind::Answered) {
         auto response = decodeResponse(*outcome.answer);
         if (response.has_value()) {
             ++m_counters.answered;
+            const auto& priorities = service.document().priorities;
+            const bool isWithinTarget = session->priority.value() < priorities.size() && latency <= priorities[session->priority.value()].target;
+            service.metrics().callEnded(session->priority, CallOutcomeKind::Answered, latency, isWithinTarget);
             session->exchange->respond(forCaller(std::move(response.value())));
             return;
         }
     }
     const CallOutcomeKind kind = outcome.kind == CallOutcome::Kind::NotRun ? CallOutcomeKind::NotRun : CallOutcomeKind::Unknown;
     ++(kind == CallOutcomeKind::NotRun ? m_counters.notRun : m_counters.unknown);
+    service.metrics().callEnded(session->priority, kind, latency, false);
     const ResultCode code = outcome.code == ResultCode::Ok ? ResultCode::OutcomeUnknown : outcome.code;
     session->exchange->respond(problemResponse({ code, title(code) }, kind, outcome.retryAfter));
 }
@@ -325,7 +339,7 @@
     session->timer->clear();
     m_sessions.erase(session->id);
     for (const std::uint64_t sequence : session->attempts)
-        settle({ m_self.node, m_self.incarnation, sequence }, session->isCallerGone ? CallEnd::Refused : CallEnd::Lost);
+        settle({ m_self.node, m_self.incarnation, sequence }, session->isCallerGone ? CallEnd::Abandoned : CallEnd::Lost);
 }
 
 void CallGateway::sendTo(const NodeId& node, const PeerMessage& message)
@@ -412,13 +426,58 @@
         feed(session, AttemptAnswered { answered->attempt, std::make_shared<const std::string>(answered->response) });
     } else if (const auto* refused = std::get_if<CallRefusalMessage>(&message)) {
         report(refused->attempt, from, refused->load);
-        feedAttempt(refused->attempt, AttemptRefused { refused->attempt, { refused->code, refused->retryAfter, refused->isFleetWide } });
+        const bool isFleetWide = refused->isFleetWide || isFleetOverloaded(refused->attempt, refused->code);
+        feedAttempt(refused->attempt, AttemptRefused { refused->attempt, { refused->code, refused->retryAfter, isFleetWide } });
     } else if (const auto* unknown = std::get_if<CallUnknownMessage>(&message)) {
         report(unknown->attempt, from, unknown->load);
         feedAttempt(unknown->attempt, AttemptUnknown { unknown->attempt, unknown->code });
     } else if (const auto* cancelled = std::get_if<CallCancelledMessage>(&message)) {
         feedAttempt(cancelled->attempt, CancelAcknowledged { cancelled->attempt, cancelled->result });
+    } else if (const auto* probed = std::get_if<ProbeAnswerMessage>(&message)) {
+        receiveProbe(from, *probed);
+    }
+}
+
+bool CallGateway::isFleetOverloaded(const AttemptId& attempt, ResultCode code)
+{
+    const auto entry = m_attempts.find(attempt.sequence);
+    if (entry == m_attempts.end() || (code != ResultCode::Overloaded && code != ResultCode::DeadlineCannotBeMet))
+        return false;
+    const CallSession& session = *entry->second.session;
+    return traffic(session.parsed.service)->chooser().isFleetOverloaded(session.priority, steadyNow());
+}
+
+void CallGateway::probeIfDue(ServiceTraffic& service)
+{
+    const Duration processorStart = threadProcessorTime();
+    const TimePoint now = steadyNow();
+    const auto endpoint = service.probes().next(service.chooser().status(now), now);
+    if (endpoint && endpoint->node != m_self.node && service.measurement().tryProbe(largestProbeBytes, now)) {
+        const std::uint64_t sequence = ++m_lastSequence;
+        service.probes().probeSent(*endpoint, now);
+        m_sentProbes[sequence] = { *endpoint, now };
+        while (m_sentProbes.size() > maximumSentProbes)
+            m_sentProbes.erase(m_sentProbes.begin());
+        m_links.send(endpoint->node, ProbeMessage { sequence, service.document().service });
+    }
+    const MeasurementSpend& spend = service.measurement().spend();
+    service.metrics().setMeasurement(spend.probes, spend.refusedProbes, spend.bytes);
+    m_metrics.addMeasurementTime(threadProcessorTime() - processorStart);
+}
+
+void CallGateway::receiveProbe(const NodeId& from, const ProbeAnswerMessage& message)
+{
+    const Duration processorStart = threadProcessorTime();
+    const auto entry = m_sentProbes.find(message.sequence);
+    ServiceTraffic* service = traffic(message.service);
+    if (entry != m_sentProbes.end() && service && entry->second.endpoint.node == from) {
+        const TimePoint now = steadyNow();
+        service->probes().probeEnded(entry->second.endpoint);
+        service->chooser().roundTrip(entry->second.endpoint, now - entry->second.at);
+        service->chooser().report(entry->second.endpoint, message.load, now);
+        m_sentProbes.erase(entry);
     }
+    m_metrics.addMeasurementTime(threadProcessorTime() - processorStart);
 }
 
 void CallGateway::setDocument(const ServiceDocument& document)
@@ -428,7 +487,7 @@
         service->setDocument(document);
         return;
     }
-    service = std::make_unique<ServiceTraffic>(document, m_self.dataCentre, m_choice);
+    service = std::make_unique<ServiceTraffic>(document, m_self.dataCentre, m_choice, m_metrics);
     for (const auto& entry : m_members)
         setMember(MemberRecord(entry.second));
 }
--- a/Source/node/CallGateway.h
+++ b/Source/node/CallGateway.h
@@ -44,7 +44,7 @@
         std::uint64_t resends = 0;
     };
 
-    CallGateway(asio::io_context&, NodeIdentity self, EndpointRunner& local, ChoiceSettings, ClaimHooks);
+    CallGateway(asio::io_context&, NodeIdentity self, EndpointRunner& local, ChoiceSettings, ClaimHooks, NodeMetrics&);
     ~CallGateway();
 
     /// A caller's request came in.
@@ -74,6 +74,11 @@
         NodeId node;
     };
 
+    struct SentProbe {
+        EndpointId endpoint;
+        TimePoint at;
+    };
+
     void refuse(const HttpExchangePtr&, const Error&, Duration retryAfter = Duration::zero());
     Result<SessionPtr> createSession(const HttpExchangePtr&);
     Result<PriorityIndex> choosePriority(const ServiceTraffic&, const ParsedCall&, PriorityIndex byRoute) const;
@@ -94,6 +99,10 @@
     void forget(const SessionPtr&);
 
     void sendTo(const NodeId&, const PeerMessage&);
+    /// Sends one probe when a report is old and the service's measuring budget allows it.
+    void probeIfDue(ServiceTraffic&);
+    void receiveProbe(const NodeId& from, const ProbeAnswerMessage&);
+    bool isFleetOverloaded(const AttemptId&, ResultCode);
     void settle(const AttemptId&, CallEnd);
     void report(const AttemptId&, const NodeId& from, const LoadReport&);
     void feedAttempt(const AttemptId&, const CallEvent&);
@@ -105,6 +114,7 @@
     EndpointRunner& m_local;
     ChoiceSettings m_choice;
     ClaimHooks m_claims;
+    NodeMetrics& m_metrics;
     PeerLinks m_links;
     EndpointChooser::RandomEngine m_random;
     bool m_isConfigurationFresh = false;
@@ -114,6 +124,8 @@
     std::unordered_map<std::uint64_t, SessionPtr> m_sessions;
     /// Attempts that have no outcome yet, by their sequence number.
     std::unordered_map<std::uint64_t, OutgoingAttempt> m_attempts;
+    /// When each unanswered probe was sent, by its sequence number.
+    std::map<std::uint64_t, SentProbe> m_sentProbes;
     IdempotencyKeyTable m_keys;
     std::unordered_map<ClaimOwner, SessionPtr> m_keyed;
     Timer m_expiryTimer;
--- a/Source/node/NodeControl.cpp
+++ b/Source/node/NodeControl.cpp
@@ -82,7 +82,7 @@
     membership.node = m_self.node;
     membership.incarnation = m_self.incarnation;
     membership.dataCentre = m_self.dataCentre;
-    membership.peerAddress = { m_settings.peers.ip, peersPort };
+    membership.peerAddress = m_settings.advertisedPeers.isEmpty() ? SocketAddress { m_settings.peers.ip, peersPort } : m_settings.advertisedPeers;
     membership.gossipAddress = m_gossip.localAddress();
     membership.seeds = m_settings.seeds;
     m_membership = std::make_unique<Membership>(membership, std::random_device {}());
@@ -191,6 +191,15 @@
     m_backendTimer.setAfter(backendCheckInterval);
 }
 
+void NodeControl::updateMetrics(NodeMetrics& metrics) const
+{
+    if (m_subscription.isFresh())
+        metrics.setConfigurationAge(m_subscription.staleness(steadyNow()));
+    for (const auto& [service, version] : m_subscription.inForce())
+        metrics.setDocumentVersion(service, version);
+    metrics.setMembers(m_membership->table().presentCount(), m_membership->table().size());
+}
+
 std::string NodeControl::status() const
 {
     nlohmann::json members = nlohmann::json::array();
--- a/Source/node/NodeControl.h
+++ b/Source/node/NodeControl.h
@@ -4,6 +4,7 @@
 #include "node/ControlSubscription.h"
 #include "node/EndpointRunner.h"
 #include "node/NodeIdentity.h"
+#include "node/NodeMetrics.h"
 #include "node/NodeSettings.h"
 #include "state/ServiceDocument.h"
 #include "transport/DatagramSocket.h"
@@ -47,6 +48,8 @@
     /// Tells the members that this node leaves; done once hasSpreadLeave().
     void leave();
     bool hasSpreadLeave() const { return m_membership && m_membership->hasSpreadLeave(); }
+    /// Brings the gauges of membership and documents up to date.
+    void updateMetrics(NodeMetrics&) const;
     ControlSubscription& subscription() { return m_subscription; }
     std::uint16_t adminPort() const { return m_adminServer.port(); }
 
--- a/Source/node/NodeDaemon.cpp
+++ b/Source/node/NodeDaemon.cpp
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <csignal>
+#include <functional>
 #include <future>
 #include <thread>
 #include <utility>
@@ -31,7 +32,7 @@
 NodeDaemon::NodeDaemon(const NodeSettings& settings)
     : m_settings(settings)
     , m_self { settings.node, newIncarnation(), settings.dataCentre }
-    , m_traffic(std::make_unique<NodeTraffic>(m_trafficContext, m_self, settings, claimHooks()))
+    , m_traffic(std::make_unique<NodeTraffic>(m_trafficContext, m_self, settings, claimHooks(), m_metrics))
     , m_control(std::make_unique<NodeControl>(m_controlContext, m_self, settings, controlHooks()))
     , m_signals(m_controlContext, SIGINT, SIGTERM)
     , m_idleTimer(m_controlContext, [this] { stopWhenIdle(); })
@@ -102,7 +103,7 @@
         asio::post(m_trafficContext, [this] { m_traffic->runner().drain(); });
     };
     hooks.superseded = [this] { stop(); };
-    hooks.metrics = [] { return std::string(); };
+    hooks.metrics = [this] { return metricsText(); };
     hooks.trafficStatus = [this] { return trafficStatus(); };
     return hooks;
 }
@@ -114,21 +115,35 @@
     m_traffic->runner().setDocument(document);
 }
 
-std::string NodeDaemon::trafficStatus()
+std::string NodeDaemon::askTraffic(std::function<std::string()> hook)
 {
     const auto promise = std::make_shared<std::promise<std::string>>();
     auto future = promise->get_future();
-    asio::post(m_trafficContext, [this, promise] {
+    asio::post(m_trafficContext, [hook = std::move(hook), promise] { promise->set_value(hook()); });
+    constexpr std::chrono::milliseconds patience { 200 };
+    return future.wait_for(patience) == std::future_status::ready ? future.get() : "null";
+}
+
+std::string NodeDaemon::trafficStatus()
+{
+    return askTraffic([this] {
         const CallGateway::Counters& calls = m_traffic->gateway().counters();
         const EndpointRunner::Counters& runs = m_traffic->runner().counters();
         const nlohmann::json status = { { "sessions", m_traffic->gateway().sessionCount() }, { "calls", calls.calls }, { "answered", calls.answered },
             { "not_run", calls.notRun }, { "unknown", calls.unknown }, { "attempts", calls.attempts }, { "resends", calls.resends },
             { "endpoint_started", runs.started }, { "endpoint_idle", m_traffic->runner().isIdle() } };
-        promise->set_value(status.dump());
+        return status.dump();
     });
-    // A traffic thread that is stuck must not hold the control thread as well.
-    constexpr std::chrono::milliseconds patience { 200 };
-    return future.wait_for(patience) == std::future_status::ready ? future.get() : "null";
+}
+
+std::string NodeDaemon::metricsText()
+{
+    askTraffic([this] {
+        m_traffic->updateMetrics(m_metrics);
+        return std::string();
+    });
+    m_control->updateMetrics(m_metrics);
+    return m_metrics.text();
 }
 
 void NodeDaemon::waitForSignal()
--- a/Source/node/NodeDaemon.h
+++ b/Source/node/NodeDaemon.h
@@ -30,11 +30,15 @@
     void stopWhenIdle();
     void stop();
     std::string trafficStatus();
+    std::string metricsText();
+    /// Runs a hook on the traffic thread and waits for its text; "null" when that thread is stuck.
+    std::string askTraffic(std::function<std::string()> hook);
 
     NodeSettings m_settings;
     NodeIdentity m_self;
     asio::io_context m_controlContext;
     asio::io_context m_trafficContext;
+    NodeMetrics m_metrics;
     std::unique_ptr<NodeTraffic> m_traffic;
     std::unique_ptr<NodeControl> m_control;
     asio::signal_set m_signals;
--- /dev/null
+++ b/Source/node/NodeMetrics.cpp
@@ -0,0 +1,154 @@
+#include "node/NodeMetrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace Knapweedquay {
+
+namespace {
+
+using Labels = std::map<std::string, std::string>;
+
+constexpr double microsecondsPerSecond = 1e6;
+
+double toSeconds(Duration duration)
+{
+    return static_cast<double>(duration.count()) / microsecondsPerSecond;
+}
+
+prometheus::Histogram::BucketBoundaries latencyBuckets()
+{
+    return { 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10 };
+}
+
+prometheus::Counter& counter(prometheus::Registry& registry, const std::string& name, const std::string& help, const Labels& labels = {})
+{
+    return prometheus::BuildCounter().Name(name).Help(help).Register(registry).Add(labels);
+}
+
+void raiseTo(prometheus::Counter& counter, std::uint64_t total)
+{
+    const double missing = static_cast<double>(total) - counter.Value();
+    if (missing > 0)
+        counter.Increment(missing);
+}
+
+} // namespace
+
+ServiceMetrics::ServiceMetrics(prometheus::Registry& registry, const ServiceName& service, const std::vector<std::string>& priorities)
+    : m_attempts(&counter(registry, "knapweedquay_attempts_sent_total", "Attempts of calls sent to endpoints", { { "service", service.value() } }))
+    , m_probes(&counter(registry, "knapweedquay_probes_sent_total", "Probes of endpoint load sent", { { "service", service.value() } }))
+    , m_refusedProbes(&counter(registry, "knapweedquay_probes_refused_total", "Probes that the measuring budget did not allow", { { "service", service.value() } }))
+    , m_measurementBytes(&counter(registry, "knapweedquay_measurement_bytes_total", "Bytes of probes and their answers, counted at their largest", { { "service", service.value() } }))
+{
+    for (const std::string& name : priorities) {
+        const Labels labels { { "service", service.value() }, { "priority", name } };
+        const auto outcome = [&](const char* value) {
+            Labels extended = labels;
+            extended["outcome"] = value;
+            return &counter(registry, "knapweedquay_calls_total", "Calls of callers by outcome", extended);
+        };
+        PerPriority metrics;
+        metrics.answered = outcome("answered");
+        metrics.notRun = outcome("not_run");
+        metrics.unknown = outcome("unknown");
+        metrics.withinTarget = &counter(registry, "knapweedquay_calls_within_target_total", "Calls answered within the target of their priority", labels);
+        metrics.latency = &prometheus::BuildHistogram().Name("knapweedquay_call_duration_seconds").Help("Time from a caller's request to its answer").Register(registry).Add(labels, latencyBuckets());
+        m_priorities.push_back(metrics);
+    }
+}
+
+void ServiceMetrics::callEnded(PriorityIndex priority, CallOutcomeKind outcome, Duration latency, bool isWithinTarget)
+{
+    if (priority.value() >= m_priorities.size())
+        return;
+    PerPriority& metrics = m_priorities[priority.value()];
+    if (outcome == CallOutcomeKind::NotRun)
+        return metrics.notRun->Increment();
+    if (outcome == CallOutcomeKind::Unknown)
+        return metrics.unknown->Increment();
+    metrics.answered->Increment();
+    metrics.latency->Observe(toSeconds(latency));
+    if (isWithinTarget)
+        metrics.withinTarget->Increment();
+}
+
+void ServiceMetrics::attemptSent()
+{
+    m_attempts->Increment();
+}
+
+void ServiceMetrics::setMeasurement(std::uint64_t probes, std::uint64_t refusedProbes, std::uint64_t bytes)
+{
+    raiseTo(*m_probes, probes);
+    raiseTo(*m_refusedProbes, refusedProbes);
+    raiseTo(*m_measurementBytes, bytes);
+}
+
+NodeMetrics::NodeMetrics()
+    : m_registry(std::make_shared<prometheus::Registry>())
+    , m_endpointStarts(&counter(*m_registry, "knapweedquay_endpoint_starts_total", "Attempts started at the backend server beside this node"))
+    , m_measurementTime(&counter(*m_registry, "knapweedquay_measurement_cpu_seconds_total", "Processor time spent on sending and reading probes"))
+{
+}
+
+NodeMetrics::~NodeMetrics() = default;
+
+std::unique_ptr<ServiceMetrics> NodeMetrics::service(const ServiceName& service, const std::vector<std::string>& priorities)
+{
+    return std::make_unique<ServiceMetrics>(*m_registry, service, priorities);
+}
+
+prometheus::Gauge& NodeMetrics::gauge(const std::string& name, const std::string& help, const Labels& labels)
+{
+    return prometheus::BuildGauge().Name(name).Help(help).Register(*m_registry).Add(labels);
+}
+
+void NodeMetrics::setSessions(std::size_t sessions)
+{
+    gauge("knapweedquay_calls_in_progress", "Calls of callers in progress at this node").Set(static_cast<double>(sessions));
+}
+
+void NodeMetrics::setEndpoint(std::uint32_t running, std::uint32_t limit, const std::vector<std::uint32_t>& queued)
+{
+    gauge("knapweedquay_endpoint_running", "Attempts running at the backend server beside this node").Set(running);
+    gauge("knapweedquay_endpoint_concurrency_limit", "Attempts that this node lets run at once").Set(limit);
+    for (std::size_t index = 0; index < queued.size(); ++index)
+        gauge("knapweedquay_endpoint_queued", "Attempts waiting at this node; index 0 is the most urgent priority", { { "priority_index", std::to_string(index) } }).Set(queued[index]);
+}
+
+void NodeMetrics::addEndpointStart()
+{
+    m_endpointStarts->Increment();
+}
+
+void NodeMetrics::addMeasurementTime(Duration processorTime)
+{
+    m_measurementTime->Increment(toSeconds(processorTime));
+}
+
+void NodeMetrics::setConfigurationAge(Duration age)
+{
+    gauge("knapweedquay_configuration_age_seconds", "Time since the documents in force were last proved recent").Set(toSeconds(age));
+}
+
+void NodeMetrics::setDocumentVersion(const ServiceName& service, DocumentVersion version)
+{
+    gauge("knapweedquay_document_version", "Version of the service's document that is in force at this node", { { "service", service.value() } }).Set(static_cast<double>(version.value()));
+}
+
+void NodeMetrics::setMembers(std::size_t present, std::size_t known)
+{
+    gauge("knapweedquay_members_present", "Nodes held to be present, this one included").Set(static_cast<double>(present));
+    gauge("knapweedquay_members_known", "Nodes remembered, absent ones included").Set(static_cast<double>(known));
+}
+
+std::string NodeMetrics::text() const
+{
+    return prometheus::TextSerializer().Serialize(m_registry->Collect());
+}
+
+} // namespace Knapweedquay
--- a/Source/node/NodeSettings.cpp
+++ b/Source/node/NodeSettings.cpp
@@ -27,6 +27,9 @@
     settings.dataCentre = DataCentre(reader.requiredText("data_centre", isPlainName, plainNameExpectation));
     settings.deployment = reader.text("deployment", settings.deployment, isPlainName, plainNameExpectation);
     readListen(reader.section("listen"), settings);
+    TomlReader advertise = reader.section("advertise");
+    settings.advertisedPeers = readAddress(advertise, "peers", settings.advertisedPeers);
+    advertise.finish();
     TomlReader control = reader.section("control");
     settings.controlReplicas = readAddressTexts(control, "replicas");
     control.finish();
--- a/Source/node/NodeSettings.h
+++ b/Source/node/NodeSettings.h
@@ -23,6 +23,8 @@
     SocketAddress admin { "127.0.0.1", 0 };
     /// TCP address for links from other nodes.
     SocketAddress peers { "127.0.0.1", 0 };
+    /// Address under which other nodes reach the peer port, when it is not the one listened on; empty otherwise.
+    SocketAddress advertisedPeers;
     /// UDP address for membership.
     SocketAddress gossip { "127.0.0.1", 0 };
     /// Node link addresses of the control replicas.
--- a/Source/node/NodeTraffic.cpp
+++ b/Source/node/NodeTraffic.cpp
@@ -14,12 +14,12 @@
 
 } // namespace
 
-NodeTraffic::NodeTraffic(asio::io_context& context, NodeIdentity self, const NodeSettings& settings, CallGateway::ClaimHooks claims)
+NodeTraffic::NodeTraffic(asio::io_context& context, NodeIdentity self, const NodeSettings& settings, CallGateway::ClaimHooks claims, NodeMetrics& metrics)
     : m_self(std::move(self))
     , m_settings(settings)
     , m_client(context)
     , m_runner(context, m_self, m_client, [this](ConnectionId connection, const PeerMessage& message) { reply(connection, message); })
-    , m_gateway(context, m_self, m_runner, ChoiceSettings { settings.policy }, std::move(claims))
+    , m_gateway(context, m_self, m_runner, ChoiceSettings { settings.policy }, std::move(claims), metrics)
     , m_callServer(context, callServerSettings(settings), [this](const HttpExchangePtr& exchange) { m_gateway.handle(exchange); })
     , m_linkServer(context, maximumPeerMessageBytes, [this](const LinkPtr& link) { accept(link); })
 {
@@ -37,6 +37,13 @@
     m_runner.drain();
 }
 
+void NodeTraffic::updateMetrics(NodeMetrics& metrics) const
+{
+    const LoadReport load = m_runner.loadReport();
+    metrics.setSessions(m_gateway.sessionCount());
+    metrics.setEndpoint(load.running, load.concurrencyLimit, load.queued);
+}
+
 void NodeTraffic::accept(const LinkPtr& link)
 {
     const ConnectionId id(++m_lastConnection);
--- a/Source/node/NodeTraffic.h
+++ b/Source/node/NodeTraffic.h
@@ -19,7 +19,7 @@
 /// Everything of a node that lives on its traffic thread.
 class NodeTraffic {
 public:
-    NodeTraffic(asio::io_context&, NodeIdentity, const NodeSettings&, CallGateway::ClaimHooks);
+    NodeTraffic(asio::io_context&, NodeIdentity, const NodeSettings&, CallGateway::ClaimHooks, NodeMetrics&);
 
     Result<void> start();
     /// Takes no new callers' connections and no new attempts; calls in progress finish.
@@ -28,6 +28,8 @@
 
     CallGateway& gateway() { return m_gateway; }
     EndpointRunner& runner() { return m_runner; }
+    /// Brings the gauges of the endpoint and of the calls in progress up to date.
+    void updateMetrics(NodeMetrics&) const;
     std::uint16_t callsPort() const { return m_callServer.port(); }
     std::uint16_t peersPort() const { return m_linkServer.port(); }
 
--- a/Source/node/ServiceTraffic.cpp
+++ b/Source/node/ServiceTraffic.cpp
@@ -21,14 +21,25 @@
     return matchesMethod && path.substr(0, route.path.size()) == route.path;
 }
 
+std::vector<std::string> priorityNames(const ServiceDocument& document)
+{
+    std::vector<std::string> names;
+    for (const Priority& priority : document.priorities)
+        names.push_back(priority.name);
+    return names;
+}
+
 } // namespace
 
-ServiceTraffic::ServiceTraffic(const ServiceDocument& document, const DataCentre& local, ChoiceSettings settings)
+ServiceTraffic::ServiceTraffic(const ServiceDocument& document, const DataCentre& local, ChoiceSettings settings, NodeMetrics& metrics)
     : m_document(document)
     , m_chooser(document, local, settings)
     , m_retries(document.retries.retryShare)
     , m_hedges(document.retries.hedgeShare)
+    , m_measurement(document.measurement)
     , m_latencies(document.priorities.size(), QuantileEstimate(hedgeQuantile))
+    , m_nodeMetrics(metrics)
+    , m_metrics(metrics.service(document.service, priorityNames(document)))
 {
 }
 
@@ -38,7 +49,9 @@
     m_chooser.setDocument(document);
     m_retries.setShare(document.retries.retryShare);
     m_hedges.setShare(document.retries.hedgeShare);
+    m_measurement.setLimits(document.measurement);
     m_latencies.assign(document.priorities.size(), QuantileEstimate(hedgeQuantile));
+    m_metrics = m_nodeMetrics.service(document.service, priorityNames(document));
 }
 
 ServiceTraffic::Classification ServiceTraffic::classify(std::string_view method, std::string_view path) const
--- a/Source/node/ServiceTraffic.h
+++ b/Source/node/ServiceTraffic.h
@@ -1,12 +1,15 @@
 #pragma once
 
 #include "coordination/EndpointChooser.h"
+#include "coordination/MeasurementBudget.h"
 #include "coordination/OutgoingCall.h"
+#include "coordination/ProbePlanner.h"
 #include "coordination/QuantileEstimate.h"
 #include "coordination/RetryBudget.h"
-#include "protocol/HttpMessage.h"
+#include "node/NodeMetrics.h"
 #include "state/ServiceDocument.h"
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -17,12 +20,15 @@
 /// What this node keeps for the calls that it sends to one service.
 class ServiceTraffic {
 public:
-    ServiceTraffic(const ServiceDocument&, const DataCentre& local, ChoiceSettings);
+    ServiceTraffic(const ServiceDocument&, const DataCentre& local, ChoiceSettings, NodeMetrics&);
 
     void setDocument(const ServiceDocument&);
     const ServiceDocument& document() const { return m_document; }
     EndpointChooser& chooser() { return m_chooser; }
     CallBudgets budgets() { return { m_retries, m_hedges }; }
+    MeasurementBudget& measurement() { return m_measurement; }
+    ProbePlanner& probes() { return m_probes; }
+    ServiceMetrics& metrics() { return *m_metrics; }
 
     struct Classification {
         PriorityIndex priority;
@@ -42,7 +48,11 @@
     EndpointChooser m_chooser;
     RetryBudget m_retries;
     RetryBudget m_hedges;
+    MeasurementBudget m_measurement;
+    ProbePlanner m_probes;
     std::vector<QuantileEstimate> m_latencies;
+    NodeMetrics& m_nodeMetrics;
+    std::unique_ptr<ServiceMetrics> m_metrics;
 };
 
 } // namespace Knapweedquay
--- a/Source/state/SettingsFile.cpp
+++ b/Source/state/SettingsFile.cpp
@@ -97,7 +97,9 @@
 
 SocketAddress readAddress(TomlReader& reader, std::string_view key, const SocketAddress& fallback)
 {
-    return parseSocketAddress(reader.text(key, toText(fallback), isSocketAddress, socketAddressExpectation)).value();
+    const auto address = parseSocketAddress(reader.text(key, toText(fallback), isSocketAddress, socketAddressExpectation));
+    // The fallback may be "no address", which has no text form that can be read.
+    return address.has_value() ? address.value() : fallback;
 }
 
 std::vector<SocketAddress> readAddresses(TomlReader& reader, std::string_view key)
--- a/Source/transport/GuardedSocket.cpp
+++ b/Source/transport/GuardedSocket.cpp
@@ -4,13 +4,36 @@
 
 #include <asio/buffer.hpp>
 
+#include <algorithm>
+#include <charconv>
+#include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace Knapweedquay {
 
 namespace {
 
-Error causeOf(bool isInReadHandler, std::size_t bytes, std::size_t maximumBytes)
+// Value of a Content-Length line in the bytes that were read last; 0 when there is none.
+std::uint64_t announcedBodyBytes(std::string_view bytes)
+{
+    constexpr std::string_view name = "Content-Length:";
+    for (std::size_t lineStart = 0; lineStart < bytes.size();) {
+        const std::size_t lineEnd = std::min(bytes.find('\n', lineStart), bytes.size());
+        const std::string_view line = bytes.substr(lineStart, lineEnd - lineStart);
+        lineStart = lineEnd + 1;
+        if (line.size() <= name.size() || !equalHeaderNames(line.substr(0, name.size()), name))
+            continue;
+        const std::size_t digits = line.find_first_not_of(' ', name.size());
+        std::uint64_t length = 0;
+        if (digits != std::string_view::npos)
+            std::from_chars(line.data() + digits, line.data() + line.size(), length);
+        return length;
+    }
+    return 0;
+}
+
+Error causeOf(bool isInReadHandler, std::uint64_t bytes, std::uint64_t maximumBytes)
 {
     if (!isInReadHandler)
         return { ResultCode::RequestTooSlow, "the request was not whole in time" };
@@ -45,7 +68,9 @@
     const auto caller = m_state->socket.remote_endpoint(error);
     if (error || m_state->requests.contains(caller))
         return;
-    const Error cause = causeOf(m_state->isInReadHandler, m_state->unansweredBytes, m_state->requests.maximumRequestBytes());
+    const std::uint64_t announcedBytes = m_state->isInReadHandler ? announcedBodyBytes(m_state->lastChunk) : 0;
+    const std::uint64_t requestBytes = std::max<std::uint64_t>(m_state->unansweredBytes, announcedBytes);
+    const Error cause = causeOf(m_state->isInReadHandler, requestBytes, m_state->requests.maximumRequestBytes());
     const std::string text = serialize(problemResponse(cause, CallOutcomeKind::NotRun));
     // A short answer fits into the empty send buffer; when it does not, the caller sees only the close.
     m_state->socket.non_blocking(true, error);
--- a/Source/transport/GuardedSocket.h
+++ b/Source/transport/GuardedSocket.h
@@ -8,6 +8,7 @@
 #include <limits>
 #include <memory>
 #include <set>
+#include <string_view>
 #include <utility>
 
 namespace Knapweedquay {
@@ -78,9 +79,10 @@
     template <typename Buffers, typename Handler>
     void async_read_some(const Buffers& buffers, Handler&& handler)
     {
-        auto observed = [state = m_state, next = std::forward<Handler>(handler)](const asio::error_code& error, std::size_t length) mutable {
+        auto observed = [state = m_state, buffers, next = std::forward<Handler>(handler)](const asio::error_code& error, std::size_t length) mutable {
             state->isPeerGone = error && error != asio::error::operation_aborted;
             state->unansweredBytes += length;
+            state->lastChunk = std::string_view(static_cast<const char*>(asio::const_buffer(*asio::buffer_sequence_begin(buffers)).data()), length);
             state->isInReadHandler = true;
             next(error, length);
             state->isInReadHandler = false;
@@ -121,6 +123,8 @@
         asio::ip::tcp::socket socket;
         RequestsInProgress& requests;
         std::size_t unansweredBytes = 0;
+        /// What was read last; valid in the read handler only.
+        std::string_view lastChunk;
         bool isInReadHandler = false;
         bool isPeerGone = false;
     };
--- a/Source/transport/SteadyTime.cpp
+++ b/Source/transport/SteadyTime.cpp
@@ -3,6 +3,7 @@
 #include <asio/io_context.hpp>
 
 #include <chrono>
+#include <ctime>
 
 namespace Knapweedquay {
 
@@ -12,6 +13,13 @@
     return TimePoint(std::chrono::duration_cast<Duration>(sinceStart));
 }
 
+Duration threadProcessorTime()
+{
+    timespec time {};
+    ::clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+    return std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+}
+
 WallTime wallNow()
 {
     const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
--- a/Source/transport/SteadyTime.h
+++ b/Source/transport/SteadyTime.h
@@ -14,6 +14,9 @@
 /// The moment now on the monotonic clock of this process.
 TimePoint steadyNow();
 
+/// Processor time that the calling thread has used.
+Duration threadProcessorTime();
+
 /// Wall-clock time, for people to read and for expiries that outlive a process.
 WallTime wallNow();
 
