Coordination: Start no call whose caller left during the claim, and confirm arrivals once

A caller that left while the claim of its key was awaited still got its call started, because the event came before CallStarted and was forgotten.

The fate table reported a new attempt as in progress at once, and the node confirmed it a second time after 20 ms. Now the node alone decides when to confirm, so a short call costs one reply.

--- a/Source/coordination/CallEvents.h
+++ b/Source/coordination/CallEvents.h
@@ -9,7 +9,7 @@
 
 namespace Knapweedquay {
 
-/// Begins the call; comes once and first.
+/// Begins the call; comes once.
 struct CallStarted { };
 /// Reply to ChooseEndpoint.
 struct EndpointChosen {
@@ -55,7 +55,7 @@
 };
 /// The time of the last SetTimer has come.
 struct TimerFired { };
-/// The caller closed its connection.
+/// The caller closed its connection; may come before CallStarted, while the claim of a key is awaited.
 struct CallerGone { };
 
 using CallEvent = std::variant<CallStarted, EndpointChosen, NoEndpointLeft, AttemptAccepted, AttemptAnswered, AttemptRefused,
--- a/Source/coordination/FateTable.cpp
+++ b/Source/coordination/FateTable.cpp
@@ -37,8 +37,8 @@
         close(request.attempt, false);
         return { SendRefusal { request.connection, request.attempt, { ResultCode::Overloaded } } };
     }
-    const Attempt& attempt = add(request.attempt, request.connection);
-    return { SendInProgress { attempt.connection, attempt.id }, AdmitAttempt { attempt.id } };
+    add(request.attempt, request.connection);
+    return { AdmitAttempt { request.attempt } };
 }
 
 FateActions FateTable::cancel(const AttemptId& id, Incarnation target, ConnectionId connection, TimePoint now)
--- a/Source/coordination/FateTable.h
+++ b/Source/coordination/FateTable.h
@@ -31,6 +31,9 @@
 };
 
 /// Hand the attempt to the admission queue; the only action that lets an attempt run.
+///
+/// Unless its outcome goes out at once, the origin is to be told that the attempt arrived, well within its
+/// acceptance timeout. The node may wait a little for the outcome, which saves this message for short calls.
 struct AdmitAttempt {
     AttemptId attempt;
 };
--- a/Source/coordination/OutgoingCall.cpp
+++ b/Source/coordination/OutgoingCall.cpp
@@ -55,7 +55,9 @@
         m_budgets.retries.addCall();
         m_budgets.hedges.addCall();
     }
-    if (hasTimeLeft())
+    if (m_isCallerGone)
+        finishUnanswered({ ResultCode::CancelledBeforeStart });
+    else if (hasTimeLeft())
         requestEndpoint(false);
     else
         finishUnanswered({ ResultCode::DeadlineExpired });
--- a/Tests/coordination/FakeCallWorld.cpp
+++ b/Tests/coordination/FakeCallWorld.cpp
@@ -225,6 +225,7 @@
 {
     if (chance(m_chances.refused))
         return performFate(each, each.table->refuse(id, { ResultCode::Overloaded, Duration(1), chance(0.2) }, m_now), Duration(0));
+    reply(each, id, AttemptAccepted { id });
     each.queued.insert(id);
     const TimePoint deadline = m_now + remaining;
     schedule(upTo(longestQueueTime), [this, &each, id, deadline, incarnation = each.incarnation] {
--- a/Tests/coordination/OutgoingCallTest.cpp
+++ b/Tests/coordination/OutgoingCallTest.cpp
@@ -186,6 +186,15 @@
     EXPECT_EQ(1u, count<ChooseEndpoint>());
 }
 
+TEST_F(OutgoingCallTest, CallerGone_BeforeStart_SendsNothing)
+{
+    m_call = std::make_unique<OutgoingCall>(m_parameters, CallBudgets { m_retries, m_hedges }, [this] { return attempt(++m_sequence); });
+    handle(CallerGone {});
+    handle(CallStarted {});
+    EXPECT_EQ(0u, count<ChooseEndpoint>());
+    expectOutcome(CallOutcome::Kind::NotRun, ResultCode::CancelledBeforeStart);
+}
+
 TEST_F(OutgoingCallTest, CallerGone_NonIdempotentQueued_IsCancelled)
 {
     begin();
