--- a/Tests/coordination/EndpointChooserTest.cpp
+++ b/Tests/coordination/EndpointChooserTest.cpp
@@ -233,6 +233,23 @@
     EXPECT_LT(status(0).predictedTime, before / 5);
 }
 
+TEST_F(EndpointChooserTest, SlightlySlowerReport_EqualLoad_IsChosenAsOften)
+{
+    addEndpoints(2);
+    m_chooser.report(endpointId(0), makeReport(0, 6 * millisecond), m_now);
+    EXPECT_GE(chosenCounts(1000)[0], 400);
+}
+
+TEST_F(EndpointChooserTest, BusyReport_GrowsOld_FadesToUsualLoad)
+{
+    addEndpoints(2);
+    m_chooser.report(endpointId(0), makeReport(60), m_now);
+    EXPECT_EQ(0, chosenCounts(100)[0]);
+    const auto before = status(0).predictedTime;
+    m_now += second;
+    EXPECT_LT(status(0).predictedTime, before / 2);
+}
+
 TEST_F(EndpointChooserTest, OwnPriority_LessUrgentBacklog_DoesNotCount)
 {
     addEndpoints(2);
