--- a/Tests/coordination/ConcurrencyLimitTest.cpp
+++ b/Tests/coordination/ConcurrencyLimitTest.cpp
@@ -55,10 +55,11 @@
     EXPECT_EQ(slots, m_limit.value());
 }
 
-TEST_F(ConcurrencyLimitTest, OtherKindOfCalls_NaturallySlow_DoNotLowerLimit)
+TEST_F(ConcurrencyLimitTest, MixShifts_ToNaturallySlowCalls_LimitStays)
 {
     for (int call = 0; call < 2000; ++call)
-        observe(1, call % 2 ? quick : 20 * quick, slots, call % 2);
+        observe(1, call % 10 ? quick : 20 * quick, slots, call % 10 ? 0 : 1);
+    observe(2000, 20 * quick, slots, 1);
     EXPECT_EQ(slots, m_limit.value());
 }
 
--- a/Tests/coordination/EndpointChooserTest.cpp
+++ b/Tests/coordination/EndpointChooserTest.cpp
@@ -144,6 +144,14 @@
     EXPECT_EQ(0, choose(0, { endpointId(1), endpointId(2) }));
 }
 
+TEST_F(EndpointChooserTest, AbandonedAndRefusedCalls_Many_LeaveErrorRate)
+{
+    addEndpoints(2);
+    for (int call = 0; call < 20; ++call)
+        m_chooser.callFinished(send(0), call % 2 ? CallEnd::Abandoned : CallEnd::Refused, m_now);
+    EXPECT_EQ(0, status(0).errorRate);
+}
+
 TEST_F(EndpointChooserTest, Ejected_TimePasses_OneTrialCallOfLeastUrgentDecides)
 {
     addEndpoints(3);
--- a/Utilities/PolicyBench/PolicyBench.cpp
+++ b/Utilities/PolicyBench/PolicyBench.cpp
@@ -1,5 +1,6 @@
 // Compares the policies of EndpointChooser in virtual time: one service, nine endpoints, reports that are 2 to 20 ms
-// old. Usage: knapweedquayPolicyBench [seed] [calls per case]
+// old.
+// Usage: knapweedquayPolicyBench [seed] [calls per case] [sending nodes]
 
 #include "coordination/AdmissionQueue.h"
 #include "coordination/EndpointChooser.h"
@@ -18,7 +19,6 @@
 namespace {
 
 constexpr int endpointCount = 9;
-constexpr int originCount = 9;
 constexpr int dataCentreCount = 3;
 constexpr std::uint32_t slots = 12;
 constexpr double meanServiceMicroseconds = 5000;
@@ -44,6 +44,7 @@
     ChoiceSettings settings;
     std::uint64_t seed;
     int calls;
+    int origins;
 };
 
 /// Runs events in the order of their times.
@@ -82,7 +83,7 @@
         m_document.priorities.resize(1);
         for (int endpoint = 0; endpoint < endpointCount; ++endpoint)
             m_queues.push_back(std::make_unique<AdmissionQueue>(m_document, slots));
-        for (int origin = 0; origin < originCount; ++origin) {
+        for (int origin = 0; origin < m_run.origins; ++origin) {
             m_choosers.push_back(std::make_unique<EndpointChooser>(m_document, dataCentre(origin), run.settings));
             m_budgets.emplace_back(m_document.measurement);
             m_planners.emplace_back();
@@ -134,12 +135,12 @@
     {
         if (m_arrived == m_run.calls / 4 && m_run.faultCase != Case::Steady) {
             m_changed = true;
-            for (int origin = 0; m_run.faultCase == Case::ColdStart && origin < originCount; ++origin)
+            for (int origin = 0; m_run.faultCase == Case::ColdStart && origin < m_run.origins; ++origin)
                 announce(origin, changedEndpoint, m_time.now());
         }
         if (m_arrived++ >= m_run.calls)
             return;
-        send(below(originCount));
+        send(below(m_run.origins));
         m_time.after(exponential(meanServiceMicroseconds / (load * endpointCount * slots)), [this] { arrive(); });
     }
 
@@ -294,14 +295,16 @@
 {
     constexpr std::uint64_t defaultSeed = 20261203;
     constexpr int defaultCalls = 100000;
+    constexpr int defaultOrigins = 9;
     constexpr int decimal = 10;
     const std::uint64_t seed = argc > 1 ? std::strtoull(argv[1], nullptr, decimal) : defaultSeed;
     const int calls = argc > 2 ? static_cast<int>(std::strtol(argv[2], nullptr, decimal)) : defaultCalls;
+    const int origins = argc > 3 ? static_cast<int>(std::strtol(argv[3], nullptr, decimal)) : defaultOrigins;
     std::printf("%-15s %-24s %8s %8s %8s %10s %10s %8s\n", "case", "policy", "p50 ms", "p99 ms", "p99.9 ms", "failed", "refused", "probes");
     for (const auto& [caseName, faultCase] : cases) {
         for (const auto& [policyName, settings] : policies) {
             std::printf("%-15s %-24s ", caseName, policyName);
-            Bench({ faultCase, settings, seed, calls }).run();
+            Bench({ faultCase, settings, seed, calls, origins }).run();
         }
     }
     return 0;
