--- a/Utilities/Load/Deployment.h
+++ b/Utilities/Load/Deployment.h
@@ -86,6 +86,7 @@
     ChildProcess& node(const std::string& name) { return *m_nodes.at(name).process; }
     ChildProcess& backend(const std::string& name) { return *m_nodes.at(name).backend; }
     ChildProcess& control(std::size_t index) { return *m_controls.at(index).process; }
+    bool hasBackend(const std::string& name) const { return m_nodes.at(name).backend != nullptr; }
     const NodeAddresses& addresses(const std::string& name) const { return m_nodes.at(name).addresses; }
     const std::string& controlHttp(std::size_t index) const { return m_controls.at(index).http; }
     std::size_t controlCount() const { return m_controls.size(); }
--- a/Utilities/Load/MeasureRun.cpp
+++ b/Utilities/Load/MeasureRun.cpp
@@ -5,7 +5,9 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <fstream>
+#include <numeric>
 #include <sstream>
 #include <stdexcept>
 #include <thread>
@@ -44,8 +46,9 @@
     return (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
 }
 
-/// The counters of all nodes at one moment.
+/// The counters of all nodes and backend servers at one moment.
 struct Counters {
+    std::map<std::string, std::uint64_t> runs;
     std::optional<double> probes;
     std::optional<double> bytes;
     std::optional<double> seconds;
@@ -67,6 +70,8 @@
 {
     Counters counters;
     for (const std::string& name : deployment.nodeNames()) {
+        if (deployment.hasBackend(name))
+            counters.runs[name] = deployment.backendStats(name).value("executed", std::uint64_t { 0 });
         if (!deployment.node(name).isRunning())
             continue;
         const std::string metrics = deployment.nodeMetrics(name);
@@ -161,12 +166,25 @@
     return sum;
 }
 
+std::string MeasureResult::spread() const
+{
+    constexpr double percent = 100;
+    std::vector<double> counts;
+    for (const auto& entry : runs)
+        counts.push_back(static_cast<double>(entry.second));
+    const double sum = std::accumulate(counts.begin(), counts.end(), 0.0);
+    if (!(sum > 0))
+        return "-";
+    const auto [least, most] = std::minmax_element(counts.begin(), counts.end());
+    return fmt::format("{:.0f}-{:.0f}%", percent * *least / sum, percent * *most / sum);
+}
+
 nlohmann::json MeasureResult::toJson() const
 {
     nlohmann::json rows = nlohmann::json::array();
     for (const CallClassResult& result : classes)
         rows.push_back(Load::toJson(result));
-    nlohmann::json json = { { "case", caseName }, { "policy", policy }, { "priorities", rows }, { "node_cpu_seconds", nodeSeconds } };
+    nlohmann::json json = { { "case", caseName }, { "policy", policy }, { "priorities", rows }, { "node_cpu_seconds", nodeSeconds }, { "runs", runs } };
     if (probes)
         json["probes"] = *probes;
     if (measuringBytes)
@@ -197,6 +215,8 @@
     result.probes = difference(after.probes, before.probes);
     result.measuringBytes = difference(after.bytes, before.bytes);
     result.measuringSeconds = difference(after.seconds, before.seconds);
+    for (const auto& [name, count] : after.runs)
+        result.runs[name] = count - before.runs.at(name);
     result.nodeSeconds = after.nodeSeconds - before.nodeSeconds;
     return result;
 }
--- a/Utilities/Load/MeasureRun.h
+++ b/Utilities/Load/MeasureRun.h
@@ -3,6 +3,7 @@
 #include "Load/CallClassResult.h"
 #include "Load/MeasureCase.h"
 
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -18,10 +19,14 @@
     std::optional<double> probes;
     std::optional<double> measuringBytes;
     std::optional<double> measuringSeconds;
+    /// Calls that each endpoint's backend server ran, by the name of its node.
+    std::map<std::string, std::uint64_t> runs;
     /// Processor time of all nodes.
     double nodeSeconds = 0;
 
     std::uint64_t sent() const;
+    /// Smallest and largest share of the runs that one endpoint had, such as "18-22%".
+    std::string spread() const;
     nlohmann::json toJson() const;
 };
 
