--- a/Source/control/ControlDaemon.cpp
+++ b/Source/control/ControlDaemon.cpp
@@ -90,9 +90,9 @@
     hooks.send = [this](const std::string& address, const ReplicaMessage& message) {
         m_replicaLinks.send(address, LinkChannel::wrap(LinkChannel::replica, encodeReplicaMessage(message)));
     };
-    hooks.runSync = [this](std::function<Result<void>()> sync, std::function<void(Result<void>, TimePoint)> done) {
-        asio::post(m_syncThread, [this, sync = std::move(sync), done = std::move(done)] {
-            asio::post(m_context, [this, done, result = sync()] {
+    hooks.runStorageJob = [this](std::function<Result<void>()> job, std::function<void(Result<void>, TimePoint)> done) {
+        asio::post(m_storageThread, [this, job = std::move(job), done = std::move(done)] {
+            asio::post(m_context, [this, done, result = job()] {
                 done(result, steadyNow());
                 m_service->flush(steadyNow());
             });
--- a/Source/control/ControlDaemon.h
+++ b/Source/control/ControlDaemon.h
@@ -51,8 +51,8 @@
     PosixFileSystem m_files;
     std::unique_ptr<FolderLock> m_folderLock;
     std::unique_ptr<ControlService> m_service;
-    /// Syncs files, so that a slow disk doesn't hold up the control thread.
-    asio::thread_pool m_syncThread { 1 };
+    /// Runs the slow jobs of the storage. It is declared after the service, and so ends before it.
+    asio::thread_pool m_storageThread { 1 };
     std::unique_ptr<NodeSubscriptions> m_subscriptions;
     std::unique_ptr<OperatorInterface> m_operators;
     ReplicaLinks m_replicaLinks;
--- a/Source/state/ControlService.cpp
+++ b/Source/state/ControlService.cpp
@@ -305,31 +305,83 @@
 
 void ControlService::perform(const WriteLog& action, TimePoint now)
 {
-    const Result<void> written = m_storage->write(action);
-    if (written.has_error()) {
-        stop(written.error());
-        return;
+    m_writes.emplace_back(action);
+    processWrites(now);
+}
+
+void ControlService::perform(const StoreSnapshot& action, TimePoint now)
+{
+    m_writes.emplace_back(action);
+    processWrites(now);
+}
+
+void ControlService::processWrites(TimePoint now)
+{
+    while (!m_writes.empty() && !m_isStoring && !m_failure) {
+        const auto* write = std::get_if<WriteLog>(&m_writes.front());
+        if (!write && m_isSyncing)
+            return;
+        if (!write) {
+            StoreSnapshot store = std::move(std::get<StoreSnapshot>(m_writes.front()));
+            m_writes.pop_front();
+            startStore(std::move(store), now);
+            continue;
+        }
+        const Result<void> written = m_storage->write(*write);
+        if (written.has_error()) {
+            stop(written.error());
+            return;
+        }
+        m_written = write->sequence;
+        m_writes.pop_front();
     }
-    m_written = action.sequence;
     startSync(now);
 }
 
+void ControlService::runStorageJob(std::function<Result<void>()> job, std::function<void(Result<void>, TimePoint)> done, TimePoint now)
+{
+    if (!m_hooks.runStorageJob) {
+        done(job(), now);
+        return;
+    }
+    const std::weak_ptr<char> life = m_life;
+    m_hooks.runStorageJob(std::move(job), [life, done = std::move(done)](Result<void> result, TimePoint finishedAt) {
+        if (!life.expired())
+            done(std::move(result), finishedAt);
+    });
+}
+
+void ControlService::startStore(StoreSnapshot store, TimePoint now)
+{
+    m_isStoring = true;
+    const WriteSequence sequence = store.sequence;
+    runStorageJob([storage = m_storage.get(), store = std::move(store)] { return storage->store(store); },
+        [this, sequence](const Result<void>& stored, TimePoint finishedAt) { finishStore(sequence, stored, finishedAt); }, now);
+}
+
+void ControlService::finishStore(WriteSequence sequence, const Result<void>& stored, TimePoint now)
+{
+    m_isStoring = false;
+    if (m_failure)
+        return;
+    if (stored.has_error()) {
+        stop(stored.error());
+        return;
+    }
+    m_written = sequence;
+    m_synced = sequence;
+    m_log->synced(sequence, now);
+    processWrites(now);
+}
+
 void ControlService::startSync(TimePoint now)
 {
-    if (m_isSyncing || m_written == m_synced || m_failure)
+    if (m_isSyncing || m_isStoring || m_written == m_synced || m_failure)
         return;
     m_isSyncing = true;
     const LogStorage::SyncTask task = m_storage->startSync();
-    if (!m_hooks.runSync) {
-        finishSync(task, m_written, task.file->sync(), now);
-        return;
-    }
-    const std::weak_ptr<char> life = m_life;
-    m_hooks.runSync([file = task.file] { return file->sync(); },
-        [this, life, task, sequence = m_written](Result<void> synced, TimePoint finishedAt) {
-            if (!life.expired())
-                finishSync(task, sequence, std::move(synced), finishedAt);
-        });
+    runStorageJob([file = task.file] { return file->sync(); },
+        [this, task, sequence = m_written](Result<void> synced, TimePoint finishedAt) { finishSync(task, sequence, std::move(synced), finishedAt); }, now);
 }
 
 void ControlService::finishSync(const LogStorage::SyncTask& task, WriteSequence sequence, Result<void> synced, TimePoint now)
@@ -344,19 +396,7 @@
     }
     m_synced = std::max(m_synced, sequence);
     m_log->synced(sequence, now);
-    startSync(now);
-}
-
-void ControlService::perform(const StoreSnapshot& action, TimePoint now)
-{
-    const Result<void> stored = m_storage->store(action);
-    if (stored.has_error()) {
-        stop(stored.error());
-        return;
-    }
-    m_written = action.sequence;
-    m_synced = action.sequence;
-    m_log->synced(action.sequence, now);
+    processWrites(now);
 }
 
 void ControlService::perform(const ApplyEntry& action, TimePoint)
--- a/Source/state/ControlService.h
+++ b/Source/state/ControlService.h
@@ -9,12 +9,14 @@
 #include "state/ReplicatedLog.h"
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace Knapweedquay {
@@ -44,9 +46,10 @@
 /// What the service asks of its owner. Unset hooks are not called.
 struct ControlServiceHooks {
     std::function<void(const std::string& address, const ReplicaMessage&)> send;
-    /// Runs a sync of a file elsewhere, so that a slow disk doesn't hold up heartbeats, and hands its result back on
-    /// the thread of the service. Unset: the sync runs at once, within flush().
-    std::function<void(std::function<Result<void>()> sync, std::function<void(Result<void>, TimePoint)> done)> runSync;
+    /// Runs a job of the storage that may take long (a sync, the writing of a snapshot) elsewhere, so that a slow disk
+    /// doesn't hold up heartbeats, and hands its result back on the thread of the service. The service must outlive the
+    /// job. Unset: the job runs at once, within flush().
+    std::function<void(std::function<Result<void>()> job, std::function<void(Result<void>, TimePoint)> done)> runStorageJob;
     /// A document of a newer version was applied.
     std::function<void(const StoredDocument&)> documentChanged;
     /// The replica must stop: its storage failed. Nothing is accepted or promised from then on.
@@ -126,7 +129,12 @@
     void handleJoinResponse(const JoinResponse&, const std::string& from, TimePoint);
     void sendTo(const std::string& address, ReplicaMessage);
 
-    // Syncs; at most one is under way, and the next one covers all that was written meanwhile.
+    // Writes, in order. One sync or one snapshot is under way at most; a sync covers all that was written before it,
+    // and while a snapshot is being written, other writes wait.
+    void processWrites(TimePoint);
+    void runStorageJob(std::function<Result<void>()> job, std::function<void(Result<void>, TimePoint)> done, TimePoint);
+    void startStore(StoreSnapshot, TimePoint);
+    void finishStore(WriteSequence, const Result<void>&, TimePoint);
     void startSync(TimePoint);
     void finishSync(const LogStorage::SyncTask&, WriteSequence, Result<void>, TimePoint);
 
@@ -151,7 +159,9 @@
     WriteSequence m_written;
     WriteSequence m_synced;
     bool m_isSyncing = false;
-    /// Ends with the service; a sync that outlives it is forgotten.
+    bool m_isStoring = false;
+    std::deque<std::variant<WriteLog, StoreSnapshot>> m_writes;
+    /// Ends with the service; the result of a job that comes later is dropped.
     std::shared_ptr<char> m_life = std::make_shared<char>();
     TimePoint m_nextJoin;
     /// Peers that said, since the start, that they have no store either.
--- a/Tests/state/StoreSimulation.cpp
+++ b/Tests/state/StoreSimulation.cpp
@@ -9,8 +9,8 @@
 constexpr Duration stepTime { 5000 };
 constexpr Duration usualDelay { 1000 };
 constexpr Duration lossNoticeTime { 500000 };
-constexpr Duration usualSync { 20000 };
-constexpr Duration slowestSync { 800000 };
+constexpr Duration usualJobTime { 20000 };
+constexpr Duration slowestJobTime { 800000 };
 constexpr Duration longestDelay { 2000000 };
 constexpr std::uint64_t clusterId = 77;
 const std::string folder = "data";
@@ -21,7 +21,7 @@
     : m_random(seed)
     , m_replicas(replicas)
     , m_snapshotEntries(snapshotEntries)
-    , m_areSyncsSlow(seed % 2 == 0)
+    , m_isStorageSlow(seed % 2 == 0)
 {
     for (std::size_t i = 0; i < replicas; ++i)
         m_replicas[i].address = "replica-" + std::to_string(i);
@@ -49,13 +49,13 @@
     ControlServiceHooks hooks;
     hooks.send = [this, index](const std::string& address, const ReplicaMessage& message) { post(index, address, message); };
     const std::size_t run = ++replica.runs;
-    if (m_areSyncsSlow) {
-        hooks.runSync = [this, index, run](std::function<Result<void>()> sync, std::function<void(Result<void>, TimePoint)> done) {
-            const Duration most = m_random() % 20 == 0 ? slowestSync : usualSync;
+    if (m_isStorageSlow) {
+        hooks.runStorageJob = [this, index, run](std::function<Result<void>()> job, std::function<void(Result<void>, TimePoint)> done) {
+            const Duration most = m_random() % 20 == 0 ? slowestJobTime : usualJobTime;
             // What is written while a sync is under way may or may not be covered by it.
             if (m_random() % 2 == 0)
-                sync = [result = sync()] { return result; };
-            m_syncs.emplace(m_now + Duration(m_random() % most.count()), PendingSync { index, run, std::move(sync), std::move(done) });
+                job = [result = job()] { return result; };
+            m_jobs.emplace(m_now + Duration(m_random() % most.count()), PendingJob { index, run, std::move(job), std::move(done) });
         };
     }
     auto opened = ControlService::open(settings, replica.disk, hooks, m_now);
@@ -90,18 +90,18 @@
         m_replicas[envelope.to].service->receive(message.value(), m_now);
 }
 
-void StoreSimulation::finishSyncs()
+void StoreSimulation::finishJobs()
 {
-    while (!m_syncs.empty() && m_syncs.begin()->first <= m_now) {
-        const PendingSync pending = std::move(m_syncs.begin()->second);
-        m_syncs.erase(m_syncs.begin());
+    while (!m_jobs.empty() && m_jobs.begin()->first <= m_now) {
+        const PendingJob pending = std::move(m_jobs.begin()->second);
+        m_jobs.erase(m_jobs.begin());
         const Replica& replica = m_replicas[pending.replica];
         if (!replica.service || replica.runs != pending.run)
             continue;
         if (replica.frozenUntil > m_now)
-            m_syncs.emplace(replica.frozenUntil, pending);
+            m_jobs.emplace(replica.frozenUntil, pending);
         else
-            pending.done(pending.sync(), m_now);
+            pending.done(pending.job(), m_now);
     }
 }
 
@@ -128,7 +128,7 @@
     }
     for (auto& [time, envelope] : later)
         m_network.emplace(time, std::move(envelope));
-    finishSyncs();
+    finishJobs();
     for (std::size_t i = 0; i < m_replicas.size(); ++i) {
         if (!isRunning(i))
             continue;
@@ -191,12 +191,19 @@
 void StoreSimulation::heal()
 {
     m_faults = {};
-    for (std::size_t i = 0; i < m_replicas.size(); ++i) {
-        Replica& replica = m_replicas[i];
+    for (Replica& replica : m_replicas) {
         replica.frozenUntil = m_now;
         replica.cutOff = false;
         replica.disk.recover();
-        if (replica.service && replica.service->isStopped())
+    }
+    // Failures that are known already, but not to their replicas, come in now.
+    std::multimap<TimePoint, PendingJob> pending;
+    pending.swap(m_jobs);
+    for (auto& [time, job] : pending)
+        m_jobs.emplace(m_now, std::move(job));
+    finishJobs();
+    for (std::size_t i = 0; i < m_replicas.size(); ++i) {
+        if (m_replicas[i].service && m_replicas[i].service->isStopped())
             crash(i);
         restart(i);
     }
--- a/Tests/state/StoreSimulation.h
+++ b/Tests/state/StoreSimulation.h
@@ -80,10 +80,10 @@
         std::size_t from = 0;
         std::string bytes;
     };
-    struct PendingSync {
+    struct PendingJob {
         std::size_t replica = 0;
         std::size_t run = 0;
-        std::function<Result<void>()> sync;
+        std::function<Result<void>()> job;
         std::function<void(Result<void>, TimePoint)> done;
     };
     struct Accepted {
@@ -95,7 +95,7 @@
     void start(std::size_t);
     void post(std::size_t from, const std::string& address, const ReplicaMessage&);
     void deliver(const Envelope&);
-    void finishSyncs();
+    void finishJobs();
     bool isRunning(std::size_t) const;
     void submit(std::size_t replica, const DocumentEdit&);
     void noteResult(const DocumentEdit&, const EditResult&);
@@ -108,9 +108,9 @@
     std::vector<Replica> m_replicas;
     std::multimap<TimePoint, Envelope> m_network;
     std::size_t m_snapshotEntries;
-    /// True when syncs take their time while the replica goes on.
-    bool m_areSyncsSlow;
-    std::multimap<TimePoint, PendingSync> m_syncs;
+    /// True when jobs of the storage take their time while the replica goes on.
+    bool m_isStorageSlow;
+    std::multimap<TimePoint, PendingJob> m_jobs;
     Faults m_faults;
     TimePoint m_now { Duration(1000000) };
     TimePoint m_lastLoss;
--- a/Utilities/StoreBench/BenchReplica.cpp
+++ b/Utilities/StoreBench/BenchReplica.cpp
@@ -17,9 +17,9 @@
 {
     ControlServiceHooks hooks;
     hooks.send = [send = std::move(send)](const std::string& address, const ReplicaMessage& message) { send(address, encodeReplicaMessage(message)); };
-    hooks.runSync = [this](std::function<Result<void>()> sync, std::function<void(Result<void>, TimePoint)> done) {
-        asio::post(m_syncThread, [this, sync = std::move(sync), done = std::move(done)] {
-            post([done, result = sync()](ControlService&, TimePoint now) { done(result, now); });
+    hooks.runStorageJob = [this](std::function<Result<void>()> job, std::function<void(Result<void>, TimePoint)> done) {
+        asio::post(m_storageThread, [this, job = std::move(job), done = std::move(done)] {
+            post([done, result = job()](ControlService&, TimePoint now) { done(result, now); });
         });
     };
     hooks.stopped = [](const Error& error) {
@@ -53,7 +53,7 @@
     m_wake.notify_one();
     if (m_thread.joinable())
         m_thread.join();
-    m_syncThread.join();
+    m_storageThread.join();
 }
 
 void BenchReplica::post(Task task)
--- a/Utilities/StoreBench/BenchReplica.h
+++ b/Utilities/StoreBench/BenchReplica.h
@@ -43,7 +43,7 @@
     std::vector<Task> m_tasks;
     bool m_isStopping = false;
     std::thread m_thread;
-    asio::thread_pool m_syncThread { 1 };
+    asio::thread_pool m_storageThread { 1 };
 };
 
 TimePoint benchNow();
