--- a/Utilities/Scripts/test.sh
+++ b/Utilities/Scripts/test.sh
@@ -1,10 +1,23 @@
 #!/usr/bin/env bash
 # Builds the project and runs all tests. Usage: test.sh [preset]; the default preset is release.
+# Tests named in KNOWN-RED.txt are run apart: they are printed and do not decide.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 preset=${1:-release}
+jobs=${KNAPWEEDQUAY_TEST_JOBS:-4}
 cmake --preset "$preset"
 cmake --build --preset "$preset"
 # Fixed seed: the same verdict at every run.
 export RC_PARAMS=${RC_PARAMS:-"seed=20261203 max_success=200"}
-ctest --test-dir "build/$preset" --output-on-failure -j "${KNAPWEEDQUAY_TEST_JOBS:-4}"
+
+# The first word of each line that is no comment is the name of a test.
+known=$(grep -oE '^[A-Za-z_0-9]+\.[A-Za-z_0-9]+' KNOWN-RED.txt 2>/dev/null | paste -sd '|' || true)
+status=0
+if [ -n "$known" ]; then
+    ctest --test-dir "build/$preset" --output-on-failure -j "$jobs" -E "^($known)\$" || status=$?
+    echo "known red, see KNOWN-RED.txt:"
+    ctest --test-dir "build/$preset" -R "^($known)\$" || true
+else
+    ctest --test-dir "build/$preset" --output-on-failure -j "$jobs" || status=$?
+fi
+exit "$status"
