Coordination: Report failures with the load, and let error rates fade

An own error rate below the bound of an ejection kept an endpoint from ever being called again; it now fades in 5 s without news. Calls that the node gives up are no longer counted as failures of the backend server.

--- a/Source/coordination/AdmissionQueue.cpp
+++ b/Source/coordination/AdmissionQueue.cpp
@@ -17,6 +17,8 @@
 constexpr Duration standingQueueTime { 100000 };
 /// Multiple of the mean service time that is left for the service itself within the target.
 constexpr int serviceTailFactor = 4;
+constexpr double failureWeight = 1.0 / 16;
+constexpr double perThousand = 1000;
 /// Cost of a call while nothing is known about it.
 constexpr double unknownCostMicroseconds = 5000;
 /// Time constant of the work that is counted as recent.
@@ -91,8 +93,12 @@
         m_serviceTime.observe(latency);
         m_limit.observe(PriorityIndex(static_cast<std::uint32_t>(call.priority)), latency, call.runningAtStart);
         ++m_completedCalls;
+        countOutcome(false);
         break;
     case BackendOutcome::Failed:
+        countOutcome(true);
+        [[fallthrough]];
+    case BackendOutcome::Abandoned:
         lane.serviceTime.observeFailure(latency);
         m_serviceTime.observeFailure(latency);
         break;
@@ -169,6 +175,7 @@
     m_announcedSlots = slots;
     m_limit = ConcurrencyLimit(slots.value_or(m_defaultSlots));
     m_completedCalls = 0;
+    m_failureRate = 0;
 }
 
 void AdmissionQueue::drain(TimePoint now)
@@ -194,6 +201,7 @@
         report.queued.push_back(static_cast<std::uint32_t>(lane.queue.size()));
     report.serviceTime = m_serviceTime.mean();
     report.completedCalls = m_completedCalls;
+    report.failuresPerThousand = static_cast<std::uint32_t>(perThousand * m_failureRate);
     report.draining = m_draining;
     return report;
 }
@@ -302,6 +310,11 @@
     }
 }
 
+void AdmissionQueue::countOutcome(bool failed)
+{
+    m_failureRate += failureWeight * ((failed ? 1 : 0) - m_failureRate);
+}
+
 void AdmissionQueue::chargeStart(std::size_t started, TimePoint now)
 {
     auto& lane = m_lanes[started];
--- a/Source/coordination/AdmissionQueue.h
+++ b/Source/coordination/AdmissionQueue.h
@@ -40,8 +40,9 @@
 /// How a call ended at the backend server.
 enum class BackendOutcome {
     Succeeded,
-    /// Failed, or given up after its start.
     Failed,
+    /// Given up after its start by the node; says nothing about the backend server.
+    Abandoned,
     /// Refused by the backend server because of its own load (503).
     Shed,
 };
@@ -147,6 +148,7 @@
     void dequeue(Call&);
     void start(Call&, TimePoint now);
     void giveUpExpired(TimePoint now, std::vector<GivenUpCall>&);
+    void countOutcome(bool failed);
     void chargeStart(std::size_t lane, TimePoint now);
     AdmissionDecision refusal(ResultCode, Duration wait) const;
 
@@ -159,6 +161,7 @@
     std::optional<std::uint32_t> m_announcedSlots;
     std::uint32_t m_running = 0;
     std::uint64_t m_completedCalls = 0;
+    double m_failureRate = 0;
     bool m_draining = false;
 };
 
--- a/Source/coordination/EndpointChooser.cpp
+++ b/Source/coordination/EndpointChooser.cpp
@@ -87,7 +87,7 @@
     if (found == m_calls.end())
         return;
     if (auto* record = found->second.endpoint) {
-        record->endOutstanding(found->second, end);
+        record->endOutstanding(found->second, end, now);
         judge(endpointOf(*record), ticket, end, now);
     }
     m_calls.erase(found);
--- a/Source/coordination/EndpointRecord.cpp
+++ b/Source/coordination/EndpointRecord.cpp
@@ -20,8 +20,11 @@
 /// Differences of service time up to this factor are taken for noise; following them would send all to the endpoint
 /// that happened to look best.
 constexpr double serviceTimeNoise = 2;
-/// Time constant after which a slow endpoint without completed calls is worth a new try.
-constexpr double serviceTimeMicroseconds = 5000000;
+/// Time constant after which a slow or failing endpoint that nobody calls is worth a new try.
+constexpr double memoryMicroseconds = 5000000;
+/// Reported failures up to this share are taken for those of the calls, not of the endpoint.
+constexpr double failureNoise = 0.2;
+constexpr double perThousand = 1000;
 /// An outstanding call counts as stalled beyond this multiple of its expected time.
 constexpr double stallFactor = 3;
 /// Calls over which the time of stalled calls is spread, as if that many had ended as expected.
@@ -77,7 +80,7 @@
     m_outstanding.push_back(call);
 }
 
-void EndpointRecord::endOutstanding(OutstandingCall& call, CallEnd end)
+void EndpointRecord::endOutstanding(OutstandingCall& call, CallEnd end, TimePoint now)
 {
     m_outstanding.erase(m_outstanding.iterator_to(call));
     call.endpoint = nullptr;
@@ -86,6 +89,7 @@
         return;
     const double sample = end == CallEnd::Answered ? 0 : 1;
     m_errorRate += errorWeight * (sample - m_errorRate);
+    m_errorRateAt = now;
 }
 
 std::size_t EndpointRecord::sentSinceReport() const
@@ -104,6 +108,8 @@
 {
     if (!m_reportedAt || report.completedCalls != m_report.completedCalls)
         m_serviceTimeAt = now;
+    if (report.failuresPerThousand != m_report.failuresPerThousand)
+        m_failuresChangedAt = now;
     double load = report.running;
     for (const auto queued : report.queued)
         load += queued;
@@ -124,6 +130,16 @@
     return m_report.running >= m_report.concurrencyLimit && queuedUpTo(m_report, priority) > 0;
 }
 
+double EndpointRecord::expectedErrorRate(TimePoint now) const
+{
+    const double own = m_errorRate * std::exp(-microseconds(now - m_errorRateAt) / memoryMicroseconds);
+    double reported = m_report.failuresPerThousand / perThousand;
+    if (reported < failureNoise)
+        return own;
+    reported *= std::exp(-microseconds(now - m_failuresChangedAt) / memoryMicroseconds);
+    return std::max(own, reported);
+}
+
 double EndpointRecord::rampFactor(const ServiceDocument& document, TimePoint now) const
 {
     if (document.rampTime <= Duration(0) || document.rampCalls == 0)
@@ -142,7 +158,7 @@
     const double servers = std::max(1.0, limit * rampFactor(document, now));
     const double wait = service / servers * waitFactor(callsAhead(priority, service, limit, now), servers);
     const double time = microseconds(m_roundTrip.value_or(fleet.roundTrip)) + wait + service;
-    const double errors = std::min(m_errorRate, maximumErrorRate);
+    const double errors = std::min(expectedErrorRate(now), maximumErrorRate);
     return Duration(static_cast<Duration::rep>(time * (1 + errorPenalty * errors / (1 - errors))));
 }
 
@@ -153,7 +169,7 @@
     if (service < usual * serviceTimeNoise && service > usual / serviceTimeNoise)
         service = usual;
     if (service > usual)
-        service = usual + (service - usual) * std::exp(-microseconds(now - m_serviceTimeAt) / serviceTimeMicroseconds);
+        service = usual + (service - usual) * std::exp(-microseconds(now - m_serviceTimeAt) / memoryMicroseconds);
     return service + stallMicroseconds(now);
 }
 
--- a/Source/coordination/EndpointRecord.h
+++ b/Source/coordination/EndpointRecord.h
@@ -76,7 +76,7 @@
 
     void addOutstanding(OutstandingCall&);
     /// Takes the call out and counts how it ended.
-    void endOutstanding(OutstandingCall&, CallEnd);
+    void endOutstanding(OutstandingCall&, CallEnd, TimePoint now);
     std::size_t outstanding() const { return m_outstanding.size(); }
     /// Own outstanding calls that the last report cannot have counted.
     std::size_t sentSinceReport() const;
@@ -87,9 +87,12 @@
     void takeRoundTrip(Duration);
     std::optional<Duration> roundTrip() const { return m_roundTrip; }
 
-    /// Share of recent calls that failed or were lost, 0..1.
+    /// Share of recent own calls that failed or were lost, 0..1.
     double errorRate() const { return m_errorRate; }
     void setErrorRate(double rate) { m_errorRate = rate; }
+    /// The greater of the own and the reported share, which fade while nothing new is heard, so that an endpoint that
+    /// nobody calls is tried again.
+    double expectedErrorRate(TimePoint now) const;
 
     /// True when a recent report shows that calls of this priority wait there.
     bool isSaturated(PriorityIndex, TimePoint now) const;
@@ -118,6 +121,8 @@
     std::optional<Duration> m_roundTrip;
     double m_usualLoad = 0;
     double m_errorRate = 0;
+    TimePoint m_errorRateAt;
+    TimePoint m_failuresChangedAt;
 };
 
 } // namespace Knapweedquay
--- a/Source/coordination/LoadReport.h
+++ b/Source/coordination/LoadReport.h
@@ -20,6 +20,9 @@
     Duration serviceTime { 0 };
     /// Calls completed since the backend server announced itself.
     std::uint64_t completedCalls = 0;
+    /// Smoothed share of calls that failed at the backend server, in thousandths. It lets every node keep away from an
+    /// endpoint that fails fast without losing a call there first.
+    std::uint32_t failuresPerThousand = 0;
     bool draining = false;
 };
 
--- a/Source/node/EndpointRunner.cpp
+++ b/Source/node/EndpointRunner.cpp
@@ -166,7 +166,7 @@
         return;
     const JobPtr job = entry->second;
     m_client.cancel(job->request);
-    finish(job, BackendOutcome::Failed);
+    finish(job, BackendOutcome::Abandoned);
     perform(m_fates.loseOutcome(action.attempt, ResultCode::OutcomeUnknown, steadyNow()));
 }
 
@@ -226,7 +226,7 @@
 {
     const JobPtr kept = m_jobsByTicket.at(job.ticket);
     if (!m_fates.tryStart(job.message.attempt) || !m_backend) {
-        finish(kept, BackendOutcome::Failed);
+        finish(kept, BackendOutcome::Abandoned);
         perform(m_fates.refuse(job.message.attempt, { ResultCode::Draining, drainRetryAfter }, steadyNow()));
         return;
     }
--- a/Source/protocol/PeerMessages.cpp
+++ b/Source/protocol/PeerMessages.cpp
@@ -24,6 +24,7 @@
     fields.push_back(std::move(queued));
     fields.push_back(load.serviceTime.count());
     fields.push_back(load.completedCalls);
+    fields.push_back(load.failuresPerThousand);
     fields.push_back(load.draining);
 }
 
@@ -42,6 +43,7 @@
         reader.fail("queue lengths of a load report are not numbers");
     load.serviceTime = reader.duration();
     load.completedCalls = reader.unsignedInteger();
+    load.failuresPerThousand = readUnsigned32(reader);
     load.draining = reader.boolean();
     return load;
 }
--- a/Tests/coordination/AdmissionQueueTest.cpp
+++ b/Tests/coordination/AdmissionQueueTest.cpp
@@ -244,6 +244,13 @@
         finish(ticket, BackendOutcome::Failed);
     }
     EXPECT_GE(m_queue.report().serviceTime, before);
+    EXPECT_GT(m_queue.report().failuresPerThousand, 900u);
+    const auto failures = m_queue.report().failuresPerThousand;
+    offer(1, 0);
+    finish(1, BackendOutcome::Abandoned);
+    EXPECT_EQ(failures, m_queue.report().failuresPerThousand);
+    m_queue.setBackend(2);
+    EXPECT_EQ(0u, m_queue.report().failuresPerThousand);
 }
 
 /// The admission rules on one vector that is sorted for each start, for calls of unknown service time.
--- a/Tests/coordination/EndpointChooserTest.cpp
+++ b/Tests/coordination/EndpointChooserTest.cpp
@@ -152,6 +152,30 @@
     EXPECT_EQ(0, status(0).errorRate);
 }
 
+TEST_F(EndpointChooserTest, ReportedFailures_NoOwnCall_KeepAwayUntilTheyFade)
+{
+    addEndpoints(2);
+    auto failing = makeReport(0);
+    failing.failuresPerThousand = 900;
+    m_chooser.report(endpointId(0), failing, m_now);
+    EXPECT_EQ(0, chosenCounts(100)[0]);
+    // A repeated report is nothing new.
+    const auto before = status(0).predictedTime;
+    m_now += 30 * second;
+    m_chooser.report(endpointId(0), failing, m_now);
+    EXPECT_LT(status(0).predictedTime, before / 5);
+}
+
+TEST_F(EndpointChooserTest, FewFailures_NoCallsForLong_OwnErrorRateFades)
+{
+    addEndpoints(2);
+    fail(0, 5);
+    ASSERT_FALSE(status(0).ejected);
+    const auto before = status(0).predictedTime;
+    m_now += 30 * second;
+    EXPECT_LT(status(0).predictedTime, before / 2);
+}
+
 TEST_F(EndpointChooserTest, Ejected_TimePasses_OneTrialCallOfLeastUrgentDecides)
 {
     addEndpoints(3);
