--- a/Tests/coordination/ConcurrencyLimitTest.cpp
+++ b/Tests/coordination/ConcurrencyLimitTest.cpp
@@ -63,6 +63,13 @@
     EXPECT_EQ(slots, m_limit.value());
 }
 
+TEST_F(ConcurrencyLimitTest, FirstCall_OddlyQuick_DoesNotSetBaseline)
+{
+    observe(1, quick / 50, slots);
+    observe(2000, quick, slots);
+    EXPECT_EQ(slots, m_limit.value());
+}
+
 TEST_F(ConcurrencyLimitTest, ShedCalls_Together_LowerLimitOnce)
 {
     for (int call = 0; call < 10; ++call)
