--- a/Source/control/ControlDaemon.cpp
+++ b/Source/control/ControlDaemon.cpp
@@ -1,5 +1,7 @@
 #include "control/ControlDaemon.h"
 
+#include "transport/Logger.h"
+
 #include "protocol/LinkChannel.h"
 
 #include <asio/post.hpp>
@@ -92,6 +94,7 @@
     };
     hooks.stopped = [this](const Error& error) {
         m_end = error;
+        log(LogEvent::StorageStopped, { { "code", std::to_string(static_cast<int>(error.code)) }, { "detail", error.detail } });
         m_context.stop();
     };
     auto service = ControlService::open(settings, m_files, std::move(hooks), steadyNow());
--- a/Source/control/OperatorInterface.cpp
+++ b/Source/control/OperatorInterface.cpp
@@ -2,6 +2,7 @@
 
 #include "protocol/ProblemDetails.h"
 #include "state/DocumentParser.h"
+#include "transport/Logger.h"
 #include "transport/SteadyTime.h"
 
 #include <nlohmann/json.hpp>
@@ -76,6 +77,13 @@
     return response;
 }
 
+void logEdit(const DocumentEdit& edit, const Result<EditResult>& result)
+{
+    const ResultCode code = result.has_error() ? result.error().code : result.value().code;
+    const DocumentVersion version = result.has_error() ? DocumentVersion() : result.value().version;
+    log(code == ResultCode::Ok ? LogEvent::EditAccepted : LogEvent::EditRefused, { { "service", edit.service.value() }, { "author", edit.author }, { "change", edit.change.value() }, { "expected_version", std::to_string(edit.expected.value()) }, { "version", std::to_string(version.value()) }, { "code", std::to_string(static_cast<int>(code)) } });
+}
+
 } // namespace
 
 OperatorInterface::OperatorInterface(ControlService& service, const NodeSubscriptions& subscriptions, const ControlSettings& settings, std::function<void()> flush)
@@ -149,7 +157,8 @@
         edit.authenticatedTeam.clear();
     edit.time = wallNow();
     m_service.edit(
-        edit, [exchange](Result<EditResult> result) {
+        edit, [exchange, edit](Result<EditResult> result) {
+            logEdit(edit, result);
             exchange->respond(result.has_error() ? refusal(result.error()) : editResponse(result.value()));
         },
         steadyNow());
@@ -219,6 +228,8 @@
         return refusal({ ResultCode::UnknownReplica, "a replica is named by its number" });
     const auto removed = m_service.removeMember(ReplicaId(*number), steadyNow());
     m_flush();
+    if (!removed.has_error())
+        log(LogEvent::ReplicaRemoved, { { "replica", id } });
     return removed.has_error() ? refusal(removed.error()) : jsonResponse({ { "code", 0 } });
 }
 
--- a/Source/node/NodeControl.cpp
+++ b/Source/node/NodeControl.cpp
@@ -2,6 +2,7 @@
 
 #include "protocol/ProblemDetails.h"
 #include "state/DocumentParser.h"
+#include "transport/Logger.h"
 
 #include <nlohmann/json.hpp>
 
@@ -52,6 +53,20 @@
     return backend;
 }
 
+LogEvent eventOf(const MemberRecord& member)
+{
+    if (member.hasLeft())
+        return LogEvent::MemberLeft;
+    if (member.health == MemberHealth::Dead)
+        return LogEvent::MemberDied;
+    return member.health == MemberHealth::Suspect ? LogEvent::MemberSuspected : LogEvent::EndpointChanged;
+}
+
+void logMember(LogEvent event, const MemberRecord& member)
+{
+    log(event, { { "node", member.node.value() }, { "incarnation", std::to_string(member.version.incarnation.value()) }, { "data_centre", member.dataCentre.value() }, { "service", member.endpoint.service.value() }, { "lifecycle", std::to_string(static_cast<int>(member.endpoint.lifecycle)) } });
+}
+
 } // namespace
 
 NodeControl::NodeControl(asio::io_context& context, NodeIdentity self, const NodeSettings& settings, Hooks hooks)
@@ -64,7 +79,7 @@
         perform(m_membership->handle(from, bytes, steadyNow()));
         scheduleTick();
     })
-    , m_subscription(context, m_self, settings.controlReplicas, { [this](const DocumentMessage& document) { return putInForce(document); }, [this] { m_hooks.configurationFresh(); }, [this](const AttemptId& owner, ResultCode code) { m_hooks.claimAnswered(owner, code); } })
+    , m_subscription(context, m_self, settings.controlReplicas, { [this](const DocumentMessage& document) { return putInForce(document); }, [this] { log(LogEvent::ConfigurationFresh); m_hooks.configurationFresh(); }, [this](const AttemptId& owner, ResultCode code) { m_hooks.claimAnswered(owner, code); } })
     , m_tickTimer(context, [this] {
         perform(m_membership->tick(steadyNow()));
         scheduleTick();
@@ -102,12 +117,15 @@
 void NodeControl::perform(const MembershipActions& actions)
 {
     for (const MembershipAction& action : actions) {
-        if (const auto* send = std::get_if<SendDatagram>(&action))
+        if (const auto* send = std::get_if<SendDatagram>(&action)) {
             m_gossip.send(send->address, send->bytes);
-        else if (const auto* changed = std::get_if<MemberChanged>(&action))
+        } else if (const auto* changed = std::get_if<MemberChanged>(&action)) {
+            logMember(eventOf(changed->member), changed->member);
             m_hooks.memberChanged(changed->member);
-        else if (std::holds_alternative<IncarnationSuperseded>(action))
+        } else if (const auto* superseded = std::get_if<IncarnationSuperseded>(&action)) {
+            log(LogEvent::NodeSuperseded, { { "incarnation", std::to_string(superseded->incarnation.value()) } });
             m_hooks.superseded();
+        }
     }
 }
 
@@ -119,9 +137,14 @@
 bool NodeControl::putInForce(const DocumentMessage& message)
 {
     auto document = parseDocument(message.text);
-    if (document.has_error() || document.value().service != message.service)
+    const LogField service { "service", message.service.value() };
+    const LogField version { "version", std::to_string(message.version.value()) };
+    if (document.has_error() || document.value().service != message.service) {
+        log(LogEvent::DocumentRefused, { service, version, { "detail", document.has_error() ? document.error().detail : "of another service" } });
         return false;
+    }
     m_hooks.documentChanged(document.value());
+    log(LogEvent::DocumentInForce, { service, version });
     return true;
 }
 
@@ -151,6 +174,7 @@
     m_backend = backend.value();
     // A repeated announcement does not end a drain; a backend server at a new address does.
     if (isNew || (!wasLeaving && m_endpoint.lifecycle != EndpointLifecycle::Ready)) {
+        log(LogEvent::BackendAnnounced, { { "service", m_backend->service.value() }, { "address", m_backend->address }, { "slots", std::to_string(m_backend->slots) } });
         m_hooks.backendAnnounced(*m_backend);
         m_endpoint.announcedAt = m_announcedAt;
         publishEndpoint(EndpointLifecycle::Ready);
@@ -161,6 +185,7 @@
 HttpResponse NodeControl::startLeaving()
 {
     if (m_backend) {
+        log(LogEvent::BackendDraining, { { "address", m_backend->address } });
         m_hooks.backendLeaving();
         publishEndpoint(EndpointLifecycle::Draining);
     }
@@ -184,6 +209,7 @@
 void NodeControl::checkBackend()
 {
     if (m_backend && steadyNow() - m_announcedAt > announcementTimeout) {
+        log(LogEvent::BackendSilent, { { "address", m_backend->address } });
         m_backend.reset();
         m_hooks.backendGone();
         publishEndpoint(EndpointLifecycle::Starting);
--- a/Source/protocol/LogEvent.cpp
+++ b/Source/protocol/LogEvent.cpp
@@ -15,11 +15,9 @@
 
 constexpr Row rows[] = {
     { LogEvent::Started, LogLevel::Info, "started" },
-    { LogEvent::Stopping, LogLevel::Info, "stopping" },
     { LogEvent::Stopped, LogLevel::Info, "stopped" },
     { LogEvent::StartFailed, LogLevel::Error, "start failed" },
     { LogEvent::SettingsRefused, LogLevel::Error, "settings refused" },
-    { LogEvent::MemberJoined, LogLevel::Info, "member joined" },
     { LogEvent::MemberSuspected, LogLevel::Warning, "member suspected" },
     { LogEvent::MemberDied, LogLevel::Warning, "member declared dead" },
     { LogEvent::MemberLeft, LogLevel::Info, "member left" },
@@ -28,11 +26,9 @@
     { LogEvent::DocumentInForce, LogLevel::Info, "document in force" },
     { LogEvent::DocumentRefused, LogLevel::Error, "document refused" },
     { LogEvent::ConfigurationFresh, LogLevel::Info, "configuration fresh" },
-    { LogEvent::ConfigurationStale, LogLevel::Warning, "configuration stale" },
     { LogEvent::BackendAnnounced, LogLevel::Info, "backend server announced" },
     { LogEvent::BackendDraining, LogLevel::Info, "backend server draining" },
     { LogEvent::BackendSilent, LogLevel::Warning, "backend server silent" },
-    { LogEvent::StoreOpened, LogLevel::Info, "store opened" },
     { LogEvent::StorageStopped, LogLevel::Error, "storage failed, replica stopped" },
     { LogEvent::EditAccepted, LogLevel::Info, "edit accepted" },
     { LogEvent::EditRefused, LogLevel::Warning, "edit refused" },
--- a/Source/protocol/LogEvent.h
+++ b/Source/protocol/LogEvent.h
@@ -16,13 +16,11 @@
 enum class LogEvent : std::uint16_t {
     // 1xx: the process itself.
     Started = 100,
-    Stopping = 101,
     Stopped = 102,
     StartFailed = 103,
     SettingsRefused = 104,
 
     // 2xx: membership.
-    MemberJoined = 200,
     MemberSuspected = 201,
     MemberDied = 202,
     MemberLeft = 203,
@@ -33,7 +31,6 @@
     DocumentInForce = 300,
     DocumentRefused = 301,
     ConfigurationFresh = 302,
-    ConfigurationStale = 303,
 
     // 4xx: the backend server beside this node.
     BackendAnnounced = 400,
@@ -41,7 +38,6 @@
     BackendSilent = 402,
 
     // 5xx: the control store.
-    StoreOpened = 500,
     StorageStopped = 501,
     EditAccepted = 502,
     EditRefused = 503,
--- a/Source/transport/Logger.cpp
+++ b/Source/transport/Logger.cpp
@@ -39,7 +39,7 @@
 {
     std::string line = std::to_string(static_cast<unsigned>(event)) + " " + text(event);
     for (const LogField& field : fields)
-        line += std::string(" ") + field.name + "=" + nlohmann::json(field.value).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+        line += std::string(" ") + field.name + "=" + nlohmann::json(field.value).dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
     return line;
 }
 
@@ -49,12 +49,12 @@
     nlohmann::json object = { { "event", static_cast<unsigned>(event) }, { "level", toText(level(event)) }, { "text", text(event) }, { "process", processName } };
     for (const LogField& field : fields)
         object["fields"][field.name] = field.value;
-    return object.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace).substr(1);
+    return object.dump(-1, ' ', true, nlohmann::json::error_handler_t::replace).substr(1);
 }
 
 log4cxx::LayoutPtr makeLayout(const LogSettings& settings)
 {
-    constexpr const char* time = "%d{yyyy-MM-dd'T'HH:mm:ss.SSS}{UTC}Z";
+    constexpr const char* time = "%d{yyyy-MM-ddTHH:mm:ss.SSS}{UTC}Z";
     const std::string pattern = settings.layout == LogLayout::Json
         ? std::string("{\"time\":\"") + time + "\",%m%n"
         : std::string(time) + " %-5p " + processName + " %m%n";
