--- a/Tests/processes/LifecycleTest.cpp
+++ b/Tests/processes/LifecycleTest.cpp
@@ -40,6 +40,7 @@
 TEST_F(LifecycleTest, BackendServer_Terminated_CutsNoCallInFlight)
 {
     start();
+    // Few enough for the slots and queues that are left, so that no call is refused for overload.
     sendMany(24, "a", "POST", "/bookings/slow", 3s);
     m_deployment->backend("b").signal(SIGTERM);
     sendMany(16, "a", "POST", "/bookings/slow", 3s);
