--- a/Source/coordination/AdmissionQueue.cpp
+++ b/Source/coordination/AdmissionQueue.cpp
@@ -13,9 +13,9 @@
 constexpr Duration maximumRetryAfter { 10000000 };
 /// Time that waiting calls have to start once the endpoint drains.
 constexpr Duration drainQueueTime { 1000000 };
-/// A queue that has not been empty for this long is a standing one, not a burst.
+/// A queue that has not been empty for this long, and for the tail of a service time, is a standing one, not a burst.
 constexpr Duration standingQueueTime { 100000 };
-/// Multiple of the mean service time that is left for the service itself within the target.
+/// Multiple of the mean service time that few calls exceed.
 constexpr int serviceTailFactor = 4;
 constexpr double failureWeight = 1.0 / 16;
 constexpr double perThousand = 1000;
@@ -245,12 +245,12 @@
 
 Duration AdmissionQueue::allowedWait(const Lane& lane, TimePoint now) const
 {
-    const bool isStanding = !lane.queue.empty() && now - lane.backlogSince > standingQueueTime;
-    if (!isStanding)
+    const auto serviceTail = lane.serviceTime.mean() * serviceTailFactor;
+    const auto burstTime = std::max(standingQueueTime, serviceTail);
+    if (lane.queue.empty() || now - lane.backlogSince <= burstTime)
         return lane.maximumQueueTime;
-    const auto service = lane.serviceTime.mean();
-    const auto withinTarget = std::max(lane.target - service * serviceTailFactor, service);
-    return std::min(lane.maximumQueueTime, withinTarget);
+    // A target that the service time nearly fills, or exceeds, is no measure of the wait.
+    return std::min(lane.maximumQueueTime, std::max(lane.target - serviceTail, serviceTail));
 }
 
 double AdmissionQueue::recentShare(const Lane& lane, TimePoint now) const
--- a/Tests/coordination/AdmissionQueueTest.cpp
+++ b/Tests/coordination/AdmissionQueueTest.cpp
@@ -168,6 +168,25 @@
     EXPECT_EQ(AdmissionKind::Queued, offer(101, 0).kind);
 }
 
+TEST_F(AdmissionQueueTest, ServiceTimeAboveTarget_BurstOfSlowCalls_IsNotCut)
+{
+    auto document = makeDocument({ 0 }, 2 * second);
+    document.priorities[0].target = 200 * millisecond;
+    m_queue.setDocument(document);
+    learnServiceTime(300 * millisecond);
+    fillSlots();
+    for (std::uint64_t ticket = 10; ticket < 14; ++ticket)
+        ASSERT_EQ(AdmissionKind::Queued, offer(ticket, 0).kind);
+    m_now += 250 * millisecond;
+    EXPECT_EQ(AdmissionKind::Queued, offer(14, 0).kind);
+    m_now += 1300 * millisecond;
+    EXPECT_EQ(AdmissionKind::Queued, offer(15, 0).kind);
+    EXPECT_EQ(AdmissionKind::Queued, offer(16, 0).kind);
+    // Eight calls of 300 ms on two slots take 1.2 s, four service times.
+    EXPECT_EQ(AdmissionKind::Queued, offer(17, 0).kind);
+    EXPECT_EQ(ResultCode::Overloaded, offer(18, 0).code);
+}
+
 TEST_F(AdmissionQueueTest, FloodOfOnePriority_OthersQueueAndStart_FloodIsChargedToItself)
 {
     fillSlots();
@@ -250,6 +269,8 @@
     finish(1, BackendOutcome::Abandoned);
     EXPECT_EQ(failures, m_queue.report().failuresPerThousand);
     m_queue.setBackend(2);
+    offer(2, 0);
+    finish(2, BackendOutcome::Abandoned);
     EXPECT_EQ(0u, m_queue.report().failuresPerThousand);
 }
 
