--- a/Source/control/ControlDaemon.cpp
+++ b/Source/control/ControlDaemon.cpp
@@ -1,5 +1,7 @@
 #include "control/ControlDaemon.h"
 
+#include "transport/Logger.h"
+
 #include "protocol/LinkChannel.h"
 
 #include <asio/post.hpp>
@@ -90,12 +92,21 @@
     hooks.send = [this](const std::string& address, const ReplicaMessage& message) {
         m_replicaLinks.send(address, LinkChannel::wrap(LinkChannel::replica, encodeReplicaMessage(message)));
     };
+    hooks.runSync = [this](std::function<Result<void>()> sync, std::function<void(Result<void>, TimePoint)> done) {
+        asio::post(m_syncThread, [this, sync = std::move(sync), done = std::move(done)] {
+            asio::post(m_context, [this, done, result = sync()] {
+                done(result, steadyNow());
+                m_service->flush(steadyNow());
+            });
+        });
+    };
     hooks.documentChanged = [this](const StoredDocument& document) {
         if (m_subscriptions)
             m_subscriptions->documentChanged(document);
     };
     hooks.stopped = [this](const Error& error) {
         m_end = error;
+        log(LogEvent::StorageStopped, { { "code", std::to_string(static_cast<int>(error.code)) }, { "detail", error.detail } });
         m_context.stop();
     };
     auto service = ControlService::open(settings, m_files, std::move(hooks), steadyNow());
