Node: Fetch newer documents from other nodes

Gossip told of newer versions and nobody asked for them, so a node whose replica was cut off waited for the next one. Now it asks the node that has the version, over the link between nodes; only newer versions are taken. Serving still needs a proof of freshness from a replica.

--- a/Source/node/CallGateway.cpp
+++ b/Source/node/CallGateway.cpp
@@ -435,9 +435,16 @@
         feedAttempt(cancelled->attempt, CancelAcknowledged { cancelled->attempt, cancelled->result });
     } else if (const auto* probed = std::get_if<ProbeAnswerMessage>(&message)) {
         receiveProbe(from, *probed);
+    } else if (const auto* document = std::get_if<DocumentAnswerMessage>(&message)) {
+        m_documentHook(*document);
     }
 }
 
+void CallGateway::requestDocument(const NodeId& node, const ServiceName& service)
+{
+    m_links.send(node, DocumentRequestMessage { service });
+}
+
 bool CallGateway::isFleetOverloaded(const AttemptId& attempt, ResultCode code)
 {
     const auto entry = m_attempts.find(attempt.sequence);
--- a/Source/node/CallGateway.h
+++ b/Source/node/CallGateway.h
@@ -57,6 +57,10 @@
     /// A node of the deployment changed, came or went.
     void setMember(const MemberRecord&);
 
+    /// Asks another node for a document; the answer goes to the hook of setDocumentHook().
+    void requestDocument(const NodeId&, const ServiceName&);
+    void setDocumentHook(std::function<void(const DocumentAnswerMessage&)> hook) { m_documentHook = std::move(hook); }
+
     /// Reply to ClaimHooks::request: Ok when granted, else the code of the refusal.
     void claimAnswered(const ClaimOwner&, ResultCode);
 
@@ -114,6 +118,7 @@
     EndpointRunner& m_local;
     ChoiceSettings m_choice;
     ClaimHooks m_claims;
+    std::function<void(const DocumentAnswerMessage&)> m_documentHook;
     NodeMetrics& m_metrics;
     PeerLinks m_links;
     EndpointChooser::RandomEngine m_random;
--- a/Source/node/ControlSubscription.cpp
+++ b/Source/node/ControlSubscription.cpp
@@ -90,14 +90,14 @@
     if (message.version <= m_inForce[message.service] || !m_hooks.document(message))
         return false;
     m_inForce[message.service] = message.version;
-    m_texts[message.service] = message.text;
+    if (m_link)
+        send(InForceMessage { m_inForce });
     return true;
 }
 
 void ControlSubscription::handle(const DocumentMessage& message)
 {
-    if (offer(message) && m_link)
-        send(InForceMessage { m_inForce });
+    offer(message);
 }
 
 void ControlSubscription::requestFreshness()
--- a/Source/node/ControlSubscription.h
+++ b/Source/node/ControlSubscription.h
@@ -34,11 +34,10 @@
     void start();
     void requestClaim(const ClaimRequestMessage&, Duration timeout);
     void releaseClaim(const ClaimReleaseMessage&);
-    /// A document that another node had; in force if newer. False when it is not newer.
+    /// Puts a document in force if it is newer than the one in force, whoever sent it; false otherwise.
     bool offer(const DocumentMessage&);
 
     const DocumentVersions& inForce() const { return m_inForce; }
-    const std::string& text(const ServiceName& service) { return m_texts[service]; }
     bool isFresh() const { return m_isFresh; }
     /// Time since the documents were last proved recent; the largest value when never.
     Duration staleness(TimePoint now) const;
@@ -80,7 +79,6 @@
     TimePoint m_askedAt;
     bool m_isFresh = false;
     DocumentVersions m_inForce;
-    std::map<ServiceName, std::string> m_texts;
     std::map<AttemptId, PendingClaim> m_claims;
     /// Releases that no replica has got yet.
     std::vector<ClaimReleaseMessage> m_releases;
--- a/Source/node/NodeControl.cpp
+++ b/Source/node/NodeControl.cpp
@@ -143,11 +143,27 @@
         log(LogEvent::DocumentRefused, { service, version, { "detail", document.has_error() ? document.error().detail : "of another service" } });
         return false;
     }
-    m_hooks.documentChanged(document.value());
+    m_hooks.documentChanged(document.value(), message);
+    // Posted, because the subscription counts the version as in force only after this call.
+    m_context.post([this] { publishDocuments(); });
     log(LogEvent::DocumentInForce, { service, version });
     return true;
 }
 
+void NodeControl::publishDocuments()
+{
+    std::vector<DocumentHint> hints;
+    for (const auto& [service, version] : m_subscription.inForce())
+        hints.push_back({ service, version });
+    perform(m_membership->updateDocuments(hints, steadyNow()));
+    scheduleTick();
+}
+
+void NodeControl::offerDocument(const DocumentMessage& message)
+{
+    m_subscription.offer(message);
+}
+
 void NodeControl::handleAdmin(const HttpExchangePtr& exchange)
 {
     const HttpRequest& request = exchange->request();
--- a/Source/node/NodeControl.h
+++ b/Source/node/NodeControl.h
@@ -28,7 +28,9 @@
 public:
     struct Hooks {
         std::function<void(const MemberRecord&)> memberChanged;
-        std::function<void(const ServiceDocument&)> documentChanged;
+        std::function<void(const ServiceDocument&, const DocumentMessage& source)> documentChanged;
+        /// Ask another node for a document; its answer comes by offerDocument().
+        std::function<void(const NodeId&, const ServiceName&)> fetchDocument;
         std::function<void()> configurationFresh;
         std::function<void(const AttemptId& owner, ResultCode)> claimAnswered;
         std::function<void(const LocalBackend&)> backendAnnounced;
@@ -50,6 +52,8 @@
     bool hasSpreadLeave() const { return m_membership && m_membership->hasSpreadLeave(); }
     /// Brings the gauges of membership and documents up to date.
     void updateMetrics(NodeMetrics&) const;
+    /// A document that another node has in force; taken if it is newer.
+    void offerDocument(const DocumentMessage&);
     ControlSubscription& subscription() { return m_subscription; }
     std::uint16_t adminPort() const { return m_adminServer.port(); }
 
@@ -61,6 +65,7 @@
     void publishEndpoint(EndpointLifecycle);
     void checkBackend();
     bool putInForce(const DocumentMessage&);
+    void publishDocuments();
     void perform(const MembershipActions&);
     void scheduleTick();
 
--- a/Source/node/NodeDaemon.cpp
+++ b/Source/node/NodeDaemon.cpp
@@ -43,6 +43,9 @@
 
 Result<void> NodeDaemon::run()
 {
+    m_traffic->gateway().setDocumentHook([this](const DocumentAnswerMessage& document) {
+        asio::post(m_controlContext, [this, document] { m_control->offerDocument({ document.service, document.version, document.text }); });
+    });
     BOOST_OUTCOME_TRYV(m_traffic->start());
     BOOST_OUTCOME_TRYV(m_control->start(m_traffic->peersPort()));
     waitForSignal();
@@ -78,8 +81,13 @@
     hooks.memberChanged = [this](const MemberRecord& member) {
         asio::post(m_trafficContext, [this, member] { m_traffic->gateway().setMember(member); });
     };
-    hooks.documentChanged = [this](const ServiceDocument& document) {
-        asio::post(m_trafficContext, [this, document] { putInForce(document); });
+    hooks.documentChanged = [this](const ServiceDocument& document, const DocumentMessage& source) {
+        asio::post(m_trafficContext, [this, document, source] {
+            m_traffic->setDocument(document, { source.service, source.version, source.text });
+        });
+    };
+    hooks.fetchDocument = [this](const NodeId& node, const ServiceName& service) {
+        asio::post(m_trafficContext, [this, node, service] { m_traffic->gateway().requestDocument(node, service); });
     };
     hooks.configurationFresh = [this] {
         asio::post(m_trafficContext, [this] { m_traffic->gateway().setConfigurationFresh(); });
@@ -88,13 +96,7 @@
         asio::post(m_trafficContext, [this, owner, code] { m_traffic->gateway().claimAnswered(owner, code); });
     };
     hooks.backendAnnounced = [this](const LocalBackend& backend) {
-        asio::post(m_trafficContext, [this, backend] {
-            m_traffic->runner().setBackend(backend);
-            m_traffic->runner().undrain();
-            const auto document = m_documents.find(backend.service);
-            if (document != m_documents.end())
-                m_traffic->runner().setDocument(document->second);
-        });
+        asio::post(m_trafficContext, [this, backend] { m_traffic->setBackend(backend); });
     };
     hooks.backendGone = [this] {
         asio::post(m_trafficContext, [this] { m_traffic->runner().removeBackend(); });
@@ -108,13 +110,6 @@
     return hooks;
 }
 
-void NodeDaemon::putInForce(const ServiceDocument& document)
-{
-    m_documents[document.service] = document;
-    m_traffic->gateway().setDocument(document);
-    m_traffic->runner().setDocument(document);
-}
-
 std::string NodeDaemon::askTraffic(std::function<std::string()> hook)
 {
     const auto promise = std::make_shared<std::promise<std::string>>();
--- a/Source/node/NodeDaemon.h
+++ b/Source/node/NodeDaemon.h
@@ -24,7 +24,6 @@
 private:
     NodeControl::Hooks controlHooks();
     CallGateway::ClaimHooks claimHooks();
-    void putInForce(const ServiceDocument&);
     void waitForSignal();
     void stopGracefully();
     void stopWhenIdle();
@@ -45,8 +44,6 @@
     Timer m_idleTimer;
     TimePoint m_stopBy;
     bool m_isStopping = false;
-    /// Newest documents, on the traffic thread, for a backend server that announces itself later.
-    std::map<ServiceName, ServiceDocument> m_documents;
 };
 
 } // namespace Knapweedquay
--- a/Source/node/NodeMetrics.cpp
+++ b/Source/node/NodeMetrics.cpp
@@ -120,9 +120,9 @@
         gauge("knapweedquay_endpoint_queued", "Attempts waiting at this node; index 0 is the most urgent priority", { { "priority_index", std::to_string(index) } }).Set(queued[index]);
 }
 
-void NodeMetrics::addEndpointStart()
+void NodeMetrics::setEndpointStarts(std::uint64_t total)
 {
-    m_endpointStarts->Increment();
+    raiseTo(*m_endpointStarts, total);
 }
 
 void NodeMetrics::addMeasurementTime(Duration processorTime)
--- a/Source/node/NodeMetrics.h
+++ b/Source/node/NodeMetrics.h
@@ -58,7 +58,8 @@
 
     void setSessions(std::size_t);
     void setEndpoint(std::uint32_t running, std::uint32_t limit, const std::vector<std::uint32_t>& queued);
-    void addEndpointStart();
+    /// Total since the start.
+    void setEndpointStarts(std::uint64_t);
     void addMeasurementTime(Duration processorTime);
     void setConfigurationAge(Duration);
     void setDocumentVersion(const ServiceName&, DocumentVersion);
--- a/Source/node/NodeTraffic.cpp
+++ b/Source/node/NodeTraffic.cpp
@@ -40,6 +40,7 @@
 void NodeTraffic::updateMetrics(NodeMetrics& metrics) const
 {
     const LoadReport load = m_runner.loadReport();
+    metrics.setEndpointStarts(m_runner.counters().started);
     metrics.setSessions(m_gateway.sessionCount());
     metrics.setEndpoint(load.running, load.concurrencyLimit, load.queued);
 }
@@ -75,6 +76,31 @@
         m_runner.cancel(*cancel, id);
     else if (const auto* probe = std::get_if<ProbeMessage>(&message.value()))
         m_runner.probe(*probe, id);
+    else if (const auto* document = std::get_if<DocumentRequestMessage>(&message.value()))
+        sendDocument(id, document->service);
+}
+
+void NodeTraffic::sendDocument(ConnectionId id, const ServiceName& service)
+{
+    const auto entry = m_documents.find(service);
+    if (entry != m_documents.end())
+        reply(id, entry->second.source);
+}
+
+void NodeTraffic::setDocument(const ServiceDocument& document, const DocumentAnswerMessage& source)
+{
+    m_documents[document.service] = { document, source };
+    m_gateway.setDocument(document);
+    m_runner.setDocument(document);
+}
+
+void NodeTraffic::setBackend(const LocalBackend& backend)
+{
+    m_runner.setBackend(backend);
+    m_runner.undrain();
+    const auto entry = m_documents.find(backend.service);
+    if (entry != m_documents.end())
+        m_runner.setDocument(entry->second.document);
 }
 
 void NodeTraffic::reply(ConnectionId id, const PeerMessage& message)
--- a/Source/node/NodeTraffic.h
+++ b/Source/node/NodeTraffic.h
@@ -26,6 +26,11 @@
     void drain();
     bool isIdle() const { return m_gateway.sessionCount() == 0 && m_runner.isIdle(); }
 
+    /// Puts a newer document in force, and keeps its text for other nodes.
+    void setDocument(const ServiceDocument&, const DocumentAnswerMessage& source);
+    /// Runs the calls of a backend server that announced itself.
+    void setBackend(const LocalBackend&);
+
     CallGateway& gateway() { return m_gateway; }
     EndpointRunner& runner() { return m_runner; }
     /// Brings the gauges of the endpoint and of the calls in progress up to date.
@@ -42,6 +47,7 @@
     void accept(const LinkPtr&);
     void receive(ConnectionId, std::string_view bytes);
     void reply(ConnectionId, const PeerMessage&);
+    void sendDocument(ConnectionId, const ServiceName&);
 
     NodeIdentity m_self;
     NodeSettings m_settings;
@@ -50,6 +56,11 @@
     CallGateway m_gateway;
     HttpServer m_callServer;
     LinkServer m_linkServer;
+    struct InForce {
+        ServiceDocument document;
+        DocumentAnswerMessage source;
+    };
+    std::map<ServiceName, InForce> m_documents;
     /// Links that other nodes opened to send attempts here. Number 0 stands for this node itself.
     std::map<ConnectionId, Connection> m_connections;
     std::uint64_t m_lastConnection = 0;
--- a/Source/protocol/PeerMessages.cpp
+++ b/Source/protocol/PeerMessages.cpp
@@ -233,6 +233,30 @@
     message.load = readLoad(reader);
 }
 
+void appendFields(Json& fields, const DocumentRequestMessage& message)
+{
+    fields.push_back(message.service.value());
+}
+
+void readFields(FieldReader& reader, DocumentRequestMessage& message)
+{
+    message.service = ServiceName(reader.text());
+}
+
+void appendFields(Json& fields, const DocumentAnswerMessage& message)
+{
+    fields.push_back(message.service.value());
+    fields.push_back(message.version.value());
+    fields.push_back(cborBytes(message.text));
+}
+
+void readFields(FieldReader& reader, DocumentAnswerMessage& message)
+{
+    message.service = ServiceName(reader.text());
+    message.version = DocumentVersion(reader.unsignedInteger());
+    message.text = reader.bytes();
+}
+
 } // namespace
 
 std::string encode(const PeerMessage& message)
--- a/Source/protocol/PeerMessages.h
+++ b/Source/protocol/PeerMessages.h
@@ -97,8 +97,20 @@
     LoadReport load;
 };
 
+/// Asks another node for a document that it has in force in a newer version.
+struct DocumentRequestMessage {
+    ServiceName service;
+};
+
+/// The document that the sender has in force.
+struct DocumentAnswerMessage {
+    ServiceName service;
+    DocumentVersion version;
+    std::string text;
+};
+
 using PeerMessage = std::variant<HelloMessage, CallRequestMessage, CallAcceptedMessage, CallAnswerMessage, CallRefusalMessage, CallUnknownMessage,
-    CallCancelMessage, CallCancelledMessage, ProbeMessage, ProbeAnswerMessage>;
+    CallCancelMessage, CallCancelledMessage, ProbeMessage, ProbeAnswerMessage, DocumentRequestMessage, DocumentAnswerMessage>;
 
 /// CBOR array [type, fields...]; docs/PROTOCOL.md lists the types.
 std::string encode(const PeerMessage&);
