--- a/Source/coordination/AdmissionQueue.cpp
+++ b/Source/coordination/AdmissionQueue.cpp
@@ -13,10 +13,12 @@
 constexpr Duration maximumRetryAfter { 10000000 };
 /// Time that waiting calls have to start once the endpoint drains.
 constexpr Duration drainQueueTime { 1000000 };
-/// A queue that has not been empty for this long is a standing one, not a burst.
+/// A queue that has not been empty for this long, and for the tail of a service time, is a standing one, not a burst.
 constexpr Duration standingQueueTime { 100000 };
-/// Multiple of the mean service time that is left for the service itself within the target.
+/// Multiple of the mean service time that few calls exceed.
 constexpr int serviceTailFactor = 4;
+constexpr double failureWeight = 1.0 / 16;
+constexpr double perThousand = 1000;
 /// Cost of a call while nothing is known about it.
 constexpr double unknownCostMicroseconds = 5000;
 /// Time constant of the work that is counted as recent.
@@ -91,8 +93,12 @@
         m_serviceTime.observe(latency);
         m_limit.observe(PriorityIndex(static_cast<std::uint32_t>(call.priority)), latency, call.runningAtStart);
         ++m_completedCalls;
+        countOutcome(false);
         break;
     case BackendOutcome::Failed:
+        countOutcome(true);
+        [[fallthrough]];
+    case BackendOutcome::Abandoned:
         lane.serviceTime.observeFailure(latency);
         m_serviceTime.observeFailure(latency);
         break;
@@ -169,6 +175,7 @@
     m_announcedSlots = slots;
     m_limit = ConcurrencyLimit(slots.value_or(m_defaultSlots));
     m_completedCalls = 0;
+    m_failureRate = 0;
 }
 
 void AdmissionQueue::drain(TimePoint now)
@@ -194,6 +201,7 @@
         report.queued.push_back(static_cast<std::uint32_t>(lane.queue.size()));
     report.serviceTime = m_serviceTime.mean();
     report.completedCalls = m_completedCalls;
+    report.failuresPerThousand = static_cast<std::uint32_t>(perThousand * m_failureRate);
     report.draining = m_draining;
     return report;
 }
@@ -237,12 +245,12 @@
 
 Duration AdmissionQueue::allowedWait(const Lane& lane, TimePoint now) const
 {
-    const bool isStanding = !lane.queue.empty() && now - lane.backlogSince > standingQueueTime;
-    if (!isStanding)
+    const auto serviceTail = lane.serviceTime.mean() * serviceTailFactor;
+    const auto burstTime = std::max(standingQueueTime, serviceTail);
+    if (lane.queue.empty() || now - lane.backlogSince <= burstTime)
         return lane.maximumQueueTime;
-    const auto service = lane.serviceTime.mean();
-    const auto withinTarget = std::max(lane.target - service * serviceTailFactor, service);
-    return std::min(lane.maximumQueueTime, withinTarget);
+    // A target that the service time nearly fills, or exceeds, is no measure of the wait.
+    return std::min(lane.maximumQueueTime, std::max(lane.target - serviceTail, serviceTail));
 }
 
 double AdmissionQueue::recentShare(const Lane& lane, TimePoint now) const
@@ -302,6 +310,11 @@
     }
 }
 
+void AdmissionQueue::countOutcome(bool failed)
+{
+    m_failureRate += failureWeight * ((failed ? 1 : 0) - m_failureRate);
+}
+
 void AdmissionQueue::chargeStart(std::size_t started, TimePoint now)
 {
     auto& lane = m_lanes[started];
