--- a/Tests/coordination/AdmissionQueueTest.cpp
+++ b/Tests/coordination/AdmissionQueueTest.cpp
@@ -175,16 +175,17 @@
     m_queue.setDocument(document);
     learnServiceTime(300 * millisecond);
     fillSlots();
-    for (std::uint64_t ticket = 10; ticket < 14; ++ticket)
+    for (std::uint64_t ticket = 10; ticket < 20; ++ticket)
         ASSERT_EQ(AdmissionKind::Queued, offer(ticket, 0).kind);
     m_now += 250 * millisecond;
-    EXPECT_EQ(AdmissionKind::Queued, offer(14, 0).kind);
+    EXPECT_EQ(AdmissionKind::Queued, offer(20, 0).kind);
     m_now += 1300 * millisecond;
-    EXPECT_EQ(AdmissionKind::Queued, offer(15, 0).kind);
-    EXPECT_EQ(AdmissionKind::Queued, offer(16, 0).kind);
+    EXPECT_EQ(ResultCode::Overloaded, offer(21, 0).code);
+    for (std::uint64_t ticket = 10; ticket < 14; ++ticket)
+        m_queue.cancel(CallTicket(ticket));
     // Eight calls of 300 ms on two slots take 1.2 s, four service times.
-    EXPECT_EQ(AdmissionKind::Queued, offer(17, 0).kind);
-    EXPECT_EQ(ResultCode::Overloaded, offer(18, 0).code);
+    EXPECT_EQ(AdmissionKind::Queued, offer(22, 0).kind);
+    EXPECT_EQ(ResultCode::Overloaded, offer(23, 0).code);
 }
 
 TEST_F(AdmissionQueueTest, FloodOfOnePriority_OthersQueueAndStart_FloodIsChargedToItself)
