Coordination: Let a running call finish when it must not be repeated

Its cancel was passed on to the backend server, which leaves half a booking with an unknown outcome and loses the answer that would serve a resent idempotency key. Idempotent calls are still aborted.

Test seen failing: RunningAttempt_Cancelled_IsToldRunning before the change (two actions).

--- a/Source/coordination/FateTable.cpp
+++ b/Source/coordination/FateTable.cpp
@@ -37,7 +37,7 @@
         close(request.attempt, false);
         return { SendRefusal { request.connection, request.attempt, { ResultCode::Overloaded } } };
     }
-    add(request.attempt, request.connection);
+    add(request.attempt, request.connection).isIdempotent = request.isIdempotent;
     return { AdmitAttempt { request.attempt } };
 }
 
@@ -74,7 +74,9 @@
         finish(attempt, Fate::NotRun, now);
         return { RemoveFromQueue { attempt.id }, SendCancelResult { attempt.connection, attempt.id, CancelResult::NotRun } };
     case Fate::Running:
-        return { AbortRunning { attempt.id }, SendCancelResult { attempt.connection, attempt.id, CancelResult::Running } };
+        if (attempt.isIdempotent)
+            return { AbortRunning { attempt.id }, SendCancelResult { attempt.connection, attempt.id, CancelResult::Running } };
+        return { SendCancelResult { attempt.connection, attempt.id, CancelResult::Running } };
     case Fate::NotRun:
         return { SendCancelResult { attempt.connection, attempt.id, CancelResult::NotRun } };
     case Fate::Answered:
--- a/Source/coordination/FateTable.h
+++ b/Source/coordination/FateTable.h
@@ -28,6 +28,8 @@
     bool isResend = false;
     /// Replies go to the newest connection that the attempt came over.
     ConnectionId connection;
+    /// The call may run more than once without harm, so it may also be given up halfway.
+    bool isIdempotent = false;
 };
 
 /// Hand the attempt to the admission queue; the only action that lets an attempt run.
@@ -41,7 +43,8 @@
 struct RemoveFromQueue {
     AttemptId attempt;
 };
-/// Ask the backend server to give the attempt up; its outcome is still to be reported.
+/// Ask the backend server to give the attempt up; its outcome is still to be reported. Idempotent attempts only:
+/// another one is let finish, because half of it helps nobody and its answer serves a resent idempotency key.
 struct AbortRunning {
     AttemptId attempt;
 };
@@ -134,6 +137,7 @@
     struct Attempt {
         AttemptId id;
         ConnectionId connection;
+        bool isIdempotent = false;
         Fate fate = Fate::Queued;
         Refusal refusal;
         ResultCode unknownCode = ResultCode::OutcomeUnknown;
--- a/Source/node/EndpointRunner.cpp
+++ b/Source/node/EndpointRunner.cpp
@@ -91,7 +91,7 @@
 {
     m_received = &message;
     m_receivedOver = connection;
-    perform(m_fates.receive({ message.attempt, message.targetIncarnation, message.isResend, connection }, steadyNow()));
+    perform(m_fates.receive({ message.attempt, message.targetIncarnation, message.isResend, connection, message.isIdempotent }, steadyNow()));
     m_received = nullptr;
     startDueJobs();
 }
--- a/Tests/coordination/FateTablePropertyTest.cpp
+++ b/Tests/coordination/FateTablePropertyTest.cpp
@@ -169,7 +169,7 @@
         const bool hasRoom = m_table->size() < m_limits.maximumAttempts && m_table->originCount() < m_limits.maximumOrigins;
         const bool mustBeAdmitted = !isResend && run == m_self && hasRoom && isNewestOfOrigin(id);
         const NaiveFate fate = *seen(id, run, connection);
-        const auto actions = m_table->receive({ id, run, isResend, connection }, m_now);
+        const auto actions = m_table->receive({ id, run, isResend, connection, id.sequence % 2 == 0 }, m_now);
         check(id, actions);
         // A table whose origins were full knew nothing of the attempt until now.
         if (std::holds_alternative<AdmitAttempt>(actions.back()))
--- a/Tests/coordination/FateTableTest.cpp
+++ b/Tests/coordination/FateTableTest.cpp
@@ -77,7 +77,19 @@
 {
     receive(attempt(1));
     ASSERT_TRUE(m_table.tryStart(attempt(1)));
-    EXPECT_EQ(CancelResult::Running, std::get<SendCancelResult>(cancel(attempt(1)).back()).result);
+    const auto actions = cancel(attempt(1));
+    ASSERT_TRUE(only<SendCancelResult>(actions));
+    EXPECT_EQ(CancelResult::Running, only<SendCancelResult>(actions)->result);
+}
+
+TEST_F(FateTableTest, RunningIdempotentAttempt_Cancelled_IsAbortedToo)
+{
+    m_table.receive({ attempt(1), Incarnation(self), false, ConnectionId(1), true }, m_now);
+    ASSERT_TRUE(m_table.tryStart(attempt(1)));
+    const auto actions = cancel(attempt(1));
+    ASSERT_EQ(2u, actions.size());
+    EXPECT_TRUE(std::holds_alternative<AbortRunning>(actions[0]));
+    EXPECT_EQ(CancelResult::Running, std::get<SendCancelResult>(actions[1]).result);
 }
 
 TEST_F(FateTableTest, UnseenAttempt_Cancelled_IsRefusedWhenItComes)
