Node: Count a call's wait in buffers, bound the bytes of waiting requests, tell keys that ran

Deadlines are handed on as time left, so a request that lay in a buffer while the endpoint's node was frozen was run after its deadline. The sender's clock now rides along; what a message took beyond the smallest difference of the link is taken off, and an expired request is refused as certainly not run. Bodies were bounded one by one only: 4000 connections of 16 MiB. A node now holds 32 MiB of unanswered requests and 32 MiB of admitted ones, and refuses beyond that. A claim whose call was answered is completed in the store, so a resent key is told 303 (already ran) and not 302. Tests of the settings no longer share a file.

--- a/Source/control/ControlDaemon.cpp
+++ b/Source/control/ControlDaemon.cpp
@@ -169,8 +169,8 @@
         m_subscriptions->reportInForce(id, *inForce);
     else if (const auto* claim = std::get_if<ClaimRequestMessage>(&message))
         handleClaim(id, *claim);
-    else if (const auto* release = std::get_if<ClaimReleaseMessage>(&message))
-        handleRelease(*release);
+    else if (const auto* end = std::get_if<ClaimEndMessage>(&message))
+        handleClaimEnd(*end);
 }
 
 void ControlDaemon::receiveFromReplica(std::string_view bytes)
@@ -218,7 +218,7 @@
     scheduleFlush();
 }
 
-void ControlDaemon::handleRelease(const ClaimReleaseMessage& message)
+void ControlDaemon::handleClaimEnd(const ClaimEndMessage& message)
 {
     if (!m_service->isLeading())
         return forwardToLeader(message);
@@ -226,7 +226,7 @@
     update.key = keyOf(message.service, message.key);
     update.attempt = message.owner;
     update.node = message.owner.node;
-    update.change = ClaimChange::Release;
+    update.change = message.hasRun ? ClaimChange::Complete : ClaimChange::Release;
     update.time = wallNow();
     m_service->update(
         update, [](const Result<ClaimResult>&) {}, steadyNow());
--- a/Source/control/ControlDaemon.h
+++ b/Source/control/ControlDaemon.h
@@ -40,7 +40,7 @@
     void receiveNodeMessage(NodeSubscriptions::SubscriberId, std::string_view bytes);
     void receiveFromReplica(std::string_view bytes);
     void handleClaim(NodeSubscriptions::SubscriberId, const ClaimRequestMessage&);
-    void handleRelease(const ClaimReleaseMessage&);
+    void handleClaimEnd(const ClaimEndMessage&);
     void forwardToLeader(const ControlMessage&);
     void handleForwardedAnswer(const ClaimAnswerMessage&);
     void tick();
--- a/Source/node/CallGateway.cpp
+++ b/Source/node/CallGateway.cpp
@@ -267,6 +267,7 @@
     message.priority = session->priority;
     message.isIdempotent = session->isIdempotent;
     message.remaining = action.remaining;
+    message.sentAt = steadyClock();
     message.depth = session->parsed.depth;
     message.idempotencyKey = session->parsed.key;
     message.request = session->parsed.request;
@@ -307,6 +308,8 @@
     answer(session, outcome);
     if (session->claim) {
         m_keyed.erase(*session->claim);
+        if (outcome.kind == CallOutcome::Kind::Answered)
+            m_claims.complete(*session->claim, session->parsed.service, session->parsed.key);
         performKeyActions(m_keys.finish(*session->claim, outcome, steadyNow()));
     }
     forget(session);
--- a/Source/node/CallGateway.h
+++ b/Source/node/CallGateway.h
@@ -33,6 +33,8 @@
     struct ClaimHooks {
         std::function<void(const RequestClaim&)> request;
         std::function<void(const ReleaseClaim&)> release;
+        /// The call of the owner was answered, so that its key is told to have run from now on.
+        std::function<void(const ClaimOwner&, const ServiceName&, const IdempotencyKey&)> complete;
     };
 
     struct Counters {
--- a/Source/node/ControlSubscription.cpp
+++ b/Source/node/ControlSubscription.cpp
@@ -16,7 +16,7 @@
 /// A replica whose proof is older than this is left.
 constexpr Duration maximumStaleness { 2000000 };
 constexpr std::size_t maximumPendingClaims = 4096;
-constexpr std::size_t maximumPendingReleases = 4096;
+constexpr std::size_t maximumPendingClaimEnds = 4096;
 
 } // namespace
 
@@ -66,8 +66,8 @@
     requestFreshness();
     for (const auto& entry : m_claims)
         send(entry.second.message);
-    for (const ClaimReleaseMessage& release : std::exchange(m_releases, {}))
-        send(release);
+    for (const ClaimEndMessage& end : std::exchange(m_claimEnds, {}))
+        send(end);
 }
 
 bool ControlSubscription::send(const ControlMessage& message)
@@ -135,13 +135,13 @@
         send(message);
 }
 
-void ControlSubscription::releaseClaim(const ClaimReleaseMessage& message)
+void ControlSubscription::endClaim(const ClaimEndMessage& message)
 {
     if (m_link && send(message))
         return;
     // Without room the key stays taken until the store lets it expire.
-    if (m_releases.size() < maximumPendingReleases)
-        m_releases.push_back(message);
+    if (m_claimEnds.size() < maximumPendingClaimEnds)
+        m_claimEnds.push_back(message);
 }
 
 Duration ControlSubscription::staleness(TimePoint now) const
--- a/Source/node/ControlSubscription.h
+++ b/Source/node/ControlSubscription.h
@@ -33,7 +33,7 @@
 
     void start();
     void requestClaim(const ClaimRequestMessage&, Duration timeout);
-    void releaseClaim(const ClaimReleaseMessage&);
+    void endClaim(const ClaimEndMessage&);
     /// Puts a document in force if it is newer than the one in force, whoever sent it; false otherwise.
     bool offer(const DocumentMessage&);
 
@@ -62,7 +62,7 @@
     void handle(const FreshnessRequestMessage&) { }
     void handle(const InForceMessage&) { }
     void handle(const ClaimRequestMessage&) { }
-    void handle(const ClaimReleaseMessage&) { }
+    void handle(const ClaimEndMessage&) { }
     void requestFreshness();
     void expireClaims(TimePoint now);
     void check();
@@ -80,8 +80,8 @@
     bool m_isFresh = false;
     DocumentVersions m_inForce;
     std::map<AttemptId, PendingClaim> m_claims;
-    /// Releases that no replica has got yet.
-    std::vector<ClaimReleaseMessage> m_releases;
+    /// Ends of claims that no replica has got yet.
+    std::vector<ClaimEndMessage> m_claimEnds;
     Timer m_checkTimer;
 };
 
--- a/Source/node/EndpointRunner.cpp
+++ b/Source/node/EndpointRunner.cpp
@@ -12,6 +12,7 @@
 // An answer that comes within this time also says that the attempt arrived, and saves a message.
 constexpr Duration confirmAfter { 20000 };
 constexpr Duration expiryInterval { 1000000 };
+constexpr std::size_t maximumJobBytes = 32 * 1024 * 1024;
 constexpr Duration drainRetryAfter { 1000000 };
 constexpr std::uint16_t statusServiceUnavailable = 503;
 constexpr std::uint16_t firstServerErrorStatus = 500;
@@ -121,6 +122,10 @@
         return Refusal { ResultCode::StaleConfiguration, drainRetryAfter };
     if (m_isDraining)
         return Refusal { ResultCode::Draining, drainRetryAfter };
+    if (job.message.remaining <= Duration::zero())
+        return Refusal { ResultCode::DeadlineExpired };
+    if (m_jobBytes + job.message.request.body.size() > maximumJobBytes)
+        return Refusal { ResultCode::Overloaded, drainRetryAfter };
     return std::nullopt;
 }
 
@@ -141,8 +146,7 @@
         perform(m_fates.refuse(action.attempt, { decision.code, decision.retryAfter }, now));
         return;
     }
-    m_jobs.emplace(action.attempt, job);
-    m_jobsByTicket.emplace(job->ticket, job);
+    addJob(job);
     m_unconfirmed.emplace_back(action.attempt, now + confirmAfter);
     if (decision.kind == AdmissionKind::Started)
         start(*job);
@@ -155,8 +159,7 @@
         return;
     const JobPtr job = entry->second;
     m_queue->cancel(job->ticket);
-    m_jobsByTicket.erase(job->ticket);
-    m_jobs.erase(action.attempt);
+    removeJob(*job);
 }
 
 void EndpointRunner::perform(const AbortRunning& action)
@@ -202,6 +205,20 @@
     m_reply(action.connection, CallCancelledMessage { action.attempt, action.result });
 }
 
+void EndpointRunner::addJob(const JobPtr& job)
+{
+    m_jobs.emplace(job->message.attempt, job);
+    m_jobsByTicket.emplace(job->ticket, job);
+    m_jobBytes += job->message.request.body.size();
+}
+
+void EndpointRunner::removeJob(const Job& job)
+{
+    m_jobBytes -= job.message.request.body.size();
+    m_jobsByTicket.erase(job.ticket);
+    m_jobs.erase(job.message.attempt);
+}
+
 void EndpointRunner::startDueJobs()
 {
     if (!m_queue)
@@ -210,8 +227,7 @@
     const StartableCalls calls = m_queue->takeStartable(now);
     for (const GivenUpCall& call : calls.givenUp) {
         const JobPtr job = m_jobsByTicket.at(call.ticket);
-        m_jobsByTicket.erase(call.ticket);
-        m_jobs.erase(job->message.attempt);
+        removeJob(*job);
         perform(m_fates.refuse(job->message.attempt, { call.code, call.retryAfter }, now));
     }
     for (const CallTicket& ticket : calls.started)
@@ -272,8 +288,7 @@
 void EndpointRunner::finish(const JobPtr& job, BackendOutcome outcome)
 {
     m_queue->finished(job->ticket, outcome, steadyNow());
-    m_jobsByTicket.erase(job->ticket);
-    m_jobs.erase(job->message.attempt);
+    removeJob(*job);
 }
 
 void EndpointRunner::confirmLongJobs()
--- a/Source/node/EndpointRunner.h
+++ b/Source/node/EndpointRunner.h
@@ -11,6 +11,7 @@
 
 #include <asio/io_context.hpp>
 
+#include <cstddef>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -87,6 +88,8 @@
     void perform(const SendCancelResult&);
 
     std::optional<Refusal> reasonNotToAdmit(const Job&) const;
+    void addJob(const JobPtr&);
+    void removeJob(const Job&);
     void startDueJobs();
     void start(Job&);
     void handleOutcome(const JobPtr&, HttpClient::Outcome);
@@ -109,6 +112,8 @@
     ConnectionId m_receivedOver;
     std::unordered_map<AttemptId, JobPtr> m_jobs;
     std::unordered_map<CallTicket, JobPtr> m_jobsByTicket;
+    /// Bytes of the bodies of all admitted attempts.
+    std::size_t m_jobBytes = 0;
     /// Admitted attempts whose origin has not been told that they are here, oldest first.
     std::deque<std::pair<AttemptId, TimePoint>> m_unconfirmed;
     Counters m_counters;
--- a/Source/node/NodeDaemon.cpp
+++ b/Source/node/NodeDaemon.cpp
@@ -69,7 +69,12 @@
     };
     hooks.release = [this](const ReleaseClaim& claim) {
         asio::post(m_controlContext, [this, claim] {
-            m_control->subscription().releaseClaim({ claim.owner, claim.request.service, claim.request.key, claim.request.fingerprint.value() });
+            m_control->subscription().endClaim({ claim.owner, claim.request.service, claim.request.key, false });
+        });
+    };
+    hooks.complete = [this](const ClaimOwner& owner, const ServiceName& service, const IdempotencyKey& key) {
+        asio::post(m_controlContext, [this, owner, service, key] {
+            m_control->subscription().endClaim({ owner, service, key, true });
         });
     };
     return hooks;
--- a/Source/node/NodeTraffic.cpp
+++ b/Source/node/NodeTraffic.cpp
@@ -49,11 +49,11 @@
 {
     const ConnectionId id(++m_lastConnection);
     Link::Hooks hooks;
-    hooks.opened = [this, link] { link->send(encode(HelloMessage { m_self.node, m_self.incarnation })); };
+    hooks.opened = [this, link] { link->send(encode(HelloMessage { m_self.node, m_self.incarnation, steadyClock() })); };
     hooks.received = [this, id](std::string_view bytes) { receive(id, bytes); };
     hooks.closed = [this, id] { m_connections.erase(id); };
     link->setHooks(std::move(hooks));
-    m_connections.emplace(id, Connection { link });
+    m_connections[id].link = link;
 }
 
 void NodeTraffic::receive(ConnectionId id, std::string_view bytes)
@@ -66,12 +66,13 @@
         LinkPtr(entry->second.link)->abort();
         return;
     }
-    if (std::holds_alternative<HelloMessage>(message.value()))
+    if (const auto* hello = std::get_if<HelloMessage>(&message.value())) {
         entry->second.isGreeted = true;
-    else if (!entry->second.isGreeted)
+        excessDelay(entry->second, hello->sentAt);
+    } else if (!entry->second.isGreeted)
         LinkPtr(entry->second.link)->abort();
     else if (const auto* request = std::get_if<CallRequestMessage>(&message.value()))
-        m_runner.receive(*request, id);
+        receiveCall(entry->second, *request, id);
     else if (const auto* cancel = std::get_if<CallCancelMessage>(&message.value()))
         m_runner.cancel(*cancel, id);
     else if (const auto* probe = std::get_if<ProbeMessage>(&message.value()))
@@ -80,6 +81,18 @@
         sendDocument(id, document->service);
 }
 
+Duration NodeTraffic::excessDelay(Connection& connection, std::uint64_t sentAt)
+{
+    return connection.delay.excess(TimePoint(Duration(static_cast<std::int64_t>(sentAt))), steadyNow());
+}
+
+void NodeTraffic::receiveCall(Connection& connection, CallRequestMessage request, ConnectionId id)
+{
+    // The time that the message lay in a buffer is gone for the call too.
+    request.remaining -= excessDelay(connection, request.sentAt);
+    m_runner.receive(request, id);
+}
+
 void NodeTraffic::sendDocument(ConnectionId id, const ServiceName& service)
 {
     const auto entry = m_documents.find(service);
--- a/Source/node/NodeTraffic.h
+++ b/Source/node/NodeTraffic.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/TransitDelay.h"
 #include "node/CallGateway.h"
 #include "node/EndpointRunner.h"
 #include "node/NodeIdentity.h"
@@ -42,10 +43,13 @@
     struct Connection {
         LinkPtr link;
         bool isGreeted = false;
+        TransitDelay delay;
     };
 
     void accept(const LinkPtr&);
     void receive(ConnectionId, std::string_view bytes);
+    static Duration excessDelay(Connection&, std::uint64_t sentAt);
+    void receiveCall(Connection&, CallRequestMessage, ConnectionId);
     void reply(ConnectionId, const PeerMessage&);
     void sendDocument(ConnectionId, const ServiceName&);
 
--- a/Source/protocol/ControlMessages.cpp
+++ b/Source/protocol/ControlMessages.cpp
@@ -101,8 +101,7 @@
     message.inForce = readVersions(reader);
 }
 
-template <typename Claim>
-void appendClaim(Json& fields, const Claim& message)
+void appendFields(Json& fields, const ClaimRequestMessage& message)
 {
     append(fields, message.owner);
     fields.push_back(message.service.value());
@@ -110,8 +109,7 @@
     fields.push_back(message.fingerprint);
 }
 
-template <typename Claim>
-void readClaim(FieldReader& reader, Claim& message)
+void readFields(FieldReader& reader, ClaimRequestMessage& message)
 {
     message.owner = readAttempt(reader);
     message.service = ServiceName(reader.text());
@@ -119,10 +117,21 @@
     message.fingerprint = reader.unsignedInteger();
 }
 
-void appendFields(Json& fields, const ClaimRequestMessage& message) { appendClaim(fields, message); }
-void readFields(FieldReader& reader, ClaimRequestMessage& message) { readClaim(reader, message); }
-void appendFields(Json& fields, const ClaimReleaseMessage& message) { appendClaim(fields, message); }
-void readFields(FieldReader& reader, ClaimReleaseMessage& message) { readClaim(reader, message); }
+void appendFields(Json& fields, const ClaimEndMessage& message)
+{
+    append(fields, message.owner);
+    fields.push_back(message.service.value());
+    fields.push_back(cborBytes(message.key.value()));
+    fields.push_back(message.hasRun);
+}
+
+void readFields(FieldReader& reader, ClaimEndMessage& message)
+{
+    message.owner = readAttempt(reader);
+    message.service = ServiceName(reader.text());
+    message.key = IdempotencyKey(reader.bytes());
+    message.hasRun = reader.boolean();
+}
 
 void appendFields(Json& fields, const ClaimAnswerMessage& message)
 {
--- a/Source/protocol/ControlMessages.h
+++ b/Source/protocol/ControlMessages.h
@@ -71,16 +71,17 @@
     ResultCode code = ResultCode::ClaimUnavailable;
 };
 
-/// The call of the owner certainly did not run; its key is free again.
-struct ClaimReleaseMessage {
+/// The call of the owner ended.
+struct ClaimEndMessage {
     AttemptId owner;
     ServiceName service;
     IdempotencyKey key;
-    std::uint64_t fingerprint = 0;
+    /// False: it certainly did not run, and its key is free again. True: it was answered, and its key stays taken.
+    bool hasRun = false;
 };
 
 using ControlMessage = std::variant<SubscribeMessage, DocumentMessage, FreshnessRequestMessage, FreshnessMessage, InForceMessage, ClaimRequestMessage,
-    ClaimAnswerMessage, ClaimReleaseMessage>;
+    ClaimAnswerMessage, ClaimEndMessage>;
 
 /// CBOR array [type, fields...]; docs/PROTOCOL.md lists the types.
 std::string encode(const ControlMessage&);
--- a/Source/protocol/PeerMessages.cpp
+++ b/Source/protocol/PeerMessages.cpp
@@ -78,12 +78,14 @@
 {
     fields.push_back(message.node.value());
     fields.push_back(message.incarnation.value());
+    fields.push_back(message.sentAt);
 }
 
 void readFields(FieldReader& reader, HelloMessage& message)
 {
     message.node = NodeId(reader.text());
     message.incarnation = Incarnation(reader.unsignedInteger());
+    message.sentAt = reader.unsignedInteger();
 }
 
 void appendFields(Json& fields, const CallRequestMessage& message)
@@ -95,6 +97,7 @@
     fields.push_back(message.priority.value());
     fields.push_back(message.isIdempotent);
     fields.push_back(message.remaining.count());
+    fields.push_back(message.sentAt);
     fields.push_back(message.isRepeat);
     fields.push_back(message.depth);
     fields.push_back(cborBytes(message.idempotencyKey.value()));
@@ -113,6 +116,7 @@
     message.priority = PriorityIndex(readUnsigned32(reader));
     message.isIdempotent = reader.boolean();
     message.remaining = reader.duration();
+    message.sentAt = reader.unsignedInteger();
     message.isRepeat = reader.boolean();
     message.depth = readUnsigned32(reader);
     message.idempotencyKey = IdempotencyKey(reader.bytes());
--- a/Source/protocol/PeerMessages.h
+++ b/Source/protocol/PeerMessages.h
@@ -22,6 +22,8 @@
 struct HelloMessage {
     NodeId node;
     Incarnation incarnation;
+    /// Monotonic clock of the sender in microseconds.
+    std::uint64_t sentAt = 0;
 };
 
 /// One attempt of a call, from the node that took the call to the node beside the chosen endpoint.
@@ -36,6 +38,8 @@
     bool isIdempotent = false;
     /// Time left until the caller's deadline when the message was sent.
     Duration remaining { 0 };
+    /// Monotonic clock of the sender in microseconds at that moment.
+    std::uint64_t sentAt = 0;
     /// True when the attempt repeats work, here or at an upper level of a chain of calls.
     bool isRepeat = false;
     /// Number of calls above this one in a chain of calls.
--- a/Source/transport/GuardedSocket.cpp
+++ b/Source/transport/GuardedSocket.cpp
@@ -14,6 +14,8 @@
 
 namespace {
 
+constexpr std::size_t maximumHeldBytes = 32 * 1024 * 1024;
+
 // Value of a Content-Length line in the bytes that were read last; 0 when there is none.
 std::uint64_t announcedBodyBytes(std::string_view bytes)
 {
@@ -33,8 +35,10 @@
     return 0;
 }
 
-Error causeOf(bool isInReadHandler, std::uint64_t bytes, std::uint64_t maximumBytes)
+Error causeOf(bool isInReadHandler, bool hasRoom, std::uint64_t bytes, std::uint64_t maximumBytes)
 {
+    if (!hasRoom)
+        return { ResultCode::Overloaded, "too many bytes of requests are waiting at this node" };
     if (!isInReadHandler)
         return { ResultCode::RequestTooSlow, "the request was not whole in time" };
     if (bytes > maximumBytes)
@@ -55,6 +59,14 @@
 
 asio::execution_context::id RequestsInProgress::id;
 
+bool RequestsInProgress::reserve(std::size_t bytes)
+{
+    if (m_heldBytes + bytes > maximumHeldBytes)
+        return false;
+    m_heldBytes += bytes;
+    return true;
+}
+
 GuardedSocket::GuardedSocket(asio::io_context& context)
     : m_state(std::make_shared<State>(context))
 {
@@ -62,7 +74,7 @@
 
 void GuardedSocket::answerUnfinishedRequest()
 {
-    if (m_state->unansweredBytes == 0 || m_state->isPeerGone)
+    if ((m_state->unansweredBytes == 0 && m_state->hasRoom) || m_state->isPeerGone)
         return;
     asio::error_code error;
     const auto caller = m_state->socket.remote_endpoint(error);
@@ -70,12 +82,12 @@
         return;
     const std::uint64_t announcedBytes = m_state->isInReadHandler ? announcedBodyBytes(m_state->lastChunk) : 0;
     const std::uint64_t requestBytes = std::max<std::uint64_t>(m_state->unansweredBytes, announcedBytes);
-    const Error cause = causeOf(m_state->isInReadHandler, requestBytes, m_state->requests.maximumRequestBytes());
+    const Error cause = causeOf(m_state->isInReadHandler, m_state->hasRoom, requestBytes, m_state->requests.maximumRequestBytes());
     const std::string text = serialize(problemResponse(cause, CallOutcomeKind::NotRun));
     // A short answer fits into the empty send buffer; when it does not, the caller sees only the close.
     m_state->socket.non_blocking(true, error);
     m_state->socket.write_some(asio::buffer(text), error);
-    m_state->unansweredBytes = 0;
+    m_state->releaseBytes();
 }
 
 } // namespace Knapweedquay
--- a/Source/transport/GuardedSocket.h
+++ b/Source/transport/GuardedSocket.h
@@ -35,6 +35,10 @@
     }
     bool contains(const asio::ip::tcp::endpoint& caller) const { return m_callers.count(caller) > 0; }
 
+    /// Bytes of all requests that have no answer yet. False when they would exceed what a process may hold.
+    bool reserve(std::size_t bytes);
+    void release(std::size_t bytes) { m_heldBytes -= bytes; }
+
     void setMaximumRequestBytes(std::size_t bytes) { m_maximumRequestBytes = bytes; }
     std::size_t maximumRequestBytes() const { return m_maximumRequestBytes; }
 
@@ -43,6 +47,7 @@
 
     // One entry for each request: a connection may have two.
     std::multiset<asio::ip::tcp::endpoint> m_callers;
+    std::size_t m_heldBytes = 0;
     std::size_t m_maximumRequestBytes = std::numeric_limits<std::size_t>::max();
 };
 
@@ -81,10 +86,14 @@
     {
         auto observed = [state = m_state, buffers, next = std::forward<Handler>(handler)](const asio::error_code& error, std::size_t length) mutable {
             state->isPeerGone = error && error != asio::error::operation_aborted;
-            state->unansweredBytes += length;
+            state->hasRoom = state->requests.reserve(length);
+            state->unansweredBytes += state->hasRoom ? length : 0;
             state->lastChunk = std::string_view(static_cast<const char*>(asio::const_buffer(*asio::buffer_sequence_begin(buffers)).data()), length);
             state->isInReadHandler = true;
-            next(error, length);
+            if (state->hasRoom)
+                next(error, length);
+            else
+                next(asio::error::no_buffer_space, 0);
             state->isInReadHandler = false;
         };
         m_state->socket.async_read_some(buffers, std::move(observed));
@@ -93,7 +102,7 @@
     template <typename Buffers, typename Handler>
     void async_write_some(const Buffers& buffers, Handler&& handler)
     {
-        m_state->unansweredBytes = 0;
+        m_state->releaseBytes();
         m_state->socket.async_write_some(buffers, std::forward<Handler>(handler));
     }
 
@@ -118,11 +127,22 @@
             , requests(asio::use_service<RequestsInProgress>(ioContext))
         {
         }
+        State(const State&) = delete;
+        State& operator=(const State&) = delete;
+        ~State() { releaseBytes(); }
+
+        void releaseBytes()
+        {
+            requests.release(unansweredBytes);
+            unansweredBytes = 0;
+        }
 
         asio::io_context& context;
         asio::ip::tcp::socket socket;
         RequestsInProgress& requests;
         std::size_t unansweredBytes = 0;
+        /// False when the last bytes would have been more than the process may hold.
+        bool hasRoom = true;
         /// What was read last; valid in the read handler only.
         std::string_view lastChunk;
         bool isInReadHandler = false;
--- a/Source/transport/Link.cpp
+++ b/Source/transport/Link.cpp
@@ -16,7 +16,7 @@
 using ServerEndpoint = websocketpp::server<websocketpp::config::asio>;
 using ClientEndpoint = websocketpp::client<websocketpp::config::asio_client>;
 
-constexpr std::size_t maximumSendBufferBytes = 64 * 1024 * 1024;
+constexpr std::size_t maximumSendBufferBytes = 20 * 1024 * 1024;
 constexpr long openTimeoutMilliseconds = 1000;
 
 template <typename Endpoint>
--- a/Source/transport/SteadyTime.cpp
+++ b/Source/transport/SteadyTime.cpp
@@ -13,6 +13,11 @@
     return TimePoint(std::chrono::duration_cast<Duration>(sinceStart));
 }
 
+std::uint64_t steadyClock()
+{
+    return static_cast<std::uint64_t>(steadyNow().time_since_epoch().count());
+}
+
 Duration threadProcessorTime()
 {
     timespec time {};
--- a/Source/transport/SteadyTime.h
+++ b/Source/transport/SteadyTime.h
@@ -13,6 +13,8 @@
 
 /// The moment now on the monotonic clock of this process.
 TimePoint steadyNow();
+/// The same in microseconds, as messages carry it.
+std::uint64_t steadyClock();
 
 /// Processor time that the calling thread has used.
 Duration threadProcessorTime();
--- a/Tests/state/SettingsFileTest.cpp
+++ b/Tests/state/SettingsFileTest.cpp
@@ -32,7 +32,8 @@
         return settings.has_error() ? settings.error().detail : "";
     }
 
-    const std::string path = ::testing::TempDir() + "knapweedquay-settings-test.toml";
+    /// A file of its own for each test, since tests run side by side.
+    const std::string path = ::testing::TempDir() + "knapweedquay-settings-" + ::testing::UnitTest::GetInstance()->current_test_info()->name() + ".toml";
 };
 
 TEST_F(SettingsFileTest, NodeSettings_Loaded_HaveValuesAndDefaults)
