Cli: Add the operator command line

An answer that was lost is not hidden by another replica's certain refusal: the outcome stays unknown and the change id is printed. A node takes its drained backend server back by POST /return. Seen failing: NotLeader taken for a final answer; control characters let through to the terminal; nodes not asked when waiting.

--- /dev/null
+++ b/Source/cli/Commands.cpp
@@ -0,0 +1,287 @@
+#include "cli/Commands.h"
+
+#include "cli/DocumentDifference.h"
+#include "state/DocumentParser.h"
+
+#include <chrono>
+#include <ctime>
+#include <utility>
+
+namespace Knapweedquay::Cli {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr Duration waitInterval = std::chrono::milliseconds(100);
+
+ExitCode exitCodeOf(ResultCode code)
+{
+    switch (code) {
+    case ResultCode::Ok:
+        return ExitCode::Done;
+    case ResultCode::InvalidDocument:
+        return ExitCode::InvalidDocument;
+    case ResultCode::VersionConflict:
+        return ExitCode::VersionConflict;
+    case ResultCode::NotAuthorized:
+        return ExitCode::NotAuthorized;
+    case ResultCode::NoQuorum:
+    case ResultCode::TimedOut:
+        return ExitCode::OutcomeUnknown;
+    default:
+        return ExitCode::Failed;
+    }
+}
+
+std::uint64_t versionIn(const Json& versions, const std::string& service)
+{
+    return versions.is_object() ? versions.value(service, std::uint64_t { 0 }) : 0;
+}
+
+// Universal time, such as 2026-12-03T21:09:28Z.
+std::string timeText(std::int64_t microsecondsSince1970)
+{
+    constexpr std::int64_t microsecondsPerSecond = 1000000;
+    const std::time_t seconds = microsecondsSince1970 / microsecondsPerSecond;
+    std::tm parts {};
+    gmtime_r(&seconds, &parts);
+    char text[sizeof "2026-12-03T21:09:28Z"] = {};
+    std::strftime(text, sizeof text, "%Y-%m-%dT%H:%M:%SZ", &parts);
+    return text;
+}
+
+std::string join(const std::vector<std::string>& names)
+{
+    std::string text;
+    for (const std::string& name : names)
+        text += (text.empty() ? "" : ", ") + name;
+    return text;
+}
+
+} // namespace
+
+Commands::Commands(const CommandLine& line, CommandHooks hooks, Report& report)
+    : m_line(line)
+    , m_hooks(std::move(hooks))
+    , m_client(line.controls, m_hooks.exchange)
+    , m_report(report)
+{
+}
+
+ExitCode Commands::run()
+{
+    if (m_line.command == "apply")
+        return apply();
+    if (m_line.command == "validate")
+        return validate();
+    if (m_line.command == "show")
+        return m_line.operand.empty() ? listDocuments() : show();
+    if (m_line.command == "diff")
+        return diff();
+    if (m_line.command == "history")
+        return history();
+    if (m_line.command == "status")
+        return status();
+    if (m_line.command == "replace")
+        return replace();
+    return setDraining(m_line.command == "drain");
+}
+
+ExitCode Commands::fail(const Answer& answer)
+{
+    std::string text = std::to_string(static_cast<int>(answer.code)) + " " + title(answer.code) + ": " + answer.detail;
+    if (answer.code == ResultCode::VersionConflict && answer.body.contains("winner_author"))
+        text += "; version " + answer.body["version"].dump() + " is by " + answer.body["winner_author"].dump();
+    m_report.error(text);
+    return exitCodeOf(answer.code);
+}
+
+Answer Commands::get(const std::string& target) const
+{
+    return m_client.ask({ "GET", target, {}, {} });
+}
+
+Answer Commands::put(const std::string& service, const std::string& text, std::uint64_t expected, const std::string& change) const
+{
+    HttpRequest request { "PUT", "/v1/documents/" + service, {}, text };
+    request.headers = { { "Content-Type", "application/toml" }, { "Authorization", "Bearer " + m_line.credential }, { "Knapweedquay-Author", m_line.author },
+        { "Knapweedquay-Change-Id", change }, { "Knapweedquay-Expected-Version", std::to_string(expected) } };
+    return m_client.ask(request);
+}
+
+ExitCode Commands::validate()
+{
+    const auto text = m_hooks.readFile(m_line.operand);
+    if (text.has_error())
+        return fail({ text.error().code, text.error().detail, {} });
+    const ParsedDocument parsed = checkDocument(text.value());
+    if (!parsed.document) {
+        m_report.error(toText(parsed.problems, m_line.operand));
+        return ExitCode::InvalidDocument;
+    }
+    m_report.result(m_line.operand + ": valid document of " + parsed.document->service.value(), toJson(*parsed.document));
+    return ExitCode::Done;
+}
+
+ExitCode Commands::apply()
+{
+    const auto text = m_hooks.readFile(m_line.operand);
+    if (text.has_error())
+        return fail({ text.error().code, text.error().detail, {} });
+    const ParsedDocument parsed = checkDocument(text.value());
+    if (!parsed.document) {
+        m_report.error(toText(parsed.problems, m_line.operand));
+        return ExitCode::InvalidDocument;
+    }
+    const std::string service = parsed.document->service.value();
+    std::uint64_t expected = m_line.expectedVersion.value_or(0);
+    if (!m_line.expectedVersion) {
+        const Answer current = get("/v1/documents/" + service);
+        if (!current.isOk() && current.code != ResultCode::UnknownDocument)
+            return fail(current);
+        expected = current.isOk() ? current.body.value("version", std::uint64_t { 0 }) : 0;
+    }
+    const std::string change = m_line.changeId.empty() ? m_hooks.drawChangeId() : m_line.changeId;
+    const Answer answer = put(service, text.value(), expected, change);
+    if (!answer.isOk()) {
+        const ExitCode code = fail(answer);
+        if (code == ExitCode::OutcomeUnknown)
+            m_report.error("resend with --change-id " + change + " --expected-version " + std::to_string(expected));
+        return code;
+    }
+    const std::uint64_t version = answer.body.value("version", std::uint64_t { 0 });
+    m_report.result(service + ": version " + std::to_string(version) + " accepted, change " + change, { { "service", service }, { "version", version }, { "change", change } });
+    return m_line.wait > Duration(0) ? waitUntilInForce(service, version) : ExitCode::Done;
+}
+
+std::map<std::string, Json> Commands::nodes() const
+{
+    std::map<std::string, Json> nodes;
+    for (const Answer& answer : m_client.askAll({ "GET", "/v1/nodes", {}, {} })) {
+        if (!answer.isOk() || !answer.body.is_array())
+            continue;
+        for (const Json& node : answer.body)
+            nodes[node.value("node", std::string())] = node;
+    }
+    return nodes;
+}
+
+ExitCode Commands::waitUntilInForce(const std::string& service, std::uint64_t version)
+{
+    std::vector<std::string> lacking;
+    for (Duration waited { 0 }; waited <= m_line.wait; waited += waitInterval) {
+        lacking.clear();
+        for (const auto& [name, node] : nodes()) {
+            if (versionIn(node.value("in_force", Json::object()), service) < version)
+                lacking.push_back(name);
+        }
+        if (lacking.empty())
+            return ExitCode::Done;
+        m_hooks.sleep(waitInterval);
+    }
+    m_report.error(service + ": version " + std::to_string(version) + " is not in force at: " + join(lacking));
+    return ExitCode::NotInForce;
+}
+
+ExitCode Commands::listDocuments()
+{
+    const Answer answer = get("/v1/documents");
+    if (!answer.isOk())
+        return fail(answer);
+    m_report.table(answer.body, { "service", "version", "team" });
+    return ExitCode::Done;
+}
+
+ExitCode Commands::show()
+{
+    const Answer answer = get("/v1/documents/" + m_line.operand);
+    if (!answer.isOk())
+        return fail(answer);
+    m_report.result(answer.body.value("text", std::string()), answer.body);
+    return ExitCode::Done;
+}
+
+ExitCode Commands::diff()
+{
+    const auto text = m_hooks.readFile(m_line.operand);
+    if (text.has_error())
+        return fail({ text.error().code, text.error().detail, {} });
+    const ParsedDocument mine = checkDocument(text.value());
+    if (!mine.document) {
+        m_report.error(toText(mine.problems, m_line.operand));
+        return ExitCode::InvalidDocument;
+    }
+    const Answer answer = get("/v1/documents/" + mine.document->service.value());
+    if (!answer.isOk() && answer.code != ResultCode::UnknownDocument)
+        return fail(answer);
+    const auto theirs = answer.isOk() ? parseDocument(answer.body.value("text", std::string())) : Result<ServiceDocument>(ServiceDocument {});
+    if (theirs.has_error())
+        return fail({ theirs.error().code, theirs.error().detail, {} });
+    Json rows = Json::array();
+    for (const Difference& difference : findDifferences(answer.isOk() ? toJson(theirs.value()) : Json::object(), toJson(*mine.document)))
+        rows.push_back({ { "key", difference.key }, { "in place", difference.before }, { "in file", difference.after } });
+    m_report.table(rows, { "key", "in place", "in file" });
+    return rows.empty() ? ExitCode::Done : ExitCode::Different;
+}
+
+ExitCode Commands::history()
+{
+    const Answer answer = get("/v1/history/" + m_line.operand);
+    if (!answer.isOk())
+        return fail(answer);
+    Json rows = answer.body;
+    for (Json& row : rows)
+        row["time"] = timeText(row.value("time_us", std::int64_t { 0 }));
+    m_report.table(rows, { "sequence", "time", "author", "team", "change", "from_version", "version", "result" });
+    return ExitCode::Done;
+}
+
+ExitCode Commands::status()
+{
+    const std::vector<Answer> answers = m_client.askAll({ "GET", "/v1/status", {}, {} });
+    Json replicas = Json::array();
+    bool isAnyLeading = false;
+    for (std::size_t index = 0; index < answers.size(); ++index) {
+        Json row = answers[index].isOk() ? answers[index].body : Json { { "error", answers[index].detail } };
+        row["address"] = m_client.controls()[index];
+        isAnyLeading = isAnyLeading || row.value("leading", false);
+        replicas.push_back(row);
+    }
+    Json nodeRows = Json::array();
+    for (const auto& [name, node] : nodes())
+        nodeRows.push_back(node);
+    const Answer documents = get("/v1/documents");
+    if (m_line.output == OutputFormat::Json) {
+        m_report.result({}, { { "replicas", replicas }, { "documents", documents.body }, { "nodes", nodeRows } });
+    } else {
+        m_report.table(replicas, { "address", "replica", "leading", "term", "applied_index", "survives_another_loss", "error" });
+        m_report.result("", {});
+        if (documents.isOk())
+            m_report.table(documents.body, { "service", "version", "team" });
+        m_report.result("", {});
+        m_report.table(nodeRows, { "node", "incarnation", "in_force" });
+    }
+    return isAnyLeading ? ExitCode::Done : ExitCode::Failed;
+}
+
+ExitCode Commands::setDraining(bool isDraining)
+{
+    const ControlClient node({ m_line.node }, m_hooks.exchange);
+    const Answer answer = node.ask({ "POST", isDraining ? "/leave" : "/return", {}, {} });
+    if (!answer.isOk())
+        return fail(answer);
+    m_report.result(answer.body.value("node", m_line.node) + (isDraining ? ": draining" : ": taking calls"), answer.body);
+    return ExitCode::Done;
+}
+
+ExitCode Commands::replace()
+{
+    const Answer answer = m_client.ask({ "DELETE", "/v1/replicas/" + m_line.operand, { { "Authorization", "Bearer " + m_line.credential } }, {} });
+    if (!answer.isOk())
+        return fail(answer);
+    m_report.result("replica " + m_line.operand + " is removed; start a new one with an empty data folder", answer.body);
+    return ExitCode::Done;
+}
+
+} // namespace Knapweedquay::Cli
--- /dev/null
+++ b/Source/cli/ControlClient.cpp
@@ -0,0 +1,75 @@
+#include "cli/ControlClient.h"
+
+#include <utility>
+
+namespace Knapweedquay::Cli {
+
+namespace {
+
+constexpr std::uint16_t firstErrorStatus = 400;
+
+bool isForAnotherReplica(ResultCode code)
+{
+    return code == ResultCode::NotLeader || code == ResultCode::NoQuorum || code == ResultCode::ConnectionFailed || code == ResultCode::TimedOut || code == ResultCode::StaleConfiguration;
+}
+
+// An outcome that may be an acceptance must not be hidden by a later certain refusal of another replica.
+bool leavesOutcomeOpen(ResultCode code)
+{
+    return code == ResultCode::NoQuorum || code == ResultCode::TimedOut;
+}
+
+} // namespace
+
+Answer readAnswer(const HttpResponse& response)
+{
+    Answer answer;
+    answer.body = nlohmann::json::parse(response.body, nullptr, false);
+    if (response.status < firstErrorStatus && !answer.body.is_discarded())
+        return answer;
+    answer.code = ResultCode::MalformedMessage;
+    answer.detail = "HTTP status " + std::to_string(response.status) + " without problem details";
+    if (answer.body.is_object() && answer.body.contains("code") && answer.body["code"].is_number_unsigned()) {
+        answer.code = static_cast<ResultCode>(answer.body["code"].get<std::uint16_t>());
+        answer.detail = answer.body.value("detail", std::string());
+    }
+    return answer;
+}
+
+ControlClient::ControlClient(std::vector<std::string> controls, Exchange exchange)
+    : m_controls(std::move(controls))
+    , m_exchange(std::move(exchange))
+{
+}
+
+Answer ControlClient::askOne(const std::string& address, const HttpRequest& request) const
+{
+    const auto response = m_exchange(address, request);
+    if (response.has_error())
+        return { response.error().code, response.error().detail, {} };
+    return readAnswer(response.value());
+}
+
+Answer ControlClient::ask(const HttpRequest& request) const
+{
+    Answer last;
+    for (const std::string& address : m_controls) {
+        Answer answer = askOne(address, request);
+        if (!isForAnotherReplica(answer.code))
+            return answer;
+        if (last.isOk() || !leavesOutcomeOpen(last.code))
+            last = std::move(answer);
+    }
+    return last;
+}
+
+std::vector<Answer> ControlClient::askAll(const HttpRequest& request) const
+{
+    std::vector<Answer> answers;
+    answers.reserve(m_controls.size());
+    for (const std::string& address : m_controls)
+        answers.push_back(askOne(address, request));
+    return answers;
+}
+
+} // namespace Knapweedquay::Cli
--- /dev/null
+++ b/Source/cli/CurlExchange.cpp
@@ -0,0 +1,61 @@
+#include "cli/CurlExchange.h"
+
+#include <curl/curl.h>
+
+#include <chrono>
+#include <memory>
+
+namespace Knapweedquay::Cli {
+
+namespace {
+
+constexpr std::size_t maximumAnswerBytes = 16 * 1024 * 1024;
+constexpr long connectTimeoutMilliseconds = 2000;
+
+std::size_t appendBody(const char* bytes, std::size_t size, std::size_t count, void* target)
+{
+    auto& body = *static_cast<std::string*>(target);
+    // A shorter count than given makes libcurl give up.
+    if (body.size() + size * count > maximumAnswerBytes)
+        return 0;
+    body.append(bytes, size * count);
+    return size * count;
+}
+
+} // namespace
+
+Result<HttpResponse> exchangeByCurl(const std::string& address, const HttpRequest& request, Duration timeout)
+{
+    const std::unique_ptr<CURL, decltype(&curl_easy_cleanup)> curl(curl_easy_init(), curl_easy_cleanup);
+    curl_slist* list = nullptr;
+    for (const HttpHeader& header : request.headers)
+        list = curl_slist_append(list, (header.name + ": " + header.value).c_str());
+    const std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)> headers(list, curl_slist_free_all);
+    const std::string url = "http://" + address + request.target;
+    HttpResponse response;
+    curl_easy_setopt(curl.get(), CURLOPT_URL, url.c_str());
+    curl_easy_setopt(curl.get(), CURLOPT_PROXY, "");
+    curl_easy_setopt(curl.get(), CURLOPT_PROTOCOLS_STR, "http");
+    curl_easy_setopt(curl.get(), CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(curl.get(), CURLOPT_CUSTOMREQUEST, request.method.c_str());
+    curl_easy_setopt(curl.get(), CURLOPT_HTTPHEADER, headers.get());
+    curl_easy_setopt(curl.get(), CURLOPT_CONNECTTIMEOUT_MS, connectTimeoutMilliseconds);
+    curl_easy_setopt(curl.get(), CURLOPT_TIMEOUT_MS, static_cast<long>(std::chrono::duration_cast<std::chrono::milliseconds>(timeout).count()));
+    curl_easy_setopt(curl.get(), CURLOPT_WRITEFUNCTION, appendBody);
+    curl_easy_setopt(curl.get(), CURLOPT_WRITEDATA, &response.body);
+    if (!request.body.empty()) {
+        curl_easy_setopt(curl.get(), CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(request.body.size()));
+        curl_easy_setopt(curl.get(), CURLOPT_POSTFIELDS, request.body.data());
+    }
+    const CURLcode code = curl_easy_perform(curl.get());
+    if (code == CURLE_COULDNT_CONNECT)
+        return Error { ResultCode::ConnectionFailed, address + ": " + curl_easy_strerror(code) };
+    if (code != CURLE_OK)
+        return Error { ResultCode::TimedOut, address + ": " + curl_easy_strerror(code) };
+    long status = 0;
+    curl_easy_getinfo(curl.get(), CURLINFO_RESPONSE_CODE, &status);
+    response.status = static_cast<std::uint16_t>(status);
+    return response;
+}
+
+} // namespace Knapweedquay::Cli
--- a/Source/node/NodeControl.cpp
+++ b/Source/node/NodeControl.cpp
@@ -155,12 +155,14 @@
         exchange->respond(announce(request));
     else if (request.method == "POST" && request.target == "/leave")
         exchange->respond(startLeaving());
+    else if (request.method == "POST" && request.target == "/return")
+        exchange->respond(endLeaving());
     else if (request.method == "GET" && request.target == "/metrics")
         exchange->respond({ 200, { { "Content-Type", "text/plain; version=0.0.4" } }, m_hooks.metrics() });
     else if (request.method == "GET" && request.target == "/status")
         exchange->respond({ 200, { { "Content-Type", "application/json" } }, status() });
     else
-        exchange->respond(problemResponse({ ResultCode::UnknownResource, "POST /announce, POST /leave, GET /metrics, GET /status" }, CallOutcomeKind::NotRun));
+        exchange->respond(problemResponse({ ResultCode::UnknownResource, "POST /announce, POST /leave, POST /return, GET /metrics, GET /status" }, CallOutcomeKind::NotRun));
 }
 
 HttpResponse NodeControl::announce(const HttpRequest& request)
@@ -192,6 +194,18 @@
     return jsonResponse(202, { { "node", m_self.node.value() }, { "draining", true } });
 }
 
+HttpResponse NodeControl::endLeaving()
+{
+    if (!m_backend)
+        return problemResponse({ ResultCode::NoEndpoint, "no backend server is announced here" }, CallOutcomeKind::NotRun);
+    if (m_endpoint.lifecycle == EndpointLifecycle::Draining) {
+        log(LogEvent::BackendAnnounced, { { "service", m_backend->service.value() }, { "address", m_backend->address }, { "slots", std::to_string(m_backend->slots) } });
+        m_hooks.backendAnnounced(*m_backend);
+        publishEndpoint(EndpointLifecycle::Ready);
+    }
+    return jsonResponse(200, { { "node", m_self.node.value() }, { "draining", false } });
+}
+
 void NodeControl::publishEndpoint(EndpointLifecycle lifecycle)
 {
     if (m_backend) {
--- a/Source/node/NodeControl.h
+++ b/Source/node/NodeControl.h
@@ -57,6 +57,7 @@
     void handleAdmin(const HttpExchangePtr&);
     HttpResponse announce(const HttpRequest&);
     HttpResponse startLeaving();
+    HttpResponse endLeaving();
     std::string status() const;
     void publishEndpoint(EndpointLifecycle);
     void checkBackend();
--- /dev/null
+++ b/Tests/cli/CommandsTest.cpp
@@ -0,0 +1,175 @@
+#include "cli/Commands.h"
+#include "cli/DocumentDifference.h"
+#include "state/DocumentParser.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <chrono>
+#include <sstream>
+
+using namespace Knapweedquay;
+using namespace Knapweedquay::Cli;
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr const char* documentText = "service = \"dispatch\"\nteam = \"couriers\"\n[[priorities]]\nname = \"booking\"\n";
+
+HttpResponse answer(const Json& body) { return { 200, {}, body.dump() }; }
+HttpResponse refusal(ResultCode code)
+{
+    return { httpStatus(code), {}, Json { { "code", static_cast<int>(code) }, { "detail", "said so" } }.dump() };
+}
+
+/// Commands against fake replicas, whose answers a test sets by "address METHOD path".
+class CommandsTest : public ::testing::Test {
+protected:
+    ExitCode run(std::vector<std::string> arguments)
+    {
+        for (const char* control : { "10.0.0.1:1", "10.0.0.2:1" })
+            arguments.insert(arguments.end(), { "--control", control });
+        const auto line = parseCommandLine(arguments, { {}, "secret", "rania" });
+        if (line.has_error()) {
+            errors << line.error().detail;
+            return ExitCode::WrongUsage;
+        }
+        Report report(output, errors, line.value().output, false);
+        CommandHooks hooks;
+        hooks.exchange = [this](const std::string& address, const HttpRequest& request) { return exchange(address, request); };
+        hooks.readFile = [this](const std::string& path) -> Result<std::string> {
+            if (path == "file.toml")
+                return fileText;
+            return Error { ResultCode::FileUnreadable, path };
+        };
+        hooks.drawChangeId = [] { return std::string("drawn"); };
+        hooks.sleep = [this](Duration time) { slept += time; };
+        return Commands(line.value(), hooks, report).run();
+    }
+
+    Result<HttpResponse> exchange(const std::string& address, const HttpRequest& request)
+    {
+        const std::string key = address + " " + request.method + " " + request.target;
+        requests.push_back(request);
+        asked.push_back(key);
+        const auto found = answers.find(key);
+        if (found == answers.end())
+            return Error { ResultCode::ConnectionFailed, address };
+        return found->second;
+    }
+
+    bool wasAsked(const std::string& key) const { return std::find(asked.begin(), asked.end(), key) != asked.end(); }
+
+    std::string fileText = documentText;
+    std::map<std::string, Result<HttpResponse>> answers;
+    std::vector<std::string> asked;
+    std::vector<HttpRequest> requests;
+    Duration slept { 0 };
+    std::ostringstream output;
+    std::ostringstream errors;
+};
+
+TEST_F(CommandsTest, Apply_FirstReplicaFollows_AsksTheLeaderWithVersionAndCredential)
+{
+    answers.emplace("10.0.0.1:1 GET /v1/documents/dispatch", answer({ { "version", 4 }, { "text", documentText } }));
+    answers.emplace("10.0.0.1:1 PUT /v1/documents/dispatch", refusal(ResultCode::NotLeader));
+    answers.emplace("10.0.0.2:1 PUT /v1/documents/dispatch", answer({ { "version", 5 } }));
+    EXPECT_EQ(ExitCode::Done, run({ "apply", "file.toml" })) << errors.str();
+    const HttpHeaders& headers = requests.back().headers;
+    EXPECT_EQ("4", *findHeader(headers, "Knapweedquay-Expected-Version"));
+    EXPECT_EQ("drawn", *findHeader(headers, "Knapweedquay-Change-Id"));
+    EXPECT_EQ("rania", *findHeader(headers, "Knapweedquay-Author"));
+    EXPECT_EQ("Bearer secret", *findHeader(headers, "Authorization"));
+    EXPECT_EQ(documentText, requests.back().body);
+    EXPECT_NE(std::string::npos, output.str().find("dispatch: version 5 accepted"));
+}
+
+TEST_F(CommandsTest, Apply_Refused_TellsTheCodeByExit)
+{
+    const std::pair<ResultCode, ExitCode> cases[] = { { ResultCode::VersionConflict, ExitCode::VersionConflict }, { ResultCode::NotAuthorized, ExitCode::NotAuthorized }, { ResultCode::InvalidDocument, ExitCode::InvalidDocument }, { ResultCode::StorageFailed, ExitCode::Failed } };
+    for (const auto& [code, exitCode] : cases) {
+        answers.clear();
+        answers.emplace("10.0.0.1:1 PUT /v1/documents/dispatch", refusal(code));
+        EXPECT_EQ(exitCode, run({ "apply", "file.toml", "--expected-version", "1" }));
+    }
+    fileText = "service = 1";
+    asked.clear();
+    EXPECT_EQ(ExitCode::InvalidDocument, run({ "apply", "file.toml" }));
+    EXPECT_NE(std::string::npos, errors.str().find("file.toml:1:11: service: expected a name"));
+    EXPECT_TRUE(asked.empty());
+}
+
+TEST_F(CommandsTest, Apply_AnswerLostThenRefusedElsewhere_IsUnknownWithItsChangeId)
+{
+    answers.emplace("10.0.0.1:1 PUT /v1/documents/dispatch", Error { ResultCode::TimedOut, "lost" });
+    answers.emplace("10.0.0.2:1 PUT /v1/documents/dispatch", refusal(ResultCode::NotLeader));
+    EXPECT_EQ(ExitCode::OutcomeUnknown, run({ "apply", "file.toml", "--expected-version", "7", "--change-id", "mine" }));
+    EXPECT_NE(std::string::npos, errors.str().find("resend with --change-id mine --expected-version 7"));
+}
+
+TEST_F(CommandsTest, ApplyWithWait_OneNodeLacksIt_NamesTheNode)
+{
+    answers.emplace("10.0.0.1:1 PUT /v1/documents/dispatch", answer({ { "version", 5 } }));
+    answers.emplace("10.0.0.1:1 GET /v1/nodes", answer(Json::array({ { { "node", "a" }, { "in_force", { { "dispatch", 5 } } } } })));
+    answers.emplace("10.0.0.2:1 GET /v1/nodes", answer(Json::array({ { { "node", "b" }, { "in_force", { { "dispatch", 4 } } } } })));
+    EXPECT_EQ(ExitCode::NotInForce, run({ "apply", "file.toml", "--expected-version", "4", "--wait", "2" }));
+    EXPECT_NE(std::string::npos, errors.str().find("not in force at: b")) << errors.str();
+    EXPECT_GE(slept, std::chrono::seconds(2));
+    answers.at("10.0.0.2:1 GET /v1/nodes") = answer(Json::array());
+    EXPECT_EQ(ExitCode::Done, run({ "apply", "file.toml", "--expected-version", "4", "--wait", "2" }));
+}
+
+TEST_F(CommandsTest, Diff_NewPriority_ShowsItAloneAndExitsDifferent)
+{
+    answers.emplace("10.0.0.1:1 GET /v1/documents/dispatch", answer({ { "version", 1 }, { "text", documentText } }));
+    EXPECT_EQ(ExitCode::Done, run({ "diff", "file.toml" }));
+    fileText = std::string("service = \"dispatch\"\nteam = \"couriers\"\n[[priorities]]\nname = \"stock\"\n") + "[[priorities]]\nname = \"booking\"\ntarget_ms = 7\n";
+    output.str({});
+    EXPECT_EQ(ExitCode::Different, run({ "diff", "file.toml", "--output", "json" }));
+    const Json rows = Json::parse(output.str());
+    const auto row = std::find_if(rows.begin(), rows.end(), [](const Json& candidate) { return candidate["key"] == "priorities/booking/target_ms"; });
+    ASSERT_NE(rows.end(), row);
+    EXPECT_EQ("100", (*row)["in place"]);
+    EXPECT_EQ("7", (*row)["in file"]);
+    for (const Json& entry : rows)
+        EXPECT_EQ(0u, entry["key"].get<std::string>().find("priorities/")) << entry;
+}
+
+TEST_F(CommandsTest, StatusShowHistory_Asked_PrintTablesWithoutControlCharacters)
+{
+    answers.emplace("10.0.0.1:1 GET /v1/status", answer({ { "replica", 7 }, { "leading", true } }));
+    answers.emplace("10.0.0.1:1 GET /v1/documents", answer(Json::array({ { { "service", "dispatch" }, { "version", 3 }, { "team", "t" } } })));
+    answers.emplace("10.0.0.1:1 GET /v1/history/dispatch", answer(Json::array({ { { "sequence", 1 }, { "author", "x\x1b[31m" } } })));
+    EXPECT_EQ(ExitCode::Done, run({ "status" }));
+    EXPECT_NE(std::string::npos, output.str().find("10.0.0.1:1  7        true"));
+    EXPECT_EQ(ExitCode::Done, run({ "show" }));
+    EXPECT_EQ(ExitCode::Done, run({ "history", "dispatch" }));
+    EXPECT_EQ(std::string::npos, output.str().find('\x1b'));
+    answers.erase("10.0.0.1:1 GET /v1/status");
+    EXPECT_EQ(ExitCode::Failed, run({ "status" }));
+}
+
+TEST_F(CommandsTest, DrainUndrainReplace_Asked_ReachTheRightResource)
+{
+    answers.emplace("10.0.0.9:1 POST /leave", answer({ { "node", "n" } }));
+    answers.emplace("10.0.0.9:1 POST /return", answer({ { "node", "n" } }));
+    answers.emplace("10.0.0.1:1 DELETE /v1/replicas/12", refusal(ResultCode::NotLeader));
+    answers.emplace("10.0.0.2:1 DELETE /v1/replicas/12", answer({ { "code", 0 } }));
+    EXPECT_EQ(ExitCode::Done, run({ "drain", "--node", "10.0.0.9:1" }));
+    EXPECT_EQ(ExitCode::Done, run({ "undrain", "--node", "10.0.0.9:1" }));
+    EXPECT_EQ(ExitCode::Done, run({ "replace", "12" }));
+    EXPECT_TRUE(wasAsked("10.0.0.2:1 DELETE /v1/replicas/12"));
+}
+
+TEST_F(CommandsTest, WrongUsage_OfEachKind_IsRefusedAndHelpIsOnEachLevel)
+{
+    for (const std::vector<std::string>& arguments : { std::vector<std::string> {}, { "fly" }, { "apply" }, { "apply", "a", "b" }, { "status", "x" }, { "drain" }, { "status", "--output", "xml" }, { "status", "--colour" }, { "apply", "f", "--expected-version", "-x" }, { "drain", "--node", "localhost:1" } })
+        EXPECT_EQ(ExitCode::WrongUsage, run(arguments));
+    const auto general = parseCommandLine({ "--help" }, {});
+    const auto ofApply = parseCommandLine({ "apply", "--help" }, {});
+    EXPECT_NE(std::string::npos, general.value().information.find("undrain"));
+    EXPECT_NE(std::string::npos, ofApply.value().information.find("knapweedquay apply FILE"));
+    EXPECT_EQ(0u, parseCommandLine({ "--version" }, {}).value().information.find("knapweedquay "));
+}
+
+} // namespace
