--- a/Source/protocol/PeerMessages.cpp
+++ b/Source/protocol/PeerMessages.cpp
@@ -24,6 +24,7 @@
     fields.push_back(std::move(queued));
     fields.push_back(load.serviceTime.count());
     fields.push_back(load.completedCalls);
+    fields.push_back(load.failuresPerThousand);
     fields.push_back(load.draining);
 }
 
@@ -42,6 +43,7 @@
         reader.fail("queue lengths of a load report are not numbers");
     load.serviceTime = reader.duration();
     load.completedCalls = reader.unsignedInteger();
+    load.failuresPerThousand = readUnsigned32(reader);
     load.draining = reader.boolean();
     return load;
 }
@@ -231,6 +233,30 @@
     message.load = readLoad(reader);
 }
 
+void appendFields(Json& fields, const DocumentRequestMessage& message)
+{
+    fields.push_back(message.service.value());
+}
+
+void readFields(FieldReader& reader, DocumentRequestMessage& message)
+{
+    message.service = ServiceName(reader.text());
+}
+
+void appendFields(Json& fields, const DocumentAnswerMessage& message)
+{
+    fields.push_back(message.service.value());
+    fields.push_back(message.version.value());
+    fields.push_back(cborBytes(message.text));
+}
+
+void readFields(FieldReader& reader, DocumentAnswerMessage& message)
+{
+    message.service = ServiceName(reader.text());
+    message.version = DocumentVersion(reader.unsignedInteger());
+    message.text = reader.bytes();
+}
+
 } // namespace
 
 std::string encode(const PeerMessage& message)
--- a/Source/state/ControlService.cpp
+++ b/Source/state/ControlService.cpp
@@ -305,22 +305,98 @@
 
 void ControlService::perform(const WriteLog& action, TimePoint now)
 {
-    Result<void> written = m_storage->write(action);
-    if (written.has_value())
-        written = m_storage->sync();
-    if (written.has_error())
-        stop(written.error());
-    else
-        m_log->synced(action.sequence, now);
+    m_writes.emplace_back(action);
+    processWrites(now);
 }
 
 void ControlService::perform(const StoreSnapshot& action, TimePoint now)
 {
-    const Result<void> stored = m_storage->store(action);
-    if (stored.has_error())
+    m_writes.emplace_back(action);
+    processWrites(now);
+}
+
+void ControlService::processWrites(TimePoint now)
+{
+    while (!m_writes.empty() && !m_isStoring && !m_failure) {
+        const auto* write = std::get_if<WriteLog>(&m_writes.front());
+        if (!write && m_isSyncing)
+            return;
+        if (!write) {
+            StoreSnapshot store = std::move(std::get<StoreSnapshot>(m_writes.front()));
+            m_writes.pop_front();
+            startStore(std::move(store), now);
+            continue;
+        }
+        const Result<void> written = m_storage->write(*write);
+        if (written.has_error()) {
+            stop(written.error());
+            return;
+        }
+        m_written = write->sequence;
+        m_writes.pop_front();
+    }
+    startSync(now);
+}
+
+void ControlService::runStorageJob(std::function<Result<void>()> job, std::function<void(Result<void>, TimePoint)> done, TimePoint now)
+{
+    if (!m_hooks.runStorageJob) {
+        done(job(), now);
+        return;
+    }
+    const std::weak_ptr<char> life = m_life;
+    m_hooks.runStorageJob(std::move(job), [life, done = std::move(done)](Result<void> result, TimePoint finishedAt) {
+        if (!life.expired())
+            done(std::move(result), finishedAt);
+    });
+}
+
+void ControlService::startStore(StoreSnapshot store, TimePoint now)
+{
+    m_isStoring = true;
+    const WriteSequence sequence = store.sequence;
+    runStorageJob([storage = m_storage.get(), store = std::move(store)] { return storage->store(store); },
+        [this, sequence](const Result<void>& stored, TimePoint finishedAt) { finishStore(sequence, stored, finishedAt); }, now);
+}
+
+void ControlService::finishStore(WriteSequence sequence, const Result<void>& stored, TimePoint now)
+{
+    m_isStoring = false;
+    if (m_failure)
+        return;
+    if (stored.has_error()) {
         stop(stored.error());
-    else
-        m_log->synced(action.sequence, now);
+        return;
+    }
+    m_written = sequence;
+    m_synced = sequence;
+    m_log->synced(sequence, now);
+    processWrites(now);
+}
+
+void ControlService::startSync(TimePoint now)
+{
+    if (m_isSyncing || m_isStoring || m_written == m_synced || m_failure)
+        return;
+    m_isSyncing = true;
+    const LogStorage::SyncTask task = m_storage->startSync();
+    runStorageJob([file = task.file] { return file->sync(); },
+        [this, task, sequence = m_written](Result<void> synced, TimePoint finishedAt) { finishSync(task, sequence, std::move(synced), finishedAt); }, now);
+}
+
+void ControlService::finishSync(const LogStorage::SyncTask& task, WriteSequence sequence, Result<void> synced, TimePoint now)
+{
+    m_isSyncing = false;
+    if (m_failure)
+        return;
+    const Result<void> finished = m_storage->finishSync(task, std::move(synced));
+    if (finished.has_error()) {
+        stop(finished.error());
+        return;
+    }
+    m_synced = std::max(m_synced, sequence);
+    m_log->synced(sequence, now);
+    processWrites(now);
 }
 
 void ControlService::perform(const ApplyEntry& action, TimePoint)
