Coordination: Count late abandoned calls, plan probes only when earned

The losers of hedges were counted as lost, which made each healthy endpoint look faulty for its slowest calls. They now count as nothing when they were not late, and as three tenths of a failure when they were: an endpoint that never answers must not look well because hedges win against it.

The node no longer stops at its own endpoint when that one has the oldest report: it takes the report from itself, at no cost.

--- a/Source/coordination/EndpointRecord.cpp
+++ b/Source/coordination/EndpointRecord.cpp
@@ -11,6 +11,9 @@
 constexpr double errorWeight = 0.1;
 /// How much worse an endpoint looks for each failure per answer.
 constexpr double errorPenalty = 10;
+/// What a call that was given up late counts as: no failure, but an endpoint that never answers must not look well
+/// because hedges win against it.
+constexpr double lateSample = 0.3;
 constexpr double maximumErrorRate = 0.95;
 constexpr double usualLoadWeight = 1.0 / 64;
 /// Smoothing of the round trip as in RFC 6298.
@@ -26,7 +29,7 @@
 constexpr double failureNoise = 0.2;
 constexpr double perThousand = 1000;
 /// An outstanding call counts as stalled beyond this multiple of its expected time.
-constexpr double stallFactor = 3;
+constexpr int stallFactor = 3;
 /// Calls over which the time of stalled calls is spread, as if that many had ended as expected.
 constexpr double stallCalls = 4;
 /// Age beyond which a report no longer tells of overload.
@@ -39,6 +42,13 @@
     return static_cast<double>(duration.count());
 }
 
+double errorSample(CallEnd end)
+{
+    if (end == CallEnd::Answered)
+        return 0;
+    return end == CallEnd::Abandoned ? lateSample : 1;
+}
+
 /// Calls that wait and are at least as urgent as this priority.
 double queuedUpTo(const LoadReport& report, PriorityIndex priority)
 {
@@ -85,10 +95,10 @@
     m_outstanding.erase(m_outstanding.iterator_to(call));
     call.endpoint = nullptr;
     // A refusal says nothing about the backend server; the report that comes with it says why.
-    if (end == CallEnd::Refused || end == CallEnd::Abandoned)
+    const bool isLate = now - call.sentAt > call.expected * stallFactor;
+    if (end == CallEnd::Refused || (end == CallEnd::Abandoned && !isLate))
         return;
-    const double sample = end == CallEnd::Answered ? 0 : 1;
-    m_errorRate += errorWeight * (sample - m_errorRate);
+    m_errorRate += errorWeight * (errorSample(end) - m_errorRate);
     m_errorRateAt = now;
 }
 
--- a/Source/coordination/EndpointRecord.h
+++ b/Source/coordination/EndpointRecord.h
@@ -34,6 +34,7 @@
     /// No answer came in time.
     Lost,
     /// The sender gave it up for a reason of its own: the caller went away, or another attempt was answered first.
+    /// Counts a little against the endpoint when the call was far later than predicted.
     Abandoned,
 };
 
--- a/Source/coordination/MeasurementBudget.cpp
+++ b/Source/coordination/MeasurementBudget.cpp
@@ -36,6 +36,11 @@
     m_earned = std::min(m_earned + m_earnedPerCall, m_largestEarned);
 }
 
+bool MeasurementBudget::hasEarnedProbe() const
+{
+    return m_earned >= oneProbe;
+}
+
 bool MeasurementBudget::tryProbe(std::size_t bytes, TimePoint now)
 {
     while (!m_lastSecond.empty() && m_lastSecond.front().at + second <= now) {
@@ -43,7 +48,7 @@
         m_lastSecond.pop_front();
     }
     const std::uint64_t cost = std::max(bytes, minimumProbeBytes);
-    if (m_earned < oneProbe || m_lastSecondBytes + cost > m_bytesPerSecond) {
+    if (!hasEarnedProbe() || m_lastSecondBytes + cost > m_bytesPerSecond) {
         ++m_spend.refusedProbes;
         return false;
     }
--- a/Source/coordination/MeasurementBudget.h
+++ b/Source/coordination/MeasurementBudget.h
@@ -37,6 +37,8 @@
 
     /// A call was sent: it earns its part of a probe.
     void callSent();
+    /// True when the calls have earned a whole probe. Cheap, so that planning a probe can wait until then.
+    bool hasEarnedProbe() const;
     /// Asks for one probe. bytes is the probe with the largest answer that it may have; true when it may be sent now,
     /// and it is counted then.
     bool tryProbe(std::size_t bytes, TimePoint now);
--- a/Source/coordination/ProbePlanner.h
+++ b/Source/coordination/ProbePlanner.h
@@ -11,8 +11,8 @@
 /// Names the endpoint that is worth a probe next, for one service at one node.
 ///
 /// Answers carry reports, so a probe only fills a gap: the oldest report among the endpoints that are likely to be
-/// chosen, then those that are ejected, then the slow ones. Ask after each call that is sent, then ask the
-/// MeasurementBudget; probes follow the calls, as in Prequal (NSDI '24), so an idle service costs nothing.
+/// chosen, then those that are ejected, then the slow ones. Ask when the MeasurementBudget has earned a probe;
+/// probes follow the calls, as in Prequal (NSDI '24), so an idle service costs nothing.
 class ProbePlanner {
 public:
     /// gap: age below which a report needs no probe.
--- a/Source/node/CallGateway.cpp
+++ b/Source/node/CallGateway.cpp
@@ -302,7 +302,8 @@
 void CallGateway::perform(const SessionPtr& session, const FinishCall& action)
 {
     const CallOutcome& outcome = action.outcome;
-    if (outcome.kind == CallOutcome::Kind::Answered && !session->isCallerGone)
+    session->isAnswered = outcome.kind == CallOutcome::Kind::Answered;
+    if (session->isAnswered && !session->isCallerGone)
         traffic(session->parsed.service)->addLatency(session->priority, steadyNow() - session->startedAt);
     answer(session, outcome);
     if (session->claim) {
@@ -338,8 +339,10 @@
 {
     session->timer->clear();
     m_sessions.erase(session->id);
+    // Attempts that are still out lost against another one, or ended with the caller or at the deadline.
+    const CallEnd end = session->isCallerGone || session->isAnswered ? CallEnd::Abandoned : CallEnd::Lost;
     for (const std::uint64_t sequence : session->attempts)
-        settle({ m_self.node, m_self.incarnation, sequence }, session->isCallerGone ? CallEnd::Abandoned : CallEnd::Lost);
+        settle({ m_self.node, m_self.incarnation, sequence }, end);
 }
 
 void CallGateway::sendTo(const NodeId& node, const PeerMessage& message)
@@ -458,8 +461,12 @@
 {
     const Duration processorStart = threadProcessorTime();
     const TimePoint now = steadyNow();
-    const auto endpoint = service.probes().next(service.chooser().status(now), now);
-    if (endpoint && endpoint->node != m_self.node && service.measurement().tryProbe(largestProbeBytes, now)) {
+    std::optional<EndpointId> endpoint;
+    if (service.measurement().hasEarnedProbe())
+        endpoint = service.probes().next(service.chooser().status(now), now);
+    if (endpoint && endpoint->node == m_self.node)
+        service.chooser().report(*endpoint, m_local.loadReport(), now);
+    else if (endpoint && service.measurement().tryProbe(largestProbeBytes, now)) {
         const std::uint64_t sequence = ++m_lastSequence;
         service.probes().probeSent(*endpoint, now);
         m_sentProbes[sequence] = { *endpoint, now };
--- a/Source/node/CallSession.h
+++ b/Source/node/CallSession.h
@@ -26,6 +26,7 @@
     std::unique_ptr<OutgoingCall> call;
     std::unique_ptr<Timer> timer;
     bool isCallerGone = false;
+    bool isAnswered = false;
     /// Sequence numbers of all attempts of this call.
     std::vector<std::uint64_t> attempts;
 };
--- a/Tests/coordination/EndpointChooserTest.cpp
+++ b/Tests/coordination/EndpointChooserTest.cpp
@@ -152,6 +152,19 @@
     EXPECT_EQ(0, status(0).errorRate);
 }
 
+TEST_F(EndpointChooserTest, NeverAnswers_HedgesWinAgainstIt_LooksWorseButIsNotEjected)
+{
+    addEndpoints(2);
+    const auto before = status(0).predictedTime;
+    for (int call = 0; call < 40; ++call) {
+        const auto ticket = send(0);
+        m_now += 400 * millisecond;
+        m_chooser.callFinished(ticket, CallEnd::Abandoned, m_now);
+    }
+    EXPECT_GT(status(0).predictedTime, 2 * before);
+    EXPECT_FALSE(status(0).ejected);
+}
+
 TEST_F(EndpointChooserTest, ReportedFailures_NoOwnCall_KeepAwayUntilTheyFade)
 {
     addEndpoints(2);
--- a/Tests/coordination/MeasurementBudgetTest.cpp
+++ b/Tests/coordination/MeasurementBudgetTest.cpp
@@ -61,7 +61,9 @@
         for (std::uint64_t call = 0; call < calls; ++call)
             budget.callSent();
         const auto bytes = *rc::gen::inRange<std::size_t>(0, 600);
+        const bool earned = budget.hasEarnedProbe();
         const bool allowed = budget.tryProbe(bytes, now);
+        RC_ASSERT(earned || !allowed);
         events.push_back({ now, calls, allowed, allowed ? bytes : 0 });
     }
     for (std::size_t first = 0; first < events.size(); ++first) {
--- a/Utilities/PolicyBench/PolicyBench.cpp
+++ b/Utilities/PolicyBench/PolicyBench.cpp
@@ -223,7 +223,7 @@
     {
         const auto index = static_cast<std::size_t>(origin);
         m_budgets[index].callSent();
-        if (m_run.settings.policy != ChoicePolicy::Predicted)
+        if (m_run.settings.policy != ChoicePolicy::Predicted || !m_budgets[index].hasEarnedProbe())
             return;
         const auto next = m_planners[index].next(m_choosers[index]->status(m_time.now()), m_time.now());
         if (!next || !m_budgets[index].tryProbe(probeBytes, m_time.now()))
