--- a/Source/node/NodeControl.cpp
+++ b/Source/node/NodeControl.cpp
@@ -122,6 +122,8 @@
         } else if (const auto* changed = std::get_if<MemberChanged>(&action)) {
             logMember(eventOf(changed->member), changed->member);
             m_hooks.memberChanged(changed->member);
+        } else if (const auto* hint = std::get_if<NewerDocumentHint>(&action)) {
+            m_hooks.fetchDocument(hint->member, hint->service);
         } else if (const auto* superseded = std::get_if<IncarnationSuperseded>(&action)) {
             log(LogEvent::NodeSuperseded, { { "incarnation", std::to_string(superseded->incarnation.value()) } });
             m_hooks.superseded();
--- a/Tests/processes/FailureTest.cpp
+++ b/Tests/processes/FailureTest.cpp
@@ -77,6 +77,22 @@
     EXPECT_GT(countOf(isRight), 40u);
 }
 
+TEST_F(FailureTest, Node_WokenAfterTheDeadlines_StartsNoExpiredCall)
+{
+    start();
+    sendMany(30, "a", "GET", "/stock", 2s);
+    ASSERT_TRUE(m_caller.finish(6s));
+    m_deployment->node("b").signal(SIGSTOP);
+    sendMany(40, "a", "POST", "/bookings", 500ms);
+    ASSERT_TRUE(m_caller.finish(6s));
+    EXPECT_GT(countOf([](const TestCall& call) { return call.outcome() == "unknown"; }), 0u) << "nothing was sent to the frozen node";
+    const std::uint64_t before = executedBy("b");
+    m_deployment->node("b").signal(SIGCONT);
+    m_caller.run(1s);
+    EXPECT_EQ(executedBy("b"), before);
+    expectPromisesKept();
+}
+
 TEST_F(FailureTest, BackendServer_Killed_KeepsThePromises)
 {
     start();
@@ -192,4 +208,15 @@
     EXPECT_TRUE(waitUntil([&] { return m_deployment->nodeStatus("a")["documents"].contains("inventory"); }, 10s));
 }
 
+TEST_F(FailureTest, Node_CutOffFromTheControlReplicas_GetsDocumentsFromOtherNodes)
+{
+    plans[0].isControlForwarded = true;
+    start();
+    for (const ForwardedLink& link : m_deployment->controlLinks("a"))
+        ASSERT_GT(Deployment::command(link, "/cut"), 0u);
+    const std::string second = "service = \"inventory\"\nteam = \"operations\"\n[[priorities]]\nname = \"stock\"\n[[routes]]\npriority = \"stock\"\n";
+    ASSERT_TRUE(m_deployment->apply(second, 0, 5s));
+    EXPECT_TRUE(waitUntil([&] { return m_deployment->nodeStatus("a")["documents"].contains("inventory"); }, 10s));
+}
+
 } // namespace Knapweedquay::Load
