Tests: Give each run of the settings and log tests its own file

Tests of one program run at the same time in processes of their own, and wrote the same file: one failed in a run of three at once.

--- a/Tests/state/SettingsFileTest.cpp
+++ b/Tests/state/SettingsFileTest.cpp
@@ -3,7 +3,9 @@
 
 #include <gtest/gtest.h>
 
+#include <cstdio>
 #include <fstream>
+#include <unistd.h>
 
 using namespace Knapweedquay;
 
@@ -20,6 +22,8 @@
 /// A settings file in the folder for temporary files.
 class SettingsFileTest : public ::testing::Test {
 protected:
+    ~SettingsFileTest() override { std::remove(path.c_str()); }
+
     std::string write(const std::string& text)
     {
         std::ofstream(path) << text;
@@ -32,7 +36,7 @@
         return settings.has_error() ? settings.error().detail : "";
     }
 
-    const std::string path = ::testing::TempDir() + "knapweedquay-settings-test.toml";
+    const std::string path = ::testing::TempDir() + "knapweedquay-settings-test-" + std::to_string(getpid()) + ".toml";
 };
 
 TEST_F(SettingsFileTest, NodeSettings_Loaded_HaveValuesAndDefaults)
--- a/Tests/transport/LoggerTest.cpp
+++ b/Tests/transport/LoggerTest.cpp
@@ -5,6 +5,7 @@
 
 #include <cstdio>
 #include <fstream>
+#include <unistd.h>
 
 using namespace Knapweedquay;
 
@@ -13,6 +14,8 @@
 /// A log file in the folder for temporary files.
 class LoggerTest : public ::testing::Test {
 protected:
+    ~LoggerTest() override { std::remove(path.c_str()); }
+
     void start(LogLayout layout, LogLevel level)
     {
         std::remove(path.c_str());
@@ -28,7 +31,7 @@
         return lines;
     }
 
-    const std::string path = ::testing::TempDir() + "knapweedquay-logger-test.log";
+    const std::string path = ::testing::TempDir() + "knapweedquay-logger-test-" + std::to_string(getpid()) + ".log";
 };
 
 TEST_F(LoggerTest, JsonLayout_EventWithHostileField_IsOneObjectPerLine)
