Tests: Let hedges settle before a node is frozen

Once in ten runs under load the frozen node started a call after its wake: a losing hedge of a GET with a deadline of 2 s, whose cancel lay behind it in the same buffer. The calls of the test itself have all expired by then, so the check stays; the hedges are given 300 ms before the freeze.

--- a/Tests/processes/FailureTest.cpp
+++ b/Tests/processes/FailureTest.cpp
@@ -82,6 +82,8 @@
     start();
     sendMany(30, "a", "GET", "/stock", 2s);
     ASSERT_TRUE(m_caller.finish(6s));
+    // Hedges that lost may still be on their way, and their deadlines have not passed when the node wakes.
+    m_caller.run(300ms);
     m_deployment->node("b").signal(SIGSTOP);
     sendMany(40, "a", "POST", "/bookings", 500ms);
     ASSERT_TRUE(m_caller.finish(6s));
