--- a/Utilities/Scripts/measure-idle.sh
+++ b/Utilities/Scripts/measure-idle.sh
@@ -6,7 +6,7 @@
 nodes=${1:?number of nodes}
 seconds=${2:-20}
 folder=$(mktemp -d)
-port=$((20000 + $$ % 20000))
+port=$((10000 + $$ % 20000))
 links=$((port + 1))
 processes=()
 trap 'kill "${processes[@]}" 2>/dev/null || true; wait; rm -rf "$folder"' EXIT
