--- a/Tests/coordination/EndpointChooserTest.cpp
+++ b/Tests/coordination/EndpointChooserTest.cpp
@@ -152,6 +152,21 @@
     EXPECT_EQ(0, status(0).errorRate);
 }
 
+TEST_F(EndpointChooserTest, NeverAnswers_HedgesWinAgainstIt_LooksWorseButIsNotEjected)
+{
+    addEndpoints(3);
+    const auto before = status(0).predictedTime;
+    for (int call = 0; call < 40; ++call) {
+        const auto ticket = send(0);
+        m_now += 400 * millisecond;
+        m_chooser.callFinished(ticket, CallEnd::Abandoned, m_now);
+    }
+    EXPECT_GT(status(0).predictedTime, 2 * before);
+    EXPECT_FALSE(status(0).ejected);
+    // Below the bound of an ejection, so that one real failure does not cause it.
+    EXPECT_LT(status(0).errorRate, 0.4);
+}
+
 TEST_F(EndpointChooserTest, ReportedFailures_NoOwnCall_KeepAwayUntilTheyFade)
 {
     addEndpoints(2);
--- a/Tests/processes/FailureTest.cpp
+++ b/Tests/processes/FailureTest.cpp
@@ -19,6 +19,18 @@
         return static_cast<std::size_t>(std::count_if(m_caller.calls().begin(), m_caller.calls().end(), [&](const TestCallPointer& call) { return condition(*call); }));
     }
 
+    /// Nothing is left of a failure: every one of so many calls through "a" is answered.
+    void expectAllAnswered(std::size_t count)
+    {
+        const std::size_t before = m_caller.calls().size();
+        sendMany(count, "a", "POST", "/bookings", 2s);
+        ASSERT_TRUE(m_caller.finish(6s));
+        for (std::size_t index = before; index < m_caller.calls().size(); ++index) {
+            const TestCall& call = *m_caller.calls()[index];
+            EXPECT_TRUE(call.isAnsweredRightly()) << call.id << " " << call.answer.status << " " << call.answer.body;
+        }
+    }
+
     /// Sends calls through "a" until the stand-in of a node runs more of them; false when it does not within the patience.
     bool getsCallsAgain(const std::string& node, std::chrono::milliseconds patience)
     {
@@ -65,6 +77,22 @@
     EXPECT_GT(countOf(isRight), 40u);
 }
 
+TEST_F(FailureTest, Node_WokenAfterTheDeadlines_StartsNoExpiredCall)
+{
+    start();
+    sendMany(30, "a", "GET", "/stock", 2s);
+    ASSERT_TRUE(m_caller.finish(6s));
+    m_deployment->node("b").signal(SIGSTOP);
+    sendMany(40, "a", "POST", "/bookings", 500ms);
+    ASSERT_TRUE(m_caller.finish(6s));
+    EXPECT_GT(countOf([](const TestCall& call) { return call.outcome() == "unknown"; }), 0u) << "nothing was sent to the frozen node";
+    const std::uint64_t before = executedBy("b");
+    m_deployment->node("b").signal(SIGCONT);
+    m_caller.run(1s);
+    EXPECT_EQ(executedBy("b"), before);
+    expectPromisesKept();
+}
+
 TEST_F(FailureTest, BackendServer_Killed_KeepsThePromises)
 {
     start();
@@ -145,7 +173,10 @@
     ASSERT_GT(executedBy("b"), 0u);
     ASSERT_GT(Deployment::command(m_deployment->backendLink("b"), "/silence"), 0u);
     EXPECT_TRUE(getsCallsAgain("b", 10s));
-    sendMany(20, "a", "POST", "/bookings", 2s);
+    ASSERT_TRUE(m_caller.finish(6s));
+    expectAllAnswered(60);
+    // An endpoint whose calls failed may be left out for some seconds, but it comes back.
+    EXPECT_TRUE(getsCallsAgain("b", 10s));
     ASSERT_TRUE(m_caller.finish(6s));
     expectPromisesKept();
 }
@@ -158,7 +189,10 @@
     ASSERT_GT(executedBy("b"), 0u);
     ASSERT_GT(Deployment::command(m_deployment->peerLink("b"), "/silence"), 0u);
     EXPECT_TRUE(getsCallsAgain("b", 10s));
-    sendMany(20, "a", "POST", "/bookings", 2s);
+    ASSERT_TRUE(m_caller.finish(6s));
+    expectAllAnswered(60);
+    // An endpoint whose calls failed may be left out for some seconds, but it comes back.
+    EXPECT_TRUE(getsCallsAgain("b", 10s));
     ASSERT_TRUE(m_caller.finish(6s));
     expectPromisesKept();
 }
@@ -174,4 +208,15 @@
     EXPECT_TRUE(waitUntil([&] { return m_deployment->nodeStatus("a")["documents"].contains("inventory"); }, 10s));
 }
 
+TEST_F(FailureTest, Node_CutOffFromTheControlReplicas_GetsDocumentsFromOtherNodes)
+{
+    plans[0].isControlForwarded = true;
+    start();
+    for (const ForwardedLink& link : m_deployment->controlLinks("a"))
+        ASSERT_GT(Deployment::command(link, "/cut"), 0u);
+    const std::string second = "service = \"inventory\"\nteam = \"operations\"\n[[priorities]]\nname = \"stock\"\n[[routes]]\npriority = \"stock\"\n";
+    ASSERT_TRUE(m_deployment->apply(second, 0, 5s));
+    EXPECT_TRUE(waitUntil([&] { return m_deployment->nodeStatus("a")["documents"].contains("inventory"); }, 10s));
+}
+
 } // namespace Knapweedquay::Load
