--- a/Tests/processes/Caller.cpp
+++ b/Tests/processes/Caller.cpp
@@ -49,7 +49,7 @@
 
 TestCallPointer Caller::start(const std::string& node, TestCall call, std::chrono::milliseconds patience)
 {
-    const auto kept = std::make_shared<TestCall>(std::move(call));
+    auto kept = std::make_shared<TestCall>(std::move(call));
     m_calls.push_back(kept);
     m_client.send(node, kept->request, patience, [kept](ExchangeFailure failure, const HttpMessage& answer) {
         kept->isOver = true;
--- a/Utilities/Load/ChildProcess.cpp
+++ b/Utilities/Load/ChildProcess.cpp
@@ -58,6 +58,7 @@
 ChildProcess::ChildProcess(const std::vector<std::string>& command, const std::string& outputFile)
 {
     std::vector<char*> arguments;
+    arguments.reserve(command.size() + 1);
     for (const std::string& argument : command)
         arguments.push_back(const_cast<char*>(argument.c_str()));
     arguments.push_back(nullptr);
