--- a/Tests/protocol/GossipMessagesTest.cpp
+++ b/Tests/protocol/GossipMessagesTest.cpp
@@ -4,6 +4,7 @@
 #include <rapidcheck/gtest.h>
 
 #include <chrono>
+#include <functional>
 
 using namespace Knapweedquay;
 
@@ -81,6 +82,25 @@
     EXPECT_TRUE(decodeGossipMessage(bytes, now).has_value());
 }
 
+TEST(GossipMessagesTest, EachFieldOutOfBounds_Decoded_IsRefused)
+{
+    const auto isRefused = [](const std::function<void(GossipMessage&)>& spoil) {
+        GossipMessage message = messageWith(GossipRumors {});
+        spoil(message);
+        return decodeGossipMessage(encodeGossipMessage(message, now), now).has_error();
+    };
+    const std::string longName(maximumGossipNameBytes + 1, 'n');
+    EXPECT_FALSE(isRefused([](GossipMessage&) {}));
+    EXPECT_TRUE(isRefused([](GossipMessage& message) { message.records[0].health = static_cast<MemberHealth>(3); }));
+    EXPECT_TRUE(isRefused([](GossipMessage& message) { message.records[0].endpoint.lifecycle = static_cast<EndpointLifecycle>(4); }));
+    EXPECT_TRUE(isRefused([](GossipMessage& message) { message.records[0].node = NodeId(); }));
+    EXPECT_TRUE(isRefused([&](GossipMessage& message) { message.records[0].dataCentre = DataCentre(longName); }));
+    EXPECT_TRUE(isRefused([&](GossipMessage& message) { message.sender = NodeId(longName); }));
+    EXPECT_TRUE(isRefused([&](GossipMessage& message) { message.documents[0].service = ServiceName(longName); }));
+    EXPECT_TRUE(isRefused([](GossipMessage& message) { message.body = GossipSummary { { digestBuckets }, {} }; }));
+    EXPECT_TRUE(isRefused([](GossipMessage& message) { message.records.resize(20, fullRecord()); }));
+}
+
 RC_GTEST_PROP(GossipMessagesTest, DamagedMessage_Decoded_IsRefusedOrWithinBounds, ())
 {
     std::string bytes = encodeGossipMessage(messageWith(*rc::gen::elementOf(allBodies())), now);
