Transport: Break the ownership cycle between a link and its connection

The address sanitizer's run of the process tests ended a node with a leak: the connection's handlers held the link and the link held the connection, so each closed link stayed in memory.

--- a/Source/transport/Link.cpp
+++ b/Source/transport/Link.cpp
@@ -27,13 +27,25 @@
     explicit WebsocketLink(Connection connection)
         : m_connection(std::move(connection))
         , m_lastReceived(steadyNow())
+        , m_self(std::make_shared<WebsocketLink*>(this))
     {
-        const boost::intrusive_ptr<WebsocketLink> self(this);
-        m_connection->set_open_handler([self](websocketpp::connection_hdl) { self->handleOpened(); });
-        m_connection->set_message_handler([self](websocketpp::connection_hdl, typename Endpoint::message_ptr message) { self->handleReceived(message->get_payload()); });
-        m_connection->set_pong_handler([self](websocketpp::connection_hdl, const std::string&) { self->m_lastReceived = steadyNow(); });
-        m_connection->set_close_handler([self](websocketpp::connection_hdl) { self->handleClosed(); });
-        m_connection->set_fail_handler([self](websocketpp::connection_hdl) { self->handleClosed(); });
+        m_connection->set_open_handler(whileAlive([](WebsocketLink& link) { link.handleOpened(); }));
+        m_connection->set_close_handler(whileAlive([](WebsocketLink& link) { link.handleClosed(); }));
+        m_connection->set_fail_handler(whileAlive([](WebsocketLink& link) { link.handleClosed(); }));
+        m_connection->set_message_handler([weak = std::weak_ptr<WebsocketLink*>(m_self)](websocketpp::connection_hdl, typename Endpoint::message_ptr message) {
+            if (const auto link = lock(weak))
+                link->handleReceived(message->get_payload());
+        });
+        m_connection->set_pong_handler([weak = std::weak_ptr<WebsocketLink*>(m_self)](websocketpp::connection_hdl, const std::string&) {
+            if (const auto link = lock(weak))
+                link->m_lastReceived = steadyNow();
+        });
+    }
+
+    ~WebsocketLink() override
+    {
+        asio::error_code ignored;
+        m_connection->get_raw_socket().close(ignored);
     }
 
     bool send(const std::string& message) override
@@ -96,9 +108,26 @@
             m_hooks.received(payload);
     }
 
+    static boost::intrusive_ptr<WebsocketLink> lock(const std::weak_ptr<WebsocketLink*>& weak)
+    {
+        const auto self = weak.lock();
+        return boost::intrusive_ptr<WebsocketLink>(self ? *self : nullptr);
+    }
+
+    template <typename Action>
+    std::function<void(websocketpp::connection_hdl)> whileAlive(Action action)
+    {
+        return [weak = std::weak_ptr<WebsocketLink*>(m_self), action](websocketpp::connection_hdl) {
+            if (const auto link = lock(weak))
+                action(*link);
+        };
+    }
+
     Connection m_connection;
     Hooks m_hooks;
     TimePoint m_lastReceived;
+    /// The connection's handlers know the link by this, so that the two don't keep each other alive.
+    std::shared_ptr<WebsocketLink*> m_self;
     bool m_isOpen = false;
     bool m_isClosed = false;
 };
