--- a/cmake/Dependencies.cmake
+++ b/cmake/Dependencies.cmake
@@ -14,7 +14,9 @@
 # RESTinio and websocketpp on standalone Asio. Their headers are system headers, so that the
 # warnings of this project apply to its own code only.
 add_library(knapweedquayNetworkLibraries INTERFACE)
+# Whether Asio sees std::aligned_alloc depends on what a file includes before it. Without the definition below files
+# disagree on how its memory is freed (found by the address sanitizer).
 target_compile_definitions(knapweedquayNetworkLibraries INTERFACE
-  ASIO_STANDALONE _WEBSOCKETPP_CPP11_STL_ RESTINIO_USE_EXTERNAL_HTTP_PARSER)
+  ASIO_STANDALONE ASIO_DISABLE_STD_ALIGNED_ALLOC _WEBSOCKETPP_CPP11_STL_ RESTINIO_USE_EXTERNAL_HTTP_PARSER)
 target_link_libraries(knapweedquayNetworkLibraries INTERFACE
   fmt::fmt ${HTTP_PARSER_LIBRARY} CURL::libcurl Threads::Threads)
