Control, Node: Ask for a credential to remove a replica, and wait for a claim no longer than the deadline

DELETE /v1/replicas/ID was open to anybody. A claim was waited for 1 s even when the call had less time.

--- a/Source/control/OperatorInterface.cpp
+++ b/Source/control/OperatorInterface.cpp
@@ -20,6 +20,8 @@
 constexpr std::string_view documentsPath = "/v1/documents";
 constexpr std::string_view historyPath = "/v1/history/";
 constexpr std::string_view replicasPath = "/v1/replicas/";
+// The team that may change the members of the store.
+constexpr const char* operationsTeam = "operations";
 constexpr std::size_t maximumHistoryEntries = 1000;
 
 constexpr const char* expectedVersionHeader = "Knapweedquay-Expected-Version";
@@ -104,7 +106,7 @@
     if (request.method == "PUT" && isBelow(documentPrefix))
         return putDocument(exchange, rest(documentPrefix));
     if (request.method == "DELETE" && isBelow(replicasPath))
-        return exchange->respond(removeReplica(rest(replicasPath)));
+        return exchange->respond(removeReplica(request, rest(replicasPath)));
     if (request.method == "GET" && path == documentsPath)
         return exchange->respond(listDocuments());
     if (request.method == "GET" && isBelow(documentPrefix))
@@ -221,8 +223,10 @@
     return jsonResponse(list);
 }
 
-HttpResponse OperatorInterface::removeReplica(const std::string& id)
+HttpResponse OperatorInterface::removeReplica(const HttpRequest& request, const std::string& id)
 {
+    if (authenticatedTeam(request.headers) != operationsTeam)
+        return refusal({ ResultCode::NotAuthorized, std::string("needs the credential of the team '") + operationsTeam + "'" });
     const auto number = parseNumber(id);
     if (!number)
         return refusal({ ResultCode::UnknownReplica, "a replica is named by its number" });
--- a/Source/control/OperatorInterface.h
+++ b/Source/control/OperatorInterface.h
@@ -25,7 +25,7 @@
     HttpResponse history(const std::string& service) const;
     HttpResponse status() const;
     HttpResponse nodes() const;
-    HttpResponse removeReplica(const std::string& id);
+    HttpResponse removeReplica(const HttpRequest&, const std::string& id);
     std::string authenticatedTeam(const HttpHeaders&) const;
 
     ControlService& m_service;
--- a/Source/node/CallGateway.cpp
+++ b/Source/node/CallGateway.cpp
@@ -13,6 +13,7 @@
 constexpr std::size_t maximumSessions = 20000;
 constexpr Duration overloadRetryAfter { 1000000 };
 constexpr Duration expiryInterval { 1000000 };
+constexpr Duration claimTimeout { 1000000 };
 /// A probe and the largest answer that it may have, with the headers of the link.
 constexpr std::size_t largestProbeBytes = 512;
 constexpr std::size_t maximumSentProbes = 1000;
@@ -182,7 +183,9 @@
 {
     for (const KeyAction& action : actions) {
         if (const auto* request = std::get_if<RequestClaim>(&action)) {
-            m_claims.request(*request);
+            const auto session = m_keyed.find(request->owner);
+            const Duration left = session == m_keyed.end() ? Duration::zero() : session->second->deadline - steadyNow();
+            m_claims.request(*request, std::min(left, claimTimeout));
             continue;
         }
         if (const auto* release = std::get_if<ReleaseClaim>(&action)) {
--- a/Source/node/CallGateway.h
+++ b/Source/node/CallGateway.h
@@ -31,7 +31,7 @@
 public:
     /// Asks the control store for an idempotency key; the answer comes by claimAnswered().
     struct ClaimHooks {
-        std::function<void(const RequestClaim&)> request;
+        std::function<void(const RequestClaim&, Duration timeout)> request;
         std::function<void(const ReleaseClaim&)> release;
         /// The call of the owner was answered, so that its key is told to have run from now on.
         std::function<void(const ClaimOwner&, const ServiceName&, const IdempotencyKey&)> complete;
--- a/Source/node/NodeDaemon.cpp
+++ b/Source/node/NodeDaemon.cpp
@@ -18,7 +18,6 @@
 
 constexpr Duration idleCheckInterval { 20000 };
 constexpr Duration maximumStopTime { 30000000 };
-constexpr Duration claimTimeout { 1000000 };
 
 /// Milliseconds since 1970: greater at each start of a node, even one without a disk.
 Incarnation newIncarnation()
@@ -62,9 +61,9 @@
 CallGateway::ClaimHooks NodeDaemon::claimHooks()
 {
     CallGateway::ClaimHooks hooks;
-    hooks.request = [this](const RequestClaim& claim) {
-        asio::post(m_controlContext, [this, claim] {
-            m_control->subscription().requestClaim({ claim.owner, claim.request.service, claim.request.key, claim.request.fingerprint.value() }, claimTimeout);
+    hooks.request = [this](const RequestClaim& claim, Duration timeout) {
+        asio::post(m_controlContext, [this, claim, timeout] {
+            m_control->subscription().requestClaim({ claim.owner, claim.request.service, claim.request.key, claim.request.fingerprint.value() }, timeout);
         });
     };
     hooks.release = [this](const ReleaseClaim& claim) {
