Transport: Send no request whose deadline passed while it connected

The test of a frozen node's wake failed once in eight runs: one call more than before the freeze. Ruled out: hedges (300 ms of rest did not mend it) and the buffer between nodes (the excess delay is taken off). What was left is a request that was already being started: curl was still connecting when the process was stopped, and sent it on waking before its own timeout was looked at. The hook before each sending now looks at the deadline; nothing was sent then, so the attempt is refused as certainly not run.

--- a/Source/node/EndpointRunner.cpp
+++ b/Source/node/EndpointRunner.cpp
@@ -279,8 +279,9 @@
         finish(job, BackendOutcome::Failed);
         perform(m_fates.loseOutcome(attempt, outcome.failure.error.code, now));
     } else {
-        finish(job, BackendOutcome::Failed);
-        perform(m_fates.refuse(attempt, { ResultCode::PeerUnreachable, drainRetryAfter }, now));
+        const bool isExpired = outcome.failure.error.code == ResultCode::TimedOut;
+        finish(job, isExpired ? BackendOutcome::Abandoned : BackendOutcome::Failed);
+        perform(m_fates.refuse(attempt, { isExpired ? ResultCode::DeadlineExpired : ResultCode::PeerUnreachable, drainRetryAfter }, now));
     }
     startDueJobs();
 }
--- a/Source/transport/HttpClient.cpp
+++ b/Source/transport/HttpClient.cpp
@@ -58,7 +58,9 @@
     std::string body;
     std::size_t maximumBodyBytes = 0;
     HttpResponse response;
+    TimePoint deadline;
     bool wasStarted = false;
+    bool isExpired = false;
     bool isTooLarge = false;
     HttpClient::Hook hook;
 };
@@ -94,10 +96,13 @@
 }
 
 // Called before each sending of the request. A second call is curl's own repetition after a pooled connection
-// broke; the first sending may have run.
+// broke; the first sending may have run. A process that was frozen while it connected finds its request expired here.
 int onBeforeRequest(void* context, char*, char*, int, int)
 {
     auto& transfer = *static_cast<Transfer*>(context);
+    transfer.isExpired = !transfer.wasStarted && steadyNow() >= transfer.deadline;
+    if (transfer.isExpired)
+        return CURL_PREREQFUNC_ABORT;
     return std::exchange(transfer.wasStarted, true) ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
 }
 
@@ -114,7 +119,7 @@
     }
     outcome.failure.mayHaveRun = transfer.wasStarted;
     outcome.failure.error = { ResultCode::ConnectionFailed, curl_easy_strerror(code) };
-    if (code == CURLE_OPERATION_TIMEDOUT)
+    if (code == CURLE_OPERATION_TIMEDOUT || transfer.isExpired)
         outcome.failure.error.code = ResultCode::TimedOut;
     if (code == CURLE_PARTIAL_FILE || transfer.isTooLarge)
         outcome.failure.error.code = ResultCode::AnswerIncomplete;
@@ -156,6 +161,7 @@
         transfer->url = "http://" + server + request.target;
         transfer->body = request.body;
         transfer->maximumBodyBytes = options.maximumBodyBytes;
+        transfer->deadline = steadyNow() + options.timeout;
         transfer->hook = std::move(hook);
         prepare(*transfer, request, options);
         CURL* handle = transfer->handle;
