--- a/Source/transport/GuardedSocket.h
+++ b/Source/transport/GuardedSocket.h
@@ -62,7 +62,7 @@
 
     explicit GuardedSocket(asio::io_context&);
     /// The source stays usable, as a moved-from Asio socket does: RESTinio accepts its next connection on it.
-    GuardedSocket(GuardedSocket&& other)
+    GuardedSocket(GuardedSocket&& other) noexcept
         : m_state(std::exchange(other.m_state, std::make_shared<State>(other.m_state->context)))
     {
     }
