--- /dev/null
+++ b/Tests/fuzz/ControlMessagesFuzz.cpp
@@ -0,0 +1,15 @@
+#include "protocol/ControlMessages.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+/// Entry point of libFuzzer: messages between nodes and control replicas; what is read must be written and read again.
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
+{
+    const std::string_view bytes(reinterpret_cast<const char*>(data), size);
+    const auto message = Knapweedquay::decodeControlMessage(bytes);
+    if (message.has_value() && Knapweedquay::decodeControlMessage(Knapweedquay::encode(message.value())).has_error())
+        __builtin_trap();
+    return 0;
+}
--- /dev/null
+++ b/Tests/fuzz/PeerMessagesFuzz.cpp
@@ -0,0 +1,16 @@
+#include "protocol/PeerMessages.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+/// Entry point of libFuzzer: messages between nodes, and answers; what is read must be written and read again.
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
+{
+    const std::string_view bytes(reinterpret_cast<const char*>(data), size);
+    const auto message = Knapweedquay::decodePeerMessage(bytes);
+    if (message.has_value() && Knapweedquay::decodePeerMessage(Knapweedquay::encode(message.value())).has_error())
+        __builtin_trap();
+    static_cast<void>(Knapweedquay::decodeResponse(bytes));
+    return 0;
+}
