--- a/Source/protocol/ControlMessages.cpp
+++ b/Source/protocol/ControlMessages.cpp
@@ -101,35 +101,43 @@
     message.inForce = readVersions(reader);
 }
 
-void appendFields(Json& fields, const ClaimRequestMessage& message)
+template <typename Message>
+void appendClaimKey(Json& fields, const Message& message)
 {
     append(fields, message.owner);
     fields.push_back(message.service.value());
     fields.push_back(cborBytes(message.key.value()));
-    fields.push_back(message.fingerprint);
 }
 
-void readFields(FieldReader& reader, ClaimRequestMessage& message)
+template <typename Message>
+void readClaimKey(FieldReader& reader, Message& message)
 {
     message.owner = readAttempt(reader);
     message.service = ServiceName(reader.text());
     message.key = IdempotencyKey(reader.bytes());
+}
+
+void appendFields(Json& fields, const ClaimRequestMessage& message)
+{
+    appendClaimKey(fields, message);
+    fields.push_back(message.fingerprint);
+}
+
+void readFields(FieldReader& reader, ClaimRequestMessage& message)
+{
+    readClaimKey(reader, message);
     message.fingerprint = reader.unsignedInteger();
 }
 
 void appendFields(Json& fields, const ClaimEndMessage& message)
 {
-    append(fields, message.owner);
-    fields.push_back(message.service.value());
-    fields.push_back(cborBytes(message.key.value()));
+    appendClaimKey(fields, message);
     fields.push_back(message.hasRun);
 }
 
 void readFields(FieldReader& reader, ClaimEndMessage& message)
 {
-    message.owner = readAttempt(reader);
-    message.service = ServiceName(reader.text());
-    message.key = IdempotencyKey(reader.bytes());
+    readClaimKey(reader, message);
     message.hasRun = reader.boolean();
 }
 
--- a/Source/state/ControlState.cpp
+++ b/Source/state/ControlState.cpp
@@ -2,6 +2,7 @@
 
 #include "protocol/Cbor.h"
 #include "protocol/LogEntry.h"
+#include "protocol/MessageFields.h"
 #include "protocol/ReplicaMessages.h"
 
 namespace Knapweedquay {
@@ -18,22 +19,6 @@
 
 constexpr std::uint64_t snapshotFormat = 1;
 
-void pushAttempt(Json& fields, const AttemptId& attempt)
-{
-    fields.push_back(attempt.node.value());
-    fields.push_back(attempt.incarnation.value());
-    fields.push_back(attempt.sequence);
-}
-
-AttemptId readAttempt(FieldReader& reader)
-{
-    AttemptId attempt;
-    attempt.node = NodeId(reader.text());
-    attempt.incarnation = Incarnation(reader.unsignedInteger());
-    attempt.sequence = reader.unsignedInteger();
-    return attempt;
-}
-
 Json encode(const DocumentEdit& edit)
 {
     return Json::array({ static_cast<std::uint64_t>(Kind::DocumentEdit), edit.service.value(), edit.expected.value(), edit.change.value(),
@@ -43,7 +28,7 @@
 Json encode(const ClaimRequest& request)
 {
     Json fields = Json::array({ static_cast<std::uint64_t>(Kind::ClaimRequest), request.key.service.value(), request.key.key.value(), request.fingerprint });
-    pushAttempt(fields, request.attempt);
+    append(fields, request.attempt);
     fields.push_back(request.node.value());
     fields.push_back(request.expiry.value());
     fields.push_back(request.time.value());
@@ -53,7 +38,7 @@
 Json encode(const ClaimUpdate& update)
 {
     Json fields = Json::array({ static_cast<std::uint64_t>(Kind::ClaimUpdate), update.key.service.value(), update.key.key.value() });
-    pushAttempt(fields, update.attempt);
+    append(fields, update.attempt);
     fields.push_back(update.node.value());
     fields.push_back(static_cast<std::uint64_t>(update.change));
     fields.push_back(update.time.value());
