--- a/Utilities/Load/MeasureMain.cpp
+++ b/Utilities/Load/MeasureMain.cpp
@@ -68,11 +68,11 @@
     std::string m_path;
 };
 
-constexpr const char* rowFormat = "{:<15} {:<20} {:<10} {:>7} {:>8} {:>8} {:>8} {:>7} {:>7} {:>7} {:>7} {:>6} {:>6} {:>6} {:>7} {:>7} {:>8} {:>8}\n";
+constexpr const char* rowFormat = "{:<15} {:<20} {:<10} {:>7} {:>8} {:>8} {:>8} {:>7} {:>7} {:>7} {:>7} {:>6} {:>6} {:>6} {:>7} {:>7} {:>8} {:>8} {:>8}\n";
 
 void printHeading()
 {
-    std::cout << fmt::format(rowFormat, "case", "policy", "priority", "sent", "p50 ms", "p99 ms", "p99.9 ms", "in time", "kept", "not run", "unknown", "double", "false", "wrong", "prb/cl", "B/s", "cpu us/c", "spread");
+    std::cout << fmt::format(rowFormat, "case", "policy", "priority", "sent", "p50 ms", "p99 ms", "p99.9 ms", "in time", "kept", "not run", "unknown", "double", "false", "wrong", "prb/cl", "B/s", "meas us", "cpu us/c", "spread");
 }
 
 std::string optionalNumber(const std::optional<double>& value, double divisor, int digits)
@@ -90,7 +90,7 @@
         const auto quantile = [&row](double share) { return fmt::format("{:.1f}", row.latency.quantile(share)); };
         std::cout << fmt::format(rowFormat, result.caseName, result.policy, row.calls.name, row.sent, quantile(0.5), quantile(0.99), quantile(0.999),
             fmt::format("{:.1f}%", percent * row.withinTargetShare()), fmt::format("{:.1f}%", percent * kept), row.notRun, row.unknown + row.errors + row.failed,
-            row.doubleRuns, row.falseNotRun, row.wrong, optionalNumber(result.probes, sent, 3), optionalNumber(result.measuringBytes, seconds, 0),
+            row.doubleRuns, row.falseNotRun, row.wrong, optionalNumber(result.probes, sent, 3), optionalNumber(result.measuringBytes, seconds, 0), optionalNumber(result.measuringSeconds, sent / microseconds, 1),
             fmt::format("{:.0f}", result.nodeSeconds * microseconds / sent), result.spread());
     }
     std::cout << std::flush;
