Node, Control: Read numbers in one place and drop what nothing used

Found on the last read: parseNumber stood twice, a counter of replica switches and a connection number were never read, and a one-line wrapper built a key.

--- a/Source/control/ControlDaemon.cpp
+++ b/Source/control/ControlDaemon.cpp
@@ -29,11 +29,6 @@
     return std::uniform_int_distribution<std::uint64_t>(1)(device);
 }
 
-ClaimKey keyOf(const ServiceName& service, const IdempotencyKey& key)
-{
-    return { service, key };
-}
-
 HttpServer::Settings httpSettings(const ControlSettings& settings)
 {
     constexpr std::size_t maximumBodyBytes = 256 * 1024;
@@ -203,7 +198,7 @@
         return forwardToLeader(message);
     }
     ClaimRequest request;
-    request.key = keyOf(message.service, message.key);
+    request.key = { message.service, message.key };
     request.fingerprint = message.fingerprint;
     request.attempt = message.owner;
     request.node = message.owner.node;
@@ -223,7 +218,7 @@
     if (!m_service->isLeading())
         return forwardToLeader(message);
     ClaimUpdate update;
-    update.key = keyOf(message.service, message.key);
+    update.key = { message.service, message.key };
     update.attempt = message.owner;
     update.node = message.owner.node;
     update.change = message.hasRun ? ClaimChange::Complete : ClaimChange::Release;
--- a/Source/control/OperatorInterface.cpp
+++ b/Source/control/OperatorInterface.cpp
@@ -7,7 +7,6 @@
 
 #include <nlohmann/json.hpp>
 
-#include <charconv>
 #include <optional>
 #include <string_view>
 
@@ -38,15 +37,6 @@
     return problemResponse(error, CallOutcomeKind::NotRun);
 }
 
-std::optional<std::uint64_t> parseNumber(std::string_view text)
-{
-    std::uint64_t number = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
-    if (error != std::errc() || end != text.data() + text.size())
-        return std::nullopt;
-    return number;
-}
-
 // Compares in a time that does not depend on where the first difference is.
 bool equalSecrets(std::string_view a, std::string_view b)
 {
--- a/Source/node/CallRequestParser.cpp
+++ b/Source/node/CallRequestParser.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <string_view>
 
 namespace Knapweedquay {
@@ -30,15 +29,6 @@
     return std::any_of(ownHeaders.begin(), ownHeaders.end(), [name](const char* own) { return equalHeaderNames(name, own); });
 }
 
-std::optional<std::uint64_t> parseNumber(std::string_view text)
-{
-    std::uint64_t number = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
-    if (error != std::errc() || end != text.data() + text.size() || text.empty())
-        return std::nullopt;
-    return number;
-}
-
 bool isValidKey(std::string_view key)
 {
     constexpr char firstPrintable = 0x21;
--- a/Source/node/ControlSubscription.cpp
+++ b/Source/node/ControlSubscription.cpp
@@ -54,7 +54,6 @@
 
 void ControlSubscription::leave()
 {
-    ++m_switchCount;
     if (m_link)
         LinkPtr(m_link)->abort();
     m_link.reset();
--- a/Source/node/ControlSubscription.h
+++ b/Source/node/ControlSubscription.h
@@ -42,7 +42,6 @@
     /// Time since the documents were last proved recent; the largest value when never.
     Duration staleness(TimePoint now) const;
     std::string currentReplica() const { return m_link ? m_replicas[m_current] : std::string(); }
-    std::size_t switchCount() const { return m_switchCount; }
 
 private:
     struct PendingClaim {
@@ -73,7 +72,6 @@
     LinkClient m_client;
     LinkPtr m_link;
     std::size_t m_current = 0;
-    std::size_t m_switchCount = 0;
     TimePoint m_connectedAt;
     TimePoint m_provedAt;
     TimePoint m_askedAt;
--- a/Source/protocol/HttpMessage.cpp
+++ b/Source/protocol/HttpMessage.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
+#include <system_error>
 
 namespace Knapweedquay {
 
@@ -41,6 +43,15 @@
     return header == headers.end() ? nullptr : &header->value;
 }
 
+std::optional<std::uint64_t> parseNumber(std::string_view text)
+{
+    std::uint64_t number = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (error != std::errc() || end != text.data() + text.size())
+        return std::nullopt;
+    return number;
+}
+
 bool isHopByHopHeader(std::string_view name)
 {
     return std::any_of(hopByHopHeaders.begin(), hopByHopHeaders.end(), [name](const char* hopByHop) { return equalHeaderNames(name, hopByHop); });
--- a/Source/protocol/HttpMessage.h
+++ b/Source/protocol/HttpMessage.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -35,6 +36,9 @@
 /// Value of the first header of that name; nullptr when there is none.
 const std::string* findHeader(const HttpHeaders&, std::string_view name);
 
+/// Whole decimal number that fills the text; nothing for any other text, the empty one included.
+std::optional<std::uint64_t> parseNumber(std::string_view);
+
 /// Headers that speak of one connection and must not be passed on (RFC 9110, 7.6.1), and those that a sender sets itself.
 bool isHopByHopHeader(std::string_view name);
 
--- a/Source/transport/HttpServer.cpp
+++ b/Source/transport/HttpServer.cpp
@@ -96,8 +96,6 @@
             std::exchange(m_disconnectHook, nullptr)();
     }
 
-    std::uint64_t connection() const { return m_handle ? m_handle->connection_id() : 0; }
-
 private:
     static std::string reasonOf(std::uint16_t status)
     {
