Node: Place calls by the speed that backend servers tell

The node beside a backend server now reads the load header of each response and asks for it every 40 ms while none comes. A change of speed or of a load near the limit goes at once to the nodes that sent calls lately. Service times are kept at the usual speed, by the work that was done in the meantime.

The concurrency limit is the announced number of slots where the load is told, less those that cost more than they bring (KneeEstimate).

--- a/Source/coordination/admission/AdmissionQueue.cpp
+++ b/Source/coordination/admission/AdmissionQueue.cpp
@@ -45,6 +45,7 @@
 
 AdmissionDecision AdmissionQueue::offer(CallTicket ticket, PriorityIndex priority, TimePoint deadline, TimePoint now)
 {
+    m_now = now;
     if (m_calls.count(ticket))
         return refusal(ResultCode::AlreadyRunning, Duration(0));
     if (m_draining)
@@ -56,7 +57,7 @@
     const auto& lane = m_lanes[index];
     const auto wait = estimatedWait(priority, now);
     // An idle backend server takes any call, so that an estimate that went wrong is put right.
-    if (m_running && now + wait + lane.serviceTime.lowerQuartile() > deadline)
+    if (m_running && now + wait + atPresentSpeed(lane.serviceTime.lowerQuartile()) > deadline)
         return refusal(ResultCode::DeadlineCannotBeMet, wait);
     const bool startsNow = hasFreeSlot() && !hasQueued();
     if (!startsNow && (wait > allowedWait(lane, now) || lane.queue.size() >= maximumQueuedPerPriority))
@@ -71,7 +72,7 @@
         return { AdmissionKind::Started, ResultCode::Ok, Duration(0) };
     }
     // Given up while there is still time to tell the caller, and to try elsewhere.
-    const auto latestStart = deadline - lane.serviceTime.lowerQuartile();
+    const auto latestStart = deadline - atPresentSpeed(lane.serviceTime.lowerQuartile());
     const auto queueEnd = now + lane.maximumQueueTime;
     call.expiry = std::min(latestStart, queueEnd);
     call.expiryCode = latestStart < queueEnd ? ResultCode::DeadlineCannotBeMet : ResultCode::Overloaded;
@@ -86,12 +87,13 @@
         return;
     const auto& call = found->second;
     auto& lane = m_lanes[call.priority];
-    const auto latency = now - call.startedAt;
+    // Compared at the usual speed, so that a slow machine is not taken for slow work.
+    const Duration latency(static_cast<Duration::rep>(workDone(now) - call.workAtStart));
     switch (outcome) {
     case BackendOutcome::Succeeded:
         lane.serviceTime.observe(latency);
         m_serviceTime.observe(latency);
-        m_limit.observe(PriorityIndex(static_cast<std::uint32_t>(call.priority)), latency, call.runningAtStart);
+        m_limit.observe(PriorityIndex(static_cast<std::uint32_t>(call.priority)), latency, call.runningAtStart, now);
         ++m_completedCalls;
         countOutcome(false);
         break;
@@ -103,7 +105,7 @@
         m_serviceTime.observeFailure(latency);
         break;
     case BackendOutcome::Shed:
-        m_limit.observeShed();
+        m_limit.observeShed(m_running);
         break;
     }
     --m_running;
@@ -124,6 +126,7 @@
 
 StartableCalls AdmissionQueue::takeStartable(TimePoint now)
 {
+    m_now = now;
     StartableCalls calls;
     // First: after a freeze of the process many calls may be past their deadline.
     giveUpExpired(now, calls.givenUp);
@@ -170,12 +173,32 @@
     m_limit.setSlots(m_announcedSlots.value_or(m_defaultSlots));
 }
 
+void AdmissionQueue::setSlowdown(std::uint32_t percent, TimePoint now)
+{
+    m_now = now;
+    m_limit.setTellsLoad(true);
+    m_workDone = workDone(now);
+    m_workDoneAt = now;
+    m_slowdownPercent = std::max(percent, 1U);
+}
+
+Duration AdmissionQueue::atPresentSpeed(Duration usual) const
+{
+    return usual * static_cast<Duration::rep>(m_slowdownPercent) / static_cast<Duration::rep>(usualPercent);
+}
+
+double AdmissionQueue::workDone(TimePoint now) const
+{
+    return m_workDone + static_cast<double>((now - m_workDoneAt).count()) * usualPercent / m_slowdownPercent;
+}
+
 void AdmissionQueue::setBackend(std::optional<std::uint32_t> slots)
 {
     m_announcedSlots = slots;
     m_limit = ConcurrencyLimit(slots.value_or(m_defaultSlots));
     m_completedCalls = 0;
     m_failureRate = 0;
+    m_slowdownPercent = usualPercent;
 }
 
 void AdmissionQueue::drain(TimePoint now)
@@ -195,13 +218,14 @@
 {
     LoadReport report;
     report.running = m_running;
-    report.concurrencyLimit = m_limit.value();
+    report.concurrencyLimit = m_limit.value(m_now);
     report.queued.reserve(m_lanes.size());
     for (const auto& lane : m_lanes)
         report.queued.push_back(static_cast<std::uint32_t>(lane.queue.size()));
     report.serviceTime = m_serviceTime.mean();
     report.completedCalls = m_completedCalls;
     report.failuresPerThousand = static_cast<std::uint32_t>(perThousand * m_failureRate);
+    report.slowdownPercent = m_slowdownPercent;
     report.draining = m_draining;
     return report;
 }
@@ -223,10 +247,10 @@
             freeShare -= otherLane.minimumShare;
     }
     const double ownWork = cost(lane) * static_cast<double>(lane.queue.size() + 1);
-    const double limit = m_limit.value();
+    const double limit = m_limit.value(m_now);
     const double waitByUrgency = (urgentWork + ownWork) / (limit * std::max(freeShare, smallestShare));
     const double waitByShare = ownWork / (limit * std::max(lane.minimumShare, smallestShare));
-    return Duration(static_cast<Duration::rep>(std::min(waitByUrgency, waitByShare)));
+    return atPresentSpeed(Duration(static_cast<Duration::rep>(std::min(waitByUrgency, waitByShare))));
 }
 
 std::size_t AdmissionQueue::laneIndex(PriorityIndex priority) const
@@ -245,7 +269,7 @@
 
 Duration AdmissionQueue::allowedWait(const Lane& lane, TimePoint now) const
 {
-    const auto serviceTail = lane.serviceTime.mean() * serviceTailFactor;
+    const auto serviceTail = atPresentSpeed(lane.serviceTime.mean()) * serviceTailFactor;
     const auto burstTime = std::max(standingQueueTime, serviceTail);
     if (lane.queue.empty() || now - lane.backlogSince <= burstTime)
         return lane.maximumQueueTime;
@@ -256,7 +280,7 @@
 double AdmissionQueue::recentShare(const Lane& lane, TimePoint now) const
 {
     const auto age = static_cast<double>((now - lane.recentWorkAt).count());
-    return lane.recentWork * std::exp(-age / recentMicroseconds) / (recentMicroseconds * m_limit.value());
+    return lane.recentWork * std::exp(-age / recentMicroseconds) / (recentMicroseconds * m_limit.value(m_now));
 }
 
 std::size_t AdmissionQueue::nextLane() const
@@ -293,6 +317,7 @@
 {
     ++m_running;
     call.startedAt = now;
+    call.workAtStart = workDone(now);
     call.runningAtStart = m_running;
     chargeStart(call.priority, now);
 }
--- a/Source/coordination/admission/AdmissionQueue.h
+++ b/Source/coordination/admission/AdmissionQueue.h
@@ -92,6 +92,9 @@
     void setDocument(const ServiceDocument&);
     /// A backend server announced itself: its completed calls count from zero.
     void setBackend(std::optional<std::uint32_t> slots);
+    /// How long work takes at the backend server now, in percent of the usual. Times are kept as they would be at 100.
+    void setSlowdown(std::uint32_t percent, TimePoint now);
+    std::uint32_t slowdownPercent() const { return m_slowdownPercent; }
     /// Refuses new calls. Those that wait keep a short time to start, those that run go on.
     void drain(TimePoint now);
     /// Takes new calls again.
@@ -104,6 +107,8 @@
     Duration estimatedWait(PriorityIndex, TimePoint now) const;
 
 private:
+    static constexpr std::uint32_t usualPercent = 100;
+
     struct Call {
         CallTicket ticket;
         std::size_t priority = 0;
@@ -113,6 +118,8 @@
         ResultCode expiryCode = ResultCode::Ok;
         TimePoint startedAt;
         std::uint32_t runningAtStart = 0;
+        /// Work that the backend server had done by then; see workDone().
+        double workAtStart = 0;
         boost::intrusive::list_member_hook<> queueHook;
         boost::intrusive::set_member_hook<> expiryHook;
     };
@@ -144,7 +151,11 @@
     Duration allowedWait(const Lane&, TimePoint now) const;
     double recentShare(const Lane&, TimePoint now) const;
     bool hasQueued() const { return !m_expiryOrder.empty(); }
-    bool hasFreeSlot() const { return m_running < m_limit.value(); }
+    /// A time at the usual speed, as it is now.
+    Duration atPresentSpeed(Duration usual) const;
+    /// Microseconds of work that one call would have got since the queue was made, at the speeds that there were.
+    double workDone(TimePoint now) const;
+    bool hasFreeSlot() const { return m_running < m_limit.value(m_now); }
     std::size_t nextLane() const;
     void enqueue(Call&, TimePoint now);
     void dequeue(Call&);
@@ -164,6 +175,11 @@
     std::uint32_t m_running = 0;
     std::uint64_t m_completedCalls = 0;
     double m_failureRate = 0;
+    /// Time of the latest call that named one.
+    TimePoint m_now;
+    std::uint32_t m_slowdownPercent = usualPercent;
+    double m_workDone = 0;
+    TimePoint m_workDoneAt;
     bool m_draining = false;
 };
 
--- a/Source/coordination/admission/ConcurrencyLimit.cpp
+++ b/Source/coordination/admission/ConcurrencyLimit.cpp
@@ -11,6 +11,8 @@
 /// Largest decrease of the limit in one window.
 constexpr double smallestDecrease = 0.5;
 constexpr double shedDecrease = 0.8;
+/// Share of the slots in use from which on a refusal by the backend server tells of its load.
+constexpr double shedLoadShare = 0.5;
 /// Samples in one window of the limit; a lower limit has a shorter window.
 constexpr std::uint32_t samplesPerSlot = 6;
 constexpr std::uint32_t minimumSamples = 16;
@@ -29,19 +31,24 @@
 {
 }
 
-std::uint32_t ConcurrencyLimit::value() const
+std::uint32_t ConcurrencyLimit::value(TimePoint now) const
+{
+    return m_tellsLoad ? m_knee.limit(m_slots, now) : adaptedValue();
+}
+
+std::uint32_t ConcurrencyLimit::adaptedValue() const
 {
     return static_cast<std::uint32_t>(m_limit);
 }
 
 void ConcurrencyLimit::setSlots(std::uint32_t slots)
 {
-    const bool wasAtTop = value() == m_slots;
+    const bool wasAtTop = adaptedValue() == m_slots;
     m_slots = std::max(slots, 1U);
     setLimit(wasAtTop ? m_slots : m_limit);
 }
 
-void ConcurrencyLimit::observe(PriorityIndex priority, Duration latency, std::uint32_t runningAtStart)
+void ConcurrencyLimit::observe(PriorityIndex priority, Duration latency, std::uint32_t runningAtStart, TimePoint now)
 {
     if (priority.value() >= m_baselines.size())
         m_baselines.resize(priority.value() + 1);
@@ -50,14 +57,18 @@
     const bool isLowLoad = runningAtStart <= std::max(1.0, lowLoadShare * m_slots);
     updateBaseline(baseline, sample, isLowLoad);
 
+    m_knee.observe(sample / baseline.microseconds, runningAtStart, m_slots, now);
     m_inflationSum += sample / baseline.microseconds;
     m_peakRunning = std::max(m_peakRunning, runningAtStart);
-    if (++m_samples >= std::max(minimumSamples, samplesPerSlot * value()))
+    if (++m_samples >= std::max(minimumSamples, samplesPerSlot * adaptedValue()))
         closeWindow();
 }
 
-void ConcurrencyLimit::observeShed()
+void ConcurrencyLimit::observeShed(std::uint32_t running)
 {
+    // A refusal with slots to spare is a fault, not a sign of load.
+    if (running < shedLoadShare * m_slots)
+        return;
     // One decrease a window: the calls shed together are one sign, not many.
     if (m_shedInWindow)
         return;
@@ -90,7 +101,7 @@
 {
     const double inflation = m_inflationSum / m_samples;
     // A limit that was not reached says nothing about a higher one.
-    const bool isUsed = m_peakRunning >= value();
+    const bool isUsed = m_peakRunning >= adaptedValue();
     if (inflation > inflationTolerance)
         setLimit(m_limit * std::max(smallestDecrease, inflationTolerance / inflation));
     else if (isUsed && !m_shedInWindow)
--- a/Source/coordination/admission/ConcurrencyLimit.h
+++ b/Source/coordination/admission/ConcurrencyLimit.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/admission/KneeEstimate.h"
 #include "protocol/Ids.h"
 #include "protocol/Time.h"
 
@@ -19,15 +20,19 @@
 public:
     explicit ConcurrencyLimit(std::uint32_t slots);
 
-    std::uint32_t value() const;
+    std::uint32_t value(TimePoint now) const;
     std::uint32_t slots() const { return m_slots; }
     /// Slots as announced now. A higher number is reached step by step, a lower one applies at once.
     void setSlots(std::uint32_t);
 
+    /// The backend server tells its load, so that its slots are taken as they are, but for those that are not worth it.
+    /// A latency that grows has other reasons then: a slow machine, or the calls that its calls make.
+    void setTellsLoad(bool tells) { m_tellsLoad = tells; }
+
     /// Takes in a call that succeeded; runningAtStart counts the calls that ran when it started, itself included.
-    void observe(PriorityIndex, Duration latency, std::uint32_t runningAtStart);
+    void observe(PriorityIndex, Duration latency, std::uint32_t runningAtStart, TimePoint now);
     /// Takes in a call that the backend server refused because of its own load (503).
-    void observeShed();
+    void observeShed(std::uint32_t running);
 
 private:
     struct Baseline {
@@ -38,6 +43,7 @@
     };
 
     void updateBaseline(Baseline&, double latency, bool isLowLoad);
+    std::uint32_t adaptedValue() const;
     void closeWindow();
     void setLimit(double);
 
@@ -48,6 +54,8 @@
     std::uint32_t m_samples = 0;
     std::uint32_t m_peakRunning = 0;
     bool m_shedInWindow = false;
+    bool m_tellsLoad = false;
+    KneeEstimate m_knee;
 };
 
 } // namespace Knapweedquay
--- a/Source/coordination/placing/EndpointChooser.cpp
+++ b/Source/coordination/placing/EndpointChooser.cpp
@@ -252,7 +252,7 @@
         if (!isLast && share(random) >= record.rampFactor(m_document, now))
             continue;
         ++compared;
-        const auto time = record.predictedTime(priority, fleetView(record), m_document, now);
+        const auto time = cost(*candidate, priority, now);
         if (!best || time < bestTime) {
             best = candidate;
             bestTime = time;
@@ -261,6 +261,16 @@
     return best;
 }
 
+Duration EndpointChooser::cost(const Endpoint& endpoint, PriorityIndex priority, TimePoint now) const
+{
+    const auto& record = endpoint.record;
+    const Duration time = record.predictedTime(priority, fleetView(record), m_document, now);
+    if (record.description().dataCentre == m_localDataCentre || priority.value() >= m_document.priorities.size())
+        return time;
+    const auto target = static_cast<double>(m_document.priorities[priority.value()].target.count());
+    return time + Duration(static_cast<Duration::rep>(m_settings.remotePenalty * target));
+}
+
 EndpointChooser::Endpoint* EndpointChooser::chooseLeastLoaded(const Candidates& eligible, RandomEngine& random) const
 {
     Endpoint* best = nullptr;
--- a/Source/coordination/placing/EndpointChooser.h
+++ b/Source/coordination/placing/EndpointChooser.h
@@ -27,6 +27,9 @@
     /// Endpoints that Predicted draws and compares. More of them find the best one more often, but send the calls of
     /// many nodes with equally old reports to the same one.
     std::size_t candidates = 4;
+    /// What a call to another data centre costs, as a share of the target of its priority: an endpoint there is chosen
+    /// when it is better by more.
+    double remotePenalty = 0;
 };
 
 /// State of one endpoint for metrics and for the choice of probes.
@@ -102,6 +105,7 @@
     Endpoint* find(const EndpointId&);
     Endpoint& endpointOf(const EndpointRecord&);
     FleetView fleetView(const EndpointRecord&) const;
+    Duration cost(const Endpoint&, PriorityIndex, TimePoint now) const;
     void updateFleetServiceTime();
 
     Candidates candidates(const std::vector<EndpointId>& excluded, bool ejected) const;
--- a/Source/coordination/placing/EndpointRecord.cpp
+++ b/Source/coordination/placing/EndpointRecord.cpp
@@ -34,6 +34,11 @@
 constexpr double stallCalls = 4;
 /// Age beyond which a report no longer tells of overload.
 constexpr Duration saturationAge { 500000 };
+/// Time constant after which a reported speed gives way to the usual one; neighbours on a machine change several times a
+/// second, and a change is reported.
+constexpr double slowdownMemoryMicroseconds = 1500000;
+constexpr double usualSlowdownWeight = 1.0 / 32;
+constexpr double percent = 100;
 constexpr double unknownServiceMicroseconds = 5000;
 constexpr double smallestRampFactor = 0.1;
 
@@ -124,6 +129,7 @@
     for (const auto queued : report.queued)
         load += queued;
     m_usualLoad = m_reportedAt ? m_usualLoad + usualLoadWeight * (load - m_usualLoad) : load;
+    m_usualSlowdown += usualSlowdownWeight * (report.slowdownPercent / percent - m_usualSlowdown);
     m_report = report;
     m_reportedAt = now;
 }
@@ -180,7 +186,16 @@
         service = usual;
     if (service > usual)
         service = usual + (service - usual) * std::exp(-microseconds(now - m_serviceTimeAt) / memoryMicroseconds);
-    return service + stallMicroseconds(now);
+    return service * slowdown(now) + stallMicroseconds(now);
+}
+
+double EndpointRecord::slowdown(TimePoint now) const
+{
+    if (!m_reportedAt)
+        return 1;
+    const double reported = m_report.slowdownPercent / percent;
+    const double freshness = std::exp(-microseconds(now - *m_reportedAt) / slowdownMemoryMicroseconds);
+    return m_usualSlowdown + (reported - m_usualSlowdown) * freshness;
 }
 
 double EndpointRecord::stallMicroseconds(TimePoint now) const
--- a/Source/coordination/placing/EndpointRecord.h
+++ b/Source/coordination/placing/EndpointRecord.h
@@ -107,6 +107,8 @@
         boost::intrusive::member_hook<OutstandingCall, boost::intrusive::list_member_hook<>, &OutstandingCall::hook>>;
 
     double serviceMicroseconds(const FleetView&, TimePoint now) const;
+    /// How many times as long work takes there now.
+    double slowdown(TimePoint now) const;
     double stallMicroseconds(TimePoint now) const;
     /// service in microseconds; limit: calls that run at once.
     double callsAhead(PriorityIndex, double service, double limit, TimePoint now) const;
@@ -121,6 +123,7 @@
     TimePoint m_serviceTimeAt;
     std::optional<Duration> m_roundTrip;
     double m_usualLoad = 0;
+    double m_usualSlowdown = 1;
     double m_errorRate = 0;
     TimePoint m_errorRateAt;
     TimePoint m_failuresChangedAt;
--- a/Source/node/CallGateway.cpp
+++ b/Source/node/CallGateway.cpp
@@ -1,5 +1,7 @@
 #include "node/CallGateway.h"
 
+#include "transport/Logger.h"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -380,6 +382,11 @@
         }
     }
     const CallOutcomeKind kind = outcome.kind == CallOutcome::Kind::NotRun ? CallOutcomeKind::NotRun : CallOutcomeKind::Unknown;
+    log(kind == CallOutcomeKind::NotRun ? LogEvent::CallRefused : LogEvent::CallUnknown,
+        { { "request", session->parsed.requestId }, { "service", session->parsed.service.value() }, { "priority", std::to_string(session->priority.value()) },
+            { "code", std::to_string(static_cast<int>(outcome.code)) }, { "attempts", std::to_string(session->attempts.size()) },
+            { "waited_ms", std::to_string(toMilliseconds(latency)) }, { "left_ms", std::to_string(toMilliseconds(session->deadline - steadyNow())) },
+            { "retry_after_ms", std::to_string(toMilliseconds(outcome.retryAfter)) } });
     ++(kind == CallOutcomeKind::NotRun ? m_counters.notRun : m_counters.unknown);
     service.metrics().callEnded(session->priority, kind, latency, false);
     const ResultCode code = outcome.code == ResultCode::Ok ? ResultCode::OutcomeUnknown : outcome.code;
@@ -494,6 +501,10 @@
         feedAttempt(cancelled->attempt, CancelAcknowledged { cancelled->attempt, cancelled->result });
     } else if (const auto* probed = std::get_if<ProbeAnswerMessage>(&message)) {
         receiveProbe(from, *probed);
+    } else if (const auto* update = std::get_if<LoadUpdateMessage>(&message)) {
+        const auto member = m_members.find(from);
+        if (ServiceTraffic* service = traffic(update->service); service && member != m_members.end())
+            service->chooser().report({ from, member->second.version.incarnation }, update->load, steadyNow());
     } else if (const auto* document = std::get_if<DocumentAnswerMessage>(&message)) {
         m_documentHook(*document);
     }
--- a/Source/node/EndpointRunner.cpp
+++ b/Source/node/EndpointRunner.cpp
@@ -1,5 +1,6 @@
 #include "node/EndpointRunner.h"
 
+#include "protocol/BackendLoad.h"
 #include "protocol/ProblemDetails.h"
 
 #include <algorithm>
@@ -20,6 +21,9 @@
 /// not be repeated takes only a connection that was used just now.
 constexpr Duration maximumIdleRepeatable { 4000000 };
 constexpr Duration maximumIdleOnce { 400000 };
+/// A backend server that does not tell its load is asked rarely.
+constexpr Duration unansweredLoadInterval { 1000000 };
+constexpr Duration loadTimeout { 500000 };
 constexpr std::uint16_t statusMisdirected = 421;
 constexpr std::uint16_t statusServiceUnavailable = 503;
 constexpr std::uint16_t firstServerErrorStatus = 500;
@@ -33,16 +37,18 @@
 
 } // namespace
 
-EndpointRunner::EndpointRunner(asio::io_context& context, NodeIdentity self, CallHeaders headers, HttpClient& client, ReplyHook reply)
+EndpointRunner::EndpointRunner(asio::io_context& context, NodeIdentity self, Settings settings, HttpClient& client, ReplyHook reply)
     : m_self(std::move(self))
-    , m_headers(std::move(headers))
+    , m_settings(std::move(settings))
     , m_client(client)
     , m_reply(std::move(reply))
     , m_fates(m_self.incarnation)
+    , m_loadTimer(context, [this] { askLoad(); })
     , m_queueTimer(context, [this] { startDueJobs(); })
     , m_confirmTimer(context, [this] { confirmLongJobs(); })
     , m_expiryTimer(context, [this] { expire(); })
 {
+    m_loadTimer.setAfter(m_settings.loadInterval);
     m_confirmTimer.setAfter(confirmAfter);
     m_expiryTimer.setAfter(expiryInterval);
 }
@@ -52,6 +58,8 @@
     const bool isOtherService = m_backend && m_backend->service != backend.service;
     if (m_backend && m_backend->instance != backend.instance)
         m_client.forget(m_backend->address);
+    if (!m_backend || m_backend->instance != backend.instance)
+        m_loadToldAt.reset();
     m_backend = backend;
     if (isOtherService)
         m_document.reset();
@@ -247,6 +255,7 @@
         m_queueTimer.setAt(*next);
     else
         m_queueTimer.clear();
+    loadChanged();
 }
 
 void EndpointRunner::start(Job& job)
@@ -270,10 +279,10 @@
     options.maximumBodyBytes = m_document->maximumBodyBytes;
     options.maximumIdle = job.message.isIdempotent ? maximumIdleRepeatable : maximumIdleOnce;
     options.mayRepeat = job.message.isIdempotent;
-    const std::string* id = findHeader(job.message.request.headers, m_headers.requestId);
+    const std::string* id = findHeader(job.message.request.headers, m_settings.headers.requestId);
     if (!id)
         return options;
-    options.belongs = [name = m_headers.requestId, id = *id](const HttpResponse& response) {
+    options.belongs = [name = m_settings.headers.requestId, id = *id](const HttpResponse& response) {
         const std::string* echoed = findHeader(response.headers, name);
         return !echoed || *echoed == id;
     };
@@ -285,10 +294,10 @@
     const CallRequestMessage& message = job.message;
     HttpRequest request = message.request;
     const auto milliseconds = std::chrono::floor<std::chrono::milliseconds>(job.deadline - steadyNow()).count();
-    request.headers.push_back({ m_headers.deadline, std::to_string(std::max<std::int64_t>(1, milliseconds)) });
+    request.headers.push_back({ m_settings.headers.deadline, std::to_string(std::max<std::int64_t>(1, milliseconds)) });
     if (!m_backend->instance.empty())
-        request.headers.push_back({ m_headers.expectedInstance, m_backend->instance });
-    if (m_headers.sendsLevels) {
+        request.headers.push_back({ m_settings.headers.expectedInstance, m_backend->instance });
+    if (m_settings.headers.sendsLevels) {
         request.headers.push_back({ HeaderName::attempt, message.isRepeat ? "1" : "0" });
         request.headers.push_back({ HeaderName::depth, std::to_string(message.depth + 1) });
     }
@@ -314,11 +323,53 @@
     startDueJobs();
 }
 
+void EndpointRunner::takeLoad(const HttpResponse& response, TimePoint now)
+{
+    const std::string* text = findHeader(response.headers, m_settings.headers.load);
+    const auto load = text ? parseBackendLoad(*text) : std::nullopt;
+    if (!load || !m_queue)
+        return;
+    const bool isFirst = !m_loadToldAt;
+    m_loadToldAt = now;
+    if (load->slowdownPercent == m_queue->slowdownPercent() && !isFirst)
+        return;
+    m_queue->setSlowdown(load->slowdownPercent, now);
+    loadChanged();
+}
+
+// The speed of the machine changes several times a second, and responses of a slowed backend server come late.
+void EndpointRunner::askLoad()
+{
+    m_loadTimer.setAfter(m_settings.loadInterval);
+    const TimePoint now = steadyNow();
+    const bool isUnanswered = m_loadAskedAt > m_loadToldAt.value_or(TimePoint::min());
+    const Duration interval = isUnanswered ? unansweredLoadInterval : m_settings.loadInterval;
+    const TimePoint last = std::max(m_loadAskedAt, m_loadToldAt.value_or(TimePoint::min()));
+    if (m_isAskingLoad || !m_backend || !m_queue || m_healthPath.empty() || now - last < interval)
+        return;
+    m_isAskingLoad = true;
+    m_loadAskedAt = now;
+    HttpClient::Options options;
+    options.timeout = loadTimeout;
+    m_client.send(m_backend->address, { "GET", m_healthPath, {}, {} }, options, [this](const HttpClient::Outcome& outcome) {
+        m_isAskingLoad = false;
+        if (outcome.succeeded)
+            takeLoad(outcome.response, steadyNow());
+    });
+}
+
+void EndpointRunner::loadChanged()
+{
+    if (m_loadHook)
+        m_loadHook();
+}
+
 void EndpointRunner::handleResponse(const JobPtr& job, const HttpResponse& response, TimePoint now)
 {
+    takeLoad(response, now);
     const AttemptId attempt = job->message.attempt;
     const bool isMisdirected = response.status == statusMisdirected && !m_backend.value_or(LocalBackend()).instance.empty();
-    if (isMisdirected || findHeader(response.headers, m_headers.notRun)) {
+    if (isMisdirected || findHeader(response.headers, m_settings.headers.notRun)) {
         finish(job, isMisdirected ? BackendOutcome::Abandoned : BackendOutcome::Shed);
         perform(m_fates.refuse(attempt, { isMisdirected ? ResultCode::Draining : ResultCode::BackendRefused, backendRetryAfter }, now));
         return;
--- a/Source/node/EndpointRunner.h
+++ b/Source/node/EndpointRunner.h
@@ -48,7 +48,13 @@
         std::uint64_t unknown = 0;
     };
 
-    EndpointRunner(asio::io_context&, NodeIdentity self, CallHeaders, HttpClient&, ReplyHook);
+    struct Settings {
+        CallHeaders headers;
+        /// Time between two questions for the backend server's load, while no response tells it.
+        Duration loadInterval { 40000 };
+    };
+
+    EndpointRunner(asio::io_context&, NodeIdentity self, Settings, HttpClient&, ReplyHook);
 
     /// A backend server announced itself, or changed what it announced.
     void setBackend(const LocalBackend&);
@@ -56,6 +62,10 @@
     void removeBackend();
     /// Puts a newer document of the backend server's service in force.
     void setDocument(const ServiceDocument&);
+    /// Where the backend server tells its load; empty: nowhere.
+    void setHealthPath(const std::string& path) { m_healthPath = path; }
+    /// Called after each change of what loadReport() says.
+    void setLoadHook(std::function<void()> hook) { m_loadHook = std::move(hook); }
     /// Refuses new attempts from now on; attempts in flight finish.
     void drain();
     void undrain();
@@ -100,11 +110,14 @@
     HttpRequest backendRequest(const Job&) const;
     HttpClient::Options backendOptions(const Job&) const;
     void handleResponse(const JobPtr&, const HttpResponse&, TimePoint now);
+    void takeLoad(const HttpResponse&, TimePoint now);
+    void askLoad();
+    void loadChanged();
     void confirmLongJobs();
     void expire();
 
     NodeIdentity m_self;
-    CallHeaders m_headers;
+    Settings m_settings;
     HttpClient& m_client;
     ReplyHook m_reply;
     FateTable m_fates;
@@ -122,7 +135,14 @@
     std::size_t m_jobBytes = 0;
     /// Admitted attempts whose origin has not been told that they are here, oldest first.
     std::deque<std::pair<AttemptId, TimePoint>> m_unconfirmed;
+    std::string m_healthPath;
+    std::function<void()> m_loadHook;
+    /// When the backend server last told its load; it may never do.
+    std::optional<TimePoint> m_loadToldAt;
+    TimePoint m_loadAskedAt;
+    bool m_isAskingLoad = false;
     Counters m_counters;
+    Timer m_loadTimer;
     Timer m_queueTimer;
     Timer m_confirmTimer;
     Timer m_expiryTimer;
--- a/Source/node/NodeSettings.cpp
+++ b/Source/node/NodeSettings.cpp
@@ -24,6 +24,9 @@
     listen.finish();
 }
 
+constexpr std::uint64_t largestCandidates = 1000;
+constexpr double largestPenalty = 10;
+
 bool isHeaderName(std::string_view text)
 {
     const auto isPlain = [](char letter) { return letter > ' ' && letter < '\x7f' && letter != ':'; };
@@ -61,8 +64,10 @@
 void readBackend(TomlReader backend, NodeSettings& settings)
 {
     constexpr Duration longestSilence = std::chrono::minutes(10);
+    constexpr Duration shortestLoadInterval = std::chrono::milliseconds(5);
     constexpr Duration shortestSilence = std::chrono::milliseconds(100);
     settings.callerService = ServiceName(backend.text("service", settings.callerService.value(), isPlainName, plainNameExpectation));
+    settings.backendLoadInterval = backend.milliseconds("load_interval_ms", settings.backendLoadInterval, shortestLoadInterval, longestSilence);
     settings.announcementTimeout = backend.milliseconds("announcement_timeout_ms", settings.announcementTimeout, shortestSilence, longestSilence);
     backend.finish();
 }
@@ -83,7 +88,9 @@
     settings.seeds = readAddresses(membership, "seeds");
     membership.finish();
     TomlReader choice = reader.section("choice");
-    settings.policy = static_cast<ChoicePolicy>(readChoice(choice, "policy", policyNames, static_cast<std::size_t>(settings.policy)));
+    settings.choice.policy = static_cast<ChoicePolicy>(readChoice(choice, "policy", policyNames, static_cast<std::size_t>(settings.choice.policy)));
+    settings.choice.candidates = choice.integer("candidates", settings.choice.candidates, 1, largestCandidates);
+    settings.choice.remotePenalty = choice.real("remote_penalty", settings.choice.remotePenalty, 0, largestPenalty);
     choice.finish();
     readRouting(reader.section("routing"), settings);
     readHeaders(reader.section("headers"), settings.headers);
--- a/Source/node/NodeSettings.h
+++ b/Source/node/NodeSettings.h
@@ -33,7 +33,9 @@
     std::vector<std::string> controlReplicas;
     /// Gossip addresses of some other nodes.
     std::vector<SocketAddress> seeds;
-    ChoicePolicy policy = ChoicePolicy::Predicted;
+    ChoiceSettings choice;
+    /// Time between two questions for the load of the backend server beside this node, while no response tells it.
+    Duration backendLoadInterval { 40000 };
     CallHeaders headers;
     /// Requests that do not name their service wait for a routing document; without one they are refused as stale, not as
     /// unknown.
--- a/Source/node/NodeTraffic.cpp
+++ b/Source/node/NodeTraffic.cpp
@@ -1,5 +1,9 @@
 #include "node/NodeTraffic.h"
 
+#include <algorithm>
+#include <numeric>
+#include <utility>
+
 namespace Knapweedquay {
 
 namespace {
@@ -12,17 +16,61 @@
     return server;
 }
 
+/// Changes of the load within this time make one message.
+constexpr Duration loadGatherTime { 2000 };
+/// A node that has sent no call for this long is told nothing.
+constexpr Duration interestTime { 2000000 };
+/// A speed that differs by less is no news, in percent of the one that was told.
+constexpr std::uint32_t slowdownNewsPercent = 20;
+constexpr std::uint32_t wholePercent = 100;
+
+std::uint32_t backlog(const LoadReport& load)
+{
+    return std::accumulate(load.queued.begin(), load.queued.end(), load.running);
+}
+
+bool isNews(const LoadReport& told, const LoadReport& now)
+{
+    if (told.draining != now.draining)
+        return true;
+    const std::uint32_t slower = std::max(told.slowdownPercent, now.slowdownPercent);
+    const std::uint32_t faster = std::min(told.slowdownPercent, now.slowdownPercent);
+    if ((slower - faster) * wholePercent > slowdownNewsPercent * faster)
+        return true;
+    const std::uint32_t difference = std::max(backlog(told), backlog(now)) - std::min(backlog(told), backlog(now));
+    // A load that is far from the limit needs no exact figure.
+    const bool isNearLimit = 2 * std::max(backlog(told), backlog(now)) > now.concurrencyLimit;
+    return isNearLimit && 3 * difference > now.concurrencyLimit;
+}
+
+const LoadReport* loadOf(const PeerMessage& message)
+{
+    if (const auto* accepted = std::get_if<CallAcceptedMessage>(&message))
+        return &accepted->load;
+    if (const auto* answer = std::get_if<CallAnswerMessage>(&message))
+        return &answer->load;
+    if (const auto* refusal = std::get_if<CallRefusalMessage>(&message))
+        return &refusal->load;
+    return nullptr;
+}
+
 } // namespace
 
 NodeTraffic::NodeTraffic(asio::io_context& context, NodeIdentity self, const NodeSettings& settings, CallGateway::ClaimHooks claims, NodeMetrics& metrics)
     : m_self(std::move(self))
     , m_settings(settings)
     , m_client(context)
-    , m_runner(context, m_self, settings.headers, m_client, [this](ConnectionId connection, const PeerMessage& message) { reply(connection, message); })
-    , m_gateway(context, m_self, m_runner, { settings.headers, settings.callerService, settings.needsRouting, ChoiceSettings { settings.policy } }, std::move(claims), metrics)
+    , m_runner(context, m_self, { settings.headers, settings.backendLoadInterval }, m_client, [this](ConnectionId connection, const PeerMessage& message) { reply(connection, message); })
+    , m_gateway(context, m_self, m_runner, { settings.headers, settings.callerService, settings.needsRouting, settings.choice }, std::move(claims), metrics)
     , m_callServer(context, callServerSettings(settings), [this](const HttpExchangePtr& exchange) { m_gateway.handle(exchange); })
     , m_linkServer(context, maximumPeerMessageBytes, [this](const LinkPtr& link) { accept(link); })
+    , m_loadTimer(context, [this] { spreadLoad(); })
 {
+    // Gathers the changes of a moment into one message.
+    m_runner.setLoadHook([this] {
+        if (!std::exchange(m_isLoadDue, true))
+            m_loadTimer.setAfter(loadGatherTime);
+    });
 }
 
 Result<void> NodeTraffic::start()
@@ -90,9 +138,27 @@
 {
     // The time that the message lay in a buffer is gone for the call too.
     request.remaining -= excessDelay(connection, request.sentAt);
+    connection.lastCallAt = steadyNow();
     m_runner.receive(request, id);
 }
 
+void NodeTraffic::spreadLoad()
+{
+    m_isLoadDue = false;
+    if (!m_backendService)
+        return;
+    const TimePoint now = steadyNow();
+    const LoadReport load = m_runner.loadReport();
+    for (auto& [id, connection] : m_connections) {
+        if (now - connection.lastCallAt > interestTime || !isNews(connection.toldLoad, load))
+            continue;
+        connection.toldLoad = load;
+        connection.link->send(encode(LoadUpdateMessage { *m_backendService, load }));
+    }
+    // A node without links of its own to itself learns in the same way.
+    m_gateway.receive(m_self.node, LoadUpdateMessage { *m_backendService, load });
+}
+
 void NodeTraffic::sendDocument(ConnectionId id, const ServiceName& service)
 {
     const auto entry = m_sources.find(service);
@@ -120,6 +186,7 @@
     serverLimits.idleTimeout = limits.idleTimeout;
     m_callServer.setLimits(serverLimits);
     m_gateway.setRouting(routing);
+    setHealthPath();
     for (const RoutedService& service : routing->document().services) {
         if (const auto document = documentOf(service.name))
             m_runner.setDocument(*document);
@@ -140,10 +207,22 @@
     return std::nullopt;
 }
 
+void NodeTraffic::setHealthPath()
+{
+    if (!m_routing || !m_backendService)
+        return;
+    for (const RoutedService& routed : m_routing->document().services) {
+        if (routed.name == *m_backendService)
+            m_runner.setHealthPath(routed.healthPath);
+    }
+}
+
 void NodeTraffic::setBackend(const LocalBackend& backend)
 {
+    m_backendService = backend.service;
     m_runner.setBackend(backend);
     m_runner.undrain();
+    setHealthPath();
     if (const auto document = documentOf(backend.service))
         m_runner.setDocument(*document);
 }
@@ -155,8 +234,11 @@
         return;
     }
     const auto entry = m_connections.find(id);
-    if (entry != m_connections.end())
-        entry->second.link->send(encode(message));
+    if (entry == m_connections.end())
+        return;
+    if (const LoadReport* load = loadOf(message))
+        entry->second.toldLoad = *load;
+    entry->second.link->send(encode(message));
 }
 
 } // namespace Knapweedquay
--- a/Source/node/NodeTraffic.h
+++ b/Source/node/NodeTraffic.h
@@ -50,6 +50,8 @@
         LinkPtr link;
         bool isGreeted = false;
         TransitDelay delay;
+        TimePoint lastCallAt;
+        LoadReport toldLoad;
     };
 
     void accept(const LinkPtr&);
@@ -57,6 +59,8 @@
     static Duration excessDelay(Connection&, std::uint64_t sentAt);
     void receiveCall(Connection&, CallRequestMessage, ConnectionId);
     void reply(ConnectionId, const PeerMessage&);
+    /// Tells nodes that sent calls lately of a load that differs from what they were told.
+    void spreadLoad();
     void sendDocument(ConnectionId, const ServiceName&);
 
     NodeIdentity m_self;
@@ -66,16 +70,20 @@
     CallGateway m_gateway;
     HttpServer m_callServer;
     LinkServer m_linkServer;
+    void setHealthPath();
     std::optional<ServiceDocument> documentOf(const ServiceName&) const;
 
     /// Documents in force that the teams wrote.
     std::map<ServiceName, ServiceDocument> m_documents;
     std::shared_ptr<const RoutingTable> m_routing;
+    std::optional<ServiceName> m_backendService;
     /// Texts of all documents in force, for other nodes.
     std::map<ServiceName, DocumentAnswerMessage> m_sources;
     /// Links that other nodes opened to send attempts here. Number 0 stands for this node itself.
     std::map<ConnectionId, Connection> m_connections;
     std::uint64_t m_lastConnection = 0;
+    Timer m_loadTimer;
+    bool m_isLoadDue = false;
 };
 
 } // namespace Knapweedquay
--- a/Source/protocol/LoadReport.h
+++ b/Source/protocol/LoadReport.h
@@ -23,6 +23,8 @@
     /// Smoothed share of calls that failed at the backend server, in thousandths. It lets every node keep away from an
     /// endpoint that fails fast without losing a call there first.
     std::uint32_t failuresPerThousand = 0;
+    /// How long work takes at the backend server now, in percent of the usual. The service time is that at 100.
+    std::uint32_t slowdownPercent = 100;
     bool draining = false;
 };
 
--- a/Source/protocol/LogEvent.cpp
+++ b/Source/protocol/LogEvent.cpp
@@ -31,6 +31,8 @@
     { LogEvent::BackendAnnounced, LogLevel::Info, "backend server announced" },
     { LogEvent::BackendDraining, LogLevel::Info, "backend server draining" },
     { LogEvent::BackendGone, LogLevel::Warning, "backend server gone" },
+    { LogEvent::CallRefused, LogLevel::Info, "call refused" },
+    { LogEvent::CallUnknown, LogLevel::Info, "call ended without an answer" },
     { LogEvent::StorageStopped, LogLevel::Error, "storage failed, replica stopped" },
     { LogEvent::EditAccepted, LogLevel::Info, "edit accepted" },
     { LogEvent::EditRefused, LogLevel::Warning, "edit refused" },
--- a/Source/protocol/LogEvent.h
+++ b/Source/protocol/LogEvent.h
@@ -39,6 +39,10 @@
     BackendDraining = 401,
     BackendGone = 402,
 
+    // 6xx: calls.
+    CallRefused = 600,
+    CallUnknown = 601,
+
     // 5xx: the control store.
     StorageStopped = 501,
     EditAccepted = 502,
--- a/Source/protocol/PeerMessages.cpp
+++ b/Source/protocol/PeerMessages.cpp
@@ -25,6 +25,7 @@
     fields.push_back(load.serviceTime.count());
     fields.push_back(load.completedCalls);
     fields.push_back(load.failuresPerThousand);
+    fields.push_back(load.slowdownPercent);
     fields.push_back(load.draining);
 }
 
@@ -44,6 +45,7 @@
     load.serviceTime = reader.duration();
     load.completedCalls = reader.unsignedInteger();
     load.failuresPerThousand = readUnsigned32(reader);
+    load.slowdownPercent = readUnsigned32(reader);
     load.draining = reader.boolean();
     return load;
 }
@@ -237,6 +239,18 @@
     message.load = readLoad(reader);
 }
 
+void appendFields(Json& fields, const LoadUpdateMessage& message)
+{
+    fields.push_back(message.service.value());
+    append(fields, message.load);
+}
+
+void readFields(FieldReader& reader, LoadUpdateMessage& message)
+{
+    message.service = ServiceName(reader.text());
+    message.load = readLoad(reader);
+}
+
 void appendFields(Json& fields, const DocumentRequestMessage& message)
 {
     fields.push_back(message.service.value());
--- a/Source/protocol/PeerMessages.h
+++ b/Source/protocol/PeerMessages.h
@@ -113,8 +113,14 @@
     std::string text;
 };
 
+/// The load of the sender's backend server has changed. Goes to nodes that sent it calls lately.
+struct LoadUpdateMessage {
+    ServiceName service;
+    LoadReport load;
+};
+
 using PeerMessage = std::variant<HelloMessage, CallRequestMessage, CallAcceptedMessage, CallAnswerMessage, CallRefusalMessage, CallUnknownMessage,
-    CallCancelMessage, CallCancelledMessage, ProbeMessage, ProbeAnswerMessage, DocumentRequestMessage, DocumentAnswerMessage>;
+    CallCancelMessage, CallCancelledMessage, ProbeMessage, ProbeAnswerMessage, DocumentRequestMessage, DocumentAnswerMessage, LoadUpdateMessage>;
 
 /// CBOR array [type, fields...]; docs/PROTOCOL.md lists the types.
 std::string encode(const PeerMessage&);
--- a/Tests/state/SettingsFileTest.cpp
+++ b/Tests/state/SettingsFileTest.cpp
@@ -45,7 +45,7 @@
     ASSERT_TRUE(settings.has_value()) << settings.error().detail;
     EXPECT_EQ(SocketAddress({ "127.0.0.1", 7000 }), settings.value().calls);
     EXPECT_EQ(SocketAddress({ "::1", 7400 }), settings.value().seeds.at(1));
-    EXPECT_EQ(ChoicePolicy::Predicted, settings.value().policy);
+    EXPECT_EQ(ChoicePolicy::Predicted, settings.value().choice.policy);
     EXPECT_EQ(LogLevel::Info, settings.value().log.level);
 }
 
@@ -54,7 +54,7 @@
     const auto settings = loadNodeSettings(write(nodeText), { { "listen.calls", "127.0.0.1:9" }, { "choice.policy", "\"random\"" }, { "log.level", "debug" }, { "membership.seeds", "[]" } });
     ASSERT_TRUE(settings.has_value()) << settings.error().detail;
     EXPECT_EQ(9, settings.value().calls.port);
-    EXPECT_EQ(ChoicePolicy::Random, settings.value().policy);
+    EXPECT_EQ(ChoicePolicy::Random, settings.value().choice.policy);
     EXPECT_EQ(LogLevel::Debug, settings.value().log.level);
     EXPECT_TRUE(settings.value().seeds.empty());
 }
