--- a/Utilities/Scripts/check-tables.sh
+++ b/Utilities/Scripts/check-tables.sh
@@ -39,7 +39,7 @@
 
 # Keys that the readers of settings and documents ask for, and those of the tables in docs/CONFIGURATION.md.
 code_keys() {
-    grep -hoE '(text|requiredText|texts|integer|real|boolean|milliseconds|section|sections)\("[a-z_]+"|read(Address|Addresses|AddressTexts|Choice)\([a-z]+, "[a-z_]+"' \
+    grep -hoE '(text|requiredText|texts|integer|real|boolean|milliseconds|section|sections)\("[a-z_]+"|read(Address|Addresses|AddressTexts|Choice|Number)\([a-zA-Z]+, "[a-z_]+"' \
         Source/node/NodeSettings.cpp Source/control/ControlSettings.cpp Source/state/DocumentParser.cpp Source/state/RoutingParser.cpp Source/transport/Logger.cpp |
         grep -oE '"[a-z_]+"' | tr -d '"' | sort -u
 }
