Node: Keep the replicas of the settings when a replica without a store names none

Ruled out: the links (each new one opened) and the store (it accepted and served changes all the time).

ReplicaDirectory keeps both kinds apart, with tests that fail on the old code; control.discover switches the discovery off for deployments that reach replicas under other addresses, as one process test does.

--- a/Source/control/ControlDaemon.cpp
+++ b/Source/control/ControlDaemon.cpp
@@ -165,7 +165,7 @@
         return service.error();
     m_service = std::move(service.value());
     m_subscriptions = std::make_unique<NodeSubscriptions>(*m_service);
-    m_routing = std::make_unique<RoutingStore>(*m_service, m_settings.parseRouting, [this] { scheduleFlush(); });
+    m_routing = std::make_unique<RoutingStore>(*m_service, m_settings.parseRouting, RoutingStore::Hooks { steadyNow, [this] { scheduleFlush(); } });
     m_operators = std::make_unique<OperatorInterface>(*m_service, *m_subscriptions, m_settings, [this] { scheduleFlush(); });
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
--- a/Source/control/RoutingStore.cpp
+++ b/Source/control/RoutingStore.cpp
@@ -32,10 +32,10 @@
 
 } // namespace
 
-RoutingStore::RoutingStore(ControlService& service, RoutingParser parse, std::function<void()> flush)
+RoutingStore::RoutingStore(ControlService& service, RoutingParser parse, Hooks hooks)
     : m_service(service)
     , m_parse(std::move(parse))
-    , m_flush(std::move(flush))
+    , m_hooks(std::move(hooks))
 {
 }
 
@@ -84,7 +84,7 @@
     if (isAccepted(id))
         return handler(version);
     // Before that the replica may miss changes that were accepted, and would refuse what builds on them.
-    if (!m_service.log() || !m_service.log()->canAccept(steadyNow()))
+    if (!m_service.log() || !m_service.log()->canAccept(m_hooks.now()))
         return handler(Error { m_service.isLeading() ? ResultCode::NoQuorum : ResultCode::NotLeader, "this replica cannot accept changes now" });
     const auto current = currentVersion();
     if (current.has_error())
@@ -104,15 +104,15 @@
                 return handler(Error { result.value().code, "another change of the same version was accepted" });
             handler(version);
         },
-        steadyNow());
-    m_flush();
+        m_hooks.now());
+    m_hooks.flush();
 }
 
 void RoutingStore::read(ReadHandler handler)
 {
     if (m_reads.size() >= maximumPendingReads)
         return handler(Error { ResultCode::Overloaded, "too many reads wait for a proof" });
-    m_reads.push_back({ steadyNow(), std::move(handler) });
+    m_reads.push_back({ m_hooks.now(), std::move(handler) });
 }
 
 void RoutingStore::tick(TimePoint now)
--- a/Source/control/RoutingStore.h
+++ b/Source/control/RoutingStore.h
@@ -31,8 +31,13 @@
     /// The text, empty when there is no routing document yet. Errors: NoQuorum.
     using ReadHandler = std::function<void(Result<std::string>)>;
 
-    /// flush: called after a change was handed in.
-    RoutingStore(ControlService&, RoutingParser, std::function<void()> flush);
+    struct Hooks {
+        std::function<TimePoint()> now;
+        /// Called after a change was handed in.
+        std::function<void()> flush;
+    };
+
+    RoutingStore(ControlService&, RoutingParser, Hooks);
 
     void change(const Change&, const ChangeHandler&);
     void read(ReadHandler);
@@ -55,7 +60,7 @@
 
     ControlService& m_service;
     RoutingParser m_parse;
-    std::function<void()> m_flush;
+    Hooks m_hooks;
     /// Operator's version of the stored document, by the version that the register gave it.
     std::optional<std::pair<DocumentVersion, std::uint64_t>> m_current;
     std::list<PendingRead> m_reads;
--- a/Source/node/ControlSubscription.cpp
+++ b/Source/node/ControlSubscription.cpp
@@ -1,6 +1,7 @@
 #include "node/ControlSubscription.h"
 
 #include "protocol/LinkChannel.h"
+#include "transport/Logger.h"
 
 #include <xxhash.h>
 
@@ -20,59 +21,51 @@
 
 } // namespace
 
-ControlSubscription::ControlSubscription(asio::io_context& context, NodeIdentity self, std::vector<std::string> replicas, Hooks hooks)
+ControlSubscription::ControlSubscription(asio::io_context& context, NodeIdentity self, std::vector<std::string> replicas, bool discovers, Hooks hooks)
     : m_self(std::move(self))
     , m_replicas(std::move(replicas))
+    , m_discovers(discovers)
     , m_hooks(std::move(hooks))
     , m_client(context, maximumControlMessageBytes)
     , m_checkTimer(context, [this] { check(); })
 {
     // Nodes start at different replicas, so that the subscriptions spread over them.
-    if (!m_replicas.empty())
-        m_current = XXH3_64bits(m_self.node.value().data(), m_self.node.value().size()) % m_replicas.size();
+    m_replicas.startAt(XXH3_64bits(m_self.node.value().data(), m_self.node.value().size()));
 }
 
 void ControlSubscription::start()
 {
-    if (m_replicas.empty())
+    if (m_replicas.isEmpty())
         return;
-    m_current = (m_current + m_replicas.size() - 1) % m_replicas.size();
     connectNext();
     m_checkTimer.setAfter(checkInterval);
 }
 
 void ControlSubscription::connectNext()
 {
-    m_current = (m_current + 1) % std::max<std::size_t>(1, m_replicas.size());
-    if (m_replicas.empty())
+    if (m_replicas.isEmpty())
         return;
     m_connectedAt = steadyNow();
     Link::Hooks hooks;
     hooks.opened = [this] { handleOpened(); };
     hooks.received = [this](std::string_view bytes) { handleReceived(bytes); };
-    hooks.closed = [this] { m_link.reset(); };
-    m_currentReplica = m_replicas[m_current];
+    hooks.closed = [this] {
+        log(LogEvent::ControlLost, { { "replica", m_currentReplica }, { "reason", "connection ended" } });
+        m_link.reset();
+    };
+    m_currentReplica = m_replicas.next();
     m_link = m_client.connect(m_currentReplica, std::move(hooks));
 }
 
 void ControlSubscription::setReplicas(const std::vector<std::string>& replicas)
 {
-    m_replicas = replicas;
-    for (const std::string& named : m_namedReplicas) {
-        if (std::find(m_replicas.begin(), m_replicas.end(), named) == m_replicas.end())
-            m_replicas.push_back(named);
-    }
+    m_replicas.setOfSettings(replicas);
 }
 
 void ControlSubscription::handle(const ReplicaListMessage& message)
 {
-    const auto isOfSettings = [this](const std::string& replica) {
-        return std::find(m_namedReplicas.begin(), m_namedReplicas.end(), replica) == m_namedReplicas.end();
-    };
-    std::vector<std::string> ofSettings;
-    std::copy_if(m_replicas.begin(), m_replicas.end(), std::back_inserter(ofSettings), isOfSettings);
-    m_namedReplicas = message.addresses;
-    setReplicas(ofSettings);
+    if (m_discovers)
+        m_replicas.setNamed(message.addresses);
 }
 
 void ControlSubscription::leave()
@@ -84,6 +77,7 @@
 
 void ControlSubscription::handleOpened()
 {
+    log(LogEvent::ControlConnected, { { "replica", m_currentReplica } });
     send(SubscribeMessage { m_self.node, m_self.incarnation, m_inForce });
     requestFreshness();
     for (const auto& entry : m_claims)
@@ -188,8 +182,10 @@
 {
     const TimePoint now = steadyNow();
     expireClaims(now);
-    if (m_link && now - std::max(m_provedAt, m_connectedAt) > maximumStaleness)
+    if (m_link && now - std::max(m_provedAt, m_connectedAt) > maximumStaleness) {
+        log(LogEvent::ControlLost, { { "replica", m_currentReplica }, { "reason", "no proof that its documents are recent" }, { "proof_age_ms", std::to_string(toMilliseconds(now - m_provedAt)) } });
         leave();
+    }
     if (!m_link)
         connectNext();
     else if (m_link->isOpen() && now - m_askedAt >= freshnessInterval)
--- a/Source/node/ControlSubscription.h
+++ b/Source/node/ControlSubscription.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/membership/ReplicaDirectory.h"
 #include "node/NodeIdentity.h"
 #include "protocol/ControlMessages.h"
 #include "transport/Link.h"
@@ -29,7 +30,8 @@
         std::function<void(const AttemptId& owner, ResultCode)> claimAnswered;
     };
 
-    ControlSubscription(asio::io_context&, NodeIdentity, std::vector<std::string> replicas, Hooks);
+    /// discovers: also turns to the replicas that the store names.
+    ControlSubscription(asio::io_context&, NodeIdentity, std::vector<std::string> replicas, bool discovers, Hooks);
 
     void start();
     /// Replicas of a newer settings file. Those that the store itself named are kept as well.
@@ -70,13 +72,11 @@
     void check();
 
     NodeIdentity m_self;
-    /// Of the settings, and then those that the store named.
-    std::vector<std::string> m_replicas;
-    std::vector<std::string> m_namedReplicas;
+    ReplicaDirectory m_replicas;
+    bool m_discovers;
     Hooks m_hooks;
     LinkClient m_client;
     LinkPtr m_link;
-    std::size_t m_current = 0;
     std::string m_currentReplica;
     TimePoint m_connectedAt;
     TimePoint m_provedAt;
--- a/Source/node/NodeControl.cpp
+++ b/Source/node/NodeControl.cpp
@@ -77,7 +77,7 @@
     , m_hooks(std::move(hooks))
     , m_adminServer(context, adminServerSettings(settings), [this](const HttpExchangePtr& exchange) { handleAdmin(exchange); })
     , m_membership(context, [this](const MembershipAction& action) { follow(action); })
-    , m_subscription(context, m_self, settings.controlReplicas, { [this](const DocumentMessage& document) { return putInForce(document); }, [this] { log(LogEvent::ConfigurationFresh); m_hooks.configurationFresh(); }, [this](const AttemptId& owner, ResultCode code) { m_hooks.claimAnswered(owner, code); } })
+    , m_subscription(context, m_self, settings.controlReplicas, settings.discoversReplicas, { [this](const DocumentMessage& document) { return putInForce(document); }, [this] { log(LogEvent::ConfigurationFresh); m_hooks.configurationFresh(); }, [this](const AttemptId& owner, ResultCode code) { m_hooks.claimAnswered(owner, code); } })
     , m_presence(settings.announcementTimeout)
     , m_backendTimer(context, [this] { checkBackend(); })
 {
--- a/Source/node/NodeSettings.cpp
+++ b/Source/node/NodeSettings.cpp
@@ -83,6 +83,7 @@
     advertise.finish();
     TomlReader control = reader.section("control");
     settings.controlReplicas = readAddressTexts(control, "replicas");
+    settings.discoversReplicas = control.boolean("discover", settings.discoversReplicas);
     control.finish();
     TomlReader membership = reader.section("membership");
     settings.seeds = readAddresses(membership, "seeds");
--- a/Source/node/NodeSettings.h
+++ b/Source/node/NodeSettings.h
@@ -31,6 +31,8 @@
     SocketAddress gossip { "127.0.0.1", 0 };
     /// Node link addresses of the control replicas.
     std::vector<std::string> controlReplicas;
+    /// Also turn to the replicas that the store names. Not where nodes reach them under other addresses than they have.
+    bool discoversReplicas = true;
     /// Gossip addresses of some other nodes.
     std::vector<SocketAddress> seeds;
     ChoiceSettings choice;
--- a/Source/protocol/LogEvent.cpp
+++ b/Source/protocol/LogEvent.cpp
@@ -28,6 +28,8 @@
     { LogEvent::DocumentInForce, LogLevel::Info, "document in force" },
     { LogEvent::DocumentRefused, LogLevel::Error, "document refused" },
     { LogEvent::ConfigurationFresh, LogLevel::Info, "configuration fresh" },
+    { LogEvent::ControlConnected, LogLevel::Info, "connected to a control replica" },
+    { LogEvent::ControlLost, LogLevel::Warning, "control replica lost" },
     { LogEvent::BackendAnnounced, LogLevel::Info, "backend server announced" },
     { LogEvent::BackendDraining, LogLevel::Info, "backend server draining" },
     { LogEvent::BackendGone, LogLevel::Warning, "backend server gone" },
--- a/Source/protocol/LogEvent.h
+++ b/Source/protocol/LogEvent.h
@@ -33,6 +33,8 @@
     DocumentInForce = 300,
     DocumentRefused = 301,
     ConfigurationFresh = 302,
+    ControlConnected = 303,
+    ControlLost = 304,
 
     // 4xx: the backend server beside this node.
     BackendAnnounced = 400,
--- a/Tests/coordination/AdmissionQueueTest.cpp
+++ b/Tests/coordination/AdmissionQueueTest.cpp
@@ -570,4 +570,48 @@
     RC_ASSERT(endpoint.share(1) <= reserved / 16.0 + 0.01);
 }
 
+TEST_F(AdmissionQueueTest, SlowMachine_CallsTakeLonger_ServiceTimeStaysThatOfTheUsualSpeed)
+{
+    m_queue.setSlowdown(100, m_now);
+    learnServiceTime(10 * millisecond);
+    m_queue.setSlowdown(700, m_now);
+    learnServiceTime(70 * millisecond);
+    EXPECT_EQ(700u, m_queue.report().slowdownPercent);
+    EXPECT_NEAR(10000, static_cast<double>(m_queue.report().serviceTime.count()), 500);
+}
+
+TEST_F(AdmissionQueueTest, MachineTurnsSlowMidway_CallEnds_CountsWorkNotTime)
+{
+    m_queue.setSlowdown(100, m_now);
+    for (std::uint64_t ticket = 1; ticket <= 100; ++ticket) {
+        ASSERT_EQ(AdmissionKind::Started, offer(ticket, 0).kind);
+        m_now += 5 * millisecond;
+        m_queue.setSlowdown(500, m_now);
+        m_now += 25 * millisecond;
+        m_queue.setSlowdown(100, m_now);
+        finish(ticket);
+    }
+    EXPECT_NEAR(10000, static_cast<double>(m_queue.report().serviceTime.count()), 500);
+}
+
+TEST_F(AdmissionQueueTest, SlowMachine_DeadlineFitsUsualSpeedOnly_IsRefusedNow)
+{
+    m_queue.setSlowdown(100, m_now);
+    learnServiceTime(50 * millisecond);
+    ASSERT_EQ(AdmissionKind::Started, offer(1, 0).kind);
+    m_queue.setSlowdown(700, m_now);
+    EXPECT_EQ(ResultCode::DeadlineCannotBeMet, offer(2, 0, 200 * millisecond).code);
+    m_queue.setSlowdown(100, m_now);
+    EXPECT_EQ(AdmissionKind::Started, offer(3, 0, 200 * millisecond).kind);
+}
+
+TEST_F(AdmissionQueueTest, Drained_ResumedWithCallsRunning_TakesNewOnes)
+{
+    ASSERT_EQ(AdmissionKind::Started, offer(1, 0).kind);
+    m_queue.drain(m_now);
+    EXPECT_EQ(ResultCode::Draining, offer(2, 0).code);
+    m_queue.resume();
+    EXPECT_EQ(AdmissionKind::Started, offer(3, 0).kind);
+}
+
 } // namespace
--- /dev/null
+++ b/Tests/coordination/BackendPresenceTest.cpp
@@ -0,0 +1,115 @@
+#include "coordination/presence/BackendPresence.h"
+
+#include <gtest/gtest.h>
+
+using namespace Knapweedquay;
+using namespace std::chrono_literals;
+
+namespace {
+
+class BackendPresenceTest : public ::testing::Test {
+protected:
+    static BackendAnnouncement announcement(const std::string& instance, std::uint64_t startedAt, std::uint64_t sequence, bool draining = false)
+    {
+        BackendAnnouncement made;
+        made.instance = instance;
+        made.startedAt = startedAt;
+        made.sequence = sequence;
+        made.service = ServiceName("dispatch");
+        made.address = { "10.0.0.1", 8080 };
+        made.slots = 12;
+        made.draining = draining;
+        return made;
+    }
+
+    PresenceChange announce(const BackendAnnouncement& made) { return m_presence.announce(made, m_now); }
+
+    TimePoint m_now { 100s };
+    BackendPresence m_presence { 6s };
+};
+
+} // namespace
+
+TEST_F(BackendPresenceTest, FirstAndRepeated_Announced_ArriveOnce)
+{
+    EXPECT_EQ(PresenceChange::Arrived, announce(announcement("a", 10, 1)));
+    EXPECT_EQ(PresenceChange::None, announce(announcement("a", 10, 2)));
+}
+
+TEST_F(BackendPresenceTest, LateReady_AfterDraining_ChangesNothing)
+{
+    announce(announcement("a", 10, 1));
+    EXPECT_EQ(PresenceChange::Draining, announce(announcement("a", 10, 3, true)));
+    EXPECT_EQ(PresenceChange::None, announce(announcement("a", 10, 2)));
+    EXPECT_TRUE(m_presence.isDraining());
+}
+
+TEST_F(BackendPresenceTest, NewerReady_AfterDraining_KeepsDraining)
+{
+    announce(announcement("a", 10, 1));
+    announce(announcement("a", 10, 2, true));
+    EXPECT_EQ(PresenceChange::None, announce(announcement("a", 10, 3)));
+    EXPECT_TRUE(m_presence.isDraining());
+}
+
+TEST_F(BackendPresenceTest, DeadPredecessor_AnnouncedLate_ChangesNothing)
+{
+    announce(announcement("b", 20, 1));
+    EXPECT_EQ(PresenceChange::None, announce(announcement("a", 10, 99, true)));
+    EXPECT_EQ("b", m_presence.current()->instance);
+    EXPECT_FALSE(m_presence.isDraining());
+}
+
+TEST_F(BackendPresenceTest, SameNameStartedAgain_Announced_CountsAnew)
+{
+    announce(announcement("a", 10, 50, true));
+    EXPECT_EQ(PresenceChange::Arrived, announce(announcement("a", 20, 1)));
+    EXPECT_FALSE(m_presence.isDraining());
+}
+
+TEST_F(BackendPresenceTest, Left_AnnouncedLate_StaysGone)
+{
+    announce(announcement("a", 10, 1));
+    EXPECT_EQ(PresenceChange::Gone, m_presence.leave("a", 10, m_now));
+    EXPECT_EQ(PresenceChange::None, announce(announcement("a", 10, 2)));
+    EXPECT_FALSE(m_presence.current());
+    EXPECT_EQ(PresenceChange::Arrived, announce(announcement("a", 11, 1)));
+}
+
+TEST_F(BackendPresenceTest, LeaveOfPredecessor_Late_KeepsPresentRun)
+{
+    announce(announcement("b", 20, 1));
+    EXPECT_EQ(PresenceChange::None, m_presence.leave("a", 10, m_now));
+    EXPECT_EQ("b", m_presence.current()->instance);
+}
+
+TEST_F(BackendPresenceTest, Silent_TimePasses_IsGone)
+{
+    announce(announcement("a", 10, 1));
+    EXPECT_EQ(PresenceChange::None, m_presence.expire(m_now + 6s));
+    EXPECT_EQ(PresenceChange::Gone, m_presence.expire(m_now + 6001ms));
+}
+
+TEST_F(BackendPresenceTest, ClockSetBackBetweenRuns_GoesOnAnnouncing_IsTaken)
+{
+    announce(announcement("a", 1000, 7));
+    EXPECT_EQ(PresenceChange::None, announce(announcement("b", 500, 1)));
+    m_now += 1500ms;
+    EXPECT_EQ(PresenceChange::None, announce(announcement("b", 500, 2)));
+    m_now += 1500ms;
+    EXPECT_EQ(PresenceChange::None, announce(announcement("b", 500, 3)));
+    m_now += 1500ms;
+    EXPECT_EQ(PresenceChange::Arrived, announce(announcement("b", 500, 4)));
+    EXPECT_EQ("b", m_presence.current()->instance);
+}
+
+TEST_F(BackendPresenceTest, DelayedOnesOfADeadRun_WhileTheNewOneLives_ChangeNothing)
+{
+    announce(announcement("b", 1000, 1));
+    for (std::uint64_t sequence = 1; sequence < 10; ++sequence) {
+        m_now += 1500ms;
+        announce(announcement("b", 1000, sequence + 1));
+        EXPECT_EQ(PresenceChange::None, announce(announcement("a", 500, sequence)));
+    }
+    EXPECT_EQ("b", m_presence.current()->instance);
+}
--- a/Tests/coordination/EndpointChooserTest.cpp
+++ b/Tests/coordination/EndpointChooserTest.cpp
@@ -423,4 +423,31 @@
     }
 }
 
+// A machine turns slow for half a second: its backend server says so at once.
+TEST_F(EndpointChooserTest, SlowMachine_Told_IsNotChosenUntilItIsFastAgain)
+{
+    addEndpoints(3);
+    auto slow = makeReport(0);
+    slow.slowdownPercent = 700;
+    m_chooser.report(endpointId(1), slow, m_now);
+    for (int call = 0; call < 100; ++call)
+        EXPECT_NE(1, choose());
+    m_chooser.report(endpointId(1), makeReport(0), m_now);
+    int chosen = 0;
+    for (int call = 0; call < 300; ++call)
+        chosen += choose() == 1;
+    EXPECT_GT(chosen, 50);
+}
+
+TEST_F(EndpointChooserTest, SlowMachine_NoNewsForLong_FadesToTheUsual)
+{
+    addEndpoints(1);
+    auto slow = makeReport(0);
+    slow.slowdownPercent = 700;
+    m_chooser.report(endpointId(0), slow, m_now);
+    const Duration told = m_chooser.status(m_now)[0].predictedTime;
+    m_now += 10 * second;
+    EXPECT_LT(m_chooser.status(m_now)[0].predictedTime, told / 3);
+}
+
 } // namespace
--- a/Tests/coordination/OutgoingCallTest.cpp
+++ b/Tests/coordination/OutgoingCallTest.cpp
@@ -213,4 +213,59 @@
     EXPECT_EQ(CallOutcome::Kind::NotRun, last<FinishCall>().outcome.kind);
 }
 
+TEST_F(OutgoingCallTest, RefusedByNodes_BudgetSpent_IsOfferedElsewhereWithinItsBound)
+{
+    while (m_retries.tryTake()) { }
+    m_parameters.limits.maximumAttempts = 2;
+    begin();
+    for (std::uint64_t offer = 1; offer < maximumOffers; ++offer) {
+        handle(AttemptRefused { attempt(offer), { ResultCode::Overloaded, Duration(1000) } });
+        ASSERT_EQ(offer + 1, count<ChooseEndpoint>());
+        handle(EndpointChosen { NodeId("node-" + std::to_string(offer)), Incarnation(1) });
+    }
+    handle(AttemptRefused { attempt(maximumOffers), { ResultCode::Overloaded, Duration(1000) } });
+    EXPECT_EQ(maximumOffers, count<SendAttempt>());
+    expectOutcome(CallOutcome::Kind::NotRun, ResultCode::Overloaded);
+}
+
+TEST_F(OutgoingCallTest, RefusedByBackendServer_BudgetSpent_IsNotSentAgain)
+{
+    while (m_retries.tryTake()) { }
+    begin();
+    handle(AttemptRefused { attempt(1), { ResultCode::BackendRefused, Duration(1000) } });
+    EXPECT_EQ(1u, count<SendAttempt>());
+    expectOutcome(CallOutcome::Kind::NotRun, ResultCode::BackendRefused);
+}
+
+TEST_F(OutgoingCallTest, IdempotentFailure_OtherEndpointAnswers_TellsThatAnswer)
+{
+    m_parameters.isIdempotent = true;
+    begin();
+    handle(AttemptFailed { attempt(1), std::make_shared<const std::string>("failure") });
+    ASSERT_EQ(2u, count<ChooseEndpoint>());
+    handle(EndpointChosen { NodeId("b"), Incarnation(1) });
+    EXPECT_TRUE(last<SendAttempt>().isRepeat);
+    handle(AttemptAnswered { attempt(2), std::make_shared<const std::string>("answer") });
+    expectOutcome(CallOutcome::Kind::Answered, ResultCode::Ok);
+    EXPECT_EQ("answer", *last<FinishCall>().outcome.answer);
+}
+
+TEST_F(OutgoingCallTest, IdempotentFailure_NothingBetter_TellsTheFailure)
+{
+    m_parameters.isIdempotent = true;
+    begin();
+    handle(AttemptFailed { attempt(1), std::make_shared<const std::string>("failure") });
+    handle(NoEndpointLeft {});
+    expectOutcome(CallOutcome::Kind::Answered, ResultCode::Ok);
+    EXPECT_EQ("failure", *last<FinishCall>().outcome.answer);
+}
+
+TEST_F(OutgoingCallTest, NonIdempotentFailure_Told_IsNotSentAgain)
+{
+    begin();
+    handle(AttemptFailed { attempt(1), std::make_shared<const std::string>("failure") });
+    EXPECT_EQ(1u, count<SendAttempt>());
+    expectOutcome(CallOutcome::Kind::Answered, ResultCode::Ok);
+}
+
 } // namespace
--- /dev/null
+++ b/Tests/coordination/ReplicaDirectoryTest.cpp
@@ -0,0 +1,44 @@
+#include "coordination/membership/ReplicaDirectory.h"
+
+#include <gmock/gmock.h>
+
+using namespace Knapweedquay;
+using ::testing::ElementsAre;
+
+namespace {
+
+class ReplicaDirectoryTest : public ::testing::Test {
+protected:
+    ReplicaDirectory m_directory { { "a:1", "b:1" } };
+};
+
+} // namespace
+
+TEST_F(ReplicaDirectoryTest, ReplicaWithoutStore_NamesNone_KeepsWhatIsKnown)
+{
+    m_directory.setNamed({ "a:1", "b:1", "c:1" });
+    m_directory.setNamed({});
+    EXPECT_THAT(m_directory.all(), ElementsAre("a:1", "b:1", "c:1"));
+}
+
+TEST_F(ReplicaDirectoryTest, StoreNamesOthers_Asked_KeepsThoseOfTheSettings)
+{
+    m_directory.setNamed({ "b:1", "c:1" });
+    m_directory.setNamed({ "c:1", "d:1" });
+    EXPECT_THAT(m_directory.all(), ElementsAre("a:1", "b:1", "c:1", "d:1"));
+}
+
+TEST_F(ReplicaDirectoryTest, SettingsChange_Asked_DropsOldSeedsAndKeepsNamed)
+{
+    m_directory.setNamed({ "c:1" });
+    m_directory.setOfSettings({ "e:1" });
+    EXPECT_THAT(m_directory.all(), ElementsAre("e:1", "c:1"));
+}
+
+TEST_F(ReplicaDirectoryTest, Next_Repeated_GoesRound)
+{
+    m_directory.startAt(1);
+    EXPECT_EQ("b:1", m_directory.next());
+    EXPECT_EQ("a:1", m_directory.next());
+    EXPECT_EQ("b:1", m_directory.next());
+}
--- /dev/null
+++ b/Tests/coordination/RoutingTableTest.cpp
@@ -0,0 +1,117 @@
+#include "coordination/routing/RoutingTable.h"
+#include "coordination/routing/WeightedChoice.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <cmath>
+#include <map>
+
+using namespace Knapweedquay;
+
+namespace {
+
+RoutingRule rule(const std::string& host, const std::string& prefix, std::uint32_t rank = 0, std::vector<RouteTarget> targets = { { ServiceName("a"), 1 } })
+{
+    RoutingRule made;
+    made.host = host;
+    made.pathPrefix = prefix;
+    made.rank = Rank(rank);
+    made.targets = std::move(targets);
+    return made;
+}
+
+RoutingDocument document(std::vector<RoutingRule> rules)
+{
+    RoutingDocument made;
+    made.version = 1;
+    made.services = { { ServiceName("a"), 0, {} }, { ServiceName("b"), 0, {} } };
+    made.rules = std::move(rules);
+    return made;
+}
+
+class RoutingTableTest : public ::testing::Test {
+protected:
+    std::string find(std::string_view host, std::string_view target) const
+    {
+        const RoutingTable::Entry* entry = m_table.find(host, target);
+        return entry ? entry->rule.pathPrefix : "none";
+    }
+
+    RoutingTable m_table { document({ rule("one.example", "/x/"), rule("one.example", "/x/y/", 4), rule("two.example", "/", 2) }) };
+};
+
+} // namespace
+
+TEST_F(RoutingTableTest, Target_OfSeveralPrefixes_TakesTheLongest)
+{
+    EXPECT_EQ("/x/", find("one.example", "/x/z"));
+    EXPECT_EQ("/x/y/", find("one.example", "/x/y/z/w?q=/x/"));
+    EXPECT_EQ("/x/", find("one.example", "/x/y"));
+    EXPECT_EQ("none", find("one.example", "/x"));
+    EXPECT_EQ("none", find("one.example", "/other/x/"));
+    EXPECT_EQ("/", find("two.example", "/anything"));
+}
+
+TEST_F(RoutingTableTest, Host_WithPortAndCapitals_IsFound)
+{
+    EXPECT_EQ("/x/", find("ONE.example:8080", "/x/"));
+    EXPECT_EQ("none", find("three.example", "/x/"));
+}
+
+TEST_F(RoutingTableTest, Ranks_OfAllRoutes_BecomePriorities)
+{
+    EXPECT_EQ(PriorityIndex(0), m_table.find("one.example", "/x/")->priority);
+    EXPECT_EQ(PriorityIndex(1), m_table.find("two.example", "/")->priority);
+    EXPECT_EQ(PriorityIndex(2), m_table.find("one.example", "/x/y/")->priority);
+    EXPECT_EQ(PriorityIndex(2), priorityOfRank(m_table.document(), Rank(4)));
+}
+
+// Against a search over all routes.
+RC_GTEST_PROP(RoutingTableProperty, AnyPaths_Found_AsByNaiveSearch, ())
+{
+    const auto segment = [] { return std::string(1, *rc::gen::elementOf(std::string("abc"))); };
+    const auto path = [&](int segments) {
+        std::string text = "/";
+        for (int index = 0; index < segments; ++index)
+            text += segment() + "/";
+        return text;
+    };
+    std::map<std::string, RoutingRule> rules;
+    for (int count = *rc::gen::inRange(0, 12); count > 0; --count) {
+        const std::string prefix = path(*rc::gen::inRange(0, 4));
+        rules.emplace(prefix, rule("h", prefix));
+    }
+    std::vector<RoutingRule> list;
+    for (const auto& entry : rules)
+        list.push_back(entry.second);
+    const RoutingTable table(document(list));
+    const std::string target = path(*rc::gen::inRange(0, 5)) + segment();
+    std::string expected;
+    for (const RoutingRule& candidate : list) {
+        if (target.compare(0, candidate.pathPrefix.size(), candidate.pathPrefix) == 0 && candidate.pathPrefix.size() > expected.size())
+            expected = candidate.pathPrefix;
+    }
+    const RoutingTable::Entry* found = table.find("h", target);
+    RC_ASSERT((found ? found->rule.pathPrefix : std::string()) == expected);
+}
+
+RC_GTEST_PROP(WeightedChoiceProperty, FewHundredCalls_Spread_KeepToTheWeights, ())
+{
+    const std::uint32_t weight = *rc::gen::inRange(1, 100);
+    WeightedChoice choice(*rc::gen::inRange(0, 1000) / 1000.0);
+    const RoutingRule split = rule("h", "/", 0, { { ServiceName("a"), weight }, { ServiceName("b"), 100 - weight } });
+    constexpr int calls = 200;
+    int first = 0;
+    for (int call = 0; call < calls; ++call)
+        first += choice.choose(split) == ServiceName("a");
+    RC_ASSERT(std::abs(first / static_cast<double>(calls) - weight / 100.0) < 0.02);
+}
+
+TEST(WeightedChoiceTest, ServiceWithoutWeight_Chosen_Never)
+{
+    WeightedChoice choice(0.3);
+    const RoutingRule split = rule("h", "/", 0, { { ServiceName("a"), 0 }, { ServiceName("b"), 5 } });
+    for (int call = 0; call < 100; ++call)
+        EXPECT_EQ(ServiceName("b"), choice.choose(split));
+}
--- /dev/null
+++ b/Tests/platform/DecoderTest.cpp
@@ -0,0 +1,128 @@
+#include "platform/AnnouncementDecoder.h"
+#include "platform/ConfigurationDecoder.h"
+
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+
+using namespace Knapweedquay;
+using namespace Knapweedquay::Platform;
+using namespace std::chrono_literals;
+using Json = nlohmann::json;
+
+namespace {
+
+const std::string configuration = R"({"Version":"0000000c","Services":[
+ {"Name":"huvo11a","HealthPath":"/health","MaxConnections":220,"Protocol":"h1","Tls":false},
+ {"Name":"wuno96b","HealthPath":"/health","MaxConnections":220,"Protocol":"h1","Tls":false}],
+ "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":67108864,"HeaderTimeoutS":3,"IdleTimeoutS":15},
+ "VirtualHosts":[{"Host":"ficu95.example","Paths":[
+ {"Name":"r-1","PathPrefix":"/pufi791/","Kind":"unsafe","TimeoutS":1,"TargetLatencyS":0.25,"Priority":1,"Service":"huvo11a","MaxAttempts":2},
+ {"Name":"r-2","PathPrefix":"/lohu930/","Kind":"safe","TimeoutS":0.8,"TargetLatencyS":0.2,"Priority":0,"TrafficSplit":[{"Service":"huvo11a","Weight":90},{"Service":"wuno96b","Weight":10}],"MaxAttempts":2}]}]})";
+
+class ConfigurationDecoderTest : public ::testing::Test {
+protected:
+    void expectInvalid(const std::function<void(Json&)>& change)
+    {
+        Json json = Json::parse(configuration);
+        change(json);
+        const auto decoded = decodeConfiguration(json.dump());
+        ASSERT_TRUE(decoded.has_error()) << json.dump();
+        EXPECT_EQ(ResultCode::InvalidDocument, decoded.error().code);
+    }
+
+    static Json& route(Json& json, std::size_t index) { return json["VirtualHosts"][0]["Paths"][index]; }
+};
+
+class AnnouncementDecoderTest : public ::testing::Test {
+protected:
+    Json m_json = Json::parse(R"({"Service":"huvo11a","Address":"10.128.0.9:8080","Zone":"z","Version":"v1","Slots":12,"State":"ready","ColdRemainingS":2.5,"Sequence":4,"born":1700000000000})");
+};
+
+} // namespace
+
+TEST_F(ConfigurationDecoderTest, Whole_Decoded_HoldsAllOfIt)
+{
+    const auto decoded = decodeConfiguration(configuration);
+    ASSERT_FALSE(decoded.has_error()) << decoded.error().detail;
+    const RoutingDocument& routing = decoded.value();
+    EXPECT_EQ(12u, routing.version);
+    EXPECT_EQ(Duration(3s), routing.limits.headerTimeout);
+    ASSERT_EQ(2u, routing.rules.size());
+    EXPECT_FALSE(routing.rules[0].isIdempotent);
+    EXPECT_EQ(Duration(250ms), routing.rules[0].target);
+    EXPECT_TRUE(routing.rules[1].isIdempotent);
+    EXPECT_EQ(Duration(800ms), routing.rules[1].timeout);
+    EXPECT_EQ(10u, routing.rules[1].targets[1].weight);
+    EXPECT_EQ(220u, routing.services[0].maximumConnections);
+}
+
+TEST_F(ConfigurationDecoderTest, CutAnywhere_Decoded_IsInvalid)
+{
+    for (std::size_t length = 0; length < configuration.size(); length += 7)
+        EXPECT_TRUE(decodeConfiguration(std::string_view(configuration).substr(0, length)).has_error()) << length;
+}
+
+TEST_F(ConfigurationDecoderTest, EachFault_Decoded_IsInvalid)
+{
+    expectInvalid([](Json& json) { route(json, 0)["Service"] = "nosuch"; });
+    expectInvalid([](Json& json) { route(json, 1)["TrafficSplit"][0]["Service"] = "nosuch"; });
+    expectInvalid([](Json& json) { route(json, 1)["PathPrefix"] = route(json, 0)["PathPrefix"]; });
+    expectInvalid([](Json& json) { route(json, 0)["TimeoutS"] = 0; });
+    expectInvalid([](Json& json) { route(json, 0)["TimeoutS"] = 601; });
+    expectInvalid([](Json& json) { route(json, 0).erase("TimeoutS"); });
+    expectInvalid([](Json& json) { route(json, 0).erase("Service"); });
+    expectInvalid([](Json& json) { for (Json& part : route(json, 1)["TrafficSplit"]) part["Weight"] = 0; });
+    expectInvalid([](Json& json) { json["Version"] = "xyz"; });
+    expectInvalid([](Json& json) { json["Version"] = 12; });
+    expectInvalid([](Json& json) { json.erase("VirtualHosts"); });
+    expectInvalid([](Json& json) { json["Services"] = "none"; });
+    expectInvalid([](Json& json) { json["Limits"]["MaxHeaderBytes"] = -1; });
+    expectInvalid([](Json& json) { json = Json::array(); });
+}
+
+TEST_F(ConfigurationDecoderTest, MembersThatAreNotKnown_Decoded_AreLeftAlone)
+{
+    Json json = Json::parse(configuration);
+    json["Tenants"] = Json::array({ 1, 2 });
+    route(json, 0)["Mirror"] = "x";
+    EXPECT_FALSE(decodeConfiguration(json.dump()).has_error());
+}
+
+TEST(VersionDecoderTest, Hexadecimal_Decoded_AndNothingElse)
+{
+    EXPECT_EQ(12u, decodeVersion("0000000c"));
+    EXPECT_EQ(0u, decodeVersion("0"));
+    for (const char* text : { "", "0x1", "g", "-1", " 1", "11111111111111111" })
+        EXPECT_FALSE(decodeVersion(text)) << text;
+}
+
+TEST_F(AnnouncementDecoderTest, Whole_Decoded_HoldsAllOfIt)
+{
+    const auto decoded = decodeAnnouncement("i-1", m_json.dump());
+    ASSERT_FALSE(decoded.has_error()) << decoded.error().detail;
+    EXPECT_EQ("i-1", decoded.value().instance);
+    EXPECT_EQ(1700000000000u, decoded.value().startedAt);
+    EXPECT_EQ(4u, decoded.value().sequence);
+    EXPECT_EQ(Duration(2500ms), decoded.value().warmUp);
+    EXPECT_FALSE(decoded.value().draining);
+    m_json["State"] = "draining";
+    EXPECT_TRUE(decodeAnnouncement("i-1", m_json.dump()).value().draining);
+}
+
+TEST_F(AnnouncementDecoderTest, MissingOrWrongMembers_Decoded_NameNoBackendServer)
+{
+    for (const char* name : { "Service", "Address", "State", "Slots", "Sequence" }) {
+        Json missing = m_json;
+        missing.erase(name);
+        EXPECT_TRUE(decodeAnnouncement("i-1", missing.dump()).has_error()) << name;
+        Json wrong = m_json;
+        wrong[name] = Json::array();
+        EXPECT_TRUE(decodeAnnouncement("i-1", wrong.dump()).has_error()) << name;
+    }
+    m_json["State"] = "resting";
+    EXPECT_TRUE(decodeAnnouncement("i-1", m_json.dump()).has_error());
+    EXPECT_TRUE(decodeAnnouncement("i-1", "\x80 not JSON").has_error());
+    EXPECT_TRUE(decodeAnnouncement("", "{}").has_error());
+    EXPECT_EQ(0u, decodeStart("not JSON"));
+}
--- /dev/null
+++ b/Tests/platform/MachineSettingsTest.cpp
@@ -0,0 +1,92 @@
+#include "platform/MachineSettings.h"
+
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <fstream>
+
+#include <unistd.h>
+
+using namespace Knapweedquay;
+using namespace Knapweedquay::Platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string settingsText = R"(
+Node = "sidecar-1"
+Role = "my-sidecar"
+Ip = "10.1.0.35"
+Zone = "amman"
+InnerPorts = [7660,7675]
+Seeds = ["10.1.0.39:8146","10.2.0.31:8146"]
+Bootstrap = true
+DataDir = "/data"
+HeartbeatS = 1.5
+Service = "huvo11a"
+Bounds = ["SeedLagS=3","GraceS=6.5"]
+NewKey = { a = 1 }
+[Listen]
+Inbound = "10.1.0.35:8145"
+Outbound = "10.1.0.35:8141"
+Ready = "10.1.0.35:8140"
+Control = "10.1.0.35:8146"
+[FaultTolerance]
+Machines = 2
+)";
+
+class MachineSettingsTest : public ::testing::Test {
+protected:
+    void SetUp() override
+    {
+        char name[] = "/tmp/machine-settings-XXXXXX";
+        const int file = ::mkstemp(name);
+        ASSERT_GE(file, 0);
+        ::close(file);
+        m_path = name;
+    }
+    void TearDown() override { std::remove(m_path.c_str()); }
+
+    Result<MachineSettings> load(const std::string& text)
+    {
+        std::ofstream(m_path) << text;
+        return loadMachineSettings(m_path);
+    }
+
+    std::string m_path;
+};
+
+} // namespace
+
+TEST_F(MachineSettingsTest, Whole_Loaded_BecomesSettingsOfANode)
+{
+    const auto machine = load(settingsText);
+    ASSERT_FALSE(machine.has_error()) << machine.error().detail;
+    const NodeSettings node = nodeSettings(machine.value());
+    EXPECT_EQ(NodeId("sidecar-1"), node.node);
+    EXPECT_EQ((SocketAddress { "10.1.0.35", 8141 }), node.calls);
+    EXPECT_EQ((SocketAddress { "10.1.0.35", 7660 }), node.peers);
+    EXPECT_EQ((std::vector<std::string> { "10.1.0.39:7660", "10.2.0.31:7660" }), node.controlReplicas);
+    EXPECT_EQ((SocketAddress { "10.2.0.31", 7661 }), node.seeds[1]);
+    EXPECT_LT(node.maximumStopTime, 6500ms);
+    EXPECT_GT(node.maximumStopTime, 5s);
+}
+
+TEST_F(MachineSettingsTest, Whole_Loaded_BecomesSettingsOfAControlInstance)
+{
+    const ControlSettings control = controlSettings(load(settingsText).value());
+    EXPECT_EQ("/data", control.folder);
+    EXPECT_TRUE(control.bootstrap);
+    EXPECT_EQ(control.peers, control.founders);
+    EXPECT_EQ(4u, control.minimumVoters);
+    EXPECT_EQ(5u, control.targetVoters);
+}
+
+TEST_F(MachineSettingsTest, MissingPorts_Loaded_IsRefused)
+{
+    std::string text = settingsText;
+    text.replace(text.find("[7660,7675]"), 11, "[7660]");
+    const auto machine = load(text);
+    ASSERT_TRUE(machine.has_error());
+    EXPECT_EQ(ResultCode::InvalidSettings, machine.error().code);
+}
--- a/Tests/state/StoreSimulation.cpp
+++ b/Tests/state/StoreSimulation.cpp
@@ -18,7 +18,20 @@
 } // namespace
 
 StoreSimulation::StoreSimulation(std::size_t replicas, std::uint64_t seed, std::size_t snapshotEntries)
+    : StoreSimulation(replicas, 0, 0, seed, snapshotEntries)
+{
+}
+
+StoreSimulation StoreSimulation::formedBy(std::size_t founders, std::size_t replicas, std::size_t voters, std::uint64_t seed)
+{
+    constexpr std::size_t snapshotEntries = 8;
+    return StoreSimulation(replicas, founders, voters, seed, snapshotEntries);
+}
+
+StoreSimulation::StoreSimulation(std::size_t replicas, std::size_t founders, std::size_t voters, std::uint64_t seed, std::size_t snapshotEntries)
     : m_random(seed)
+    , m_founders(founders)
+    , m_voters(voters)
     , m_replicas(replicas)
     , m_snapshotEntries(snapshotEntries)
     , m_isStorageSlow(seed % 2 == 0)
@@ -36,13 +49,17 @@
     ControlServiceSettings settings;
     settings.folder = folder;
     settings.address = replica.address;
-    for (const Replica& other : m_replicas)
-        if (other.address != replica.address)
-            settings.peers.push_back(other.address);
-    settings.bootstrap = replica.founder;
+    for (std::size_t i = 0; i < (m_founders > 0 ? m_founders : m_replicas.size()); ++i) {
+        if (m_founders > 0 || i != index)
+            settings.peers.push_back("replica-" + std::to_string(i));
+    }
+    if (m_founders > 0)
+        settings.founders = settings.peers;
+    settings.bootstrap = m_founders > 0 ? replica.isFirstStart : replica.founder;
+    settings.log.targetVoters = m_voters;
     settings.newReplica = ReplicaId(m_nextId++);
     settings.newCluster = ClusterId(clusterId);
-    settings.minimumVoters = m_replicas.size() / 2 + 1;
+    settings.minimumVoters = m_voters > 0 ? m_voters - 1 : m_replicas.size() / 2 + 1;
     settings.snapshotEntries = m_snapshotEntries;
     settings.log.seed = m_random();
     settings.log.snapshotChunkBytes = 256;
@@ -170,9 +187,17 @@
 {
     crash(index);
     m_replicas[index].disk.loseDisk();
+    m_replicas[index].isFirstStart = false;
     m_lastLoss = m_now;
 }
 
+void StoreSimulation::replaceMachine(std::size_t index)
+{
+    loseDisk(index);
+    m_replicas[index].address += "-new";
+    start(index);
+}
+
 void StoreSimulation::freeze(std::size_t index, Duration time)
 {
     m_replicas[index].frozenUntil = m_now + time;
@@ -266,7 +291,8 @@
         if (!replica.service || !replica.service->log() || !replica.service->freshness(m_now))
             return false;
         const ReplicatedLog& log = *replica.service->log();
-        if (voterCount(log.members()) != m_replicas.size() || log.members().size() != m_replicas.size())
+        const std::size_t voters = m_voters > 0 ? std::min(m_voters, m_replicas.size()) : m_replicas.size();
+        if (voterCount(log.members()) != voters || log.members().size() != m_replicas.size())
             return false;
         if (log.appliedIndex() != log.log().lastIndex() || (applied.value() > 0 && applied != log.appliedIndex()))
             return false;
--- a/Tests/state/StoreSimulation.h
+++ b/Tests/state/StoreSimulation.h
@@ -26,6 +26,9 @@
     };
 
     StoreSimulation(std::size_t replicas, std::uint64_t seed, std::size_t snapshotEntries = 8);
+    /// Replicas that form a store by themselves: the first `founders` of them found it together, and all know just these.
+    /// More replicas than voters wait as learners.
+    static StoreSimulation formedBy(std::size_t founders, std::size_t replicas, std::size_t voters, std::uint64_t seed);
 
     void run(Duration);
     /// Runs until the condition holds; false when it does not within the time.
@@ -42,6 +45,8 @@
     void heal();
     /// One random fault or repair of any kind that the promises cover.
     void disturb();
+    /// The machine is gone for good, and an empty one takes its part under another address.
+    void replaceMachine(std::size_t);
 
     /// Sends an edit to a replica; the expected version is the one that the replica has, plus the given number.
     void sendEdit(std::size_t replica, const std::string& service, std::uint64_t expectedBeyond = 0);
@@ -70,6 +75,8 @@
         TimePoint frozenUntil;
         bool cutOff = false;
         bool founder = false;
+        /// The system has not started before, as its operator says.
+        bool isFirstStart = true;
         /// Starts of this process so far.
         std::size_t runs = 0;
         /// Versions seen by something attached to this process; they must never go back.
@@ -104,7 +111,13 @@
     void checkDocuments(std::size_t);
     void report(const std::string&);
 
+    StoreSimulation(std::size_t replicas, std::size_t founders, std::size_t voters, std::uint64_t seed, std::size_t snapshotEntries);
+
     std::mt19937_64 m_random;
+    /// 0: the first replica founds the store alone.
+    std::size_t m_founders = 0;
+    /// 0: every replica votes.
+    std::size_t m_voters = 0;
     std::vector<Replica> m_replicas;
     std::multimap<TimePoint, Envelope> m_network;
     std::size_t m_snapshotEntries;
--- a/Tests/state/StoreSimulationTest.cpp
+++ b/Tests/state/StoreSimulationTest.cpp
@@ -185,4 +185,109 @@
 
 INSTANTIATE_TEST_SUITE_P(Replicas, StoreSimulationTest, ::testing::Values(3, 5));
 
+class StoreFormingTest : public ::testing::Test {
+protected:
+    static bool form(StoreSimulation& store, Duration time = 30s)
+    {
+        return store.runUntil([&store] { return store.haveAllConverged() && store.survivesAnotherLoss(); }, time);
+    }
+
+    static bool accept(StoreSimulation& store)
+    {
+        const std::size_t before = store.acceptedCount();
+        return store.runUntil([&] {
+            if (store.acceptedCount() == before && store.leader())
+                store.sendEdit(*store.leader(), "dispatch");
+            return store.acceptedCount() > before;
+        },
+            20s);
+    }
+};
+
+TEST_F(StoreFormingTest, FiveKnowThree_StartedAtOnce_FormOneStore)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        StoreSimulation store = StoreSimulation::formedBy(3, 5, 5, seed);
+        ASSERT_TRUE(form(store, 5s)) << seed;
+        EXPECT_TRUE(accept(store)) << seed;
+        EXPECT_TRUE(store.violations().empty()) << join(store.violations());
+    }
+}
+
+TEST_F(StoreFormingTest, AnyOfThem_KilledWhileForming_FormOneStoreAllTheSame)
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        StoreSimulation store = StoreSimulation::formedBy(3, 5, 5, seed);
+        for (int kills = 0; kills < 6; ++kills) {
+            store.run(Duration(store.random()() % 250000));
+            const std::size_t killed = store.random()() % 5;
+            store.crash(killed);
+            store.run(Duration(store.random()() % 250000));
+            store.restart(killed);
+        }
+        ASSERT_TRUE(form(store)) << seed;
+        ASSERT_TRUE(accept(store)) << seed;
+        EXPECT_TRUE(store.violations().empty()) << join(store.violations());
+    }
+}
+
+TEST_F(StoreFormingTest, TwoDisksLostAtOnce_WhileTheRestLosesPower_LoseNoEdit)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        StoreSimulation store = StoreSimulation::formedBy(3, 5, 5, seed);
+        ASSERT_TRUE(form(store)) << seed;
+        ASSERT_TRUE(accept(store)) << seed;
+        const std::size_t first = store.random()() % 5;
+        const std::size_t second = (first + 1 + store.random()() % 4) % 5;
+        for (std::size_t replica = 0; replica < 5; ++replica) {
+            if (replica == first || replica == second)
+                store.loseDisk(replica);
+            else
+                store.crash(replica);
+        }
+        for (std::size_t replica = 0; replica < 5; ++replica)
+            store.restart(replica);
+        ASSERT_TRUE(store.runUntil([&store] { return store.haveAllConverged(); }, 30s)) << seed;
+        EXPECT_TRUE(accept(store)) << seed;
+        EXPECT_TRUE(store.violations().empty()) << join(store.violations());
+    }
+}
+
+TEST_F(StoreFormingTest, MachineGoneForGood_EmptyOneAtAnotherAddress_TakesItsPlaceByItself)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        StoreSimulation store = StoreSimulation::formedBy(3, 5, 5, seed);
+        ASSERT_TRUE(form(store)) << seed;
+        // Neither the leader nor a founder must be special.
+        for (std::size_t replaced = 3; replaced < 5; ++replaced) {
+            store.replaceMachine(replaced);
+            ASSERT_TRUE(store.runUntil([&store] { return store.haveAllConverged(); }, 40s)) << seed;
+            ASSERT_TRUE(accept(store)) << seed;
+        }
+        EXPECT_TRUE(store.violations().empty()) << join(store.violations());
+    }
+}
+
+TEST_F(StoreFormingTest, VoterSilentForLong_LearnerWaits_TakesItsPlaceAndTheOldOneJoinsAgain)
+{
+    StoreSimulation store = StoreSimulation::formedBy(3, 6, 5, 7);
+    ASSERT_TRUE(form(store));
+    std::size_t away = 0;
+    while (away == *store.leader() || !isVoter(store.service(away)->log()->members(), store.service(away)->log()->self()))
+        ++away;
+    const ReplicaId old = store.service(away)->log()->self();
+    store.cutOff(away, true);
+    const auto isReplaced = [&] { return store.leader() && !findMember(store.service(*store.leader())->log()->members(), old); };
+    ASSERT_TRUE(store.runUntil(isReplaced, 30s));
+    ASSERT_TRUE(accept(store));
+    store.cutOff(away, false);
+    // It stops when it learns of it, and starts with an empty folder.
+    ASSERT_TRUE(store.runUntil([&] { return store.service(away)->isStopped(); }, 20s));
+    store.crash(away);
+    store.restart(away);
+    EXPECT_TRUE(store.runUntil([&store] { return store.haveAllConverged(); }, 30s));
+    EXPECT_NE(old, store.service(away)->log()->self());
+    EXPECT_TRUE(store.violations().empty()) << join(store.violations());
+}
+
 } // namespace
--- a/Utilities/Load/Deployment.cpp
+++ b/Utilities/Load/Deployment.cpp
@@ -157,7 +157,8 @@
         node.peerLink = forwardTo(addresses.peers);
         file << fmt::format("[advertise]\npeers = \"{}\"\n", node.peerLink.address);
     }
-    file << fmt::format("[control]\nreplicas = {}\n", quotedList(replicas));
+    // A node behind a forwarder cannot use the addresses that the replicas have among themselves.
+    file << fmt::format("[control]\nreplicas = {}\ndiscover = {}\n", quotedList(replicas), !node.plan.isControlForwarded);
     file << fmt::format("[membership]\nseeds = {}\n", quotedList(seeds));
     file << fmt::format("[choice]\npolicy = \"{}\"\n", node.plan.policy);
 }
