Admission: Run late calls on what the others leave, and hedge where a machine turned slow

- A call that cannot make its target takes a free slot or one of few places behind all others, and is refused at once otherwise; a caller that comes back is recognised by its shorter deadline (CallerDeadlines).
- A report of a machine that became twice as slow or more hedges the repeatable calls that run there, within the budget.
- A node that was told to stop lets its backend server's calls go on until callers have left.

Ruled out: more slots in use (the announced ones are full) and longer queues (served more, all of it late).

--- a/Source/coordination/admission/AdmissionQueue.cpp
+++ b/Source/coordination/admission/AdmissionQueue.cpp
@@ -17,6 +17,11 @@
 constexpr Duration standingQueueTime { 100000 };
 /// Multiple of the mean service time that few calls exceed.
 constexpr int serviceTailFactor = 4;
+/// Part of the target that the service may take for the target to bound the wait.
+constexpr double targetShare = 0.9;
+/// Late calls that may wait for what the others leave, as a share of the slots, and how long.
+constexpr double lateQueueShare = 0.5;
+constexpr Duration lateQueueTime { 300000 };
 constexpr double failureWeight = 1.0 / 16;
 constexpr double perThousand = 1000;
 /// Cost of a call while nothing is known about it.
@@ -43,7 +48,7 @@
     m_expiryOrder.clear();
 }
 
-AdmissionDecision AdmissionQueue::offer(CallTicket ticket, PriorityIndex priority, TimePoint deadline, TimePoint now)
+AdmissionDecision AdmissionQueue::offer(CallTicket ticket, PriorityIndex priority, TimePoint deadline, TimePoint now, TimePoint targetAt)
 {
     m_now = now;
     if (m_calls.count(ticket))
@@ -53,33 +58,68 @@
     if (deadline <= now)
         return refusal(ResultCode::DeadlineExpired, Duration(0));
 
-    const auto index = laneIndex(priority);
-    const auto& lane = m_lanes[index];
-    const auto wait = estimatedWait(priority, now);
+    Call call;
+    call.ticket = ticket;
+    call.priority = laneIndex(priority);
+    call.lane = call.priority;
+    call.deadline = deadline;
+    const auto& lane = m_lanes[call.lane];
+    const auto wait = waitInLane(call.lane, now);
     // An idle backend server takes any call, so that an estimate that went wrong is put right.
     if (m_running && now + wait + atPresentSpeed(lane.serviceTime.lowerQuartile()) > deadline)
         return refusal(ResultCode::DeadlineCannotBeMet, wait);
+    const auto latestStart = deadline - atPresentSpeed(lane.serviceTime.lowerQuartile());
+    const bool hasTarget = hasUsefulTarget(lane, targetAt);
+    if (hasTarget && now + wait + atPresentSpeed(lane.serviceTime.mean()) > targetAt)
+        return offerLate(call, now);
     const bool startsNow = hasFreeSlot() && !hasQueued();
-    if (!startsNow && (wait > allowedWait(lane, now) || lane.queue.size() >= maximumQueuedPerPriority))
+    const auto allowed = hasTarget ? lane.maximumQueueTime : allowedWait(lane, now);
+    if (!startsNow && (wait > allowed || lane.queue.size() >= maximumQueuedPerPriority))
         return refusal(ResultCode::Overloaded, wait);
+    // Given up while there is still time to tell the caller, and to try elsewhere.
+    const auto targetStart = hasTarget ? targetAt - atPresentSpeed(lane.serviceTime.lowerQuartile()) : TimePoint::max();
+    const auto queueEnd = std::min(now + lane.maximumQueueTime, targetStart);
+    call.expiry = std::min(latestStart, queueEnd);
+    call.expiryCode = latestStart < queueEnd ? ResultCode::DeadlineCannotBeMet : ResultCode::Overloaded;
+    return admit(call, startsNow, now);
+}
 
-    auto& call = m_calls[ticket];
-    call.ticket = ticket;
-    call.priority = index;
-    call.deadline = deadline;
+// An overloaded endpoint that ran late calls in their turn would make all others late as well.
+AdmissionDecision AdmissionQueue::offerLate(Call call, TimePoint now)
+{
+    call.lane = lateLane();
+    const bool startsNow = hasFreeSlot() && !hasQueued();
+    const auto& lane = m_lanes[call.lane];
+    if (!startsNow && lane.queue.size() >= lateQueueShare * m_limit.value(now))
+        return refusal(ResultCode::Overloaded, waitInLane(call.lane, now));
+    call.expiry = std::min(call.deadline - atPresentSpeed(m_lanes[call.priority].serviceTime.lowerQuartile()), now + lateQueueTime);
+    call.expiryCode = ResultCode::Overloaded;
+    return admit(call, startsNow, now);
+}
+
+AdmissionDecision AdmissionQueue::admit(const Call& offered, bool startsNow, TimePoint now)
+{
+    auto& call = m_calls[offered.ticket];
+    call.ticket = offered.ticket;
+    call.priority = offered.priority;
+    call.lane = offered.lane;
+    call.deadline = offered.deadline;
     if (startsNow) {
         start(call, now);
         return { AdmissionKind::Started, ResultCode::Ok, Duration(0) };
     }
-    // Given up while there is still time to tell the caller, and to try elsewhere.
-    const auto latestStart = deadline - atPresentSpeed(lane.serviceTime.lowerQuartile());
-    const auto queueEnd = now + lane.maximumQueueTime;
-    call.expiry = std::min(latestStart, queueEnd);
-    call.expiryCode = latestStart < queueEnd ? ResultCode::DeadlineCannotBeMet : ResultCode::Overloaded;
+    call.expiry = offered.expiry;
+    call.expiryCode = offered.expiryCode;
     enqueue(call, now);
     return { AdmissionKind::Queued, ResultCode::Ok, Duration(0) };
 }
 
+// A target that the service time nearly fills, or exceeds, is no measure of the wait.
+bool AdmissionQueue::hasUsefulTarget(const Lane& lane, TimePoint targetAt) const
+{
+    return targetAt != TimePoint::max() && lane.serviceTime.hasSamples() && lane.serviceTime.mean() < targetShare * lane.target;
+}
+
 void AdmissionQueue::finished(CallTicket ticket, BackendOutcome outcome, TimePoint now)
 {
     const auto found = m_calls.find(ticket);
@@ -148,16 +188,21 @@
 
 void AdmissionQueue::setDocument(const ServiceDocument& document)
 {
-    std::vector<Lane> lanes(std::max<std::size_t>(document.priorities.size(), 1));
+    // The last lane is for late calls of any priority.
+    std::vector<Lane> lanes(std::max<std::size_t>(document.priorities.size(), 1) + 1);
+    const std::size_t lastPriority = lanes.size() - 2;
+    const auto newPlace = [&](std::size_t lane) {
+        return lane + 1 == m_lanes.size() ? lanes.size() - 1 : std::min(lane, lastPriority);
+    };
     for (std::size_t index = 0; index < document.priorities.size(); ++index) {
         lanes[index].minimumShare = document.priorities[index].minimumShare;
         lanes[index].maximumQueueTime = document.priorities[index].maximumQueueTime;
         lanes[index].target = document.priorities[index].target;
     }
     for (std::size_t index = 0; index < m_lanes.size(); ++index) {
-        auto& target = lanes[std::min(index, lanes.size() - 1)];
+        auto& target = lanes[newPlace(index)];
         target.queue.splice(target.queue.end(), m_lanes[index].queue);
-        if (index >= lanes.size())
+        if (index > lastPriority && newPlace(index) <= lastPriority)
             continue;
         target.serviceTime = m_lanes[index].serviceTime;
         target.credit = m_lanes[index].credit;
@@ -165,9 +210,11 @@
         target.recentWorkAt = m_lanes[index].recentWorkAt;
         target.backlogSince = m_lanes[index].backlogSince;
     }
+    for (auto& entry : m_calls) {
+        entry.second.priority = std::min(entry.second.priority, lastPriority);
+        entry.second.lane = newPlace(entry.second.lane);
+    }
     m_lanes = std::move(lanes);
-    for (auto& entry : m_calls)
-        entry.second.priority = std::min(entry.second.priority, m_lanes.size() - 1);
 
     m_defaultSlots = document.defaultSlots;
     m_limit.setSlots(m_announcedSlots.value_or(m_defaultSlots));
@@ -219,9 +266,10 @@
     LoadReport report;
     report.running = m_running;
     report.concurrencyLimit = m_limit.value(m_now);
-    report.queued.reserve(m_lanes.size());
-    for (const auto& lane : m_lanes)
-        report.queued.push_back(static_cast<std::uint32_t>(lane.queue.size()));
+    report.queued.reserve(lateLane());
+    // Late calls hold nobody up.
+    for (std::size_t lane = 0; lane < lateLane(); ++lane)
+        report.queued.push_back(static_cast<std::uint32_t>(m_lanes[lane].queue.size()));
     report.serviceTime = m_serviceTime.mean();
     report.completedCalls = m_completedCalls;
     report.failuresPerThousand = static_cast<std::uint32_t>(perThousand * m_failureRate);
@@ -231,10 +279,14 @@
 }
 
 Duration AdmissionQueue::estimatedWait(PriorityIndex priority, TimePoint now) const
+{
+    return waitInLane(laneIndex(priority), now);
+}
+
+Duration AdmissionQueue::waitInLane(std::size_t index, TimePoint now) const
 {
     if (hasFreeSlot() && !hasQueued())
         return Duration(0);
-    const auto index = laneIndex(priority);
     const auto& lane = m_lanes[index];
     double urgentWork = 0;
     double freeShare = 1;
@@ -255,7 +307,7 @@
 
 std::size_t AdmissionQueue::laneIndex(PriorityIndex priority) const
 {
-    return std::min<std::size_t>(priority.value(), m_lanes.size() - 1);
+    return std::min<std::size_t>(priority.value(), m_lanes.size() - 2);
 }
 
 double AdmissionQueue::cost(const Lane& lane) const
@@ -299,7 +351,7 @@
 
 void AdmissionQueue::enqueue(Call& call, TimePoint now)
 {
-    auto& lane = m_lanes[call.priority];
+    auto& lane = m_lanes[call.lane];
     if (lane.queue.empty())
         lane.backlogSince = now;
     lane.queue.push_back(call);
@@ -308,7 +360,7 @@
 
 void AdmissionQueue::dequeue(Call& call)
 {
-    auto& queue = m_lanes[call.priority].queue;
+    auto& queue = m_lanes[call.lane].queue;
     queue.erase(queue.iterator_to(call));
     m_expiryOrder.erase(m_expiryOrder.iterator_to(call));
 }
@@ -319,7 +371,7 @@
     call.startedAt = now;
     call.workAtStart = workDone(now);
     call.runningAtStart = m_running;
-    chargeStart(call.priority, now);
+    chargeStart(call.lane, now);
 }
 
 void AdmissionQueue::giveUpExpired(TimePoint now, std::vector<GivenUpCall>& givenUp)
--- a/Source/coordination/admission/AdmissionQueue.h
+++ b/Source/coordination/admission/AdmissionQueue.h
@@ -77,9 +77,10 @@
     AdmissionQueue& operator=(const AdmissionQueue&) = delete;
     ~AdmissionQueue();
 
-    /// Codes of a refusal: DeadlineExpired, DeadlineCannotBeMet, Overloaded, Draining; AlreadyRunning when the ticket
+    /// An answer after targetAt is worth little: a call that can't make it runs on what the others leave, and waits for
+    /// that only a little. Codes of a refusal: DeadlineExpired, DeadlineCannotBeMet, Overloaded, Draining; AlreadyRunning when the ticket
     /// is here already.
-    AdmissionDecision offer(CallTicket, PriorityIndex, TimePoint deadline, TimePoint now);
+    AdmissionDecision offer(CallTicket, PriorityIndex, TimePoint deadline, TimePoint now, TimePoint targetAt = TimePoint::max());
     /// A started call ended. Unknown tickets are ignored.
     void finished(CallTicket, BackendOutcome, TimePoint now);
     CancelResult cancel(CallTicket);
@@ -112,6 +113,8 @@
     struct Call {
         CallTicket ticket;
         std::size_t priority = 0;
+        /// Where it queues: its priority, or the lane of late calls.
+        std::size_t lane = 0;
         TimePoint deadline;
         /// When the call is given up if it still waits.
         TimePoint expiry;
@@ -147,6 +150,11 @@
     };
 
     std::size_t laneIndex(PriorityIndex) const;
+    std::size_t lateLane() const { return m_lanes.size() - 1; }
+    bool hasUsefulTarget(const Lane&, TimePoint targetAt) const;
+    AdmissionDecision offerLate(Call, TimePoint now);
+    AdmissionDecision admit(const Call&, bool startsNow, TimePoint now);
+    Duration waitInLane(std::size_t lane, TimePoint now) const;
     double cost(const Lane&) const;
     Duration allowedWait(const Lane&, TimePoint now) const;
     double recentShare(const Lane&, TimePoint now) const;
--- a/Source/coordination/attempts/CallEvents.h
+++ b/Source/coordination/attempts/CallEvents.h
@@ -35,6 +35,10 @@
     AttemptId attempt;
     AnswerBytes answer;
 };
+/// Work takes much longer from now on where an attempt runs, so that its answer is likely to be late.
+struct EndpointSlowed {
+    NodeId node;
+};
 /// Certainly not run: the endpoint's node refused it, or no byte of it ever left this node.
 struct AttemptRefused {
     AttemptId attempt;
@@ -63,7 +67,7 @@
 /// The caller closed its connection; may come before CallStarted, while the claim of a key is awaited.
 struct CallerGone { };
 
-using CallEvent = std::variant<CallStarted, EndpointChosen, NoEndpointLeft, AttemptAccepted, AttemptAnswered, AttemptFailed, AttemptRefused,
+using CallEvent = std::variant<CallStarted, EndpointChosen, NoEndpointLeft, AttemptAccepted, AttemptAnswered, AttemptFailed, EndpointSlowed, AttemptRefused,
     AttemptUnknown, CancelAcknowledged, LinkLost, LinkRestored, TimerFired, CallerGone>;
 
 /// Choose an endpoint by policy, none of the excluded ones, and reply by EndpointChosen or NoEndpointLeft.
--- a/Source/coordination/attempts/OutgoingCall.cpp
+++ b/Source/coordination/attempts/OutgoingCall.cpp
@@ -116,6 +116,16 @@
     concludeIfSettled();
 }
 
+// The work that is left there takes too long for the target; a hedge begun now elsewhere may still make it.
+void OutgoingCall::on(const EndpointSlowed& event)
+{
+    const bool isAffected = std::any_of(m_attempts.begin(), m_attempts.end(), [&event](const Attempt& attempt) {
+        return attempt.node == event.node && (attempt.state == AttemptState::Sent || attempt.state == AttemptState::Accepted);
+    });
+    if (isAffected && canHedge() && m_now - m_firstSentAt < m_parameters.target)
+        hedge();
+}
+
 void OutgoingCall::on(const AttemptRefused& event)
 {
     Attempt* attempt = find(event.attempt);
@@ -231,8 +241,12 @@
 void OutgoingCall::checkHedge()
 {
     const auto at = hedgeTime();
-    if (!at || *at > m_now)
-        return;
+    if (at && *at <= m_now)
+        hedge();
+}
+
+void OutgoingCall::hedge()
+{
     m_hasHedged = true;
     if (hasTimeLeft() && m_budgets.hedges.tryTake())
         requestEndpoint(true);
@@ -388,10 +402,15 @@
 
 std::optional<TimePoint> OutgoingCall::hedgeTime() const
 {
-    const bool mayHedge = m_phase == Phase::Active && m_parameters.hedgeDelay && m_parameters.isIdempotent && !m_parameters.isRepeat;
-    if (!mayHedge || m_hasHedged || m_isChoosing || m_attempts.size() != 1 || m_parameters.limits.maximumAttempts < 2)
+    if (!m_parameters.hedgeDelay || !canHedge())
         return std::nullopt;
     return m_firstSentAt + *m_parameters.hedgeDelay;
 }
 
+bool OutgoingCall::canHedge() const
+{
+    const bool mayHedge = m_phase == Phase::Active && m_parameters.isIdempotent && !m_parameters.isRepeat;
+    return mayHedge && !m_hasHedged && !m_isChoosing && spentAttempts() == 1 && m_parameters.limits.maximumAttempts >= 2;
+}
+
 } // namespace Knapweedquay
--- a/Source/coordination/attempts/OutgoingCall.h
+++ b/Source/coordination/attempts/OutgoingCall.h
@@ -29,6 +29,8 @@
     TimePoint deadline;
     /// A link that brings no acceptance for this long is taken for silent.
     Duration acceptanceTimeout { 200000 };
+    /// An answer that comes later than this is worth little.
+    Duration target { 100000 };
     /// A second attempt is started when the first has lasted this long; none when empty.
     std::optional<Duration> hedgeDelay;
     RetryLimits limits;
@@ -89,6 +91,7 @@
     void on(const AttemptAccepted&);
     void on(const AttemptAnswered&);
     void on(const AttemptFailed&);
+    void on(const EndpointSlowed&);
     void on(const AttemptRefused&);
     void on(const AttemptUnknown&);
     void on(const CancelAcknowledged&);
@@ -106,6 +109,8 @@
     void cancel(const Attempt&);
     void tryRetryRefused(const Refusal&);
     void tryRetryLost();
+    bool canHedge() const;
+    void hedge();
     bool canStartAttempt() const;
     bool hasTimeLeft() const;
     void concludeIfSettled();
--- a/Source/coordination/placing/EndpointChooser.cpp
+++ b/Source/coordination/placing/EndpointChooser.cpp
@@ -1,5 +1,7 @@
 #include "coordination/placing/EndpointChooser.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -11,6 +13,8 @@
 constexpr Duration unknownLocalRoundTrip { 200 };
 constexpr Duration unknownRemoteRoundTrip { 2000 };
 constexpr int roundTripDivisor = 8;
+/// Times as slow as before from which on the calls that run there are likely to be late.
+constexpr std::uint32_t muchSlower = 2;
 constexpr double ejectionErrorRate = 0.5;
 /// Error rate of an endpoint that came back from its ejection.
 constexpr double returnErrorRate = 0.2;
@@ -54,12 +58,14 @@
         endpoint->record.setDescription(description);
     else
         m_endpoints.emplace(id, std::make_unique<Endpoint>(id, description));
+    updateSubset();
     enforceEjectionBound();
 }
 
 void EndpointChooser::remove(const EndpointId& id)
 {
     m_endpoints.erase(id);
+    updateSubset();
     updateFleetServiceTime();
     enforceEjectionBound();
 }
@@ -93,14 +99,19 @@
     m_calls.erase(found);
 }
 
-void EndpointChooser::report(const EndpointId& id, const LoadReport& report, TimePoint now)
+bool EndpointChooser::report(const EndpointId& id, const LoadReport& report, TimePoint now)
 {
     auto* endpoint = find(id);
     if (!endpoint)
-        return;
+        return false;
+    const std::uint32_t before = endpoint->record.report().slowdownPercent;
+    const bool wasDraining = endpoint->record.isDraining();
     endpoint->record.takeReport(report, now);
     updateFleetServiceTime();
     enforceEjectionBound();
+    if (endpoint->record.isDraining() != wasDraining)
+        updateSubset();
+    return report.slowdownPercent > muchSlower * before;
 }
 
 void EndpointChooser::roundTrip(const EndpointId& id, Duration sample)
@@ -216,12 +227,48 @@
     for (const auto& [id, endpoint] : m_endpoints) {
         if (endpoint->record.isDraining() || endpoint->ejection.has_value() != ejected)
             continue;
+        // A call that was refused in the subset may go anywhere.
+        if (!endpoint->isInSubset && excluded.empty() && !ejected)
+            continue;
         if (std::find(excluded.begin(), excluded.end(), id) == excluded.end())
             found.push_back(endpoint.get());
     }
     return found;
 }
 
+// Rendezvous hashing: an endpoint that comes or goes changes one place of the subset only. Two thirds of the places are for
+// endpoints of the own data centre.
+void EndpointChooser::updateSubset()
+{
+    if (m_settings.subset == 0)
+        return;
+    Candidates local;
+    Candidates remote;
+    for (const auto& entry : m_endpoints) {
+        entry.second->isInSubset = false;
+        if (entry.second->record.isDraining())
+            continue;
+        const bool isLocal = entry.second->record.description().dataCentre == m_localDataCentre;
+        (isLocal ? local : remote).push_back(entry.second.get());
+    }
+    const auto take = [this](Candidates& from, std::size_t count) {
+        std::sort(from.begin(), from.end(), [this](const Endpoint* a, const Endpoint* b) { return subsetRank(a->record) < subsetRank(b->record); });
+        const std::size_t taken = std::min(count, from.size());
+        for (std::size_t index = 0; index < taken; ++index)
+            from[index]->isInSubset = true;
+        return taken;
+    };
+    const std::size_t wantedRemote = std::max(m_settings.subset / 3, m_settings.subset - std::min(local.size(), m_settings.subset));
+    const std::size_t takenRemote = take(remote, wantedRemote);
+    take(local, m_settings.subset - takenRemote);
+}
+
+std::uint64_t EndpointChooser::subsetRank(const EndpointRecord& record) const
+{
+    const std::string& node = record.id().node.value();
+    return XXH3_64bits_withSeed(node.data(), node.size(), m_settings.subsetSeed);
+}
+
 EndpointChooser::Endpoint* EndpointChooser::dueTrial(PriorityIndex priority, TimePoint now) const
 {
     for (const auto& entry : m_endpoints) {
--- a/Source/coordination/placing/EndpointChooser.h
+++ b/Source/coordination/placing/EndpointChooser.h
@@ -27,6 +27,10 @@
     /// Endpoints that Predicted draws and compares. More of them find the best one more often, but send the calls of
     /// many nodes with equally old reports to the same one.
     std::size_t candidates = 4;
+    /// Endpoints of a service that this node uses, so that what it must know of them does not grow with the service; 0: all.
+    std::size_t subset = 0;
+    /// Tells nodes apart, so that their subsets differ.
+    std::uint64_t subsetSeed = 0;
     /// What a call to another data centre costs, as a share of the target of its priority: an endpoint there is chosen
     /// when it is better by more.
     double remotePenalty = 0;
@@ -71,7 +75,8 @@
     void callSent(const EndpointId&, CallTicket, PriorityIndex, TimePoint now);
     /// Unknown tickets are ignored.
     void callFinished(CallTicket, CallEnd, TimePoint now);
-    void report(const EndpointId&, const LoadReport&, TimePoint now);
+    /// True when work has become much slower there since the report before.
+    bool report(const EndpointId&, const LoadReport&, TimePoint now);
     /// A round trip to the endpoint's node without any wait in its queue: a heartbeat or a probe.
     void roundTrip(const EndpointId&, Duration);
 
@@ -99,6 +104,7 @@
         EndpointRecord record;
         std::optional<Ejection> ejection;
         std::uint32_t ejectionCount = 0;
+        bool isInSubset = true;
     };
     using Candidates = std::vector<Endpoint*>;
 
@@ -109,6 +115,8 @@
     void updateFleetServiceTime();
 
     Candidates candidates(const std::vector<EndpointId>& excluded, bool ejected) const;
+    void updateSubset();
+    std::uint64_t subsetRank(const EndpointRecord&) const;
     Endpoint* dueTrial(PriorityIndex, TimePoint now) const;
     Endpoint* choosePredicted(Candidates, PriorityIndex, TimePoint now, RandomEngine&) const;
     Endpoint* chooseLeastLoaded(const Candidates&, RandomEngine&) const;
--- a/Source/node/CallGateway.cpp
+++ b/Source/node/CallGateway.cpp
@@ -149,7 +149,7 @@
     return session;
 }
 
-Result<void> CallGateway::classify(CallSession& session, const ServiceTraffic& service) const
+Result<void> CallGateway::classify(CallSession& session, const ServiceTraffic& service)
 {
     const ServiceDocument& document = service.document();
     const ParsedCall& call = session.parsed;
@@ -159,6 +159,8 @@
         session.priority = call.route->priority;
         session.isIdempotent = rule.isIdempotent;
         session.limits.maximumAttempts = rule.maximumAttempts;
+        session.target = rule.target;
+        session.elapsedBefore = m_callerDeadlines.elapsed(rule, call.deadline, session.startedAt);
         session.deadline = session.startedAt + std::min(call.deadline.value_or(rule.timeout), rule.timeout);
         return BOOST_OUTCOME_V2_NAMESPACE::success();
     }
@@ -166,6 +168,8 @@
     BOOST_OUTCOME_TRY(priority, choosePriority(service, call, classification.priority));
     session.priority = priority;
     session.isIdempotent = classification.isIdempotent;
+    if (priority.value() < document.priorities.size())
+        session.target = document.priorities[priority.value()].target;
     session.deadline = session.startedAt + std::min(call.deadline.value_or(document.defaultDeadline), document.maximumDeadline);
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
@@ -200,6 +204,7 @@
     if (session->isIdempotent)
         parameters.hedgeDelay = service.hedgeDelay(session->priority);
     parameters.limits = session->limits;
+    parameters.target = session->target;
     session->call = std::make_unique<OutgoingCall>(parameters, service.budgets(),
         [this] { return AttemptId { m_self.node, m_self.incarnation, ++m_lastSequence }; });
     if (session->isIdempotent || session->parsed.key.value().empty())
@@ -317,6 +322,7 @@
     message.priority = session->priority;
     message.isIdempotent = session->isIdempotent;
     message.remaining = action.remaining;
+    message.targetRemaining = session->startedAt - session->elapsedBefore + session->target - steadyNow();
     message.sentAt = steadyClock();
     message.depth = session->parsed.depth;
     message.idempotencyKey = session->parsed.key;
@@ -503,8 +509,12 @@
         receiveProbe(from, *probed);
     } else if (const auto* update = std::get_if<LoadUpdateMessage>(&message)) {
         const auto member = m_members.find(from);
-        if (ServiceTraffic* service = traffic(update->service); service && member != m_members.end())
-            service->chooser().report({ from, member->second.version.incarnation }, update->load, steadyNow());
+        ServiceTraffic* service = traffic(update->service);
+        if (!service || member == m_members.end())
+            return;
+        const EndpointId endpoint { from, member->second.version.incarnation };
+        if (service->chooser().report(endpoint, update->load, steadyNow()))
+            feedNode(from, EndpointSlowed { from });
     } else if (const auto* document = std::get_if<DocumentAnswerMessage>(&message)) {
         m_documentHook(*document);
     }
--- a/Source/node/CallGateway.h
+++ b/Source/node/CallGateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/attempts/IdempotencyKeyTable.h"
+#include "coordination/routing/CallerDeadlines.h"
 #include "node/CallIntake.h"
 #include "node/CallSession.h"
 #include "node/EndpointRunner.h"
@@ -97,7 +98,7 @@
 
     void refuse(const HttpExchangePtr&, const Error&, Duration retryAfter = Duration::zero());
     Result<SessionPtr> createSession(const HttpExchangePtr&);
-    Result<void> classify(CallSession&, const ServiceTraffic&) const;
+    Result<void> classify(CallSession&, const ServiceTraffic&);
     Result<PriorityIndex> choosePriority(const ServiceTraffic&, const ParsedCall&, PriorityIndex byRoute) const;
     HttpResponse refusalResponse(const Error&, CallOutcomeKind, Duration retryAfter) const;
     void putDocument(const ServiceDocument&);
@@ -133,6 +134,7 @@
     EndpointRunner& m_local;
     Settings m_settings;
     CallIntake m_intake;
+    CallerDeadlines m_callerDeadlines;
     ClaimHooks m_claims;
     std::function<void(const DocumentAnswerMessage&)> m_documentHook;
     NodeMetrics& m_metrics;
--- a/Source/node/CallSession.h
+++ b/Source/node/CallSession.h
@@ -23,6 +23,9 @@
     PriorityIndex priority;
     bool isIdempotent = false;
     RetryLimits limits;
+    Duration target { 0 };
+    /// Time that the caller has spent on earlier attempts of the same request, as far as can be told.
+    Duration elapsedBefore { 0 };
     TimePoint startedAt;
     TimePoint deadline;
     std::optional<ClaimOwner> claim;
--- a/Source/node/EndpointRunner.cpp
+++ b/Source/node/EndpointRunner.cpp
@@ -160,7 +160,7 @@
         perform(m_fates.refuse(action.attempt, *refusal, now));
         return;
     }
-    const AdmissionDecision decision = m_queue->offer(job->ticket, job->message.priority, job->deadline, now);
+    const AdmissionDecision decision = m_queue->offer(job->ticket, job->message.priority, job->deadline, now, now + job->message.targetRemaining);
     if (decision.kind == AdmissionKind::Refused) {
         perform(m_fates.refuse(action.attempt, { decision.code, decision.retryAfter }, now));
         return;
--- a/Source/node/NodeControl.cpp
+++ b/Source/node/NodeControl.cpp
@@ -101,7 +101,6 @@
 
 void NodeControl::leave()
 {
-    m_isLeaving = true;
     m_membership.perform(m_membership.membership().leave(steadyNow()));
 }
 
--- a/Source/node/NodeControl.h
+++ b/Source/node/NodeControl.h
@@ -50,6 +50,8 @@
 
     /// Opens the admin port and, with the given peer port, starts membership and the subscription.
     Result<void> start(std::uint16_t peersPort);
+    /// Callers are sent elsewhere from now on.
+    void endReadiness() { m_isLeaving = true; }
     /// Tells the members that this node leaves; done once hasSpreadLeave().
     void leave();
     bool hasSpreadLeave() const { return m_membership.isStarted() && m_membership.membership().hasSpreadLeave(); }
--- a/Source/node/NodeDaemon.cpp
+++ b/Source/node/NodeDaemon.cpp
@@ -36,6 +36,7 @@
     , m_signals(m_controlContext, SIGINT, SIGTERM, SIGHUP)
     , m_idleTimer(m_controlContext, [this] { stopWhenIdle(); })
     , m_drainTimer(m_controlContext, [this] {
+        m_control->leave();
         asio::post(m_trafficContext, [this] { m_traffic->drain(); });
         m_idleTimer.setAfter(idleCheckInterval);
     })
@@ -177,7 +178,7 @@
 {
     log(LogEvent::Stopping);
     m_stopBy = steadyNow() + m_settings.maximumStopTime;
-    m_control->leave();
+    m_control->endReadiness();
     asio::post(m_trafficContext, [this] { m_traffic->announceStop(); });
     m_drainTimer.setAfter(m_settings.stopNotice);
 }
--- a/Source/node/NodeSettings.cpp
+++ b/Source/node/NodeSettings.cpp
@@ -91,6 +91,7 @@
     TomlReader choice = reader.section("choice");
     settings.choice.policy = static_cast<ChoicePolicy>(readChoice(choice, "policy", policyNames, static_cast<std::size_t>(settings.choice.policy)));
     settings.choice.candidates = choice.integer("candidates", settings.choice.candidates, 1, largestCandidates);
+    settings.choice.subset = choice.integer("subset", settings.choice.subset, 0, largestCandidates);
     settings.choice.remotePenalty = choice.real("remote_penalty", settings.choice.remotePenalty, 0, largestPenalty);
     choice.finish();
     readRouting(reader.section("routing"), settings);
--- a/Source/node/NodeTraffic.cpp
+++ b/Source/node/NodeTraffic.cpp
@@ -1,5 +1,7 @@
 #include "node/NodeTraffic.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <numeric>
 #include <utility>
@@ -18,12 +20,20 @@
 
 /// Changes of the load within this time make one message.
 constexpr Duration loadGatherTime { 2000 };
-/// A node that has sent no call for this long is told nothing.
-constexpr Duration interestTime { 2000000 };
+/// A node that has sent neither a call nor a probe for this long is told nothing.
+constexpr Duration interestTime { 3000000 };
 /// A speed that differs by less is no news, in percent of the one that was told.
 constexpr std::uint32_t slowdownNewsPercent = 20;
 constexpr std::uint32_t wholePercent = 100;
 
+ChoiceSettings choiceOf(const NodeSettings& settings)
+{
+    ChoiceSettings choice = settings.choice;
+    const std::string& node = settings.node.value();
+    choice.subsetSeed = XXH3_64bits(node.data(), node.size());
+    return choice;
+}
+
 std::uint32_t backlog(const LoadReport& load)
 {
     return std::accumulate(load.queued.begin(), load.queued.end(), load.running);
@@ -51,6 +61,8 @@
         return &answer->load;
     if (const auto* refusal = std::get_if<CallRefusalMessage>(&message))
         return &refusal->load;
+    if (const auto* probed = std::get_if<ProbeAnswerMessage>(&message))
+        return &probed->load;
     return nullptr;
 }
 
@@ -61,7 +73,7 @@
     , m_settings(settings)
     , m_client(context)
     , m_runner(context, m_self, { settings.headers, settings.backendLoadInterval }, m_client, [this](ConnectionId connection, const PeerMessage& message) { reply(connection, message); })
-    , m_gateway(context, m_self, m_runner, { settings.headers, settings.callerService, settings.needsRouting, settings.choice }, std::move(claims), metrics)
+    , m_gateway(context, m_self, m_runner, { settings.headers, settings.callerService, settings.needsRouting, choiceOf(settings) }, std::move(claims), metrics)
     , m_callServer(context, callServerSettings(settings), [this](const HttpExchangePtr& exchange) { m_gateway.handle(exchange); })
     , m_linkServer(context, maximumPeerMessageBytes, [this](const LinkPtr& link) { accept(link); })
     , m_loadTimer(context, [this] { spreadLoad(); })
@@ -123,9 +135,10 @@
         receiveCall(entry->second, *request, id);
     else if (const auto* cancel = std::get_if<CallCancelMessage>(&message.value()))
         m_runner.cancel(*cancel, id);
-    else if (const auto* probe = std::get_if<ProbeMessage>(&message.value()))
+    else if (const auto* probe = std::get_if<ProbeMessage>(&message.value())) {
+        entry->second.askedAt = steadyNow();
         m_runner.probe(*probe, id);
-    else if (const auto* document = std::get_if<DocumentRequestMessage>(&message.value()))
+    } else if (const auto* document = std::get_if<DocumentRequestMessage>(&message.value()))
         sendDocument(id, document->service);
 }
 
@@ -137,8 +150,10 @@
 void NodeTraffic::receiveCall(Connection& connection, CallRequestMessage request, ConnectionId id)
 {
     // The time that the message lay in a buffer is gone for the call too.
-    request.remaining -= excessDelay(connection, request.sentAt);
-    connection.lastCallAt = steadyNow();
+    const Duration delay = excessDelay(connection, request.sentAt);
+    request.remaining -= delay;
+    request.targetRemaining -= delay;
+    connection.askedAt = steadyNow();
     m_runner.receive(request, id);
 }
 
@@ -150,7 +165,7 @@
     const TimePoint now = steadyNow();
     const LoadReport load = m_runner.loadReport();
     for (auto& [id, connection] : m_connections) {
-        if (now - connection.lastCallAt > interestTime || !isNews(connection.toldLoad, load))
+        if (now - connection.askedAt > interestTime || !isNews(connection.toldLoad, load))
             continue;
         connection.toldLoad = load;
         connection.link->send(encode(LoadUpdateMessage { *m_backendService, load }));
--- a/Source/node/NodeTraffic.h
+++ b/Source/node/NodeTraffic.h
@@ -50,7 +50,8 @@
         LinkPtr link;
         bool isGreeted = false;
         TransitDelay delay;
-        TimePoint lastCallAt;
+        /// When the node last sent a call or a probe.
+        TimePoint askedAt;
         LoadReport toldLoad;
     };
 
--- a/Source/protocol/PeerMessages.cpp
+++ b/Source/protocol/PeerMessages.cpp
@@ -99,6 +99,7 @@
     fields.push_back(message.priority.value());
     fields.push_back(message.isIdempotent);
     fields.push_back(message.remaining.count());
+    fields.push_back(message.targetRemaining.count());
     fields.push_back(message.sentAt);
     fields.push_back(message.isRepeat);
     fields.push_back(message.depth);
@@ -118,6 +119,7 @@
     message.priority = PriorityIndex(readUnsigned32(reader));
     message.isIdempotent = reader.boolean();
     message.remaining = reader.duration();
+    message.targetRemaining = reader.duration();
     message.sentAt = reader.unsignedInteger();
     message.isRepeat = reader.boolean();
     message.depth = readUnsigned32(reader);
--- a/Source/protocol/PeerMessages.h
+++ b/Source/protocol/PeerMessages.h
@@ -38,6 +38,8 @@
     bool isIdempotent = false;
     /// Time left until the caller's deadline when the message was sent.
     Duration remaining { 0 };
+    /// Time left then within which the answer is worth most; negative when that has passed.
+    Duration targetRemaining { 0 };
     /// Monotonic clock of the sender in microseconds at that moment.
     std::uint64_t sentAt = 0;
     /// True when the attempt repeats work, here or at an upper level of a chain of calls.
--- a/Source/state/RoutingDocument.cpp
+++ b/Source/state/RoutingDocument.cpp
@@ -16,9 +16,13 @@
 constexpr std::size_t maximumRanks = 32;
 /// Part of the capacity that each less urgent priority keeps while more urgent ones flood.
 constexpr double floodShare = 0.05;
-/// Retries of one node, per call: with as many hedges, half of what a service takes over all its callers.
+/// Retries and hedges of one node, per call: together three quarters of what a service takes over all its callers, since
+/// the calls of a repeated run are repeats as well.
 constexpr double retryShare = 0.06;
-constexpr double hedgeShare = 0.04;
+constexpr double hedgeShare = 0.08;
+/// Probes keep a node told of endpoints that it does not call at the moment.
+constexpr double probesPerCall = 0.5;
+constexpr double probeBytesPerSecond = 4096;
 
 Error invalid(const std::string& reason)
 {
@@ -116,6 +120,8 @@
     document.defaultDeadline = longestTimeout;
     document.maximumDeadline = longestTimeout;
     document.maximumBodyBytes = routing.limits.bodyBytes;
+    document.measurement.probesPerCall = probesPerCall;
+    document.measurement.bytesPerSecond = probeBytesPerSecond;
     document.retries.retryShare = retryShare;
     document.retries.hedgeShare = hedgeShare;
     return document;
--- a/Tests/coordination/AdmissionQueueTest.cpp
+++ b/Tests/coordination/AdmissionQueueTest.cpp
@@ -614,4 +614,105 @@
     EXPECT_EQ(AdmissionKind::Started, offer(3, 0).kind);
 }
 
+/// Calls have a target; the time that a call takes is known to be a third of it.
+class AdmissionTargetTest : public AdmissionQueueTest {
+protected:
+    static constexpr Duration serviceTime = 100 * millisecond;
+    static constexpr Duration target = 300 * millisecond;
+
+    AdmissionTargetTest()
+    {
+        auto document = makeDocument({ 0, 1 });
+        for (Priority& priority : document.priorities)
+            priority.target = target;
+        m_queue.setDocument(document);
+        learnServiceTime(serviceTime);
+        learnServiceTime(serviceTime, 1);
+    }
+
+    AdmissionDecision offerInTime(std::uint64_t ticket, std::uint32_t priority = 0, Duration targetLeft = target)
+    {
+        return m_queue.offer(CallTicket(ticket), PriorityIndex(priority), m_now + 10 * second, m_now, m_now + targetLeft);
+    }
+};
+
+TEST_F(AdmissionTargetTest, Overload_CallsBeyondTheTarget_AreRefusedAtOnce)
+{
+    int admitted = 0;
+    int refused = 0;
+    for (std::uint64_t ticket = 1; ticket <= 40; ++ticket) {
+        const auto decision = offerInTime(ticket);
+        admitted += decision.kind != AdmissionKind::Refused;
+        refused += decision.kind == AdmissionKind::Refused && decision.code == ResultCode::Overloaded;
+    }
+    EXPECT_EQ(40, admitted + refused);
+    // Two slots, three service times within the target, and a late one that waits for what is left.
+    EXPECT_LE(admitted, 8);
+    EXPECT_GE(admitted, 4);
+}
+
+// Replays a lasting overload of twice the capacity. With a queue bounded by time alone each answer came late.
+TEST_F(AdmissionTargetTest, LastingOverload_CallsThatRun_AreAnsweredWithinTheTarget)
+{
+    std::map<std::uint64_t, TimePoint> arrivedAt;
+    std::multimap<TimePoint, std::uint64_t> ends;
+    int inTime = 0;
+    int late = 0;
+    const auto startCall = [&](std::uint64_t ticket) { ends.emplace(m_now + serviceTime, ticket); };
+    for (std::uint64_t ticket = 1; ticket <= 400; ++ticket) {
+        const TimePoint next = m_now + 25 * millisecond;
+        while (!ends.empty() && ends.begin()->first <= next) {
+            m_now = ends.begin()->first;
+            const std::uint64_t ended = ends.begin()->second;
+            ends.erase(ends.begin());
+            (m_now - arrivedAt[ended] <= target ? inTime : late) += 1;
+            finish(ended);
+            for (const std::uint64_t begun : started())
+                startCall(begun);
+        }
+        m_now = next;
+        arrivedAt[ticket] = m_now;
+        if (offerInTime(ticket).kind == AdmissionKind::Started)
+            startCall(ticket);
+        for (const std::uint64_t begun : started())
+            startCall(begun);
+    }
+    EXPECT_GT(inTime, 180);
+    EXPECT_LT(late, 10);
+}
+
+TEST_F(AdmissionTargetTest, LateCall_FreeSlot_RunsAndOtherwiseGoesBehindTheOthers)
+{
+    EXPECT_EQ(AdmissionKind::Started, offerInTime(1, 0, Duration(0)).kind);
+    EXPECT_EQ(AdmissionKind::Started, offerInTime(2).kind);
+    EXPECT_EQ(AdmissionKind::Queued, offerInTime(3, 0, Duration(0)).kind);
+    EXPECT_EQ(AdmissionKind::Queued, offerInTime(4, 1).kind);
+    EXPECT_EQ(ResultCode::Overloaded, offerInTime(5, 0, Duration(0)).code);
+    m_now += serviceTime;
+    finish(1);
+    EXPECT_EQ((std::vector<std::uint64_t> { 4 }), started());
+}
+
+TEST_F(AdmissionTargetTest, TargetShorterThanTheService_IsNoMeasure)
+{
+    auto document = makeDocument({ 0 });
+    document.priorities[0].target = 50 * millisecond;
+    m_queue.setDocument(document);
+    ASSERT_EQ(AdmissionKind::Started, offerInTime(1, 0, 50 * millisecond).kind);
+    ASSERT_EQ(AdmissionKind::Started, offerInTime(2, 0, 50 * millisecond).kind);
+    for (std::uint64_t ticket = 3; ticket <= 8; ++ticket)
+        EXPECT_EQ(AdmissionKind::Queued, offerInTime(ticket, 0, 50 * millisecond).kind);
+}
+
+TEST_F(AdmissionTargetTest, NewDocument_LateCallsWait_StayTheLast)
+{
+    fillSlots();
+    ASSERT_EQ(AdmissionKind::Queued, offerInTime(3, 0, Duration(0)).kind);
+    m_queue.setDocument(makeDocument({ 0, 1, 1 }));
+    ASSERT_EQ(AdmissionKind::Queued, offer(4, 2).kind);
+    m_now += serviceTime;
+    finish(1);
+    EXPECT_EQ((std::vector<std::uint64_t> { 4 }), started());
+}
+
 } // namespace
--- a/Tests/coordination/EndpointChooserTest.cpp
+++ b/Tests/coordination/EndpointChooserTest.cpp
@@ -450,4 +450,36 @@
     EXPECT_LT(m_chooser.status(m_now)[0].predictedTime, told / 3);
 }
 
+TEST_F(EndpointChooserTest, ManyEndpoints_SubsetSet_UsesFewAndMostOfThemLocal)
+{
+    EndpointChooser chooser(makeDocument(), DataCentre("local"), { ChoicePolicy::Predicted, 12, 12, 77, 0 });
+    for (int index = 0; index < 60; ++index)
+        chooser.update(endpointId(index), { DataCentre(index % 2 ? "local" : "remote"), slots, m_now - 100 * second, false });
+    std::map<EndpointId, int> chosen;
+    for (int call = 0; call < 3000; ++call)
+        ++chosen[*chooser.choose({}, PriorityIndex(0), m_now, m_random)];
+    EXPECT_LE(chosen.size(), 12u);
+    // One that leaves gives its place to one other.
+    const EndpointId gone = chosen.begin()->first;
+    chooser.remove(gone);
+    std::map<EndpointId, int> afterwards;
+    for (int call = 0; call < 3000; ++call)
+        ++afterwards[*chooser.choose({}, PriorityIndex(0), m_now, m_random)];
+    int added = 0;
+    for (const auto& entry : afterwards)
+        added += chosen.count(entry.first) == 0;
+    EXPECT_LE(added, 1);
+}
+
+TEST_F(EndpointChooserTest, SubsetRefused_Retry_MayGoAnywhere)
+{
+    EndpointChooser chooser(makeDocument(), DataCentre("local"), { ChoicePolicy::Predicted, 12, 1, 5, 0 });
+    for (int index = 0; index < 4; ++index)
+        chooser.update(endpointId(index), { DataCentre("local"), slots, m_now - 100 * second, false });
+    const EndpointId first = *chooser.choose({}, PriorityIndex(0), m_now, m_random);
+    const auto second_ = chooser.choose({ first }, PriorityIndex(0), m_now, m_random);
+    ASSERT_TRUE(second_);
+    EXPECT_FALSE(*second_ == first);
+}
+
 } // namespace
--- a/Tests/coordination/OutgoingCallTest.cpp
+++ b/Tests/coordination/OutgoingCallTest.cpp
@@ -268,4 +268,34 @@
     expectOutcome(CallOutcome::Kind::Answered, ResultCode::Ok);
 }
 
+// A machine turns slow while it runs a call.
+TEST_F(OutgoingCallTest, RepeatableCall_ItsEndpointTurnsSlow_IsHedgedAtOnce)
+{
+    m_parameters.isIdempotent = true;
+    m_parameters.target = Duration(250000);
+    begin();
+    m_now += Duration(50000);
+    handle(EndpointSlowed { NodeId("other") });
+    EXPECT_EQ(1u, count<ChooseEndpoint>());
+    handle(EndpointSlowed { NodeId("a") });
+    EXPECT_EQ(2u, count<ChooseEndpoint>());
+    handle(EndpointSlowed { NodeId("a") });
+    EXPECT_EQ(2u, count<ChooseEndpoint>());
+}
+
+TEST_F(OutgoingCallTest, EndpointTurnsSlow_TargetPassedOrNotRepeatable_IsNotHedged)
+{
+    m_parameters.target = Duration(250000);
+    begin();
+    handle(EndpointSlowed { NodeId("a") });
+    EXPECT_EQ(1u, count<ChooseEndpoint>());
+    m_parameters.isIdempotent = true;
+    m_actions.clear();
+    begin();
+    handle(AttemptAccepted { attempt(2) });
+    m_now += Duration(260000);
+    handle(EndpointSlowed { NodeId("a") });
+    EXPECT_EQ(1u, count<ChooseEndpoint>());
+}
+
 } // namespace
--- a/Tests/coordination/RoutingTableTest.cpp
+++ b/Tests/coordination/RoutingTableTest.cpp
@@ -1,3 +1,4 @@
+#include "coordination/routing/CallerDeadlines.h"
 #include "coordination/routing/RoutingTable.h"
 #include "coordination/routing/WeightedChoice.h"
 
@@ -115,3 +116,18 @@
     for (int call = 0; call < 100; ++call)
         EXPECT_EQ(ServiceName("b"), choice.choose(split));
 }
+
+TEST(CallerDeadlinesTest, CallerComesBack_WithWhatIsLeft_CountsItsEarlierTime)
+{
+    using namespace std::chrono_literals;
+    CallerDeadlines deadlines;
+    const RoutingRule route = rule("h", "/");
+    const TimePoint now(100s);
+    EXPECT_EQ(Duration(0), deadlines.elapsed(route, 2000ms, now));
+    EXPECT_EQ(Duration(600ms), deadlines.elapsed(route, 1400ms, now + 1s));
+    EXPECT_EQ(Duration(0), deadlines.elapsed(route, 1990ms, now + 1s));
+    EXPECT_EQ(Duration(0), deadlines.elapsed(route, std::nullopt, now + 1s));
+    // Callers that now begin with less are believed after a while.
+    EXPECT_EQ(Duration(0), deadlines.elapsed(route, 1400ms, now + 20s));
+    EXPECT_EQ(Duration(0), deadlines.elapsed(route, 1400ms, now + 21s));
+}
