Node: Tell the story of a request from its decisions, at both nodes

Why: when a user complains there are only logs and metrics. Each decision about a request is kept as numbers with what decided it; the story becomes lines of JSON on the standard output when the request failed or was late, and else for one in 256, chosen by its name so that all nodes choose the same.

knapweedquay trace gathers the story from log files; apply, validate, show and history work on the routing document.

--- a/Source/cli/CommandLine.cpp
+++ b/Source/cli/CommandLine.cpp
@@ -25,14 +25,15 @@
 };
 
 constexpr CommandHelp commands[] = {
-    { "apply", "FILE", false, "put a service document in place", "Sends the document with the version that it replaces; an edit against another version is refused. Resent under the\nsame change id, an edit gets its first answer. With --wait, waits until all subscribed nodes report the version.\n" },
-    { "validate", "FILE", false, "check a service document", "Prints every problem with line, column, key and what was expected. Asks no server.\n" },
-    { "show", "SERVICE", true, "print the document of a service, or the list of documents", "" },
+    { "apply", "FILE", false, "put a service document or the routing document in place", "Sends the document with the version that it replaces; an edit against another version is refused. Resent under the\nsame change id, an edit gets its first answer. With --wait, waits until all subscribed nodes report the version.\n" },
+    { "validate", "FILE", false, "check a service document or a routing document", "Prints every problem with line, column, key and what was expected. Asks no server.\n" },
+    { "show", "SERVICE", true, "print the document of a service, or the list of documents", "The routing document has the name @routing.\n" },
     { "diff", "FILE", false, "compare a document file with the one in place", "Exit code 8 tells that they differ.\n" },
     { "history", "SERVICE", false, "print who changed a document, when and with which result", "" },
     { "status", "", false, "print the control replicas, the nodes and the versions in force", "" },
     { "drain", "", false, "let no new calls go to the backend server beside a node", "Needs --node, the admin address of the node.\n" },
     { "undrain", "", false, "let calls go to the backend server beside a node again", "Needs --node, the admin address of the node.\n" },
+    { "trace", "REQUEST", false, "print what the logs say of one request, in order", "Reads the log files given with --log; asks no server.\n" },
     { "replace", "REPLICA", false, "remove a lost control replica from the store", "Then start a new replica with an empty data folder; it joins by itself. status tells when the loss of one more\nreplica is survivable.\n" },
 };
 
@@ -47,6 +48,7 @@
     description.add_options()("help", "print help and end");
     description.add_options()("version", "print the version and end");
     description.add_options()("control", Options::value<std::vector<std::string>>()->composing(), "HTTP address of a control replica; may be repeated. Or KNAPWEEDQUAY_CONTROL, separated by commas");
+    description.add_options()("log", Options::value<std::vector<std::string>>()->composing(), "log file of a process; may be repeated");
     description.add_options()("node", text(), "admin address of a node");
     description.add_options()("credential-file", text(), "file with the team's secret. Or KNAPWEEDQUAY_CREDENTIAL with the secret itself");
     description.add_options()("author", text(), "name for the audit trail; the user's name by default");
@@ -121,6 +123,8 @@
 Result<void> readOptions(const Options::variables_map& values, const Environment& environment, CommandLine& line)
 {
     line.controls = values.count("control") > 0 ? values["control"].as<std::vector<std::string>>() : splitAtCommas(environment.controls);
+    if (values.count("log") > 0)
+        line.logs = values["log"].as<std::vector<std::string>>();
     line.node = textOf(values, "node");
     line.author = textOf(values, "author", environment.user);
     line.changeId = textOf(values, "change-id");
@@ -153,7 +157,10 @@
     const bool isNodeCommand = line.command == "drain" || line.command == "undrain";
     if (isNodeCommand && line.node.empty())
         return wrongUsage("--node is needed");
-    if (!isNodeCommand && line.command != "validate" && line.controls.empty())
+    const bool asksNobody = line.command == "validate" || line.command == "trace";
+    if (line.command == "trace" && line.logs.empty())
+        return wrongUsage("--log is needed");
+    if (!isNodeCommand && !asksNobody && line.controls.empty())
         return wrongUsage("--control is needed");
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
--- a/Source/cli/CommandLine.h
+++ b/Source/cli/CommandLine.h
@@ -28,6 +28,8 @@
     std::vector<std::string> controls;
     /// Admin address of a node, for drain and undrain.
     std::string node;
+    /// Log files.
+    std::vector<std::string> logs;
     std::string credential;
     std::string author;
     std::string changeId;
--- a/Source/cli/Commands.cpp
+++ b/Source/cli/Commands.cpp
@@ -1,7 +1,9 @@
 #include "cli/Commands.h"
 
 #include "cli/DocumentDifference.h"
+#include "cli/RequestStory.h"
 #include "state/DocumentParser.h"
+#include "state/RoutingParser.h"
 
 #include <chrono>
 #include <ctime>
@@ -85,6 +87,8 @@
         return status();
     if (m_line.command == "replace")
         return replace();
+    if (m_line.command == "trace")
+        return trace();
     return setDraining(m_line.command == "drain");
 }
 
@@ -115,26 +119,40 @@
     const auto text = m_hooks.readFile(m_line.operand);
     if (text.has_error())
         return fail({ text.error().code, text.error().detail, {} });
-    const ParsedDocument parsed = checkDocument(text.value());
-    if (!parsed.document) {
-        m_report.error(toText(parsed.problems, m_line.operand));
+    const auto name = nameOfDocument(text.value());
+    if (name.has_error()) {
+        m_report.error(name.error().detail);
         return ExitCode::InvalidDocument;
     }
-    m_report.result(m_line.operand + ": valid document of " + parsed.document->service.value(), toJson(*parsed.document));
+    const ParsedDocument parsed = checkDocument(text.value());
+    m_report.result(m_line.operand + ": valid document of " + name.value(), parsed.document ? toJson(*parsed.document) : Json { { "service", name.value() } });
     return ExitCode::Done;
 }
 
+// A routing document has a version and routes with hosts, and no service of its own.
+Result<std::string> Commands::nameOfDocument(const std::string& text) const
+{
+    const ParsedDocument parsed = checkDocument(text);
+    if (parsed.document)
+        return parsed.document->service.value();
+    const auto routing = parseRoutingToml(text);
+    if (!routing.has_error())
+        return routingDocumentName().value();
+    const bool looksLikeRouting = text.find("[[services]]") != std::string::npos;
+    return Error { ResultCode::InvalidDocument, looksLikeRouting ? m_line.operand + ": " + routing.error().detail : toText(parsed.problems, m_line.operand) };
+}
+
 ExitCode Commands::apply()
 {
     const auto text = m_hooks.readFile(m_line.operand);
     if (text.has_error())
         return fail({ text.error().code, text.error().detail, {} });
-    const ParsedDocument parsed = checkDocument(text.value());
-    if (!parsed.document) {
-        m_report.error(toText(parsed.problems, m_line.operand));
+    const auto name = nameOfDocument(text.value());
+    if (name.has_error()) {
+        m_report.error(name.error().detail);
         return ExitCode::InvalidDocument;
     }
-    const std::string service = parsed.document->service.value();
+    const std::string service = name.value();
     std::uint64_t expected = m_line.expectedVersion.value_or(0);
     if (!m_line.expectedVersion) {
         const Answer current = get("/v1/documents/" + service);
@@ -275,6 +293,24 @@
     return ExitCode::Done;
 }
 
+ExitCode Commands::trace()
+{
+    RequestStory story(m_line.operand);
+    for (const std::string& path : m_line.logs) {
+        const auto text = m_hooks.readFile(path);
+        if (text.has_error())
+            return fail({ text.error().code, text.error().detail, {} });
+        story.addLog(text.value());
+    }
+    const Json rows = story.rows();
+    if (rows.empty()) {
+        m_report.error(m_line.operand + ": no log names this request; requests that end well are only sampled");
+        return ExitCode::Failed;
+    }
+    m_report.table(rows, { "time_us", "node", "event", "text", "details" });
+    return ExitCode::Done;
+}
+
 ExitCode Commands::replace()
 {
     const Answer answer = m_client.ask({ "DELETE", "/v1/replicas/" + m_line.operand, { { "Authorization", "Bearer " + m_line.credential } }, {} });
--- a/Source/cli/Commands.h
+++ b/Source/cli/Commands.h
@@ -36,6 +36,9 @@
     ExitCode status();
     ExitCode setDraining(bool isDraining);
     ExitCode replace();
+    ExitCode trace();
+    /// Name under which the store keeps the document in a text: its service, or that of the routing document.
+    Result<std::string> nameOfDocument(const std::string& text) const;
 
     ExitCode fail(const Answer&);
     ExitCode waitUntilInForce(const std::string& service, std::uint64_t version);
--- a/Source/control/OperatorInterface.cpp
+++ b/Source/control/OperatorInterface.cpp
@@ -124,6 +124,23 @@
     return {};
 }
 
+Result<std::string> OperatorInterface::ownerOf(const std::string& service, const std::string& text) const
+{
+    if (service == routingDocumentName().value()) {
+        BOOST_OUTCOME_TRY(routing, m_settings.parseRouting(text));
+        const StoredDocument* stored = m_service.state().documents().find(routingDocumentName());
+        const auto current = stored ? m_settings.parseRouting(stored->text) : Result<RoutingDocument>(RoutingDocument {});
+        // A resent edit carries the version that is in force by then; the store tells it by its change id.
+        if (!current.has_error() && routing.version < current.value().version)
+            return Error { ResultCode::InvalidDocument, "the version must be greater than " + std::to_string(current.value().version) };
+        return std::string(operationsTeam);
+    }
+    BOOST_OUTCOME_TRY(document, parseDocument(text));
+    if (document.service.value() != service)
+        return Error { ResultCode::InvalidDocument, "the document is of service '" + document.service.value() + "'" };
+    return document.team;
+}
+
 void OperatorInterface::putDocument(const HttpExchangePtr& exchange, const std::string& service)
 {
     const HttpRequest& request = exchange->request();
@@ -132,11 +149,9 @@
     const auto version = expected ? parseNumber(*expected) : std::nullopt;
     if (!version || !change || change->empty())
         return exchange->respond(refusal({ ResultCode::MalformedRequest, std::string(expectedVersionHeader) + " and " + changeIdHeader + " are needed" }));
-    const auto document = parseDocument(request.body);
-    if (document.has_error())
-        return exchange->respond(refusal(document.error()));
-    if (document.value().service.value() != service)
-        return exchange->respond(refusal({ ResultCode::InvalidDocument, "the document is of service '" + document.value().service.value() + "'" }));
+    const auto owner = ownerOf(service, request.body);
+    if (owner.has_error())
+        return exchange->respond(refusal(owner.error()));
     DocumentEdit edit;
     edit.service = ServiceName(service);
     edit.expected = DocumentVersion(*version);
@@ -145,7 +160,7 @@
     if (const std::string* author = findHeader(request.headers, authorHeader))
         edit.author = *author;
     edit.authenticatedTeam = authenticatedTeam(request.headers);
-    if (edit.authenticatedTeam != document.value().team)
+    if (edit.authenticatedTeam != owner.value())
         edit.authenticatedTeam.clear();
     edit.time = wallNow();
     m_service.edit(
--- a/Source/control/OperatorInterface.h
+++ b/Source/control/OperatorInterface.h
@@ -19,6 +19,8 @@
     void handle(const HttpExchangePtr&);
 
 private:
+    /// Team that owns a document of this name, once its text is checked. Errors: InvalidDocument.
+    Result<std::string> ownerOf(const std::string& service, const std::string& text) const;
     void putDocument(const HttpExchangePtr&, const std::string& service);
     HttpResponse listDocuments() const;
     HttpResponse getDocument(const std::string& service) const;
--- a/Source/coordination/placing/EndpointChooser.cpp
+++ b/Source/coordination/placing/EndpointChooser.cpp
@@ -168,22 +168,33 @@
 {
     std::vector<EndpointStatus> all;
     all.reserve(m_endpoints.size());
-    for (const auto& [id, endpoint] : m_endpoints) {
-        const auto& record = endpoint->record;
-        EndpointStatus status;
-        status.id = id;
-        status.outstanding = record.outstanding();
-        status.sentSinceReport = record.sentSinceReport();
-        status.reportedAt = record.reportedAt();
-        status.draining = record.isDraining();
-        status.ejected = endpoint->ejection.has_value();
-        status.errorRate = record.errorRate();
-        status.predictedTime = record.predictedTime(PriorityIndex(0), fleetView(record), m_document, now);
-        all.push_back(std::move(status));
-    }
+    for (const auto& [id, endpoint] : m_endpoints)
+        all.push_back(makeStatus(id, *endpoint, PriorityIndex(0), now));
     return all;
 }
 
+EndpointStatus EndpointChooser::statusOf(const EndpointId& id, PriorityIndex priority, TimePoint now) const
+{
+    const auto found = m_endpoints.find(id);
+    return found == m_endpoints.end() ? EndpointStatus() : makeStatus(id, *found->second, priority, now);
+}
+
+EndpointStatus EndpointChooser::makeStatus(const EndpointId& id, const Endpoint& endpoint, PriorityIndex priority, TimePoint now) const
+{
+    const auto& record = endpoint.record;
+    EndpointStatus status;
+    status.id = id;
+    status.outstanding = record.outstanding();
+    status.sentSinceReport = record.sentSinceReport();
+    status.reportedAt = record.reportedAt();
+    status.draining = record.isDraining();
+    status.ejected = endpoint.ejection.has_value();
+    status.errorRate = record.errorRate();
+    status.slowdownPercent = record.report().slowdownPercent;
+    status.predictedTime = record.predictedTime(priority, fleetView(record), m_document, now);
+    return status;
+}
+
 EndpointChooser::Endpoint* EndpointChooser::find(const EndpointId& id)
 {
     const auto found = m_endpoints.find(id);
--- a/Source/coordination/placing/EndpointChooser.h
+++ b/Source/coordination/placing/EndpointChooser.h
@@ -45,6 +45,7 @@
     bool draining = false;
     bool ejected = false;
     double errorRate = 0;
+    std::uint32_t slowdownPercent = 100;
     /// For a call of the most urgent priority.
     Duration predictedTime { 0 };
 };
@@ -88,6 +89,8 @@
     bool isFleetOverloaded(PriorityIndex, TimePoint now) const;
 
     std::vector<EndpointStatus> status(TimePoint now) const;
+    /// Of one endpoint, with the time that is predicted for a call of this priority.
+    EndpointStatus statusOf(const EndpointId&, PriorityIndex, TimePoint now) const;
     bool isEmpty() const { return m_endpoints.empty(); }
 
 private:
@@ -110,6 +113,7 @@
 
     Endpoint* find(const EndpointId&);
     Endpoint& endpointOf(const EndpointRecord&);
+    EndpointStatus makeStatus(const EndpointId&, const Endpoint&, PriorityIndex, TimePoint now) const;
     FleetView fleetView(const EndpointRecord&) const;
     Duration cost(const Endpoint&, PriorityIndex, TimePoint now) const;
     void updateFleetServiceTime();
--- a/Source/node/CallGateway.cpp
+++ b/Source/node/CallGateway.cpp
@@ -81,8 +81,10 @@
                       feedAttempt(request->attempt, AttemptRefused { request->attempt, { ResultCode::PeerUnreachable, overloadRetryAfter } });
               } })
     , m_random(std::random_device {}())
+    , m_trails(m_settings.trails)
     , m_expiryTimer(context, [this] {
         m_keys.expire(steadyNow());
+        tellDroppedTrails();
         m_expiryTimer.setAfter(expiryInterval);
     })
 {
@@ -188,6 +190,8 @@
 void CallGateway::startSession(const SessionPtr& session)
 {
     m_sessions.emplace(session->id, session);
+    const std::int64_t version = session->routing ? static_cast<std::int64_t>(session->routing->document().version) : 0;
+    session->trail.add(LogEvent::CallAccepted, session->startedAt, {}, { session->priority.value(), (session->deadline - session->startedAt).count(), session->elapsedBefore.count(), version });
     session->timer = std::make_unique<Timer>(m_context, [this, weak = std::weak_ptr<CallSession>(session)] {
         if (const SessionPtr kept = weak.lock())
             feed(kept, TimerFired());
@@ -292,7 +296,15 @@
         if (member != m_members.end())
             excluded.push_back({ node, member->second.version.incarnation });
     }
-    const auto chosen = chooser.choose(excluded, session->priority, steadyNow(), m_random);
+    const TimePoint now = steadyNow();
+    const auto chosen = chooser.choose(excluded, session->priority, now, m_random);
+    if (action.isHedge)
+        session->trail.add(LogEvent::CallHedged, now, {}, { (now - session->startedAt).count() });
+    if (chosen) {
+        const EndpointStatus status = chooser.statusOf(*chosen, session->priority, now);
+        const std::int64_t age = status.reportedAt ? (now - *status.reportedAt).count() : -1;
+        session->trail.add(LogEvent::EndpointPlaced, now, chosen->node, { status.predictedTime.count(), age, status.slowdownPercent, static_cast<std::int64_t>(status.outstanding) });
+    }
     if (!chosen) {
         feed(session, NoEndpointLeft { { ResultCode::NoEndpoint, overloadRetryAfter } });
         return;
@@ -383,21 +395,42 @@
             const auto& priorities = service.document().priorities;
             const bool isWithinTarget = session->priority.value() < priorities.size() && latency <= priorities[session->priority.value()].target;
             service.metrics().callEnded(session->priority, CallOutcomeKind::Answered, latency, isWithinTarget);
+            endTrail(*session, response.value().status, 0, response.value().status >= firstServerErrorStatus || !isWithinTarget);
             session->exchange->respond(forCaller(std::move(response.value())));
             return;
         }
     }
     const CallOutcomeKind kind = outcome.kind == CallOutcome::Kind::NotRun ? CallOutcomeKind::NotRun : CallOutcomeKind::Unknown;
-    log(kind == CallOutcomeKind::NotRun ? LogEvent::CallRefused : LogEvent::CallUnknown,
-        { { "request", session->parsed.requestId }, { "service", session->parsed.service.value() }, { "priority", std::to_string(session->priority.value()) },
-            { "code", std::to_string(static_cast<int>(outcome.code)) }, { "attempts", std::to_string(session->attempts.size()) },
-            { "waited_ms", std::to_string(toMilliseconds(latency)) }, { "left_ms", std::to_string(toMilliseconds(session->deadline - steadyNow())) },
-            { "retry_after_ms", std::to_string(toMilliseconds(outcome.retryAfter)) } });
     ++(kind == CallOutcomeKind::NotRun ? m_counters.notRun : m_counters.unknown);
     service.metrics().callEnded(session->priority, kind, latency, false);
     const ResultCode code = outcome.code == ResultCode::Ok ? ResultCode::OutcomeUnknown : outcome.code;
     const Duration left = std::max(session->deadline - steadyNow(), Duration::zero());
-    session->exchange->respond(refusalResponse({ code, title(code) }, kind, std::min(outcome.retryAfter, left / retryAfterDivisor)));
+    const HttpResponse response = refusalResponse({ code, title(code) }, kind, std::min(outcome.retryAfter, left / retryAfterDivisor));
+    endTrail(*session, response.status, static_cast<std::int64_t>(code), !session->isCallerGone);
+    session->exchange->respond(response);
+}
+
+void CallGateway::endTrail(CallSession& session, std::int64_t status, std::int64_t code, bool hasFailed)
+{
+    const TimePoint now = steadyNow();
+    session.trail.add(LogEvent::CallEnded, now, {}, { status, code, (now - session.startedAt).count(), static_cast<std::int64_t>(session.attempts.size()) });
+    if (m_trails.admits(session.parsed.requestId, hasFailed, session.trail.size(), now))
+        session.trail.write(session.parsed.requestId, session.parsed.service);
+}
+
+void CallGateway::noteAttempt(const AttemptId& attempt, LogEvent event, const NodeId& peer, CallTrail::Values values)
+{
+    const auto entry = m_attempts.find(attempt.sequence);
+    if (entry != m_attempts.end() && attempt.incarnation == m_self.incarnation)
+        entry->second.session->trail.add(event, steadyNow(), peer, values);
+}
+
+void CallGateway::tellDroppedTrails()
+{
+    const std::uint64_t dropped = m_trails.droppedLines();
+    if (dropped > m_toldDroppedTrails)
+        log(LogEvent::TrailsDropped, { { "lines", std::to_string(dropped - m_toldDroppedTrails) } });
+    m_toldDroppedTrails = dropped;
 }
 
 void CallGateway::forget(const SessionPtr& session)
@@ -486,6 +519,7 @@
             return;
         const SessionPtr session = entry->second.session;
         const auto response = decodeResponse(answered->response);
+        session->trail.add(LogEvent::AttemptAnswered, steadyNow(), from, { response.has_error() ? 0 : response.value().status });
         const bool isFailure = response.has_error() || response.value().status >= firstServerErrorStatus;
         EndpointChooser& chooser = traffic(session->parsed.service)->chooser();
         chooser.callFinished(CallTicket(answered->attempt.sequence), isFailure ? CallEnd::Failed : CallEnd::Answered, steadyNow());
@@ -498,10 +532,12 @@
             feed(session, AttemptAnswered { answered->attempt, bytes });
     } else if (const auto* refused = std::get_if<CallRefusalMessage>(&message)) {
         report(refused->attempt, from, refused->load);
+        noteAttempt(refused->attempt, LogEvent::AttemptRefused, from, { static_cast<std::int64_t>(refused->code), refused->retryAfter.count() });
         const bool isFleetWide = refused->isFleetWide || isFleetOverloaded(refused->attempt, refused->code);
         feedAttempt(refused->attempt, AttemptRefused { refused->attempt, { refused->code, refused->retryAfter, isFleetWide } });
     } else if (const auto* unknown = std::get_if<CallUnknownMessage>(&message)) {
         report(unknown->attempt, from, unknown->load);
+        noteAttempt(unknown->attempt, LogEvent::AttemptLost, from, { static_cast<std::int64_t>(unknown->code) });
         feedAttempt(unknown->attempt, AttemptUnknown { unknown->attempt, unknown->code });
     } else if (const auto* cancelled = std::get_if<CallCancelledMessage>(&message)) {
         feedAttempt(cancelled->attempt, CancelAcknowledged { cancelled->attempt, cancelled->result });
--- a/Source/node/CallGateway.h
+++ b/Source/node/CallGateway.h
@@ -53,6 +53,7 @@
         ServiceName callerService;
         bool needsRouting = false;
         ChoiceSettings choice;
+        TrailPolicy::Settings trails;
     };
 
     CallGateway(asio::io_context&, NodeIdentity self, EndpointRunner& local, Settings, ClaimHooks, NodeMetrics&);
@@ -117,6 +118,10 @@
     void perform(const SessionPtr&, const FinishCall&);
     void answer(const SessionPtr&, const CallOutcome&);
     void forget(const SessionPtr&);
+    /// Writes the story of a call that failed or is sampled.
+    void endTrail(CallSession&, std::int64_t status, std::int64_t code, bool hasFailed);
+    void tellDroppedTrails();
+    void noteAttempt(const AttemptId&, LogEvent, const NodeId& peer, CallTrail::Values);
 
     void sendTo(const NodeId&, const PeerMessage&);
     /// Sends one probe when a report is old and the service's measuring budget allows it.
@@ -153,6 +158,8 @@
     std::map<std::uint64_t, SentProbe> m_sentProbes;
     IdempotencyKeyTable m_keys;
     std::unordered_map<ClaimOwner, SessionPtr> m_keyed;
+    TrailPolicy m_trails;
+    std::uint64_t m_toldDroppedTrails = 0;
     Timer m_expiryTimer;
     Counters m_counters;
 };
--- a/Source/node/CallSession.h
+++ b/Source/node/CallSession.h
@@ -3,6 +3,7 @@
 #include "coordination/attempts/IdempotencyKeyTable.h"
 #include "coordination/attempts/OutgoingCall.h"
 #include "node/CallRequestParser.h"
+#include "node/CallTrail.h"
 #include "transport/HttpServer.h"
 #include "transport/SteadyTime.h"
 
@@ -31,6 +32,7 @@
     std::optional<ClaimOwner> claim;
     std::unique_ptr<OutgoingCall> call;
     std::unique_ptr<Timer> timer;
+    CallTrail trail;
     bool isCallerGone = false;
     bool isAnswered = false;
     /// Sequence numbers of all attempts of this call.
--- a/Source/node/EndpointRunner.cpp
+++ b/Source/node/EndpointRunner.cpp
@@ -43,6 +43,7 @@
     , m_client(client)
     , m_reply(std::move(reply))
     , m_fates(m_self.incarnation)
+    , m_trails(m_settings.trails)
     , m_loadTimer(context, [this] { askLoad(); })
     , m_queueTimer(context, [this] { startDueJobs(); })
     , m_confirmTimer(context, [this] { confirmLongJobs(); })
@@ -156,15 +157,21 @@
     job->message = *m_received;
     job->connection = m_receivedOver;
     job->deadline = now + m_received->remaining;
+    job->admittedAt = now;
+    const std::int64_t timeLeft = m_received->remaining.count();
+    const std::int64_t targetLeft = m_received->targetRemaining.count();
     if (const auto refusal = reasonNotToAdmit(*job)) {
+        endTrail(*job, LogEvent::AttemptRejected, { static_cast<std::int64_t>(refusal->code), timeLeft, targetLeft, refusal->retryAfter.count() }, true);
         perform(m_fates.refuse(action.attempt, *refusal, now));
         return;
     }
     const AdmissionDecision decision = m_queue->offer(job->ticket, job->message.priority, job->deadline, now, now + job->message.targetRemaining);
     if (decision.kind == AdmissionKind::Refused) {
+        endTrail(*job, LogEvent::AttemptRejected, { static_cast<std::int64_t>(decision.code), timeLeft, targetLeft, decision.retryAfter.count() }, true);
         perform(m_fates.refuse(action.attempt, { decision.code, decision.retryAfter }, now));
         return;
     }
+    job->trail.add(LogEvent::AttemptAdmitted, now, action.attempt.node, { decision.kind == AdmissionKind::Started, timeLeft, targetLeft, m_queue->slowdownPercent() });
     addJob(job);
     m_unconfirmed.emplace_back(action.attempt, now + confirmAfter);
     if (decision.kind == AdmissionKind::Started)
@@ -187,6 +194,7 @@
     if (entry == m_jobs.end())
         return;
     const JobPtr job = entry->second;
+    endTrail(*job, LogEvent::AttemptEnded, { 0, static_cast<std::int64_t>(ResultCode::CancelledBeforeStart), (steadyNow() - job->startedAt).count(), m_queue->slowdownPercent() }, false);
     m_client.cancel(job->request);
     finish(job, BackendOutcome::Abandoned);
     perform(m_fates.loseOutcome(action.attempt, ResultCode::OutcomeUnknown, steadyNow()));
@@ -246,6 +254,7 @@
     const StartableCalls calls = m_queue->takeStartable(now);
     for (const GivenUpCall& call : calls.givenUp) {
         const JobPtr job = m_jobsByTicket.at(call.ticket);
+        endTrail(*job, LogEvent::AttemptRejected, { static_cast<std::int64_t>(call.code), (job->deadline - now).count(), 0, call.retryAfter.count() }, true);
         removeJob(*job);
         perform(m_fates.refuse(job->message.attempt, { call.code, call.retryAfter }, now));
     }
@@ -267,6 +276,9 @@
         return;
     }
     ++m_counters.started;
+    job.startedAt = steadyNow();
+    const LoadReport load = m_queue->report();
+    job.trail.add(LogEvent::AttemptStarted, job.startedAt, {}, { (job.startedAt - job.admittedAt).count(), load.running, load.concurrencyLimit, load.slowdownPercent });
     job.isRunning = true;
     job.request = m_client.send(m_backend->address, backendRequest(job), backendOptions(job),
         [this, kept](HttpClient::Outcome outcome) { handleOutcome(kept, std::move(outcome)); });
@@ -306,10 +318,24 @@
     return request;
 }
 
+void EndpointRunner::endTrail(Job& job, LogEvent event, CallTrail::Values values, bool hasFailed)
+{
+    const TimePoint now = steadyNow();
+    const std::string* request = findHeader(job.message.request.headers, m_settings.headers.requestId);
+    const std::string name = request ? *request : std::string();
+    job.trail.add(event, now, job.message.attempt.node, values);
+    if (m_trails.admits(name, hasFailed, job.trail.size(), now))
+        job.trail.write(name, job.message.service);
+}
+
 void EndpointRunner::handleOutcome(const JobPtr& job, HttpClient::Outcome outcome)
 {
     const TimePoint now = steadyNow();
     const AttemptId attempt = job->message.attempt;
+    const std::int64_t status = outcome.succeeded ? outcome.response.status : 0;
+    const std::int64_t code = outcome.succeeded ? 0 : static_cast<std::int64_t>(outcome.failure.error.code);
+    const bool isLate = now - job->admittedAt > job->message.targetRemaining;
+    endTrail(*job, LogEvent::AttemptEnded, { status, code, (now - job->startedAt).count(), m_queue ? m_queue->slowdownPercent() : 0 }, !outcome.succeeded || status >= firstServerErrorStatus || isLate);
     if (outcome.succeeded) {
         handleResponse(job, outcome.response, now);
     } else if (outcome.failure.mayHaveRun) {
--- a/Source/node/EndpointRunner.h
+++ b/Source/node/EndpointRunner.h
@@ -2,6 +2,7 @@
 
 #include "coordination/admission/AdmissionQueue.h"
 #include "coordination/attempts/FateTable.h"
+#include "node/CallTrail.h"
 #include "node/NodeIdentity.h"
 #include "protocol/CallHeaders.h"
 #include "protocol/PeerMessages.h"
@@ -52,6 +53,7 @@
         CallHeaders headers;
         /// Time between two questions for the backend server's load, while no response tells it.
         Duration loadInterval { 40000 };
+        TrailPolicy::Settings trails;
     };
 
     EndpointRunner(asio::io_context&, NodeIdentity self, Settings, HttpClient&, ReplyHook);
@@ -85,6 +87,9 @@
         CallRequestMessage message;
         ConnectionId connection;
         TimePoint deadline;
+        CallTrail trail;
+        TimePoint admittedAt;
+        TimePoint startedAt;
         bool isRunning = false;
         HttpClient::RequestId request = 0;
     };
@@ -109,6 +114,8 @@
     void finish(const JobPtr&, BackendOutcome);
     HttpRequest backendRequest(const Job&) const;
     HttpClient::Options backendOptions(const Job&) const;
+    /// Writes the story of an attempt that failed or is sampled.
+    void endTrail(Job&, LogEvent, CallTrail::Values, bool hasFailed);
     void handleResponse(const JobPtr&, const HttpResponse&, TimePoint now);
     void takeLoad(const HttpResponse&, TimePoint now);
     void askLoad();
@@ -141,6 +148,7 @@
     std::optional<TimePoint> m_loadToldAt;
     TimePoint m_loadAskedAt;
     bool m_isAskingLoad = false;
+    TrailPolicy m_trails;
     Counters m_counters;
     Timer m_loadTimer;
     Timer m_queueTimer;
--- a/Source/node/NodeSettings.cpp
+++ b/Source/node/NodeSettings.cpp
@@ -53,6 +53,14 @@
     routing.finish();
 }
 
+void readTrails(TomlReader trails, NodeSettings& settings)
+{
+    constexpr std::uint64_t largestRate = 1000000;
+    settings.trails.linesPerSecond = static_cast<std::uint32_t>(trails.integer("lines_per_second", settings.trails.linesPerSecond, 0, largestRate));
+    settings.trails.sampleOneIn = static_cast<std::uint32_t>(trails.integer("sample_one_in", settings.trails.sampleOneIn, 0, largestRate));
+    trails.finish();
+}
+
 void readStop(TomlReader stop, NodeSettings& settings)
 {
     constexpr Duration longestStop = std::chrono::minutes(10);
@@ -97,8 +105,10 @@
     readRouting(reader.section("routing"), settings);
     readHeaders(reader.section("headers"), settings.headers);
     readBackend(reader.section("backend"), settings);
+    readTrails(reader.section("trails"), settings);
     readStop(reader.section("stop"), settings);
     settings.log = readLogSettings(reader);
+    settings.log.node = settings.node.value();
 }
 
 } // namespace
--- a/Source/node/NodeSettings.h
+++ b/Source/node/NodeSettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/placing/EndpointChooser.h"
+#include "node/CallTrail.h"
 #include "protocol/CallHeaders.h"
 #include "protocol/Ids.h"
 #include "protocol/Result.h"
@@ -51,6 +52,7 @@
     Duration stopNotice { 0 };
     Duration maximumStopTime { 30000000 };
     LogSettings log;
+    TrailPolicy::Settings trails;
     /// Reads the routing document; set by the program, not by the file.
     RoutingParser parseRouting = parseRoutingToml;
 };
--- a/Source/protocol/LogEvent.h
+++ b/Source/protocol/LogEvent.h
@@ -21,6 +21,7 @@
     StartFailed = 103,
     SettingsRefused = 104,
     Reloaded = 105,
+    LogLinesDropped = 106,
 
     // 2xx: membership.
     MemberSuspected = 201,
@@ -41,9 +42,19 @@
     BackendDraining = 401,
     BackendGone = 402,
 
-    // 6xx: calls.
-    CallRefused = 600,
-    CallUnknown = 601,
+    // 6xx: calls, at the node that took them (61x) and at the node beside the endpoint (62x).
+    CallAccepted = 610,
+    EndpointPlaced = 611,
+    AttemptRefused = 612,
+    AttemptLost = 613,
+    AttemptAnswered = 614,
+    CallHedged = 615,
+    CallEnded = 616,
+    AttemptAdmitted = 620,
+    AttemptRejected = 621,
+    AttemptStarted = 622,
+    AttemptEnded = 623,
+    TrailsDropped = 630,
 
     // 5xx: the control store.
     StorageStopped = 501,
--- a/Source/transport/Logger.cpp
+++ b/Source/transport/Logger.cpp
@@ -1,6 +1,8 @@
 #include "transport/Logger.h"
 
-#include <log4cxx/consoleappender.h>
+#include "transport/BoundedOutput.h"
+
+#include <log4cxx/appenderskeleton.h>
 #include <log4cxx/fileappender.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
@@ -9,6 +11,9 @@
 
 #include <atomic>
 #include <iostream>
+#include <memory>
+
+#include <unistd.h>
 
 namespace Knapweedquay {
 
@@ -17,6 +22,10 @@
 std::atomic<LogLayout> layoutInUse { LogLayout::Plain };
 std::atomic<bool> isStarted { false };
 std::string processName;
+std::string nodeName;
+
+constexpr std::uint64_t smallestBuffer = 4096;
+constexpr std::uint64_t largestBuffer = 64 * 1024 * 1024;
 
 bool isAnyPath(std::string_view) { return true; }
 
@@ -35,20 +44,22 @@
     return log4cxx::Level::getInfo();
 }
 
-std::string plainLine(LogEvent event, std::initializer_list<LogField> fields)
+std::string plainLine(LogEvent event, const LogField* begin, const LogField* end)
 {
     std::string line = std::to_string(static_cast<unsigned>(event)) + " " + text(event);
-    for (const LogField& field : fields)
-        line += std::string(" ") + field.name + "=" + nlohmann::json(field.value).dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
+    for (const LogField* field = begin; field != end; ++field)
+        line += std::string(" ") + field->name + "=" + nlohmann::json(field->value).dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
     return line;
 }
 
 // The members of a JSON object after those that the layout writes; log4cxx's own JSON layout has no place for fields.
-std::string jsonMembers(LogEvent event, std::initializer_list<LogField> fields)
+std::string jsonMembers(LogEvent event, const LogField* begin, const LogField* end)
 {
     nlohmann::json object = { { "event", static_cast<unsigned>(event) }, { "level", toText(level(event)) }, { "text", text(event) }, { "process", processName } };
-    for (const LogField& field : fields)
-        object["fields"][field.name] = field.value;
+    if (!nodeName.empty())
+        object["node"] = nodeName;
+    for (const LogField* field = begin; field != end; ++field)
+        object["fields"][field->name] = field->value;
     return object.dump(-1, ' ', true, nlohmann::json::error_handler_t::replace).substr(1);
 }
 
@@ -61,13 +72,54 @@
     return std::make_shared<log4cxx::PatternLayout>(pattern);
 }
 
+std::string droppedNotice(std::uint64_t dropped)
+{
+    const LogField field { "lines", std::to_string(dropped) };
+    const bool isJson = layoutInUse == LogLayout::Json;
+    return (isJson ? "{" + jsonMembers(LogEvent::LogLinesDropped, &field, &field + 1) : plainLine(LogEvent::LogLinesDropped, &field, &field + 1)) + '\n';
+}
+
+/// Where the lines on the standard output go; null while none do.
+std::unique_ptr<BoundedOutput> standardOutput;
+
+/// Hands whole lines to the bounded output, so that a reader that stops never holds up the process.
+class StandardOutputAppender : public log4cxx::AppenderSkeleton {
+public:
+    explicit StandardOutputAppender(const log4cxx::LayoutPtr& usedLayout)
+    {
+        setLayout(usedLayout);
+    }
+    void close() override { standardOutput->flush(); }
+    bool requiresLayout() const override { return true; }
+
+protected:
+    void append(const log4cxx::spi::LoggingEventPtr& event, log4cxx::helpers::Pool& pool) override
+    {
+        log4cxx::LogString line;
+        getLayout()->format(line, event, pool);
+        standardOutput->write(line);
+    }
+};
+
 log4cxx::AppenderPtr makeAppender(const LogSettings& settings)
 {
     constexpr bool append = true;
     const log4cxx::LayoutPtr layout = makeLayout(settings);
-    if (settings.file.empty())
-        return std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
-    return std::make_shared<log4cxx::FileAppender>(layout, settings.file, append);
+    if (!settings.file.empty())
+        return std::make_shared<log4cxx::FileAppender>(layout, settings.file, append);
+    if (!standardOutput)
+        standardOutput = std::make_unique<BoundedOutput>(STDOUT_FILENO, settings.bufferBytes, droppedNotice);
+    return std::make_shared<StandardOutputAppender>(layout);
+}
+
+void writeEvent(LogEvent event, const LogField* begin, const LogField* end)
+{
+    if (!isStarted) {
+        std::cerr << plainLine(event, begin, end) << '\n';
+        return;
+    }
+    const std::string message = layoutInUse == LogLayout::Json ? jsonMembers(event, begin, end) : plainLine(event, begin, end);
+    log4cxx::Logger::getRootLogger()->log(toLibraryLevel(level(event)), message);
 }
 
 } // namespace
@@ -79,6 +131,7 @@
     settings.layout = static_cast<LogLayout>(readChoice(section, "layout", { "plain", "json" }, static_cast<std::size_t>(settings.layout)));
     settings.level = static_cast<LogLevel>(readChoice(section, "level", { "debug", "info", "warning", "error" }, static_cast<std::size_t>(settings.level)));
     settings.file = section.text("file", settings.file, isAnyPath, "a path");
+    settings.bufferBytes = section.integer("buffer_bytes", settings.bufferBytes, smallestBuffer, largestBuffer);
     section.finish();
     return settings;
 }
@@ -86,6 +139,7 @@
 void startLog(const LogSettings& settings, const std::string& process)
 {
     processName = process;
+    nodeName = settings.node;
     layoutInUse = settings.layout;
     const log4cxx::LoggerPtr root = log4cxx::Logger::getRootLogger();
     root->removeAllAppenders();
@@ -96,12 +150,17 @@
 
 void log(LogEvent event, std::initializer_list<LogField> fields)
 {
-    if (!isStarted) {
-        std::cerr << plainLine(event, fields) << '\n';
-        return;
-    }
-    const std::string message = layoutInUse == LogLayout::Json ? jsonMembers(event, fields) : plainLine(event, fields);
-    log4cxx::Logger::getRootLogger()->log(toLibraryLevel(level(event)), message);
+    writeEvent(event, fields.begin(), fields.end());
+}
+
+void log(LogEvent event, const std::vector<LogField>& fields)
+{
+    writeEvent(event, fields.data(), fields.data() + fields.size());
+}
+
+std::uint64_t droppedLogLines()
+{
+    return standardOutput ? standardOutput->droppedLines() : 0;
 }
 
 } // namespace Knapweedquay
--- a/Source/transport/Logger.h
+++ b/Source/transport/Logger.h
@@ -3,9 +3,12 @@
 #include "protocol/LogEvent.h"
 #include "state/SettingsFile.h"
 
+#include <cstddef>
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace Knapweedquay {
 
@@ -20,8 +23,12 @@
     LogLayout layout = LogLayout::Plain;
     /// Events below this level are left out.
     LogLevel level = LogLevel::Info;
-    /// File to append to; empty for the standard error stream.
+    /// File to append to; empty for the standard output stream.
     std::string file;
+    /// Name of the node or replica, told in each line of JSON; set by the program, not by the file.
+    std::string node;
+    /// Bytes that are held for a reader of the standard output that is slow; what goes beyond is dropped and counted.
+    std::size_t bufferBytes = 256 * 1024;
 };
 
 /// Reads the [log] section of a daemon's settings.
@@ -38,5 +45,9 @@
 
 /// Writes one event: its number, its text and its fields. Safe from every thread.
 void log(LogEvent, std::initializer_list<LogField> = {});
+void log(LogEvent, const std::vector<LogField>&);
+
+/// Lines that were dropped because nobody read the standard output.
+std::uint64_t droppedLogLines();
 
 } // namespace Knapweedquay
--- a/Tests/transport/LoggerTest.cpp
+++ b/Tests/transport/LoggerTest.cpp
@@ -19,7 +19,11 @@
     void start(LogLayout layout, LogLevel level)
     {
         std::remove(path.c_str());
-        startLog({ layout, level, path }, "test-process");
+        LogSettings settings;
+        settings.layout = layout;
+        settings.level = level;
+        settings.file = path;
+        startLog(settings, "test-process");
     }
 
     std::vector<std::string> lines() const
