Node: Keep calls from a backend server that refuses connections, at once

A refused connection now makes the node say that it drains, to all that watch its load; the questions for the load go on every 40 ms and take it back.

--- a/Source/node/EndpointRunner.cpp
+++ b/Source/node/EndpointRunner.cpp
@@ -2,6 +2,7 @@
 
 #include "protocol/BackendLoad.h"
 #include "protocol/ProblemDetails.h"
+#include "transport/Logger.h"
 
 #include <algorithm>
 #include <utility>
@@ -61,6 +62,7 @@
         m_client.forget(m_backend->address);
     if (!m_backend || m_backend->instance != backend.instance)
         m_loadToldAt.reset();
+    m_reachability.connectionOpened();
     m_backend = backend;
     if (isOtherService)
         m_document.reset();
@@ -104,7 +106,7 @@
 LoadReport EndpointRunner::loadReport() const
 {
     LoadReport report = m_queue ? m_queue->report() : LoadReport();
-    report.draining = report.draining || m_isDraining || !m_backend;
+    report.draining = report.draining || m_isDraining || !m_backend || !m_reachability.isReachable();
     return report;
 }
 
@@ -140,6 +142,8 @@
         return Refusal { ResultCode::Draining, drainRetryAfter };
     if (!m_queue)
         return Refusal { ResultCode::StaleConfiguration, drainRetryAfter };
+    if (!m_reachability.mayTry(steadyNow()))
+        return Refusal { ResultCode::PeerUnreachable, drainRetryAfter };
     if (m_isDraining)
         return Refusal { ResultCode::Draining, drainRetryAfter };
     if (job.message.remaining <= Duration::zero())
@@ -332,6 +336,7 @@
 {
     const TimePoint now = steadyNow();
     const AttemptId attempt = job->message.attempt;
+    noteConnection(outcome, now);
     const std::int64_t status = outcome.succeeded ? outcome.response.status : 0;
     const std::int64_t code = outcome.succeeded ? 0 : static_cast<std::int64_t>(outcome.failure.error.code);
     const bool isLate = now - job->admittedAt > job->message.targetRemaining;
@@ -368,7 +373,7 @@
 {
     m_loadTimer.setAfter(m_settings.loadInterval);
     const TimePoint now = steadyNow();
-    const bool isUnanswered = m_loadAskedAt > m_loadToldAt.value_or(TimePoint::min());
+    const bool isUnanswered = m_reachability.isReachable() && m_loadAskedAt > m_loadToldAt.value_or(TimePoint::min());
     const Duration interval = isUnanswered ? unansweredLoadInterval : m_settings.loadInterval;
     const TimePoint last = std::max(m_loadAskedAt, m_loadToldAt.value_or(TimePoint::min()));
     if (m_isAskingLoad || !m_backend || !m_queue || m_healthPath.empty() || now - last < interval)
@@ -379,11 +384,26 @@
     options.timeout = loadTimeout;
     m_client.send(m_backend->address, { "GET", m_healthPath, {}, {} }, options, [this](const HttpClient::Outcome& outcome) {
         m_isAskingLoad = false;
+        noteConnection(outcome, steadyNow());
         if (outcome.succeeded)
             takeLoad(outcome.response, steadyNow());
     });
 }
 
+void EndpointRunner::noteConnection(const HttpClient::Outcome& outcome, TimePoint now)
+{
+    const bool wasReachable = m_reachability.isReachable();
+    const bool isRefused = !outcome.succeeded && !outcome.failure.mayHaveRun && outcome.failure.error.code == ResultCode::ConnectionFailed;
+    if (isRefused)
+        m_reachability.connectionRefused(now);
+    else if (outcome.succeeded || outcome.failure.mayHaveRun)
+        m_reachability.connectionOpened();
+    if (m_reachability.isReachable() == wasReachable)
+        return;
+    log(isRefused ? LogEvent::BackendUnreachable : LogEvent::BackendReachable, { { "address", m_backend ? m_backend->address : std::string() }, { "detail", outcome.failure.error.detail } });
+    loadChanged();
+}
+
 void EndpointRunner::loadChanged()
 {
     if (m_loadHook)
--- a/Source/node/EndpointRunner.h
+++ b/Source/node/EndpointRunner.h
@@ -2,6 +2,7 @@
 
 #include "coordination/admission/AdmissionQueue.h"
 #include "coordination/attempts/FateTable.h"
+#include "coordination/presence/BackendReachability.h"
 #include "node/CallTrail.h"
 #include "node/NodeIdentity.h"
 #include "protocol/CallHeaders.h"
@@ -120,6 +121,7 @@
     void takeLoad(const HttpResponse&, TimePoint now);
     void askLoad();
     void loadChanged();
+    void noteConnection(const HttpClient::Outcome&, TimePoint now);
     void confirmLongJobs();
     void expire();
 
@@ -142,6 +144,7 @@
     std::size_t m_jobBytes = 0;
     /// Admitted attempts whose origin has not been told that they are here, oldest first.
     std::deque<std::pair<AttemptId, TimePoint>> m_unconfirmed;
+    BackendReachability m_reachability;
     std::string m_healthPath;
     std::function<void()> m_loadHook;
     /// When the backend server last told its load; it may never do.
--- a/Source/protocol/LogEvent.cpp
+++ b/Source/protocol/LogEvent.cpp
@@ -34,6 +34,8 @@
     { LogEvent::BackendAnnounced, LogLevel::Info, "backend server announced" },
     { LogEvent::BackendDraining, LogLevel::Info, "backend server draining" },
     { LogEvent::BackendGone, LogLevel::Warning, "backend server gone" },
+    { LogEvent::BackendUnreachable, LogLevel::Warning, "backend server refuses connections" },
+    { LogEvent::BackendReachable, LogLevel::Info, "backend server takes connections again" },
     { LogEvent::CallAccepted, LogLevel::Info, "call taken from its caller" },
     { LogEvent::EndpointPlaced, LogLevel::Info, "endpoint chosen" },
     { LogEvent::AttemptRefused, LogLevel::Info, "attempt refused by the endpoint's node" },
--- a/Source/protocol/LogEvent.h
+++ b/Source/protocol/LogEvent.h
@@ -41,6 +41,8 @@
     BackendAnnounced = 400,
     BackendDraining = 401,
     BackendGone = 402,
+    BackendUnreachable = 403,
+    BackendReachable = 404,
 
     // 6xx: calls, at the node that took them (61x) and at the node beside the endpoint (62x).
     CallAccepted = 610,
