--- a/Source/coordination/admission/AdmissionQueue.cpp
+++ b/Source/coordination/admission/AdmissionQueue.cpp
@@ -268,8 +268,10 @@
     report.concurrencyLimit = m_limit.value(m_now);
     report.queued.reserve(lateLane());
     // Late calls hold nobody up.
-    for (std::size_t lane = 0; lane < lateLane(); ++lane)
+    for (std::size_t lane = 0; lane < lateLane(); ++lane) {
         report.queued.push_back(static_cast<std::uint32_t>(m_lanes[lane].queue.size()));
+        report.serviceTimes.push_back(m_lanes[lane].serviceTime.mean());
+    }
     report.serviceTime = m_serviceTime.mean();
     report.completedCalls = m_completedCalls;
     report.failuresPerThousand = static_cast<std::uint32_t>(perThousand * m_failureRate);
--- a/Source/coordination/placing/EndpointRecord.cpp
+++ b/Source/coordination/placing/EndpointRecord.cpp
@@ -173,11 +173,17 @@
     const double limit = m_report.concurrencyLimit ? m_report.concurrencyLimit : announced;
     const double servers = std::max(1.0, limit * rampFactor(document, now));
     const double wait = service / servers * waitFactor(callsAhead(priority, service, limit, now), servers);
-    const double time = microseconds(m_roundTrip.value_or(fleet.roundTrip)) + wait + service;
+    const double time = microseconds(m_roundTrip.value_or(fleet.roundTrip)) + wait + service * kindFactor(priority);
     const double errors = std::min(expectedErrorRate(now), maximumErrorRate);
     return Duration(static_cast<Duration::rep>(time * (1 + errorPenalty * errors / (1 - errors))));
 }
 
+double EndpointRecord::kindFactor(PriorityIndex priority) const
+{
+    const bool isKnown = priority.value() < m_report.serviceTimes.size() && m_report.serviceTimes[priority.value()] > Duration(0) && m_report.serviceTime > Duration(0);
+    return isKnown ? microseconds(m_report.serviceTimes[priority.value()]) / microseconds(m_report.serviceTime) : 1;
+}
+
 double EndpointRecord::serviceMicroseconds(const FleetView& fleet, TimePoint now) const
 {
     const double usual = fleet.serviceTime > Duration(0) ? microseconds(fleet.serviceTime) : unknownServiceMicroseconds;
--- a/Source/coordination/placing/EndpointRecord.h
+++ b/Source/coordination/placing/EndpointRecord.h
@@ -107,6 +107,8 @@
         boost::intrusive::member_hook<OutstandingCall, boost::intrusive::list_member_hook<>, &OutstandingCall::hook>>;
 
     double serviceMicroseconds(const FleetView&, TimePoint now) const;
+    /// What a call of this priority takes, of the mean over all.
+    double kindFactor(PriorityIndex) const;
     /// How many times as long work takes there now.
     double slowdown(TimePoint now) const;
     double stallMicroseconds(TimePoint now) const;
--- a/Source/node/CallGateway.cpp
+++ b/Source/node/CallGateway.cpp
@@ -206,7 +206,7 @@
     parameters.isRepeat = session->parsed.isRepeat;
     parameters.deadline = session->deadline;
     if (session->isIdempotent)
-        parameters.hedgeDelay = service.hedgeDelay(session->priority);
+        parameters.hedgeDelay = service.hedgeDelay(session->priority, session->target);
     parameters.limits = session->limits;
     parameters.target = session->target;
     session->call = std::make_unique<OutgoingCall>(parameters, service.budgets(),
--- a/Source/node/ServiceTraffic.cpp
+++ b/Source/node/ServiceTraffic.cpp
@@ -8,6 +8,10 @@
 namespace {
 
 constexpr double hedgeQuantile = 0.95;
+constexpr double medianQuantile = 0.5;
+/// Usual times that a hedge needs to make the target, and before which a call is not late.
+constexpr double usefulHedgeTime = 1.3;
+constexpr double earliestHedge = 2;
 constexpr std::array idempotentMethods = { "GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE" };
 
 bool isIdempotentMethod(std::string_view method)
@@ -38,6 +42,7 @@
     , m_hedges(document.retries.hedgeShare)
     , m_measurement(document.measurement)
     , m_latencies(document.priorities.size(), QuantileEstimate(hedgeQuantile))
+    , m_medians(document.priorities.size(), QuantileEstimate(medianQuantile))
     , m_nodeMetrics(metrics)
     , m_metrics(metrics.service(document.service, priorityNames(document)))
 {
@@ -54,6 +59,7 @@
     if (hasSamePriorities)
         return;
     m_latencies.assign(document.priorities.size(), QuantileEstimate(hedgeQuantile));
+    m_medians.assign(document.priorities.size(), QuantileEstimate(medianQuantile));
     m_metrics = m_nodeMetrics.service(document.service, priorityNames(document));
 }
 
@@ -81,15 +87,23 @@
 
 void ServiceTraffic::addLatency(PriorityIndex priority, Duration latency)
 {
-    if (priority.value() < m_latencies.size())
+    if (priority.value() < m_latencies.size()) {
         m_latencies[priority.value()].add(latency);
+        m_medians[priority.value()].add(latency);
+    }
 }
 
-std::optional<Duration> ServiceTraffic::hedgeDelay(PriorityIndex priority) const
+std::optional<Duration> ServiceTraffic::hedgeDelay(PriorityIndex priority, Duration target) const
 {
     if (priority.value() >= m_latencies.size() || m_document.retries.hedgeShare <= 0)
         return std::nullopt;
-    return m_latencies[priority.value()].value();
+    const auto percentile = m_latencies[priority.value()].value();
+    const auto median = m_medians[priority.value()].value();
+    if (!percentile || !median)
+        return percentile;
+    const auto usual = static_cast<double>(median->count());
+    const auto latest = static_cast<double>(target.count()) - usefulHedgeTime * usual;
+    return std::min(*percentile, Duration(static_cast<Duration::rep>(std::max(earliestHedge * usual, latest))));
 }
 
 } // namespace Knapweedquay
--- a/Source/node/ServiceTraffic.h
+++ b/Source/node/ServiceTraffic.h
@@ -40,8 +40,9 @@
     std::optional<PriorityIndex> priorityNamed(std::string_view name) const;
 
     void addLatency(PriorityIndex, Duration);
-    /// When a second attempt is worth its cost (The Tail at Scale, CACM '13): the 95th percentile of the latency.
-    std::optional<Duration> hedgeDelay(PriorityIndex) const;
+    /// When a second attempt is worth its cost (The Tail at Scale, CACM '13): the 95th percentile of the latency, or
+    /// sooner when the second attempt could not make the target then.
+    std::optional<Duration> hedgeDelay(PriorityIndex, Duration target) const;
 
 private:
     ServiceDocument m_document;
@@ -51,6 +52,7 @@
     MeasurementBudget m_measurement;
     ProbePlanner m_probes;
     std::vector<QuantileEstimate> m_latencies;
+    std::vector<QuantileEstimate> m_medians;
     NodeMetrics& m_nodeMetrics;
     std::unique_ptr<ServiceMetrics> m_metrics;
 };
--- a/Source/protocol/LoadReport.h
+++ b/Source/protocol/LoadReport.h
@@ -18,6 +18,8 @@
     std::vector<std::uint32_t> queued;
     /// Smoothed time that the backend server takes for one call.
     Duration serviceTime { 0 };
+    /// The same for each priority, whose work may differ widely; zero where it is not known, and the list may be short.
+    std::vector<Duration> serviceTimes;
     /// Calls completed since the backend server announced itself.
     std::uint64_t completedCalls = 0;
     /// Smoothed share of calls that failed at the backend server, in thousandths. It lets every node keep away from an
--- a/Source/protocol/PeerMessages.cpp
+++ b/Source/protocol/PeerMessages.cpp
@@ -23,6 +23,10 @@
     fields.push_back(load.concurrencyLimit);
     fields.push_back(std::move(queued));
     fields.push_back(load.serviceTime.count());
+    Json times = Json::array();
+    for (const Duration time : load.serviceTimes)
+        times.push_back(time.count());
+    fields.push_back(std::move(times));
     fields.push_back(load.completedCalls);
     fields.push_back(load.failuresPerThousand);
     fields.push_back(load.slowdownPercent);
@@ -43,6 +47,14 @@
     if (lengths.failed())
         reader.fail("queue lengths of a load report are not numbers");
     load.serviceTime = reader.duration();
+    const Json& times = reader.array();
+    if (times.size() > maximumPriorities)
+        reader.fail("too many service times in a load report");
+    FieldReader durations(times);
+    while (!reader.failed() && durations.remaining() > 0 && !durations.failed())
+        load.serviceTimes.push_back(durations.duration());
+    if (durations.failed())
+        reader.fail("service times of a load report are not durations");
     load.completedCalls = reader.unsignedInteger();
     load.failuresPerThousand = readUnsigned32(reader);
     load.slowdownPercent = readUnsigned32(reader);
--- a/Tests/coordination/EndpointChooserTest.cpp
+++ b/Tests/coordination/EndpointChooserTest.cpp
@@ -482,4 +482,16 @@
     EXPECT_FALSE(*second_ == first);
 }
 
+// One kind of work takes ten times as long as the other: a slow machine is fast enough for one of them only.
+TEST_F(EndpointChooserTest, KindsOfWork_DifferWidely_EachIsPredictedByItsOwnTime)
+{
+    addEndpoints(1);
+    auto report = makeReport(0, 60 * millisecond);
+    report.serviceTimes = { 20 * millisecond, 200 * millisecond };
+    report.slowdownPercent = 700;
+    m_chooser.report(endpointId(0), report, m_now);
+    EXPECT_NEAR(140000, static_cast<double>(m_chooser.statusOf(endpointId(0), PriorityIndex(0), m_now).predictedTime.count()), 10000);
+    EXPECT_NEAR(1400000, static_cast<double>(m_chooser.statusOf(endpointId(0), PriorityIndex(1), m_now).predictedTime.count()), 50000);
+}
+
 } // namespace
