--- a/Source/cli/Commands.cpp
+++ b/Source/cli/Commands.cpp
@@ -152,7 +152,7 @@
         m_report.error(name.error().detail);
         return ExitCode::InvalidDocument;
     }
-    const std::string service = name.value();
+    const std::string& service = name.value();
     std::uint64_t expected = m_line.expectedVersion.value_or(0);
     if (!m_line.expectedVersion) {
         const Answer current = get("/v1/documents/" + service);
--- a/Source/coordination/admission/AdmissionQueue.cpp
+++ b/Source/coordination/admission/AdmissionQueue.cpp
@@ -90,7 +90,7 @@
     call.lane = lateLane();
     const bool startsNow = hasFreeSlot() && !hasQueued();
     const auto& lane = m_lanes[call.lane];
-    if (!startsNow && lane.queue.size() >= lateQueueShare * m_limit.value(now))
+    if (!startsNow && static_cast<double>(lane.queue.size()) >= lateQueueShare * m_limit.value(now))
         return refusal(ResultCode::Overloaded, waitInLane(call.lane, now));
     call.expiry = std::min(call.deadline - atPresentSpeed(m_lanes[call.priority].serviceTime.lowerQuartile()), now + lateQueueTime);
     call.expiryCode = ResultCode::Overloaded;
--- a/Source/transport/HttpClient.cpp
+++ b/Source/transport/HttpClient.cpp
@@ -362,7 +362,7 @@
     std::vector<ConnectionPtr>& connections = entry->second;
     // The newest are used first; what lies longer than its server allows is closed.
     while (!connections.empty()) {
-        const ConnectionPtr connection = connections.back();
+        ConnectionPtr connection = connections.back();
         const Duration idle = connection->idleTime();
         if (idle > maximumIdle && idle <= connection->maximumIdleTime())
             return nullptr;
--- a/Source/transport/HttpServer.cpp
+++ b/Source/transport/HttpServer.cpp
@@ -76,8 +76,7 @@
     using ConnectionPtr = boost::intrusive_ptr<Connection>;
 
     Implementation(asio::io_context& context, Settings settings, Handler handler)
-        : m_context(context)
-        , m_settings(std::move(settings))
+        : m_settings(std::move(settings))
         , m_handler(std::move(handler))
         , m_acceptor(context)
         , m_sweepTimer(context, [this] { sweep(); })
@@ -98,7 +97,6 @@
     void adopt(asio::ip::tcp::socket);
     void sweep();
 
-    asio::io_context& m_context;
     Settings m_settings;
     Handler m_handler;
     asio::ip::tcp::acceptor m_acceptor;
--- a/Tests/coordination/EndpointChooserTest.cpp
+++ b/Tests/coordination/EndpointChooserTest.cpp
@@ -477,9 +477,9 @@
     for (int index = 0; index < 4; ++index)
         chooser.update(endpointId(index), { DataCentre("local"), slots, m_now - 100 * second, false });
     const EndpointId first = *chooser.choose({}, PriorityIndex(0), m_now, m_random);
-    const auto second_ = chooser.choose({ first }, PriorityIndex(0), m_now, m_random);
-    ASSERT_TRUE(second_);
-    EXPECT_FALSE(*second_ == first);
+    const auto retried = chooser.choose({ first }, PriorityIndex(0), m_now, m_random);
+    ASSERT_TRUE(retried);
+    EXPECT_FALSE(*retried == first);
 }
 
 // One kind of work takes ten times as long as the other: a slow machine is fast enough for one of them only.
--- a/Tests/coordination/RoutingTableTest.cpp
+++ b/Tests/coordination/RoutingTableTest.cpp
@@ -84,6 +84,7 @@
         rules.emplace(prefix, rule("h", prefix));
     }
     std::vector<RoutingRule> list;
+    list.reserve(rules.size());
     for (const auto& entry : rules)
         list.push_back(entry.second);
     const RoutingTable table(document(list));
