--- a/cmake/Dependencies.cmake
+++ b/cmake/Dependencies.cmake
@@ -11,7 +11,7 @@
 find_library(HTTP_PARSER_LIBRARY http_parser REQUIRED)
 find_library(XXHASH_LIBRARY xxhash REQUIRED)
 
-# RESTinio and websocketpp on standalone Asio. Their headers are system headers, so that the
+# websocketpp and http_parser on standalone Asio. Their headers are system headers, so that the
 # warnings of this project apply to its own code only.
 add_library(knapweedquayNetworkLibraries INTERFACE)
 # Whether Asio sees std::aligned_alloc depends on what a file includes before it. Without the definition below files
