Routing: Work out ranks in one place and drop what nothing used

RoutingTable numbered the ranks beside ranksOf() and priorityOfRank(), and each change of the routes made a document for every service although the runner takes that of its own backend server only.

--- a/Source/coordination/routing/RoutingTable.cpp
+++ b/Source/coordination/routing/RoutingTable.cpp
@@ -22,15 +22,10 @@
 RoutingTable::RoutingTable(RoutingDocument document)
     : m_document(std::move(document))
 {
-    std::map<Rank, PriorityIndex> priorities;
-    for (const RoutingRule& rule : m_document.rules)
-        priorities[rule.rank] = PriorityIndex();
-    std::uint32_t index = 0;
-    for (auto& entry : priorities)
-        entry.second = PriorityIndex(index++);
+    const std::vector<Rank> ranks = ranksOf(m_document);
     m_entries.reserve(m_document.rules.size());
     for (const RoutingRule& rule : m_document.rules) {
-        m_entries.push_back({ rule, priorities[rule.rank] });
+        m_entries.push_back({ rule, priorityOfRank(ranks, rule.rank) });
         const Entry& entry = m_entries.back();
         m_hosts[normalizedHost(rule.host)][entry.rule.pathPrefix] = &entry;
     }
@@ -42,11 +37,6 @@
     return entry == m_hosts.end() ? nullptr : &entry->second;
 }
 
-bool RoutingTable::hasHost(std::string_view host) const
-{
-    return prefixesOf(host) != nullptr;
-}
-
 const RoutingTable::Entry* RoutingTable::find(std::string_view host, std::string_view target) const
 {
     const Prefixes* prefixes = prefixesOf(host);
--- a/Source/coordination/routing/RoutingTable.h
+++ b/Source/coordination/routing/RoutingTable.h
@@ -29,7 +29,6 @@
     const RoutingDocument& document() const { return m_document; }
     /// The host may carry a port and capitals; the target may carry a query. Null when there is no route.
     const Entry* find(std::string_view host, std::string_view target) const;
-    bool hasHost(std::string_view host) const;
 
 private:
     using Prefixes = std::unordered_map<std::string_view, const Entry*>;
--- a/Source/node/NodeTraffic.cpp
+++ b/Source/node/NodeTraffic.cpp
@@ -202,10 +202,10 @@
     m_callServer.setLimits(serverLimits);
     m_gateway.setRouting(routing);
     setHealthPath();
-    for (const RoutedService& service : routing->document().services) {
-        if (const auto document = documentOf(service.name))
-            m_runner.setDocument(*document);
-    }
+    if (!m_backendService)
+        return;
+    if (const auto document = documentOf(*m_backendService))
+        m_runner.setDocument(*document);
 }
 
 std::optional<ServiceDocument> NodeTraffic::documentOf(const ServiceName& service) const
--- a/Source/state/RoutingDocument.cpp
+++ b/Source/state/RoutingDocument.cpp
@@ -29,14 +29,6 @@
     return { ResultCode::InvalidDocument, reason };
 }
 
-std::vector<Rank> ranksOf(const RoutingDocument& routing)
-{
-    std::set<Rank> ranks;
-    for (const RoutingRule& rule : routing.rules)
-        ranks.insert(rule.rank);
-    return { ranks.begin(), ranks.end() };
-}
-
 Result<void> checkRule(const RoutingRule& rule, const std::set<ServiceName>& services)
 {
     const std::string where = "route " + rule.host + rule.pathPrefix + ": ";
@@ -61,6 +53,14 @@
 
 } // namespace
 
+std::vector<Rank> ranksOf(const RoutingDocument& routing)
+{
+    std::set<Rank> ranks;
+    for (const RoutingRule& rule : routing.rules)
+        ranks.insert(rule.rank);
+    return { ranks.begin(), ranks.end() };
+}
+
 Result<void> checkRouting(const RoutingDocument& routing)
 {
     if (routing.version == 0)
@@ -83,9 +83,8 @@
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
-PriorityIndex priorityOfRank(const RoutingDocument& routing, Rank rank)
+PriorityIndex priorityOfRank(const std::vector<Rank>& ranks, Rank rank)
 {
-    const std::vector<Rank> ranks = ranksOf(routing);
     const auto place = std::lower_bound(ranks.begin(), ranks.end(), rank);
     return PriorityIndex(static_cast<std::uint32_t>(place - ranks.begin()));
 }
--- a/Source/state/RoutingDocument.h
+++ b/Source/state/RoutingDocument.h
@@ -79,7 +79,10 @@
 /// document, in the order of urgency, so that a rank has the same index at every service.
 ServiceDocument documentFromRoutes(const RoutingDocument&, const ServiceName&);
 
-/// Index of a rank in the documents made from routes.
-PriorityIndex priorityOfRank(const RoutingDocument&, Rank);
+/// All ranks of the routes, the most urgent first.
+std::vector<Rank> ranksOf(const RoutingDocument&);
+
+/// Index of one of these ranks in the documents made from routes.
+PriorityIndex priorityOfRank(const std::vector<Rank>&, Rank);
 
 } // namespace Knapweedquay
--- a/Source/transport/HttpParser.h
+++ b/Source/transport/HttpParser.h
@@ -62,7 +62,6 @@
     Failure failure() const { return m_failure; }
     /// Of the whole message: false when its connection must not carry another one.
     bool keepsConnection() const { return m_keepsConnection; }
-    std::uint16_t status() const { return m_status; }
 
     HttpRequest takeRequest();
     HttpResponse takeResponse();
--- a/Source/transport/HttpServer.cpp
+++ b/Source/transport/HttpServer.cpp
@@ -196,17 +196,6 @@
             connection->flush();
     }
 
-    void abandon() override
-    {
-        if (m_isDone)
-            return;
-        m_isDone = true;
-        m_disconnectHook = nullptr;
-        const ConnectionPtr connection = std::move(m_connection);
-        if (connection)
-            connection->close();
-    }
-
     void callerGone()
     {
         if (m_isDone)
--- a/Source/transport/HttpServer.h
+++ b/Source/transport/HttpServer.h
@@ -27,8 +27,6 @@
     virtual const HttpRequest& request() const = 0;
     /// Sends the answer; a second answer and one to a caller that went away are dropped.
     virtual void respond(const HttpResponse&) = 0;
-    /// Ends the connection without an answer, so that the caller sees that there is none.
-    virtual void abandon() = 0;
     /// The hook runs at most once, when the caller's connection ends before the answer.
     void setDisconnectHook(std::function<void()> hook) { m_disconnectHook = std::move(hook); }
 
