Gateway: Hold the calls of a running request to their deadline, not to their target

Those calls were not late for anybody: their deadline is cut by their parent's, which was read as time that a caller had spent on earlier attempts, so that they went behind the least urgent work, with 58 ms of 120 gone before they began.

A call is known by its id, PARENT.SUFFIX, if PARENT runs at the backend server beside the node that takes the call.

--- a/Source/node/CallGateway.cpp
+++ b/Source/node/CallGateway.cpp
@@ -148,6 +148,9 @@
     session->id = ++m_lastSequence;
     session->startedAt = steadyNow();
     BOOST_OUTCOME_TRYV(classify(*session, *service));
+    session->targetAt = session->startedAt - session->elapsedBefore + session->target;
+    if (m_local.running().isParentOf(session->parsed.requestId))
+        session->targetAt = session->deadline;
     return session;
 }
 
@@ -334,7 +337,7 @@
     message.priority = session->priority;
     message.isIdempotent = session->isIdempotent;
     message.remaining = action.remaining;
-    message.targetRemaining = session->startedAt - session->elapsedBefore + session->target - steadyNow();
+    message.targetRemaining = session->targetAt - steadyNow();
     message.sentAt = steadyClock();
     message.depth = session->parsed.depth;
     message.idempotencyKey = session->parsed.key;
--- a/Source/node/CallSession.h
+++ b/Source/node/CallSession.h
@@ -28,6 +28,8 @@
     /// Time that the caller has spent on earlier attempts of the same request, as far as can be told.
     Duration elapsedBefore { 0 };
     TimePoint startedAt;
+    /// An answer after this is worth little; the deadline for the calls that a running request makes.
+    TimePoint targetAt;
     TimePoint deadline;
     std::optional<ClaimOwner> claim;
     std::unique_ptr<OutgoingCall> call;
--- a/Source/node/EndpointRunner.cpp
+++ b/Source/node/EndpointRunner.cpp
@@ -284,6 +284,7 @@
     const LoadReport load = m_queue->report();
     job.trail.add(LogEvent::AttemptStarted, job.startedAt, {}, { (job.startedAt - job.admittedAt).count(), load.running, load.concurrencyLimit, load.slowdownPercent });
     job.isRunning = true;
+    m_running.started(requestIdOf(job));
     job.request = m_client.send(m_backend->address, backendRequest(job), backendOptions(job),
         [this, kept](HttpClient::Outcome outcome) { handleOutcome(kept, std::move(outcome)); });
 }
@@ -295,16 +296,22 @@
     options.maximumBodyBytes = m_document->maximumBodyBytes;
     options.maximumIdle = job.message.isIdempotent ? maximumIdleRepeatable : maximumIdleOnce;
     options.mayRepeat = job.message.isIdempotent;
-    const std::string* id = findHeader(job.message.request.headers, m_settings.headers.requestId);
-    if (!id)
+    const std::string id = requestIdOf(job);
+    if (id.empty())
         return options;
-    options.belongs = [name = m_settings.headers.requestId, id = *id](const HttpResponse& response) {
+    options.belongs = [name = m_settings.headers.requestId, id](const HttpResponse& response) {
         const std::string* echoed = findHeader(response.headers, name);
         return !echoed || *echoed == id;
     };
     return options;
 }
 
+std::string EndpointRunner::requestIdOf(const Job& job) const
+{
+    const std::string* id = findHeader(job.message.request.headers, m_settings.headers.requestId);
+    return id ? *id : std::string();
+}
+
 HttpRequest EndpointRunner::backendRequest(const Job& job) const
 {
     const CallRequestMessage& message = job.message;
@@ -325,8 +332,7 @@
 void EndpointRunner::endTrail(Job& job, LogEvent event, CallTrail::Values values, bool hasFailed)
 {
     const TimePoint now = steadyNow();
-    const std::string* request = findHeader(job.message.request.headers, m_settings.headers.requestId);
-    const std::string name = request ? *request : std::string();
+    const std::string name = requestIdOf(job);
     job.trail.add(event, now, job.message.attempt.node, values);
     if (m_trails.admits(name, hasFailed, job.trail.size(), now))
         job.trail.write(name, job.message.service);
@@ -427,6 +433,8 @@
 void EndpointRunner::finish(const JobPtr& job, BackendOutcome outcome)
 {
     m_queue->finished(job->ticket, outcome, steadyNow());
+    if (job->isRunning)
+        m_running.ended(requestIdOf(*job));
     removeJob(*job);
 }
 
--- a/Source/node/EndpointRunner.h
+++ b/Source/node/EndpointRunner.h
@@ -3,6 +3,7 @@
 #include "coordination/admission/AdmissionQueue.h"
 #include "coordination/attempts/FateTable.h"
 #include "coordination/presence/BackendReachability.h"
+#include "coordination/routing/RunningRequests.h"
 #include "node/CallTrail.h"
 #include "node/NodeIdentity.h"
 #include "protocol/CallHeaders.h"
@@ -80,6 +81,8 @@
 
     const Counters& counters() const { return m_counters; }
     LoadReport loadReport() const;
+    /// What the backend server runs now.
+    const RunningRequests& running() const { return m_running; }
 
 private:
     /// One admitted attempt.
@@ -113,6 +116,7 @@
     void start(Job&);
     void handleOutcome(const JobPtr&, HttpClient::Outcome);
     void finish(const JobPtr&, BackendOutcome);
+    std::string requestIdOf(const Job&) const;
     HttpRequest backendRequest(const Job&) const;
     HttpClient::Options backendOptions(const Job&) const;
     /// Writes the story of an attempt that failed or is sampled.
@@ -140,6 +144,7 @@
     ConnectionId m_receivedOver;
     std::unordered_map<AttemptId, JobPtr> m_jobs;
     std::unordered_map<CallTicket, JobPtr> m_jobsByTicket;
+    RunningRequests m_running;
     /// Bytes of the bodies of all admitted attempts.
     std::size_t m_jobBytes = 0;
     /// Admitted attempts whose origin has not been told that they are here, oldest first.
--- /dev/null
+++ b/Tests/coordination/RunningRequestsTest.cpp
@@ -0,0 +1,35 @@
+#include "coordination/routing/RunningRequests.h"
+
+#include <gtest/gtest.h>
+
+using namespace Knapweedquay;
+
+namespace {
+
+class RunningRequestsTest : public testing::Test {
+protected:
+    RunningRequests m_requests;
+};
+
+TEST_F(RunningRequestsTest, RequestRuns_CallNamedAfterIt_IsItsCall)
+{
+    m_requests.started("a1.b2");
+    EXPECT_TRUE(m_requests.isParentOf("a1.b2.c3"));
+}
+
+TEST_F(RunningRequestsTest, RequestRuns_OtherNames_HaveNoParent)
+{
+    m_requests.started("a1");
+    m_requests.started("");
+    for (const char* id : { "a1", "a1.b2.c3", "a1x.b2", ".b2", "", "b2" })
+        EXPECT_FALSE(m_requests.isParentOf(id)) << id;
+}
+
+TEST_F(RunningRequestsTest, RequestEnded_CallNamedAfterIt_HasNoParent)
+{
+    m_requests.started("a1");
+    m_requests.ended("a1");
+    EXPECT_FALSE(m_requests.isParentOf("a1.b2"));
+}
+
+} // namespace
