Load: Use the product's HTTP parser and client

The client is now the product's with the stand-ins' messages, and connections of stand-ins are read by the product's parser; they stay apart from the product's server because they send short, late and foreign answers on purpose.

The tests' caller waited for its event loop to run dry, which the product's client never lets happen; three process tests failed on it (calls were seconds apart instead of together) and it now waits for the answers themselves.

Dropped with it: RESTINIO_USE_EXTERNAL_HTTP_PARSER, a definition without effect since RESTinio went.

--- a/Tests/processes/Caller.cpp
+++ b/Tests/processes/Caller.cpp
@@ -72,9 +72,12 @@
 
 bool Caller::finish(std::chrono::milliseconds patience)
 {
+    const auto isOver = [this] { return std::all_of(m_calls.begin(), m_calls.end(), [](const TestCallPointer& call) { return call->isOver; }); };
+    const auto end = std::chrono::steady_clock::now() + patience;
     m_context.restart();
-    m_context.run_for(patience);
-    return std::all_of(m_calls.begin(), m_calls.end(), [](const TestCallPointer& call) { return call->isOver; });
+    while (!isOver() && std::chrono::steady_clock::now() < end)
+        m_context.run_one_until(end);
+    return isOver();
 }
 
 } // namespace Knapweedquay::Load
--- a/Tests/processes/HttpInputTest.cpp
+++ b/Tests/processes/HttpInputTest.cpp
@@ -1,6 +1,7 @@
 #include "processes/ProcessFixture.h"
 
 #include "Load/Waiting.h"
+#include "transport/HttpParser.h"
 
 #include <asio/read.hpp>
 #include <asio/write.hpp>
@@ -20,12 +21,13 @@
     asio::ip::tcp::socket socket(context);
     socket.connect(parseEndpoint(address));
     std::string received;
-    HttpParser parser(HttpParser::Kind::Answers);
+    HttpParser parser(HttpParser::Kind::Responses, {});
     std::array<char, 4096> buffer {};
     std::function<void()> read = [&] {
         socket.async_read_some(asio::buffer(buffer), [&](const asio::error_code& error, std::size_t size) {
             received.append(buffer.data(), size);
-            if (!error && parser.feed({ buffer.data(), size }) && !parser.next())
+            std::size_t consumed = 0;
+            if (!error && parser.feed({ buffer.data(), size }, consumed) == HttpParser::Progress::NeedsMore)
                 read();
             else
                 context.stop();
--- a/Utilities/Load/HttpClient.h
+++ b/Utilities/Load/HttpClient.h
@@ -1,16 +1,14 @@
 #pragma once
 
-#include "Load/HttpParser.h"
+#include "Load/HttpMessage.h"
+#include "transport/HttpClient.h"
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 
 #include <chrono>
 #include <functional>
-#include <map>
-#include <memory>
 #include <string>
-#include <vector>
 
 namespace Knapweedquay::Load {
 
@@ -24,35 +22,27 @@
     TimedOut,
 };
 
-/// Sends requests over kept connections, one exchange at a time on each.
-///
-/// A connection whose exchange failed is closed, so that a late answer meets no other request.
+/// The product's HTTP client, with the messages of the stand-ins.
 class HttpClient {
 public:
     using AnswerHandler = std::function<void(ExchangeFailure, const HttpMessage&)>;
 
     explicit HttpClient(asio::io_context& context)
-        : m_context(context)
+        : m_client(context)
     {
     }
 
     /// Address is "IP:port".
-    void send(const std::string& address, HttpMessage request, std::chrono::milliseconds timeout, AnswerHandler);
+    void send(const std::string& address, const HttpMessage& request, std::chrono::milliseconds timeout, AnswerHandler);
 
 private:
-    class Exchange;
-    using Socket = std::shared_ptr<asio::ip::tcp::socket>;
-
-    Socket takeIdle(const std::string& address);
-
-    asio::io_context& m_context;
-    std::map<std::string, std::vector<Socket>> m_idle;
+    Knapweedquay::HttpClient m_client;
 };
 
 /// "127.0.0.1:8080" as an Asio endpoint. Throws asio::system_error or std::invalid_argument when it is none.
 asio::ip::tcp::endpoint parseEndpoint(const std::string& address);
 
 /// Sends one request over a new connection and waits for its answer; the failure stands in the status 0.
-HttpMessage exchangeOnce(const std::string& address, HttpMessage request, std::chrono::milliseconds timeout);
+HttpMessage exchangeOnce(const std::string& address, const HttpMessage& request, std::chrono::milliseconds timeout);
 
 } // namespace Knapweedquay::Load
--- a/Utilities/Load/HttpConnection.cpp
+++ b/Utilities/Load/HttpConnection.cpp
@@ -50,11 +50,15 @@
 
 void HttpConnection::deliver(std::size_t size)
 {
-    if (!m_parser.feed({ m_buffer.data(), size }))
-        return send(serializeAnswer(textAnswer(400, "malformed request\n")), true);
-    while (auto message = m_parser.next()) {
-        if (m_handler)
-            m_handler(std::move(*message), shared_from_this());
+    std::string_view bytes(m_buffer.data(), size);
+    while (!bytes.empty() && m_handler) {
+        std::size_t consumed = 0;
+        const HttpParser::Progress progress = m_parser.feed(bytes, consumed);
+        bytes.remove_prefix(consumed);
+        if (progress == HttpParser::Progress::Failed)
+            return send(serializeAnswer(textAnswer(400, "malformed request\n")), true);
+        if (progress == HttpParser::Progress::Complete)
+            m_handler(toMessage(m_parser.takeRequest()), shared_from_this());
     }
     if (isOpen())
         read();
--- a/Utilities/Load/HttpConnection.h
+++ b/Utilities/Load/HttpConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "Load/HttpParser.h"
+#include "Load/HttpMessage.h"
+#include "transport/HttpParser.h"
 
 #include <asio/ip/tcp.hpp>
 
@@ -10,7 +11,7 @@
 
 namespace Knapweedquay::Load {
 
-/// One accepted connection of a stand-in, which may answer late, short or not at all.
+/// One accepted connection of a stand-in, which may answer late, short or not at all, as the product's server never does.
 class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
 public:
     using RequestHandler = std::function<void(HttpMessage, std::shared_ptr<HttpConnection>)>;
@@ -31,7 +32,7 @@
 
     asio::ip::tcp::socket m_socket;
     RequestHandler m_handler;
-    HttpParser m_parser { HttpParser::Kind::Requests };
+    HttpParser m_parser { HttpParser::Kind::Requests, {} };
     std::array<char, 16384> m_buffer {};
 };
 
--- a/Utilities/Load/HttpMessage.cpp
+++ b/Utilities/Load/HttpMessage.cpp
@@ -2,6 +2,9 @@
 
 #include <http_parser.h>
 
+#include <algorithm>
+#include <cctype>
+
 namespace Knapweedquay::Load {
 
 namespace {
@@ -11,14 +14,15 @@
     return http_status_str(static_cast<http_status>(status));
 }
 
-std::string withHeadersAndBody(std::string firstLine, const HttpMessage& message)
+std::map<std::string, std::string> headersOf(const HttpHeaders& headers)
 {
-    std::string bytes = std::move(firstLine);
-    for (const auto& [name, value] : message.headers)
-        bytes.append(name).append(": ").append(value).append("\r\n");
-    bytes += "content-length: " + std::to_string(message.body.size()) + "\r\n\r\n";
-    bytes += message.body;
-    return bytes;
+    std::map<std::string, std::string> named;
+    for (const HttpHeader& header : headers) {
+        std::string name = header.name;
+        std::transform(name.begin(), name.end(), name.begin(), [](unsigned char letter) { return std::tolower(letter); });
+        named[name] = header.value;
+    }
+    return named;
 }
 
 } // namespace
@@ -48,14 +52,40 @@
     return {};
 }
 
-std::string serializeRequest(const HttpMessage& message)
+HttpRequest toRequest(const HttpMessage& message)
 {
-    return withHeadersAndBody(message.method + " " + message.target + " HTTP/1.1\r\n", message);
+    HttpRequest request { message.method, message.target, {}, message.body };
+    for (const auto& [name, value] : message.headers)
+        request.headers.push_back({ name, value });
+    return request;
+}
+
+HttpMessage toMessage(const HttpRequest& request)
+{
+    HttpMessage message;
+    message.method = request.method;
+    message.target = request.target;
+    message.headers = headersOf(request.headers);
+    message.body = request.body;
+    return message;
+}
+
+HttpMessage toMessage(const HttpResponse& response)
+{
+    HttpMessage message;
+    message.status = response.status;
+    message.headers = headersOf(response.headers);
+    message.body = response.body;
+    return message;
 }
 
 std::string serializeAnswer(const HttpMessage& message)
 {
-    return withHeadersAndBody("HTTP/1.1 " + std::to_string(message.status) + " " + reasonOf(message.status) + "\r\n", message);
+    std::string bytes = "HTTP/1.1 " + std::to_string(message.status) + " " + reasonOf(message.status) + "\r\n";
+    for (const auto& [name, value] : message.headers)
+        bytes.append(name).append(": ").append(value).append("\r\n");
+    bytes += "content-length: " + std::to_string(message.body.size()) + "\r\n\r\n";
+    return bytes + message.body;
 }
 
 HttpMessage plainRequest(std::string method, std::string target, std::string body)
--- a/Utilities/Load/HttpMessage.h
+++ b/Utilities/Load/HttpMessage.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "protocol/HttpMessage.h"
+
 #include <map>
 #include <string>
 
@@ -12,7 +14,6 @@
     unsigned status = 0;
     std::map<std::string, std::string> headers;
     std::string body;
-    bool keepAlive = true;
 
     /// Value of a header, by its lower-case name; empty when it is absent.
     std::string header(const std::string& name) const;
@@ -22,8 +23,9 @@
     std::string query(const std::string& name) const;
 };
 
-/// Bytes of a request with a Content-Length.
-std::string serializeRequest(const HttpMessage&);
+HttpRequest toRequest(const HttpMessage&);
+HttpMessage toMessage(const HttpRequest&);
+HttpMessage toMessage(const HttpResponse&);
 /// Bytes of an answer with a Content-Length.
 std::string serializeAnswer(const HttpMessage&);
 /// A request without headers.
--- a/cmake/Dependencies.cmake
+++ b/cmake/Dependencies.cmake
@@ -17,6 +17,6 @@
 # Whether Asio sees std::aligned_alloc depends on what a file includes before it. Without the definition below files
 # disagree on how its memory is freed (found by the address sanitizer).
 target_compile_definitions(knapweedquayNetworkLibraries INTERFACE
-  ASIO_STANDALONE ASIO_DISABLE_STD_ALIGNED_ALLOC _WEBSOCKETPP_CPP11_STL_ RESTINIO_USE_EXTERNAL_HTTP_PARSER)
+  ASIO_STANDALONE ASIO_DISABLE_STD_ALIGNED_ALLOC _WEBSOCKETPP_CPP11_STL_)
 target_link_libraries(knapweedquayNetworkLibraries INTERFACE
   fmt::fmt ${HTTP_PARSER_LIBRARY} CURL::libcurl Threads::Threads)
