Metrics: Count rejections, waits, ages of reports, budgets and dropped lines

Each result code, the time that an attempt waited and ran, the age of the report that an endpoint was chosen by, hedges, the budgets left and the lines not written are now on the metrics address.

--- a/Source/node/CallGateway.cpp
+++ b/Source/node/CallGateway.cpp
@@ -301,11 +301,13 @@
     }
     const TimePoint now = steadyNow();
     const auto chosen = chooser.choose(excluded, session->priority, now, m_random);
+    session->isHedging = action.isHedge;
     if (action.isHedge)
         session->trail.add(LogEvent::CallHedged, now, {}, { (now - session->startedAt).count() });
     if (chosen) {
         const EndpointStatus status = chooser.statusOf(*chosen, session->priority, now);
         const std::int64_t age = status.reportedAt ? (now - *status.reportedAt).count() : -1;
+        traffic(session->parsed.service)->metrics().endpointChosen(status.reportedAt ? std::optional(now - *status.reportedAt) : std::nullopt);
         session->trail.add(LogEvent::EndpointPlaced, now, chosen->node, { status.predictedTime.count(), age, status.slowdownPercent, static_cast<std::int64_t>(status.outstanding) });
     }
     if (!chosen) {
@@ -326,7 +328,7 @@
         m_links.addDueAnswers(action.node, 1);
         traffic(session->parsed.service)->chooser().callSent({ action.node, action.target }, CallTicket(action.attempt.sequence), session->priority, steadyNow());
         traffic(session->parsed.service)->measurement().callSent();
-        traffic(session->parsed.service)->metrics().attemptSent();
+        traffic(session->parsed.service)->metrics().attemptSent(session->isHedging);
     }
     CallRequestMessage message;
     message.attempt = action.attempt;
@@ -407,6 +409,7 @@
     ++(kind == CallOutcomeKind::NotRun ? m_counters.notRun : m_counters.unknown);
     service.metrics().callEnded(session->priority, kind, latency, false);
     const ResultCode code = outcome.code == ResultCode::Ok ? ResultCode::OutcomeUnknown : outcome.code;
+    service.metrics().callFailed(code);
     const Duration left = std::max(session->deadline - steadyNow(), Duration::zero());
     const HttpResponse response = refusalResponse({ code, title(code) }, kind, std::min(outcome.retryAfter, left / retryAfterDivisor));
     endTrail(*session, response.status, static_cast<std::int64_t>(code), !session->isCallerGone);
@@ -436,6 +439,12 @@
     m_toldDroppedTrails = dropped;
 }
 
+void CallGateway::updateMetrics()
+{
+    for (const auto& entry : m_services)
+        entry.second->updateMetrics();
+}
+
 void CallGateway::forget(const SessionPtr& session)
 {
     session->timer->clear();
@@ -492,9 +501,11 @@
     if (entry == m_attempts.end() || attempt.incarnation != m_self.incarnation)
         return;
     const SessionPtr session = entry->second.session;
-    const bool isRefused = std::holds_alternative<AttemptRefused>(event);
-    if (isRefused)
-        settle(attempt, std::get<AttemptRefused>(event).refusal.code == ResultCode::PeerUnreachable ? CallEnd::Failed : CallEnd::Refused);
+    if (const auto* refused = std::get_if<AttemptRefused>(&event)) {
+        const ResultCode code = refused->refusal.code;
+        traffic(session->parsed.service)->metrics().attemptRefused(code);
+        settle(attempt, code == ResultCode::PeerUnreachable ? CallEnd::Failed : CallEnd::Refused);
+    }
     if (std::holds_alternative<AttemptUnknown>(event))
         settle(attempt, CallEnd::Failed);
     feed(session, event);
--- a/Source/node/CallGateway.h
+++ b/Source/node/CallGateway.h
@@ -81,6 +81,8 @@
     /// Message of the local endpoint runner or of another node about an attempt of this node.
     void receive(const NodeId& from, const PeerMessage&);
 
+    void updateMetrics();
+    std::uint64_t droppedTrailLines() const { return m_trails.droppedLines(); }
     std::size_t sessionCount() const { return m_sessions.size(); }
     const Counters& counters() const { return m_counters; }
 
--- a/Source/node/CallSession.h
+++ b/Source/node/CallSession.h
@@ -36,6 +36,8 @@
     std::unique_ptr<Timer> timer;
     CallTrail trail;
     bool isCallerGone = false;
+    /// Whether the endpoint that is being chosen is for a second attempt beside the first.
+    bool isHedging = false;
     bool isAnswered = false;
     /// Sequence numbers of all attempts of this call.
     std::vector<std::uint64_t> attempts;
--- a/Source/node/EndpointRunner.cpp
+++ b/Source/node/EndpointRunner.cpp
@@ -38,11 +38,12 @@
 
 } // namespace
 
-EndpointRunner::EndpointRunner(asio::io_context& context, NodeIdentity self, Settings settings, HttpClient& client, ReplyHook reply)
+EndpointRunner::EndpointRunner(asio::io_context& context, NodeIdentity self, Settings settings, HttpClient& client, ReplyHook reply, NodeMetrics& metrics)
     : m_self(std::move(self))
     , m_settings(std::move(settings))
     , m_client(client)
     , m_reply(std::move(reply))
+    , m_metrics(metrics)
     , m_fates(m_self.incarnation)
     , m_trails(m_settings.trails)
     , m_loadTimer(context, [this] { askLoad(); })
@@ -162,19 +163,20 @@
     job->connection = m_receivedOver;
     job->deadline = now + m_received->remaining;
     job->admittedAt = now;
-    const std::int64_t timeLeft = m_received->remaining.count();
-    const std::int64_t targetLeft = m_received->targetRemaining.count();
     if (const auto refusal = reasonNotToAdmit(*job)) {
-        endTrail(*job, LogEvent::AttemptRejected, { static_cast<std::int64_t>(refusal->code), timeLeft, targetLeft, refusal->retryAfter.count() }, true);
+        noteRejection(*job, *refusal, now);
         perform(m_fates.refuse(action.attempt, *refusal, now));
         return;
     }
     const AdmissionDecision decision = m_queue->offer(job->ticket, job->message.priority, job->deadline, now, now + job->message.targetRemaining);
     if (decision.kind == AdmissionKind::Refused) {
-        endTrail(*job, LogEvent::AttemptRejected, { static_cast<std::int64_t>(decision.code), timeLeft, targetLeft, decision.retryAfter.count() }, true);
-        perform(m_fates.refuse(action.attempt, { decision.code, decision.retryAfter }, now));
+        const Refusal refusal { decision.code, decision.retryAfter };
+        noteRejection(*job, refusal, now);
+        perform(m_fates.refuse(action.attempt, refusal, now));
         return;
     }
+    const std::int64_t timeLeft = m_received->remaining.count();
+    const std::int64_t targetLeft = m_received->targetRemaining.count();
     job->trail.add(LogEvent::AttemptAdmitted, now, action.attempt.node, { decision.kind == AdmissionKind::Started, timeLeft, targetLeft, m_queue->slowdownPercent() });
     addJob(job);
     m_unconfirmed.emplace_back(action.attempt, now + confirmAfter);
@@ -258,7 +260,7 @@
     const StartableCalls calls = m_queue->takeStartable(now);
     for (const GivenUpCall& call : calls.givenUp) {
         const JobPtr job = m_jobsByTicket.at(call.ticket);
-        endTrail(*job, LogEvent::AttemptRejected, { static_cast<std::int64_t>(call.code), (job->deadline - now).count(), 0, call.retryAfter.count() }, true);
+        noteRejection(*job, { call.code, call.retryAfter }, now);
         removeJob(*job);
         perform(m_fates.refuse(job->message.attempt, { call.code, call.retryAfter }, now));
     }
@@ -284,6 +286,7 @@
     const LoadReport load = m_queue->report();
     job.trail.add(LogEvent::AttemptStarted, job.startedAt, {}, { (job.startedAt - job.admittedAt).count(), load.running, load.concurrencyLimit, load.slowdownPercent });
     job.isRunning = true;
+    m_metrics.attemptStarted(job.startedAt - job.admittedAt);
     m_running.started(requestIdOf(job));
     job.request = m_client.send(m_backend->address, backendRequest(job), backendOptions(job),
         [this, kept](HttpClient::Outcome outcome) { handleOutcome(kept, std::move(outcome)); });
@@ -329,6 +332,13 @@
     return request;
 }
 
+void EndpointRunner::noteRejection(Job& job, const Refusal& refusal, TimePoint now)
+{
+    m_metrics.attemptRejected(refusal.code);
+    const Duration targetLeft = job.message.targetRemaining - (now - job.admittedAt);
+    endTrail(job, LogEvent::AttemptRejected, { static_cast<std::int64_t>(refusal.code), (job.deadline - now).count(), targetLeft.count(), refusal.retryAfter.count() }, true);
+}
+
 void EndpointRunner::endTrail(Job& job, LogEvent event, CallTrail::Values values, bool hasFailed)
 {
     const TimePoint now = steadyNow();
@@ -426,7 +436,10 @@
         perform(m_fates.refuse(attempt, { isMisdirected ? ResultCode::Draining : ResultCode::BackendRefused, backendRetryAfter }, now));
         return;
     }
-    finish(job, outcomeOf(response.status));
+    const BackendOutcome end = outcomeOf(response.status);
+    if (end == BackendOutcome::Succeeded)
+        m_metrics.attemptSucceeded(now - job->startedAt);
+    finish(job, end);
     perform(m_fates.answer(attempt, std::make_shared<const std::string>(encodeResponse(response)), now));
 }
 
--- a/Source/node/EndpointRunner.h
+++ b/Source/node/EndpointRunner.h
@@ -6,6 +6,7 @@
 #include "coordination/routing/RunningRequests.h"
 #include "node/CallTrail.h"
 #include "node/NodeIdentity.h"
+#include "node/NodeMetrics.h"
 #include "protocol/CallHeaders.h"
 #include "protocol/PeerMessages.h"
 #include "protocol/SocketAddress.h"
@@ -58,7 +59,7 @@
         TrailPolicy::Settings trails;
     };
 
-    EndpointRunner(asio::io_context&, NodeIdentity self, Settings, HttpClient&, ReplyHook);
+    EndpointRunner(asio::io_context&, NodeIdentity self, Settings, HttpClient&, ReplyHook, NodeMetrics&);
 
     /// A backend server announced itself, or changed what it announced.
     void setBackend(const LocalBackend&);
@@ -83,6 +84,7 @@
     LoadReport loadReport() const;
     /// What the backend server runs now.
     const RunningRequests& running() const { return m_running; }
+    std::uint64_t droppedTrailLines() const { return m_trails.droppedLines(); }
 
 private:
     /// One admitted attempt.
@@ -99,6 +101,8 @@
     };
     using JobPtr = std::shared_ptr<Job>;
 
+    /// Ends the story of an attempt that this node rejects.
+    void noteRejection(Job&, const Refusal&, TimePoint now);
     void perform(const FateActions&);
     void perform(const AdmitAttempt&);
     void perform(const RemoveFromQueue&);
@@ -133,6 +137,7 @@
     Settings m_settings;
     HttpClient& m_client;
     ReplyHook m_reply;
+    NodeMetrics& m_metrics;
     FateTable m_fates;
     std::optional<LocalBackend> m_backend;
     std::optional<ServiceDocument> m_document;
--- a/Source/node/NodeMetrics.cpp
+++ b/Source/node/NodeMetrics.cpp
@@ -29,6 +29,21 @@
     return prometheus::BuildCounter().Name(name).Help(help).Register(registry).Add(labels);
 }
 
+prometheus::Histogram& histogram(prometheus::Registry& registry, const std::string& name, const std::string& help, const Labels& labels = {})
+{
+    return prometheus::BuildHistogram().Name(name).Help(help).Register(registry).Add(labels, latencyBuckets());
+}
+
+prometheus::Gauge& gaugeOf(prometheus::Registry& registry, const std::string& name, const std::string& help, const Labels& labels = {})
+{
+    return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add(labels);
+}
+
+std::string textOf(ResultCode code)
+{
+    return std::to_string(static_cast<int>(code));
+}
+
 void raiseTo(prometheus::Counter& counter, std::uint64_t total)
 {
     const double missing = static_cast<double>(total) - counter.Value();
@@ -39,7 +54,14 @@
 } // namespace
 
 ServiceMetrics::ServiceMetrics(prometheus::Registry& registry, const ServiceName& service, const std::vector<std::string>& priorities)
-    : m_attempts(&counter(registry, "knapweedquay_attempts_sent_total", "Attempts of calls sent to endpoints", { { "service", service.value() } }))
+    : m_registry(registry)
+    , m_service(service)
+    , m_attempts(&counter(registry, "knapweedquay_attempts_sent_total", "Attempts of calls sent to endpoints", { { "service", service.value() } }))
+    , m_hedges(&counter(registry, "knapweedquay_hedges_sent_total", "Second attempts beside a first one that is late", { { "service", service.value() } }))
+    , m_chosenWithoutReport(&counter(registry, "knapweedquay_choices_without_report_total", "Endpoints chosen that had not told their load", { { "service", service.value() } }))
+    , m_reportAge(&histogram(registry, "knapweedquay_report_age_seconds", "Age of the load report that an endpoint was chosen by", { { "service", service.value() } }))
+    , m_retriesLeft(&gaugeOf(registry, "knapweedquay_retry_budget", "Extra attempts that may be made now", { { "service", service.value() }, { "kind", "retry" } }))
+    , m_hedgesLeft(&gaugeOf(registry, "knapweedquay_retry_budget", "Extra attempts that may be made now", { { "service", service.value() }, { "kind", "hedge" } }))
     , m_probes(&counter(registry, "knapweedquay_probes_sent_total", "Probes of endpoint load sent", { { "service", service.value() } }))
     , m_refusedProbes(&counter(registry, "knapweedquay_probes_refused_total", "Probes that the measuring budget did not allow", { { "service", service.value() } }))
     , m_measurementBytes(&counter(registry, "knapweedquay_measurement_bytes_total", "Bytes of probes and their answers, counted at their largest", { { "service", service.value() } }))
@@ -56,7 +78,7 @@
         metrics.notRun = outcome("not_run");
         metrics.unknown = outcome("unknown");
         metrics.withinTarget = &counter(registry, "knapweedquay_calls_within_target_total", "Calls answered within the target of their priority", labels);
-        metrics.latency = &prometheus::BuildHistogram().Name("knapweedquay_call_duration_seconds").Help("Time from a caller's request to its answer").Register(registry).Add(labels, latencyBuckets());
+        metrics.latency = &histogram(registry, "knapweedquay_call_duration_seconds", "Time from a caller's request to its answer", labels);
         m_priorities.push_back(metrics);
     }
 }
@@ -76,9 +98,40 @@
         metrics.withinTarget->Increment();
 }
 
-void ServiceMetrics::attemptSent()
+void ServiceMetrics::attemptSent(bool isHedge)
 {
     m_attempts->Increment();
+    if (isHedge)
+        m_hedges->Increment();
+}
+
+prometheus::Counter& ServiceMetrics::coded(const char* name, const char* help, ResultCode code)
+{
+    return counter(m_registry, name, help, { { "service", m_service.value() }, { "code", textOf(code) } });
+}
+
+void ServiceMetrics::callFailed(ResultCode code)
+{
+    coded("knapweedquay_calls_failed_total", "Calls that ended without an answer of a backend server, by result code", code).Increment();
+}
+
+void ServiceMetrics::attemptRefused(ResultCode code)
+{
+    coded("knapweedquay_attempts_refused_total", "Attempts that an endpoint's node refused, by result code", code).Increment();
+}
+
+void ServiceMetrics::endpointChosen(std::optional<Duration> reportAge)
+{
+    if (reportAge)
+        m_reportAge->Observe(toSeconds(*reportAge));
+    else
+        m_chosenWithoutReport->Increment();
+}
+
+void ServiceMetrics::setBudgets(double retries, double hedges)
+{
+    m_retriesLeft->Set(retries);
+    m_hedgesLeft->Set(hedges);
 }
 
 void ServiceMetrics::setMeasurement(std::uint64_t probes, std::uint64_t refusedProbes, std::uint64_t bytes)
@@ -92,6 +145,10 @@
     : m_registry(std::make_shared<prometheus::Registry>())
     , m_endpointStarts(&counter(*m_registry, "knapweedquay_endpoint_starts_total", "Attempts started at the backend server beside this node"))
     , m_measurementTime(&counter(*m_registry, "knapweedquay_measurement_cpu_seconds_total", "Processor time spent on sending and reading probes"))
+    , m_waits(&histogram(*m_registry, "knapweedquay_endpoint_wait_seconds", "Time from the admission of an attempt to its start"))
+    , m_serviceTimes(&histogram(*m_registry, "knapweedquay_endpoint_service_seconds", "Time of successful attempts at the backend server"))
+    , m_unreadLines(&counter(*m_registry, "knapweedquay_log_lines_dropped_total", "Lines of the log that were not written", { { "reason", "unread" } }))
+    , m_boundedLines(&counter(*m_registry, "knapweedquay_log_lines_dropped_total", "Lines of the log that were not written", { { "reason", "bound" } }))
 {
 }
 
@@ -104,7 +161,7 @@
 
 prometheus::Gauge& NodeMetrics::gauge(const std::string& name, const std::string& help, const Labels& labels)
 {
-    return prometheus::BuildGauge().Name(name).Help(help).Register(*m_registry).Add(labels);
+    return gaugeOf(*m_registry, name, help, labels);
 }
 
 void NodeMetrics::setSessions(std::size_t sessions)
@@ -125,6 +182,27 @@
     raiseTo(*m_endpointStarts, total);
 }
 
+void NodeMetrics::attemptRejected(ResultCode code)
+{
+    counter(*m_registry, "knapweedquay_endpoint_rejections_total", "Attempts that this node rejected, by result code", { { "code", textOf(code) } }).Increment();
+}
+
+void NodeMetrics::attemptStarted(Duration waited)
+{
+    m_waits->Observe(toSeconds(waited));
+}
+
+void NodeMetrics::attemptSucceeded(Duration serviceTime)
+{
+    m_serviceTimes->Observe(toSeconds(serviceTime));
+}
+
+void NodeMetrics::setDroppedLines(std::uint64_t unread, std::uint64_t beyondBound)
+{
+    raiseTo(*m_unreadLines, unread);
+    raiseTo(*m_boundedLines, beyondBound);
+}
+
 void NodeMetrics::addMeasurementTime(Duration processorTime)
 {
     m_measurementTime->Increment(toSeconds(processorTime));
--- a/Source/node/NodeMetrics.h
+++ b/Source/node/NodeMetrics.h
@@ -2,11 +2,13 @@
 
 #include "protocol/Ids.h"
 #include "protocol/ProblemDetails.h"
+#include "protocol/ResultCode.h"
 #include "protocol/Time.h"
 
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,7 +27,15 @@
     ServiceMetrics(prometheus::Registry&, const ServiceName&, const std::vector<std::string>& priorities);
 
     void callEnded(PriorityIndex, CallOutcomeKind, Duration latency, bool isWithinTarget);
-    void attemptSent();
+    void attemptSent(bool isHedge);
+    /// A call ended without an answer of a backend server.
+    void callFailed(ResultCode);
+    /// The node beside an endpoint refused an attempt.
+    void attemptRefused(ResultCode);
+    /// Age of the load report that an endpoint was chosen by; nothing when there was none.
+    void endpointChosen(std::optional<Duration> reportAge);
+    /// Extra attempts that may be made now.
+    void setBudgets(double retries, double hedges);
     /// Totals of the measuring budget since the start.
     void setMeasurement(std::uint64_t probes, std::uint64_t refusedProbes, std::uint64_t bytes);
 
@@ -38,8 +48,17 @@
         prometheus::Histogram* latency = nullptr;
     };
 
+    prometheus::Counter& coded(const char* name, const char* help, ResultCode);
+
+    prometheus::Registry& m_registry;
+    ServiceName m_service;
     std::vector<PerPriority> m_priorities;
     prometheus::Counter* m_attempts;
+    prometheus::Counter* m_hedges;
+    prometheus::Counter* m_chosenWithoutReport;
+    prometheus::Histogram* m_reportAge;
+    prometheus::Gauge* m_retriesLeft;
+    prometheus::Gauge* m_hedgesLeft;
     prometheus::Counter* m_probes;
     prometheus::Counter* m_refusedProbes;
     prometheus::Counter* m_measurementBytes;
@@ -60,6 +79,13 @@
     void setEndpoint(std::uint32_t running, std::uint32_t limit, const std::vector<std::uint32_t>& queued);
     /// Total since the start.
     void setEndpointStarts(std::uint64_t);
+    /// This node refused an attempt for the backend server beside it.
+    void attemptRejected(ResultCode);
+    void attemptStarted(Duration waited);
+    /// A successful run at the backend server.
+    void attemptSucceeded(Duration serviceTime);
+    /// Totals since the start of what was not written: lines for want of a reader, and stories of requests beyond the bound.
+    void setDroppedLines(std::uint64_t unread, std::uint64_t beyondBound);
     void addMeasurementTime(Duration processorTime);
     void setConfigurationAge(Duration);
     void setDocumentVersion(const ServiceName&, DocumentVersion);
@@ -74,6 +100,10 @@
     std::shared_ptr<prometheus::Registry> m_registry;
     prometheus::Counter* m_endpointStarts;
     prometheus::Counter* m_measurementTime;
+    prometheus::Histogram* m_waits;
+    prometheus::Histogram* m_serviceTimes;
+    prometheus::Counter* m_unreadLines;
+    prometheus::Counter* m_boundedLines;
 };
 
 } // namespace Knapweedquay
--- a/Source/node/NodeTraffic.cpp
+++ b/Source/node/NodeTraffic.cpp
@@ -1,5 +1,7 @@
 #include "node/NodeTraffic.h"
 
+#include "transport/Logger.h"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -72,7 +74,8 @@
     : m_self(std::move(self))
     , m_settings(settings)
     , m_client(context)
-    , m_runner(context, m_self, { settings.headers, settings.backendLoadInterval, settings.trails }, m_client, [this](ConnectionId connection, const PeerMessage& message) { reply(connection, message); })
+    , m_runner(
+          context, m_self, { settings.headers, settings.backendLoadInterval, settings.trails }, m_client, [this](ConnectionId connection, const PeerMessage& message) { reply(connection, message); }, metrics)
     , m_gateway(context, m_self, m_runner, { settings.headers, settings.callerService, settings.needsRouting, choiceOf(settings), settings.trails }, std::move(claims), metrics)
     , m_callServer(context, callServerSettings(settings), [this](const HttpExchangePtr& exchange) { m_gateway.handle(exchange); })
     , m_linkServer(context, maximumPeerMessageBytes, [this](const LinkPtr& link) { accept(link); })
@@ -97,8 +100,10 @@
     m_runner.drain();
 }
 
-void NodeTraffic::updateMetrics(NodeMetrics& metrics) const
+void NodeTraffic::updateMetrics(NodeMetrics& metrics)
 {
+    m_gateway.updateMetrics();
+    metrics.setDroppedLines(droppedLogLines(), m_gateway.droppedTrailLines() + m_runner.droppedTrailLines());
     const LoadReport load = m_runner.loadReport();
     metrics.setEndpointStarts(m_runner.counters().started);
     metrics.setSessions(m_gateway.sessionCount());
--- a/Source/node/NodeTraffic.h
+++ b/Source/node/NodeTraffic.h
@@ -41,7 +41,7 @@
     CallGateway& gateway() { return m_gateway; }
     EndpointRunner& runner() { return m_runner; }
     /// Brings the gauges of the endpoint and of the calls in progress up to date.
-    void updateMetrics(NodeMetrics&) const;
+    void updateMetrics(NodeMetrics&);
     std::uint16_t callsPort() const { return m_callServer.port(); }
     std::uint16_t peersPort() const { return m_linkServer.port(); }
 
--- a/Utilities/Scripts/check-tables.sh
+++ b/Utilities/Scripts/check-tables.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# The tables of result codes, log events and configuration keys in docs/ agree with the code, both ways.
+# The tables of result codes, log events, metrics and configuration keys in docs/ agree with the code, both ways.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 failed=0
@@ -53,6 +53,15 @@
     failed=1
 fi
 
+# Names of metrics that the code makes, and those of the tables in docs/METRICS.md.
+code_metrics() { grep -rhoE '"knapweedquay_[a-z_]+"' --include=*Metrics.cpp Source | tr -d '"' | sort -u; }
+document_metrics() { sed -nE '/^## /q; s/^\| (`[^|]+`) \|.*/\1/p' docs/METRICS.md | grep -oE 'knapweedquay_[a-z_]+' | sort -u; }
+
+if ! diff -u <(code_metrics) <(document_metrics) >&2; then
+    echo "check-tables: the metrics of docs/METRICS.md (+) do not agree with the code (-)" >&2
+    failed=1
+fi
+
 check ResultCode Source/protocol/ResultCode docs/RESULT_CODES.md
 check LogEvent Source/protocol/LogEvent docs/LOG_EVENTS.md
 exit "$failed"
