Admission: Keep slots free for more urgent calls, and for all on a slowed machine

Cause: running calls are never stopped, so that with all slots taken by the less urgent or the late a more urgent call waits for the next end.

A call now leaves as many slots free as the more urgent lanes usually have in use beyond what runs of them, and the square root of that, up to half the slots (trunk reservation). A late call on a machine on which everything is late leaves room for all lanes, and is refused at once if there is none.

Late calls still leave what their own priority leaves, or the late ones of the least urgent take what the others left.

A test of late calls waits five seconds more before it begins: the endpoint would still keep a slot for the fifty urgent calls that it learned from.

--- a/Source/coordination/admission/AdmissionQueue.cpp
+++ b/Source/coordination/admission/AdmissionQueue.cpp
@@ -30,6 +30,8 @@
 constexpr double recentMicroseconds = 500000;
 /// Least part of the capacity that a wait is worked out with.
 constexpr double smallestShare = 0.001;
+/// Part of the slots that a priority may lose to calls that have not come yet.
+constexpr double largestReserve = 0.5;
 
 } // namespace
 
@@ -72,7 +74,7 @@
     const bool hasTarget = hasUsefulTarget(lane, targetAt);
     if (hasTarget && now + wait + atPresentSpeed(lane.serviceTime.mean()) > targetAt)
         return offerLate(call, now);
-    const bool startsNow = hasFreeSlot() && !hasQueued();
+    const bool startsNow = canStart(call.priority, false, now) && !hasQueuedUpTo(call.lane);
     const auto allowed = hasTarget ? lane.maximumQueueTime : allowedWait(lane, now);
     if (!startsNow && (wait > allowed || lane.queue.size() >= maximumQueuedPerPriority))
         return refusal(ResultCode::Overloaded, wait);
@@ -88,9 +90,10 @@
 AdmissionDecision AdmissionQueue::offerLate(Call call, TimePoint now)
 {
     call.lane = lateLane();
-    const bool startsNow = hasFreeSlot() && !hasQueued();
+    const bool startsNow = canStart(call.priority, true, now) && !hasQueuedUpTo(call.lane);
     const auto& lane = m_lanes[call.lane];
-    if (!startsNow && static_cast<double>(lane.queue.size()) >= lateQueueShare * m_limit.value(now))
+    const bool isTakenByOthers = reservedFrom(call.priority, true, now) >= m_limit.value(now);
+    if (!startsNow && (isTakenByOthers || static_cast<double>(lane.queue.size()) >= lateQueueShare * m_limit.value(now)))
         return refusal(ResultCode::Overloaded, waitInLane(call.lane, now));
     call.expiry = std::min(call.deadline - atPresentSpeed(m_lanes[call.priority].serviceTime.lowerQuartile()), now + lateQueueTime);
     call.expiryCode = ResultCode::Overloaded;
@@ -149,6 +152,7 @@
         break;
     }
     --m_running;
+    --m_lanes[call.lane].running;
     m_calls.erase(found);
 }
 
@@ -170,8 +174,8 @@
     StartableCalls calls;
     // First: after a freeze of the process many calls may be past their deadline.
     giveUpExpired(now, calls.givenUp);
-    while (hasFreeSlot() && hasQueued()) {
-        auto& call = m_lanes[nextLane()].queue.front();
+    while (const auto lane = nextLane(now)) {
+        auto& call = m_lanes[*lane].queue.front();
         dequeue(call);
         start(call, now);
         calls.started.push_back(call.ticket);
@@ -213,6 +217,7 @@
     for (auto& entry : m_calls) {
         entry.second.priority = std::min(entry.second.priority, lastPriority);
         entry.second.lane = newPlace(entry.second.lane);
+        lanes[entry.second.lane].running += entry.second.expiryHook.is_linked() ? 0 : 1;
     }
     m_lanes = std::move(lanes);
 
@@ -287,7 +292,8 @@
 
 Duration AdmissionQueue::waitInLane(std::size_t index, TimePoint now) const
 {
-    if (hasFreeSlot() && !hasQueued())
+    const bool isLate = index == lateLane();
+    if (canStart(isLate ? index - 1 : index, isLate, now) && !hasQueuedUpTo(index))
         return Duration(0);
     const auto& lane = m_lanes[index];
     double urgentWork = 0;
@@ -337,16 +343,53 @@
     return lane.recentWork * std::exp(-age / recentMicroseconds) / (recentMicroseconds * m_limit.value(m_now));
 }
 
-std::size_t AdmissionQueue::nextLane() const
+bool AdmissionQueue::hasQueuedUpTo(std::size_t lane) const
 {
-    std::size_t mostUrgent = m_lanes.size();
+    return std::any_of(m_lanes.begin(), m_lanes.begin() + static_cast<std::ptrdiff_t>(lane) + 1, [](const Lane& other) { return !other.queue.empty(); });
+}
+
+// What usually runs of the lane, and its square root, as for arrivals that are independent of each other; what runs of it
+// already needs no free slot.
+double AdmissionQueue::expectedSoon(const Lane& lane, TimePoint now) const
+{
+    const double usual = recentShare(lane, now) * m_limit.value(now) * m_slowdownPercent / usualPercent;
+    return std::max(0.0, usual + std::sqrt(usual) - lane.running);
+}
+
+double AdmissionQueue::reservedFrom(std::size_t priority, bool isLate, TimePoint now) const
+{
+    double forMoreUrgent = 0;
+    double forLate = 0;
+    for (std::size_t other = 0; other < lateLane(); ++other) {
+        const auto& lane = m_lanes[other];
+        if (other < priority)
+            forMoreUrgent += expectedSoon(lane, now);
+        // On a slowed machine all calls are late, and those that begin there hold their slots until long after it.
+        if (isLate && atPresentSpeed(lane.serviceTime.mean()) >= lane.target)
+            forLate += expectedSoon(lane, now);
+    }
+    return std::max(forLate, std::min(forMoreUrgent, largestReserve * m_limit.value(now)));
+}
+
+bool AdmissionQueue::canStart(std::size_t priority, bool isLate, TimePoint now) const
+{
+    // A backend server without calls keeps nothing free: no later event would start those that wait.
+    return m_running == 0 || m_running + reservedFrom(priority, isLate, now) < m_limit.value(now);
+}
+
+std::optional<std::size_t> AdmissionQueue::nextLane(TimePoint now) const
+{
+    if (!hasFreeSlot())
+        return std::nullopt;
+    std::optional<std::size_t> mostUrgent;
     for (std::size_t index = 0; index < m_lanes.size(); ++index) {
         const auto& lane = m_lanes[index];
         if (lane.queue.empty())
             continue;
         if (lane.credit >= cost(lane))
             return index;
-        mostUrgent = std::min(mostUrgent, index);
+        if (!mostUrgent && canStart(lane.queue.front().priority, index == lateLane(), now))
+            mostUrgent = index;
     }
     return mostUrgent;
 }
@@ -370,6 +413,7 @@
 void AdmissionQueue::start(Call& call, TimePoint now)
 {
     ++m_running;
+    ++m_lanes[call.lane].running;
     call.startedAt = now;
     call.workAtStart = workDone(now);
     call.runningAtStart = m_running;
--- a/Source/coordination/admission/AdmissionQueue.h
+++ b/Source/coordination/admission/AdmissionQueue.h
@@ -66,6 +66,8 @@
 /// SIGCOMM '95). Each priority has its own bounded queue, so that a flood is charged to itself. A call whose deadline
 /// cannot be met is refused when it comes (Breakwater, OSDI '20; DAGOR, SoCC '18). A queue that does not empty is held to
 /// what the target allows, as a standing queue only adds delay (controlled delay, ACM Queue 2012 and 2015).
+/// Running calls are never stopped, so less urgent and late ones leave some slots free for the more urgent ones that are
+/// likely to come meanwhile (trunk reservation: Key, "Optimal control and trunk reservation in loss networks", 1990).
 ///
 /// After each offer(), finished(), cancel(), set...() and at nextTimer(), call takeStartable().
 /// A priority index that the document lacks counts as its least urgent one.
@@ -147,6 +149,7 @@
         /// Slot time in microseconds started lately, decaying.
         double recentWork = 0;
         TimePoint recentWorkAt;
+        std::uint32_t running = 0;
     };
 
     std::size_t laneIndex(PriorityIndex) const;
@@ -164,7 +167,13 @@
     /// Microseconds of work that one call would have got since the queue was made, at the speeds that there were.
     double workDone(TimePoint now) const;
     bool hasFreeSlot() const { return m_running < m_limit.value(m_now); }
-    std::size_t nextLane() const;
+    bool hasQueuedUpTo(std::size_t lane) const;
+    /// Slots that the calls of a lane which are likely to come soon will want.
+    double expectedSoon(const Lane&, TimePoint now) const;
+    /// Free slots that a call leaves to more urgent ones, and a late one on a slowed machine to all.
+    double reservedFrom(std::size_t priority, bool isLate, TimePoint now) const;
+    bool canStart(std::size_t priority, bool isLate, TimePoint now) const;
+    std::optional<std::size_t> nextLane(TimePoint now) const;
     void enqueue(Call&, TimePoint now);
     void dequeue(Call&);
     void start(Call&, TimePoint now);
--- a/Tests/coordination/AdmissionQueueTest.cpp
+++ b/Tests/coordination/AdmissionQueueTest.cpp
@@ -706,6 +706,8 @@
 
 TEST_F(AdmissionTargetTest, NewDocument_LateCallsWait_StayTheLast)
 {
+    // Long enough for no slot to be kept free for calls as urgent as those that were learned from.
+    m_now += 5 * second;
     fillSlots();
     ASSERT_EQ(AdmissionKind::Queued, offerInTime(3, 0, Duration(0)).kind);
     m_queue.setDocument(makeDocument({ 0, 1, 1 }));
