Tests: Send the calls that must reach an endpoint again at once, not one by one

Ruled out: calls lost at the node (attempts sent 2310, answered 2284, 6 unknown of the silent links), an endpoint left out for good (ejected: false), a full one (running 0 of 12).

What a node believes of each endpoint (predicted time, age of the report, errors, ejection) now stands in its status, and the test prints it with both nodes' metrics when it fails.

--- a/Source/node/CallGateway.cpp
+++ b/Source/node/CallGateway.cpp
@@ -439,6 +439,14 @@
     m_toldDroppedTrails = dropped;
 }
 
+std::map<ServiceName, std::vector<EndpointStatus>> CallGateway::endpointStatus() const
+{
+    std::map<ServiceName, std::vector<EndpointStatus>> all;
+    for (const auto& [service, traffic] : m_services)
+        all[service] = traffic->chooser().status(steadyNow());
+    return all;
+}
+
 void CallGateway::updateMetrics()
 {
     for (const auto& entry : m_services)
--- a/Source/node/CallGateway.h
+++ b/Source/node/CallGateway.h
@@ -82,6 +82,8 @@
     void receive(const NodeId& from, const PeerMessage&);
 
     void updateMetrics();
+    /// What this node believes of the endpoints of each service.
+    std::map<ServiceName, std::vector<EndpointStatus>> endpointStatus() const;
     std::uint64_t droppedTrailLines() const { return m_trails.droppedLines(); }
     std::size_t sessionCount() const { return m_sessions.size(); }
     const Counters& counters() const { return m_counters; }
--- a/Source/node/NodeDaemon.cpp
+++ b/Source/node/NodeDaemon.cpp
@@ -25,6 +25,14 @@
     return Incarnation(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count()));
 }
 
+nlohmann::json toJson(const EndpointStatus& endpoint)
+{
+    const auto age = endpoint.reportedAt ? std::chrono::duration<double, std::milli>(steadyNow() - *endpoint.reportedAt).count() : -1;
+    return { { "node", endpoint.id.node.value() }, { "outstanding", endpoint.outstanding }, { "report_age_ms", age }, { "draining", endpoint.draining },
+        { "ejected", endpoint.ejected }, { "error_rate", endpoint.errorRate }, { "slowdown_percent", endpoint.slowdownPercent },
+        { "predicted_ms", std::chrono::duration<double, std::milli>(endpoint.predictedTime).count() } };
+}
+
 } // namespace
 
 NodeDaemon::NodeDaemon(const NodeSettings& settings, Extension extension)
@@ -141,9 +149,13 @@
     return askTraffic([this] {
         const CallGateway::Counters& calls = m_traffic->gateway().counters();
         const EndpointRunner::Counters& runs = m_traffic->runner().counters();
-        const nlohmann::json status = { { "sessions", m_traffic->gateway().sessionCount() }, { "calls", calls.calls }, { "answered", calls.answered },
+        nlohmann::json status = { { "sessions", m_traffic->gateway().sessionCount() }, { "calls", calls.calls }, { "answered", calls.answered },
             { "not_run", calls.notRun }, { "unknown", calls.unknown }, { "attempts", calls.attempts }, { "resends", calls.resends },
             { "endpoint_started", runs.started }, { "endpoint_idle", m_traffic->runner().isIdle() } };
+        for (const auto& [service, endpoints] : m_traffic->gateway().endpointStatus()) {
+            for (const EndpointStatus& endpoint : endpoints)
+                status["endpoints"][service.value()].push_back(toJson(endpoint));
+        }
         return status.dump();
     });
 }
--- a/Tests/processes/FailureTest.cpp
+++ b/Tests/processes/FailureTest.cpp
@@ -35,12 +35,18 @@
     bool getsCallsAgain(const std::string& node, std::chrono::milliseconds patience)
     {
         const std::uint64_t before = executedBy(node);
-        return waitUntil(
+        const bool got = waitUntil(
             [&] {
-                sendMany(10, "a", "GET", "/stock", 1s);
+                // All at once: one after the other, they would all go to endpoints that did not fail lately.
+                for (int sent = 0; sent < 60; ++sent)
+                    m_caller.send(calls("a"), "GET", "/stock", 1s);
+                m_caller.run(100ms);
                 return executedBy(node) > before;
             },
             patience);
+        if (!got)
+            ADD_FAILURE() << "what node a believes: " << m_deployment->nodeStatus("a").dump() << "\nwhat it did: " << m_deployment->nodeMetrics("a") << "\nat the node: " << m_deployment->nodeMetrics(node);
+        return got;
     }
 };
 
