--- a/Source/node/EndpointRunner.cpp
+++ b/Source/node/EndpointRunner.cpp
@@ -200,7 +200,9 @@
     if (entry == m_jobs.end())
         return;
     const JobPtr job = entry->second;
-    endTrail(*job, LogEvent::AttemptEnded, { 0, static_cast<std::int64_t>(ResultCode::CancelledBeforeStart), (steadyNow() - job->startedAt).count(), m_queue->slowdownPercent() }, false);
+    // Cancelled in time, it lost against another attempt; later, its caller may have got no answer.
+    const bool isLate = steadyNow() - job->admittedAt > job->message.targetRemaining;
+    endTrail(*job, LogEvent::AttemptEnded, { 0, static_cast<std::int64_t>(ResultCode::CancelledBeforeStart), (steadyNow() - job->startedAt).count(), m_queue->slowdownPercent() }, isLate);
     m_client.cancel(job->request);
     finish(job, BackendOutcome::Abandoned);
     perform(m_fates.loseOutcome(action.attempt, ResultCode::OutcomeUnknown, steadyNow()));
--- a/Tests/load/LoadToolTest.cpp
+++ b/Tests/load/LoadToolTest.cpp
@@ -40,9 +40,7 @@
         options.isDirect = isDirect;
         options.recordFiles = { m_recordFile };
         LoadGenerator generator(m_context, options);
-        generator.start();
-        while (!generator.isFinished())
-            m_context.run_one_for(std::chrono::milliseconds(100));
+        generator.run();
         generator.checkRecords();
         return generator.results().front();
     }
--- a/Utilities/Load/DemoMain.cpp
+++ b/Utilities/Load/DemoMain.cpp
@@ -1,4 +1,5 @@
 #include "Load/Deployment.h"
+#include "Load/EchoAnswer.h"
 #include "Load/LoadGenerator.h"
 #include "Load/Waiting.h"
 
@@ -75,6 +76,9 @@
             throw std::runtime_error(fmt::format("the document of {} was not accepted", service));
         std::cout << "accepted: the document of " << service << std::endl;
     }
+    if (!deployment.applyRouting(readFile(arguments.documents + "/routing.toml"), startPatience))
+        throw std::runtime_error("the routing document was not accepted");
+    std::cout << "accepted: the routing document, by which requests go to their service by host and path" << std::endl;
     if (!deployment.waitUntilReady(startPatience))
         throw std::runtime_error("not every node became ready");
     std::cout << "ready: the documents are in force on every node" << std::endl;
@@ -101,6 +105,16 @@
     return load;
 }
 
+/// A request that names no service goes by its host and the longest path prefix.
+bool isRouted(Deployment& deployment)
+{
+    HttpMessage request = plainRequest("GET", "/tracking/order?id=routed&size=10");
+    request.headers["host"] = "orders.example";
+    const HttpMessage answer = exchangeOnce(deployment.addresses("inventory-sweileh").calls, request, startPatience);
+    std::cout << "GET http://orders.example/tracking/order at a node beside inventory: " << answer.status << ", run by dispatch" << std::endl;
+    return answer.body == echoAnswer("routed", {}, 10);
+}
+
 /// Drains one backend server and kills one node; true when the drained one got no new work after the stated time.
 bool causeTrouble(Deployment& deployment)
 {
@@ -129,7 +143,7 @@
     std::cout << "\n";
 }
 
-std::vector<Promise> judge(const std::vector<CallClassResult>& results, bool isDrainKept)
+std::vector<Promise> judge(const std::vector<CallClassResult>& results, bool isRequestRouted, bool isDrainKept)
 {
     // A killed node takes at most the calls in its slots along.
     constexpr std::uint64_t slots = 12;
@@ -148,6 +162,7 @@
         areAllAnswered = areAllAnswered && result.answered > 0;
     }
     return {
+        { "a request without a service's name was routed by host and path", isRequestRouted },
         { "every priority got answers", areAllAnswered },
         { fmt::format("each caller got the whole answer to its own call ({} wrong)", wrong), wrong == 0 },
         { fmt::format("bookings ran at most once, also when resent through another node ({} double)", doubles), doubles == 0 },
@@ -174,6 +189,7 @@
     std::cout << "\nLeft running until Ctrl-C. To try:\n"
               << "  curl -i 'http://" << calls << "/call/dispatch/stock?id=mine'\n"
               << "  curl -i -X POST -H 'Idempotency-Key: k1' 'http://" << calls << "/call/dispatch/bookings?id=k1'\n"
+              << "  curl -i -H 'Host: orders.example' 'http://" << calls << "/tracking/order?id=routed'\n"
               << "  curl http://" << deployment.addresses("dispatch-sweileh").admin << "/status\n"
               << "  curl http://" << deployment.controlHttp(0) << "/v1/status\n"
               << "  curl http://" << deployment.controlHttp(0) << "/v1/nodes\n"
@@ -190,17 +206,17 @@
 {
     Deployment deployment({ KNAPWEEDQUAY_CONTROL, KNAPWEEDQUAY_NODE, KNAPWEEDQUAY_BACKEND, KNAPWEEDQUAY_FORWARDER }, arguments.folder);
     startAll(deployment, arguments);
+    const bool isRequestRouted = isRouted(deployment);
     asio::io_context context;
     LoadGenerator generator(context, makeLoad(deployment));
     std::cout << "sending calls of every priority for " << sendingTime.count() << " s" << std::endl;
-    generator.start();
     bool isDrainKept = false;
     std::thread trouble([&] { isDrainKept = causeTrouble(deployment); });
-    context.run();
+    generator.run();
     trouble.join();
     generator.checkRecords();
     printTable(generator.results());
-    const bool areAllKept = printVerdict(judge(generator.results(), isDrainKept));
+    const bool areAllKept = printVerdict(judge(generator.results(), isRequestRouted, isDrainKept));
     if (arguments.isKept)
         keepRunning(deployment);
     return areAllKept;
@@ -213,7 +229,7 @@
     Arguments arguments;
     po::options_description description("knapweedquay-demo: a small deployment on this machine, with calls, a drain and a kill");
     description.add_options()("help", "print this text");
-    description.add_options()("documents", po::value(&arguments.documents), "folder with dispatch.toml and inventory.toml");
+    description.add_options()("documents", po::value(&arguments.documents), "folder with dispatch.toml, inventory.toml and routing.toml");
     description.add_options()("folder", po::value(&arguments.folder)->required(), "empty folder for settings, logs and data");
     description.add_options()("keep", po::bool_switch(&arguments.isKept), "leave everything running and print commands to try");
     try {
--- a/Utilities/Load/Deployment.cpp
+++ b/Utilities/Load/Deployment.cpp
@@ -1,6 +1,7 @@
 #include "Load/Deployment.h"
 
 #include "Load/Waiting.h"
+#include "state/RoutingDocument.h"
 
 #include <asio/io_context.hpp>
 #include <fmt/format.h>
@@ -186,9 +187,18 @@
 
 bool Deployment::apply(const std::string& document, std::uint64_t expectedVersion, std::chrono::milliseconds patience)
 {
-    const std::string service = quotedValue(document, "service");
+    return put(quotedValue(document, "service"), quotedValue(document, "team"), document, expectedVersion, patience);
+}
+
+bool Deployment::applyRouting(const std::string& document, std::chrono::milliseconds patience)
+{
+    return put(routingDocumentName().value(), "operations", document, 0, patience);
+}
+
+bool Deployment::put(const std::string& service, const std::string& team, const std::string& document, std::uint64_t expectedVersion, std::chrono::milliseconds patience)
+{
     HttpMessage request = plainRequest("PUT", "/v1/documents/" + service, document);
-    request.headers["authorization"] = "Bearer " + secretOf(quotedValue(document, "team"));
+    request.headers["authorization"] = "Bearer " + secretOf(team);
     request.headers["knapweedquay-expected-version"] = std::to_string(expectedVersion);
     // A resend of the same change gets the first answer, so trying the next replica is safe.
     request.headers["knapweedquay-change-id"] = fmt::format("{}-{}-{}", service, expectedVersion, ::getpid());
--- a/Utilities/Load/Deployment.h
+++ b/Utilities/Load/Deployment.h
@@ -77,6 +77,8 @@
 
     /// Offers a document to one control replica after the other until one accepts it.
     bool apply(const std::string& document, std::uint64_t expectedVersion, std::chrono::milliseconds patience);
+    /// Puts the first routing document in force, as the team of operations.
+    bool applyRouting(const std::string& document, std::chrono::milliseconds patience);
     /// True once every running node has a fresh configuration with all applied services and sees every endpoint.
     bool waitUntilReady(std::chrono::milliseconds patience);
     /// Which processes have ended and what the last refused edit was told, for the message of a failure.
@@ -125,6 +127,7 @@
     void writeControlSettings(std::size_t index);
     void writeNodeSettings(Node&);
     bool isReady(Node&);
+    bool put(const std::string& name, const std::string& team, const std::string& document, std::uint64_t expectedVersion, std::chrono::milliseconds patience);
     std::string pathOf(const std::string& file) const { return m_folder + "/" + file; }
 
     Programs m_programs;
--- a/Utilities/Load/LoadGenerator.cpp
+++ b/Utilities/Load/LoadGenerator.cpp
@@ -13,6 +13,8 @@
 /// An answer at the deadline still counts as one; after this time more the call counts as an error.
 constexpr std::chrono::milliseconds answerGrace { 2000 };
 constexpr unsigned firstServerError = 500;
+/// After the last answer nothing else may wake the loop.
+constexpr std::chrono::milliseconds finishCheckInterval { 50 };
 
 std::string codeOf(const HttpMessage& answer)
 {
@@ -64,13 +66,15 @@
 
 LoadGenerator::~LoadGenerator() = default;
 
-void LoadGenerator::start()
+void LoadGenerator::run()
 {
     m_start = Clock::now();
     for (const auto& stream : m_streams) {
         stream->nextSend = m_start;
         scheduleNext(*stream);
     }
+    while (!isFinished())
+        m_context.run_one_for(finishCheckInterval);
 }
 
 void LoadGenerator::scheduleNext(Stream& stream)
--- a/Utilities/Load/LoadGenerator.h
+++ b/Utilities/Load/LoadGenerator.h
@@ -29,10 +29,8 @@
     LoadGenerator(asio::io_context&, LoadOptions);
     ~LoadGenerator();
 
-    /// Sends for the set duration. The context's run() returns when every call has its end.
-    void start();
-    /// True once every call has been sent and has its end.
-    bool isFinished() const;
+    /// Sends for the set duration, and returns when every call has its end.
+    void run();
     /// Checks the calls against the records of the stand-ins; call it after the run.
     void checkRecords();
     std::vector<CallClassResult> results() const;
@@ -42,6 +40,7 @@
     struct Stream;
     struct SentCall;
 
+    bool isFinished() const;
     void scheduleNext(Stream&);
     void sendCall(Stream&);
     void sendOnce(Stream&, const std::shared_ptr<SentCall>&, std::size_t addressIndex);
--- a/Utilities/Load/LoadMain.cpp
+++ b/Utilities/Load/LoadMain.cpp
@@ -62,8 +62,7 @@
     for (const std::string& text : arguments.classes)
         arguments.load.classes.push_back(Knapweedquay::Load::parseCallClass(text));
     Knapweedquay::Load::LoadGenerator generator(context, arguments.load);
-    generator.start();
-    context.run();
+    generator.run();
     generator.checkRecords();
     const auto results = generator.results();
     if (arguments.output == "json")
--- a/Utilities/Load/MeasureRun.cpp
+++ b/Utilities/Load/MeasureRun.cpp
@@ -118,7 +118,6 @@
 {
     asio::io_context context;
     LoadGenerator generator(context, std::move(options));
-    generator.start();
     // Faults are commanded from a thread of their own, so that the sending of calls keeps its times.
     std::thread faultThread([&] {
         if (!fault)
@@ -126,7 +125,7 @@
         std::this_thread::sleep_for(faultAt);
         fault();
     });
-    context.run();
+    generator.run();
     faultThread.join();
     generator.checkRecords();
     return generator.results();
