Control: Log changes of the leader and of the replicas

Events 505 and 506 tell the term, the leader, and the replicas with the learners among them, whenever what a replica believes changes.

--- a/Source/control/ControlDaemon.cpp
+++ b/Source/control/ControlDaemon.cpp
@@ -176,6 +176,7 @@
     m_service->tick(now);
     m_service->flush(now);
     m_routing->tick(now);
+    m_observer.observe(*m_service);
     for (auto entry = m_forwarded.begin(); entry != m_forwarded.end();)
         entry = entry->second.expiry <= now ? m_forwarded.erase(entry) : std::next(entry);
     m_tickTimer.setAfter(tickInterval);
--- a/Source/control/ControlDaemon.h
+++ b/Source/control/ControlDaemon.h
@@ -5,6 +5,7 @@
 #include "control/OperatorInterface.h"
 #include "control/ReplicaLinks.h"
 #include "control/RoutingStore.h"
+#include "control/StoreObserver.h"
 #include "state/ControlService.h"
 #include "transport/HttpServer.h"
 #include "transport/Link.h"
@@ -76,6 +77,7 @@
     std::unique_ptr<NodeSubscriptions> m_subscriptions;
     std::unique_ptr<OperatorInterface> m_operators;
     std::unique_ptr<RoutingStore> m_routing;
+    StoreObserver m_observer;
     MembershipAgent m_membership;
     ReplicaLinks m_replicaLinks;
     LinkServer m_linkServer;
--- a/Source/protocol/LogEvent.cpp
+++ b/Source/protocol/LogEvent.cpp
@@ -52,6 +52,8 @@
     { LogEvent::EditAccepted, LogLevel::Info, "edit accepted" },
     { LogEvent::EditRefused, LogLevel::Warning, "edit refused" },
     { LogEvent::ReplicaRemoved, LogLevel::Warning, "replica removed" },
+    { LogEvent::LeaderChanged, LogLevel::Info, "leader changed" },
+    { LogEvent::ReplicasChanged, LogLevel::Info, "replicas changed" },
 };
 
 const Row& rowOf(LogEvent event)
--- a/Source/protocol/LogEvent.h
+++ b/Source/protocol/LogEvent.h
@@ -63,6 +63,8 @@
     EditAccepted = 502,
     EditRefused = 503,
     ReplicaRemoved = 504,
+    LeaderChanged = 505,
+    ReplicasChanged = 506,
 };
 
 /// Level of an event.
