--- a/Tests/processes/ControlStoreTest.cpp
+++ b/Tests/processes/ControlStoreTest.cpp
@@ -52,6 +52,12 @@
         return -1;
     }
 
+    std::string logOf(std::size_t index)
+    {
+        std::ifstream file(m_deployment->folder() + "/control-" + std::to_string(index) + ".out");
+        return { std::istreambuf_iterator<char>(file), {} };
+    }
+
     std::size_t waitForLeader()
     {
         EXPECT_TRUE(waitUntil([this] { return leader() >= 0; }, patience));
@@ -141,6 +147,17 @@
     EXPECT_TRUE(holdsEverywhere("inventory", 4));
 }
 
+TEST_F(ControlStoreTest, LeaderKilled_Successor_TellsItsLogWhoLeadsAndWhoBelongs)
+{
+    startStore(3);
+    const std::size_t first = waitForLeader();
+    m_deployment->control(first).kill();
+    const std::size_t next = waitForLeader();
+    const std::string leads = "leader=\"" + status(next).value("leader", "") + "\" leading=\"1\"";
+    EXPECT_TRUE(waitUntil([&] { return logOf(next).find(leads) != std::string::npos; }, patience)) << logOf(next);
+    EXPECT_NE(std::string::npos, logOf(next).find(" 506 replicas changed"));
+}
+
 TEST_F(ControlStoreTest, DataFolders_LostOneAfterTheOther_AreRepairedUnderNewIds)
 {
     startStore(3);
