--- a/Source/coordination/placing/EndpointChooser.cpp
+++ b/Source/coordination/placing/EndpointChooser.cpp
@@ -29,10 +29,7 @@
 /// Reported load as a share of what the endpoint runs at once.
 double reportedLoad(const EndpointRecord& record)
 {
-    double load = record.report().running;
-    for (const auto queued : record.report().queued)
-        load += queued;
-    return load / std::max(1U, record.description().slots);
+    return static_cast<double>(record.report().backlog()) / std::max(1U, record.description().slots);
 }
 
 } // namespace
--- a/Source/coordination/placing/EndpointRecord.cpp
+++ b/Source/coordination/placing/EndpointRecord.cpp
@@ -125,9 +125,7 @@
         m_serviceTimeAt = now;
     if (report.failuresPerThousand != m_report.failuresPerThousand)
         m_failuresChangedAt = now;
-    double load = report.running;
-    for (const auto queued : report.queued)
-        load += queued;
+    const double load = report.backlog();
     m_usualLoad = m_reportedAt ? m_usualLoad + usualLoadWeight * (load - m_usualLoad) : load;
     m_usualSlowdown += usualSlowdownWeight * (report.slowdownPercent / percent - m_usualSlowdown);
     m_report = report;
--- a/Source/node/CallGateway.cpp
+++ b/Source/node/CallGateway.cpp
@@ -22,6 +22,8 @@
 constexpr std::size_t largestProbeBytes = 512;
 constexpr std::size_t maximumSentProbes = 1000;
 constexpr std::uint16_t firstServerErrorStatus = 500;
+/// Stands in stories for the age of a report that never came.
+constexpr Duration unknownAge { -1 };
 
 RequestFingerprint fingerprintOf(const HttpRequest& request)
 {
@@ -292,7 +294,8 @@
 
 void CallGateway::perform(const SessionPtr& session, const ChooseEndpoint& action)
 {
-    EndpointChooser& chooser = traffic(session->parsed.service)->chooser();
+    ServiceTraffic& service = *traffic(session->parsed.service);
+    EndpointChooser& chooser = service.chooser();
     std::vector<EndpointId> excluded;
     for (const NodeId& node : action.excluded) {
         const auto member = m_members.find(node);
@@ -306,9 +309,9 @@
         session->trail.add(LogEvent::CallHedged, now, {}, { (now - session->startedAt).count() });
     if (chosen) {
         const EndpointStatus status = chooser.statusOf(*chosen, session->priority, now);
-        const std::int64_t age = status.reportedAt ? (now - *status.reportedAt).count() : -1;
-        traffic(session->parsed.service)->metrics().endpointChosen(status.reportedAt ? std::optional(now - *status.reportedAt) : std::nullopt);
-        session->trail.add(LogEvent::EndpointPlaced, now, chosen->node, { status.predictedTime.count(), age, status.slowdownPercent, static_cast<std::int64_t>(status.outstanding) });
+        const std::optional<Duration> age = status.reportedAt ? std::optional(now - *status.reportedAt) : std::nullopt;
+        service.metrics().endpointChosen(age);
+        session->trail.add(LogEvent::EndpointPlaced, now, chosen->node, { status.predictedTime.count(), age.value_or(unknownAge).count(), status.slowdownPercent, static_cast<std::int64_t>(status.outstanding) });
     }
     if (!chosen) {
         feed(session, NoEndpointLeft { { ResultCode::NoEndpoint, overloadRetryAfter } });
@@ -319,6 +322,7 @@
 
 void CallGateway::perform(const SessionPtr& session, const SendAttempt& action)
 {
+    ServiceTraffic& service = *traffic(session->parsed.service);
     if (action.isResend) {
         ++m_counters.resends;
     } else {
@@ -326,9 +330,9 @@
         session->attempts.push_back(action.attempt.sequence);
         m_attempts.emplace(action.attempt.sequence, OutgoingAttempt { session, action.node });
         m_links.addDueAnswers(action.node, 1);
-        traffic(session->parsed.service)->chooser().callSent({ action.node, action.target }, CallTicket(action.attempt.sequence), session->priority, steadyNow());
-        traffic(session->parsed.service)->measurement().callSent();
-        traffic(session->parsed.service)->metrics().attemptSent(session->isHedging);
+        service.chooser().callSent({ action.node, action.target }, CallTicket(action.attempt.sequence), session->priority, steadyNow());
+        service.measurement().callSent();
+        service.metrics().attemptSent(session->isHedging);
     }
     CallRequestMessage message;
     message.attempt = action.attempt;
@@ -346,7 +350,7 @@
     message.request = session->parsed.request;
     sendTo(action.node, message);
     if (!action.isResend)
-        probeIfDue(*traffic(session->parsed.service));
+        probeIfDue(service);
 }
 
 void CallGateway::perform(const SessionPtr&, const CancelAttempt& action)
--- a/Source/node/EndpointRunner.cpp
+++ b/Source/node/EndpointRunner.cpp
@@ -160,6 +160,8 @@
     const JobPtr job = std::make_shared<Job>();
     job->ticket = CallTicket(++m_lastTicket);
     job->message = *m_received;
+    if (const std::string* id = findHeader(m_received->request.headers, m_settings.headers.requestId))
+        job->requestId = *id;
     job->connection = m_receivedOver;
     job->deadline = now + m_received->remaining;
     job->admittedAt = now;
@@ -201,8 +203,9 @@
         return;
     const JobPtr job = entry->second;
     // Cancelled in time, it lost against another attempt; later, its caller may have got no answer.
-    const bool isLate = steadyNow() - job->admittedAt > job->message.targetRemaining;
-    endTrail(*job, LogEvent::AttemptEnded, { 0, static_cast<std::int64_t>(ResultCode::CancelledBeforeStart), (steadyNow() - job->startedAt).count(), m_queue->slowdownPercent() }, isLate);
+    const TimePoint now = steadyNow();
+    const bool isLate = job->targetLeft(now) < Duration::zero();
+    endTrail(*job, LogEvent::AttemptEnded, { 0, static_cast<std::int64_t>(ResultCode::CancelledBeforeStart), (now - job->startedAt).count(), m_queue->slowdownPercent() }, isLate);
     m_client.cancel(job->request);
     finish(job, BackendOutcome::Abandoned);
     perform(m_fates.loseOutcome(action.attempt, ResultCode::OutcomeUnknown, steadyNow()));
@@ -289,7 +292,7 @@
     job.trail.add(LogEvent::AttemptStarted, job.startedAt, {}, { (job.startedAt - job.admittedAt).count(), load.running, load.concurrencyLimit, load.slowdownPercent });
     job.isRunning = true;
     m_metrics.attemptStarted(job.startedAt - job.admittedAt);
-    m_running.started(requestIdOf(job));
+    m_running.started(job.requestId);
     job.request = m_client.send(m_backend->address, backendRequest(job), backendOptions(job),
         [this, kept](HttpClient::Outcome outcome) { handleOutcome(kept, std::move(outcome)); });
 }
@@ -301,22 +304,15 @@
     options.maximumBodyBytes = m_document->maximumBodyBytes;
     options.maximumIdle = job.message.isIdempotent ? maximumIdleRepeatable : maximumIdleOnce;
     options.mayRepeat = job.message.isIdempotent;
-    const std::string id = requestIdOf(job);
-    if (id.empty())
+    if (job.requestId.empty())
         return options;
-    options.belongs = [name = m_settings.headers.requestId, id](const HttpResponse& response) {
+    options.belongs = [name = m_settings.headers.requestId, id = job.requestId](const HttpResponse& response) {
         const std::string* echoed = findHeader(response.headers, name);
         return !echoed || *echoed == id;
     };
     return options;
 }
 
-std::string EndpointRunner::requestIdOf(const Job& job) const
-{
-    const std::string* id = findHeader(job.message.request.headers, m_settings.headers.requestId);
-    return id ? *id : std::string();
-}
-
 HttpRequest EndpointRunner::backendRequest(const Job& job) const
 {
     const CallRequestMessage& message = job.message;
@@ -337,17 +333,15 @@
 void EndpointRunner::noteRejection(Job& job, const Refusal& refusal, TimePoint now)
 {
     m_metrics.attemptRejected(refusal.code);
-    const Duration targetLeft = job.message.targetRemaining - (now - job.admittedAt);
-    endTrail(job, LogEvent::AttemptRejected, { static_cast<std::int64_t>(refusal.code), (job.deadline - now).count(), targetLeft.count(), refusal.retryAfter.count() }, true);
+    endTrail(job, LogEvent::AttemptRejected, { static_cast<std::int64_t>(refusal.code), (job.deadline - now).count(), job.targetLeft(now).count(), refusal.retryAfter.count() }, true);
 }
 
 void EndpointRunner::endTrail(Job& job, LogEvent event, CallTrail::Values values, bool hasFailed)
 {
     const TimePoint now = steadyNow();
-    const std::string name = requestIdOf(job);
     job.trail.add(event, now, job.message.attempt.node, values);
-    if (m_trails.admits(name, hasFailed, job.trail.size(), now))
-        job.trail.write(name, job.message.service);
+    if (m_trails.admits(job.requestId, hasFailed, job.trail.size(), now))
+        job.trail.write(job.requestId, job.message.service);
 }
 
 void EndpointRunner::handleOutcome(const JobPtr& job, HttpClient::Outcome outcome)
@@ -357,7 +351,7 @@
     noteConnection(outcome, now);
     const std::int64_t status = outcome.succeeded ? outcome.response.status : 0;
     const std::int64_t code = outcome.succeeded ? 0 : static_cast<std::int64_t>(outcome.failure.error.code);
-    const bool isLate = now - job->admittedAt > job->message.targetRemaining;
+    const bool isLate = job->targetLeft(now) < Duration::zero();
     endTrail(*job, LogEvent::AttemptEnded, { status, code, (now - job->startedAt).count(), m_queue ? m_queue->slowdownPercent() : 0 }, !outcome.succeeded || status >= firstServerErrorStatus || isLate);
     if (outcome.succeeded) {
         handleResponse(job, outcome.response, now);
@@ -449,7 +443,7 @@
 {
     m_queue->finished(job->ticket, outcome, steadyNow());
     if (job->isRunning)
-        m_running.ended(requestIdOf(*job));
+        m_running.ended(job->requestId);
     removeJob(*job);
 }
 
--- a/Source/node/EndpointRunner.h
+++ b/Source/node/EndpointRunner.h
@@ -91,6 +91,8 @@
     struct Job {
         CallTicket ticket;
         CallRequestMessage message;
+        /// The caller's name for the request; empty when it has none.
+        std::string requestId;
         ConnectionId connection;
         TimePoint deadline;
         CallTrail trail;
@@ -98,6 +100,9 @@
         TimePoint startedAt;
         bool isRunning = false;
         HttpClient::RequestId request = 0;
+
+        /// Below zero once the answer is late.
+        Duration targetLeft(TimePoint now) const { return message.targetRemaining - (now - admittedAt); }
     };
     using JobPtr = std::shared_ptr<Job>;
 
@@ -120,7 +125,6 @@
     void start(Job&);
     void handleOutcome(const JobPtr&, HttpClient::Outcome);
     void finish(const JobPtr&, BackendOutcome);
-    std::string requestIdOf(const Job&) const;
     HttpRequest backendRequest(const Job&) const;
     HttpClient::Options backendOptions(const Job&) const;
     /// Writes the story of an attempt that failed or is sampled.
--- a/Source/node/NodeMetrics.cpp
+++ b/Source/node/NodeMetrics.cpp
@@ -39,11 +39,6 @@
     return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add(labels);
 }
 
-std::string textOf(ResultCode code)
-{
-    return std::to_string(static_cast<int>(code));
-}
-
 void raiseTo(prometheus::Counter& counter, std::uint64_t total)
 {
     const double missing = static_cast<double>(total) - counter.Value();
@@ -53,12 +48,29 @@
 
 } // namespace
 
+CodedCounter::CodedCounter(prometheus::Registry& registry, const char* name, const char* help, Labels labels)
+    : m_family(prometheus::BuildCounter().Name(name).Help(help).Register(registry))
+    , m_labels(std::move(labels))
+{
+}
+
+void CodedCounter::increment(ResultCode code)
+{
+    prometheus::Counter*& counter = m_counters[code];
+    if (!counter) {
+        Labels labels = m_labels;
+        labels["code"] = std::to_string(static_cast<int>(code));
+        counter = &m_family.Add(labels);
+    }
+    counter->Increment();
+}
+
 ServiceMetrics::ServiceMetrics(prometheus::Registry& registry, const ServiceName& service, const std::vector<std::string>& priorities)
-    : m_registry(registry)
-    , m_service(service)
-    , m_attempts(&counter(registry, "knapweedquay_attempts_sent_total", "Attempts of calls sent to endpoints", { { "service", service.value() } }))
+    : m_attempts(&counter(registry, "knapweedquay_attempts_sent_total", "Attempts of calls sent to endpoints", { { "service", service.value() } }))
     , m_hedges(&counter(registry, "knapweedquay_hedges_sent_total", "Second attempts beside a first one that is late", { { "service", service.value() } }))
     , m_chosenWithoutReport(&counter(registry, "knapweedquay_choices_without_report_total", "Endpoints chosen that had not told their load", { { "service", service.value() } }))
+    , m_failedCalls(registry, "knapweedquay_calls_failed_total", "Calls that ended without an answer of a backend server, by result code", { { "service", service.value() } })
+    , m_refusedAttempts(registry, "knapweedquay_attempts_refused_total", "Attempts that an endpoint's node refused, by result code", { { "service", service.value() } })
     , m_reportAge(&histogram(registry, "knapweedquay_report_age_seconds", "Age of the load report that an endpoint was chosen by", { { "service", service.value() } }))
     , m_retriesLeft(&gaugeOf(registry, "knapweedquay_retry_budget", "Extra attempts that may be made now", { { "service", service.value() }, { "kind", "retry" } }))
     , m_hedgesLeft(&gaugeOf(registry, "knapweedquay_retry_budget", "Extra attempts that may be made now", { { "service", service.value() }, { "kind", "hedge" } }))
@@ -105,19 +117,14 @@
         m_hedges->Increment();
 }
 
-prometheus::Counter& ServiceMetrics::coded(const char* name, const char* help, ResultCode code)
-{
-    return counter(m_registry, name, help, { { "service", m_service.value() }, { "code", textOf(code) } });
-}
-
 void ServiceMetrics::callFailed(ResultCode code)
 {
-    coded("knapweedquay_calls_failed_total", "Calls that ended without an answer of a backend server, by result code", code).Increment();
+    m_failedCalls.increment(code);
 }
 
 void ServiceMetrics::attemptRefused(ResultCode code)
 {
-    coded("knapweedquay_attempts_refused_total", "Attempts that an endpoint's node refused, by result code", code).Increment();
+    m_refusedAttempts.increment(code);
 }
 
 void ServiceMetrics::endpointChosen(std::optional<Duration> reportAge)
@@ -145,6 +152,7 @@
     : m_registry(std::make_shared<prometheus::Registry>())
     , m_endpointStarts(&counter(*m_registry, "knapweedquay_endpoint_starts_total", "Attempts started at the backend server beside this node"))
     , m_measurementTime(&counter(*m_registry, "knapweedquay_measurement_cpu_seconds_total", "Processor time spent on sending and reading probes"))
+    , m_rejections(*m_registry, "knapweedquay_endpoint_rejections_total", "Attempts that this node rejected, by result code")
     , m_waits(&histogram(*m_registry, "knapweedquay_endpoint_wait_seconds", "Time from the admission of an attempt to its start"))
     , m_serviceTimes(&histogram(*m_registry, "knapweedquay_endpoint_service_seconds", "Time of successful attempts at the backend server"))
     , m_unreadLines(&counter(*m_registry, "knapweedquay_log_lines_dropped_total", "Lines of the log that were not written", { { "reason", "unread" } }))
@@ -184,7 +192,7 @@
 
 void NodeMetrics::attemptRejected(ResultCode code)
 {
-    counter(*m_registry, "knapweedquay_endpoint_rejections_total", "Attempts that this node rejected, by result code", { { "code", textOf(code) } }).Increment();
+    m_rejections.increment(code);
 }
 
 void NodeMetrics::attemptStarted(Duration waited)
--- a/Source/node/NodeMetrics.h
+++ b/Source/node/NodeMetrics.h
@@ -14,6 +14,8 @@
 
 namespace prometheus {
 class Counter;
+template <typename T>
+class Family;
 class Gauge;
 class Histogram;
 class Registry;
@@ -21,6 +23,19 @@
 
 namespace Knapweedquay {
 
+/// A counter for each result code that occurs; used by one thread.
+class CodedCounter {
+public:
+    CodedCounter(prometheus::Registry&, const char* name, const char* help, std::map<std::string, std::string> labels = {});
+
+    void increment(ResultCode);
+
+private:
+    prometheus::Family<prometheus::Counter>& m_family;
+    std::map<std::string, std::string> m_labels;
+    std::map<ResultCode, prometheus::Counter*> m_counters;
+};
+
 /// Metrics of the calls that this node sends to one service, one entry per priority.
 class ServiceMetrics {
 public:
@@ -48,14 +63,12 @@
         prometheus::Histogram* latency = nullptr;
     };
 
-    prometheus::Counter& coded(const char* name, const char* help, ResultCode);
-
-    prometheus::Registry& m_registry;
-    ServiceName m_service;
     std::vector<PerPriority> m_priorities;
     prometheus::Counter* m_attempts;
     prometheus::Counter* m_hedges;
     prometheus::Counter* m_chosenWithoutReport;
+    CodedCounter m_failedCalls;
+    CodedCounter m_refusedAttempts;
     prometheus::Histogram* m_reportAge;
     prometheus::Gauge* m_retriesLeft;
     prometheus::Gauge* m_hedgesLeft;
@@ -100,6 +113,7 @@
     std::shared_ptr<prometheus::Registry> m_registry;
     prometheus::Counter* m_endpointStarts;
     prometheus::Counter* m_measurementTime;
+    CodedCounter m_rejections;
     prometheus::Histogram* m_waits;
     prometheus::Histogram* m_serviceTimes;
     prometheus::Counter* m_unreadLines;
--- a/Source/node/NodeTraffic.cpp
+++ b/Source/node/NodeTraffic.cpp
@@ -5,7 +5,6 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <numeric>
 #include <utility>
 
 namespace Knapweedquay {
@@ -36,11 +35,6 @@
     return choice;
 }
 
-std::uint32_t backlog(const LoadReport& load)
-{
-    return std::accumulate(load.queued.begin(), load.queued.end(), load.running);
-}
-
 bool isNews(const LoadReport& told, const LoadReport& now)
 {
     if (told.draining != now.draining)
@@ -49,9 +43,10 @@
     const std::uint32_t faster = std::min(told.slowdownPercent, now.slowdownPercent);
     if ((slower - faster) * wholePercent > slowdownNewsPercent * faster)
         return true;
-    const std::uint32_t difference = std::max(backlog(told), backlog(now)) - std::min(backlog(told), backlog(now));
+    const std::uint32_t larger = std::max(told.backlog(), now.backlog());
+    const std::uint32_t difference = larger - std::min(told.backlog(), now.backlog());
     // A load that is far from the limit needs no exact figure.
-    const bool isNearLimit = 2 * std::max(backlog(told), backlog(now)) > now.concurrencyLimit;
+    const bool isNearLimit = 2 * larger > now.concurrencyLimit;
     return isNearLimit && 3 * difference > now.concurrencyLimit;
 }
 
--- a/Source/protocol/LoadReport.h
+++ b/Source/protocol/LoadReport.h
@@ -4,6 +4,7 @@
 #include "protocol/Time.h"
 
 #include <cstdint>
+#include <numeric>
 #include <vector>
 
 namespace Knapweedquay {
@@ -28,6 +29,9 @@
     /// How long work takes at the backend server now, in percent of the usual. The service time is that at 100.
     std::uint32_t slowdownPercent = 100;
     bool draining = false;
+
+    /// Calls that run or wait.
+    std::uint32_t backlog() const { return std::accumulate(queued.begin(), queued.end(), running); }
 };
 
 } // namespace Knapweedquay
