Node: Give the control subscription its clock and links from outside

A subscription that owns its timer and sockets can't be played in virtual time, so no test shows what a narrow link to a replica does to the versions in force. Its owner now calls check(), tells the time and opens links. Behaviour is unchanged.

--- a/Source/node/ControlSubscription.cpp
+++ b/Source/node/ControlSubscription.cpp
@@ -12,7 +12,6 @@
 
 namespace {
 
-constexpr Duration checkInterval { 100000 };
 /// Interval between freshness requests.
 constexpr Duration freshnessInterval { 300000 };
 /// The node disconnects from a replica whose last proof is older than this. It is half the time in which a change must
@@ -23,13 +22,11 @@
 
 } // namespace
 
-ControlSubscription::ControlSubscription(asio::io_context& context, NodeIdentity self, std::vector<std::string> replicas, bool discoversReplicas, Hooks hooks)
+ControlSubscription::ControlSubscription(NodeIdentity self, std::vector<std::string> replicas, bool discoversReplicas, Hooks hooks)
     : m_self(std::move(self))
     , m_replicas(std::move(replicas))
     , m_discoversReplicas(discoversReplicas)
     , m_hooks(std::move(hooks))
-    , m_client(context, maximumControlMessageBytes)
-    , m_checkTimer(context, [this] { check(); })
 {
     // Nodes start at different replicas, so that subscriptions are distributed evenly.
     m_replicas.startAt(XXH3_64bits(m_self.node.value().data(), m_self.node.value().size()));
@@ -37,17 +34,14 @@
 
 void ControlSubscription::start()
 {
-    if (m_replicas.isEmpty())
-        return;
     connectNext();
-    m_checkTimer.setAfter(checkInterval);
 }
 
 void ControlSubscription::connectNext()
 {
     if (m_replicas.isEmpty())
         return;
-    m_connectedAt = steadyNow();
+    m_connectedAt = m_hooks.now();
     Link::Hooks hooks;
     hooks.opened = [this] { handleOpened(); };
     hooks.received = [this](std::string_view bytes) { handleReceived(bytes); };
@@ -56,7 +50,7 @@
         m_link.reset();
     };
     m_currentReplica = m_replicas.next();
-    m_link = m_client.connect(m_currentReplica, std::move(hooks));
+    m_link = m_hooks.connect(m_currentReplica, std::move(hooks));
 }
 
 void ControlSubscription::setReplicas(const std::vector<std::string>& replicas)
@@ -120,13 +114,13 @@
 
 void ControlSubscription::requestFreshness()
 {
-    m_freshnessRequestedAt = steadyNow();
+    m_freshnessRequestedAt = m_hooks.now();
     send(FreshnessRequestMessage { static_cast<std::uint64_t>(m_freshnessRequestedAt.time_since_epoch().count()) });
 }
 
 void ControlSubscription::handle(const FreshnessMessage& message)
 {
-    const TimePoint now = steadyNow();
+    const TimePoint now = m_hooks.now();
     const TimePoint requestedAt { Duration(static_cast<std::int64_t>(message.echo)) };
     const TimePoint provedAt = requestedAt - message.age;
     if (requestedAt > now || message.age < Duration::zero() || now - provedAt > maximumStaleness)
@@ -148,7 +142,7 @@
         m_hooks.claimAnswered(message.owner, ResultCode::ClaimUnavailable);
         return;
     }
-    m_pendingClaims[message.owner] = { message, steadyNow() + timeout };
+    m_pendingClaims[message.owner] = { message, m_hooks.now() + timeout };
     if (m_link)
         send(message);
 }
@@ -182,7 +176,7 @@
 
 void ControlSubscription::check()
 {
-    const TimePoint now = steadyNow();
+    const TimePoint now = m_hooks.now();
     expireClaims(now);
     if (m_link && now - std::max(m_lastProvedAt, m_connectedAt) > maximumStaleness) {
         log(LogEvent::ControlDisconnected, { { "replica", m_currentReplica }, { "reason", "no recent proof that its documents are up to date" }, { "proof_age_ms", std::to_string(toMilliseconds(now - m_lastProvedAt)) } });
@@ -192,7 +186,6 @@
         connectNext();
     else if (m_link->isOpen() && now - m_freshnessRequestedAt >= freshnessInterval)
         requestFreshness();
-    m_checkTimer.setAfter(checkInterval);
 }
 
 } // namespace Knapweedquay
--- a/Source/node/ControlSubscription.h
+++ b/Source/node/ControlSubscription.h
@@ -4,9 +4,6 @@
 #include "node/NodeIdentity.h"
 #include "protocol/ControlMessages.h"
 #include "transport/Link.h"
-#include "transport/SteadyTime.h"
-
-#include <asio/io_context.hpp>
 
 #include <cstddef>
 #include <functional>
@@ -20,11 +17,14 @@
 ///
 /// A replica proves freshness by the age of its last quorum round. If it cannot, because it is partitioned or frozen,
 /// the node disconnects and connects to the next replica in the list. Versions in force never decrease, whatever a
-/// replica sends.
+/// replica sends. It has no clock, timer or socket of its own.
 class ControlSubscription {
 public:
-    /// Functions that handle what the control replica sends.
+    /// Functions that provide clock and links, and that handle what the control replica sends.
     struct Hooks {
+        std::function<TimePoint()> now;
+        /// Starts to open a link to a replica; returns null if the address is invalid.
+        std::function<LinkPtr(const std::string& address, Link::Hooks)> connect;
         /// Receives a version newer than the one in force; returns true if it was applied.
         std::function<bool(const DocumentMessage&)> document;
         /// Called once, when all documents have been proved recent for the first time.
@@ -34,9 +34,15 @@
     };
 
     /// discoversReplicas: also connects to the replicas listed by the store, not only to those given here.
-    ControlSubscription(asio::io_context&, NodeIdentity, std::vector<std::string> replicas, bool discoversReplicas, Hooks);
+    ControlSubscription(NodeIdentity, std::vector<std::string> replicas, bool discoversReplicas, Hooks);
+
+    /// Interval at which the owner calls check().
+    static constexpr Duration checkInterval { 100000 };
 
+    /// Connects to the first replica.
     void start();
+    /// Expires claims, replaces a replica without recent proof, and requests new proof.
+    void check();
     /// Replaces the replicas of the settings file; those listed by the store are kept.
     void setReplicas(const std::vector<std::string>&);
     /// Requests a claim; it is sent again to each replica that the node connects to before the timeout.
@@ -78,14 +84,11 @@
     void handle(const ClaimEndMessage&) { }
     void requestFreshness();
     void expireClaims(TimePoint now);
-    /// Expires claims, replaces a replica without recent proof, and requests new proof.
-    void check();
 
     NodeIdentity m_self;
     ReplicaDirectory m_replicas;
     bool m_discoversReplicas;
     Hooks m_hooks;
-    LinkClient m_client;
     LinkPtr m_link;
     std::string m_currentReplica;
     /// When the opening of the current connection began.
@@ -100,7 +103,6 @@
     std::map<AttemptId, PendingClaim> m_pendingClaims;
     /// Ends of claims that could not be sent yet, because no link was open.
     std::vector<ClaimEndMessage> m_pendingClaimEnds;
-    Timer m_checkTimer;
 };
 
 } // namespace Knapweedquay
--- a/Source/node/NodeControl.cpp
+++ b/Source/node/NodeControl.cpp
@@ -78,12 +78,34 @@
     , m_hooks(std::move(hooks))
     , m_adminServer(context, adminServerSettings(settings), [this](const HttpExchangePtr& exchange) { handleAdmin(exchange); })
     , m_membership(context, [this](const MembershipAction& action) { apply(action); })
-    , m_subscription(context, m_self, settings.controlReplicas, settings.discoversReplicas, { [this](const DocumentMessage& document) { return applyDocument(document); }, [this] { log(LogEvent::ConfigurationFresh); m_hooks.configurationFresh(); }, [this](const AttemptId& owner, ResultCode code) { m_hooks.claimAnswered(owner, code); } })
+    , m_controlLinks(context, maximumControlMessageBytes)
+    , m_subscription(m_self, settings.controlReplicas, settings.discoversReplicas, subscriptionHooks())
     , m_presence(settings.announcementTimeout)
     , m_backendTimer(context, [this] { checkBackend(); })
+    , m_subscriptionTimer(context, [this] { checkSubscription(); })
 {
 }
 
+ControlSubscription::Hooks NodeControl::subscriptionHooks()
+{
+    ControlSubscription::Hooks hooks;
+    hooks.now = steadyNow;
+    hooks.connect = [this](const std::string& address, Link::Hooks linkHooks) { return m_controlLinks.connect(address, std::move(linkHooks)); };
+    hooks.document = [this](const DocumentMessage& document) { return applyDocument(document); };
+    hooks.fresh = [this] {
+        log(LogEvent::ConfigurationFresh);
+        m_hooks.configurationFresh();
+    };
+    hooks.claimAnswered = [this](const AttemptId& owner, ResultCode code) { m_hooks.claimAnswered(owner, code); };
+    return hooks;
+}
+
+void NodeControl::checkSubscription()
+{
+    m_subscription.check();
+    m_subscriptionTimer.setAfter(ControlSubscription::checkInterval);
+}
+
 Result<void> NodeControl::start(std::uint16_t peersPort)
 {
     BOOST_OUTCOME_TRYV(m_adminServer.start());
@@ -96,6 +118,7 @@
     membership.seeds = m_settings.seeds;
     BOOST_OUTCOME_TRYV(m_membership.start(m_settings.gossip, membership));
     m_subscription.start();
+    m_subscriptionTimer.setAfter(ControlSubscription::checkInterval);
     m_backendTimer.setAfter(backendCheckInterval);
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
--- a/Source/node/NodeControl.h
+++ b/Source/node/NodeControl.h
@@ -82,6 +82,9 @@
     HttpResponse handleLeave();
     /// Stops draining the local backend server.
     HttpResponse handleReturn();
+    ControlSubscription::Hooks subscriptionHooks();
+    /// Checks the subscription, and again after its interval.
+    void checkSubscription();
     /// Reports a change of the local backend server through the hooks and to the other members.
     void apply(PresenceChange);
     /// Like applyDocument(), for the routing document.
@@ -103,6 +106,7 @@
     Hooks m_hooks;
     HttpServer m_adminServer;
     MembershipAgent m_membership;
+    LinkClient m_controlLinks;
     ControlSubscription m_subscription;
     BackendPresence m_presence;
     /// State of the local endpoint, as last published to the other members.
@@ -111,6 +115,7 @@
     /// True after endReadiness().
     bool m_isStopping = false;
     Timer m_backendTimer;
+    Timer m_subscriptionTimer;
 };
 
 } // namespace Knapweedquay
