Node: Log sender, size and reading time of a document in force

Event 300 now has sender, bytes and read_us; knapweedquay_document_bytes_total counts by sender what was applied and what was discarded.

--- a/Source/node/CallGateway.cpp
+++ b/Source/node/CallGateway.cpp
@@ -588,7 +588,7 @@
         if (service->chooser().applyReport(endpoint, update->load, steadyNow()))
             handleNodeEvent(from, EndpointSlowed { from });
     } else if (const auto* document = std::get_if<DocumentAnswerMessage>(&message)) {
-        m_documentHook(*document);
+        m_documentHook(from, *document);
     }
 }
 
--- a/Source/node/CallGateway.h
+++ b/Source/node/CallGateway.h
@@ -81,7 +81,7 @@
 
     /// Requests a document from another node; its answer is passed to the hook set by setDocumentHook().
     void requestDocument(const NodeId&, const ServiceName&);
-    void setDocumentHook(std::function<void(const DocumentAnswerMessage&)> hook) { m_documentHook = std::move(hook); }
+    void setDocumentHook(std::function<void(const NodeId& from, const DocumentAnswerMessage&)> hook) { m_documentHook = std::move(hook); }
 
     /// Handles the reply to ClaimHooks::request: Ok if the claim was granted, otherwise the code of the refusal.
     void claimAnswered(const ClaimOwner&, ResultCode);
@@ -172,7 +172,7 @@
     CallIntake m_intake;
     CallerDeadlines m_callerDeadlines;
     ClaimHooks m_claimHooks;
-    std::function<void(const DocumentAnswerMessage&)> m_documentHook;
+    std::function<void(const NodeId& from, const DocumentAnswerMessage&)> m_documentHook;
     NodeMetrics& m_metrics;
     PeerLinks m_links;
     EndpointChooser::RandomEngine m_random;
--- a/Source/node/ControlSubscription.cpp
+++ b/Source/node/ControlSubscription.cpp
@@ -97,10 +97,13 @@
     std::visit([this](const auto& typed) { handle(typed); }, message.value());
 }
 
-bool ControlSubscription::offer(const DocumentMessage& message)
+bool ControlSubscription::offer(const DocumentMessage& message, const DocumentSender& sender)
 {
-    if (message.version <= m_inForce[message.service] || !m_hooks.document(message))
+    if (message.version <= m_inForce[message.service] || !m_hooks.document(message, sender)) {
+        (sender.isReplica ? m_documentBytes.discardedFromReplicas : m_documentBytes.discardedFromNodes) += message.text.size();
         return false;
+    }
+    (sender.isReplica ? m_documentBytes.appliedFromReplicas : m_documentBytes.appliedFromNodes) += message.text.size();
     m_inForce[message.service] = message.version;
     if (m_link)
         send(InForceMessage { m_inForce });
@@ -109,7 +112,7 @@
 
 void ControlSubscription::handle(const DocumentMessage& message)
 {
-    offer(message);
+    offer(message, { true, m_currentReplica });
 }
 
 void ControlSubscription::requestFreshness()
--- a/Source/node/ControlSubscription.h
+++ b/Source/node/ControlSubscription.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/membership/ReplicaDirectory.h"
+#include "node/DocumentSender.h"
 #include "node/NodeIdentity.h"
 #include "protocol/ControlMessages.h"
 #include "transport/Link.h"
@@ -26,7 +27,7 @@
         /// Starts to open a link to a replica; returns null if the address is invalid.
         std::function<LinkPtr(const std::string& address, Link::Hooks)> connect;
         /// Receives a version newer than the one in force; returns true if it was applied.
-        std::function<bool(const DocumentMessage&)> document;
+        std::function<bool(const DocumentMessage&, const DocumentSender&)> document;
         /// Called once, when all documents have been proved recent for the first time.
         std::function<void()> fresh;
         /// Receives the reply to requestClaim(); ClaimUnavailable if there was none in time.
@@ -50,13 +51,14 @@
     /// Sends the end of a claim, or queues it until a link is open.
     void endClaim(const ClaimEndMessage&);
     /// Applies a document from any sender if it is newer than the one in force. Returns whether it was applied.
-    bool offer(const DocumentMessage&);
+    bool offer(const DocumentMessage&, const DocumentSender&);
 
     /// Versions of the documents in force.
     const DocumentVersions& inForce() const { return m_inForce; }
     bool isFresh() const { return m_isFresh; }
     /// Time since the documents were last proved recent; the maximum value if they never were.
     Duration staleness(TimePoint now) const;
+    const DocumentBytes& documentBytes() const { return m_documentBytes; }
     /// Address of the replica that the node is connected or connecting to; empty if there is none.
     std::string currentReplica() const { return m_link ? m_currentReplica : std::string(); }
 
@@ -99,6 +101,7 @@
     /// True once the documents were proved recent for the first time.
     bool m_isFresh = false;
     DocumentVersions m_inForce;
+    DocumentBytes m_documentBytes;
     /// Claims without a reply, by owner.
     std::map<AttemptId, PendingClaim> m_pendingClaims;
     /// Ends of claims that could not be sent yet, because no link was open.
--- a/Source/node/NodeControl.cpp
+++ b/Source/node/NodeControl.cpp
@@ -91,7 +91,7 @@
     ControlSubscription::Hooks hooks;
     hooks.now = steadyNow;
     hooks.connect = [this](const std::string& address, Link::Hooks linkHooks) { return m_controlLinks.connect(address, std::move(linkHooks)); };
-    hooks.document = [this](const DocumentMessage& document) { return applyDocument(document); };
+    hooks.document = [this](const DocumentMessage& document, const DocumentSender& sender) { return applyDocument(document, sender); };
     hooks.fresh = [this] {
         log(LogEvent::ConfigurationFresh);
         m_hooks.configurationFresh();
@@ -141,8 +141,9 @@
     }
 }
 
-bool NodeControl::applyRouting(const DocumentMessage& message)
+bool NodeControl::applyRouting(const DocumentMessage& message, const DocumentSender& sender)
 {
+    const TimePoint startedAt = steadyNow();
     const LogField name { "service", message.service.value() };
     const LogField version { "version", std::to_string(message.version.value()) };
     auto routing = m_settings.parseRouting(message.text);
@@ -155,14 +156,15 @@
     m_hooks.routingChanged(std::make_shared<const RoutingTable>(std::move(routing.value())), message);
     m_hasRouting = true;
     m_context.post([this] { publishDocuments(); });
-    log(LogEvent::DocumentInForce, { name, version, label, routes });
+    log(LogEvent::DocumentInForce, { name, version, label, routes, { "sender", sender.name }, { "bytes", std::to_string(message.text.size()) }, { "read_us", std::to_string((steadyNow() - startedAt).count()) } });
     return true;
 }
 
-bool NodeControl::applyDocument(const DocumentMessage& message)
+bool NodeControl::applyDocument(const DocumentMessage& message, const DocumentSender& sender)
 {
     if (message.service == routingDocumentName())
-        return applyRouting(message);
+        return applyRouting(message, sender);
+    const TimePoint startedAt = steadyNow();
     auto document = parseDocument(message.text);
     const LogField service { "service", message.service.value() };
     const LogField version { "version", std::to_string(message.version.value()) };
@@ -173,7 +175,7 @@
     m_hooks.documentChanged(document.value(), message);
     // Posted, because the subscription records the version as in force only after this function returns.
     m_context.post([this] { publishDocuments(); });
-    log(LogEvent::DocumentInForce, { service, version });
+    log(LogEvent::DocumentInForce, { service, version, { "sender", sender.name }, { "bytes", std::to_string(message.text.size()) }, { "read_us", std::to_string((steadyNow() - startedAt).count()) } });
     return true;
 }
 
@@ -185,9 +187,9 @@
     m_membership.perform(m_membership.membership().updateDocuments(hints, steadyNow()));
 }
 
-void NodeControl::offerDocument(const DocumentMessage& message)
+void NodeControl::offerDocument(const DocumentMessage& message, const NodeId& sender)
 {
-    m_subscription.offer(message);
+    m_subscription.offer(message, { false, sender.value() });
 }
 
 void NodeControl::handleAdmin(const HttpExchangePtr& exchange)
@@ -296,6 +298,7 @@
         metrics.setConfigurationAge(m_subscription.staleness(steadyNow()));
     for (const auto& [service, version] : m_subscription.inForce())
         metrics.setDocumentVersion(service, version);
+    metrics.setDocumentBytes(m_subscription.documentBytes());
     metrics.setMembers(m_membership.membership().table().presentCount(), m_membership.membership().table().size());
 }
 
--- a/Source/node/NodeControl.h
+++ b/Source/node/NodeControl.h
@@ -62,7 +62,7 @@
     /// Updates the gauges of membership and documents.
     void updateMetrics(NodeMetrics&) const;
     /// Applies a document that another node has in force, if it is newer.
-    void offerDocument(const DocumentMessage&);
+    void offerDocument(const DocumentMessage&, const NodeId& sender);
     /// Handles an announcement of the local backend server.
     void announce(const BackendAnnouncement&);
     /// Handles a message that a run of the local backend server is leaving; startedAt is the start time of that run.
@@ -88,14 +88,14 @@
     /// Reports a change of the local backend server through the hooks and to the other members.
     void apply(PresenceChange);
     /// Like applyDocument(), for the routing document.
-    bool applyRouting(const DocumentMessage&);
+    bool applyRouting(const DocumentMessage&, const DocumentSender&);
     std::string status() const;
     /// Publishes the endpoint of the local backend server to the other members.
     void publishEndpoint(EndpointLifecycle);
     /// Removes the backend server if its announcements have stopped.
     void checkBackend();
     /// Validates a newer document and reports it through the hooks. Returns whether it was applied.
-    bool applyDocument(const DocumentMessage&);
+    bool applyDocument(const DocumentMessage&, const DocumentSender&);
     /// Publishes the document versions in force to the other members.
     void publishDocuments();
     void apply(const MembershipAction&);
--- a/Source/node/NodeDaemon.cpp
+++ b/Source/node/NodeDaemon.cpp
@@ -56,8 +56,8 @@
 
 Result<void> NodeDaemon::run()
 {
-    m_traffic->gateway().setDocumentHook([this](const DocumentAnswerMessage& document) {
-        asio::post(m_controlContext, [this, document] { m_control->offerDocument({ document.service, document.version, document.text }); });
+    m_traffic->gateway().setDocumentHook([this](const NodeId& from, const DocumentAnswerMessage& document) {
+        asio::post(m_controlContext, [this, from, document] { m_control->offerDocument({ document.service, document.version, document.text }, from); });
     });
     BOOST_OUTCOME_TRYV(m_traffic->start());
     BOOST_OUTCOME_TRYV(m_control->start(m_traffic->peersPort()));
--- a/Source/node/NodeMetrics.cpp
+++ b/Source/node/NodeMetrics.cpp
@@ -227,6 +227,17 @@
     gauge("knapweedquay_document_version", "Version of the service's document that is in force at this node", { { "service", service.value() } }).Set(static_cast<double>(version.value()));
 }
 
+void NodeMetrics::setDocumentBytes(const DocumentBytes& bytes)
+{
+    const auto set = [this](const char* sender, const char* result, std::uint64_t total) {
+        increaseTo(counter(*m_registry, "knapweedquay_document_bytes_total", "Bytes of the documents that were received", { { "sender", sender }, { "result", result } }), total);
+    };
+    set("replica", "applied", bytes.appliedFromReplicas);
+    set("replica", "discarded", bytes.discardedFromReplicas);
+    set("node", "applied", bytes.appliedFromNodes);
+    set("node", "discarded", bytes.discardedFromNodes);
+}
+
 void NodeMetrics::setMembers(std::size_t present, std::size_t known)
 {
     gauge("knapweedquay_members_present", "Nodes held to be present, this one included").Set(static_cast<double>(present));
--- a/Source/node/NodeMetrics.h
+++ b/Source/node/NodeMetrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "node/DocumentSender.h"
 #include "protocol/Ids.h"
 #include "protocol/ProblemDetails.h"
 #include "protocol/ResultCode.h"
@@ -111,6 +112,8 @@
     /// Sets the time since the documents in force were last proved recent.
     void setConfigurationAge(Duration);
     void setDocumentVersion(const ServiceName&, DocumentVersion);
+    /// Sets the bytes of documents received since the start of the process.
+    void setDocumentBytes(const DocumentBytes&);
     void setMembers(std::size_t present, std::size_t known);
 
     /// Returns all metrics in the Prometheus text format 0.0.4.
