Tests: Show that edits of a large document don't reach nodes on narrow links

Bounds: the 2 s in which an acknowledged change is in force, and the 22 KB/s that docs/CAPACITY.md leaves a node for control.

--- /dev/null
+++ b/Tests/control/DocumentDistributionTest.cpp
@@ -0,0 +1,86 @@
+#include "control/DistributionSimulation.h"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+
+using namespace Knapweedquay;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t routeCount = 1200;
+/// A link of 3.4 Mbit/s.
+constexpr double linkBytesPerSecond = 425000;
+/// What calls leave of it at high load.
+constexpr double bytesPerSecondBesideCalls = linkBytesPerSecond / 4;
+/// An acknowledged change must be in force everywhere after this time.
+constexpr Duration applyLimit = 2s;
+/// Bytes that a node may receive each second for control, as docs/CAPACITY.md states.
+constexpr std::size_t controlBytesPerSecond = 22 * 1024;
+
+/// A node with the first version of a large document in force, on a link that calls come to need most of.
+class DocumentDistributionTest : public ::testing::Test {
+protected:
+    DocumentDistributionTest()
+        : simulation(linkBytesPerSecond)
+    {
+        simulation.run(1s);
+        simulation.commit(routingDocumentOf(routeCount, 1));
+        simulation.run(10s);
+        EXPECT_EQ(DocumentVersion(1), simulation.inForce());
+        simulation.setBytesPerSecond(bytesPerSecondBesideCalls);
+    }
+
+    /// Commits an edit after each of the given pauses.
+    void commitAfter(const std::vector<std::chrono::milliseconds>& pauses)
+    {
+        for (const auto pause : pauses) {
+            simulation.run(pause);
+            simulation.commit(routingDocumentOf(routeCount, ++edits));
+        }
+    }
+
+    DistributionSimulation simulation;
+    std::size_t edits = 1;
+};
+
+// Incident inc1: each edit sent the whole document, and nodes gave up replicas whose documents were on their way.
+TEST_F(DocumentDistributionTest, NarrowLink_EditsInQuickSuccession_AreInForceInTime)
+{
+    commitAfter({ 100ms, 1400ms, 1700ms, 190ms, 1160ms, 190ms });
+    simulation.run(10s);
+    EXPECT_EQ(DocumentVersion(7), simulation.inForce());
+    EXPECT_LE(simulation.longestDelay(), applyLimit);
+    EXPECT_EQ(1u, simulation.connectionCount()) << "the node gave up a replica that was sending to it";
+    EXPECT_TRUE(simulation.hasAppliedCorrectly());
+}
+
+TEST_F(DocumentDistributionTest, NarrowLink_EditEachThirdOfASecond_AreInForceInTime)
+{
+    commitAfter(std::vector<std::chrono::milliseconds>(12, 330ms));
+    simulation.run(10s);
+    EXPECT_EQ(DocumentVersion(13), simulation.inForce());
+    EXPECT_LE(simulation.longestDelay(), applyLimit);
+    EXPECT_TRUE(simulation.hasAppliedCorrectly());
+}
+
+TEST_F(DocumentDistributionTest, EditOfOneRoute_EachSecond_StaysWithinTheBytesForControl)
+{
+    const std::size_t before = simulation.bytesToNode();
+    commitAfter(std::vector<std::chrono::milliseconds>(10, 1000ms));
+    simulation.run(1s);
+    EXPECT_EQ(DocumentVersion(11), simulation.inForce());
+    EXPECT_LE(simulation.bytesToNode() - before, 11 * controlBytesPerSecond);
+}
+
+TEST_F(DocumentDistributionTest, RestartedNode_AmongEdits_HasNewestVersionInForceInTime)
+{
+    commitAfter({ 100ms, 400ms });
+    simulation.restartNode();
+    simulation.run(applyLimit);
+    EXPECT_EQ(DocumentVersion(3), simulation.inForce());
+    EXPECT_TRUE(simulation.hasAppliedCorrectly());
+}
+
+} // namespace
