Node: Fetch documents from other nodes only while no replica proves itself

The hint is now kept, and used once the node has had no proof for a second and no replica that it connected to within the last half second. HintOfOtherNode_WhileReplicaSendsIt_IsNotFetched fails with 5 fetches when hints are followed at once, as before; HintOfOtherNode_WhileReplicaIsSilent_IsInForceInTime shows that a node without replica still has the version within 2 s.

--- a/Source/node/ControlSubscription.cpp
+++ b/Source/node/ControlSubscription.cpp
@@ -19,8 +19,13 @@
 /// The node disconnects from a replica whose last proof is older than this. It is half the time in which a change must
 /// be in force on all nodes.
 constexpr Duration maximumStaleness { 1000000 };
+/// Time in which a replica that the node has just connected to sends updates and a proof, before they are sought from
+/// other nodes.
+constexpr Duration firstProofTime { 500000 };
 constexpr std::size_t maximumPendingClaims = 4096;
 constexpr std::size_t maximumPendingClaimEnds = 4096;
+/// Bounds the memory for service names that other nodes send, which may be invalid.
+constexpr std::size_t maximumHints = 1024;
 
 } // namespace
 
@@ -114,6 +119,32 @@
     return true;
 }
 
+void ControlSubscription::hint(const NodeId& node, const ServiceName& service, DocumentVersion version)
+{
+    if (m_hints.size() >= maximumHints)
+        m_hints.clear();
+    Hint& hint = m_hints[service];
+    if (version >= hint.version)
+        hint = { node, version };
+    fetchHinted(m_hooks.now());
+}
+
+bool ControlSubscription::lacksReplica(TimePoint now) const
+{
+    const bool hasJustConnected = m_link && m_link->isOpen() && now - m_connectedAt <= firstProofTime;
+    return staleness(now) > maximumStaleness && !hasJustConnected;
+}
+
+void ControlSubscription::fetchHinted(TimePoint now)
+{
+    if (!lacksReplica(now))
+        return;
+    for (const auto& [service, hint] : std::exchange(m_hints, {})) {
+        if (hint.version > m_inForce[service])
+            m_hooks.fetchFromNode(hint.node, service);
+    }
+}
+
 void ControlSubscription::handle(const DocumentMessage& message)
 {
     offer(message, { true, m_currentReplica, message.text.size() });
@@ -215,6 +246,7 @@
 {
     const TimePoint now = m_hooks.now();
     expireClaims(now);
+    fetchHinted(now);
     if (m_link && now - std::max(m_lastProvedAt, m_connectedAt) > maximumStaleness) {
         log(LogEvent::ControlDisconnected, { { "replica", m_currentReplica }, { "reason", "no recent proof that its documents are up to date" }, { "proof_age_ms", std::to_string(toMilliseconds(now - m_lastProvedAt)) } });
         disconnect();
--- a/Source/node/ControlSubscription.h
+++ b/Source/node/ControlSubscription.h
@@ -28,6 +28,8 @@
         std::function<LinkPtr(const std::string& address, Link::Hooks)> connect;
         /// Receives a version newer than the one in force; returns true if it was applied.
         std::function<bool(const DocumentMessage&, const DocumentSender&)> document;
+        /// Requests a document from another node, which passes it to offer().
+        std::function<void(const NodeId&, const ServiceName&)> fetchFromNode;
         /// Called once, when all documents have been proved recent for the first time.
         std::function<void()> fresh;
         /// Receives the reply to requestClaim(); ClaimUnavailable if there was none in time.
@@ -50,6 +52,9 @@
     void requestClaim(const ClaimRequestMessage&, Duration timeout);
     /// Sends the end of a claim, or queues it until a link is open.
     void endClaim(const ClaimEndMessage&);
+    /// Records that another node has this version in force. It is fetched from there only if no replica can be expected to
+    /// send it soon.
+    void hint(const NodeId&, const ServiceName&, DocumentVersion);
     /// Applies a document from any sender if it is newer than the one in force. Returns whether it was applied.
     bool offer(const DocumentMessage&, const DocumentSender&);
 
@@ -108,6 +113,19 @@
     /// Texts of the documents in force, on which updates are based.
     std::map<ServiceName, std::string> m_texts;
     DocumentBytes m_documentBytes;
+    /// Newer version of a document at another node.
+    struct Hint {
+        NodeId node;
+        DocumentVersion version;
+    };
+
+    /// True if no connected replica has proved recently that it is up to date, and the connected one has had time to.
+    bool lacksReplica(TimePoint now) const;
+    /// Fetches the hinted versions from other nodes if they can't be expected from a replica.
+    void fetchHinted(TimePoint now);
+
+    /// Newest hint for each document.
+    std::map<ServiceName, Hint> m_hints;
     /// Claims without a reply, by owner.
     std::map<AttemptId, PendingClaim> m_pendingClaims;
     /// Ends of claims that could not be sent yet, because no link was open.
--- a/Source/node/NodeControl.cpp
+++ b/Source/node/NodeControl.cpp
@@ -92,6 +92,7 @@
     hooks.now = steadyNow;
     hooks.connect = [this](const std::string& address, Link::Hooks linkHooks) { return m_controlLinks.connect(address, std::move(linkHooks)); };
     hooks.document = [this](const DocumentMessage& document, const DocumentSender& sender) { return applyDocument(document, sender); };
+    hooks.fetchFromNode = [this](const NodeId& node, const ServiceName& service) { m_hooks.fetchDocument(node, service); };
     hooks.fresh = [this] {
         log(LogEvent::ConfigurationFresh);
         m_hooks.configurationFresh();
@@ -134,7 +135,7 @@
         logMember(memberEvent(changed->member), changed->member);
         m_hooks.memberChanged(changed->member);
     } else if (const auto* hint = std::get_if<NewerDocumentHint>(&action)) {
-        m_hooks.fetchDocument(hint->member, hint->service);
+        m_subscription.hint(hint->member, hint->service, hint->version);
     } else if (const auto* superseded = std::get_if<IncarnationSuperseded>(&action)) {
         log(LogEvent::NodeSuperseded, { { "incarnation", std::to_string(superseded->incarnation.value()) } });
         m_hooks.superseded();
--- a/Tests/control/DistributionSimulation.cpp
+++ b/Tests/control/DistributionSimulation.cpp
@@ -33,7 +33,8 @@
             m_network.m_bytesToNode += message.size();
         const Duration transmission(static_cast<std::int64_t>(1e6 * static_cast<double>(message.size()) / m_network.m_bytesPerSecond));
         m_freeAt = std::max(m_freeAt, m_network.m_now) + transmission;
-        m_network.schedule(m_freeAt + latency, [peer = m_peer, message] { peer->receive(message); });
+        if (!m_network.m_isSilent)
+            m_network.schedule(m_freeAt + latency, [peer = m_peer, message] { peer->receive(message); });
         return true;
     }
 
@@ -99,7 +100,9 @@
     const boost::intrusive_ptr<End> replica(new End(*this, true));
     node->setHooks(std::move(hooks));
     m_ends.insert(m_ends.end(), { node, replica });
-    schedule(m_now + 2 * latency, [node, replica, accept = std::move(accept)] {
+    schedule(m_now + 2 * latency, [this, node, replica, accept = std::move(accept)] {
+        if (m_isSilent)
+            return;
         replica->open(*node);
         accept(replica);
         node->open(*replica);
@@ -120,6 +123,11 @@
     m_now = end;
 }
 
+void NarrowNetwork::runSoon(std::function<void()> event)
+{
+    schedule(m_now + latency, std::move(event));
+}
+
 DistributionSimulation::DistributionSimulation(double bytesPerSecond)
     : m_network(bytesPerSecond)
 {
@@ -157,6 +165,10 @@
         return m_nodeLink;
     };
     hooks.document = [this](const DocumentMessage& document, const DocumentSender&) { return apply(document); };
+    hooks.fetchFromNode = [this](const NodeId&, const ServiceName&) {
+        ++m_fetchCount;
+        m_network.runSoon([this] { offerFromOtherNode(); });
+    };
     hooks.fresh = [] {};
     hooks.claimAnswered = [](const AttemptId&, ResultCode) {};
     m_node = std::make_unique<ControlSubscription>(NodeIdentity { NodeId("node"), Incarnation(1), DataCentre("east") }, std::vector<std::string> { "replica" }, false, std::move(hooks));
@@ -178,6 +190,11 @@
     m_node->offer({ routingDocumentName(), newest->first, newest->second.text }, { false, "other", newest->second.text.size() });
 }
 
+void DistributionSimulation::hintFromOtherNode()
+{
+    m_node->hint(NodeId("other"), routingDocumentName(), std::prev(m_commits.end())->first);
+}
+
 void DistributionSimulation::checkProof()
 {
     const TimePoint now = m_network.now();
--- a/Tests/control/DistributionSimulation.h
+++ b/Tests/control/DistributionSimulation.h
@@ -22,11 +22,16 @@
     {
     }
 
+    /// While it is silent, the network loses all messages and opens no links.
+    void setSilent(bool isSilent) { m_isSilent = isSilent; }
+
     using AcceptHook = std::function<void(const LinkPtr&)>;
 
     void setBytesPerSecond(double bytesPerSecond) { m_bytesPerSecond = bytesPerSecond; }
     /// Opens a link from the node to the replica, which is passed the other end.
     LinkPtr connect(Link::Hooks, AcceptHook);
+    /// Runs an event after the latency of the network.
+    void runSoon(std::function<void()>);
     /// Delivers all that is due until the given time.
     void runUntil(TimePoint);
     TimePoint now() const { return m_now; }
@@ -42,6 +47,7 @@
     TimePoint m_now { Duration(100000000) };
     std::multimap<TimePoint, std::function<void()>> m_events;
     std::size_t m_bytesToNode = 0;
+    bool m_isSilent = false;
     /// All ends ever opened, since messages in flight refer to them.
     std::vector<LinkPtr> m_ends;
 };
@@ -59,6 +65,11 @@
     void restartNode();
     /// Passes the node the newest version, as another node would.
     void offerFromOtherNode();
+    /// Tells the node that another node has the newest version in force, which is passed to it if it asks for it.
+    void hintFromOtherNode();
+    void setReplicaSilent(bool isSilent) { m_network.setSilent(isSilent); }
+    /// How often the node asked another node for a document.
+    std::size_t fetchCount() const { return m_fetchCount; }
 
     /// Version that was in force at the node last, and that it must not go back from.
     DocumentVersion inForce() const { return m_inForce; }
@@ -96,6 +107,7 @@
     std::map<DocumentVersion, Commit> m_commits;
     DocumentVersion m_inForce;
     std::size_t m_connectionCount = 0;
+    std::size_t m_fetchCount = 0;
     bool m_hasAppliedCorrectly = true;
     bool m_hasProvedCorrectly = true;
 };
--- a/Tests/control/DocumentDistributionTest.cpp
+++ b/Tests/control/DocumentDistributionTest.cpp
@@ -100,6 +100,28 @@
     EXPECT_TRUE(simulation.hasAppliedCorrectly());
 }
 
+// Incident inc1: nodes fetched from each other what their replica was sending them, on the links that calls use.
+TEST_F(DocumentDistributionTest, HintOfOtherNode_WhileReplicaSendsIt_IsNotFetched)
+{
+    for (int edit = 0; edit < 5; ++edit) {
+        commitAfter({ 300ms });
+        simulation.hintFromOtherNode();
+    }
+    simulation.run(2s);
+    EXPECT_EQ(DocumentVersion(6), simulation.inForce());
+    EXPECT_EQ(0u, simulation.fetchCount());
+}
+
+TEST_F(DocumentDistributionTest, HintOfOtherNode_WhileReplicaIsSilent_IsInForceInTime)
+{
+    simulation.setReplicaSilent(true);
+    commitAfter({ 0ms });
+    simulation.hintFromOtherNode();
+    simulation.run(applyLimit);
+    EXPECT_EQ(DocumentVersion(2), simulation.inForce());
+    EXPECT_EQ(1u, simulation.fetchCount());
+}
+
 TEST_F(DocumentDistributionTest, RestartedNode_AmongEdits_HasNewestVersionInForceInTime)
 {
     commitAfter({ 100ms, 400ms });
