Control: Send updates in parts and count each as a sign of life

WholeDocument_LongerThanThePatienceWithASilentReplica_ IsInForceInTime failed: the node had connected again and had no version after 2 s.

An update now travels in parts of 16 KiB, each after the report on the one before. A node gives up its replica when neither a proof nor a part has come for a second. Proofs don't pass between the parts: until the last one is sent, they would say nothing true. A node or replica of the release before still gets and sends whole texts, now with a test.

--- a/Source/control/ControlDaemon.cpp
+++ b/Source/control/ControlDaemon.cpp
@@ -152,9 +152,9 @@
             });
         });
     };
-    hooks.documentChanged = [this](const StoredDocument& document) {
+    hooks.documentChanged = [this](const StoredDocument&) {
         if (m_subscriptions)
-            m_subscriptions->documentChanged(document);
+            m_subscriptions->documentsChanged();
     };
     hooks.stopped = [this](const Error& error) {
         m_runResult = error;
--- a/Source/control/NodeSubscriptions.cpp
+++ b/Source/control/NodeSubscriptions.cpp
@@ -3,7 +3,6 @@
 #include "protocol/DocumentCompression.h"
 #include "protocol/LinkChannel.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace Knapweedquay {
@@ -42,9 +41,9 @@
     subscriber.isSubscribed = true;
     subscriber.inForce = message.inForce;
     subscriber.sent = message.inForce;
-    subscriber.unreported.clear();
+    subscriber.transfer.reset();
     const LinkPtr link = subscriber.link;
-    if (!sendDocuments(subscriber))
+    if (!sendNext(subscriber))
         link->abort();
 }
 
@@ -55,10 +54,10 @@
         return;
     Subscriber& subscriber = entry->second;
     subscriber.inForce = message.inForce;
-    if (!subscriber.unreported.empty())
-        subscriber.unreported.pop_front();
+    if (subscriber.transfer && subscriber.transfer->isSent())
+        subscriber.transfer.reset();
     const LinkPtr link = subscriber.link;
-    if (subscriber.isSubscribed && !sendDocuments(subscriber))
+    if (subscriber.isSubscribed && !(subscriber.transfer ? sendPart(subscriber) : sendNext(subscriber)))
         return link->abort();
     if (const auto request = std::exchange(subscriber.waitingRequest, std::nullopt))
         answerFreshness(id, *request, now);
@@ -71,11 +70,11 @@
         entry->second.link->send(LinkChannel::wrap(LinkChannel::node, encode(message)));
 }
 
-void NodeSubscriptions::documentChanged(const StoredDocument& document)
+void NodeSubscriptions::documentsChanged()
 {
     std::vector<LinkPtr> stalledLinks;
     for (auto& entry : m_subscribers) {
-        if (entry.second.isSubscribed && !sendDocument(entry.second, document))
+        if (entry.second.isSubscribed && !entry.second.transfer && !sendNext(entry.second))
             stalledLinks.push_back(entry.second.link);
     }
     for (const LinkPtr& link : stalledLinks)
@@ -87,7 +86,9 @@
     const auto entry = m_subscribers.find(id);
     if (entry == m_subscribers.end())
         return;
-    if (entry->second.isSubscribed && !isComplete(entry->second)) {
+    const Subscriber& subscriber = entry->second;
+    const bool isComplete = !unsentDocument(subscriber) && (!subscriber.transfer || subscriber.transfer->isSent());
+    if (subscriber.isSubscribed && !isComplete) {
         entry->second.waitingRequest = request;
         return;
     }
@@ -96,49 +97,59 @@
         send(id, FreshnessMessage { request.clock, freshness->term.value(), freshness->round.value(), freshness->age });
 }
 
-bool NodeSubscriptions::sendDocument(Subscriber& subscriber, const StoredDocument& document)
+const StoredDocument* NodeSubscriptions::unsentDocument(const Subscriber& subscriber) const
 {
-    DocumentVersion& sent = subscriber.sent[document.service];
-    if (document.version <= sent)
-        return true;
-    if (!subscriber.acceptsUpdates) {
-        sent = document.version;
-        const DocumentMessage message { document.service, document.version, document.text };
-        return subscriber.link->send(LinkChannel::wrap(LinkChannel::node, encode(ControlMessage(message))));
+    for (const StoredDocument* document : m_service.state().documents().documents()) {
+        const auto sent = subscriber.sent.find(document->service);
+        if (sent == subscriber.sent.end() || sent->second < document->version)
+            return document;
     }
-    if (std::find(subscriber.unreported.begin(), subscriber.unreported.end(), document.service) != subscriber.unreported.end())
-        return true;
-    sent = document.version;
-    subscriber.unreported.push_back(document.service);
-    return subscriber.link->send(LinkChannel::wrap(LinkChannel::node, encodedUpdate(document, subscriber.inForce[document.service])));
+    return nullptr;
 }
 
-bool NodeSubscriptions::sendDocuments(Subscriber& subscriber)
+bool NodeSubscriptions::sendWhole(Subscriber& subscriber)
 {
-    const auto documents = m_service.state().documents().documents();
-    return std::all_of(documents.begin(), documents.end(), [this, &subscriber](const StoredDocument* document) { return sendDocument(subscriber, *document); });
+    bool isAccepted = true;
+    for (const StoredDocument* document = unsentDocument(subscriber); document && isAccepted; document = unsentDocument(subscriber)) {
+        subscriber.sent[document->service] = document->version;
+        const DocumentMessage message { document->service, document->version, document->text };
+        isAccepted = subscriber.link->send(LinkChannel::wrap(LinkChannel::node, encode(ControlMessage(message))));
+    }
+    return isAccepted;
 }
 
-bool NodeSubscriptions::isComplete(const Subscriber& subscriber) const
+bool NodeSubscriptions::sendNext(Subscriber& subscriber)
 {
-    const auto documents = m_service.state().documents().documents();
-    return std::all_of(documents.begin(), documents.end(), [&subscriber](const StoredDocument* document) {
-        const auto sent = subscriber.sent.find(document->service);
-        return sent != subscriber.sent.end() && sent->second >= document->version;
-    });
+    if (!subscriber.acceptsUpdates)
+        return sendWhole(subscriber);
+    const StoredDocument* document = unsentDocument(subscriber);
+    if (!document)
+        return true;
+    subscriber.sent[document->service] = document->version;
+    subscriber.transfer = transferOf(*document, subscriber.inForce[document->service]);
+    return sendPart(subscriber);
+}
+
+bool NodeSubscriptions::sendPart(Subscriber& subscriber)
+{
+    Transfer& transfer = *subscriber.transfer;
+    const std::string& bytes = *transfer.compressedText;
+    DocumentUpdateMessage message { transfer.service, transfer.version, transfer.base, bytes.size(), transfer.sentBytes, bytes.substr(transfer.sentBytes, maximumDocumentPartBytes) };
+    transfer.sentBytes += message.part.size();
+    return subscriber.link->send(LinkChannel::wrap(LinkChannel::node, encode(std::move(message))));
 }
 
-const std::string& NodeSubscriptions::encodedUpdate(const StoredDocument& document, DocumentVersion inForce)
+NodeSubscriptions::Transfer NodeSubscriptions::transferOf(const StoredDocument& document, DocumentVersion inForce)
 {
-    EncodedUpdates& updates = m_encodedUpdates[document.service];
-    if (updates.version != document.version)
-        updates = { document.version, {} };
+    CompressedTexts& texts = m_compressedTexts[document.service];
+    if (texts.version != document.version)
+        texts = { document.version, {} };
     const std::string* baseText = m_service.state().documents().textOf(document.service, inForce);
     const DocumentVersion base = baseText ? inForce : DocumentVersion();
-    std::string& encoded = updates.byBase[base];
-    if (encoded.empty())
-        encoded = encode(DocumentUpdateMessage { document.service, document.version, base, compressDocument(document.text, baseText ? *baseText : std::string()) });
-    return encoded;
+    std::shared_ptr<const std::string>& compressed = texts.byBase[base];
+    if (!compressed)
+        compressed = std::make_shared<const std::string>(compressDocument(document.text, baseText ? *baseText : std::string()));
+    return { document.service, document.version, base, compressed };
 }
 
 } // namespace Knapweedquay
--- a/Source/control/NodeSubscriptions.h
+++ b/Source/control/NodeSubscriptions.h
@@ -5,9 +5,9 @@
 #include "transport/Link.h"
 
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -16,13 +16,25 @@
 
 /// Links from nodes to this replica. Sends subscribed nodes newer documents and proofs of freshness.
 ///
-/// A node gets the newest version of a document as its difference from the version that it has in force, and the next one
-/// only once it has reported on that. Versions that were overtaken meanwhile are never sent, so the links of nodes carry
-/// what changed, not each text. docs/design/DISTRIBUTION.md gives the bound on the time until a version is in force.
+/// A node gets the newest version of a document as its difference from the version that it has in force, part by part, and
+/// the next one only once it has reported on that. Versions that were overtaken meanwhile are never sent, so the links of
+/// nodes carry what changed, not each text. docs/design/DISTRIBUTION.md gives the bound on the time until a version is in force.
 class NodeSubscriptions {
 public:
     using SubscriberId = std::uint64_t;
 
+    /// An update that is being sent to a node.
+    struct Transfer {
+        ServiceName service;
+        DocumentVersion version;
+        /// Version that the node needs to restore the text; 0 when it needs none.
+        DocumentVersion base;
+        std::shared_ptr<const std::string> compressedText;
+        std::size_t sentBytes = 0;
+
+        bool isSent() const { return sentBytes == compressedText->size(); }
+    };
+
     /// A link from a node; the other fields are set once the node subscribes.
     struct Subscriber {
         LinkPtr link;
@@ -33,10 +45,10 @@
         bool acceptsUpdates = false;
         /// Document versions in force at the node, as it last reported them.
         DocumentVersions inForce;
-        /// Newest document versions sent over the link or reported when the node subscribed.
+        /// Newest document versions sent over the link, at least in part, or reported when the node subscribed.
         DocumentVersions sent;
-        /// Services of the updates that the node has not reported on, oldest first. Nodes report in the same order.
-        std::deque<ServiceName> unreported;
+        /// The update whose last part the node has not reported on.
+        std::optional<Transfer> transfer;
         /// Request for a proof that has to wait until the newest version of each document was sent.
         std::optional<FreshnessRequestMessage> waitingRequest;
     };
@@ -52,8 +64,8 @@
     /// Records the document versions that the node reports as in force, and sends what was held back until this report.
     void reportInForce(SubscriberId, const InForceMessage&, TimePoint now);
     void send(SubscriberId, const ControlMessage&);
-    /// Sends the newly applied version of a document to all subscribed nodes.
-    void documentChanged(const StoredDocument&);
+    /// Sends newly applied versions of documents to all subscribed nodes.
+    void documentsChanged();
     /// Sends the replica's current proof of freshness, once the newest version of each document was sent. Without a proof
     /// no answer is sent, and the node switches to another replica.
     void answerFreshness(SubscriberId, const FreshnessRequestMessage&, TimePoint now);
@@ -61,26 +73,26 @@
     const std::map<SubscriberId, Subscriber>& subscribers() const { return m_subscribers; }
 
 private:
-    /// Sends the document if it is newer than the version sent last and no update of it is unreported. Returns false when
-    /// the link does not accept it; the caller must then abort the link, because a later proof of freshness on it would
-    /// cover a document that was never received.
-    bool sendDocument(Subscriber&, const StoredDocument&);
-    /// Sends each document that is newer than the version sent last. Returns false as sendDocument().
-    bool sendDocuments(Subscriber&);
-    /// True if the newest version of each document was sent.
-    bool isComplete(const Subscriber&) const;
-    /// The document as an encoded DocumentUpdateMessage for a node that has the given version in force.
-    const std::string& encodedUpdate(const StoredDocument&, DocumentVersion inForce);
+    /// Sends what the node lacks: the next part of an update, or the first part of the next one. Returns false when the link
+    /// does not accept it; the caller must then abort the link, because a later proof of freshness on it would cover a
+    /// document that was never received.
+    bool sendNext(Subscriber&);
+    /// Sends the whole texts of all newer documents, to a node that does not take updates. Returns false as sendNext().
+    bool sendWhole(Subscriber&);
+    static bool sendPart(Subscriber&);
+    /// A document that is newer than the version sent last; null when there is none.
+    const StoredDocument* unsentDocument(const Subscriber&) const;
+    Transfer transferOf(const StoredDocument&, DocumentVersion inForce);
 
-    /// Encoded updates to one version of a document, by the version that they are based on.
-    struct EncodedUpdates {
+    /// Compressed texts of one version of a document, by the version that they are based on.
+    struct CompressedTexts {
         DocumentVersion version;
-        std::map<DocumentVersion, std::string> byBase;
+        std::map<DocumentVersion, std::shared_ptr<const std::string>> byBase;
     };
 
     const ControlService& m_service;
-    /// Updates to the newest version, since many nodes need the same one.
-    std::map<ServiceName, EncodedUpdates> m_encodedUpdates;
+    /// Those of the newest version, since many nodes need the same one.
+    std::map<ServiceName, CompressedTexts> m_compressedTexts;
     std::map<SubscriberId, Subscriber> m_subscribers;
     SubscriberId m_lastId = 0;
 };
--- a/Source/node/ControlSubscription.cpp
+++ b/Source/node/ControlSubscription.cpp
@@ -16,10 +16,10 @@
 
 /// Interval between freshness requests.
 constexpr Duration freshnessInterval { 300000 };
-/// The node disconnects from a replica whose last proof is older than this. It is half the time in which a change must
-/// be in force on all nodes.
+/// The node disconnects from a replica whose last proof, or last part of an update, is older than this. It is half the time
+/// in which a change must be in force on all nodes.
 constexpr Duration maximumStaleness { 1000000 };
-/// Time in which a replica that the node has just connected to sends updates and a proof, before they are sought from
+/// Time in which a connected replica sends its first update, or the next part of one, before newer documents are sought from
 /// other nodes.
 constexpr Duration firstProofTime { 500000 };
 constexpr std::size_t maximumPendingClaims = 4096;
@@ -49,6 +49,7 @@
     if (m_replicas.isEmpty())
         return;
     m_connectedAt = m_hooks.now();
+    m_arriving = {};
     Link::Hooks hooks;
     hooks.opened = [this] { handleOpened(); };
     hooks.received = [this](std::string_view bytes) { handleReceived(bytes); };
@@ -131,8 +132,8 @@
 
 bool ControlSubscription::lacksReplica(TimePoint now) const
 {
-    const bool hasJustConnected = m_link && m_link->isOpen() && now - m_connectedAt <= firstProofTime;
-    return staleness(now) > maximumStaleness && !hasJustConnected;
+    const bool sendsUpdates = m_link && m_link->isOpen() && now - std::max(m_connectedAt, m_lastPartAt) <= firstProofTime;
+    return staleness(now) > maximumStaleness && !sendsUpdates;
 }
 
 void ControlSubscription::fetchHinted(TimePoint now)
@@ -152,31 +153,56 @@
 
 void ControlSubscription::handle(const DocumentUpdateMessage& message)
 {
-    const DocumentVersion inForce = m_inForce[message.service];
-    const bool isBased = message.base != DocumentVersion();
-    if (message.version <= inForce) {
-        m_documentBytes.discardedFromReplicas += message.compressedText.size();
+    m_lastPartAt = m_hooks.now();
+    if (!addPart(message))
+        return requestWhole("a part is missing");
+    if (m_arriving.compressedText.size() == m_arriving.totalBytes)
+        applyUpdate();
+    else
+        send(InForceMessage { m_inForce });
+}
+
+bool ControlSubscription::addPart(const DocumentUpdateMessage& message)
+{
+    if (message.offset == 0)
+        m_arriving = { message.service, message.version, message.base, message.totalBytes, {} };
+    const bool isSameUpdate = message.service == m_arriving.service && message.version == m_arriving.version && message.base == m_arriving.base;
+    const std::size_t receivedBytes = m_arriving.compressedText.size();
+    if (!isSameUpdate || message.offset != receivedBytes || m_arriving.totalBytes > maximumControlMessageBytes || message.part.size() > m_arriving.totalBytes - receivedBytes)
+        return false;
+    m_arriving.compressedText += message.part;
+    return true;
+}
+
+void ControlSubscription::applyUpdate()
+{
+    const ServiceName& service = m_arriving.service;
+    const std::size_t bytes = m_arriving.compressedText.size();
+    const DocumentVersion inForce = m_inForce[service];
+    const bool isBased = m_arriving.base != DocumentVersion();
+    if (m_arriving.version <= inForce) {
+        m_documentBytes.discardedFromReplicas += bytes;
         send(InForceMessage { m_inForce });
         return;
     }
-    if (isBased && message.base != inForce)
-        return requestWhole(message, "the update is based on another version");
-    auto text = decompressDocument(message.compressedText, isBased ? m_texts[message.service] : std::string(), DocumentRegister::maximumDocumentBytes);
+    if (isBased && m_arriving.base != inForce)
+        return requestWhole("the update is based on another version");
+    auto text = decompressDocument(m_arriving.compressedText, isBased ? m_texts[service] : std::string(), DocumentRegister::maximumDocumentBytes);
     if (text.has_error() && isBased)
-        return requestWhole(message, text.error().detail);
+        return requestWhole(text.error().detail);
     if (text.has_error()) {
         log(LogEvent::ControlDisconnected, { { "replica", m_currentReplica }, { "reason", text.error().detail } });
         return disconnect();
     }
-    if (!offer({ message.service, message.version, std::move(text.value()) }, { true, m_currentReplica, message.compressedText.size() }))
+    if (!offer({ service, m_arriving.version, std::move(text.value()) }, { true, m_currentReplica, bytes }))
         send(InForceMessage { m_inForce });
 }
 
-void ControlSubscription::requestWhole(const DocumentUpdateMessage& message, const std::string& reason)
+void ControlSubscription::requestWhole(const std::string& reason)
 {
-    log(LogEvent::DocumentRequestedWhole, { { "service", message.service.value() }, { "version", std::to_string(message.version.value()) }, { "base", std::to_string(message.base.value()) }, { "in_force", std::to_string(m_inForce[message.service].value()) }, { "reason", reason } });
+    log(LogEvent::DocumentRequestedWhole, { { "service", m_arriving.service.value() }, { "version", std::to_string(m_arriving.version.value()) }, { "base", std::to_string(m_arriving.base.value()) }, { "in_force", std::to_string(m_inForce[m_arriving.service].value()) }, { "reason", reason } });
     DocumentVersions withoutThis = m_inForce;
-    withoutThis.erase(message.service);
+    withoutThis.erase(m_arriving.service);
     send(SubscribeMessage { m_self.node, m_self.incarnation, withoutThis });
 }
 
@@ -247,7 +273,7 @@
     const TimePoint now = m_hooks.now();
     expireClaims(now);
     fetchHinted(now);
-    if (m_link && now - std::max(m_lastProvedAt, m_connectedAt) > maximumStaleness) {
+    if (m_link && now - std::max({ m_lastProvedAt, m_connectedAt, m_lastPartAt }) > maximumStaleness) {
         log(LogEvent::ControlDisconnected, { { "replica", m_currentReplica }, { "reason", "no recent proof that its documents are up to date" }, { "proof_age_ms", std::to_string(toMilliseconds(now - m_lastProvedAt)) } });
         disconnect();
     }
--- a/Source/node/ControlSubscription.h
+++ b/Source/node/ControlSubscription.h
@@ -82,9 +82,12 @@
     void handleReceived(std::string_view bytes);
     void handle(const DocumentMessage&);
     void handle(const DocumentUpdateMessage&);
+    /// Adds a part to the update that is arriving. Returns false if it does not continue that update.
+    bool addPart(const DocumentUpdateMessage&);
+    void applyUpdate();
     void handle(const UpdatesAcceptedMessage&) { }
     /// Requests the document without reference to the version in force.
-    void requestWhole(const DocumentUpdateMessage&, const std::string& reason);
+    void requestWhole(const std::string& reason);
     void handle(const FreshnessMessage&);
     void handle(const ClaimAnswerMessage&);
     void handle(const ReplicaListMessage&);
@@ -113,6 +116,17 @@
     /// Texts of the documents in force, on which updates are based.
     std::map<ServiceName, std::string> m_texts;
     DocumentBytes m_documentBytes;
+    /// An update whose parts arrive one after the other.
+    struct ArrivingUpdate {
+        ServiceName service;
+        DocumentVersion version;
+        /// Version that the update is based on; 0 when it needs none.
+        DocumentVersion base;
+        std::uint64_t totalBytes = 0;
+        /// The parts received so far.
+        std::string compressedText;
+    };
+
     /// Newer version of a document at another node.
     struct Hint {
         NodeId node;
@@ -124,6 +138,9 @@
     /// Fetches the hinted versions from other nodes if they can't be expected from a replica.
     void fetchHinted(TimePoint now);
 
+    ArrivingUpdate m_arriving;
+    /// When the last part of an update arrived on the present connection.
+    TimePoint m_lastPartAt;
     /// Newest hint for each document.
     std::map<ServiceName, Hint> m_hints;
     /// Claims without a reply, by owner.
--- a/Source/protocol/ControlMessages.cpp
+++ b/Source/protocol/ControlMessages.cpp
@@ -179,7 +179,9 @@
     fields.push_back(message.service.value());
     fields.push_back(message.version.value());
     fields.push_back(message.base.value());
-    fields.push_back(cborBytes(message.compressedText));
+    fields.push_back(message.totalBytes);
+    fields.push_back(message.offset);
+    fields.push_back(cborBytes(message.part));
 }
 
 void readFields(FieldReader& reader, DocumentUpdateMessage& message)
@@ -187,7 +189,9 @@
     message.service = ServiceName(reader.text());
     message.version = DocumentVersion(reader.unsignedInteger());
     message.base = DocumentVersion(reader.unsignedInteger());
-    message.compressedText = reader.bytes();
+    message.totalBytes = reader.unsignedInteger();
+    message.offset = reader.unsignedInteger();
+    message.part = reader.bytes();
 }
 
 void appendFields(Json&, const UpdatesAcceptedMessage&)
--- a/Source/protocol/ControlMessages.h
+++ b/Source/protocol/ControlMessages.h
@@ -92,14 +92,20 @@
     std::vector<std::string> addresses;
 };
 
-/// A committed service document, compressed, and without the parts that it shares with a version at the node.
+/// Maximum size of the part of a document in one DocumentUpdateMessage, in bytes. Other messages wait no longer than for
+/// one part, and each part shows the node that the replica is alive.
+constexpr std::size_t maximumDocumentPartBytes = 16 * 1024;
+
+/// Part of a committed service document, which is compressed and without what it shares with a version at the node.
 struct DocumentUpdateMessage {
     ServiceName service;
     DocumentVersion version;
     /// Version that the node needs to restore the text; 0 when it needs none.
     DocumentVersion base;
-    /// Result of compressDocument().
-    std::string compressedText;
+    /// Size of the result of compressDocument(), of which this is the part at `offset`.
+    std::uint64_t totalBytes = 0;
+    std::uint64_t offset = 0;
+    std::string part;
 };
 
 /// Announces, before SubscribeMessage, that the node takes DocumentUpdateMessage and reports its versions in force after
--- a/Tests/control/DistributionSimulation.cpp
+++ b/Tests/control/DistributionSimulation.cpp
@@ -144,7 +144,7 @@
     settings.newReplica = ReplicaId(1);
     settings.newCluster = ClusterId(1);
     ControlServiceHooks hooks;
-    hooks.documentChanged = [this](const StoredDocument& document) { m_subscriptions->documentChanged(document); };
+    hooks.documentChanged = [this](const StoredDocument&) { m_subscriptions->documentsChanged(); };
     m_service = std::move(ControlService::open(settings, m_files, std::move(hooks), m_network.now()).value());
     m_subscriptions = std::make_unique<NodeSubscriptions>(*m_service);
 }
@@ -216,7 +216,7 @@
         m_subscriptions->answerFreshness(id, *request, m_network.now());
     else if (const auto* inForce = std::get_if<InForceMessage>(&message))
         m_subscriptions->reportInForce(id, *inForce, m_network.now());
-    else if (std::holds_alternative<UpdatesAcceptedMessage>(message))
+    else if (std::holds_alternative<UpdatesAcceptedMessage>(message) && !m_ignoresUpdatesAccepted)
         m_subscriptions->acceptUpdates(id);
 }
 
--- a/Tests/control/DistributionSimulation.h
+++ b/Tests/control/DistributionSimulation.h
@@ -61,6 +61,8 @@
     void setBytesPerSecond(double bytesPerSecond) { m_network.setBytesPerSecond(bytesPerSecond); }
     /// Commits a new text of the routing document, on the newest version.
     void commit(const std::string& text);
+    /// Makes the replica ignore that nodes take updates, as one of an earlier release does.
+    void setIgnoresUpdatesAccepted() { m_ignoresUpdatesAccepted = true; }
     /// Restarts the node, which has no document in force then.
     void restartNode();
     /// Passes the node the newest version, as another node would.
@@ -106,6 +108,7 @@
     TimePoint m_nextCheck;
     std::map<DocumentVersion, Commit> m_commits;
     DocumentVersion m_inForce;
+    bool m_ignoresUpdatesAccepted = false;
     std::size_t m_connectionCount = 0;
     std::size_t m_fetchCount = 0;
     bool m_hasAppliedCorrectly = true;
--- a/Tests/control/DocumentDistributionTest.cpp
+++ b/Tests/control/DocumentDistributionTest.cpp
@@ -131,4 +131,33 @@
     EXPECT_TRUE(simulation.hasAppliedCorrectly());
 }
 
+TEST_F(DocumentDistributionTest, WithoutUpdatesAccepted_WholeTexts_AreInForceInTime)
+{
+    simulation.setIgnoresUpdatesAccepted();
+    simulation.setBytesPerSecond(linkBytesPerSecond);
+    simulation.restartNode();
+    commitAfter({ 1000ms, 1000ms });
+    simulation.run(applyLimit);
+    EXPECT_EQ(DocumentVersion(3), simulation.inForce());
+    EXPECT_LE(simulation.longestDelay(), applyLimit);
+    EXPECT_TRUE(simulation.hasAppliedCorrectly());
+    EXPECT_TRUE(simulation.hasProvedCorrectly());
+}
+
+// The proofs of freshness wait behind a document that takes longer than the time after which a silent replica is given up.
+TEST_F(DocumentDistributionTest, WholeDocument_LongerThanThePatienceWithASilentReplica_IsInForceInTime)
+{
+    constexpr std::size_t manyRoutes = 5000;
+    simulation.setBytesPerSecond(linkBytesPerSecond);
+    simulation.commit(routingDocumentOf(manyRoutes, 1));
+    simulation.run(10s);
+    simulation.setBytesPerSecond(linkBytesPerSecond / 10);
+    const std::size_t connectionsBefore = simulation.connectionCount();
+    simulation.restartNode();
+    simulation.run(applyLimit);
+    EXPECT_EQ(DocumentVersion(2), simulation.inForce());
+    EXPECT_EQ(connectionsBefore + 1, simulation.connectionCount()) << "the node gave up a replica that was sending to it";
+    EXPECT_TRUE(simulation.hasAppliedCorrectly());
+}
+
 } // namespace
