Transport: Don't take a link for silent while a large message passes

The link was closed with the message on its way: a call's body, an answer, a document or a log entry, which was then sent from the start again.

Link::lastReceived() now also counts progress of the TCP connection: bytes received, or a long send queue that gets shorter. Pings alone don't count, since a kernel acknowledges them for a suspended process.

--- a/Source/transport/Link.cpp
+++ b/Source/transport/Link.cpp
@@ -2,6 +2,7 @@
 
 #include "transport/SocketOptions.h"
 #include "transport/SteadyTime.h"
+#include "transport/StreamProgress.h"
 
 #include <websocketpp/client.hpp>
 #include <websocketpp/config/asio_no_tls.hpp>
@@ -19,6 +20,8 @@
 
 /// A link refuses further messages while more bytes than this wait to be sent.
 constexpr std::size_t maximumSendBufferBytes = 20 * 1024 * 1024;
+/// The connection is asked for progress only after this time without a message.
+constexpr Duration progressInterval { 100000 };
 /// Longest time for the WebSocket opening handshake.
 constexpr long openTimeoutMilliseconds = 1000;
 
@@ -75,7 +78,13 @@
     }
 
     bool isOpen() const override { return m_isOpen; }
-    TimePoint lastReceived() const override { return m_lastReceived; }
+    TimePoint lastReceived() override
+    {
+        const TimePoint now = steadyNow();
+        if (m_isOpen && now - m_lastReceived > progressInterval && m_progress.hasAdvanced(m_connection->get_raw_socket().native_handle()))
+            m_lastReceived = now;
+        return m_lastReceived;
+    }
     void setHooks(Hooks hooks) override { m_hooks = std::move(hooks); }
 
     void handleOpened()
@@ -131,6 +140,7 @@
     Connection m_connection;
     Hooks m_hooks;
     TimePoint m_lastReceived;
+    StreamProgress m_progress;
     /// The connection's handlers hold a weak reference to this, since the link and the connection would otherwise keep
     /// each other alive.
     std::shared_ptr<WebsocketLink*> m_self;
--- a/Tests/control/DistributionSimulation.cpp
+++ b/Tests/control/DistributionSimulation.cpp
@@ -49,7 +49,7 @@
     }
 
     bool isOpen() const override { return m_isOpen; }
-    TimePoint lastReceived() const override { return m_lastReceived; }
+    TimePoint lastReceived() override { return m_lastReceived; }
     void setHooks(Hooks hooks) override { m_hooks = std::move(hooks); }
 
     void open(End& peer)
