Placing: Probe endpoints that reported that they take no calls

Cause: 'draining' comes with the last load report, and an endpoint that drains got neither calls nor probes, so no newer report could clear it. A load update of its node goes only to nodes that sent a call or a probe in the last 3 s. Class: a state that is learned only from a message which the state itself prevents.

Now only an announced drain keeps probes away; an endpoint whose report alone says that it takes no calls is probed once a second, before all others. A call that finds no endpoint earns probe credit like one that was sent, or the only endpoint of a service would never be asked. Three of the new tests failed before: EndpointThatReportedThatItTakesNoCalls_IsProbedOnceASecond, BackendServer_TakenBackAfterADrain_ and OnlyBackendServer_TakenBackAfterADrain_. The fourth, a backend server that is back after 4 s without answer, passed before too: announcements stop within 3 s there, and its record is made anew.

--- a/Source/coordination/placing/EndpointChooser.cpp
+++ b/Source/coordination/placing/EndpointChooser.cpp
@@ -187,6 +187,7 @@
     status.sentSinceReport = record.sentSinceReport();
     status.reportedAt = record.reportedAt();
     status.draining = record.isDraining();
+    status.isDrainAnnounced = record.description().draining;
     status.ejected = endpoint.ejection.has_value();
     status.errorRate = record.errorRate();
     status.slowdownPercent = record.report().slowdownPercent;
--- a/Source/coordination/placing/EndpointChooser.h
+++ b/Source/coordination/placing/EndpointChooser.h
@@ -46,7 +46,10 @@
     std::size_t sentSinceReport = 0;
     /// Time of receipt of the last report; unset before the first one.
     std::optional<TimePoint> reportedAt;
+    /// It gets no calls: its node announced that it drains, or last reported that it takes none.
     bool draining = false;
+    /// The drain was announced, so that only another announcement ends it.
+    bool isDrainAnnounced = false;
     bool ejected = false;
     /// Share of this node's recent calls to the endpoint that failed or were lost, 0..1.
     double errorRate = 0;
--- a/Source/coordination/placing/ProbePlanner.cpp
+++ b/Source/coordination/placing/ProbePlanner.cpp
@@ -12,8 +12,12 @@
 /// An endpoint counts as likely to be chosen up to this multiple of the median predicted time.
 constexpr int likelyFactor = 2;
 
+/// Age from which on the report of an endpoint that takes no calls is refreshed.
+constexpr Duration unavailableReportAge { 1000000 };
+
 /// Groups of endpoints in the order in which they are probed.
 enum class ProbeOrder {
+    Unavailable,
     Likely,
     Ejected,
     Slow,
@@ -36,6 +40,8 @@
 
 ProbeOrder probeOrderOf(const EndpointStatus& endpoint, Duration median)
 {
+    if (endpoint.draining)
+        return ProbeOrder::Unavailable;
     if (endpoint.ejected)
         return ProbeOrder::Ejected;
     return endpoint.predictedTime <= median * likelyFactor ? ProbeOrder::Likely : ProbeOrder::Slow;
@@ -55,8 +61,9 @@
     std::tuple<ProbeOrder, TimePoint> bestRank;
     for (const auto& endpoint : endpoints) {
         const auto reportedAt = endpoint.reportedAt.value_or(TimePoint::min());
-        const bool isRecent = endpoint.reportedAt && now - reportedAt < m_minimumReportAge;
-        if (endpoint.draining || isRecent || isProbePending(endpoint.id, now))
+        const Duration refreshAge = endpoint.draining ? unavailableReportAge : m_minimumReportAge;
+        const bool isRecent = endpoint.reportedAt && now - reportedAt < refreshAge;
+        if (endpoint.isDrainAnnounced || isRecent || isProbePending(endpoint.id, now))
             continue;
         const std::tuple<ProbeOrder, TimePoint> rank { probeOrderOf(endpoint, median), reportedAt };
         if (best && rank >= bestRank)
--- a/Source/node/CallGateway.cpp
+++ b/Source/node/CallGateway.cpp
@@ -323,6 +323,9 @@
         session->trace.add(LogEvent::EndpointChosen, now, chosen->node, { status.predictedTime.count(), age.value_or(unknownReportAge).count(), status.slowdownPercent, static_cast<std::int64_t>(status.outstanding) });
     }
     if (!chosen) {
+        // A probe may find that an endpoint takes calls again.
+        service.measurement().callSent();
+        probeIfDue(service);
         handleEvent(session, NoEndpointAvailable { { ResultCode::NoEndpoint, refusalRetryAfter } });
         return;
     }
--- a/Tests/coordination/ProbePlannerTest.cpp
+++ b/Tests/coordination/ProbePlannerTest.cpp
@@ -43,7 +43,9 @@
     add("slow", 900 * millisecond, second);
     add("older", 300 * millisecond);
     add("ejected", 800 * millisecond).ejected = true;
-    add("draining", 900 * millisecond).draining = true;
+    EndpointStatus& draining = add("draining", 9 * second);
+    draining.draining = true;
+    draining.isDrainAnnounced = true;
     add("unknown", 0 * millisecond).reportedAt.reset();
     EXPECT_EQ("unknown", probeNext());
     EXPECT_EQ("older", probeNext());
@@ -53,6 +55,20 @@
     EXPECT_EQ("", probeNext());
 }
 
+TEST_F(ProbePlannerTest, EndpointThatReportedThatItTakesNoCalls_IsProbedOnceASecond)
+{
+    add("likely", 900 * millisecond);
+    add("unavailable", second).draining = true;
+    EXPECT_EQ("unavailable", probeNext());
+    EXPECT_EQ("likely", probeNext());
+    m_planner.probeEnded(m_endpoints[1].id);
+    m_endpoints[1].reportedAt = m_now;
+    m_now += 900 * millisecond;
+    EXPECT_EQ("", probeNext());
+    m_now += 100 * millisecond;
+    EXPECT_EQ("unavailable", probeNext());
+}
+
 TEST_F(ProbePlannerTest, ProbeWithoutResponse_TimeoutElapsed_EndpointIsProbedAgain)
 {
     add("only", second);
--- a/Tests/processes/LifecycleTest.cpp
+++ b/Tests/processes/LifecycleTest.cpp
@@ -13,6 +13,31 @@
 /// Sends calls through a healthy deployment, also while processes drain and stop in an orderly way.
 class LifecycleTest : public ProcessTest {
 protected:
+    /// Sends calls through each node for the given time.
+    void sendThroughEachNode(std::chrono::milliseconds time)
+    {
+        const auto end = std::chrono::steady_clock::now() + time;
+        while (std::chrono::steady_clock::now() < end) {
+            for (const std::string& node : m_deployment->nodeNames())
+                sendMany(4, node, "GET", "/stock", 2s);
+        }
+    }
+
+    /// Expects that calls through each node reach the backend server of `node` once all other backend servers have left.
+    void expectReachedFromEachNode(const std::string& node)
+    {
+        for (const std::string& other : m_deployment->nodeNames()) {
+            if (other != node && m_deployment->hasBackend(other))
+                exchangeOnce(m_deployment->addresses(other).admin, plainRequest("POST", "/leave", "{}"), 2s);
+        }
+        sendThroughEachNode(1s);
+        for (const std::string& origin : m_deployment->nodeNames()) {
+            const std::uint64_t before = executedBy(node);
+            sendMany(10, origin, "GET", "/stock", 2s);
+            EXPECT_GT(executedBy(node), before) << "no calls through node " << origin << ": " << m_deployment->nodeStatus(origin)["traffic"]["endpoints"].dump();
+        }
+    }
+
     void expectAllAnswered() const
     {
         for (const TestCallPointer& call : m_caller.calls())
@@ -85,6 +110,51 @@
     expectAllAnswered();
 }
 
+// Nodes kept the "draining" of the last load report, and an endpoint that drains gets no call or probe that brings another.
+TEST_F(LifecycleTest, BackendServer_TakenBackAfterADrain_ReceivesCallsFromEachNode)
+{
+    start();
+    sendThroughEachNode(500ms);
+    exchangeOnce(m_deployment->addresses("b").admin, plainRequest("POST", "/leave", "{}"), 2s);
+    sendThroughEachNode(4s);
+    exchangeOnce(m_deployment->addresses("b").admin, plainRequest("POST", "/return", "{}"), 2s);
+    sendThroughEachNode(3s);
+    expectReachedFromEachNode("b");
+    ASSERT_TRUE(m_caller.waitForAnswers(6s));
+    expectGuaranteesHold();
+}
+
+TEST_F(LifecycleTest, BackendServer_BackAfterFourSecondsWithoutAnswer_ReceivesCallsFromEachNode)
+{
+    start();
+    sendThroughEachNode(500ms);
+    m_deployment->backend("b").signal(SIGKILL);
+    ASSERT_TRUE(waitUntil([&] { return !m_deployment->backend("b").isRunning(); }, 5s));
+    sendThroughEachNode(4s);
+    m_deployment->startBackend("b");
+    sendThroughEachNode(3s);
+    expectReachedFromEachNode("b");
+    ASSERT_TRUE(m_caller.waitForAnswers(6s));
+    expectGuaranteesHold();
+}
+
+TEST_F(LifecycleTest, OnlyBackendServer_TakenBackAfterADrain_ReceivesCalls)
+{
+    plans.resize(1);
+    plans.push_back(plans.front());
+    plans.back().name = "caller";
+    plans.back().hasBackend = false;
+    start();
+    sendThroughEachNode(500ms);
+    exchangeOnce(m_deployment->addresses("a").admin, plainRequest("POST", "/leave", "{}"), 2s);
+    sendThroughEachNode(4s);
+    exchangeOnce(m_deployment->addresses("a").admin, plainRequest("POST", "/return", "{}"), 2s);
+    sendThroughEachNode(3s);
+    expectReachedFromEachNode("a");
+    ASSERT_TRUE(m_caller.waitForAnswers(6s));
+    expectGuaranteesHold();
+}
+
 TEST_F(LifecycleTest, LastBackendServer_Leaves_CallsAreRefusedWithCode)
 {
     plans.resize(1);
