Node: Take no proof of freshness behind an update that could not be applied

When a node gets version 2 from another node while its replica sends it the difference from 1 to 3, it can't restore 3 and requests the whole. A proof that the replica had sent behind that difference then passed for proof of version 3, so that the node counted as recent with an older version.

A proof now counts only when no requested whole document is missing.

--- a/Source/node/ControlSubscription.cpp
+++ b/Source/node/ControlSubscription.cpp
@@ -50,6 +50,7 @@
         return;
     m_connectedAt = m_hooks.now();
     m_arriving = {};
+    m_requestedWhole.clear();
     Link::Hooks hooks;
     hooks.opened = [this] { handleOpened(); };
     hooks.received = [this](std::string_view bytes) { handleReceived(bytes); };
@@ -201,6 +202,7 @@
 void ControlSubscription::requestWhole(const std::string& reason)
 {
     log(LogEvent::DocumentRequestedWhole, { { "service", m_arriving.service.value() }, { "version", std::to_string(m_arriving.version.value()) }, { "base", std::to_string(m_arriving.base.value()) }, { "in_force", std::to_string(m_inForce[m_arriving.service].value()) }, { "reason", reason } });
+    m_requestedWhole[m_arriving.service] = std::max(m_requestedWhole[m_arriving.service], m_arriving.version);
     DocumentVersions withoutThis = m_inForce;
     withoutThis.erase(m_arriving.service);
     send(SubscribeMessage { m_self.node, m_self.incarnation, withoutThis });
@@ -212,8 +214,19 @@
     send(FreshnessRequestMessage { static_cast<std::uint64_t>(m_freshnessRequestedAt.time_since_epoch().count()) });
 }
 
+bool ControlSubscription::isMissingDocument() const
+{
+    return std::any_of(m_requestedWhole.begin(), m_requestedWhole.end(), [this](const auto& requested) {
+        const auto inForce = m_inForce.find(requested.first);
+        return inForce == m_inForce.end() || inForce->second < requested.second;
+    });
+}
+
 void ControlSubscription::handle(const FreshnessMessage& message)
 {
+    // The replica sent the proof in the belief that this node has all updates before it.
+    if (isMissingDocument())
+        return;
     const TimePoint now = m_hooks.now();
     const TimePoint requestedAt { Duration(static_cast<std::int64_t>(message.echo)) };
     const TimePoint provedAt = requestedAt - message.age;
--- a/Source/node/ControlSubscription.h
+++ b/Source/node/ControlSubscription.h
@@ -138,7 +138,12 @@
     /// Fetches the hinted versions from other nodes if they can't be expected from a replica.
     void fetchHinted(TimePoint now);
 
+    /// True if an update of this connection is lost and the whole document that was requested for it has not arrived.
+    bool isMissingDocument() const;
+
     ArrivingUpdate m_arriving;
+    /// Versions whose updates could not be applied, for which whole documents were requested on this connection.
+    DocumentVersions m_requestedWhole;
     /// When the last part of an update arrived on the present connection.
     TimePoint m_lastPartAt;
     /// Newest hint for each document.
--- a/Tests/control/DistributionSimulation.cpp
+++ b/Tests/control/DistributionSimulation.cpp
@@ -167,7 +167,7 @@
     hooks.document = [this](const DocumentMessage& document, const DocumentSender&) { return apply(document); };
     hooks.fetchFromNode = [this](const NodeId&, const ServiceName&) {
         ++m_fetchCount;
-        m_network.runSoon([this] { offerFromOtherNode(); });
+        m_network.runSoon([this] { offerFromOtherNode(std::prev(m_commits.end())->first); });
     };
     hooks.fresh = [] {};
     hooks.claimAnswered = [](const AttemptId&, ResultCode) {};
@@ -184,10 +184,10 @@
     startNode();
 }
 
-void DistributionSimulation::offerFromOtherNode()
+void DistributionSimulation::offerFromOtherNode(DocumentVersion version)
 {
-    const auto newest = std::prev(m_commits.end());
-    m_node->offer({ routingDocumentName(), newest->first, newest->second.text }, { false, "other", newest->second.text.size() });
+    const std::string& text = m_commits.at(version).text;
+    m_node->offer({ routingDocumentName(), version, text }, { false, "other", text.size() });
 }
 
 void DistributionSimulation::hintFromOtherNode()
--- a/Tests/control/DistributionSimulation.h
+++ b/Tests/control/DistributionSimulation.h
@@ -65,8 +65,8 @@
     void setIgnoresUpdatesAccepted() { m_ignoresUpdatesAccepted = true; }
     /// Restarts the node, which has no document in force then.
     void restartNode();
-    /// Passes the node the newest version, as another node would.
-    void offerFromOtherNode();
+    /// Passes the node a version, as another node would.
+    void offerFromOtherNode(DocumentVersion);
     /// Tells the node that another node has the newest version in force, which is passed to it if it asks for it.
     void hintFromOtherNode();
     void setReplicaSilent(bool isSilent) { m_network.setSilent(isSilent); }
--- a/Tests/control/DocumentDistributionTest.cpp
+++ b/Tests/control/DocumentDistributionTest.cpp
@@ -90,9 +90,9 @@
 TEST_F(DocumentDistributionTest, Update_AfterItsBaseWasReplacedByAnotherNode_IsRequestedWhole)
 {
     commitAfter({ 100ms });
-    simulation.offerFromOtherNode();
+    simulation.offerFromOtherNode(DocumentVersion(2));
     commitAfter({ 0ms });
-    simulation.offerFromOtherNode();
+    simulation.offerFromOtherNode(DocumentVersion(3));
     commitAfter({ 0ms });
     simulation.run(applyLimit);
     EXPECT_EQ(DocumentVersion(4), simulation.inForce());
@@ -101,6 +101,23 @@
 }
 
 // Incident inc1: nodes fetched from each other what their replica was sending them, on the links that calls use.
+// Found by Utilities/Models/Distribution.pml: the proof was sent after the update, but the update changed nothing.
+TEST_F(DocumentDistributionTest, Proof_BehindAnUpdateThatCouldNotBeApplied_DoesNotCount)
+{
+    for (int round = 0; round < 60; ++round) {
+        simulation.setBytesPerSecond(bytesPerSecondOfSlowLink);
+        commitAfter({ std::chrono::milliseconds(10 * round), 20ms, 20ms });
+        simulation.run(360ms);
+        // The replica is sending the difference between the version before this one and the one after it.
+        simulation.offerFromOtherNode(DocumentVersion(edits - 1));
+        simulation.run(400ms);
+        simulation.setBytesPerSecond(linkBytesPerSecond);
+        simulation.run(2s);
+    }
+    EXPECT_TRUE(simulation.hasProvedCorrectly());
+    EXPECT_TRUE(simulation.hasAppliedCorrectly());
+}
+
 TEST_F(DocumentDistributionTest, HintOfOtherNode_WhileReplicaSendsIt_IsNotFetched)
 {
     for (int edit = 0; edit < 5; ++edit) {
--- a/Tests/processes/FailureTest.cpp
+++ b/Tests/processes/FailureTest.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <filesystem>
 #include <functional>
 
 namespace Knapweedquay::Load {
@@ -231,4 +232,28 @@
     EXPECT_TRUE(waitUntil([&] { return m_deployment->nodeStatus("a")["documents"].contains("inventory"); }, 10s));
 }
 
+TEST_F(FailureTest, TwoDataFoldersLost_AllProcessesKilledAtOnce_AcceptedDocumentIsInForceAgain)
+{
+    constexpr std::size_t controls = 5;
+    start(controls);
+    const std::string second = "service = \"inventory\"\nteam = \"operations\"\n[[priorities]]\nname = \"stock\"\n[[routes]]\npriority = \"stock\"\n";
+    ASSERT_TRUE(m_deployment->apply(second, 0, 5s));
+    for (std::size_t index = 0; index < controls; ++index)
+        m_deployment->control(index).kill();
+    for (const std::string& node : m_deployment->nodeNames())
+        m_deployment->node(node).kill();
+    // The first of these is the replica whose settings tell it to create the store.
+    for (const std::size_t lost : { 0, 1 })
+        std::filesystem::remove_all(m_deployment->controlFolder(lost));
+    for (std::size_t index = 0; index < controls; ++index)
+        m_deployment->restartControl(index);
+    for (const std::string& node : m_deployment->nodeNames())
+        m_deployment->restartNode(node);
+    for (const std::string& node : m_deployment->nodeNames())
+        EXPECT_TRUE(waitUntil([&] { return m_deployment->nodeStatus(node)["documents"].contains("inventory"); }, 15s)) << node << ": " << m_deployment->describe();
+    ASSERT_TRUE(m_deployment->waitUntilReady(12s)) << m_deployment->describe();
+    expectAllAnswered(20);
+    expectGuaranteesHold();
+}
+
 } // namespace Knapweedquay::Load
