Node: Refuse an unknown route as stale without a recent proof

A node that had lost its replicas answered 404 for a route that a newer version has.

Known routes are served as before.

--- a/Source/node/CallGateway.cpp
+++ b/Source/node/CallGateway.cpp
@@ -16,6 +16,8 @@
 constexpr std::size_t maximumSessions = 20000;
 /// Retry-After of refusals that originate at this node.
 constexpr Duration refusalRetryAfter { 200000 };
+/// With an older proof, the node does not claim that a route does not exist: callers do not retry after that.
+constexpr Duration maximumProofAgeToDenyRoutes { 1000000 };
 /// Retry-After is at most a third of the caller's remaining time, which leaves two thirds for the next attempt.
 constexpr int retryAfterDivisor = 3;
 /// Interval between removals of expired idempotency keys, and between log lines about dropped traces.
@@ -112,11 +114,13 @@
 void CallGateway::handle(const HttpExchangePtr& exchange)
 {
     ++m_counters.calls;
-    if (!m_isConfigurationFresh)
+    if (!m_configurationProvedAt)
         return refuse(exchange, { ResultCode::StaleConfiguration, "this node has no fresh configuration yet" }, refusalRetryAfter);
     if (m_sessions.size() >= maximumSessions)
         return refuse(exchange, { ResultCode::Overloaded, "this node has too many calls in progress" }, refusalRetryAfter);
     const auto session = createSession(exchange);
+    if (session.has_error() && session.error().code == ResultCode::UnknownRoute && steadyNow() - *m_configurationProvedAt > maximumProofAgeToDenyRoutes)
+        return refuse(exchange, { ResultCode::StaleConfiguration, "no route, but newer routes may exist" }, refusalRetryAfter);
     if (session.has_error())
         return refuse(exchange, session.error());
     startSession(session.value());
--- a/Source/node/CallGateway.h
+++ b/Source/node/CallGateway.h
@@ -74,8 +74,8 @@
     void setDocument(const ServiceDocument&);
     /// Applies newer routes, and documents derived from them to the services that have no document of their own.
     void setRouting(const std::shared_ptr<const RoutingTable>&);
-    /// Starts accepting calls; they are refused until the documents were proved recent for the first time.
-    void setConfigurationFresh() { m_isConfigurationFresh = true; }
+    /// Sets the time at which the documents were last proved recent. Calls are refused until the first proof.
+    void setConfigurationProvedAt(TimePoint provedAt) { m_configurationProvedAt = provedAt; }
     /// Updates the links and the endpoints after a member of the deployment joined, changed or left.
     void setMember(const MemberRecord&);
 
@@ -177,7 +177,7 @@
     PeerLinks m_links;
     EndpointChooser::RandomEngine m_random;
     /// False until the documents were proved recent for the first time; calls are refused until then.
-    bool m_isConfigurationFresh = false;
+    std::optional<TimePoint> m_configurationProvedAt;
     /// Sequence number last used; attempts, claims, sessions and probes share the numbers.
     std::uint64_t m_lastSequence = 0;
     std::map<ServiceName, std::unique_ptr<ServiceTraffic>> m_services;
--- a/Source/node/ControlSubscription.cpp
+++ b/Source/node/ControlSubscription.cpp
@@ -233,8 +233,8 @@
     if (requestedAt > now || message.age < Duration::zero() || now - provedAt > maximumStaleness)
         return;
     m_lastProvedAt = std::max(m_lastProvedAt, provedAt);
-    if (!std::exchange(m_isFresh, true))
-        m_hooks.fresh();
+    m_isFresh = true;
+    m_hooks.proved(m_lastProvedAt);
 }
 
 void ControlSubscription::handle(const ClaimAnswerMessage& message)
--- a/Source/node/ControlSubscription.h
+++ b/Source/node/ControlSubscription.h
@@ -30,8 +30,8 @@
         std::function<bool(const DocumentMessage&, const DocumentSender&)> document;
         /// Requests a document from another node, which passes it to offer().
         std::function<void(const NodeId&, const ServiceName&)> fetchFromNode;
-        /// Called once, when all documents have been proved recent for the first time.
-        std::function<void()> fresh;
+        /// Called with each proof: all that was committed at that time is in force.
+        std::function<void(TimePoint provedAt)> proved;
         /// Receives the reply to requestClaim(); ClaimUnavailable if there was none in time.
         std::function<void(const AttemptId& owner, ResultCode)> claimAnswered;
     };
--- a/Source/node/NodeControl.cpp
+++ b/Source/node/NodeControl.cpp
@@ -6,6 +6,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <utility>
+
 namespace Knapweedquay {
 
 namespace {
@@ -93,9 +95,10 @@
     hooks.connect = [this](const std::string& address, Link::Hooks linkHooks) { return m_controlLinks.connect(address, std::move(linkHooks)); };
     hooks.document = [this](const DocumentMessage& document, const DocumentSender& sender) { return applyDocument(document, sender); };
     hooks.fetchFromNode = [this](const NodeId& node, const ServiceName& service) { m_hooks.fetchDocument(node, service); };
-    hooks.fresh = [this] {
-        log(LogEvent::ConfigurationFresh);
-        m_hooks.configurationFresh();
+    hooks.proved = [this](TimePoint provedAt) {
+        if (!std::exchange(m_hasProof, true))
+            log(LogEvent::ConfigurationFresh);
+        m_hooks.configurationProved(provedAt);
     };
     hooks.claimAnswered = [this](const AttemptId& owner, ResultCode code) { m_hooks.claimAnswered(owner, code); };
     return hooks;
--- a/Source/node/NodeControl.h
+++ b/Source/node/NodeControl.h
@@ -35,8 +35,8 @@
         std::function<void(const std::shared_ptr<const RoutingTable>&, const DocumentMessage& source)> routingChanged;
         /// Requests a document from another node; its answer is passed to offerDocument().
         std::function<void(const NodeId&, const ServiceName&)> fetchDocument;
-        /// The documents were proved recent for the first time.
-        std::function<void()> configurationFresh;
+        /// All that was committed at that time is in force.
+        std::function<void(TimePoint provedAt)> configurationProved;
         /// The store replied to a claim, or did not reply in time.
         std::function<void(const AttemptId& owner, ResultCode)> claimAnswered;
         std::function<void(const LocalBackend&)> backendAnnounced;
@@ -111,6 +111,8 @@
     BackendPresence m_presence;
     /// State of the local endpoint, as last published to the other members.
     EndpointState m_endpoint;
+    /// True once the documents were proved recent for the first time.
+    bool m_hasProof = false;
     bool m_hasRouting = false;
     /// True after endReadiness().
     bool m_isStopping = false;
--- a/Source/node/NodeDaemon.cpp
+++ b/Source/node/NodeDaemon.cpp
@@ -115,8 +115,8 @@
     hooks.fetchDocument = [this](const NodeId& node, const ServiceName& service) {
         asio::post(m_trafficContext, [this, node, service] { m_traffic->gateway().requestDocument(node, service); });
     };
-    hooks.configurationFresh = [this] {
-        asio::post(m_trafficContext, [this] { m_traffic->gateway().setConfigurationFresh(); });
+    hooks.configurationProved = [this](TimePoint provedAt) {
+        asio::post(m_trafficContext, [this, provedAt] { m_traffic->gateway().setConfigurationProvedAt(provedAt); });
     };
     hooks.claimAnswered = [this](const AttemptId& owner, ResultCode code) {
         asio::post(m_trafficContext, [this, owner, code] { m_traffic->gateway().claimAnswered(owner, code); });
--- a/Tests/control/DistributionSimulation.cpp
+++ b/Tests/control/DistributionSimulation.cpp
@@ -169,7 +169,7 @@
         ++m_fetchCount;
         m_network.runSoon([this] { offerFromOtherNode(std::prev(m_commits.end())->first); });
     };
-    hooks.fresh = [] {};
+    hooks.proved = [](TimePoint) {};
     hooks.claimAnswered = [](const AttemptId&, ResultCode) {};
     m_node = std::make_unique<ControlSubscription>(NodeIdentity { NodeId("node"), Incarnation(1), DataCentre("east") }, std::vector<std::string> { "replica" }, false, std::move(hooks));
     m_node->start();
--- a/Tests/processes/RoutingTest.cpp
+++ b/Tests/processes/RoutingTest.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <csignal>
 #include <fstream>
 #include <set>
 #include <sstream>
@@ -90,6 +91,22 @@
     EXPECT_TRUE(named->isAnsweredCorrectly()) << "requests that name their service are still answered";
 }
 
+// A node with an older version answered 404 for a route that a newer one has, and callers don't retry after a 404.
+TEST_F(RoutingTest, UnknownRoute_WithoutRecentProof_IsRefusedAsStaleInsteadOfUnknown)
+{
+    start();
+    ASSERT_TRUE(m_deployment->applyRouting(routingDocument, 5s));
+    ASSERT_TRUE(waitUntil([&] { return request("orders.example", "/stock/one", "routed").status == 200; }, 5s));
+    EXPECT_EQ(404u, request("orders.example", "/other/", "unknown").status);
+    for (std::size_t index = 0; index < m_deployment->controlCount(); ++index)
+        m_deployment->control(index).signal(SIGSTOP);
+    EXPECT_TRUE(waitUntil([&] { return request("orders.example", "/other/", "stale").status == 503; }, 5s));
+    EXPECT_EQ(200u, request("orders.example", "/stock/one", "known").status);
+    for (std::size_t index = 0; index < m_deployment->controlCount(); ++index)
+        m_deployment->control(index).signal(SIGCONT);
+    EXPECT_TRUE(waitUntil([&] { return request("orders.example", "/other/", "recent").status == 404; }, 10s));
+}
+
 TEST_F(RoutingTest, RequestFails_InAnyWay_BothNodesLogItsEvents)
 {
     // Only the backend server of "b" runs, so that no other one answers the failed calls.
