Node: Move the restoring of documents into a class of its own

ControlSubscription had taken on parts, texts and requests for whole documents beside connections, claims and hints. Moves and renames only; DocumentReceiver keeps versions and texts in force, ControlSubscription the link.

--- a/Source/node/ControlSubscription.cpp
+++ b/Source/node/ControlSubscription.cpp
@@ -1,8 +1,6 @@
 #include "node/ControlSubscription.h"
 
-#include "protocol/DocumentCompression.h"
 #include "protocol/LinkChannel.h"
-#include "state/DocumentRegister.h"
 #include "transport/Logger.h"
 
 #include <xxhash.h>
@@ -34,6 +32,7 @@
     , m_replicas(std::move(replicas))
     , m_discoversReplicas(discoversReplicas)
     , m_hooks(std::move(hooks))
+    , m_documents(m_hooks.document)
 {
     // Nodes start at different replicas, so that subscriptions are distributed evenly.
     m_replicas.startAt(XXH3_64bits(m_self.node.value().data(), m_self.node.value().size()));
@@ -49,8 +48,7 @@
     if (m_replicas.isEmpty())
         return;
     m_connectedAt = m_hooks.now();
-    m_arriving = {};
-    m_requestedWhole.clear();
+    m_documents.startConnection();
     Link::Hooks hooks;
     hooks.opened = [this] { handleOpened(); };
     hooks.received = [this](std::string_view bytes) { handleReceived(bytes); };
@@ -84,7 +82,7 @@
 {
     log(LogEvent::ControlConnected, { { "replica", m_currentReplica } });
     send(UpdatesAcceptedMessage());
-    send(SubscribeMessage { m_self.node, m_self.incarnation, m_inForce });
+    send(SubscribeMessage { m_self.node, m_self.incarnation, inForce() });
     requestFreshness();
     for (const auto& entry : m_pendingClaims)
         send(entry.second.message);
@@ -109,15 +107,10 @@
 
 bool ControlSubscription::offer(const DocumentMessage& message, const DocumentSender& sender)
 {
-    if (message.version <= m_inForce[message.service] || !m_hooks.document(message, sender)) {
-        (sender.isReplica ? m_documentBytes.discardedFromReplicas : m_documentBytes.discardedFromNodes) += sender.receivedBytes;
+    if (!m_documents.offer(message, sender))
         return false;
-    }
-    (sender.isReplica ? m_documentBytes.appliedFromReplicas : m_documentBytes.appliedFromNodes) += sender.receivedBytes;
-    m_inForce[message.service] = message.version;
-    m_texts[message.service] = message.text;
     if (m_link)
-        send(InForceMessage { m_inForce });
+        send(InForceMessage { inForce() });
     return true;
 }
 
@@ -142,7 +135,7 @@
     if (!lacksReplica(now))
         return;
     for (const auto& [service, hint] : std::exchange(m_hints, {})) {
-        if (hint.version > m_inForce[service])
+        if (hint.version > m_documents.inForce(service))
             m_hooks.fetchFromNode(hint.node, service);
     }
 }
@@ -155,57 +148,16 @@
 void ControlSubscription::handle(const DocumentUpdateMessage& message)
 {
     m_lastPartAt = m_hooks.now();
-    if (!addPart(message))
-        return requestWhole("a part is missing");
-    if (m_arriving.compressedText.size() == m_arriving.totalBytes)
-        applyUpdate();
-    else
-        send(InForceMessage { m_inForce });
-}
-
-bool ControlSubscription::addPart(const DocumentUpdateMessage& message)
-{
-    if (message.offset == 0)
-        m_arriving = { message.service, message.version, message.base, message.totalBytes, {} };
-    const bool isSameUpdate = message.service == m_arriving.service && message.version == m_arriving.version && message.base == m_arriving.base;
-    const std::size_t receivedBytes = m_arriving.compressedText.size();
-    if (!isSameUpdate || message.offset != receivedBytes || m_arriving.totalBytes > maximumControlMessageBytes || message.part.size() > m_arriving.totalBytes - receivedBytes)
-        return false;
-    m_arriving.compressedText += message.part;
-    return true;
-}
-
-void ControlSubscription::applyUpdate()
-{
-    const ServiceName& service = m_arriving.service;
-    const std::size_t bytes = m_arriving.compressedText.size();
-    const DocumentVersion inForce = m_inForce[service];
-    const bool isBased = m_arriving.base != DocumentVersion();
-    if (m_arriving.version <= inForce) {
-        m_documentBytes.discardedFromReplicas += bytes;
-        send(InForceMessage { m_inForce });
+    switch (m_documents.receive(message, m_currentReplica)) {
+    case DocumentReceiver::Reply::Report:
+        send(InForceMessage { inForce() });
         return;
-    }
-    if (isBased && m_arriving.base != inForce)
-        return requestWhole("the update is based on another version");
-    auto text = decompressDocument(m_arriving.compressedText, isBased ? m_texts[service] : std::string(), DocumentRegister::maximumDocumentBytes);
-    if (text.has_error() && isBased)
-        return requestWhole(text.error().detail);
-    if (text.has_error()) {
-        log(LogEvent::ControlDisconnected, { { "replica", m_currentReplica }, { "reason", text.error().detail } });
+    case DocumentReceiver::Reply::RequestWhole:
+        send(SubscribeMessage { m_self.node, m_self.incarnation, m_documents.versionsToSubscribe() });
+        return;
+    case DocumentReceiver::Reply::Disconnect:
         return disconnect();
     }
-    if (!offer({ service, m_arriving.version, std::move(text.value()) }, { true, m_currentReplica, bytes }))
-        send(InForceMessage { m_inForce });
-}
-
-void ControlSubscription::requestWhole(const std::string& reason)
-{
-    log(LogEvent::DocumentRequestedWhole, { { "service", m_arriving.service.value() }, { "version", std::to_string(m_arriving.version.value()) }, { "base", std::to_string(m_arriving.base.value()) }, { "in_force", std::to_string(m_inForce[m_arriving.service].value()) }, { "reason", reason } });
-    m_requestedWhole[m_arriving.service] = std::max(m_requestedWhole[m_arriving.service], m_arriving.version);
-    DocumentVersions withoutThis = m_inForce;
-    withoutThis.erase(m_arriving.service);
-    send(SubscribeMessage { m_self.node, m_self.incarnation, withoutThis });
 }
 
 void ControlSubscription::requestFreshness()
@@ -214,18 +166,10 @@
     send(FreshnessRequestMessage { static_cast<std::uint64_t>(m_freshnessRequestedAt.time_since_epoch().count()) });
 }
 
-bool ControlSubscription::isMissingDocument() const
-{
-    return std::any_of(m_requestedWhole.begin(), m_requestedWhole.end(), [this](const auto& requested) {
-        const auto inForce = m_inForce.find(requested.first);
-        return inForce == m_inForce.end() || inForce->second < requested.second;
-    });
-}
-
 void ControlSubscription::handle(const FreshnessMessage& message)
 {
     // The replica sent the proof in the belief that this node has all updates before it.
-    if (isMissingDocument())
+    if (m_documents.isMissingDocument())
         return;
     const TimePoint now = m_hooks.now();
     const TimePoint requestedAt { Duration(static_cast<std::int64_t>(message.echo)) };
--- a/Source/node/ControlSubscription.h
+++ b/Source/node/ControlSubscription.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "coordination/membership/ReplicaDirectory.h"
-#include "node/DocumentSender.h"
+#include "node/DocumentReceiver.h"
 #include "node/NodeIdentity.h"
 #include "protocol/ControlMessages.h"
 #include "transport/Link.h"
@@ -27,7 +27,7 @@
         /// Starts to open a link to a replica; returns null if the address is invalid.
         std::function<LinkPtr(const std::string& address, Link::Hooks)> connect;
         /// Receives a version newer than the one in force; returns true if it was applied.
-        std::function<bool(const DocumentMessage&, const DocumentSender&)> document;
+        DocumentReceiver::ApplyHook document;
         /// Requests a document from another node, which passes it to offer().
         std::function<void(const NodeId&, const ServiceName&)> fetchFromNode;
         /// Called with each proof: all that was committed at that time is in force.
@@ -59,11 +59,11 @@
     bool offer(const DocumentMessage&, const DocumentSender&);
 
     /// Versions of the documents in force.
-    const DocumentVersions& inForce() const { return m_inForce; }
+    const DocumentVersions& inForce() const { return m_documents.inForce(); }
     bool isFresh() const { return m_isFresh; }
     /// Time since the documents were last proved recent; the maximum value if they never were.
     Duration staleness(TimePoint now) const;
-    const DocumentBytes& documentBytes() const { return m_documentBytes; }
+    const DocumentBytes& documentBytes() const { return m_documents.documentBytes(); }
     /// Address of the replica that the node is connected or connecting to; empty if there is none.
     std::string currentReplica() const { return m_link ? m_currentReplica : std::string(); }
 
@@ -75,6 +75,12 @@
         TimePoint expiry;
     };
 
+    /// Newer version of a document at another node.
+    struct Hint {
+        NodeId node;
+        DocumentVersion version;
+    };
+
     void connectNext();
     void disconnect();
     void handleOpened();
@@ -82,12 +88,7 @@
     void handleReceived(std::string_view bytes);
     void handle(const DocumentMessage&);
     void handle(const DocumentUpdateMessage&);
-    /// Adds a part to the update that is arriving. Returns false if it does not continue that update.
-    bool addPart(const DocumentUpdateMessage&);
-    void applyUpdate();
     void handle(const UpdatesAcceptedMessage&) { }
-    /// Requests the document without reference to the version in force.
-    void requestWhole(const std::string& reason);
     void handle(const FreshnessMessage&);
     void handle(const ClaimAnswerMessage&);
     void handle(const ReplicaListMessage&);
@@ -98,6 +99,10 @@
     void handle(const ClaimEndMessage&) { }
     void requestFreshness();
     void expireClaims(TimePoint now);
+    /// True if no connected replica has proved recently that it is up to date, and the connected one has had time to.
+    bool lacksReplica(TimePoint now) const;
+    /// Fetches the hinted versions from other nodes if they can't be expected from a replica.
+    void fetchHinted(TimePoint now);
 
     NodeIdentity m_self;
     ReplicaDirectory m_replicas;
@@ -112,39 +117,8 @@
     TimePoint m_freshnessRequestedAt;
     /// True once the documents were proved recent for the first time.
     bool m_isFresh = false;
-    DocumentVersions m_inForce;
-    /// Texts of the documents in force, on which updates are based.
-    std::map<ServiceName, std::string> m_texts;
-    DocumentBytes m_documentBytes;
-    /// An update whose parts arrive one after the other.
-    struct ArrivingUpdate {
-        ServiceName service;
-        DocumentVersion version;
-        /// Version that the update is based on; 0 when it needs none.
-        DocumentVersion base;
-        std::uint64_t totalBytes = 0;
-        /// The parts received so far.
-        std::string compressedText;
-    };
-
-    /// Newer version of a document at another node.
-    struct Hint {
-        NodeId node;
-        DocumentVersion version;
-    };
-
-    /// True if no connected replica has proved recently that it is up to date, and the connected one has had time to.
-    bool lacksReplica(TimePoint now) const;
-    /// Fetches the hinted versions from other nodes if they can't be expected from a replica.
-    void fetchHinted(TimePoint now);
-
-    /// True if an update of this connection is lost and the whole document that was requested for it has not arrived.
-    bool isMissingDocument() const;
-
-    ArrivingUpdate m_arriving;
-    /// Versions whose updates could not be applied, for which whole documents were requested on this connection.
-    DocumentVersions m_requestedWhole;
-    /// When the last part of an update arrived on the present connection.
+    DocumentReceiver m_documents;
+    /// When the last part of an update arrived.
     TimePoint m_lastPartAt;
     /// Newest hint for each document.
     std::map<ServiceName, Hint> m_hints;
