--- a/Source/control/NodeSubscriptions.h
+++ b/Source/control/NodeSubscriptions.h
@@ -73,12 +73,13 @@
     const std::map<SubscriberId, Subscriber>& subscribers() const { return m_subscribers; }
 
 private:
-    /// Sends what the node lacks: the next part of an update, or the first part of the next one. Returns false when the link
+    /// Begins to send a document that the node lacks, if there is one; no other may be under way. Returns false when the link
     /// does not accept it; the caller must then abort the link, because a later proof of freshness on it would cover a
     /// document that was never received.
     bool sendNext(Subscriber&);
     /// Sends the whole texts of all newer documents, to a node that does not take updates. Returns false as sendNext().
     bool sendWhole(Subscriber&);
+    /// Sends the next part of the update that is being sent. Returns false as sendNext().
     static bool sendPart(Subscriber&);
     /// A document that is newer than the version sent last; null when there is none.
     const StoredDocument* unsentDocument(const Subscriber&) const;
