--- a/Source/node/EndpointRunner.cpp
+++ b/Source/node/EndpointRunner.cpp
@@ -51,6 +51,7 @@
     , m_replyHook(std::move(reply))
     , m_metrics(metrics)
     , m_fates(m_self.incarnation)
+    , m_unreadHeaders({ m_settings.headers.requestId, m_settings.headers.notRun, m_settings.headers.load })
     , m_traceSampler(m_settings.traces)
     , m_loadTimer(context, [this] { pollLoad(); })
     , m_queueTimer(context, [this] { startReadyJobs(); })
@@ -300,6 +301,7 @@
     job.isRunning = true;
     m_metrics.attemptStarted(job.startedAt - job.receivedAt);
     m_running.started(job.requestId);
+    m_metrics.backendRequestSent(job.message.isRepeat ? BackendRequestKind::Repeat : BackendRequestKind::Call);
     job.request = m_client.send(m_backend->address, backendRequest(job), backendOptions(job),
         [this, jobPointer](HttpClient::Outcome outcome) { handleOutcome(jobPointer, std::move(outcome)); });
 }
@@ -311,6 +313,7 @@
     options.maximumBodyBytes = m_document->maximumBodyBytes;
     options.maximumIdle = job.message.isIdempotent ? maximumIdleIfIdempotent : maximumIdleIfNotIdempotent;
     options.mayRepeat = job.message.isIdempotent;
+    options.resent = [this] { m_metrics.backendRequestSent(BackendRequestKind::Resent); };
     if (job.requestId.empty())
         return options;
     options.matchesRequest = [name = m_settings.headers.requestId, id = job.requestId](const HttpResponse& response) {
@@ -402,11 +405,14 @@
     m_loadPolledAt = now;
     HttpClient::Options options;
     options.timeout = loadTimeout;
+    m_metrics.backendRequestSent(BackendRequestKind::HealthCheck);
     m_client.send(m_backend->address, { "GET", m_healthPath, {}, {} }, options, [this](const HttpClient::Outcome& outcome) {
         m_isLoadPollPending = false;
         recordConnectionResult(outcome, steadyNow());
-        if (outcome.succeeded)
-            applyReportedLoad(outcome.response, steadyNow());
+        if (!outcome.succeeded)
+            return;
+        logUnreadHeaders(outcome.response);
+        applyReportedLoad(outcome.response, steadyNow());
     });
 }
 
@@ -424,6 +430,12 @@
     notifyLoadChanged();
 }
 
+void EndpointRunner::logUnreadHeaders(const HttpResponse& response)
+{
+    for (const std::string& name : m_unreadHeaders.add(response.headers))
+        log(LogEvent::ResponseHeaderUnread, { { "name", name }, { "instance", m_backend ? m_backend->instance : std::string() } });
+}
+
 void EndpointRunner::notifyLoadChanged()
 {
     if (m_loadHook)
@@ -432,6 +444,7 @@
 
 void EndpointRunner::handleResponse(const JobPtr& job, const HttpResponse& response, TimePoint now)
 {
+    logUnreadHeaders(response);
     applyReportedLoad(response, now);
     const AttemptId attempt = job->message.attempt;
     const bool isMisdirected = response.status == misdirectedStatus && !m_backend.value_or(LocalBackend()).instance.empty();
--- a/Source/node/EndpointRunner.h
+++ b/Source/node/EndpointRunner.h
@@ -3,6 +3,7 @@
 #include "coordination/admission/AdmissionQueue.h"
 #include "coordination/attempts/FateTable.h"
 #include "coordination/presence/BackendReachability.h"
+#include "coordination/presence/UnreadHeaders.h"
 #include "coordination/routing/RunningRequests.h"
 #include "node/CallTrace.h"
 #include "node/NodeIdentity.h"
@@ -147,6 +148,8 @@
     void handleResponse(const JobPtr&, const HttpResponse&, TimePoint now);
     /// Passes the load reported in a response to the admission queue.
     void applyReportedLoad(const HttpResponse&, TimePoint now);
+    /// Logs the names of headers that this node does not read, each once.
+    void logUnreadHeaders(const HttpResponse&);
     /// Requests the health path of the backend server if no recent response reported its load.
     void pollLoad();
     void notifyLoadChanged();
@@ -186,6 +189,7 @@
     /// first.
     std::deque<std::pair<AttemptId, TimePoint>> m_unconfirmed;
     BackendReachability m_reachability;
+    UnreadHeaders m_unreadHeaders;
     std::string m_healthPath;
     std::function<void()> m_loadHook;
     /// When the backend server last reported its load; not set if it never did.
--- a/Source/node/NodeMetrics.cpp
+++ b/Source/node/NodeMetrics.cpp
@@ -47,6 +47,14 @@
         counter.Increment(missing);
 }
 
+std::array<prometheus::Counter*, 4> backendRequestCounters(prometheus::Registry& registry)
+{
+    const auto kind = [&registry](const char* value) {
+        return &counter(registry, "knapweedquay_backend_requests_total", "Requests sent to the backend server beside this node", { { "kind", value } });
+    };
+    return { kind("call"), kind("repeat"), kind("resent"), kind("health_check") };
+}
+
 } // namespace
 
 ResultCodeCounter::ResultCodeCounter(prometheus::Registry& registry, const char* name, const char* help, Labels labels)
@@ -152,6 +160,7 @@
 NodeMetrics::NodeMetrics()
     : m_registry(std::make_shared<prometheus::Registry>())
     , m_endpointStarts(&counter(*m_registry, "knapweedquay_endpoint_starts_total", "Attempts started at the backend server beside this node"))
+    , m_backendRequests(backendRequestCounters(*m_registry))
     , m_measurementTime(&counter(*m_registry, "knapweedquay_measurement_cpu_seconds_total", "Processor time spent on sending and reading probes"))
     , m_rejections(*m_registry, "knapweedquay_endpoint_rejections_total", "Attempts that this node rejected, by result code")
     , m_waits(&histogram(*m_registry, "knapweedquay_endpoint_wait_seconds", "Time from the admission of an attempt to its start"))
@@ -191,6 +200,11 @@
     increaseTo(*m_endpointStarts, total);
 }
 
+void NodeMetrics::backendRequestSent(BackendRequestKind kind)
+{
+    m_backendRequests[static_cast<std::size_t>(kind)]->Increment();
+}
+
 void NodeMetrics::attemptRejected(ResultCode code)
 {
     m_rejections.increment(code);
--- a/Source/node/NodeMetrics.h
+++ b/Source/node/NodeMetrics.h
@@ -6,6 +6,7 @@
 #include "protocol/ResultCode.h"
 #include "protocol/Time.h"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -80,6 +81,17 @@
     prometheus::Counter* m_measurementBytes;
 };
 
+/// Why a request was sent to the local backend server.
+enum class BackendRequestKind {
+    /// First attempt of a call.
+    Call,
+    /// Attempt that repeats an earlier one, or belongs to a call that a repeated request made.
+    Repeat,
+    /// Idempotent request sent once more because its pooled connection had ended.
+    Resent,
+    HealthCheck,
+};
+
 /// All metrics of a node process; docs/METRICS.md lists them.
 ///
 /// Counters and gauges may be set by any thread; the text is generated on the control thread.
@@ -98,6 +110,8 @@
     void setEndpoint(std::uint32_t running, std::uint32_t limit, const std::vector<std::uint32_t>& queued);
     /// Sets the total number of attempts started since the start of the process.
     void setEndpointStarts(std::uint64_t);
+    /// Counts a request to the local backend server.
+    void backendRequestSent(BackendRequestKind);
     /// Counts an attempt for the local backend server that this node refused.
     void attemptRejected(ResultCode);
     /// Records the time from the admission of an attempt to its start.
@@ -125,6 +139,8 @@
     /// Owns the metrics that the pointers below refer to.
     std::shared_ptr<prometheus::Registry> m_registry;
     prometheus::Counter* m_endpointStarts;
+    /// By BackendRequestKind.
+    std::array<prometheus::Counter*, 4> m_backendRequests;
     prometheus::Counter* m_measurementTime;
     ResultCodeCounter m_rejections;
     prometheus::Histogram* m_waits;
--- a/Source/protocol/LogEvent.cpp
+++ b/Source/protocol/LogEvent.cpp
@@ -38,6 +38,7 @@
     { LogEvent::BackendGone, LogLevel::Warning, "backend server gone" },
     { LogEvent::BackendUnreachable, LogLevel::Warning, "backend server refuses connections" },
     { LogEvent::BackendReachable, LogLevel::Info, "backend server accepts connections again" },
+    { LogEvent::ResponseHeaderUnread, LogLevel::Info, "response header passed on unread" },
     { LogEvent::CallAccepted, LogLevel::Info, "call accepted" },
     { LogEvent::EndpointChosen, LogLevel::Info, "endpoint chosen" },
     { LogEvent::AttemptRefused, LogLevel::Info, "attempt refused by the endpoint's node" },
--- a/Source/protocol/LogEvent.h
+++ b/Source/protocol/LogEvent.h
@@ -45,6 +45,7 @@
     BackendGone = 402,
     BackendUnreachable = 403,
     BackendReachable = 404,
+    ResponseHeaderUnread = 405,
 
     // 6xx: calls, at the node that accepted them (61x) and at the endpoint's node (62x).
     CallAccepted = 610,
--- a/Source/transport/HttpClient.cpp
+++ b/Source/transport/HttpClient.cpp
@@ -464,6 +464,8 @@
     const bool isStalePooled = connection.wasPooled() && !connection.hasReceived();
     if (isStalePooled && exchange.options.mayRepeat && !exchange.wasResent) {
         exchange.wasResent = true;
+        if (exchange.options.resent)
+            exchange.options.resent();
         return startExchange(exchange);
     }
     fail(exchange.id, failure);
--- a/Source/transport/HttpClient.h
+++ b/Source/transport/HttpClient.h
@@ -34,6 +34,8 @@
         /// True when the request may be sent once more, on a new connection, if a pooled connection ended before a
         /// byte of the response arrived.
         bool mayRepeat = false;
+        /// Called when the request is sent once more; may be unset.
+        std::function<void()> resent;
         /// Decides whether a response is the one to this request; when unset, every response is.
         std::function<bool(const HttpResponse&)> matchesRequest;
     };
