Tests: Show that limits and leaving of backend servers are not obeyed

The stand-in backend server tells a limit, its leaving and its load in all answers on command, and counts arrivals by kind.

--- /dev/null
+++ b/Tests/processes/BackendStateTest.cpp
@@ -0,0 +1,234 @@
+#include "processes/ProcessFixture.h"
+
+#include "Load/Waiting.h"
+
+#include <algorithm>
+#include <csignal>
+
+namespace Knapweedquay::Load {
+
+namespace {
+
+using namespace std::chrono_literals;
+using Clock = std::chrono::steady_clock;
+
+constexpr const char* routingDocument = R"(version = 7
+[[services]]
+name = "dispatch"
+health_path = "/health"
+[[routes]]
+name = "stock"
+host = "orders.example"
+path = "/stock/"
+[[routes.targets]]
+service = "dispatch"
+)";
+
+/// Time after a backend server first named its limit from which the limit must hold.
+constexpr std::chrono::milliseconds limitTime { 3000 };
+/// Time after a backend server first said that it leaves from which it must receive no calls.
+constexpr std::chrono::milliseconds leavingTime { 2000 };
+constexpr std::chrono::milliseconds window { 4000 };
+
+/// Largest number of requests that a backend server with this limit per second may receive in a window.
+double allowedInWindow(double limit)
+{
+    constexpr double tolerance = 1.5;
+    constexpr double slack = 5;
+    return tolerance * limit * std::chrono::duration<double>(window).count() + slack;
+}
+
+/// Sends calls to backend servers that tell their state in their answers.
+class BackendStateTest : public ProcessTest {
+protected:
+    void startWithHealthChecks()
+    {
+        start();
+        ASSERT_TRUE(m_deployment->applyRouting(routingDocument, 5s));
+        for (const std::string& node : m_deployment->nodeNames())
+            ASSERT_TRUE(m_deployment->setModes(node, { { "reportsLoad", true } }));
+        sendFor(500ms);
+    }
+
+    /// Sends 60 calls per second, through each node in turn.
+    void sendFor(std::chrono::milliseconds time)
+    {
+        constexpr std::chrono::microseconds interval { 16667 };
+        const auto nodes = m_deployment->nodeNames();
+        auto next = Clock::now();
+        for (const auto end = next + time; next < end; next += interval) {
+            m_caller.send(callAddress(nodes[m_sent++ % nodes.size()]), "GET", "/stock", 2s);
+            while (Clock::now() < next + interval)
+                m_caller.runFor(2ms);
+        }
+    }
+
+    /// Makes a backend server tell this in all its answers from now on.
+    void tell(const std::string& node, const nlohmann::json& modes)
+    {
+        ASSERT_TRUE(m_deployment->setModes(node, modes));
+        m_toldAt[node] = Clock::now();
+    }
+
+    /// Times of the requests that a backend server has received since it was told to change its state, in milliseconds.
+    std::vector<double> arrivals(const std::string& node, const std::vector<std::string>& kinds)
+    {
+        const nlohmann::json ages = m_deployment->backendArrivals(node);
+        const double sinceTold = std::chrono::duration<double, std::milli>(Clock::now() - m_toldAt.at(node)).count();
+        std::vector<double> times;
+        for (const std::string& kind : kinds) {
+            for (const nlohmann::json& age : ages.value(kind, nlohmann::json::array()))
+                times.push_back(sinceTold - age.get<double>());
+        }
+        std::sort(times.begin(), times.end());
+        return times;
+    }
+
+    /// Expects that in no window later than limitTime the backend server received more requests than allowed.
+    void expectLimitKept(const std::string& node, double limit)
+    {
+        const std::vector<double> times = arrivals(node, { "call", "repeat", "health_check" });
+        const double width = std::chrono::duration<double, std::milli>(window).count();
+        std::size_t most = 0;
+        auto first = std::lower_bound(times.begin(), times.end(), std::chrono::duration<double, std::milli>(limitTime).count());
+        for (auto last = first; last != times.end(); ++last) {
+            while (*last - *first > width)
+                ++first;
+            most = std::max<std::size_t>(most, static_cast<std::size_t>(last - first) + 1);
+        }
+        EXPECT_LE(static_cast<double>(most), allowedInWindow(limit)) << "node " << node << " " << requestMetrics(node);
+    }
+
+    void expectNoCallsAfterLeaving(const std::string& node)
+    {
+        const std::vector<double> times = arrivals(node, { "call", "repeat" });
+        const auto late = std::lower_bound(times.begin(), times.end(), std::chrono::duration<double, std::milli>(leavingTime).count());
+        EXPECT_EQ(times.end() - late, 0) << "calls at the backend server of node " << node;
+    }
+
+    std::size_t callsSinceTold(const std::string& node)
+    {
+        const std::vector<double> times = arrivals(node, { "call", "repeat" });
+        return static_cast<std::size_t>(times.end() - std::lower_bound(times.begin(), times.end(), 0.0));
+    }
+
+    std::string requestMetrics(const std::string& node)
+    {
+        const std::string name = "knapweedquay_backend_requests_total{";
+        std::string found;
+        std::istringstream lines(m_deployment->nodeMetrics(node));
+        for (std::string line; std::getline(lines, line);) {
+            if (line.compare(0, name.size(), name) == 0)
+                found += line.substr(name.size()) + "; ";
+        }
+        return found;
+    }
+
+    void expectAllAnswered()
+    {
+        ASSERT_TRUE(m_caller.waitForAnswers(6s));
+        for (const TestCallPointer& call : m_caller.calls())
+            EXPECT_TRUE(call->isAnsweredCorrectly()) << call->id << " status " << call->answer.status << " code " << call->code();
+    }
+
+    void restartNode(const std::string& node)
+    {
+        m_deployment->node(node).signal(SIGKILL);
+        ASSERT_TRUE(waitUntil([&] { return !m_deployment->node(node).isRunning(); }, 5s));
+        m_deployment->restartNode(node);
+    }
+
+private:
+    std::map<std::string, Clock::time_point> m_toldAt;
+    std::size_t m_sent = 0;
+};
+
+} // namespace
+
+TEST_F(BackendStateTest, BackendServer_NamesALimit_ReceivesNoMoreThanItAllows)
+{
+    startWithHealthChecks();
+    tell("b", { { "requestLimit", "5.5" } });
+    sendFor(limitTime + window + 500ms);
+    expectLimitKept("b", 5.5);
+    expectAllAnswered();
+}
+
+TEST_F(BackendStateTest, AllBackendServers_NameLimitsBelowTheLoad_ServeWhatTheLimitsAllow)
+{
+    startWithHealthChecks();
+    for (const std::string& node : m_deployment->nodeNames())
+        tell(node, { { "requestLimit", "8" } });
+    sendFor(limitTime + window + 500ms);
+    for (const std::string& node : m_deployment->nodeNames()) {
+        expectLimitKept(node, 8);
+        EXPECT_GE(callsSinceTold(node), 8 * 0.8 * 7.5);
+    }
+    ASSERT_TRUE(m_caller.waitForAnswers(6s));
+    expectGuaranteesHold();
+}
+
+TEST_F(BackendStateTest, BackendServer_NamesALimitWithoutCalls_ReceivesNoMoreHealthChecksThanItAllows)
+{
+    startWithHealthChecks();
+    tell("b", { { "requestLimit", "0.25" } });
+    m_caller.runFor(limitTime + window + 500ms);
+    expectLimitKept("b", 0.25);
+}
+
+TEST_F(BackendStateTest, BackendServer_NamesNoLimitAnyMore_ReceivesItsShareAgain)
+{
+    startWithHealthChecks();
+    tell("b", { { "requestLimit", "1" } });
+    sendFor(2s);
+    tell("b", { { "requestLimit", "" } });
+    sendFor(5s);
+    // A third of the calls of the last two seconds would be 40.
+    EXPECT_GE(callsSinceTold("b"), 20u);
+    expectAllAnswered();
+}
+
+TEST_F(BackendStateTest, NodeOfALimitedBackendServer_Restarts_LimitIsKept)
+{
+    startWithHealthChecks();
+    tell("b", { { "requestLimit", "2" } });
+    sendFor(limitTime + 500ms);
+    restartNode("b");
+    sendFor(window + 2s);
+    expectLimitKept("b", 2);
+}
+
+TEST_F(BackendStateTest, BackendServer_SaysThatItLeaves_ReceivesNoCallsTwoSecondsLater)
+{
+    startWithHealthChecks();
+    tell("b", { { "leaving", "1" } });
+    sendFor(leavingTime + 2s);
+    expectNoCallsAfterLeaving("b");
+    expectAllAnswered();
+}
+
+TEST_F(BackendStateTest, NodeOfALeavingBackendServer_Restarts_BackendServerReceivesNoCalls)
+{
+    startWithHealthChecks();
+    tell("b", { { "leaving", "1" } });
+    sendFor(leavingTime + 500ms);
+    restartNode("b");
+    sendFor(4s);
+    expectNoCallsAfterLeaving("b");
+}
+
+TEST_F(BackendStateTest, BackendServer_StartsAgainAfterItLeft_ReceivesCalls)
+{
+    startWithHealthChecks();
+    tell("b", { { "leaving", "1" } });
+    sendFor(1s);
+    m_deployment->backend("b").signal(SIGKILL);
+    ASSERT_TRUE(waitUntil([&] { return !m_deployment->backend("b").isRunning(); }, 5s));
+    m_deployment->startBackend("b");
+    ASSERT_TRUE(waitUntil([&] { return !m_deployment->backendArrivals("b").is_discarded(); }, 5s));
+    tell("b", nlohmann::json::object());
+    sendFor(5s);
+    EXPECT_GT(callsSinceTold("b"), 0u);
+}
+
+} // namespace Knapweedquay::Load
--- a/Utilities/Load/BackendMain.cpp
+++ b/Utilities/Load/BackendMain.cpp
@@ -15,7 +15,7 @@
     po::options_description description("knapweedquay-backend: a stand-in backend server");
     description.add_options()("help", "print this text");
     description.add_options()("port", po::value(&options.port), "port for requests; 0 takes a free one");
-    description.add_options()("control-port", po::value(&options.controlPort), "port for /modes, /executed and /stats");
+    description.add_options()("control-port", po::value(&options.controlPort), "port for /modes, /executed, /stats and /arrivals");
     description.add_options()("node", po::value(&options.node), "admin address of the node to announce to, IP:port");
     description.add_options()("service", po::value(&options.service), "service to announce");
     description.add_options()("announce", po::value(&options.announcedAddress), "address to announce; default: its own");
--- a/Utilities/Load/BackendModes.h
+++ b/Utilities/Load/BackendModes.h
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
+#include <string>
 
 namespace Knapweedquay::Load {
 
@@ -24,8 +25,14 @@
     bool shortBody = false;
     /// Time between the end of the work and the sending of its answer.
     std::uint64_t answerDelayMs = 0;
+    /// Value of the header that limits the requests per second, in every answer; empty to send none.
+    std::string requestLimit;
+    /// Value of the header that tells that the backend server leaves, in every answer; empty to send none.
+    std::string leaving;
+    /// Sends the load header in every answer.
+    bool reportsLoad = false;
 };
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(BackendModes, slowdown, failFast, refuse, coldCalls, coldFactor, freezeAnswers, shortBody, answerDelayMs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(BackendModes, slowdown, failFast, refuse, coldCalls, coldFactor, freezeAnswers, shortBody, answerDelayMs, requestLimit, leaving, reportsLoad)
 
 } // namespace Knapweedquay::Load
--- a/Utilities/Load/Deployment.cpp
+++ b/Utilities/Load/Deployment.cpp
@@ -269,6 +269,11 @@
     return readJson(addresses(node).backendControl, "/stats");
 }
 
+nlohmann::json Deployment::backendArrivals(const std::string& node)
+{
+    return readJson(addresses(node).backendControl, "/arrivals");
+}
+
 nlohmann::json Deployment::nodeStatus(const std::string& node)
 {
     return readJson(addresses(node).admin, "/status");
--- a/Utilities/Load/Deployment.h
+++ b/Utilities/Load/Deployment.h
@@ -97,6 +97,8 @@
     bool setModes(const std::string& node, const nlohmann::json& modes);
     /// Answer of the backend server to GET /stats; discarded JSON when it doesn't answer.
     nlohmann::json backendStats(const std::string& node);
+    /// Answer of the backend server to GET /arrivals: for each kind of request, the ages of its arrivals in milliseconds.
+    nlohmann::json backendArrivals(const std::string& node);
     /// Answer of the node to GET /status; discarded JSON when it doesn't answer.
     nlohmann::json nodeStatus(const std::string& node);
     /// Metrics of the node in the Prometheus text format; empty when it doesn't answer.
--- a/Utilities/Load/StandInBackend.cpp
+++ b/Utilities/Load/StandInBackend.cpp
@@ -1,6 +1,7 @@
 #include "Load/StandInBackend.h"
 
 #include "Load/EchoAnswer.h"
+#include "protocol/CallHeaders.h"
 
 #include <algorithm>
 
@@ -11,6 +12,10 @@
 /// Interval at which the backend server repeats its announcement to the node.
 constexpr std::chrono::seconds announceInterval { 1 };
 constexpr std::chrono::seconds announceTimeout { 1 };
+/// Path of health checks, which are answered at once.
+constexpr const char* healthPath = "/health";
+/// Arrivals of one kind that are remembered.
+constexpr std::size_t maximumArrivals = 100000;
 constexpr std::chrono::milliseconds idleCheckInterval { 20 };
 /// Time after the leave during which calls may still arrive that the node sent before it processed the leave.
 constexpr std::chrono::seconds leaveGrace { 1 };
@@ -61,11 +66,14 @@
 
 void StandInBackend::handle(HttpMessage request, const std::shared_ptr<HttpConnection>& connection)
 {
+    countArrival(request);
+    if (request.path() == healthPath)
+        return connection->send(serializeAnswer(withState(textAnswer(200, "healthy\n"))));
     if (m_modes.refuse || m_queue.size() >= m_options.maximumQueue)
-        return connection->send(serializeAnswer(textAnswer(503, "refused\n")));
+        return connection->send(serializeAnswer(withState(textAnswer(503, "refused\n"))));
     if (m_modes.failFast) {
         m_record.add(request.query("id"));
-        return connection->send(serializeAnswer(textAnswer(500, "failed\n")));
+        return connection->send(serializeAnswer(withState(textAnswer(500, "failed\n"))));
     }
     auto call = std::make_shared<Call>(m_context, std::move(request), connection);
     connection->onClosed = [this, weak = std::weak_ptr<Call>(call)] {
@@ -126,7 +134,7 @@
 {
     const std::string size = call->request.query("size");
     const std::string body = echoAnswer(call->request.query("id"), call->request.body, size.empty() ? 0 : std::stoul(size));
-    std::string bytes = serializeAnswer(textAnswer(200, body));
+    std::string bytes = serializeAnswer(withState(textAnswer(200, body)));
     call->connection->onClosed = nullptr;
     if (m_modes.shortBody)
         bytes.resize(bytes.size() - body.size() / 2);
@@ -134,6 +142,39 @@
     releaseSlot(call);
 }
 
+HttpMessage StandInBackend::withState(HttpMessage answer) const
+{
+    const CallHeaders names;
+    if (!m_modes.requestLimit.empty())
+        answer.headers["Knapweedquay-Request-Limit"] = m_modes.requestLimit;
+    if (!m_modes.leaving.empty())
+        answer.headers["Knapweedquay-Leaving"] = m_modes.leaving;
+    if (m_modes.reportsLoad)
+        answer.headers[names.load] = std::to_string(m_running.size()) + "," + std::to_string(m_queue.size()) + "," + std::to_string(m_options.slots) + ",100";
+    return answer;
+}
+
+void StandInBackend::countArrival(const HttpMessage& request)
+{
+    const std::string kind = request.path() == healthPath ? "health_check" : request.header("knapweedquay-attempt") == "1" ? "repeat" : "call";
+    std::deque<Clock::time_point>& times = m_arrivals[kind];
+    times.push_back(Clock::now());
+    if (times.size() > maximumArrivals)
+        times.pop_front();
+}
+
+std::string StandInBackend::arrivals() const
+{
+    // Ages in milliseconds, since the clocks of two processes need not agree.
+    nlohmann::json values = nlohmann::json::object();
+    const auto now = Clock::now();
+    for (const auto& [kind, times] : m_arrivals) {
+        for (const Clock::time_point time : times)
+            values[kind].push_back(std::chrono::duration<double, std::milli>(now - time).count());
+    }
+    return values.dump() + "\n";
+}
+
 void StandInBackend::releaseSlot(const CallPointer& call)
 {
     m_running.erase(call);
@@ -156,8 +197,10 @@
         return reply(200, m_record.text());
     if (request.path() == "/stats")
         return reply(200, stats());
+    if (request.path() == "/arrivals")
+        return reply(200, arrivals());
     if (request.path() != "/modes")
-        return reply(404, "unknown path; use /executed, /stats or /modes\n");
+        return reply(404, "unknown path; use /executed, /stats, /arrivals or /modes\n");
     if (request.method == "POST") {
         try {
             // Modes that the request does not name keep their values.
--- a/Utilities/Load/StandInBackend.h
+++ b/Utilities/Load/StandInBackend.h
@@ -9,6 +9,7 @@
 #include <asio/steady_timer.hpp>
 
 #include <deque>
+#include <map>
 #include <optional>
 #include <set>
 
@@ -18,7 +19,7 @@
 struct BackendOptions {
     /// Port for requests; 0 selects a free one.
     std::uint16_t port = 0;
-    /// Port for /modes, /executed and /stats; 0 selects a free one.
+    /// Port for /modes, /executed, /stats and /arrivals; 0 selects a free one.
     std::uint16_t controlPort = 0;
     /// Admin address of the node to announce to; empty for none.
     std::string node;
@@ -64,6 +65,11 @@
     /// Drops a call whose connection has closed.
     void cancel(const CallPointer&);
     void sendAnswer(const CallPointer&);
+    /// Adds the headers in which the backend server tells its state, as its modes say.
+    HttpMessage withState(HttpMessage answer) const;
+    /// Records the arrival of a request, for GET /arrivals.
+    void countArrival(const HttpMessage&);
+    std::string arrivals() const;
     void setModes(const BackendModes&);
     std::chrono::microseconds drawTime(const std::string& path);
     void announce();
@@ -88,6 +94,8 @@
     std::vector<CallPointer> m_frozenCalls;
     /// Calls whose connection closed before they were answered.
     std::uint64_t m_cancelled = 0;
+    /// Times at which requests arrived, by kind: "call", "repeat" or "health_check".
+    std::map<std::string, std::deque<Clock::time_point>> m_arrivals;
     /// When leave() was called.
     std::optional<Clock::time_point> m_leaveTime;
     /// When a call last started to run.
