--- a/Utilities/Load/StandInBackend.cpp
+++ b/Utilities/Load/StandInBackend.cpp
@@ -156,8 +156,8 @@
 
 void StandInBackend::countArrival(const HttpMessage& request)
 {
-    const std::string kind = request.path() == healthPath ? "health_check" : request.header("knapweedquay-attempt") == "1" ? "repeat" : "call";
-    std::deque<Clock::time_point>& times = m_arrivals[kind];
+    const std::string callKind = request.header("knapweedquay-attempt") == "1" ? "repeat" : "call";
+    std::deque<Clock::time_point>& times = m_arrivals[request.path() == healthPath ? "health_check" : callKind];
     times.push_back(Clock::now());
     if (times.size() > maximumArrivals)
         times.pop_front();
