--- a/Source/node/EndpointRunner.cpp
+++ b/Source/node/EndpointRunner.cpp
@@ -1,6 +1,5 @@
 #include "node/EndpointRunner.h"
 
-#include "protocol/BackendLoad.h"
 #include "protocol/ProblemDetails.h"
 #include "transport/Logger.h"
 
@@ -27,8 +26,6 @@
 /// A request that must not be repeated therefore only reuses a connection that was used very recently.
 constexpr Duration maximumIdleIfIdempotent { 4000000 };
 constexpr Duration maximumIdleIfNotIdempotent { 400000 };
-/// Poll interval for a backend server that does not report its load.
-constexpr Duration unreportedLoadInterval { 1000000 };
 /// Timeout of a load poll.
 constexpr Duration loadTimeout { 500000 };
 constexpr std::uint16_t misdirectedStatus = 421;
@@ -51,6 +48,7 @@
     , m_replyHook(std::move(reply))
     , m_metrics(metrics)
     , m_fates(m_self.incarnation)
+    , m_backendState({ m_settings.headers.load, m_settings.loadInterval })
     , m_unreadHeaders({ m_settings.headers.requestId, m_settings.headers.notRun, m_settings.headers.load })
     , m_traceSampler(m_settings.traces)
     , m_loadTimer(context, [this] { pollLoad(); })
@@ -69,7 +67,7 @@
     if (m_backend && m_backend->instance != backend.instance)
         m_client.closeIdleConnections(m_backend->address);
     if (!m_backend || m_backend->instance != backend.instance)
-        m_loadReportedAt.reset();
+        m_backendState.reset();
     m_reachability.connectionOpened();
     m_backend = backend;
     if (isOtherService)
@@ -378,36 +376,30 @@
 
 void EndpointRunner::applyReportedLoad(const HttpResponse& response, TimePoint now)
 {
-    const std::string* text = findHeader(response.headers, m_settings.headers.load);
-    const auto load = text ? parseBackendLoad(*text) : std::nullopt;
-    if (!load || !m_queue)
+    if (!m_queue)
+        return;
+    const bool isFirst = !m_backendState.hasReportedLoad();
+    const auto load = m_backendState.apply(response.headers, now);
+    if (!load)
         return;
-    const bool isFirst = !m_loadReportedAt;
-    m_loadReportedAt = now;
     if (load->slowdownPercent == m_queue->slowdownPercent() && !isFirst)
         return;
     m_queue->setSlowdown(load->slowdownPercent, now);
     notifyLoadChanged();
 }
 
-// The speed of the machine changes several times per second, and the responses of a slowed backend server arrive too
-// late to report it. Therefore the load is also polled.
 void EndpointRunner::pollLoad()
 {
     m_loadTimer.setAfter(m_settings.loadInterval);
     const TimePoint now = steadyNow();
-    const bool isUnreported = m_reachability.isReachable() && m_loadPolledAt > m_loadReportedAt.value_or(TimePoint::min());
-    const Duration interval = isUnreported ? unreportedLoadInterval : m_settings.loadInterval;
-    const TimePoint last = std::max(m_loadPolledAt, m_loadReportedAt.value_or(TimePoint::min()));
-    if (m_isLoadPollPending || !m_backend || !m_queue || m_healthPath.empty() || now - last < interval)
+    if (!m_backend || !m_queue || m_healthPath.empty() || !m_backendState.isCheckDue(m_reachability.isReachable(), now))
         return;
-    m_isLoadPollPending = true;
-    m_loadPolledAt = now;
+    m_backendState.checkSent(now);
     HttpClient::Options options;
     options.timeout = loadTimeout;
     m_metrics.backendRequestSent(BackendRequestKind::HealthCheck);
     m_client.send(m_backend->address, { "GET", m_healthPath, {}, {} }, options, [this](const HttpClient::Outcome& outcome) {
-        m_isLoadPollPending = false;
+        m_backendState.checkEnded();
         recordConnectionResult(outcome, steadyNow());
         if (!outcome.succeeded)
             return;
--- a/Source/node/EndpointRunner.h
+++ b/Source/node/EndpointRunner.h
@@ -3,6 +3,7 @@
 #include "coordination/admission/AdmissionQueue.h"
 #include "coordination/attempts/FateTable.h"
 #include "coordination/presence/BackendReachability.h"
+#include "coordination/presence/BackendState.h"
 #include "coordination/presence/UnreadHeaders.h"
 #include "coordination/routing/RunningRequests.h"
 #include "node/CallTrace.h"
@@ -189,15 +190,10 @@
     /// first.
     std::deque<std::pair<AttemptId, TimePoint>> m_unconfirmed;
     BackendReachability m_reachability;
+    BackendState m_backendState;
     UnreadHeaders m_unreadHeaders;
     std::string m_healthPath;
     std::function<void()> m_loadHook;
-    /// When the backend server last reported its load; not set if it never did.
-    std::optional<TimePoint> m_loadReportedAt;
-    /// When the last load poll was sent.
-    TimePoint m_loadPolledAt;
-    /// True while a load poll has no response.
-    bool m_isLoadPollPending = false;
     TraceSampler m_traceSampler;
     Counters m_counters;
     Timer m_loadTimer;
