--- a/Source/cli/Commands.cpp
+++ b/Source/cli/Commands.cpp
@@ -90,6 +90,8 @@
         return replace();
     if (m_commandLine.command == "trace")
         return trace();
+    if (m_commandLine.command == "endpoints")
+        return endpoints();
     return setDraining(m_commandLine.command == "drain");
 }
 
@@ -294,6 +296,24 @@
     return ExitCode::Done;
 }
 
+ExitCode Commands::endpoints()
+{
+    const ControlClient node({ m_commandLine.node }, m_hooks.exchange);
+    const Answer answer = node.ask({ "GET", "/status", {}, {} });
+    if (!answer.isOk())
+        return fail(answer);
+    const Json services = answer.body.value(Json::json_pointer("/traffic/endpoints"), Json::object());
+    Json rows = Json::array();
+    for (const auto& [service, endpoints] : services.items()) {
+        for (Json row : endpoints) {
+            row["service"] = service;
+            rows.push_back(std::move(row));
+        }
+    }
+    m_report.table(rows, { "service", "node", "predicted_ms", "outstanding", "slowdown_percent", "requests_per_second", "draining", "ejected" });
+    return ExitCode::Done;
+}
+
 ExitCode Commands::trace()
 {
     RequestTimeline timeline(m_commandLine.operand);
--- a/Source/cli/Commands.h
+++ b/Source/cli/Commands.h
@@ -41,6 +41,7 @@
     ExitCode setDraining(bool isDraining);
     ExitCode replace();
     ExitCode trace();
+    ExitCode endpoints();
     /// Name under which the store keeps this document: its service, or the reserved name of the routing document.
     Result<std::string> documentName(const std::string& text) const;
 
--- a/Source/coordination/admission/AdmissionQueue.cpp
+++ b/Source/coordination/admission/AdmissionQueue.cpp
@@ -31,6 +31,9 @@
 constexpr double unknownCostMicroseconds = 5000;
 /// Time constant of the decay of the recent work.
 constexpr double recentWorkDecayMicroseconds = 500000;
+constexpr double microsecondsPerSecond = 1e6;
+/// A priority with fewer recently started calls than this is not expected to have another one soon.
+constexpr double minimumRecentStarts = 0.1;
 /// Minimum share of the capacity used in the estimate of a wait.
 constexpr double minimumCapacityShare = 0.001;
 /// Maximum share of the slots reserved for more urgent calls that have not arrived yet.
@@ -70,8 +73,9 @@
     call.deadline = deadline;
     const auto& lane = m_lanes[call.lane];
     const auto wait = estimatedWaitInLane(call.lane, now);
-    // An idle backend server accepts any call, so that a wrong estimate is corrected.
-    if (m_running && now + wait + atCurrentSpeed(lane.serviceTime.lowerQuartile()) > deadline)
+    // An idle backend server accepts any call, so that a wrong estimate is corrected. A wait for the limit of requests per
+    // second is no estimate.
+    if ((m_running || !m_rate.allows(now)) && now + wait + atCurrentSpeed(lane.serviceTime.lowerQuartile()) > deadline)
         return refusal(ResultCode::DeadlineCannotBeMet, wait);
     const auto latestStart = deadline - atCurrentSpeed(lane.serviceTime.lowerQuartile());
     const bool hasTarget = hasUsefulTarget(lane, targetAt);
@@ -95,13 +99,21 @@
     const bool startsNow = canStart(call.priority, true, now) && !hasQueuedUpTo(call.lane);
     const auto& lane = m_lanes[call.lane];
     const bool isReservedForOthers = reservedSlots(call.priority, true, now) >= m_limit.value(now);
-    if (!startsNow && (isReservedForOthers || static_cast<double>(lane.queue.size()) >= lateQueueShare * m_limit.value(now)))
-        return refusal(ResultCode::Overloaded, estimatedWaitInLane(call.lane, now));
+    if (!startsNow && (isReservedForOthers || static_cast<double>(lane.queue.size()) >= maximumLateCalls(now)))
+        return refusal(ResultCode::Overloaded, estimatedWaitInLane(m_rate.rate() ? call.priority : call.lane, now));
     call.expiry = std::min(call.deadline - atCurrentSpeed(m_lanes[call.priority].serviceTime.lowerQuartile()), now + lateQueueTime);
     call.expiryCode = ResultCode::Overloaded;
     return admit(call, startsNow, now);
 }
 
+double AdmissionQueue::maximumLateCalls(TimePoint now) const
+{
+    const double bySlots = lateQueueShare * m_limit.value(now);
+    if (!m_rate.rate())
+        return bySlots;
+    return std::min(bySlots, m_rate.requestsPerSecond() * static_cast<double>(lateQueueTime.count()) / microsecondsPerSecond);
+}
+
 AdmissionDecision AdmissionQueue::admit(const Call& offered, bool startsNow, TimePoint now)
 {
     auto& call = m_calls[offered.ticket];
@@ -189,7 +201,11 @@
 {
     if (!hasQueued())
         return std::nullopt;
-    return m_expiryOrder.begin()->expiry;
+    const TimePoint expiry = m_expiryOrder.begin()->expiry;
+    // Once a request is due, only another event can start a call.
+    if (m_rate.isDue(m_now))
+        return expiry;
+    return std::min(expiry, m_rate.allows(m_now) ? m_rate.dueAt() : m_rate.allowedAt());
 }
 
 void AdmissionQueue::setDocument(const ServiceDocument& document)
@@ -213,6 +229,7 @@
         target.serviceTime = m_lanes[index].serviceTime;
         target.credit = m_lanes[index].credit;
         target.recentWork = m_lanes[index].recentWork;
+        target.recentStarts = m_lanes[index].recentStarts;
         target.recentWorkAt = m_lanes[index].recentWorkAt;
         target.backlogSince = m_lanes[index].backlogSince;
     }
@@ -227,6 +244,21 @@
     m_limit.setSlots(m_announcedSlots.value_or(m_defaultSlots));
 }
 
+void AdmissionQueue::setRequestRate(std::optional<RequestRate> rate, TimePoint now)
+{
+    m_now = now;
+    m_rate.setRate(rate, now);
+    if (!rate)
+        return;
+    // More calls may have started than the new rate allows, which says nothing about their share of it.
+    double started = 0;
+    for (const Lane& lane : m_lanes)
+        started += lane.recentStarts * recentDecay(lane, now);
+    const double allowed = m_rate.requestsPerSecond() * recentWorkDecayMicroseconds / microsecondsPerSecond;
+    for (Lane& lane : m_lanes)
+        lane.recentStarts *= std::min(1.0, allowed / std::max(started, allowed));
+}
+
 void AdmissionQueue::setSlowdown(std::uint32_t percent, TimePoint now)
 {
     m_now = now;
@@ -284,6 +316,7 @@
     report.failuresPerThousand = static_cast<std::uint32_t>(perThousand * m_failureRate);
     report.slowdownPercent = m_slowdownPercent;
     report.draining = m_draining;
+    report.requestRate = m_rate.rate();
     return report;
 }
 
@@ -297,6 +330,38 @@
     const bool isLate = index == lateLane();
     if (canStart(isLate ? index - 1 : index, isLate, now) && !hasQueuedUpTo(index))
         return Duration(0);
+    return std::max(estimatedWaitForSlot(index, now), estimatedWaitForRate(index, now));
+}
+
+Duration AdmissionQueue::estimatedWaitForRate(std::size_t index, TimePoint now) const
+{
+    if (!m_rate.rate())
+        return Duration(0);
+    const double rate = m_rate.requestsPerSecond();
+    const auto& lane = m_lanes[index];
+    auto ahead = static_cast<double>(lane.queue.size());
+    double freeShare = 1;
+    for (std::size_t other = 0; other < m_lanes.size(); ++other) {
+        const auto& otherLane = m_lanes[other];
+        if (other < index) {
+            ahead += static_cast<double>(otherLane.queue.size());
+            freeShare -= otherLane.recentStarts * recentDecay(otherLane, now) * microsecondsPerSecond / (recentWorkDecayMicroseconds * rate);
+        } else if (other > index && !otherLane.queue.empty())
+            freeShare -= otherLane.minimumShare;
+    }
+    // Number of requests that are sent before the call, if the lane gets this share of them.
+    const auto requestsBefore = [](double callsAhead, double share) {
+        const double used = std::max(share, minimumCapacityShare);
+        return (callsAhead + 1 - used) / used;
+    };
+    const double before = std::min(requestsBefore(ahead, freeShare), requestsBefore(static_cast<double>(lane.queue.size()), lane.minimumShare));
+    const TimePoint next = mayBeEarly(std::min(index, lateLane() - 1), index == lateLane(), now) ? m_rate.allowedAt() : m_rate.dueAt();
+    const double untilAllowed = std::max(0.0, static_cast<double>((next - now).count()));
+    return Duration(static_cast<Duration::rep>(untilAllowed + before * microsecondsPerSecond / rate));
+}
+
+Duration AdmissionQueue::estimatedWaitForSlot(std::size_t index, TimePoint now) const
+{
     const auto& lane = m_lanes[index];
     double urgentWork = 0;
     double freeShare = 1;
@@ -339,10 +404,14 @@
     return std::min(lane.maximumQueueTime, std::max(lane.target - serviceTail, serviceTail));
 }
 
+double AdmissionQueue::recentDecay(const Lane& lane, TimePoint now) const
+{
+    return std::exp(-static_cast<double>((now - lane.recentWorkAt).count()) / recentWorkDecayMicroseconds);
+}
+
 double AdmissionQueue::recentShare(const Lane& lane, TimePoint now) const
 {
-    const auto age = static_cast<double>((now - lane.recentWorkAt).count());
-    return lane.recentWork * std::exp(-age / recentWorkDecayMicroseconds) / (recentWorkDecayMicroseconds * m_limit.value(m_now));
+    return lane.recentWork * recentDecay(lane, now) / (recentWorkDecayMicroseconds * m_limit.value(m_now));
 }
 
 bool AdmissionQueue::hasQueuedUpTo(std::size_t lane) const
@@ -372,15 +441,28 @@
     return std::max(forLate, std::min(forMoreUrgent, maximumReserveShare * m_limit.value(now)));
 }
 
+bool AdmissionQueue::mayBeEarly(std::size_t priority, bool isLate, TimePoint now) const
+{
+    return !isLate && std::none_of(m_lanes.begin(), m_lanes.begin() + static_cast<std::ptrdiff_t>(priority), [&](const Lane& other) {
+        return other.recentStarts * recentDecay(other, now) > minimumRecentStarts;
+    });
+}
+
+bool AdmissionQueue::allowsRate(std::size_t priority, bool isLate, TimePoint now) const
+{
+    return m_rate.isDue(now) || (m_rate.allows(now) && mayBeEarly(priority, isLate, now));
+}
+
 bool AdmissionQueue::canStart(std::size_t priority, bool isLate, TimePoint now) const
 {
     // Without running calls no slots are reserved, because no later event would start the queued calls.
-    return m_running == 0 || m_running + reservedSlots(priority, isLate, now) < m_limit.value(now);
+    const bool leavesReserve = m_running == 0 || m_running + reservedSlots(priority, isLate, now) < m_limit.value(now);
+    return leavesReserve && allowsRate(priority, isLate, now);
 }
 
 std::optional<std::size_t> AdmissionQueue::nextLane(TimePoint now) const
 {
-    if (!hasFreeSlot())
+    if (!canStartAny(now))
         return std::nullopt;
     std::optional<std::size_t> mostUrgent;
     for (std::size_t index = 0; index < m_lanes.size(); ++index) {
@@ -418,6 +500,7 @@
     call.startedAt = now;
     call.workAtStart = workDone(now);
     call.runningAtStart = m_running;
+    m_rate.count(now);
     accountStart(call.lane, now);
 }
 
@@ -453,8 +536,9 @@
     }
     // The credit does not fall below zero: calls started on spare capacity do not reduce the priority's share later.
     lane.credit = std::max(0.0, lane.credit);
-    const auto age = static_cast<double>((now - lane.recentWorkAt).count());
-    lane.recentWork = lane.recentWork * std::exp(-age / recentWorkDecayMicroseconds) + startedCost;
+    const double decay = recentDecay(lane, now);
+    lane.recentWork = lane.recentWork * decay + startedCost;
+    lane.recentStarts = lane.recentStarts * decay + 1;
     lane.recentWorkAt = now;
 }
 
--- a/Source/coordination/admission/AdmissionQueue.h
+++ b/Source/coordination/admission/AdmissionQueue.h
@@ -3,6 +3,7 @@
 #include "protocol/AttemptOutcome.h"
 #include "coordination/CallTicket.h"
 #include "coordination/admission/ConcurrencyLimit.h"
+#include "coordination/admission/RequestRateLimit.h"
 #include "protocol/LoadReport.h"
 #include "coordination/admission/ServiceTimeEstimate.h"
 #include "protocol/ResultCode.h"
@@ -76,6 +77,11 @@
 /// are not preempted, so less urgent and late calls leave some slots free for more urgent calls that are likely to
 /// arrive meanwhile (trunk reservation: Key, "Optimal control and trunk reservation in loss networks", 1990).
 ///
+/// A backend server may limit the requests per second that it takes. A call then starts when both a slot is free and the
+/// rate allows it, in the same order, and the estimated wait is the longer one of the two. Requests that may be sent before
+/// they are due are left to the most urgent calls that lately came, so that a small burst of them is served in time.
+/// Minimum shares remain shares of the slot time started.
+///
 /// Call takeStartable() after each offer(), finished(), cancel() and set...(), and at nextTimer(). A priority index
 /// that is not in the service document counts as its least urgent priority.
 class AdmissionQueue {
@@ -109,6 +115,14 @@
     /// times are normalised to 100 percent.
     void setSlowdown(std::uint32_t percent, TimePoint now);
     std::uint32_t slowdownPercent() const { return m_slowdownPercent; }
+    /// Limits the calls started per second, together with the requests counted by countRequest(); nothing removes the
+    /// limit.
+    void setRequestRate(std::optional<RequestRate>, TimePoint now);
+    const std::optional<RequestRate>& requestRate() const { return m_rate.rate(); }
+    /// True if a request that is no call, such as a health check, may be sent now without delaying a call.
+    bool allowsRequest(TimePoint now) const { return m_rate.isDue(now) && !hasQueued(); }
+    /// Counts a request to the backend server that is not the start of a call.
+    void countRequest(TimePoint now) { m_rate.count(now); }
     /// Refuses new calls from now on. Queued calls may still start for a short time, and running calls continue.
     void drain(TimePoint now);
     /// Accepts new calls again after drain().
@@ -164,7 +178,9 @@
         double credit = 0;
         /// Recently started slot time in microseconds, with exponential decay.
         double recentWork = 0;
-        /// Time of the last update of recentWork.
+        /// Recently started calls, with the same decay.
+        double recentStarts = 0;
+        /// Time of the last update of recentWork and recentStarts.
         TimePoint recentWorkAt;
         /// Running calls that were admitted to this lane.
         std::uint32_t running = 0;
@@ -180,10 +196,18 @@
     AdmissionDecision admit(const Call&, bool startsNow, TimePoint now);
     /// Estimated queueing time of a call that arrives now in this lane.
     Duration estimatedWaitInLane(std::size_t lane, TimePoint now) const;
+    /// The part of it that the slots cause.
+    Duration estimatedWaitForSlot(std::size_t lane, TimePoint now) const;
+    /// The part of it that the limit of requests per second causes; zero without a limit.
+    Duration estimatedWaitForRate(std::size_t lane, TimePoint now) const;
+    /// Maximum number of queued late calls.
+    double maximumLateCalls(TimePoint now) const;
     /// Expected slot time of one call in microseconds, at nominal speed.
     double cost(const Lane&) const;
     /// Longest wait with which a call is queued; shorter when the lane has a standing queue.
     Duration allowedWait(const Lane&, TimePoint now) const;
+    /// Factor by which recentWork and recentStarts of the lane have decayed.
+    double recentDecay(const Lane&, TimePoint now) const;
     /// Share of the capacity that the recently started calls of the lane use.
     double recentShare(const Lane&, TimePoint now) const;
     bool hasQueued() const { return !m_expiryOrder.empty(); }
@@ -191,7 +215,8 @@
     Duration atCurrentSpeed(Duration nominal) const;
     /// Work in microseconds at nominal speed that a call running since the queue was created would have received.
     double workDone(TimePoint now) const;
-    bool hasFreeSlot() const { return m_running < m_limit.value(m_now); }
+    /// True when a slot is free and the limit of requests per second allows a call.
+    bool canStartAny(TimePoint now) const { return m_running < m_limit.value(m_now) && m_rate.allows(now); }
     /// True when calls are queued in this lane or in one before it.
     bool hasQueuedUpTo(std::size_t lane) const;
     /// Expected number of further slots that calls of the lane will need soon: the number of its calls that usually
@@ -200,7 +225,12 @@
     /// Number of free slots that a call must leave to more urgent calls. A late call must also leave slots to each
     /// priority whose service time at the current speed of the machine reaches its target.
     double reservedSlots(std::size_t priority, bool isLate, TimePoint now) const;
-    /// True when enough slots are free for a call to start, apart from the reserved ones.
+    /// True when calls may be sent before a request is due: no more urgent calls are expected that need this.
+    bool mayBeEarly(std::size_t priority, bool isLate, TimePoint now) const;
+    /// True when the limit of requests per second allows a call to start.
+    bool allowsRate(std::size_t priority, bool isLate, TimePoint now) const;
+    /// True when enough slots are free for a call to start, apart from the reserved ones, and the limit of requests per
+    /// second allows it.
     bool canStart(std::size_t priority, bool isLate, TimePoint now) const;
     /// Lane whose first call starts next; nothing when none can start.
     std::optional<std::size_t> nextLane(TimePoint now) const;
@@ -219,6 +249,7 @@
     /// All queued calls; the first one is given up first.
     ExpiryOrder m_expiryOrder;
     ConcurrencyLimit m_limit;
+    RequestRateLimit m_rate;
     /// Estimate over the calls of all priorities.
     ServiceTimeEstimate m_serviceTime;
     /// Number of slots when the backend server announced none; from the service document.
--- a/Source/coordination/placing/EndpointChooser.cpp
+++ b/Source/coordination/placing/EndpointChooser.cpp
@@ -191,6 +191,7 @@
     status.ejected = endpoint.ejection.has_value();
     status.errorRate = record.errorRate();
     status.slowdownPercent = record.report().slowdownPercent;
+    status.requestRate = record.report().requestRate;
     status.predictedTime = record.predictedTime(priority, fleetView(record), m_document, now);
     return status;
 }
--- a/Source/coordination/placing/EndpointChooser.h
+++ b/Source/coordination/placing/EndpointChooser.h
@@ -55,6 +55,8 @@
     double errorRate = 0;
     /// Reported time that work takes, in percent of the time at nominal speed.
     std::uint32_t slowdownPercent = 100;
+    /// Reported limit of its requests per second; not set when there is none.
+    std::optional<RequestRate> requestRate;
     /// Predicted time of a call: status() gives it for the most urgent priority, statusOf() for the priority asked for.
     Duration predictedTime { 0 };
 };
--- a/Source/coordination/placing/EndpointRecord.cpp
+++ b/Source/coordination/placing/EndpointRecord.cpp
@@ -45,6 +45,9 @@
 /// Weight of a new report in the moving average of the slowdown.
 constexpr double averageSlowdownWeight = 1.0 / 32;
 constexpr double percent = 100;
+constexpr double microsecondsPerSecond = 1e6;
+/// Bounds the predicted time at an endpoint that takes hardly any requests.
+constexpr double minimumConcurrency = 0.001;
 /// Service time assumed while no endpoint of the service has reported one.
 constexpr double unknownServiceMicroseconds = 5000;
 /// Share of its regular traffic that an endpoint receives at the start of its warm-up.
@@ -150,7 +153,7 @@
 {
     if (!m_reportedAt || now - *m_reportedAt > maximumSaturationReportAge)
         return false;
-    return m_report.running >= m_report.concurrencyLimit && queuedUpTo(m_report, priority) > 0;
+    return (m_report.requestRate || m_report.running >= m_report.concurrencyLimit) && queuedUpTo(m_report, priority) > 0;
 }
 
 double EndpointRecord::expectedErrorRate(TimePoint now) const
@@ -176,15 +179,25 @@
 Duration EndpointRecord::predictedTime(PriorityIndex priority, const FleetView& fleet, const ServiceDocument& document, TimePoint now) const
 {
     const double service = serviceMicroseconds(fleet, now);
-    const std::uint32_t announced = m_description.slots ? m_description.slots : document.defaultSlots;
-    const double limit = m_report.concurrencyLimit ? m_report.concurrencyLimit : announced;
-    const double servers = std::max(1.0, limit * rampFactor(document, now));
+    const double limit = concurrency(service, document, now);
+    const double servers = m_report.requestRate ? limit : std::max(1.0, limit * rampFactor(document, now));
     const double wait = service / servers * waitFactor(callsAhead(priority, service, limit, now), servers);
     const double time = microseconds(m_roundTrip.value_or(fleet.roundTrip)) + wait + service * relativeServiceTime(priority);
     const double errors = std::min(expectedErrorRate(now), maximumErrorRate);
     return Duration(static_cast<Duration::rep>(time * (1 + errorPenalty * errors / (1 - errors))));
 }
 
+double EndpointRecord::concurrency(double service, const ServiceDocument& document, TimePoint now) const
+{
+    const std::uint32_t announced = m_description.slots ? m_description.slots : document.defaultSlots;
+    const double slots = m_report.concurrencyLimit ? m_report.concurrencyLimit : announced;
+    if (!m_report.requestRate)
+        return slots;
+    // Little's law: at its rate, the endpoint has this many calls in service on average.
+    const double atRate = m_report.requestRate->value() * service / microsecondsPerSecond;
+    return std::clamp(atRate, minimumConcurrency, std::max(1.0, slots * rampFactor(document, now)));
+}
+
 double EndpointRecord::relativeServiceTime(PriorityIndex priority) const
 {
     const bool hasServiceTimes = priority.value() < m_report.serviceTimes.size() && m_report.serviceTimes[priority.value()] > Duration(0) && m_report.serviceTime > Duration(0);
--- a/Source/coordination/placing/EndpointRecord.h
+++ b/Source/coordination/placing/EndpointRecord.h
@@ -113,6 +113,8 @@
     double relativeServiceTime(PriorityIndex) const;
     /// Estimated factor by which work currently takes longer than at nominal speed.
     double slowdown(TimePoint now) const;
+    /// Number of calls that the endpoint can serve at once: its slots, or fewer if it limits its requests per second.
+    double concurrency(double service, const ServiceDocument&, TimePoint now) const;
     /// Penalty for outstanding calls that are much later than predicted.
     double stallPenaltyMicroseconds(TimePoint now) const;
     /// Estimated number of calls in service or queued ahead of a new call of this priority.
--- a/Source/coordination/presence/BackendState.cpp
+++ b/Source/coordination/presence/BackendState.cpp
@@ -1,7 +1,6 @@
 #include "coordination/presence/BackendState.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace Knapweedquay {
 
@@ -9,29 +8,101 @@
 
 /// Interval between health checks of a backend server that does not report its load.
 constexpr Duration unreportedLoadInterval { 1000000 };
+/// Health checks of a backend server that limits its requests take at most this share of them.
+constexpr double checkShareOfLimit = 0.25;
+/// Limits of the interval between these health checks.
+constexpr Duration minimumLimitedInterval { 1000000 };
+constexpr Duration maximumLimitedInterval { 10000000 };
+/// A limit that no response has named for this long ends with any response that names none.
+constexpr Duration unconfirmedLimitTime { 15000000 };
+constexpr double microsecondsPerSecond = 1e6;
+
+/// Values of all headers with this name. Values that an intermediary has joined with commas count as several (RFC 9110,
+/// 5.3).
+std::vector<std::string> headerValues(const HttpHeaders& headers, const std::string& name)
+{
+    std::vector<std::string> values;
+    for (const HttpHeader& header : headers) {
+        if (!equalHeaderNames(header.name, name))
+            continue;
+        std::size_t start = 0;
+        for (std::size_t comma = 0; comma != std::string::npos; start = comma + 1) {
+            comma = header.value.find(',', start);
+            values.push_back(header.value.substr(start, comma == std::string::npos ? comma : comma - start));
+        }
+    }
+    return values;
+}
+
+Duration limitedCheckInterval(RequestRate limit)
+{
+    const double interval = microsecondsPerSecond / (checkShareOfLimit * limit.value());
+    if (!(interval < static_cast<double>(maximumLimitedInterval.count())))
+        return maximumLimitedInterval;
+    return std::max(minimumLimitedInterval, Duration(static_cast<Duration::rep>(interval)));
+}
 
 } // namespace
 
-BackendState::BackendState(Settings settings)
-    : m_settings(std::move(settings))
+BackendState::BackendState(const CallHeaders& headers, Duration loadInterval)
+    : m_headers(headers)
+    , m_loadInterval(loadInterval)
 {
 }
 
-std::optional<BackendLoad> BackendState::apply(const HttpHeaders& headers, TimePoint now)
+void BackendState::reset()
 {
-    const std::string* text = findHeader(headers, m_settings.loadHeader);
-    const auto load = text ? parseBackendLoad(*text) : std::nullopt;
-    if (load)
+    m_loadReportedAt.reset();
+    m_respondedAt.reset();
+    m_requestLimit.reset();
+    m_hasNamedLimit.fill(false);
+}
+
+BackendState::Report BackendState::apply(const HttpHeaders& headers, ResponseTo request, TimePoint now)
+{
+    Report report;
+    m_respondedAt = now;
+    if (const std::string* text = findHeader(headers, m_headers.load))
+        report.load = parseBackendLoad(*text);
+    if (report.load)
         m_loadReportedAt = now;
-    return load;
+    applyLimit(headers, request, now, report);
+    return report;
+}
+
+void BackendState::applyLimit(const HttpHeaders& headers, ResponseTo request, TimePoint now, Report& report)
+{
+    const std::optional<RequestRate> before = m_requestLimit;
+    const auto values = headerValues(headers, m_headers.requestLimit);
+    bool& hasNamedLimit = m_hasNamedLimit[static_cast<std::size_t>(request)];
+    std::optional<RequestRate> lowest;
+    for (const std::string& value : values) {
+        const auto rate = parseRequestRate(value);
+        if (!rate)
+            report.unreadable.push_back({ m_headers.requestLimit, value });
+        else if (!lowest || *rate < *lowest)
+            lowest = rate;
+    }
+    if (lowest) {
+        hasNamedLimit = true;
+        m_limitNamedAt = now;
+        m_requestLimit = lowest->value() < unlimitedRequestsPerSecond ? lowest : std::nullopt;
+    } else if (values.empty() && (hasNamedLimit || now - m_limitNamedAt > unconfirmedLimitTime)) {
+        m_requestLimit.reset();
+    }
+    report.hasLimitChanged = m_requestLimit != before;
 }
 
 bool BackendState::isCheckDue(bool isReachable, TimePoint now) const
 {
+    if (m_isCheckPending)
+        return false;
+    if (m_requestLimit)
+        return now - std::max(m_checkSentAt, m_respondedAt.value_or(TimePoint::min())) >= limitedCheckInterval(*m_requestLimit);
     const TimePoint reportedAt = m_loadReportedAt.value_or(TimePoint::min());
     const bool isUnreported = isReachable && m_checkSentAt > reportedAt;
-    const Duration interval = isUnreported ? unreportedLoadInterval : m_settings.loadInterval;
-    return !m_isCheckPending && now - std::max(m_checkSentAt, reportedAt) >= interval;
+    const Duration interval = isUnreported ? unreportedLoadInterval : m_loadInterval;
+    return now - std::max(m_checkSentAt, reportedAt) >= interval;
 }
 
 void BackendState::checkSent(TimePoint now)
--- a/Source/coordination/presence/BackendState.h
+++ b/Source/coordination/presence/BackendState.h
@@ -1,34 +1,54 @@
 #pragma once
 
 #include "protocol/BackendLoad.h"
+#include "protocol/CallHeaders.h"
 #include "protocol/HttpMessage.h"
+#include "protocol/RequestRate.h"
 #include "protocol/Time.h"
 
+#include <array>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Knapweedquay {
 
 /// What the local backend server tells of itself in its responses, and when to ask it again by a health check.
 ///
 /// The speed of its machine changes several times per second, and the responses of a slowed backend server arrive too
-/// late to report it. Therefore a backend server is asked whenever no recent response reported its load.
+/// late to report it. Therefore a backend server is asked whenever no recent response reported its load. One that limits
+/// its requests is asked rarely, and only if it has not responded to a call.
 class BackendState {
 public:
-    /// Names of the headers, and how often to ask.
-    struct Settings {
-        std::string loadHeader;
-        /// Interval between health checks while no response reports the load.
-        Duration loadInterval { 40000 };
+    /// The request that a response answers.
+    enum class ResponseTo {
+        Call,
+        HealthCheck,
     };
 
-    explicit BackendState(Settings);
+    /// What a response told.
+    struct Report {
+        std::optional<BackendLoad> load;
+        /// True if the limit of requests per second was set, changed or ended.
+        bool hasLimitChanged = false;
+        /// Headers whose values have no meaning and were ignored.
+        HttpHeaders unreadable;
+    };
+
+    /// loadInterval: interval between health checks while no response reports the load.
+    BackendState(const CallHeaders&, Duration loadInterval);
 
     /// Forgets what an earlier run of the backend server told.
-    void reset() { m_loadReportedAt.reset(); }
-    /// Applies a response of the backend server. Returns the load that it reports, if any.
-    std::optional<BackendLoad> apply(const HttpHeaders&, TimePoint now);
+    void reset();
+    /// Applies a response of the backend server.
+    ///
+    /// A limit ends with a response that names none, if a response to the same kind of request named one before or the
+    /// limit was not named for 15 seconds. A value that is no decimal number is ignored; the lowest of several values
+    /// counts.
+    Report apply(const HttpHeaders&, ResponseTo, TimePoint now);
     bool hasReportedLoad() const { return m_loadReportedAt.has_value(); }
+    /// Requests per second that the backend server takes; not set when it names no limit.
+    const std::optional<RequestRate>& requestLimit() const { return m_requestLimit; }
 
     /// Returns whether a health check is due.
     bool isCheckDue(bool isReachable, TimePoint now) const;
@@ -36,9 +56,19 @@
     void checkEnded() { m_isCheckPending = false; }
 
 private:
-    Settings m_settings;
+    void applyLimit(const HttpHeaders&, ResponseTo, TimePoint now, Report&);
+
+    CallHeaders m_headers;
+    Duration m_loadInterval;
     /// When the backend server last reported its load; not set if it never did.
     std::optional<TimePoint> m_loadReportedAt;
+    /// When the backend server last responded.
+    std::optional<TimePoint> m_respondedAt;
+    std::optional<RequestRate> m_requestLimit;
+    /// When a response last named a limit.
+    TimePoint m_limitNamedAt;
+    /// By ResponseTo, whether such a response has named a limit.
+    std::array<bool, 2> m_hasNamedLimit { false, false };
     /// When the last health check was sent.
     TimePoint m_checkSentAt;
     /// True while a health check has no response.
--- a/Source/node/EndpointRunner.cpp
+++ b/Source/node/EndpointRunner.cpp
@@ -26,8 +26,11 @@
 /// A request that must not be repeated therefore only reuses a connection that was used very recently.
 constexpr Duration maximumIdleIfIdempotent { 4000000 };
 constexpr Duration maximumIdleIfNotIdempotent { 400000 };
-/// Timeout of a load poll.
-constexpr Duration loadTimeout { 500000 };
+/// Timeout of a health check.
+constexpr Duration healthTimeout { 500000 };
+/// Shortest time between two log lines about changes of the limit, and between two about unreadable headers.
+constexpr Duration stateLogInterval { 1000000 };
+constexpr std::size_t maximumLoggedValueBytes = 64;
 constexpr std::uint16_t misdirectedStatus = 421;
 constexpr std::uint16_t serviceUnavailableStatus = 503;
 constexpr std::uint16_t firstServerErrorStatus = 500;
@@ -48,15 +51,15 @@
     , m_replyHook(std::move(reply))
     , m_metrics(metrics)
     , m_fates(m_self.incarnation)
-    , m_backendState({ m_settings.headers.load, m_settings.loadInterval })
-    , m_unreadHeaders({ m_settings.headers.requestId, m_settings.headers.notRun, m_settings.headers.load })
+    , m_backendState(m_settings.headers, m_settings.loadInterval)
+    , m_unreadHeaders({ m_settings.headers.requestId, m_settings.headers.notRun, m_settings.headers.load, m_settings.headers.requestLimit })
     , m_traceSampler(m_settings.traces)
-    , m_loadTimer(context, [this] { pollLoad(); })
+    , m_healthTimer(context, [this] { checkHealth(); })
     , m_queueTimer(context, [this] { startReadyJobs(); })
     , m_confirmTimer(context, [this] { confirmDueJobs(); })
     , m_expiryTimer(context, [this] { expire(); })
 {
-    m_loadTimer.setAfter(m_settings.loadInterval);
+    m_healthTimer.setAfter(m_settings.loadInterval);
     m_confirmTimer.setAfter(confirmationDelay);
     m_expiryTimer.setAfter(expiryInterval);
 }
@@ -66,14 +69,20 @@
     const bool isOtherService = m_backend && m_backend->service != backend.service;
     if (m_backend && m_backend->instance != backend.instance)
         m_client.closeIdleConnections(m_backend->address);
-    if (!m_backend || m_backend->instance != backend.instance)
-        m_backendState.reset();
+    const bool isNewRun = !m_lastBackend.isSameRun(backend) || (!m_backend && !backend.isRunKnown());
     m_reachability.connectionOpened();
     m_backend = backend;
+    m_lastBackend = backend;
     if (isOtherService)
         m_document.reset();
     if (m_queue)
         m_queue->setBackend(backend.slots > 0 ? std::optional(backend.slots) : std::nullopt);
+    if (!isNewRun)
+        return;
+    ++m_backendRun;
+    m_backendState.reset();
+    if (m_queue)
+        m_queue->setRequestRate(std::nullopt, steadyNow());
 }
 
 void EndpointRunner::removeBackend()
@@ -89,9 +98,8 @@
         return;
     m_document = document;
     if (m_queue)
-        m_queue->setDocument(document);
-    else
-        m_queue = std::make_unique<AdmissionQueue>(document, m_backend->slots > 0 ? std::optional(m_backend->slots) : std::nullopt);
+        return m_queue->setDocument(document);
+    m_queue = std::make_unique<AdmissionQueue>(document, m_backend->slots > 0 ? std::optional(m_backend->slots) : std::nullopt);
 }
 
 void EndpointRunner::drain()
@@ -297,6 +305,7 @@
     const LoadReport load = m_queue->report();
     job.trace.add(LogEvent::AttemptStarted, job.startedAt, {}, { (job.startedAt - job.receivedAt).count(), load.running, load.concurrencyLimit, load.slowdownPercent });
     job.isRunning = true;
+    job.backendRun = m_backendRun;
     m_metrics.attemptStarted(job.startedAt - job.receivedAt);
     m_running.started(job.requestId);
     m_metrics.backendRequestSent(job.message.isRepeat ? BackendRequestKind::Repeat : BackendRequestKind::Call);
@@ -311,7 +320,10 @@
     options.maximumBodyBytes = m_document->maximumBodyBytes;
     options.maximumIdle = job.message.isIdempotent ? maximumIdleIfIdempotent : maximumIdleIfNotIdempotent;
     options.mayRepeat = job.message.isIdempotent;
-    options.resent = [this] { m_metrics.backendRequestSent(BackendRequestKind::Resent); };
+    options.resent = [this] {
+        m_metrics.backendRequestSent(BackendRequestKind::Resent);
+        m_queue->countRequest(steadyNow());
+    };
     if (job.requestId.empty())
         return options;
     options.matchesRequest = [name = m_settings.headers.requestId, id = job.requestId](const HttpResponse& response) {
@@ -374,37 +386,61 @@
     startReadyJobs();
 }
 
-void EndpointRunner::applyReportedLoad(const HttpResponse& response, TimePoint now)
+void EndpointRunner::applyState(const HttpResponse& response, BackendState::ResponseTo request, std::uint64_t run, TimePoint now)
 {
-    if (!m_queue)
+    if (!m_queue || !m_backend || run != m_backendRun)
         return;
+    logUnreadHeaders(response);
     const bool isFirst = !m_backendState.hasReportedLoad();
-    const auto load = m_backendState.apply(response.headers, now);
-    if (!load)
-        return;
-    if (load->slowdownPercent == m_queue->slowdownPercent() && !isFirst)
+    const BackendState::Report report = m_backendState.apply(response.headers, request, now);
+    if (report.load)
+        applyReportedLoad(*report.load, isFirst, now);
+    if (report.hasLimitChanged) {
+        m_queue->setRequestRate(m_backendState.requestLimit(), now);
+        notifyLoadChanged();
+    }
+    logState(report, now);
+}
+
+void EndpointRunner::applyReportedLoad(const BackendLoad& load, bool isFirst, TimePoint now)
+{
+    if (load.slowdownPercent == m_queue->slowdownPercent() && !isFirst)
         return;
-    m_queue->setSlowdown(load->slowdownPercent, now);
+    m_queue->setSlowdown(load.slowdownPercent, now);
     notifyLoadChanged();
 }
 
-void EndpointRunner::pollLoad()
+void EndpointRunner::logState(const BackendState::Report& report, TimePoint now)
 {
-    m_loadTimer.setAfter(m_settings.loadInterval);
+    if (report.hasLimitChanged && now >= m_limitLoggedUntil) {
+        m_limitLoggedUntil = now + stateLogInterval;
+        const auto& limit = m_backendState.requestLimit();
+        log(LogEvent::BackendLimitChanged, { { "instance", m_backend->instance }, { "requests_per_second", limit ? std::to_string(limit->value()) : "none" } });
+    }
+    if (!report.unreadable.empty() && now >= m_unreadableLoggedUntil) {
+        m_unreadableLoggedUntil = now + stateLogInterval;
+        const HttpHeader& header = report.unreadable.front();
+        log(LogEvent::BackendStateUnreadable, { { "instance", m_backend->instance }, { "name", header.name }, { "value", header.value.substr(0, maximumLoggedValueBytes) } });
+    }
+}
+
+void EndpointRunner::checkHealth()
+{
+    m_healthTimer.setAfter(m_settings.loadInterval);
     const TimePoint now = steadyNow();
-    if (!m_backend || !m_queue || m_healthPath.empty() || !m_backendState.isCheckDue(m_reachability.isReachable(), now))
+    if (!m_backend || !m_queue || m_healthPath.empty() || !m_backendState.isCheckDue(m_reachability.isReachable(), now) || !m_queue->allowsRequest(now))
         return;
     m_backendState.checkSent(now);
-    HttpClient::Options options;
-    options.timeout = loadTimeout;
+    m_queue->countRequest(now);
     m_metrics.backendRequestSent(BackendRequestKind::HealthCheck);
-    m_client.send(m_backend->address, { "GET", m_healthPath, {}, {} }, options, [this](const HttpClient::Outcome& outcome) {
+    HttpClient::Options options;
+    options.timeout = healthTimeout;
+    m_client.send(m_backend->address, { "GET", m_healthPath, {}, {} }, options, [this, run = m_backendRun](const HttpClient::Outcome& outcome) {
+        const TimePoint endedAt = steadyNow();
         m_backendState.checkEnded();
-        recordConnectionResult(outcome, steadyNow());
-        if (!outcome.succeeded)
-            return;
-        logUnreadHeaders(outcome.response);
-        applyReportedLoad(outcome.response, steadyNow());
+        recordConnectionResult(outcome, endedAt);
+        if (outcome.succeeded)
+            applyState(outcome.response, BackendState::ResponseTo::HealthCheck, run, endedAt);
     });
 }
 
@@ -436,10 +472,11 @@
 
 void EndpointRunner::handleResponse(const JobPtr& job, const HttpResponse& response, TimePoint now)
 {
-    logUnreadHeaders(response);
-    applyReportedLoad(response, now);
     const AttemptId attempt = job->message.attempt;
     const bool isMisdirected = response.status == misdirectedStatus && !m_backend.value_or(LocalBackend()).instance.empty();
+    // Another run answered a misdirected request.
+    if (!isMisdirected)
+        applyState(response, BackendState::ResponseTo::Call, job->backendRun, now);
     if (isMisdirected || findHeader(response.headers, m_settings.headers.notRun)) {
         finish(job, isMisdirected ? BackendOutcome::Abandoned : BackendOutcome::Shed);
         perform(m_fates.refuse(attempt, { isMisdirected ? ResultCode::Draining : ResultCode::BackendRefused, backendRetryAfter }, now));
--- a/Source/node/EndpointRunner.h
+++ b/Source/node/EndpointRunner.h
@@ -37,6 +37,13 @@
     std::uint32_t slots = 0;
     /// Name of the instance, which the backend server receives with each request; empty if not announced.
     std::string instance;
+    /// Start time of its run, as announced; 0 if not announced.
+    std::uint64_t startedAt = 0;
+
+    /// True if a later run can be told apart from this one.
+    bool isRunKnown() const { return !instance.empty() || startedAt != 0; }
+    /// True if both descriptions are of the same run, as far as it can be told apart from others.
+    bool isSameRun(const LocalBackend& other) const { return service == other.service && address == other.address && instance == other.instance && startedAt == other.startedAt; }
 };
 
 /// Runs the attempts that this node receives on the local backend server.
@@ -113,6 +120,8 @@
         /// When the request was sent to the backend server; only valid while the attempt is running.
         TimePoint startedAt;
         bool isRunning = false;
+        /// Value of m_backendRun when the request was sent.
+        std::uint64_t backendRun = 0;
         /// The request to the backend server while the attempt is running.
         HttpClient::RequestId request = 0;
 
@@ -147,12 +156,15 @@
     /// Adds the last event to the trace, and writes it if the attempt failed or is sampled.
     void finishTrace(Job&, LogEvent, CallTrace::Values, bool hasFailed);
     void handleResponse(const JobPtr&, const HttpResponse&, TimePoint now);
-    /// Passes the load reported in a response to the admission queue.
-    void applyReportedLoad(const HttpResponse&, TimePoint now);
+    /// Applies what the backend server tells of itself in a response. run: value of m_backendRun when the request was
+    /// sent; responses of earlier runs tell nothing of the present one.
+    void applyState(const HttpResponse&, BackendState::ResponseTo, std::uint64_t run, TimePoint now);
+    void applyReportedLoad(const BackendLoad&, bool isFirst, TimePoint now);
+    void logState(const BackendState::Report&, TimePoint now);
     /// Logs the names of headers that this node does not read, each once.
     void logUnreadHeaders(const HttpResponse&);
-    /// Requests the health path of the backend server if no recent response reported its load.
-    void pollLoad();
+    /// Sends a health check to the backend server if one is due.
+    void checkHealth();
     void notifyLoadChanged();
     /// Updates the reachability of the backend server after a request.
     void recordConnectionResult(const HttpClient::Outcome&, TimePoint now);
@@ -169,6 +181,10 @@
     FateTable m_fates;
     /// Not set while no backend server is announced.
     std::optional<LocalBackend> m_backend;
+    /// The backend server that was announced last, whose announcements may have timed out.
+    LocalBackend m_lastBackend;
+    /// Incremented with each run of the backend server.
+    std::uint64_t m_backendRun = 0;
     /// Document of the backend server's service; not set until it is received.
     std::optional<ServiceDocument> m_document;
     /// Null until the first document is received.
@@ -194,9 +210,12 @@
     UnreadHeaders m_unreadHeaders;
     std::string m_healthPath;
     std::function<void()> m_loadHook;
+    /// Next times at which a change of the limit and an unreadable header may be logged.
+    TimePoint m_limitLoggedUntil;
+    TimePoint m_unreadableLoggedUntil;
     TraceSampler m_traceSampler;
     Counters m_counters;
-    Timer m_loadTimer;
+    Timer m_healthTimer;
     Timer m_queueTimer;
     Timer m_confirmTimer;
     Timer m_expiryTimer;
--- a/Source/node/NodeControl.cpp
+++ b/Source/node/NodeControl.cpp
@@ -49,12 +49,22 @@
             return Error { ResultCode::MalformedRequest, "slots: expected a whole number up to " + std::to_string(maximumSlots) };
         announcement.slots = json["slots"].get<std::uint32_t>();
     }
+    if (json.contains("instance")) {
+        if (!json["instance"].is_string())
+            return Error { ResultCode::MalformedRequest, "instance: expected a text" };
+        announcement.instance = json["instance"].get<std::string>();
+    }
+    if (json.contains("started_at")) {
+        if (!json["started_at"].is_number_unsigned())
+            return Error { ResultCode::MalformedRequest, "started_at: expected a whole number" };
+        announcement.startedAt = json["started_at"].get<std::uint64_t>();
+    }
     return announcement;
 }
 
 LocalBackend localBackend(const BackendAnnouncement& announcement)
 {
-    return { announcement.service, toText(announcement.address), announcement.slots, announcement.instance };
+    return { announcement.service, toText(announcement.address), announcement.slots, announcement.instance, announcement.startedAt };
 }
 
 LogEvent memberEvent(const MemberRecord& member)
--- a/Source/node/NodeDaemon.cpp
+++ b/Source/node/NodeDaemon.cpp
@@ -31,6 +31,7 @@
     const auto age = endpoint.reportedAt ? std::chrono::duration<double, std::milli>(steadyNow() - *endpoint.reportedAt).count() : -1;
     return { { "node", endpoint.id.node.value() }, { "outstanding", endpoint.outstanding }, { "report_age_ms", age }, { "draining", endpoint.draining },
         { "ejected", endpoint.ejected }, { "error_rate", endpoint.errorRate }, { "slowdown_percent", endpoint.slowdownPercent },
+        { "requests_per_second", endpoint.requestRate ? nlohmann::json(endpoint.requestRate->value()) : nlohmann::json() },
         { "predicted_ms", std::chrono::duration<double, std::milli>(endpoint.predictedTime).count() } };
 }
 
--- a/Source/node/NodeMetrics.cpp
+++ b/Source/node/NodeMetrics.cpp
@@ -6,6 +6,8 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <limits>
+
 namespace Knapweedquay {
 
 namespace {
@@ -187,12 +189,15 @@
     gauge("knapweedquay_calls_in_progress", "Calls of callers in progress at this node").Set(static_cast<double>(sessions));
 }
 
-void NodeMetrics::setEndpoint(std::uint32_t running, std::uint32_t limit, const std::vector<std::uint32_t>& queued)
+void NodeMetrics::setEndpoint(const LoadReport& load)
 {
-    gauge("knapweedquay_endpoint_running", "Attempts running at the backend server beside this node").Set(running);
-    gauge("knapweedquay_endpoint_concurrency_limit", "Attempts that this node lets run at once").Set(limit);
-    for (std::size_t index = 0; index < queued.size(); ++index)
-        gauge("knapweedquay_endpoint_queued", "Attempts waiting at this node; index 0 is the most urgent priority", { { "priority_index", std::to_string(index) } }).Set(queued[index]);
+    const double limit = load.requestRate ? load.requestRate->value() : std::numeric_limits<double>::infinity();
+    gauge("knapweedquay_endpoint_running", "Attempts running at the backend server beside this node").Set(load.running);
+    gauge("knapweedquay_endpoint_concurrency_limit", "Attempts that this node lets run at once").Set(load.concurrencyLimit);
+    gauge("knapweedquay_endpoint_request_limit", "Requests per second that the backend server takes; infinite without a limit").Set(limit);
+    gauge("knapweedquay_endpoint_draining", "1 while the endpoint takes no calls").Set(load.draining ? 1 : 0);
+    for (std::size_t index = 0; index < load.queued.size(); ++index)
+        gauge("knapweedquay_endpoint_queued", "Attempts waiting at this node; index 0 is the most urgent priority", { { "priority_index", std::to_string(index) } }).Set(load.queued[index]);
 }
 
 void NodeMetrics::setEndpointStarts(std::uint64_t total)
--- a/Source/node/NodeMetrics.h
+++ b/Source/node/NodeMetrics.h
@@ -2,6 +2,7 @@
 
 #include "node/DocumentSender.h"
 #include "protocol/Ids.h"
+#include "protocol/LoadReport.h"
 #include "protocol/ProblemDetails.h"
 #include "protocol/ResultCode.h"
 #include "protocol/Time.h"
@@ -105,9 +106,8 @@
 
     /// Sets the number of callers' calls in progress.
     void setSessions(std::size_t);
-    /// Sets the running attempts and the concurrency limit of the local backend server, and the waiting attempts by
-    /// priority.
-    void setEndpoint(std::uint32_t running, std::uint32_t limit, const std::vector<std::uint32_t>& queued);
+    /// Sets what is known of the local backend server's load, and the attempts that wait for it.
+    void setEndpoint(const LoadReport&);
     /// Sets the total number of attempts started since the start of the process.
     void setEndpointStarts(std::uint64_t);
     /// Counts a request to the local backend server.
--- a/Source/node/NodeTraffic.cpp
+++ b/Source/node/NodeTraffic.cpp
@@ -36,11 +36,24 @@
     return choice;
 }
 
+/// Changes of the rate up to this share of the higher one are not sent.
+constexpr double minimumRateChange = 0.2;
+
+bool isSignificantChange(const std::optional<RequestRate>& lastSent, const std::optional<RequestRate>& now)
+{
+    if (!lastSent || !now)
+        return lastSent.has_value() != now.has_value();
+    const auto [lower, higher] = std::minmax(lastSent->value(), now->value());
+    return higher - lower > minimumRateChange * higher;
+}
+
 /// True if the load differs from the one last sent by enough to justify an update.
 bool isSignificantChange(const LoadReport& lastSent, const LoadReport& now)
 {
     if (lastSent.draining != now.draining)
         return true;
+    if (isSignificantChange(lastSent.requestRate, now.requestRate))
+        return true;
     const std::uint32_t slower = std::max(lastSent.slowdownPercent, now.slowdownPercent);
     const std::uint32_t faster = std::min(lastSent.slowdownPercent, now.slowdownPercent);
     if ((slower - faster) * hundredPercent > minimumSlowdownChangePercent * faster)
@@ -53,20 +66,6 @@
     return isNearLimit && 3 * difference > now.concurrencyLimit;
 }
 
-/// Load report contained in a message; null if there is none.
-const LoadReport* loadOf(const PeerMessage& message)
-{
-    if (const auto* accepted = std::get_if<CallAcceptedMessage>(&message))
-        return &accepted->load;
-    if (const auto* answer = std::get_if<CallAnswerMessage>(&message))
-        return &answer->load;
-    if (const auto* refusal = std::get_if<CallRefusalMessage>(&message))
-        return &refusal->load;
-    if (const auto* probed = std::get_if<ProbeAnswerMessage>(&message))
-        return &probed->load;
-    return nullptr;
-}
-
 } // namespace
 
 NodeTraffic::NodeTraffic(asio::io_context& context, NodeIdentity self, const NodeSettings& settings, CallGateway::ClaimHooks claims, NodeMetrics& metrics)
@@ -106,7 +105,7 @@
     const LoadReport load = m_runner.loadReport();
     metrics.setEndpointStarts(m_runner.counters().started);
     metrics.setSessions(m_gateway.sessionCount());
-    metrics.setEndpoint(load.running, load.concurrencyLimit, load.queued);
+    metrics.setEndpoint(load);
 }
 
 void NodeTraffic::accept(const LinkPtr& link)
@@ -117,7 +116,10 @@
     hooks.received = [this, id](std::string_view bytes) { receive(id, bytes); };
     hooks.closed = [this, id] { m_connections.erase(id); };
     link->setHooks(std::move(hooks));
-    m_connections[id].link = link;
+    Connection& connection = m_connections[id];
+    connection.link = link;
+    if (link->peerFeatures() == extendedLoadFeature)
+        connection.loadEncoding = LoadEncoding::Extended;
 }
 
 void NodeTraffic::receive(ConnectionId id, std::string_view bytes)
@@ -172,7 +174,7 @@
         if (now - connection.lastRequestAt > loadUpdateWindow || !isSignificantChange(connection.lastSentLoad, load))
             continue;
         connection.lastSentLoad = load;
-        connection.link->send(encode(LoadUpdateMessage { *m_backendService, load }));
+        connection.link->send(encode(LoadUpdateMessage { *m_backendService, load }, connection.loadEncoding));
     }
     // The gateway of this node has no link to the node itself, so it receives the update directly.
     m_gateway.receive(m_self.node, LoadUpdateMessage { *m_backendService, load });
@@ -257,7 +259,7 @@
         return;
     if (const LoadReport* load = loadOf(message))
         entry->second.lastSentLoad = *load;
-    entry->second.link->send(encode(message));
+    entry->second.link->send(encode(message, entry->second.loadEncoding));
 }
 
 } // namespace Knapweedquay
--- a/Source/node/NodeTraffic.h
+++ b/Source/node/NodeTraffic.h
@@ -50,6 +50,8 @@
     /// A link that another node opened to send attempts to this node.
     struct Connection {
         LinkPtr link;
+        /// What the other node can read.
+        LoadEncoding loadEncoding = LoadEncoding::Basic;
         /// False until the first message; other messages before it close the link.
         bool hasReceivedHello = false;
         /// Estimates the time that messages spent in buffers.
--- a/Source/node/PeerLinks.cpp
+++ b/Source/node/PeerLinks.cpp
@@ -25,7 +25,7 @@
 PeerLinks::PeerLinks(asio::io_context& context, NodeIdentity self, Hooks hooks)
     : m_self(std::move(self))
     , m_hooks(std::move(hooks))
-    , m_client(context, maximumPeerMessageBytes)
+    , m_client(context, maximumPeerMessageBytes, extendedLoadFeature)
     , m_checkTimer(context, [this] { checkLinks(); })
 {
     m_checkTimer.setAfter(checkInterval);
--- a/Source/protocol/CallHeaders.h
+++ b/Source/protocol/CallHeaders.h
@@ -19,6 +19,8 @@
     /// Response: load of the backend server as "running,waiting,slots,percent"; percent is the current duration of work
     /// relative to the nominal one.
     std::string load = "Knapweedquay-Load";
+    /// Response: requests per second that the backend server takes from all callers together, as long as it says so.
+    std::string requestLimit = "Knapweedquay-Request-Limit";
     /// True when backend servers also receive the headers that only nodes interpret, such as the depth of a call.
     bool sendsNodeHeaders = true;
     /// True when Retry-After may have a fraction of a second; otherwise it has whole seconds, rounded up.
--- a/Source/protocol/LoadReport.h
+++ b/Source/protocol/LoadReport.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "protocol/Ids.h"
+#include "protocol/RequestRate.h"
 #include "protocol/Time.h"
 
 #include <cstdint>
 #include <numeric>
+#include <optional>
 #include <vector>
 
 namespace Knapweedquay {
@@ -32,6 +34,8 @@
     std::uint32_t slowdownPercent = 100;
     /// True when the backend server finishes its calls and takes no new ones.
     bool draining = false;
+    /// Requests per second that the backend server takes from all callers together; not set when it names no limit.
+    std::optional<RequestRate> requestRate;
 
     /// Running and queued calls.
     std::uint32_t backlog() const { return std::accumulate(queued.begin(), queued.end(), running); }
--- a/Source/protocol/LogEvent.cpp
+++ b/Source/protocol/LogEvent.cpp
@@ -39,6 +39,8 @@
     { LogEvent::BackendUnreachable, LogLevel::Warning, "backend server refuses connections" },
     { LogEvent::BackendReachable, LogLevel::Info, "backend server accepts connections again" },
     { LogEvent::ResponseHeaderUnread, LogLevel::Info, "response header passed on unread" },
+    { LogEvent::BackendLimitChanged, LogLevel::Info, "backend server changed the limit of its requests" },
+    { LogEvent::BackendStateUnreadable, LogLevel::Warning, "unreadable header of the backend server ignored" },
     { LogEvent::CallAccepted, LogLevel::Info, "call accepted" },
     { LogEvent::EndpointChosen, LogLevel::Info, "endpoint chosen" },
     { LogEvent::AttemptRefused, LogLevel::Info, "attempt refused by the endpoint's node" },
--- a/Source/protocol/LogEvent.h
+++ b/Source/protocol/LogEvent.h
@@ -46,6 +46,8 @@
     BackendUnreachable = 403,
     BackendReachable = 404,
     ResponseHeaderUnread = 405,
+    BackendLimitChanged = 406,
+    BackendStateUnreadable = 407,
 
     // 6xx: calls, at the node that accepted them (61x) and at the endpoint's node (62x).
     CallAccepted = 610,
--- a/Source/protocol/PeerMessages.cpp
+++ b/Source/protocol/PeerMessages.cpp
@@ -3,6 +3,8 @@
 #include "protocol/Cbor.h"
 #include "protocol/MessageFields.h"
 
+#include <algorithm>
+#include <cmath>
 #include <type_traits>
 
 namespace Knapweedquay {
@@ -14,6 +16,8 @@
 constexpr std::size_t maximumHeaders = 200;
 // Service documents derived from a routing document have up to 32 priorities, others up to 16.
 constexpr std::size_t maximumReportedPriorities = 32;
+/// A request rate is sent as requests in a thousand seconds.
+constexpr double requestRateScale = 1000;
 
 void append(Json& fields, const LoadReport& load)
 {
@@ -31,7 +35,30 @@
     fields.push_back(load.completedCalls);
     fields.push_back(load.failuresPerThousand);
     fields.push_back(load.slowdownPercent);
-    fields.push_back(load.draining);
+    if (!load.requestRate)
+        return fields.push_back(load.draining);
+    const double perThousandSeconds = std::min(load.requestRate->value(), unlimitedRequestsPerSecond) * requestRateScale;
+    fields.push_back(Json::array({ load.draining, static_cast<std::uint64_t>(std::llround(perThousandSeconds)) }));
+}
+
+/// The last field of a load report is a boolean, or an array of this boolean and the fields that were added later.
+void readExtendedLoad(FieldReader& reader, LoadReport& load)
+{
+    const Json& last = reader.any();
+    if (last.is_boolean()) {
+        load.draining = last.get<bool>();
+        return;
+    }
+    if (!last.is_array()) {
+        reader.fail("the last field of a load report is neither a boolean nor an array");
+        return;
+    }
+    FieldReader extended(last);
+    load.draining = extended.boolean();
+    if (extended.remaining() > 0)
+        load.requestRate = RequestRate(static_cast<double>(extended.unsignedInteger()) / requestRateScale);
+    if (extended.failed())
+        reader.fail("the added fields of a load report have other types");
 }
 
 LoadReport readLoad(FieldReader& reader)
@@ -59,7 +86,7 @@
     load.completedCalls = reader.unsignedInteger();
     load.failuresPerThousand = readUnsigned32(reader);
     load.slowdownPercent = readUnsigned32(reader);
-    load.draining = reader.boolean();
+    readExtendedLoad(reader, load);
     return load;
 }
 
@@ -290,10 +317,38 @@
     message.text = reader.bytes();
 }
 
+/// Load report of a message of this type; null if the type has none.
+template <typename Message>
+auto loadField(Message& message, int) -> decltype(&message.load)
+{
+    return &message.load;
+}
+
+template <typename Message>
+std::nullptr_t loadField(Message&, long)
+{
+    return nullptr;
+}
+
 } // namespace
 
-std::string encode(const PeerMessage& message)
+const LoadReport* loadOf(const PeerMessage& message)
 {
+    return std::visit([](const auto& typed) -> const LoadReport* { return loadField(typed, 0); }, message);
+}
+
+std::string encode(const PeerMessage& message, LoadEncoding encoding)
+{
+    const LoadReport* load = loadOf(message);
+    if (encoding == LoadEncoding::Basic && load && load->requestRate) {
+        PeerMessage basic = message;
+        std::visit([](auto& typed) {
+            if (LoadReport* copied = loadField(typed, 0))
+                copied->requestRate.reset();
+        },
+            basic);
+        return encode(basic);
+    }
     Json fields = Json::array();
     fields.push_back(message.index());
     std::visit([&fields](const auto& typed) { appendFields(fields, typed); }, message);
--- a/Source/protocol/PeerMessages.h
+++ b/Source/protocol/PeerMessages.h
@@ -135,8 +135,22 @@
 using PeerMessage = std::variant<HelloMessage, CallRequestMessage, CallAcceptedMessage, CallAnswerMessage, CallRefusalMessage, CallUnknownMessage,
     CallCancelMessage, CallCancelledMessage, ProbeMessage, ProbeAnswerMessage, DocumentRequestMessage, DocumentAnswerMessage, LoadUpdateMessage>;
 
+/// Fields of a load report that the receiver of a message can read.
+enum class LoadEncoding {
+    /// The fields up to release 0.2, whose decoders refuse a message with others.
+    Basic,
+    /// Further fields as well; a decoder ignores those that it does not know.
+    Extended,
+};
+
+/// Feature of a link (see LinkClient::connect()) whose node reads LoadEncoding::Extended.
+constexpr const char* extendedLoadFeature = "extended-load";
+
+/// Load report that a message contains; null if there is none.
+const LoadReport* loadOf(const PeerMessage&);
+
 /// Encodes a message as the CBOR array [type, fields...]; docs/PROTOCOL.md lists the types.
-std::string encode(const PeerMessage&);
+std::string encode(const PeerMessage&, LoadEncoding = LoadEncoding::Basic);
 
 /// Encodes a complete HTTP response as one byte string, for the answer of an attempt.
 std::string encodeResponse(const HttpResponse&);
--- a/Source/transport/Link.cpp
+++ b/Source/transport/Link.cpp
@@ -9,6 +9,7 @@
 #include <websocketpp/config/asio_no_tls_client.hpp>
 #include <websocketpp/server.hpp>
 
+#include <type_traits>
 #include <utility>
 
 namespace Knapweedquay {
@@ -24,6 +25,8 @@
 constexpr Duration progressInterval { 100000 };
 /// Longest time for the WebSocket opening handshake.
 constexpr long openTimeoutMilliseconds = 1000;
+/// Header of the opening handshake.
+constexpr const char* featuresHeader = "Knapweedquay-Features";
 
 /// A Link over a connection of websocketpp, accepted or opened by Endpoint.
 template <typename Endpoint>
@@ -86,6 +89,12 @@
         return m_lastReceived;
     }
     void setHooks(Hooks hooks) override { m_hooks = std::move(hooks); }
+    std::string peerFeatures() const override
+    {
+        if constexpr (std::is_same_v<Endpoint, ServerEndpoint>)
+            return m_connection->get_request_header(featuresHeader);
+        return {};
+    }
 
     void handleOpened()
     {
@@ -232,7 +241,8 @@
 /// Opens connections of websocketpp and wraps each into a Link.
 class LinkClient::Implementation {
 public:
-    Implementation(asio::io_context& context, std::size_t maximumMessageBytes)
+    Implementation(asio::io_context& context, std::size_t maximumMessageBytes, std::string features)
+        : m_features(std::move(features))
     {
         configure(m_endpoint, context, maximumMessageBytes);
     }
@@ -243,6 +253,8 @@
         const auto connection = m_endpoint.get_connection("ws://" + peer + "/", error);
         if (error)
             return nullptr;
+        if (!m_features.empty())
+            connection->append_header(featuresHeader, m_features);
         const boost::intrusive_ptr<WebsocketLink<ClientEndpoint>> link(new WebsocketLink<ClientEndpoint>(connection));
         link->setHooks(std::move(hooks));
         m_endpoint.connect(connection);
@@ -250,11 +262,12 @@
     }
 
 private:
+    std::string m_features;
     ClientEndpoint m_endpoint;
 };
 
-LinkClient::LinkClient(asio::io_context& context, std::size_t maximumMessageBytes)
-    : m_implementation(std::make_unique<Implementation>(context, maximumMessageBytes))
+LinkClient::LinkClient(asio::io_context& context, std::size_t maximumMessageBytes, std::string features)
+    : m_implementation(std::make_unique<Implementation>(context, maximumMessageBytes, std::move(features)))
 {
 }
 
--- a/Source/transport/Link.h
+++ b/Source/transport/Link.h
@@ -43,6 +43,8 @@
     /// direction, the last call at which more of it had passed than at the call before.
     virtual TimePoint lastReceived() = 0;
     virtual void setHooks(Hooks) = 0;
+    /// Features that the peer named when it opened this link; empty on a link that this process opened.
+    virtual std::string peerFeatures() const = 0;
 };
 
 using LinkPtr = boost::intrusive_ptr<Link>;
@@ -71,7 +73,9 @@
 /// Opens links on the event loop of its thread.
 class LinkClient {
 public:
-    LinkClient(asio::io_context&, std::size_t maximumMessageBytes);
+    /// features: what this process understands beyond the first release, told to the peer with each link. Peers of
+    /// earlier releases ignore it.
+    LinkClient(asio::io_context&, std::size_t maximumMessageBytes, std::string features = {});
     ~LinkClient();
 
     /// Starts to open a link to "address:port" and reports its events to the hooks. Returns null if the address is
--- a/Tests/control/DistributionSimulation.cpp
+++ b/Tests/control/DistributionSimulation.cpp
@@ -51,6 +51,7 @@
     bool isOpen() const override { return m_isOpen; }
     TimePoint lastReceived() override { return m_lastReceived; }
     void setHooks(Hooks hooks) override { m_hooks = std::move(hooks); }
+    std::string peerFeatures() const override { return {}; }
 
     void open(End& peer)
     {
--- a/Tests/coordination/EndpointChooserTest.cpp
+++ b/Tests/coordination/EndpointChooserTest.cpp
@@ -107,6 +107,36 @@
     EXPECT_EQ(static_cast<std::size_t>(counts[0]), status(0).sentSinceReport);
 }
 
+// An endpoint that had limited its requests, but still answered fast, got more calls than before.
+TEST_F(EndpointChooserTest, EndpointWithRequestLimit_CallsSent_ReceivesItsRateOnly)
+{
+    addEndpoints(3);
+    LoadReport limited = makeReport(0, 100 * millisecond);
+    limited.requestRate = RequestRate(8);
+    for (int index = 1; index < 3; ++index)
+        m_chooser.applyReport(endpointId(index), makeReport(2, 100 * millisecond), m_now);
+    m_chooser.applyReport(endpointId(0), limited, m_now);
+    std::vector<int> counts(3);
+    for (int call = 0; call < 30; ++call) {
+        const int chosen = choose();
+        send(chosen);
+        ++counts[static_cast<std::size_t>(chosen)];
+    }
+    EXPECT_LE(counts[0], 4);
+    EXPECT_EQ(RequestRate(8), status(0).requestRate);
+}
+
+TEST_F(EndpointChooserTest, AllEndpointsWithRequestLimits_CallsQueued_FleetIsOverloaded)
+{
+    addEndpoints(2);
+    LoadReport limited = makeReport(1);
+    limited.requestRate = RequestRate(8);
+    limited.queued = { 1, 0 };
+    for (int index = 0; index < 2; ++index)
+        m_chooser.applyReport(endpointId(index), limited, m_now);
+    EXPECT_TRUE(m_chooser.isFleetOverloaded(PriorityIndex(0), m_now));
+}
+
 TEST_F(EndpointChooserTest, BusyReport_CallsSentSince_AddToReportedLoad)
 {
     addEndpoints(2);
--- /dev/null
+++ b/Tests/protocol/RequestRateTest.cpp
@@ -0,0 +1,22 @@
+#include "protocol/RequestRate.h"
+
+#include <gtest/gtest.h>
+
+using namespace Knapweedquay;
+
+TEST(RequestRateTest, DecimalNumbers_Parsed_AreAccepted)
+{
+    const std::pair<const char*, double> cases[] = { { "8", 8 }, { "10.7", 10.7 }, { "0", 0 }, { "0.25", 0.25 }, { " 7.5\t", 7.5 }, { "12.", 12 }, { "1000000000", 1e9 } };
+    for (const auto& [text, value] : cases) {
+        const auto rate = parseRequestRate(text);
+        ASSERT_TRUE(rate) << text;
+        EXPECT_EQ(value, rate->value()) << text;
+    }
+    EXPECT_GE(parseRequestRate(std::string(400, '9'))->value(), unlimitedRequestsPerSecond);
+}
+
+TEST(RequestRateTest, OtherTexts_Parsed_AreRejected)
+{
+    for (const char* text : { "", " ", "-1", "+1", "inf", "nan", "1e3", "0x10", "8 9", "8,9", "8/s", ".5", "eight" })
+        EXPECT_FALSE(parseRequestRate(text)) << text;
+}
--- a/Tests/transport/LinkTest.cpp
+++ b/Tests/transport/LinkTest.cpp
@@ -133,7 +133,7 @@
 
     asio::io_context m_context;
     LinkServer m_server { m_context, 2 * messageBytes, [this](const LinkPtr& link) { accept(link); } };
-    LinkClient m_clients { m_context, 2 * messageBytes };
+    LinkClient m_clients { m_context, 2 * messageBytes, "first second" };
     Tcp::acceptor m_relayAcceptor { m_context, { asio::ip::make_address("127.0.0.1"), 0 } };
     Tcp::socket m_nearClient { m_context };
     Tcp::socket m_nearServer { m_context };
@@ -153,6 +153,12 @@
     EXPECT_LE(longestSilence(m_client), maximumSilence);
 }
 
+TEST_F(LinkTest, Client_WithFeatures_TellsThemToTheServer)
+{
+    EXPECT_EQ(m_accepted->peerFeatures(), "first second");
+    EXPECT_EQ(m_client->peerFeatures(), "");
+}
+
 TEST_F(LinkTest, LargeMessage_Leaving_LinkIsNotSilent)
 {
     ASSERT_TRUE(m_client->send(std::string(messageBytes, 'x')));
--- a/Utilities/Load/StandInBackend.cpp
+++ b/Utilities/Load/StandInBackend.cpp
@@ -57,6 +57,7 @@
     , m_controlServer(context, options.controlPort, [this](const HttpMessage& request, const std::shared_ptr<HttpConnection>& connection) { handleControl(request, connection); })
     , m_announceTimer(context)
     , m_idleTimer(context)
+    , m_startedAt(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count())
 {
     for (const std::string& rule : options.serviceTimes)
         m_times.add(rule);
@@ -146,7 +147,7 @@
 {
     const CallHeaders names;
     if (!m_modes.requestLimit.empty())
-        answer.headers["Knapweedquay-Request-Limit"] = m_modes.requestLimit;
+        answer.headers[names.requestLimit] = m_modes.requestLimit;
     if (!m_modes.leaving.empty())
         answer.headers["Knapweedquay-Leaving"] = m_modes.leaving;
     if (m_modes.reportsLoad)
@@ -242,7 +243,7 @@
     if (m_leaveTime)
         return;
     const std::string address = m_options.announcedAddress.empty() ? "127.0.0.1:" + std::to_string(port()) : m_options.announcedAddress;
-    const nlohmann::json body { { "service", m_options.service }, { "address", address }, { "slots", m_options.slots } };
+    const nlohmann::json body { { "service", m_options.service }, { "address", address }, { "slots", m_options.slots }, { "started_at", m_startedAt } };
     m_client.send(m_options.node, jsonRequest("/announce", body), announceTimeout, [](ExchangeFailure, const HttpMessage&) {});
     m_announceTimer.expires_after(announceInterval);
     m_announceTimer.async_wait([this](const asio::error_code& error) {
--- a/Utilities/Load/StandInBackend.h
+++ b/Utilities/Load/StandInBackend.h
@@ -86,6 +86,8 @@
     HttpServer m_controlServer;
     asio::steady_timer m_announceTimer;
     asio::steady_timer m_idleTimer;
+    /// Start of this process in milliseconds since 1970, which names the run in announcements.
+    std::int64_t m_startedAt;
     /// Calls that wait for a slot, in the order of arrival.
     std::deque<CallPointer> m_queue;
     /// Calls that occupy a slot, which each keeps until its answer is sent.
