Presence: Drain a backend server that tells in its answers that it leaves

What callers saw: calls reached a backend server later than 2 s after it had told in its answers that it leaves, since a drain began with an announcement or an operator's order only.

It binds to the run: announcements that still say ready, other properties, a lapse of the announcements, a document or an operator's return don't end it; a new run does. Any other value than 1 is ignored and logged.

--- a/Source/cli/Commands.cpp
+++ b/Source/cli/Commands.cpp
@@ -292,6 +292,10 @@
     const Answer answer = node.ask({ "POST", isDraining ? "/leave" : "/return", {}, {} });
     if (!answer.isOk())
         return fail(answer);
+    if (!isDraining && answer.body.value("draining", false)) {
+        m_report.error("the backend server told that it leaves; calls resume with its next run");
+        return ExitCode::Failed;
+    }
     m_report.result(answer.body.value("node", m_commandLine.node) + (isDraining ? ": draining" : ": taking calls"), answer.body);
     return ExitCode::Done;
 }
--- a/Source/coordination/presence/BackendPresence.cpp
+++ b/Source/coordination/presence/BackendPresence.cpp
@@ -22,6 +22,11 @@
 {
 }
 
+bool BackendPresence::isLeaving(const BackendAnnouncement& announcement) const
+{
+    return m_leaving && m_leaving->instance == announcement.instance && m_leaving->startedAt == announcement.startedAt;
+}
+
 bool BackendPresence::belongsToEndedRun(const BackendAnnouncement& announcement) const
 {
     if (!m_ended || announcement.startedAt == 0)
@@ -51,7 +56,7 @@
     const bool wasDraining = m_current->draining;
     m_current = announcement;
     // Without sequence numbers a repeated announcement cannot be distinguished from an old one, so draining persists.
-    m_current->draining = announcement.draining || (wasDraining && isSame);
+    m_current->draining = announcement.draining || (wasDraining && isSame) || isLeaving(announcement);
     if (m_current->draining && !wasDraining)
         return PresenceChange::Draining;
     return isSame ? PresenceChange::None : PresenceChange::Changed;
@@ -59,10 +64,14 @@
 
 PresenceChange BackendPresence::adopt(const BackendAnnouncement& announcement, TimePoint now)
 {
+    const bool hasIdentity = !announcement.instance.empty() || announcement.startedAt != 0;
+    if (!hasIdentity || !isLeaving(announcement))
+        m_leaving.reset();
     m_current = announcement;
+    m_current->draining = announcement.draining || m_leaving;
     m_announcedAt = now;
     m_candidate.reset();
-    return announcement.draining ? PresenceChange::Draining : PresenceChange::Arrived;
+    return m_current->draining ? PresenceChange::Draining : PresenceChange::Arrived;
 }
 
 // The machine's clock may have been set back between two runs. Only a live run sends new announcements.
@@ -93,6 +102,14 @@
     return PresenceChange::Gone;
 }
 
+PresenceChange BackendPresence::startLeaving(const std::string& instance, std::uint64_t startedAt)
+{
+    if (!m_current || m_current->instance != instance || m_current->startedAt != startedAt)
+        return PresenceChange::None;
+    m_leaving = Run { instance, startedAt };
+    return drain();
+}
+
 PresenceChange BackendPresence::drain()
 {
     if (!m_current || m_current->draining)
@@ -103,7 +120,7 @@
 
 PresenceChange BackendPresence::undrain()
 {
-    if (!isDraining())
+    if (!isDraining() || isLeaving(*m_current))
         return PresenceChange::None;
     m_current->draining = false;
     return PresenceChange::Arrived;
--- a/Source/coordination/presence/BackendPresence.h
+++ b/Source/coordination/presence/BackendPresence.h
@@ -45,7 +45,8 @@
 ///
 /// Announcements may arrive seconds late and out of order, even after their sender has ended. A later run replaces an
 /// earlier one, and a higher sequence number a lower one. A draining run drains until an operator ends the draining, or
-/// until it announces other properties without draining. A run that left cannot return if its announcements specify
+/// until it announces other properties without draining. A run that told that it leaves drains to its end, whatever it
+/// announces. A run that left cannot return if its announcements specify
 /// its start time.
 class BackendPresence {
 public:
@@ -55,6 +56,8 @@
     PresenceChange announce(const BackendAnnouncement&, TimePoint now);
     /// Handles the notice that a run of the backend server is leaving. startedAt: 0 when not specified.
     PresenceChange leave(const std::string& instance, std::uint64_t startedAt, TimePoint now);
+    /// Handles that a run told in its responses that it leaves. It drains until it ends.
+    PresenceChange startLeaving(const std::string& instance, std::uint64_t startedAt);
     /// Drains the present run by an operator's order.
     PresenceChange drain();
     /// Ends the draining of the present run by an operator's order.
@@ -80,6 +83,7 @@
         std::uint32_t count = 0;
     };
 
+    bool isLeaving(const BackendAnnouncement&) const;
     bool belongsToEndedRun(const BackendAnnouncement&) const;
     PresenceChange update(const BackendAnnouncement&, TimePoint now);
     PresenceChange adopt(const BackendAnnouncement&, TimePoint now);
@@ -89,6 +93,8 @@
     std::optional<BackendAnnouncement> m_current;
     /// The latest run that left.
     std::optional<Run> m_ended;
+    /// The latest run that told that it leaves.
+    std::optional<Run> m_leaving;
     std::optional<Candidate> m_candidate;
     /// When the latest announcement of the present run was received.
     TimePoint m_announcedAt;
--- a/Source/coordination/presence/BackendState.cpp
+++ b/Source/coordination/presence/BackendState.cpp
@@ -1,6 +1,8 @@
 #include "coordination/presence/BackendState.h"
 
 #include <algorithm>
+#include <string_view>
+#include <utility>
 
 namespace Knapweedquay {
 
@@ -16,6 +18,7 @@
 /// A limit that no response has named for this long ends with any response that names none.
 constexpr Duration unconfirmedLimitTime { 15000000 };
 constexpr double microsecondsPerSecond = 1e6;
+constexpr std::string_view leavingValue = "1";
 
 /// Values of all headers with this name. Values that an intermediary has joined with commas count as several (RFC 9110,
 /// 5.3).
@@ -56,6 +59,7 @@
     m_respondedAt.reset();
     m_requestLimit.reset();
     m_hasNamedLimit.fill(false);
+    m_isLeaving = false;
 }
 
 BackendState::Report BackendState::apply(const HttpHeaders& headers, ResponseTo request, TimePoint now)
@@ -67,6 +71,7 @@
     if (report.load)
         m_loadReportedAt = now;
     applyLimit(headers, request, now, report);
+    applyLeaving(headers, report);
     return report;
 }
 
@@ -93,6 +98,16 @@
     report.hasLimitChanged = m_requestLimit != before;
 }
 
+void BackendState::applyLeaving(const HttpHeaders& headers, Report& report)
+{
+    for (const std::string& value : headerValues(headers, m_headers.leaving)) {
+        if (value == leavingValue)
+            report.startsToLeave = report.startsToLeave || !std::exchange(m_isLeaving, true);
+        else
+            report.unreadable.push_back({ m_headers.leaving, value });
+    }
+}
+
 bool BackendState::isCheckDue(bool isReachable, TimePoint now) const
 {
     if (m_isCheckPending)
--- a/Source/coordination/presence/BackendState.h
+++ b/Source/coordination/presence/BackendState.h
@@ -31,6 +31,8 @@
         std::optional<BackendLoad> load;
         /// True if the limit of requests per second was set, changed or ended.
         bool hasLimitChanged = false;
+        /// True for the first response that tells that the backend server leaves.
+        bool startsToLeave = false;
         /// Headers whose values have no meaning and were ignored.
         HttpHeaders unreadable;
     };
@@ -44,11 +46,12 @@
     ///
     /// A limit ends with a response that names none, if a response to the same kind of request named one before or the
     /// limit was not named for 15 seconds. A value that is no decimal number is ignored; the lowest of several values
-    /// counts.
+    /// counts. The leaving never ends.
     Report apply(const HttpHeaders&, ResponseTo, TimePoint now);
     bool hasReportedLoad() const { return m_loadReportedAt.has_value(); }
     /// Requests per second that the backend server takes; not set when it names no limit.
     const std::optional<RequestRate>& requestLimit() const { return m_requestLimit; }
+    bool isLeaving() const { return m_isLeaving; }
 
     /// Returns whether a health check is due.
     bool isCheckDue(bool isReachable, TimePoint now) const;
@@ -57,6 +60,7 @@
 
 private:
     void applyLimit(const HttpHeaders&, ResponseTo, TimePoint now, Report&);
+    void applyLeaving(const HttpHeaders&, Report&);
 
     CallHeaders m_headers;
     Duration m_loadInterval;
@@ -69,6 +73,7 @@
     TimePoint m_limitNamedAt;
     /// By ResponseTo, whether such a response has named a limit.
     std::array<bool, 2> m_hasNamedLimit { false, false };
+    bool m_isLeaving = false;
     /// When the last health check was sent.
     TimePoint m_checkSentAt;
     /// True while a health check has no response.
--- a/Source/node/EndpointRunner.cpp
+++ b/Source/node/EndpointRunner.cpp
@@ -52,7 +52,7 @@
     , m_metrics(metrics)
     , m_fates(m_self.incarnation)
     , m_backendState(m_settings.headers, m_settings.loadInterval)
-    , m_unreadHeaders({ m_settings.headers.requestId, m_settings.headers.notRun, m_settings.headers.load, m_settings.headers.requestLimit })
+    , m_unreadHeaders({ m_settings.headers.requestId, m_settings.headers.notRun, m_settings.headers.load, m_settings.headers.requestLimit, m_settings.headers.leaving })
     , m_traceSampler(m_settings.traces)
     , m_healthTimer(context, [this] { checkHealth(); })
     , m_queueTimer(context, [this] { startReadyJobs(); })
@@ -113,6 +113,9 @@
 
 void EndpointRunner::undrain()
 {
+    // A backend server that told that it leaves does not return.
+    if (m_backendState.isLeaving())
+        return;
     if (std::exchange(m_isDraining, false) && m_queue)
         m_queue->resume();
 }
@@ -400,6 +403,10 @@
         notifyLoadChanged();
     }
     logState(report, now);
+    if (report.startsToLeave) {
+        drain();
+        m_leavingHook(*m_backend);
+    }
 }
 
 void EndpointRunner::applyReportedLoad(const BackendLoad& load, bool isFirst, TimePoint now)
--- a/Source/node/EndpointRunner.h
+++ b/Source/node/EndpointRunner.h
@@ -84,6 +84,8 @@
     void setHealthPath(const std::string& path) { m_healthPath = path; }
     /// Sets a hook that is called whenever the result of loadReport() may have changed.
     void setLoadHook(std::function<void()> hook) { m_loadHook = std::move(hook); }
+    /// Sets a hook that is called when the local backend server tells for the first time that it leaves.
+    void setLeavingHook(std::function<void(const LocalBackend&)> hook) { m_leavingHook = std::move(hook); }
     /// Starts refusing new attempts; attempts in flight finish.
     void drain();
     /// Accepts new attempts again.
@@ -210,6 +212,7 @@
     UnreadHeaders m_unreadHeaders;
     std::string m_healthPath;
     std::function<void()> m_loadHook;
+    std::function<void(const LocalBackend&)> m_leavingHook;
     /// Next times at which a change of the limit and an unreadable header may be logged.
     TimePoint m_limitLoggedUntil;
     TimePoint m_unreadableLoggedUntil;
--- a/Source/node/NodeControl.cpp
+++ b/Source/node/NodeControl.cpp
@@ -242,9 +242,14 @@
     apply(m_presence.leave(instance, startedAt, steadyNow()));
 }
 
+void NodeControl::backendLeaves(const LocalBackend& backend)
+{
+    apply(m_presence.startLeaving(backend.instance, backend.startedAt), "response");
+}
+
 HttpResponse NodeControl::handleLeave()
 {
-    apply(m_presence.drain());
+    apply(m_presence.drain(), "operator");
     return jsonResponse(202, { { "node", m_self.node.value() }, { "draining", true } });
 }
 
@@ -253,10 +258,10 @@
     if (!m_presence.current())
         return problemResponse({ ResultCode::NoEndpoint, "no backend server is announced here" }, CallOutcomeKind::NotRun);
     apply(m_presence.undrain());
-    return jsonResponse(200, { { "node", m_self.node.value() }, { "draining", false } });
+    return jsonResponse(200, { { "node", m_self.node.value() }, { "draining", m_presence.isDraining() } });
 }
 
-void NodeControl::apply(PresenceChange change)
+void NodeControl::apply(PresenceChange change, const char* source)
 {
     const auto& current = m_presence.current();
     switch (change) {
@@ -271,7 +276,7 @@
         m_endpoint.announcedAt = steadyNow();
         return publishEndpoint(current->draining ? EndpointLifecycle::Draining : EndpointLifecycle::Ready);
     case PresenceChange::Draining:
-        log(LogEvent::BackendDraining, { { "instance", current->instance }, { "address", toText(current->address) }, { "sequence", std::to_string(current->sequence) } });
+        log(LogEvent::BackendDraining, { { "instance", current->instance }, { "address", toText(current->address) }, { "sequence", std::to_string(current->sequence) }, { "source", source } });
         m_hooks.backendDraining();
         return publishEndpoint(EndpointLifecycle::Draining);
     case PresenceChange::Gone:
--- a/Source/node/NodeControl.h
+++ b/Source/node/NodeControl.h
@@ -67,6 +67,8 @@
     void announce(const BackendAnnouncement&);
     /// Handles a message that a run of the local backend server is leaving; startedAt is the start time of that run.
     void announceLeave(const std::string& instance, std::uint64_t startedAt);
+    /// Handles that the backend server told in its responses that it leaves.
+    void backendLeaves(const LocalBackend&);
     /// True if callers may use this node: its documents were proved recent, it has a routing document and it is not
     /// stopping.
     bool isReady() const { return m_subscription.isFresh() && m_hasRouting && !m_isStopping; }
@@ -86,7 +88,8 @@
     /// Checks the subscription, and again after its interval.
     void checkSubscription();
     /// Reports a change of the local backend server through the hooks and to the other members.
-    void apply(PresenceChange);
+    /// source: what caused the change, for the log.
+    void apply(PresenceChange, const char* source = "announcement");
     /// Like applyDocument(), for the routing document.
     bool applyRouting(const DocumentMessage&, const DocumentSender&);
     std::string status() const;
--- a/Source/node/NodeDaemon.cpp
+++ b/Source/node/NodeDaemon.cpp
@@ -60,6 +60,9 @@
     m_traffic->gateway().setDocumentHook([this](const NodeId& from, const DocumentAnswerMessage& document) {
         asio::post(m_controlContext, [this, from, document] { m_control->offerDocument({ document.service, document.version, document.text }, from); });
     });
+    m_traffic->runner().setLeavingHook([this](const LocalBackend& backend) {
+        asio::post(m_controlContext, [this, backend] { m_control->backendLeaves(backend); });
+    });
     BOOST_OUTCOME_TRYV(m_traffic->start());
     BOOST_OUTCOME_TRYV(m_control->start(m_traffic->peersPort()));
     if (m_extension.started) {
--- a/Source/protocol/CallHeaders.h
+++ b/Source/protocol/CallHeaders.h
@@ -21,6 +21,8 @@
     std::string load = "Knapweedquay-Load";
     /// Response: requests per second that the backend server takes from all callers together, as long as it says so.
     std::string requestLimit = "Knapweedquay-Request-Limit";
+    /// Response: "1" when the backend server leaves, in all responses from then on.
+    std::string leaving = "Knapweedquay-Leaving";
     /// True when backend servers also receive the headers that only nodes interpret, such as the depth of a call.
     bool sendsNodeHeaders = true;
     /// True when Retry-After may have a fraction of a second; otherwise it has whole seconds, rounded up.
--- a/Tests/coordination/BackendPresenceTest.cpp
+++ b/Tests/coordination/BackendPresenceTest.cpp
@@ -113,3 +113,30 @@
     }
     EXPECT_EQ("b", m_presence.current()->instance);
 }
+
+TEST_F(BackendPresenceTest, RunThatTellsThatItLeaves_AnnouncesReadyAgain_DrainsToItsEnd)
+{
+    announce(announcement("a", 10, 1));
+    EXPECT_EQ(PresenceChange::Draining, m_presence.startLeaving("a", 10));
+    EXPECT_EQ(PresenceChange::None, m_presence.startLeaving("a", 10));
+    BackendAnnouncement otherSlots = announcement("a", 10, 2);
+    otherSlots.slots = 6;
+    announce(otherSlots);
+    EXPECT_EQ(PresenceChange::None, m_presence.undrain());
+    m_now += 7s;
+    EXPECT_EQ(PresenceChange::Gone, m_presence.expire(m_now));
+    EXPECT_EQ(PresenceChange::Draining, announce(announcement("a", 10, 3)));
+    EXPECT_EQ(PresenceChange::Arrived, announce(announcement("a", 20, 1)));
+    EXPECT_EQ(PresenceChange::None, m_presence.startLeaving("a", 10)) << "late news of the earlier run";
+    EXPECT_FALSE(m_presence.isDraining());
+}
+
+TEST_F(BackendPresenceTest, UnnamedRunThatTellsThatItLeaves_AnnouncedAgainAfterATimeout_IsANewRun)
+{
+    announce(announcement("", 0, 0));
+    EXPECT_EQ(PresenceChange::Draining, m_presence.startLeaving("", 0));
+    EXPECT_EQ(PresenceChange::None, announce(announcement("", 0, 0)));
+    m_now += 7s;
+    m_presence.expire(m_now);
+    EXPECT_EQ(PresenceChange::Arrived, announce(announcement("", 0, 0)));
+}
--- a/Tests/coordination/BackendStateTest.cpp
+++ b/Tests/coordination/BackendStateTest.cpp
@@ -65,11 +65,28 @@
     EXPECT_FALSE(m_state.requestLimit());
 }
 
-TEST_F(BackendStateReportTest, NewRun_AfterALimit_BeginsWithoutIt)
+TEST_F(BackendStateReportTest, NewRun_AfterALimitAndALeaving_BeginsWithoutThem)
 {
-    limit("8");
+    limit({ { m_names.requestLimit, "8" }, { m_names.leaving, "1" } });
+    EXPECT_TRUE(m_state.isLeaving());
     m_state.reset();
     EXPECT_FALSE(m_state.requestLimit());
+    EXPECT_FALSE(m_state.isLeaving());
+}
+
+TEST_F(BackendStateReportTest, Leaving_ToldOnce_NeverEnds)
+{
+    EXPECT_TRUE(limit({ { m_names.leaving, "1" } }).startsToLeave);
+    EXPECT_FALSE(limit({ { m_names.leaving, "1" } }).startsToLeave);
+    limit(HttpHeaders {});
+    EXPECT_TRUE(m_state.isLeaving());
+}
+
+TEST_F(BackendStateReportTest, UnreadableLeaving_Told_IsIgnored)
+{
+    for (const char* value : { "", "0", "yes", "11" })
+        EXPECT_EQ(1u, limit({ { m_names.leaving, value } }).unreadable.size()) << value;
+    EXPECT_FALSE(m_state.isLeaving());
 }
 
 TEST_F(BackendStateReportTest, LimitedBackendServer_Asked_TakesAtMostAQuarterOfTheLimit)
--- a/Utilities/Load/StandInBackend.cpp
+++ b/Utilities/Load/StandInBackend.cpp
@@ -149,7 +149,7 @@
     if (!m_modes.requestLimit.empty())
         answer.headers[names.requestLimit] = m_modes.requestLimit;
     if (!m_modes.leaving.empty())
-        answer.headers["Knapweedquay-Leaving"] = m_modes.leaving;
+        answer.headers[names.leaving] = m_modes.leaving;
     if (m_modes.reportsLoad)
         answer.headers[names.load] = std::to_string(m_running.size()) + "," + std::to_string(m_queue.size()) + "," + std::to_string(m_options.slots) + ",100";
     return answer;
