Node: Start no calls until a newly announced backend server has told its state

What callers saw: calls reached a backend server that had told that it leaves, after the node beside it had restarted and before an answer told the new process. Nodes elsewhere had passed such answers on, so their later calls must not arrive there; a limit is exceeded in the same way.

Calls for a run that has not responded wait in the queue until the first health check is answered, 0.5 s at most, and without a health path not at all. Whether there is one is known once the configuration was proved. When the answer says that the server leaves, what waits is refused at once and placed elsewhere, rather than started within a second as in an announced drain.

--- a/Source/coordination/admission/AdmissionQueue.cpp
+++ b/Source/coordination/admission/AdmissionQueue.cpp
@@ -11,8 +11,6 @@
 constexpr std::size_t maximumQueuedPerPriority = 1024;
 constexpr Duration minimumRetryAfter { 20000 };
 constexpr Duration maximumRetryAfter { 10000000 };
-/// Time within which queued calls may still start once the endpoint is draining.
-constexpr Duration drainQueueTime { 1000000 };
 /// A queue that has not been empty for this long, and for the tail of the service time, is a standing queue, not a
 /// burst.
 constexpr Duration standingQueueTime { 100000 };
@@ -287,10 +285,10 @@
     m_slowdownPercent = nominalPercent;
 }
 
-void AdmissionQueue::drain(TimePoint now)
+void AdmissionQueue::drain(TimePoint now, Duration queueTime)
 {
     m_draining = true;
-    const auto latestStart = now + drainQueueTime;
+    const auto latestStart = now + queueTime;
     while (hasQueued() && m_expiryOrder.rbegin()->expiry > latestStart) {
         auto& call = *m_expiryOrder.rbegin();
         m_expiryOrder.erase(m_expiryOrder.iterator_to(call));
@@ -457,7 +455,7 @@
 {
     // Without running calls no slots are reserved, because no later event would start the queued calls.
     const bool leavesReserve = m_running == 0 || m_running + reservedSlots(priority, isLate, now) < m_limit.value(now);
-    return leavesReserve && allowsRate(priority, isLate, now);
+    return leavesReserve && !m_isPaused && allowsRate(priority, isLate, now);
 }
 
 std::optional<std::size_t> AdmissionQueue::nextLane(TimePoint now) const
--- a/Source/coordination/admission/AdmissionQueue.h
+++ b/Source/coordination/admission/AdmissionQueue.h
@@ -123,8 +123,11 @@
     bool allowsRequest(TimePoint now) const { return m_rate.isDue(now) && !hasQueued(); }
     /// Counts a request to the backend server that is not the start of a call.
     void countRequest(TimePoint now) { m_rate.count(now); }
-    /// Refuses new calls from now on. Queued calls may still start for a short time, and running calls continue.
-    void drain(TimePoint now);
+    /// Starts no calls while set; calls are still offered and queued.
+    void setPaused(bool isPaused) { m_isPaused = isPaused; }
+    bool isPaused() const { return m_isPaused; }
+    /// Refuses new calls from now on. Queued calls may still start for queueTime, and running calls continue.
+    void drain(TimePoint now, Duration queueTime = defaultDrainQueueTime);
     /// Accepts new calls again after drain().
     void resume() { m_draining = false; }
     bool isDraining() const { return m_draining; }
@@ -135,6 +138,7 @@
     Duration estimatedWait(PriorityIndex, TimePoint now) const;
 
 private:
+    static constexpr Duration defaultDrainQueueTime { 1000000 };
     static constexpr std::uint32_t nominalPercent = 100;
 
     /// A queued or running call.
@@ -216,7 +220,7 @@
     /// Work in microseconds at nominal speed that a call running since the queue was created would have received.
     double workDone(TimePoint now) const;
     /// True when a slot is free and the limit of requests per second allows a call.
-    bool canStartAny(TimePoint now) const { return m_running < m_limit.value(m_now) && m_rate.allows(now); }
+    bool canStartAny(TimePoint now) const { return !m_isPaused && m_running < m_limit.value(m_now) && m_rate.allows(now); }
     /// True when calls are queued in this lane or in one before it.
     bool hasQueuedUpTo(std::size_t lane) const;
     /// Expected number of further slots that calls of the lane will need soon: the number of its calls that usually
@@ -266,6 +270,7 @@
     double m_workDone = 0;
     TimePoint m_workDoneAt;
     bool m_draining = false;
+    bool m_isPaused = false;
 };
 
 } // namespace Knapweedquay
--- a/Source/coordination/presence/BackendState.h
+++ b/Source/coordination/presence/BackendState.h
@@ -49,6 +49,8 @@
     /// counts. The leaving never ends.
     Report apply(const HttpHeaders&, ResponseTo, TimePoint now);
     bool hasReportedLoad() const { return m_loadReportedAt.has_value(); }
+    /// True once the present run has responded.
+    bool hasResponded() const { return m_respondedAt.has_value(); }
     /// Requests per second that the backend server takes; not set when it names no limit.
     const std::optional<RequestRate>& requestLimit() const { return m_requestLimit; }
     bool isLeaving() const { return m_isLeaving; }
--- a/Source/node/EndpointRunner.cpp
+++ b/Source/node/EndpointRunner.cpp
@@ -28,6 +28,8 @@
 constexpr Duration maximumIdleIfNotIdempotent { 400000 };
 /// Timeout of a health check.
 constexpr Duration healthTimeout { 500000 };
+/// Longest time for which no calls start because the backend server has not responded yet.
+constexpr Duration maximumPause { 500000 };
 /// Shortest time between two log lines about changes of the limit, and between two about unreadable headers.
 constexpr Duration stateLogInterval { 1000000 };
 constexpr std::size_t maximumLoggedValueBytes = 64;
@@ -55,6 +57,7 @@
     , m_unreadHeaders({ m_settings.headers.requestId, m_settings.headers.notRun, m_settings.headers.load, m_settings.headers.requestLimit, m_settings.headers.leaving })
     , m_traceSampler(m_settings.traces)
     , m_healthTimer(context, [this] { checkHealth(); })
+    , m_resumeTimer(context, [this] { resumeStarts(); })
     , m_queueTimer(context, [this] { startReadyJobs(); })
     , m_confirmTimer(context, [this] { confirmDueJobs(); })
     , m_expiryTimer(context, [this] { expire(); })
@@ -83,6 +86,7 @@
     m_backendState.reset();
     if (m_queue)
         m_queue->setRequestRate(std::nullopt, steadyNow());
+    awaitFirstResponse();
 }
 
 void EndpointRunner::removeBackend()
@@ -100,6 +104,21 @@
     if (m_queue)
         return m_queue->setDocument(document);
     m_queue = std::make_unique<AdmissionQueue>(document, m_backend->slots > 0 ? std::optional(m_backend->slots) : std::nullopt);
+    awaitFirstResponse();
+}
+
+void EndpointRunner::setHealthPath(const std::string& path)
+{
+    if (path == m_healthPath)
+        return;
+    m_healthPath = path;
+    awaitFirstResponse();
+}
+
+void EndpointRunner::configurationProved()
+{
+    if (!std::exchange(m_isConfigurationProved, true))
+        awaitFirstResponse();
 }
 
 void EndpointRunner::drain()
@@ -404,9 +423,12 @@
     }
     logState(report, now);
     if (report.startsToLeave) {
-        drain();
+        m_isDraining = true;
+        m_queue->drain(now, Duration(0));
+        startReadyJobs();
         m_leavingHook(*m_backend);
     }
+    resumeStarts();
 }
 
 void EndpointRunner::applyReportedLoad(const BackendLoad& load, bool isFirst, TimePoint now)
@@ -431,6 +453,25 @@
     }
 }
 
+void EndpointRunner::awaitFirstResponse()
+{
+    if (!m_queue || !m_backend || m_backendState.hasResponded())
+        return;
+    if (m_isConfigurationProved && m_healthPath.empty())
+        return resumeStarts();
+    m_queue->setPaused(true);
+    m_resumeTimer.setAfter(maximumPause);
+    checkHealth();
+}
+
+void EndpointRunner::resumeStarts()
+{
+    if (!m_queue || !m_queue->isPaused())
+        return;
+    m_queue->setPaused(false);
+    startReadyJobs();
+}
+
 void EndpointRunner::checkHealth()
 {
     m_healthTimer.setAfter(m_settings.loadInterval);
--- a/Source/node/EndpointRunner.h
+++ b/Source/node/EndpointRunner.h
@@ -80,8 +80,10 @@
     void removeBackend();
     /// Applies a newer document of the backend server's service; documents of other services are ignored.
     void setDocument(const ServiceDocument&);
-    /// Path at which the backend server reports its load; empty disables polling.
-    void setHealthPath(const std::string& path) { m_healthPath = path; }
+    /// Path at which the backend server answers health checks; empty disables them.
+    void setHealthPath(const std::string& path);
+    /// Registers that all documents that were committed when the node started are in force.
+    void configurationProved();
     /// Sets a hook that is called whenever the result of loadReport() may have changed.
     void setLoadHook(std::function<void()> hook) { m_loadHook = std::move(hook); }
     /// Sets a hook that is called when the local backend server tells for the first time that it leaves.
@@ -163,6 +165,10 @@
     void applyState(const HttpResponse&, BackendState::ResponseTo, std::uint64_t run, TimePoint now);
     void applyReportedLoad(const BackendLoad&, bool isFirst, TimePoint now);
     void logState(const BackendState::Report&, TimePoint now);
+    /// Starts no calls until the backend server has told its state in a first response, which a health check asks for. A run
+    /// that leaves or limits its requests may have begun before this process.
+    void awaitFirstResponse();
+    void resumeStarts();
     /// Logs the names of headers that this node does not read, each once.
     void logUnreadHeaders(const HttpResponse&);
     /// Sends a health check to the backend server if one is due.
@@ -211,6 +217,8 @@
     BackendState m_backendState;
     UnreadHeaders m_unreadHeaders;
     std::string m_healthPath;
+    /// False until it is known whether there is a health path.
+    bool m_isConfigurationProved = false;
     std::function<void()> m_loadHook;
     std::function<void(const LocalBackend&)> m_leavingHook;
     /// Next times at which a change of the limit and an unreadable header may be logged.
@@ -219,6 +227,8 @@
     TraceSampler m_traceSampler;
     Counters m_counters;
     Timer m_healthTimer;
+    /// Ends the wait for a first response.
+    Timer m_resumeTimer;
     Timer m_queueTimer;
     Timer m_confirmTimer;
     Timer m_expiryTimer;
--- a/Tests/coordination/AdmissionRateTest.cpp
+++ b/Tests/coordination/AdmissionRateTest.cpp
@@ -193,3 +193,15 @@
     startQueued();
     EXPECT_EQ(3u, m_starts.size());
 }
+
+// A node whose backend server was just announced doesn't know whether it leaves or limits its requests.
+TEST_F(AdmissionRateTest, Paused_CallsOffered_WaitUntilItEnds)
+{
+    m_queue.setPaused(true);
+    EXPECT_EQ(AdmissionKind::Queued, offer(0).kind);
+    advanceTo(m_now + 5ms);
+    EXPECT_TRUE(m_starts.empty());
+    m_queue.setPaused(false);
+    startQueued();
+    EXPECT_EQ(1u, m_starts.size());
+}
--- a/Tests/coordination/BackendStateTest.cpp
+++ b/Tests/coordination/BackendStateTest.cpp
@@ -72,6 +72,7 @@
     m_state.reset();
     EXPECT_FALSE(m_state.requestLimit());
     EXPECT_FALSE(m_state.isLeaving());
+    EXPECT_FALSE(m_state.hasResponded());
 }
 
 TEST_F(BackendStateReportTest, Leaving_ToldOnce_NeverEnds)
--- a/Tests/processes/BackendStateTest.cpp
+++ b/Tests/processes/BackendStateTest.cpp
@@ -217,6 +217,17 @@
     expectNoCallsAfterLeaving("b");
 }
 
+// Calls arrived at the restarted node before the first health check was answered.
+TEST_F(BackendStateTest, NodeOfASlowLeavingBackendServer_Restarts_BackendServerReceivesNoCalls)
+{
+    startWithHealthChecks();
+    tell("b", { { "leaving", "1" }, { "answerDelayMs", 300 } });
+    sendFor(leavingTime + 500ms);
+    restartNode("b");
+    sendFor(4s);
+    expectNoCallsAfterLeaving("b");
+}
+
 TEST_F(BackendStateTest, BackendServer_StartsAgainAfterItLeft_ReceivesCalls)
 {
     startWithHealthChecks();
--- a/Utilities/Load/BackendModes.h
+++ b/Utilities/Load/BackendModes.h
@@ -23,7 +23,7 @@
     bool freezeAnswers = false;
     /// Sends half of the body announced by Content-Length, then closes the connection.
     bool shortBody = false;
-    /// Time between the end of the work and the sending of its answer.
+    /// Time between the end of the work, or the arrival of a health check, and the sending of its answer.
     std::uint64_t answerDelayMs = 0;
     /// Value of the header that limits the requests per second, in every answer; empty to send none.
     std::string requestLimit;
--- a/Utilities/Load/StandInBackend.cpp
+++ b/Utilities/Load/StandInBackend.cpp
@@ -12,7 +12,7 @@
 /// Interval at which the backend server repeats its announcement to the node.
 constexpr std::chrono::seconds announceInterval { 1 };
 constexpr std::chrono::seconds announceTimeout { 1 };
-/// Path of health checks, which are answered at once.
+/// Path of health checks, which take no slot.
 constexpr const char* healthPath = "/health";
 /// Arrivals of one kind that are remembered.
 constexpr std::size_t maximumArrivals = 100000;
@@ -69,7 +69,7 @@
 {
     countArrival(request);
     if (request.path() == healthPath)
-        return connection->send(serializeAnswer(withState(textAnswer(200, "healthy\n"))));
+        return answerHealthCheck(connection);
     if (m_modes.refuse || m_queue.size() >= m_options.maximumQueue)
         return connection->send(serializeAnswer(withState(textAnswer(503, "refused\n"))));
     if (m_modes.failFast) {
@@ -85,6 +85,15 @@
     startQueued();
 }
 
+void StandInBackend::answerHealthCheck(const std::shared_ptr<HttpConnection>& connection)
+{
+    const auto timer = std::make_shared<asio::steady_timer>(m_context, std::chrono::milliseconds(m_modes.answerDelayMs));
+    timer->async_wait([this, timer, connection](const asio::error_code& error) {
+        if (!error)
+            connection->send(serializeAnswer(withState(textAnswer(200, "healthy\n"))));
+    });
+}
+
 void StandInBackend::startQueued()
 {
     while (!m_queue.empty() && m_running.size() < m_options.slots) {
--- a/Utilities/Load/StandInBackend.h
+++ b/Utilities/Load/StandInBackend.h
@@ -58,6 +58,7 @@
 
     void handle(HttpMessage, const std::shared_ptr<HttpConnection>&);
     void handleControl(const HttpMessage&, const std::shared_ptr<HttpConnection>&);
+    void answerHealthCheck(const std::shared_ptr<HttpConnection>&);
     void startQueued();
     void start(const CallPointer&);
     void finish(const CallPointer&);
