Utilities: Measure endpoint choice with limited endpoints

Two cases of knapweedquay-measure: two of five endpoints limited at 8/s while the others have room, and all limited to half of the load.

--- a/Utilities/Load/MeasureCase.cpp
+++ b/Utilities/Load/MeasureCase.cpp
@@ -35,6 +35,13 @@
     };
 }
 
+/// Makes the first endpoints name a limit of requests per second.
+void limitRequests(Deployment& deployment, const MeasureSettings& settings, std::size_t endpoints, double requestsPerSecond)
+{
+    for (std::size_t index = 0; index < endpoints; ++index)
+        deployment.setModes(settings.endpointName(index), { { "requestLimit", std::to_string(requestsPerSecond) } });
+}
+
 void silencePeerLinks(Deployment& deployment)
 {
     for (const std::string& name : deployment.nodeNames())
@@ -64,7 +71,15 @@
     highestFlood.classes.front().rate = floodFactor * settings.capacity();
     MeasureCase killed { "node killed", steadyClasses, 0.25, [affected](Deployment& deployment) { deployment.node(affected).kill(); }, false };
     MeasureCase silent { "links silent", steadyClasses, 0.25, silencePeerLinks, true };
-    return { steadyCase, straggler, failFast, lowestFlood, highestFlood, killed, silent };
+    // The endpoints without a limit have room for all calls.
+    constexpr double limitedShare = 0.4;
+    constexpr std::size_t limitedEndpoints = 2;
+    constexpr double lowLimit = 8;
+    MeasureCase someLimited { "two limited", dispatchClasses(limitedShare * settings.capacity()), 0.25, [settings](Deployment& deployment) { limitRequests(deployment, settings, limitedEndpoints, lowLimit); }, false };
+    // All endpoints together take half of the calls.
+    const double halfOfEach = steadyShare * settings.capacity() / 2 / static_cast<double>(settings.endpoints);
+    MeasureCase allLimited { "all limited", steadyClasses, 0.25, [settings, halfOfEach](Deployment& deployment) { limitRequests(deployment, settings, settings.endpoints, halfOfEach); }, false };
+    return { steadyCase, straggler, failFast, lowestFlood, highestFlood, killed, silent, someLimited, allLimited };
 }
 
 } // namespace Knapweedquay::Load
