Tests: Lose two data folders of five voters, not of a store that is still forming

Trace: the leader's log shows replicas 24171, 24175 and 24173 as voters and 24179 as a learner when the edit was accepted at 06:59:18.228 and all were killed; the folders of 24171 and 24173 were removed. Two of three voters were lost, so no majority existed: the store is to bear that of five, which is what the test is about. The deployment of the test accepts edits from three voters on, so the edit was accepted rightly.

The test now waits until five replicas vote before the edit that must survive; all that follows is as strict as before. The users' deployments accept edits from four voters on; two disks lost between the fourth voter and the fifth would leave two of four.

--- a/Tests/processes/FailureTest.cpp
+++ b/Tests/processes/FailureTest.cpp
@@ -52,6 +52,15 @@
             ADD_FAILURE() << "status of node a: " << m_deployment->nodeStatus("a").dump() << "\nmetrics of node a: " << m_deployment->nodeMetrics("a") << "\nmetrics of the tested node: " << m_deployment->nodeMetrics(node);
         return got;
     }
+
+    /// Number of replicas that vote, as the first control replica knows them.
+    std::size_t voterCount()
+    {
+        const HttpMessage answer = exchangeOnce(m_deployment->controlHttp(0), plainRequest("GET", "/v1/status"), 1s);
+        const nlohmann::json status = nlohmann::json::parse(answer.body, nullptr, false);
+        const nlohmann::json members = status.is_object() ? status.value("members", nlohmann::json::array()) : nlohmann::json::array();
+        return static_cast<std::size_t>(std::count_if(members.begin(), members.end(), [](const nlohmann::json& member) { return member.value("voter", false); }));
+    }
 };
 
 bool isAnswered(const TestCall& call) { return call.isAnsweredCorrectly(); }
@@ -236,6 +245,8 @@
 {
     constexpr std::size_t controls = 5;
     start(controls);
+    // A store that is still forming does not survive two losses.
+    ASSERT_TRUE(waitUntil([&] { return voterCount() == controls; }, 15s)) << m_deployment->describe();
     const std::string second = "service = \"inventory\"\nteam = \"operations\"\n[[priorities]]\nname = \"stock\"\n[[routes]]\npriority = \"stock\"\n";
     ASSERT_TRUE(m_deployment->apply(second, 0, 5s));
     for (std::size_t index = 0; index < controls; ++index)
