Node: Keep within the connections that the routing document allows to a backend server

The number of connections that a service's backend servers accept was read, checked and used nowhere. All connections come from the node beside the server, one for each running call and one for a health check, so slots are cut to that number less one.

Before: BackendStateTest.RoutingDocument_BoundsConnections_FewerCallsRunThanSlots failed, 12 calls could run with 4 connections allowed; after: 3.

--- a/Source/node/EndpointRunner.cpp
+++ b/Source/node/EndpointRunner.cpp
@@ -79,7 +79,7 @@
     if (isOtherService)
         m_document.reset();
     if (m_queue)
-        m_queue->setBackend(backend.slots > 0 ? std::optional(backend.slots) : std::nullopt);
+        m_queue->setBackend(slots());
     if (!isNewRun)
         return;
     ++m_backendRun;
@@ -103,7 +103,7 @@
     m_document = document;
     if (m_queue)
         return m_queue->setDocument(document);
-    m_queue = std::make_unique<AdmissionQueue>(document, m_backend->slots > 0 ? std::optional(m_backend->slots) : std::nullopt);
+    m_queue = std::make_unique<AdmissionQueue>(document, slots());
     awaitFirstResponse();
 }
 
@@ -115,6 +115,24 @@
     awaitFirstResponse();
 }
 
+void EndpointRunner::setMaximumConnections(std::uint32_t connections)
+{
+    if (std::exchange(m_maximumConnections, connections) != connections && m_queue && m_backend)
+        m_queue->setBackend(slots());
+}
+
+std::optional<std::uint32_t> EndpointRunner::slots() const
+{
+    const std::uint32_t announced = m_backend->slots;
+    if (m_maximumConnections == 0)
+        return announced > 0 ? std::optional(announced) : std::nullopt;
+    // One connection remains for health checks.
+    const std::uint32_t connected = std::max(m_maximumConnections - 1, 1U);
+    if (announced > 0)
+        return std::min(announced, connected);
+    return m_document ? std::min(m_document->defaultSlots, connected) : connected;
+}
+
 void EndpointRunner::configurationProved()
 {
     if (!std::exchange(m_isConfigurationProved, true))
--- a/Source/node/EndpointRunner.h
+++ b/Source/node/EndpointRunner.h
@@ -82,6 +82,8 @@
     void setDocument(const ServiceDocument&);
     /// Path at which the backend server answers health checks; empty disables them.
     void setHealthPath(const std::string& path);
+    /// Sets the number of connections that the backend server accepts from all callers; 0 if not bounded.
+    void setMaximumConnections(std::uint32_t);
     /// Registers that all documents that were committed when the node started are in force.
     void configurationProved();
     /// Sets a hook that is called whenever the result of loadReport() may have changed.
@@ -148,6 +150,9 @@
 
     /// Returns why the attempt cannot be offered to the admission queue, if anything prevents it.
     std::optional<Refusal> checkPreconditions(const Job&) const;
+    /// Calls that the backend server can run at once, as announced and as its connections allow; nothing for the default of
+    /// the service document.
+    std::optional<std::uint32_t> slots() const;
     void addJob(const JobPtr&);
     void removeJob(const Job&);
     /// Starts the jobs that the admission queue releases, and refuses those that it gives up.
@@ -217,6 +222,7 @@
     BackendState m_backendState;
     UnreadHeaders m_unreadHeaders;
     std::string m_healthPath;
+    std::uint32_t m_maximumConnections = 0;
     /// False until it is known whether there is a health path.
     bool m_isConfigurationProved = false;
     std::function<void()> m_loadHook;
--- a/Source/node/NodeTraffic.cpp
+++ b/Source/node/NodeTraffic.cpp
@@ -207,7 +207,7 @@
     serverLimits.idleTimeout = limits.idleTimeout;
     m_callServer.setLimits(serverLimits);
     m_gateway.setRouting(routing);
-    setHealthPath();
+    applyRoutedService();
     if (!m_backendService)
         return;
     if (const auto document = documentOf(*m_backendService))
@@ -228,13 +228,15 @@
     return std::nullopt;
 }
 
-void NodeTraffic::setHealthPath()
+void NodeTraffic::applyRoutedService()
 {
     if (!m_routing || !m_backendService)
         return;
     for (const RoutedService& routed : m_routing->document().services) {
-        if (routed.name == *m_backendService)
-            m_runner.setHealthPath(routed.healthPath);
+        if (routed.name != *m_backendService)
+            continue;
+        m_runner.setMaximumConnections(routed.maximumConnections);
+        m_runner.setHealthPath(routed.healthPath);
     }
 }
 
@@ -243,7 +245,7 @@
     m_backendService = backend.service;
     m_runner.setBackend(backend);
     m_runner.undrain();
-    setHealthPath();
+    applyRoutedService();
     if (const auto document = documentOf(backend.service))
         m_runner.setDocument(*document);
 }
--- a/Source/node/NodeTraffic.h
+++ b/Source/node/NodeTraffic.h
@@ -79,8 +79,8 @@
     CallGateway m_gateway;
     HttpServer m_callServer;
     LinkServer m_linkServer;
-    /// Sets the health path of the local backend server's service, once that and the routes are known.
-    void setHealthPath();
+    /// Applies what the routing document says of the local backend server's service, once both are known.
+    void applyRoutedService();
     /// Document of a service: its own, or otherwise one derived from the routes.
     std::optional<ServiceDocument> documentOf(const ServiceName&) const;
 
--- a/Tests/processes/BackendStateTest.cpp
+++ b/Tests/processes/BackendStateTest.cpp
@@ -145,6 +145,19 @@
 
 } // namespace
 
+// The number was read from the routing document and used nowhere.
+TEST_F(BackendStateTest, RoutingDocument_BoundsConnections_FewerCallsRunThanSlots)
+{
+    start();
+    std::string document = routingDocument;
+    document.insert(document.find("health_path"), "maximum_connections = 4\n");
+    ASSERT_TRUE(m_deployment->applyRouting(document, 5s));
+    const auto hasLimit = [&] { return m_deployment->nodeMetrics("b").find("knapweedquay_endpoint_concurrency_limit 3\n") != std::string::npos; };
+    EXPECT_TRUE(waitUntil(hasLimit, 5s));
+    sendFor(500ms);
+    expectAllAnswered();
+}
+
 TEST_F(BackendStateTest, BackendServer_NamesALimit_ReceivesNoMoreThanItAllows)
 {
     startWithHealthChecks();
