Presence: Ask a limited backend server up to four times a second, within a quarter of its limit

At least a second between two checks left the speed of its machine, which changes several times a second, unknown for that long while calls were refused for a speed that no longer was. The share of a quarter of the limit stays the bound: at 8 a second a check each 0.5 s while nothing is answered, at 1 a second each 4 s.

--- a/Source/coordination/presence/BackendState.cpp
+++ b/Source/coordination/presence/BackendState.cpp
@@ -13,7 +13,7 @@
 /// Health checks of a backend server that limits its requests take at most this share of them.
 constexpr double checkShareOfLimit = 0.25;
 /// Limits of the interval between these health checks.
-constexpr Duration minimumLimitedInterval { 1000000 };
+constexpr Duration minimumLimitedInterval { 250000 };
 constexpr Duration maximumLimitedInterval { 10000000 };
 /// A limit that no response has named for this long ends with any response that names none.
 constexpr Duration unconfirmedLimitTime { 15000000 };
--- a/Tests/coordination/BackendStateTest.cpp
+++ b/Tests/coordination/BackendStateTest.cpp
@@ -92,7 +92,7 @@
 
 TEST_F(BackendStateReportTest, LimitedBackendServer_Asked_TakesAtMostAQuarterOfTheLimit)
 {
-    const std::pair<const char*, Duration> cases[] = { { "100", 1s }, { "1", 4s }, { "0", 10s } };
+    const std::pair<const char*, Duration> cases[] = { { "100", 250ms }, { "8", 500ms }, { "1", 4s }, { "0", 10s } };
     for (const auto& [value, interval] : cases) {
         m_state.reset();
         limit(value);
