--- a/Source/coordination/presence/UnreadHeaders.cpp
+++ b/Source/coordination/presence/UnreadHeaders.cpp
@@ -1,6 +1,7 @@
 #include "coordination/presence/UnreadHeaders.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Knapweedquay {
 
@@ -9,33 +10,27 @@
 constexpr std::size_t maximumReportedNames = 32;
 constexpr std::size_t maximumNameBytes = 64;
 
-std::string lowerCase(std::string name)
-{
-    std::transform(name.begin(), name.end(), name.begin(), [](char letter) { return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter; });
-    return name;
-}
-
 } // namespace
 
-UnreadHeaders::UnreadHeaders(const std::vector<std::string>& known)
+UnreadHeaders::UnreadHeaders(std::vector<std::string> known)
+    : m_names(std::move(known))
+    , m_maximumNames(m_names.size() + maximumReportedNames)
 {
-    for (const std::string& name : known)
-        m_names.insert(lowerCase(name));
 }
 
 std::vector<std::string> UnreadHeaders::add(const HttpHeaders& headers)
 {
     std::vector<std::string> unread;
     for (const HttpHeader& header : headers) {
-        if (m_reported >= maximumReportedNames)
+        if (m_names.size() >= m_maximumNames)
             break;
         if (header.name.size() > maximumNameBytes || isHopByHopHeader(header.name))
             continue;
-        std::string name = lowerCase(header.name);
-        if (!m_names.insert(name).second)
+        const bool isKnown = std::any_of(m_names.begin(), m_names.end(), [&](const std::string& name) { return equalHeaderNames(name, header.name); });
+        if (isKnown)
             continue;
-        ++m_reported;
-        unread.push_back(std::move(name));
+        m_names.push_back(header.name);
+        unread.push_back(header.name);
     }
     return unread;
 }
--- a/Source/coordination/presence/UnreadHeaders.h
+++ b/Source/coordination/presence/UnreadHeaders.h
@@ -2,7 +2,6 @@
 
 #include "protocol/HttpMessage.h"
 
-#include <set>
 #include <string>
 #include <vector>
 
@@ -14,16 +13,16 @@
 /// is reported once, and only a limited number of names, since backend servers choose them.
 class UnreadHeaders {
 public:
-    /// known: names of the headers that the node reads, in any case.
-    explicit UnreadHeaders(const std::vector<std::string>& known);
+    /// known: names of the headers that the node reads.
+    explicit UnreadHeaders(std::vector<std::string> known);
 
-    /// Returns the names in the response that are to be reported, in lower case.
+    /// Returns the names in the response that are to be reported.
     std::vector<std::string> add(const HttpHeaders&);
 
 private:
-    /// Names that are known or were reported, in lower case.
-    std::set<std::string> m_names;
-    std::size_t m_reported = 0;
+    /// Names that are known or were reported.
+    std::vector<std::string> m_names;
+    std::size_t m_maximumNames;
 };
 
 } // namespace Knapweedquay
