Node: Tell callers the Retry-After of a backend server's own refusal

Seconds with a fraction are taken now, an hour at most; a date is not. Responses of 429 and 503 without that header pass unchanged, as before. No deployment seen so far sends one; RetryAfterTest covers the values.

--- a/Source/node/EndpointRunner.cpp
+++ b/Source/node/EndpointRunner.cpp
@@ -19,7 +19,7 @@
 constexpr std::size_t maximumJobBodyBytes = 32 * 1024 * 1024;
 /// Retry-After of attempts that are refused because the endpoint is not available, for example while it is draining.
 constexpr Duration unavailableRetryAfter { 200000 };
-/// Retry-After of attempts that the backend server refused: approximately the time in which a fully loaded backend
+/// Retry-After of attempts that the backend server refused without one of its own: approximately the time in which a fully loaded backend
 /// server completes a call.
 constexpr Duration backendRetryAfter { 100000 };
 /// Backend servers close idle connections after a few seconds, and a request sent while the connection closes is lost.
@@ -545,7 +545,7 @@
         applyState(response, BackendState::ResponseTo::Call, job->backendRun, now);
     if (isMisdirected || findHeader(response.headers, m_settings.headers.notRun)) {
         finish(job, isMisdirected ? BackendOutcome::Abandoned : BackendOutcome::Shed);
-        perform(m_fates.refuse(attempt, { isMisdirected ? ResultCode::Draining : ResultCode::BackendRefused, backendRetryAfter }, now));
+        perform(m_fates.refuse(attempt, { isMisdirected ? ResultCode::Draining : ResultCode::BackendRefused, retryAfterOf(response).value_or(backendRetryAfter) }, now));
         return;
     }
     const BackendOutcome end = backendOutcomeOf(response.status);
--- a/Source/protocol/HttpMessage.cpp
+++ b/Source/protocol/HttpMessage.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <limits>
 #include <system_error>
 
 namespace Knapweedquay {
@@ -52,6 +53,26 @@
     return number;
 }
 
+std::optional<double> parseDecimal(std::string_view text)
+{
+    constexpr std::string_view whitespace = " \t";
+    constexpr std::string_view digits = "0123456789";
+    const std::size_t first = text.find_first_not_of(whitespace);
+    // std::from_chars would also accept a sign and the names of infinity and NaN.
+    if (first == std::string_view::npos || digits.find(text[first]) == std::string_view::npos)
+        return std::nullopt;
+    text = text.substr(first, text.find_last_not_of(whitespace) + 1 - first);
+    double value = 0;
+    const auto result = std::from_chars(text.data(), text.data() + text.size(), value, std::chars_format::fixed);
+    if (result.ec == std::errc::result_out_of_range)
+        value = std::numeric_limits<double>::infinity();
+    else if (result.ec != std::errc())
+        return std::nullopt;
+    if (result.ptr != text.data() + text.size())
+        return std::nullopt;
+    return value;
+}
+
 bool isHopByHopHeader(std::string_view name)
 {
     return std::any_of(hopByHopHeaders.begin(), hopByHopHeaders.end(), [name](const char* hopByHop) { return equalHeaderNames(name, hopByHop); });
--- a/Source/protocol/HttpMessage.h
+++ b/Source/protocol/HttpMessage.h
@@ -41,6 +41,10 @@
 /// Parses a text that consists of one unsigned decimal integer. Returns nothing for any other text, also an empty one.
 std::optional<std::uint64_t> parseNumber(std::string_view);
 
+/// Parses digits with an optional decimal fraction, which may have whitespace around them. Returns nothing for any other
+/// text, such as an empty one, a negative number or one with an exponent; infinity for a number that is too large.
+std::optional<double> parseDecimal(std::string_view);
+
 /// True for headers that apply to one connection and must not be forwarded (RFC 9110, 7.6.1), and for those that each
 /// sender sets itself, such as Host and Content-Length.
 bool isHopByHopHeader(std::string_view name);
--- a/Source/protocol/ProblemDetails.cpp
+++ b/Source/protocol/ProblemDetails.cpp
@@ -42,4 +42,15 @@
     return response;
 }
 
+std::optional<Duration> retryAfterOf(const HttpResponse& response)
+{
+    constexpr double maximumSeconds = 3600;
+    constexpr double microsecondsPerSecond = 1e6;
+    const std::string* text = findHeader(response.headers, HeaderName::retryAfter);
+    const auto seconds = text ? parseDecimal(*text) : std::nullopt;
+    if (!seconds)
+        return std::nullopt;
+    return Duration(static_cast<Duration::rep>(std::min(*seconds, maximumSeconds) * microsecondsPerSecond));
+}
+
 } // namespace Knapweedquay
--- a/Source/protocol/ProblemDetails.h
+++ b/Source/protocol/ProblemDetails.h
@@ -38,4 +38,8 @@
 /// Retry-After in whole seconds, rounded up (RFC 9110, 10.2.3), and a header with the value in milliseconds.
 HttpResponse problemResponse(const Error&, CallOutcomeKind, Duration retryAfter = Duration::zero());
 
+/// Time that the Retry-After header of a response tells, in seconds with an optional fraction and at most an hour. Nothing
+/// when there is none or it is a date.
+std::optional<Duration> retryAfterOf(const HttpResponse&);
+
 } // namespace Knapweedquay
--- a/Tests/protocol/RequestRateTest.cpp
+++ b/Tests/protocol/RequestRateTest.cpp
@@ -1,5 +1,7 @@
 #include "protocol/RequestRate.h"
 
+#include "protocol/ProblemDetails.h"
+
 #include <gtest/gtest.h>
 
 using namespace Knapweedquay;
@@ -20,3 +22,14 @@
     for (const char* text : { "", " ", "-1", "+1", "inf", "nan", "1e3", "0x10", "8 9", "8,9", "8/s", ".5", "eight" })
         EXPECT_FALSE(parseRequestRate(text)) << text;
 }
+
+TEST(RetryAfterTest, Responses_OfBackendServers_TellSecondsOrNothing)
+{
+    using namespace std::chrono_literals;
+    const auto retryAfter = [](const char* text) { return retryAfterOf({ 503, { { "retry-after", text } }, {} }); };
+    EXPECT_EQ(Duration(250ms), retryAfter("0.25"));
+    EXPECT_EQ(Duration(2s), retryAfter("2"));
+    EXPECT_EQ(Duration(1h), retryAfter("99999999999999999999"));
+    EXPECT_FALSE(retryAfter("Fri, 31 Dec 2027 23:59:59 GMT"));
+    EXPECT_FALSE(retryAfterOf({ 503, {}, {} }));
+}
