Benches: Measure admission under a limit of requests per second

A limit of 100/s and 0.5, 1, 2 and 4 times that offered (20% urgent, 30% normal, 50% archive), in virtual time, against refusing whatever can't start at once and against ignoring the limit.

--- a/Utilities/PolicyBench/AdmissionBench.cpp
+++ b/Utilities/PolicyBench/AdmissionBench.cpp
@@ -1,6 +1,7 @@
 // Overloads one endpoint in virtual time and prints the throughput and latency of each priority.
 // Usage: knapweedquayAdmissionBench [seed]
-// Compares AdmissionQueue with two baselines: a first-in-first-out queue, and priorities without minimum shares.
+// Compares AdmissionQueue with two baselines: a first-in-first-out queue, and priorities without minimum shares. Under a limit
+// of requests per second, it is compared with a queue that ignores the limit and with one that refuses what can't start.
 
 #include "coordination/admission/AdmissionQueue.h"
 
@@ -10,6 +11,7 @@
 #include <cstdlib>
 #include <map>
 #include <random>
+#include <tuple>
 
 using namespace Knapweedquay;
 
@@ -32,6 +34,8 @@
     FirstInFirstOut,
     /// Priorities without minimum shares.
     StrictPriority,
+    /// No queue: calls that cannot start at once are refused.
+    RefuseOnly,
 };
 
 /// Offered load of each priority as a share of the endpoint's capacity, and its mean service time.
@@ -39,6 +43,10 @@
     const char* name;
     std::array<double, priorityCount> load;
     std::array<double, priorityCount> serviceMicroseconds;
+    /// Limit of requests per second; 0 for none.
+    double requestRate = 0;
+    /// True if the queue is told when the answer of a call becomes late.
+    bool hasTargets = false;
 };
 
 /// Calls of one priority after the warm-up.
@@ -58,8 +66,8 @@
     for (std::size_t index = 0; index < priorityCount; ++index) {
         Priority priority;
         priority.target = targets[index];
-        priority.maximumQueueTime = 2 * targets[index];
-        priority.minimumShare = policy == QueuePolicy::MinimumShares ? minimumShares[index] : 0;
+        priority.maximumQueueTime = policy == QueuePolicy::RefuseOnly ? Duration(0) : 2 * targets[index];
+        priority.minimumShare = policy == QueuePolicy::StrictPriority ? 0 : minimumShares[index];
         document.priorities.push_back(priority);
     }
     if (policy == QueuePolicy::FirstInFirstOut)
@@ -75,6 +83,8 @@
         , m_queue(makeDocument(policy), slots)
         , m_random(seed)
     {
+        if (scenario.requestRate > 0)
+            m_queue.setRequestRate(RequestRate(scenario.requestRate), m_now);
     }
 
     const std::array<Counts, priorityCount>& run()
@@ -83,6 +93,12 @@
         for (std::size_t priority = 0; priority < priorityCount; ++priority)
             m_events.emplace(m_now + drawInterarrivalTime(priority), Event { true, priority, CallTicket() });
         while (m_now < start + runTime) {
+            const auto timer = m_queue.nextTimer();
+            if (timer && *timer < m_events.begin()->first) {
+                m_now = *timer;
+                startQueued();
+                continue;
+            }
             const auto [at, event] = *m_events.begin();
             m_events.erase(m_events.begin());
             m_now = at;
@@ -91,8 +107,7 @@
                 offerCall(event.priority);
             else
                 finishCall(event.ticket);
-            for (const auto ticket : m_queue.takeStartable(m_now).started)
-                startCall(ticket);
+            startQueued();
         }
         return m_counts;
     }
@@ -116,13 +131,19 @@
     Duration drawExponential(double mean) { return Duration(1 + static_cast<Duration::rep>(std::exponential_distribution<double>(1 / mean)(m_random))); }
     Duration drawInterarrivalTime(std::size_t priority) { return drawExponential(m_scenario.serviceMicroseconds[priority] / (m_scenario.load[priority] * slots)); }
 
+    void startQueued()
+    {
+        for (const auto ticket : m_queue.takeStartable(m_now).started)
+            startCall(ticket);
+    }
+
     void offerCall(std::size_t priority)
     {
         m_events.emplace(m_now + drawInterarrivalTime(priority), Event { true, priority, CallTicket() });
         const CallTicket ticket(m_nextTicket++);
         m_calls[ticket] = { priority, m_now, m_isMeasuring };
         m_counts[priority].offered += m_isMeasuring;
-        const auto decision = m_queue.offer(ticket, PriorityIndex(static_cast<std::uint32_t>(priority)), m_now + 3 * targets[priority], m_now);
+        const auto decision = m_queue.offer(ticket, PriorityIndex(static_cast<std::uint32_t>(priority)), m_now + 3 * targets[priority], m_now, m_scenario.hasTargets ? m_now + targets[priority] : TimePoint::max());
         if (decision.kind == AdmissionKind::Started)
             startCall(ticket);
     }
@@ -167,6 +188,17 @@
     { "long archive x4", { 0.2, 0.3, 4 }, { 5000, 5000, 50000 } },
 };
 
+/// A limit of 100 requests per second, on which this multiple of calls is offered.
+constexpr Scenario limitedScenario(const char* name, double multiple, double rate)
+{
+    constexpr double limit = 100;
+    constexpr double serviceMicroseconds = 5000;
+    const double load = multiple * limit * serviceMicroseconds / (slots * 1e6);
+    return { name, { 0.2 * load, 0.3 * load, 0.5 * load }, { serviceMicroseconds, serviceMicroseconds, serviceMicroseconds }, rate * limit, true };
+}
+
+constexpr std::pair<const char*, double> limitedCases[] = { { "limit x0.5", 0.5 }, { "limit x1", 1 }, { "limit x2", 2 }, { "limit x4", 4 } };
+
 constexpr std::pair<const char*, QueuePolicy> policies[] = {
     { "ours", QueuePolicy::MinimumShares },
     { "fifo", QueuePolicy::FirstInFirstOut },
@@ -198,5 +230,17 @@
                 printRow(scenario, name, priority, counts[priority]);
         }
     }
+    for (const auto& [name, multiple] : limitedCases) {
+        for (const auto& [policy, queue, rate] : { std::tuple("ours", QueuePolicy::MinimumShares, 1.0), std::tuple("refuse", QueuePolicy::RefuseOnly, 1.0), std::tuple("ignore", QueuePolicy::MinimumShares, 0.0) }) {
+            const Scenario scenario = limitedScenario(name, multiple, rate);
+            const auto counts = AdmissionSimulation(scenario, queue, seed).run();
+            double started = 0;
+            for (std::size_t priority = 0; priority < priorityCount; ++priority) {
+                printRow(scenario, policy, priority, counts[priority]);
+                started += counts[priority].started;
+            }
+            std::printf("%-16s %-7s %.1f starts per second\n", name, policy, started / std::chrono::duration<double>(runTime - warmUp).count());
+        }
+    }
     return 0;
 }
