Benches: Measure the choice beside an endpoint that limits its requests

Suspected: all senders take a limited endpoint for idle, since its few running calls change no report, and are refused there.

--- a/Utilities/PolicyBench/PolicyBench.cpp
+++ b/Utilities/PolicyBench/PolicyBench.cpp
@@ -36,6 +36,8 @@
 constexpr double coldCalls = 200;
 /// Size of a probe and its answer, as counted by the measurement budget.
 constexpr std::size_t probeBytes = 120;
+/// Requests per second that a limited backend server takes.
+constexpr double limitedRate = 160;
 /// Index of the endpoint into which the fault is injected.
 constexpr int faultyEndpoint = 0;
 
@@ -45,6 +47,8 @@
     Straggler,
     FailFast,
     ColdStart,
+    /// The backend server limits its requests to a tenth of what it got.
+    Limited,
 };
 
 /// Parameters of one simulation.
@@ -148,6 +152,8 @@
     {
         if (m_generatedCalls == m_options.calls / 4 && m_options.fault != Fault::Steady) {
             m_hasFaultBegun = true;
+            if (m_options.fault == Fault::Limited)
+                m_queues[faultyEndpoint]->setRequestRate(RequestRate(limitedRate), m_eventQueue.now());
             for (int origin = 0; m_options.fault == Fault::ColdStart && origin < m_options.origins; ++origin)
                 addEndpoint(origin, faultyEndpoint, m_eventQueue.now());
         }
@@ -190,6 +196,9 @@
             run(ticket, endpoint);
         for (const auto& call : calls.givenUp)
             sendAnswer(call.ticket, endpoint, CallEnd::Refused);
+        const auto timer = m_queues[static_cast<std::size_t>(endpoint)]->nextTimer();
+        if (m_options.fault == Fault::Limited && timer && *timer > m_eventQueue.now())
+            m_eventQueue.after(*timer - m_eventQueue.now(), [this, endpoint] { startQueued(endpoint); });
     }
 
     void run(CallTicket ticket, int endpoint)
@@ -304,6 +313,7 @@
     { "straggler x10", Fault::Straggler },
     { "fail-fast", Fault::FailFast },
     { "cold start", Fault::ColdStart },
+    { "limited", Fault::Limited },
 };
 
 } // namespace
