--- a/Source/node/EndpointRunner.cpp
+++ b/Source/node/EndpointRunner.cpp
@@ -444,7 +444,8 @@
         m_isDraining = true;
         m_queue->drain(now, Duration(0));
         startReadyJobs();
-        m_leavingHook(*m_backend);
+        if (m_leavingHook)
+            m_leavingHook(*m_backend);
     }
     resumeStarts();
 }
