Node: Move the observation of the backend server out of EndpointRunner

BackendMonitor has health checks, what responses tell, reachability, the wait for a first response and their log lines; LocalBackend has a header of its own.

--- /dev/null
+++ b/Source/node/BackendMonitor.cpp
@@ -0,0 +1,174 @@
+#include "node/BackendMonitor.h"
+
+#include "transport/Logger.h"
+
+#include <utility>
+
+namespace Knapweedquay {
+
+namespace {
+
+/// Timeout of a health check.
+constexpr Duration healthTimeout { 500000 };
+/// Longest time for which no calls start because the backend server has not responded yet.
+constexpr Duration maximumPause { 500000 };
+/// Shortest time between two log lines about changes of the limit, and between two about unreadable headers.
+constexpr Duration stateLogInterval { 1000000 };
+constexpr std::size_t maximumLoggedValueBytes = 64;
+
+} // namespace
+
+BackendMonitor::BackendMonitor(asio::io_context& context, const CallHeaders& headers, Duration loadInterval, HttpClient& client, NodeMetrics& metrics, Hooks hooks)
+    : m_loadInterval(loadInterval)
+    , m_client(client)
+    , m_metrics(metrics)
+    , m_hooks(std::move(hooks))
+    , m_state(headers, loadInterval)
+    , m_unreadHeaders({ headers.requestId, headers.notRun, headers.load, headers.requestLimit, headers.leaving })
+    , m_healthTimer(context, [this] { checkHealth(); })
+    , m_resumeTimer(context, [this] { resumeStarts(); })
+{
+    m_healthTimer.setAfter(m_loadInterval);
+}
+
+void BackendMonitor::setBackend(const LocalBackend& backend)
+{
+    const bool isNewRun = !m_lastBackend.isSameRun(backend) || (!m_backend && !backend.isRunKnown());
+    m_reachability.connectionOpened();
+    m_backend = backend;
+    m_lastBackend = backend;
+    if (!isNewRun)
+        return;
+    ++m_run;
+    m_state.reset();
+    if (m_queue)
+        m_queue->setRequestRate(std::nullopt, steadyNow());
+    awaitFirstResponse();
+}
+
+void BackendMonitor::setQueue(AdmissionQueue& queue)
+{
+    m_queue = &queue;
+    awaitFirstResponse();
+}
+
+void BackendMonitor::setHealthPath(const std::string& path)
+{
+    if (path == m_healthPath)
+        return;
+    m_healthPath = path;
+    awaitFirstResponse();
+}
+
+void BackendMonitor::configurationProved()
+{
+    if (!std::exchange(m_isConfigurationProved, true))
+        awaitFirstResponse();
+}
+
+void BackendMonitor::responseReceived(const HttpResponse& response, std::uint64_t run, TimePoint now)
+{
+    apply(response, BackendState::ResponseTo::Call, run, now);
+}
+
+void BackendMonitor::apply(const HttpResponse& response, BackendState::ResponseTo request, std::uint64_t run, TimePoint now)
+{
+    if (!m_queue || !m_backend || run != m_run)
+        return;
+    logUnreadHeaders(response);
+    const bool isFirst = !m_state.hasReportedLoad();
+    const BackendState::Report report = m_state.apply(response.headers, request, now);
+    if (report.load)
+        applyLoad(*report.load, isFirst, now);
+    if (report.hasLimitChanged) {
+        m_queue->setRequestRate(m_state.requestLimit(), now);
+        m_hooks.changed();
+    }
+    logState(report, now);
+    if (report.startsToLeave)
+        m_hooks.leaving();
+    resumeStarts();
+}
+
+void BackendMonitor::applyLoad(const BackendLoad& load, bool isFirst, TimePoint now)
+{
+    if (load.slowdownPercent == m_queue->slowdownPercent() && !isFirst)
+        return;
+    m_queue->setSlowdown(load.slowdownPercent, now);
+    m_hooks.changed();
+}
+
+void BackendMonitor::logState(const BackendState::Report& report, TimePoint now)
+{
+    if (report.hasLimitChanged && now >= m_limitLoggedUntil) {
+        m_limitLoggedUntil = now + stateLogInterval;
+        const auto& limit = m_state.requestLimit();
+        log(LogEvent::BackendLimitChanged, { { "instance", m_backend->instance }, { "requests_per_second", limit ? std::to_string(limit->value()) : "none" } });
+    }
+    if (!report.unreadable.empty() && now >= m_unreadableLoggedUntil) {
+        m_unreadableLoggedUntil = now + stateLogInterval;
+        const HttpHeader& header = report.unreadable.front();
+        log(LogEvent::BackendStateUnreadable, { { "instance", m_backend->instance }, { "name", header.name }, { "value", header.value.substr(0, maximumLoggedValueBytes) } });
+    }
+}
+
+void BackendMonitor::awaitFirstResponse()
+{
+    if (!m_queue || !m_backend || m_state.hasResponded())
+        return;
+    if (m_isConfigurationProved && m_healthPath.empty())
+        return resumeStarts();
+    m_queue->setPaused(true);
+    m_resumeTimer.setAfter(maximumPause);
+    checkHealth();
+}
+
+void BackendMonitor::resumeStarts()
+{
+    if (!m_queue || !m_queue->isPaused())
+        return;
+    m_queue->setPaused(false);
+    m_hooks.resumed();
+}
+
+void BackendMonitor::checkHealth()
+{
+    m_healthTimer.setAfter(m_loadInterval);
+    const TimePoint now = steadyNow();
+    if (!m_backend || !m_queue || m_healthPath.empty() || !m_state.isCheckDue(m_reachability.isReachable(), now) || !m_queue->allowsRequest(now))
+        return;
+    m_state.checkSent(now);
+    m_queue->countRequest(now);
+    m_metrics.backendRequestSent(BackendRequestKind::HealthCheck);
+    HttpClient::Options options;
+    options.timeout = healthTimeout;
+    m_client.send(m_backend->address, { "GET", m_healthPath, {}, {} }, options, [this, run = m_run](const HttpClient::Outcome& outcome) {
+        const TimePoint endedAt = steadyNow();
+        m_state.checkEnded();
+        requestEnded(outcome, endedAt);
+        if (outcome.succeeded)
+            apply(outcome.response, BackendState::ResponseTo::HealthCheck, run, endedAt);
+    });
+}
+
+void BackendMonitor::requestEnded(const HttpClient::Outcome& outcome, TimePoint now)
+{
+    const bool wasReachable = m_reachability.isReachable();
+    const bool isRefused = !outcome.succeeded && !outcome.failure.mayHaveRun && outcome.failure.error.code == ResultCode::ConnectionFailed;
+    if (isRefused)
+        m_reachability.connectionRefused(now);
+    else if (outcome.succeeded || outcome.failure.mayHaveRun)
+        m_reachability.connectionOpened();
+    if (m_reachability.isReachable() == wasReachable)
+        return;
+    log(isRefused ? LogEvent::BackendUnreachable : LogEvent::BackendReachable, { { "address", m_backend ? m_backend->address : std::string() }, { "detail", outcome.failure.error.detail } });
+    m_hooks.changed();
+}
+
+void BackendMonitor::logUnreadHeaders(const HttpResponse& response)
+{
+    for (const std::string& name : m_unreadHeaders.add(response.headers))
+        log(LogEvent::ResponseHeaderUnread, { { "name", name }, { "instance", m_backend ? m_backend->instance : std::string() } });
+}
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Source/node/BackendMonitor.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "coordination/admission/AdmissionQueue.h"
+#include "coordination/presence/BackendReachability.h"
+#include "coordination/presence/BackendState.h"
+#include "coordination/presence/UnreadHeaders.h"
+#include "node/LocalBackend.h"
+#include "node/NodeMetrics.h"
+#include "protocol/CallHeaders.h"
+#include "transport/HttpClient.h"
+#include "transport/SteadyTime.h"
+
+#include <asio/io_context.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace Knapweedquay {
+
+/// Observes the local backend server: sends health checks, applies to the admission queue what its responses tell of it, and
+/// logs that.
+class BackendMonitor {
+public:
+    /// Functions that the owner provides.
+    struct Hooks {
+        /// The load, the limit or the reachability of the backend server may have changed.
+        std::function<void()> changed;
+        /// The present run told for the first time that it leaves.
+        std::function<void()> leaving;
+        /// Calls that waited for the first response may start.
+        std::function<void()> resumed;
+    };
+
+    /// loadInterval: interval between health checks while no response reports the load.
+    BackendMonitor(asio::io_context&, const CallHeaders&, Duration loadInterval, HttpClient&, NodeMetrics&, Hooks);
+
+    /// Sets the local backend server after an announcement.
+    void setBackend(const LocalBackend&);
+    void removeBackend() { m_backend.reset(); }
+    /// Sets the queue of the calls to the backend server, which must outlive the monitor.
+    void setQueue(AdmissionQueue&);
+    /// Path at which the backend server answers health checks; empty disables them.
+    void setHealthPath(const std::string& path);
+    /// Registers that all documents that were committed when the node started are in force.
+    void configurationProved();
+
+    /// Number of the present run, to be given with the responses to the requests that are sent now.
+    std::uint64_t run() const { return m_run; }
+    /// Applies what the backend server tells of itself in the response to a call. Responses of earlier runs tell nothing of
+    /// the present one.
+    void responseReceived(const HttpResponse&, std::uint64_t run, TimePoint now);
+    /// Updates the reachability of the backend server after any request.
+    void requestEnded(const HttpClient::Outcome&, TimePoint now);
+
+    bool isReachable() const { return m_reachability.isReachable(); }
+    /// Returns whether a call may be sent, see BackendReachability.
+    bool mayTry(TimePoint now) const { return m_reachability.mayTry(now); }
+    bool isLeaving() const { return m_state.isLeaving(); }
+
+private:
+    void apply(const HttpResponse&, BackendState::ResponseTo, std::uint64_t run, TimePoint now);
+    void applyLoad(const BackendLoad&, bool isFirst, TimePoint now);
+    void logState(const BackendState::Report&, TimePoint now);
+    /// Logs the names of headers that this node does not read, each once.
+    void logUnreadHeaders(const HttpResponse&);
+    /// Starts no calls until the backend server has told its state in a first response, which a health check asks for. A run
+    /// that leaves or limits its requests may have begun before this process.
+    void awaitFirstResponse();
+    void resumeStarts();
+    /// Sends a health check if one is due.
+    void checkHealth();
+
+    Duration m_loadInterval;
+    HttpClient& m_client;
+    NodeMetrics& m_metrics;
+    Hooks m_hooks;
+    /// Null until the first document of the service is received.
+    AdmissionQueue* m_queue = nullptr;
+    /// Not set while no backend server is announced.
+    std::optional<LocalBackend> m_backend;
+    /// The backend server that was announced last, whose announcements may have timed out.
+    LocalBackend m_lastBackend;
+    std::uint64_t m_run = 0;
+    std::string m_healthPath;
+    /// False until it is known whether there is a health path.
+    bool m_isConfigurationProved = false;
+    BackendReachability m_reachability;
+    BackendState m_state;
+    UnreadHeaders m_unreadHeaders;
+    /// Next times at which a change of the limit and an unreadable header may be logged.
+    TimePoint m_limitLoggedUntil;
+    TimePoint m_unreadableLoggedUntil;
+    Timer m_healthTimer;
+    /// Ends the wait for a first response.
+    Timer m_resumeTimer;
+};
+
+} // namespace Knapweedquay
--- a/Source/node/EndpointRunner.cpp
+++ b/Source/node/EndpointRunner.cpp
@@ -26,13 +26,6 @@
 /// A request that must not be repeated therefore only reuses a connection that was used very recently.
 constexpr Duration maximumIdleIfIdempotent { 4000000 };
 constexpr Duration maximumIdleIfNotIdempotent { 400000 };
-/// Timeout of a health check.
-constexpr Duration healthTimeout { 500000 };
-/// Longest time for which no calls start because the backend server has not responded yet.
-constexpr Duration maximumPause { 500000 };
-/// Shortest time between two log lines about changes of the limit, and between two about unreadable headers.
-constexpr Duration stateLogInterval { 1000000 };
-constexpr std::size_t maximumLoggedValueBytes = 64;
 constexpr std::uint16_t misdirectedStatus = 421;
 constexpr std::uint16_t serviceUnavailableStatus = 503;
 constexpr std::uint16_t firstServerErrorStatus = 500;
@@ -53,16 +46,12 @@
     , m_replyHook(std::move(reply))
     , m_metrics(metrics)
     , m_fates(m_self.incarnation)
-    , m_backendState(m_settings.headers, m_settings.loadInterval)
-    , m_unreadHeaders({ m_settings.headers.requestId, m_settings.headers.notRun, m_settings.headers.load, m_settings.headers.requestLimit, m_settings.headers.leaving })
+    , m_monitor(context, m_settings.headers, m_settings.loadInterval, client, metrics, monitorHooks())
     , m_traceSampler(m_settings.traces)
-    , m_healthTimer(context, [this] { checkHealth(); })
-    , m_resumeTimer(context, [this] { resumeStarts(); })
     , m_queueTimer(context, [this] { startReadyJobs(); })
     , m_confirmTimer(context, [this] { confirmDueJobs(); })
     , m_expiryTimer(context, [this] { expire(); })
 {
-    m_healthTimer.setAfter(m_settings.loadInterval);
     m_confirmTimer.setAfter(confirmationDelay);
     m_expiryTimer.setAfter(expiryInterval);
 }
@@ -72,21 +61,12 @@
     const bool isOtherService = m_backend && m_backend->service != backend.service;
     if (m_backend && m_backend->instance != backend.instance)
         m_client.closeIdleConnections(m_backend->address);
-    const bool isNewRun = !m_lastBackend.isSameRun(backend) || (!m_backend && !backend.isRunKnown());
-    m_reachability.connectionOpened();
     m_backend = backend;
-    m_lastBackend = backend;
     if (isOtherService)
         m_document.reset();
     if (m_queue)
         m_queue->setBackend(slots());
-    if (!isNewRun)
-        return;
-    ++m_backendRun;
-    m_backendState.reset();
-    if (m_queue)
-        m_queue->setRequestRate(std::nullopt, steadyNow());
-    awaitFirstResponse();
+    m_monitor.setBackend(backend);
 }
 
 void EndpointRunner::removeBackend()
@@ -94,6 +74,7 @@
     if (m_backend)
         m_client.closeIdleConnections(m_backend->address);
     m_backend.reset();
+    m_monitor.removeBackend();
 }
 
 void EndpointRunner::setDocument(const ServiceDocument& document)
@@ -104,15 +85,7 @@
     if (m_queue)
         return m_queue->setDocument(document);
     m_queue = std::make_unique<AdmissionQueue>(document, slots());
-    awaitFirstResponse();
-}
-
-void EndpointRunner::setHealthPath(const std::string& path)
-{
-    if (path == m_healthPath)
-        return;
-    m_healthPath = path;
-    awaitFirstResponse();
+    m_monitor.setQueue(*m_queue);
 }
 
 void EndpointRunner::setMaximumConnections(std::uint32_t connections)
@@ -133,12 +106,6 @@
     return m_document ? std::min(m_document->defaultSlots, connected) : connected;
 }
 
-void EndpointRunner::configurationProved()
-{
-    if (!std::exchange(m_isConfigurationProved, true))
-        awaitFirstResponse();
-}
-
 void EndpointRunner::drain()
 {
     m_isDraining = true;
@@ -151,7 +118,7 @@
 void EndpointRunner::undrain()
 {
     // A backend server that told that it leaves does not return.
-    if (m_backendState.isLeaving())
+    if (m_monitor.isLeaving())
         return;
     if (std::exchange(m_isDraining, false) && m_queue)
         m_queue->resume();
@@ -160,7 +127,7 @@
 LoadReport EndpointRunner::loadReport() const
 {
     LoadReport report = m_queue ? m_queue->report() : LoadReport();
-    report.draining = report.draining || m_isDraining || !m_backend || !m_reachability.isReachable();
+    report.draining = report.draining || m_isDraining || !m_backend || !m_monitor.isReachable();
     return report;
 }
 
@@ -196,7 +163,7 @@
         return Refusal { ResultCode::Draining, unavailableRetryAfter };
     if (!m_queue)
         return Refusal { ResultCode::StaleConfiguration, unavailableRetryAfter };
-    if (!m_reachability.mayTry(steadyNow()))
+    if (!m_monitor.mayTry(steadyNow()))
         return Refusal { ResultCode::PeerUnreachable, unavailableRetryAfter };
     if (m_isDraining)
         return Refusal { ResultCode::Draining, unavailableRetryAfter };
@@ -345,7 +312,7 @@
     const LoadReport load = m_queue->report();
     job.trace.add(LogEvent::AttemptStarted, job.startedAt, {}, { (job.startedAt - job.receivedAt).count(), load.running, load.concurrencyLimit, load.slowdownPercent });
     job.isRunning = true;
-    job.backendRun = m_backendRun;
+    job.backendRun = m_monitor.run();
     m_metrics.attemptStarted(job.startedAt - job.receivedAt);
     m_running.started(job.requestId);
     m_metrics.backendRequestSent(job.message.isRepeat ? BackendRequestKind::Repeat : BackendRequestKind::Call);
@@ -408,7 +375,7 @@
 {
     const TimePoint now = steadyNow();
     const AttemptId attempt = job->message.attempt;
-    recordConnectionResult(outcome, now);
+    m_monitor.requestEnded(outcome, now);
     const std::int64_t status = outcome.succeeded ? outcome.response.status : 0;
     const std::int64_t code = outcome.succeeded ? 0 : static_cast<std::int64_t>(outcome.failure.error.code);
     const bool isLate = job->targetLeft(now) < Duration::zero();
@@ -426,109 +393,22 @@
     startReadyJobs();
 }
 
-void EndpointRunner::applyState(const HttpResponse& response, BackendState::ResponseTo request, std::uint64_t run, TimePoint now)
-{
-    if (!m_queue || !m_backend || run != m_backendRun)
-        return;
-    logUnreadHeaders(response);
-    const bool isFirst = !m_backendState.hasReportedLoad();
-    const BackendState::Report report = m_backendState.apply(response.headers, request, now);
-    if (report.load)
-        applyReportedLoad(*report.load, isFirst, now);
-    if (report.hasLimitChanged) {
-        m_queue->setRequestRate(m_backendState.requestLimit(), now);
-        notifyLoadChanged();
-    }
-    logState(report, now);
-    if (report.startsToLeave) {
-        m_isDraining = true;
-        m_queue->drain(now, Duration(0));
-        startReadyJobs();
-        if (m_leavingHook)
-            m_leavingHook(*m_backend);
-    }
-    resumeStarts();
-}
-
-void EndpointRunner::applyReportedLoad(const BackendLoad& load, bool isFirst, TimePoint now)
+BackendMonitor::Hooks EndpointRunner::monitorHooks()
 {
-    if (load.slowdownPercent == m_queue->slowdownPercent() && !isFirst)
-        return;
-    m_queue->setSlowdown(load.slowdownPercent, now);
-    notifyLoadChanged();
+    BackendMonitor::Hooks hooks;
+    hooks.changed = [this] { notifyLoadChanged(); };
+    hooks.leaving = [this] { drainLeavingBackend(); };
+    hooks.resumed = [this] { startReadyJobs(); };
+    return hooks;
 }
 
-void EndpointRunner::logState(const BackendState::Report& report, TimePoint now)
+void EndpointRunner::drainLeavingBackend()
 {
-    if (report.hasLimitChanged && now >= m_limitLoggedUntil) {
-        m_limitLoggedUntil = now + stateLogInterval;
-        const auto& limit = m_backendState.requestLimit();
-        log(LogEvent::BackendLimitChanged, { { "instance", m_backend->instance }, { "requests_per_second", limit ? std::to_string(limit->value()) : "none" } });
-    }
-    if (!report.unreadable.empty() && now >= m_unreadableLoggedUntil) {
-        m_unreadableLoggedUntil = now + stateLogInterval;
-        const HttpHeader& header = report.unreadable.front();
-        log(LogEvent::BackendStateUnreadable, { { "instance", m_backend->instance }, { "name", header.name }, { "value", header.value.substr(0, maximumLoggedValueBytes) } });
-    }
-}
-
-void EndpointRunner::awaitFirstResponse()
-{
-    if (!m_queue || !m_backend || m_backendState.hasResponded())
-        return;
-    if (m_isConfigurationProved && m_healthPath.empty())
-        return resumeStarts();
-    m_queue->setPaused(true);
-    m_resumeTimer.setAfter(maximumPause);
-    checkHealth();
-}
-
-void EndpointRunner::resumeStarts()
-{
-    if (!m_queue || !m_queue->isPaused())
-        return;
-    m_queue->setPaused(false);
+    m_isDraining = true;
+    m_queue->drain(steadyNow(), Duration(0));
     startReadyJobs();
-}
-
-void EndpointRunner::checkHealth()
-{
-    m_healthTimer.setAfter(m_settings.loadInterval);
-    const TimePoint now = steadyNow();
-    if (!m_backend || !m_queue || m_healthPath.empty() || !m_backendState.isCheckDue(m_reachability.isReachable(), now) || !m_queue->allowsRequest(now))
-        return;
-    m_backendState.checkSent(now);
-    m_queue->countRequest(now);
-    m_metrics.backendRequestSent(BackendRequestKind::HealthCheck);
-    HttpClient::Options options;
-    options.timeout = healthTimeout;
-    m_client.send(m_backend->address, { "GET", m_healthPath, {}, {} }, options, [this, run = m_backendRun](const HttpClient::Outcome& outcome) {
-        const TimePoint endedAt = steadyNow();
-        m_backendState.checkEnded();
-        recordConnectionResult(outcome, endedAt);
-        if (outcome.succeeded)
-            applyState(outcome.response, BackendState::ResponseTo::HealthCheck, run, endedAt);
-    });
-}
-
-void EndpointRunner::recordConnectionResult(const HttpClient::Outcome& outcome, TimePoint now)
-{
-    const bool wasReachable = m_reachability.isReachable();
-    const bool isRefused = !outcome.succeeded && !outcome.failure.mayHaveRun && outcome.failure.error.code == ResultCode::ConnectionFailed;
-    if (isRefused)
-        m_reachability.connectionRefused(now);
-    else if (outcome.succeeded || outcome.failure.mayHaveRun)
-        m_reachability.connectionOpened();
-    if (m_reachability.isReachable() == wasReachable)
-        return;
-    log(isRefused ? LogEvent::BackendUnreachable : LogEvent::BackendReachable, { { "address", m_backend ? m_backend->address : std::string() }, { "detail", outcome.failure.error.detail } });
-    notifyLoadChanged();
-}
-
-void EndpointRunner::logUnreadHeaders(const HttpResponse& response)
-{
-    for (const std::string& name : m_unreadHeaders.add(response.headers))
-        log(LogEvent::ResponseHeaderUnread, { { "name", name }, { "instance", m_backend ? m_backend->instance : std::string() } });
+    if (m_leavingHook)
+        m_leavingHook(*m_backend);
 }
 
 void EndpointRunner::notifyLoadChanged()
@@ -543,7 +423,7 @@
     const bool isMisdirected = response.status == misdirectedStatus && !m_backend.value_or(LocalBackend()).instance.empty();
     // Another run answered a misdirected request.
     if (!isMisdirected)
-        applyState(response, BackendState::ResponseTo::Call, job->backendRun, now);
+        m_monitor.responseReceived(response, job->backendRun, now);
     if (isMisdirected || findHeader(response.headers, m_settings.headers.notRun)) {
         finish(job, isMisdirected ? BackendOutcome::Abandoned : BackendOutcome::Shed);
         perform(m_fates.refuse(attempt, { isMisdirected ? ResultCode::Draining : ResultCode::BackendRefused, retryAfterOf(response).value_or(backendRetryAfter) }, now));
--- a/Source/node/EndpointRunner.h
+++ b/Source/node/EndpointRunner.h
@@ -2,11 +2,10 @@
 
 #include "coordination/admission/AdmissionQueue.h"
 #include "coordination/attempts/FateTable.h"
-#include "coordination/presence/BackendReachability.h"
-#include "coordination/presence/BackendState.h"
-#include "coordination/presence/UnreadHeaders.h"
 #include "coordination/routing/RunningRequests.h"
+#include "node/BackendMonitor.h"
 #include "node/CallTrace.h"
+#include "node/LocalBackend.h"
 #include "node/NodeIdentity.h"
 #include "node/NodeMetrics.h"
 #include "protocol/CallHeaders.h"
@@ -28,24 +27,6 @@
 
 namespace Knapweedquay {
 
-/// The local backend server, as described by its last announcement.
-struct LocalBackend {
-    ServiceName service;
-    /// "ip:port".
-    std::string address;
-    /// Number of requests that it can run concurrently; 0 if not announced.
-    std::uint32_t slots = 0;
-    /// Name of the instance, which the backend server receives with each request; empty if not announced.
-    std::string instance;
-    /// Start time of its run, as announced; 0 if not announced.
-    std::uint64_t startedAt = 0;
-
-    /// True if a later run can be told apart from this one.
-    bool isRunKnown() const { return !instance.empty() || startedAt != 0; }
-    /// True if both descriptions are of the same run, as far as it can be told apart from others.
-    bool isSameRun(const LocalBackend& other) const { return service == other.service && address == other.address && instance == other.instance && startedAt == other.startedAt; }
-};
-
 /// Runs the attempts that this node receives on the local backend server.
 ///
 /// Connects the fate table, the admission queue and the HTTP client. Replies are passed to the reply hook, with the id
@@ -81,11 +62,11 @@
     /// Applies a newer document of the backend server's service; documents of other services are ignored.
     void setDocument(const ServiceDocument&);
     /// Path at which the backend server answers health checks; empty disables them.
-    void setHealthPath(const std::string& path);
+    void setHealthPath(const std::string& path) { m_monitor.setHealthPath(path); }
     /// Sets the number of connections that the backend server accepts from all callers; 0 if not bounded.
     void setMaximumConnections(std::uint32_t);
     /// Registers that all documents that were committed when the node started are in force.
-    void configurationProved();
+    void configurationProved() { m_monitor.configurationProved(); }
     /// Sets a hook that is called whenever the result of loadReport() may have changed.
     void setLoadHook(std::function<void()> hook) { m_loadHook = std::move(hook); }
     /// Sets a hook that is called when the local backend server tells for the first time that it leaves.
@@ -126,7 +107,7 @@
         /// When the request was sent to the backend server; only valid while the attempt is running.
         TimePoint startedAt;
         bool isRunning = false;
-        /// Value of m_backendRun when the request was sent.
+        /// Number of the backend server's run when the request was sent.
         std::uint64_t backendRun = 0;
         /// The request to the backend server while the attempt is running.
         HttpClient::RequestId request = 0;
@@ -165,22 +146,10 @@
     /// Adds the last event to the trace, and writes it if the attempt failed or is sampled.
     void finishTrace(Job&, LogEvent, CallTrace::Values, bool hasFailed);
     void handleResponse(const JobPtr&, const HttpResponse&, TimePoint now);
-    /// Applies what the backend server tells of itself in a response. run: value of m_backendRun when the request was
-    /// sent; responses of earlier runs tell nothing of the present one.
-    void applyState(const HttpResponse&, BackendState::ResponseTo, std::uint64_t run, TimePoint now);
-    void applyReportedLoad(const BackendLoad&, bool isFirst, TimePoint now);
-    void logState(const BackendState::Report&, TimePoint now);
-    /// Starts no calls until the backend server has told its state in a first response, which a health check asks for. A run
-    /// that leaves or limits its requests may have begun before this process.
-    void awaitFirstResponse();
-    void resumeStarts();
-    /// Logs the names of headers that this node does not read, each once.
-    void logUnreadHeaders(const HttpResponse&);
-    /// Sends a health check to the backend server if one is due.
-    void checkHealth();
+    BackendMonitor::Hooks monitorHooks();
+    /// Drains because the backend server told that it leaves. What is queued is refused at once.
+    void drainLeavingBackend();
     void notifyLoadChanged();
-    /// Updates the reachability of the backend server after a request.
-    void recordConnectionResult(const HttpClient::Outcome&, TimePoint now);
     /// Confirms the attempts that have been admitted for the confirmation delay without an answer.
     void confirmDueJobs();
     /// Removes expired entries from the fate table.
@@ -194,10 +163,6 @@
     FateTable m_fates;
     /// Not set while no backend server is announced.
     std::optional<LocalBackend> m_backend;
-    /// The backend server that was announced last, whose announcements may have timed out.
-    LocalBackend m_lastBackend;
-    /// Incremented with each run of the backend server.
-    std::uint64_t m_backendRun = 0;
     /// Document of the backend server's service; not set until it is received.
     std::optional<ServiceDocument> m_document;
     /// Null until the first document is received.
@@ -218,23 +183,12 @@
     /// Admitted attempts that have not been confirmed to their origin, with the time when confirmation is due; oldest
     /// first.
     std::deque<std::pair<AttemptId, TimePoint>> m_unconfirmed;
-    BackendReachability m_reachability;
-    BackendState m_backendState;
-    UnreadHeaders m_unreadHeaders;
-    std::string m_healthPath;
+    BackendMonitor m_monitor;
     std::uint32_t m_maximumConnections = 0;
-    /// False until it is known whether there is a health path.
-    bool m_isConfigurationProved = false;
     std::function<void()> m_loadHook;
     std::function<void(const LocalBackend&)> m_leavingHook;
-    /// Next times at which a change of the limit and an unreadable header may be logged.
-    TimePoint m_limitLoggedUntil;
-    TimePoint m_unreadableLoggedUntil;
     TraceSampler m_traceSampler;
     Counters m_counters;
-    Timer m_healthTimer;
-    /// Ends the wait for a first response.
-    Timer m_resumeTimer;
     Timer m_queueTimer;
     Timer m_confirmTimer;
     Timer m_expiryTimer;
