Presence: Learn soon after a limit whether health checks can tell its end

What callers saw: after a backend server had ended its limit, no call reached it for many seconds while the other endpoints had room (0 of 60 calls from 6 s after the end on).

Cause: a response ends a limit only if a response to the same kind of request named it, since a server might name it to calls alone. A limit of 1/s was named to calls, and the first health check was sent 4 s later, after its end; by then no calls came.

A health check follows 250 ms after a limit was first named, so the later ones can end it.

--- a/Source/coordination/presence/BackendState.cpp
+++ b/Source/coordination/presence/BackendState.cpp
@@ -59,6 +59,7 @@
     m_respondedAt.reset();
     m_requestLimit.reset();
     m_hasNamedLimit.fill(false);
+    m_hasCheckedLimit = false;
     m_isLeaving = false;
 }
 
@@ -96,6 +97,7 @@
         m_requestLimit.reset();
     }
     report.hasLimitChanged = m_requestLimit != before;
+    m_hasCheckedLimit = m_requestLimit && (m_hasCheckedLimit || request == ResponseTo::HealthCheck);
 }
 
 void BackendState::applyLeaving(const HttpHeaders& headers, Report& report)
@@ -108,12 +110,19 @@
     }
 }
 
+bool BackendState::isLimitedCheckDue(TimePoint now) const
+{
+    if (!m_hasCheckedLimit)
+        return now - m_checkSentAt >= minimumLimitedInterval;
+    return now - std::max(m_checkSentAt, m_respondedAt.value_or(TimePoint::min())) >= limitedCheckInterval(*m_requestLimit);
+}
+
 bool BackendState::isCheckDue(bool isReachable, TimePoint now) const
 {
     if (m_isCheckPending)
         return false;
     if (m_requestLimit)
-        return now - std::max(m_checkSentAt, m_respondedAt.value_or(TimePoint::min())) >= limitedCheckInterval(*m_requestLimit);
+        return isLimitedCheckDue(now);
     const TimePoint reportedAt = m_loadReportedAt.value_or(TimePoint::min());
     const bool isUnreported = isReachable && m_checkSentAt > reportedAt;
     const Duration interval = isUnreported ? unreportedLoadInterval : m_loadInterval;
--- a/Source/coordination/presence/BackendState.h
+++ b/Source/coordination/presence/BackendState.h
@@ -63,6 +63,7 @@
 private:
     void applyLimit(const HttpHeaders&, ResponseTo, TimePoint now, Report&);
     void applyLeaving(const HttpHeaders&, Report&);
+    bool isLimitedCheckDue(TimePoint now) const;
 
     CallHeaders m_headers;
     Duration m_loadInterval;
@@ -78,6 +79,9 @@
     bool m_isLeaving = false;
     /// When the last health check was sent.
     TimePoint m_checkSentAt;
+    /// True once a health check was answered since the limit was first named, so that it is known whether responses to health
+    /// checks name it.
+    bool m_hasCheckedLimit = false;
     /// True while a health check has no response.
     bool m_isCheckPending = false;
 };
--- a/Tests/coordination/BackendStateTest.cpp
+++ b/Tests/coordination/BackendStateTest.cpp
@@ -90,12 +90,25 @@
     EXPECT_FALSE(m_state.isLeaving());
 }
 
+// A limit that only calls had named was held for 15 seconds after its end when no more calls came.
+TEST_F(BackendStateReportTest, LimitNamedToACall_HealthCheckIsDueSoon_SoThatALaterOneCanEndIt)
+{
+    limit("1");
+    m_state.checkSent(m_now);
+    m_state.checkEnded();
+    EXPECT_TRUE(m_state.isCheckDue(true, m_now + 250ms));
+    limit("1", ResponseTo::HealthCheck);
+    EXPECT_FALSE(m_state.isCheckDue(true, m_now + 3s));
+    limit(HttpHeaders {}, ResponseTo::HealthCheck);
+    EXPECT_FALSE(m_state.requestLimit());
+}
+
 TEST_F(BackendStateReportTest, LimitedBackendServer_Asked_TakesAtMostAQuarterOfTheLimit)
 {
     const std::pair<const char*, Duration> cases[] = { { "100", 250ms }, { "8", 500ms }, { "1", 4s }, { "0", 10s } };
     for (const auto& [value, interval] : cases) {
         m_state.reset();
-        limit(value);
+        limit(value, ResponseTo::HealthCheck);
         m_state.checkSent(m_now);
         EXPECT_FALSE(m_state.isCheckDue(true, m_now + 1min)) << "a check is pending";
         m_state.checkEnded();
