Placing: Probe endpoints that limit their requests once a second

Callers were kept away from an endpoint whose limit had ended: nodes that had not sent it a call for 3 s got no load update, and no report came without a call. The planner asked likely endpoints first, and the limited one seemed slow. It is probed as an endpoint that takes no calls now: once a second, before the others, within the measuring budget.

--- a/Source/coordination/placing/ProbePlanner.cpp
+++ b/Source/coordination/placing/ProbePlanner.cpp
@@ -12,7 +12,7 @@
 /// An endpoint counts as likely to be chosen up to this multiple of the median predicted time.
 constexpr int likelyFactor = 2;
 
-/// Age from which on the report of an endpoint that takes no calls is refreshed.
+/// Age from which on the report of an endpoint that takes few or no calls is refreshed.
 constexpr Duration unavailableReportAge { 1000000 };
 
 /// Groups of endpoints in the order in which they are probed.
@@ -38,9 +38,14 @@
     return *middle;
 }
 
+bool isUnavailable(const EndpointStatus& endpoint)
+{
+    return endpoint.draining || endpoint.requestRate;
+}
+
 ProbeOrder probeOrderOf(const EndpointStatus& endpoint, Duration median)
 {
-    if (endpoint.draining)
+    if (isUnavailable(endpoint))
         return ProbeOrder::Unavailable;
     if (endpoint.ejected)
         return ProbeOrder::Ejected;
@@ -61,7 +66,7 @@
     std::tuple<ProbeOrder, TimePoint> bestRank;
     for (const auto& endpoint : endpoints) {
         const auto reportedAt = endpoint.reportedAt.value_or(TimePoint::min());
-        const Duration refreshAge = endpoint.draining ? unavailableReportAge : m_minimumReportAge;
+        const Duration refreshAge = isUnavailable(endpoint) ? unavailableReportAge : m_minimumReportAge;
         const bool isRecent = endpoint.reportedAt && now - reportedAt < refreshAge;
         if (endpoint.isDrainAnnounced || isRecent || isProbePending(endpoint.id, now))
             continue;
--- a/Source/coordination/placing/ProbePlanner.h
+++ b/Source/coordination/placing/ProbePlanner.h
@@ -12,8 +12,8 @@
 ///
 /// Responses to calls carry load reports, so probes are needed only where reports are missing or old. Endpoints that
 /// are likely to be chosen are probed first, then ejected ones, then slow ones, each group by the age of their reports.
-/// An endpoint that last reported that it takes no calls gets no call that would bring another report, so once a second
-/// it comes before all others.
+/// An endpoint that last reported that it takes no calls, or that it limits its requests per second, may get no call that
+/// would bring another report, so once a second it comes before all others.
 /// Call next() when the MeasurementBudget allows a probe. As in Prequal (NSDI '24), the number of probes is
 /// proportional to the number of calls, so that an idle service causes no probes.
 class ProbePlanner {
--- a/Tests/coordination/ProbePlannerTest.cpp
+++ b/Tests/coordination/ProbePlannerTest.cpp
@@ -55,6 +55,17 @@
     EXPECT_EQ("", probeNext());
 }
 
+// Nodes that had stopped sending calls to a limited endpoint did not learn that the limit had ended.
+TEST_F(ProbePlannerTest, EndpointThatReportedALimit_IsProbedOnceASecond)
+{
+    add("likely", 900 * millisecond);
+    add("limited", second, second).requestRate = RequestRate(8);
+    add("limited and recent", 500 * millisecond, second).requestRate = RequestRate(8);
+    EXPECT_EQ("limited", probeNext());
+    EXPECT_EQ("likely", probeNext());
+    EXPECT_EQ("", probeNext());
+}
+
 TEST_F(ProbePlannerTest, EndpointThatReportedThatItTakesNoCalls_IsProbedOnceASecond)
 {
     add("likely", 900 * millisecond);
