--- a/Source/coordination/admission/AdmissionQueue.h
+++ b/Source/coordination/admission/AdmissionQueue.h
@@ -115,7 +115,7 @@
     /// times are normalised to 100 percent.
     void setSlowdown(std::uint32_t percent, TimePoint now);
     std::uint32_t slowdownPercent() const { return m_slowdownPercent; }
-    /// Limits the calls started per second, together with the requests counted by countRequest(); nothing removes the
+    /// Limits the calls started per second, together with the requests counted by countRequest(). An unset rate ends the
     /// limit.
     void setRequestRate(std::optional<RequestRate>, TimePoint now);
     const std::optional<RequestRate>& requestRate() const { return m_rate.rate(); }
@@ -200,9 +200,9 @@
     AdmissionDecision admit(const Call&, bool startsNow, TimePoint now);
     /// Estimated queueing time of a call that arrives now in this lane.
     Duration estimatedWaitInLane(std::size_t lane, TimePoint now) const;
-    /// The part of it that the slots cause.
+    /// Part of the estimated wait that the slots cause.
     Duration estimatedWaitForSlot(std::size_t lane, TimePoint now) const;
-    /// The part of it that the limit of requests per second causes; zero without a limit.
+    /// Part of the estimated wait that the limit of requests per second causes; zero without a limit.
     Duration estimatedWaitForRate(std::size_t lane, TimePoint now) const;
     /// Maximum number of queued late calls.
     double maximumLateCalls(TimePoint now) const;
--- a/Source/coordination/admission/RequestRateLimit.h
+++ b/Source/coordination/admission/RequestRateLimit.h
@@ -11,11 +11,11 @@
 ///
 /// A request is due when the interval since the one before has passed, and may be sent up to 300 ms early. In any time t
 /// at a constant rate, there are at most rate x (t + 300 ms) + 1 requests. One that is counted before it is allowed delays
-/// the following ones. Rates below one request in ten seconds are raised to that, so that some
-/// request finds out when the limit ends.
+/// the following ones. Rates below one request in ten seconds are raised to that, so that some request finds out when the
+/// limit ends.
 class RequestRateLimit {
 public:
-    /// Sets the rate; nothing allows any number of requests. A change scales the time until the next request.
+    /// Sets the rate; while it is unset, any number of requests is allowed. A change scales the time until the next request.
     void setRate(std::optional<RequestRate>, TimePoint now);
     /// The rate as it was set.
     const std::optional<RequestRate>& rate() const { return m_rate; }
--- a/Tests/transport/HttpPairTest.cpp
+++ b/Tests/transport/HttpPairTest.cpp
@@ -373,9 +373,12 @@
         });
         m_handlers.emplace_back([](Tcp::socket& socket, const std::string&) { reply(socket, response("b", "second")); });
         options.mayRepeat = mayRepeat;
+        int resent = 0;
+        options.resent = [&resent] { ++resent; };
         send("b", options);
         ASSERT_TRUE(waitForOutcome());
         EXPECT_EQ(mayRepeat, m_outcome->succeeded);
+        EXPECT_EQ(mayRepeat ? 1 : 0, resent);
     }
 }
 
@@ -393,6 +396,17 @@
     EXPECT_FALSE(m_outcome);
 }
 
+TEST_F(HttpClientTest, Connection_ThatTheServerWillClose_IsNotReused)
+{
+    m_handlers.emplace_back([](Tcp::socket& socket, const std::string&) { reply(socket, response("a", "x", "Connection: close\r\n")); });
+    send("a");
+    ASSERT_TRUE(waitForOutcome());
+    m_handlers.emplace_back([](Tcp::socket& socket, const std::string&) { reply(socket, response("b", "y")); });
+    send("b");
+    ASSERT_TRUE(waitForOutcome());
+    EXPECT_EQ(2, m_acceptedConnections);
+}
+
 TEST_F(HttpClientTest, Connection_WithShortAdvertisedIdleTime_IsNotReused)
 {
     m_handlers.emplace_back([](Tcp::socket& socket, const std::string&) { reply(socket, response("a", "x", "Keep-Alive: timeout=0\r\n")); });
