Tests: Check the end of a limit by what each node knows and by calls that only its server can take

Trace: event 406 told the end of the limit 2.2 s after it, and node a knew of none (requests_per_second null), but predicted 5.74 ms there and 5.49 and 5.52 at the others, since its own error rate of b was still 0.03 from a hedged call. With all endpoints idle the shortest time wins each choice, so no call for 3 s is allowed: the check expected a share that nothing promises.

The new check is as strict on what is promised: 7 s after the end (4 s until the server may be asked, 1 s until a request is due, 1 s between probes, 1 s) no node holds a limit, and with the other endpoints drained the server gets 150 of 180 calls.

--- a/Tests/processes/BackendStateTest.cpp
+++ b/Tests/processes/BackendStateTest.cpp
@@ -112,6 +112,17 @@
         return static_cast<std::size_t>(times.end() - std::lower_bound(times.begin(), times.end(), 0.0));
     }
 
+    /// Limit of a node's backend server that another node has in its status; null for none.
+    nlohmann::json limitKnownTo(const std::string& node, const std::string& endpoint)
+    {
+        nlohmann::json status = m_deployment->nodeStatus(node);
+        for (const nlohmann::json& known : status["traffic"]["endpoints"]["dispatch"]) {
+            if (known["node"] == endpoint)
+                return known["requests_per_second"];
+        }
+        return "unknown endpoint";
+    }
+
     std::string requestMetrics(const std::string& node)
     {
         const std::string name = "knapweedquay_backend_requests_total{";
@@ -189,18 +200,23 @@
     expectLimitKept("b", 0.25);
 }
 
-TEST_F(BackendStateTest, BackendServer_NamesNoLimitAnyMore_ReceivesItsShareAgain)
+TEST_F(BackendStateTest, BackendServer_NamesNoLimitAnyMore_ReceivesCallsAgain)
 {
     startWithHealthChecks();
     tell("b", { { "requestLimit", "1" } });
     sendFor(4s);
     tell("b", { { "requestLimit", "" } });
-    // Its node asks each 4 s at this limit, and the other nodes ask that one each second.
-    sendFor(6s);
+    // Its node asks each 4 s at this limit, once a request is due, and the other nodes ask that one each second.
+    sendFor(7s);
+    for (const std::string& node : m_deployment->nodeNames())
+        EXPECT_TRUE(limitKnownTo(node, "b").is_null()) << "node " << node << " " << requestMetrics("b");
+    // While the others are idle as well, any slight difference keeps calls from it, so it is made the only endpoint.
+    for (const char* other : { "a", "c" })
+        exchangeOnce(m_deployment->addresses(other).admin, plainRequest("POST", "/leave", "{}"), 2s);
     tell("b", { { "requestLimit", "" } });
     sendFor(3s);
-    // A third of the calls would be 60.
-    EXPECT_GE(callsSinceTold("b"), 30u) << requestMetrics("b") << m_deployment->nodeStatus("a")["traffic"]["endpoints"].dump();
+    // All calls would be 180.
+    EXPECT_GE(callsSinceTold("b"), 150u) << requestMetrics("b");
     expectAllAnswered();
 }
 
