--- a/Source/coordination/admission/AdmissionQueue.h
+++ b/Source/coordination/admission/AdmissionQueue.h
@@ -118,7 +118,6 @@
     /// Limits the calls started per second, together with the requests counted by countRequest(). An unset rate ends the
     /// limit.
     void setRequestRate(std::optional<RequestRate>, TimePoint now);
-    const std::optional<RequestRate>& requestRate() const { return m_rate.rate(); }
     /// True if a request that is no call, such as a health check, may be sent now without delaying a call.
     bool allowsRequest(TimePoint now) const { return m_rate.isDue(now) && !hasQueued(); }
     /// Counts a request to the backend server that is not the start of a call.
