--- a/Tests/transport/HttpPairTest.cpp
+++ b/Tests/transport/HttpPairTest.cpp
@@ -155,6 +155,18 @@
         return m_outcome.has_value();
     }
 
+    /// Expects that the request after a response with these headers uses a new connection.
+    void expectNotReusedAfter(const std::string& headers)
+    {
+        m_handlers.emplace_back([headers](Tcp::socket& socket, const std::string&) { reply(socket, response("a", "x", headers)); });
+        send("a");
+        ASSERT_TRUE(waitForOutcome());
+        m_handlers.emplace_back([](Tcp::socket& socket, const std::string&) { reply(socket, response("b", "y")); });
+        send("b");
+        ASSERT_TRUE(waitForOutcome());
+        EXPECT_EQ(2, m_acceptedConnections);
+    }
+
     asio::io_context m_context;
     Tcp::acceptor m_acceptor;
     std::deque<RequestHandler> m_handlers;
@@ -398,22 +410,10 @@
 
 TEST_F(HttpClientTest, Connection_ThatTheServerWillClose_IsNotReused)
 {
-    m_handlers.emplace_back([](Tcp::socket& socket, const std::string&) { reply(socket, response("a", "x", "Connection: close\r\n")); });
-    send("a");
-    ASSERT_TRUE(waitForOutcome());
-    m_handlers.emplace_back([](Tcp::socket& socket, const std::string&) { reply(socket, response("b", "y")); });
-    send("b");
-    ASSERT_TRUE(waitForOutcome());
-    EXPECT_EQ(2, m_acceptedConnections);
+    expectNotReusedAfter("Connection: close\r\n");
 }
 
 TEST_F(HttpClientTest, Connection_WithShortAdvertisedIdleTime_IsNotReused)
 {
-    m_handlers.emplace_back([](Tcp::socket& socket, const std::string&) { reply(socket, response("a", "x", "Keep-Alive: timeout=0\r\n")); });
-    send("a");
-    ASSERT_TRUE(waitForOutcome());
-    m_handlers.emplace_back([](Tcp::socket& socket, const std::string&) { reply(socket, response("b", "y")); });
-    send("b");
-    ASSERT_TRUE(waitForOutcome());
-    EXPECT_EQ(2, m_acceptedConnections);
+    expectNotReusedAfter("Keep-Alive: timeout=0\r\n");
 }
