Retries: Divide the budget of extra attempts among the nodes of the fleet

Cause: each node had a burst of 10 retries and 10 hedges of its own, full at the start, so the sum grew with the nodes; calls of repeated runs and requests sent once more on a fresh connection took nothing. A crashed server was asked again 1 ms later, since a pooled connection that ended long after the request counted as stale.

--- a/Source/coordination/attempts/OutgoingCall.cpp
+++ b/Source/coordination/attempts/OutgoingCall.cpp
@@ -51,8 +51,10 @@
     if (m_phase != Phase::Idle)
         return;
     m_phase = Phase::Active;
-    if (!m_parameters.isRepeat) {
-        m_budgets.retries.addCall();
+    if (m_parameters.isRepeat && !m_budgets.extra.tryTakeForRepeatedRun())
+        return finishUnanswered({ ResultCode::RepeatBudgetSpent });
+    if (!m_parameters.isRepeat && !m_parameters.isNested) {
+        m_budgets.extra.addCall();
         m_budgets.hedges.addCall();
     }
     if (m_isCallerDisconnected)
@@ -249,7 +251,7 @@
 void OutgoingCall::hedge()
 {
     m_hasHedged = true;
-    if (hasTimeLeft() && m_budgets.hedges.tryTake())
+    if (hasTimeLeft() && m_budgets.extra.canTake() && m_budgets.hedges.tryTake() && m_budgets.extra.tryTake())
         requestEndpoint(true);
 }
 
@@ -302,7 +304,7 @@
     if (!canStartAttempt() || !canAnotherEndpointAccept(refusal))
         return;
     // An attempt refused by the endpoint's node adds no load to its backend server, so its retry needs no budget.
-    if (refusal.code != ResultCode::BackendRefused || m_budgets.retries.tryTake())
+    if (refusal.code != ResultCode::BackendRefused || m_budgets.extra.tryTake())
         requestEndpoint(false);
 }
 
@@ -313,7 +315,7 @@
     });
     if (!m_parameters.isIdempotent || m_parameters.isRepeat || hasLiveAttempt || !canStartAttempt())
         return;
-    if (m_budgets.retries.tryTake())
+    if (m_budgets.extra.tryTake())
         requestEndpoint(false);
 }
 
--- a/Source/coordination/attempts/OutgoingCall.h
+++ b/Source/coordination/attempts/OutgoingCall.h
@@ -26,6 +26,9 @@
     bool isIdempotent = false;
     /// The incoming call is itself a retry or a hedge of this level or an upstream one.
     bool isRepeat = false;
+    /// The call was made by a request that the local backend server is running. Only calls from outside the fleet fill the
+    /// budgets, so that the extra attempts of a service stay in proportion to what its callers ask for.
+    bool isNested = false;
     TimePoint deadline;
     /// A link over which an attempt is not accepted within this time is treated as unresponsive.
     Duration acceptanceTimeout { 200000 };
@@ -36,9 +39,11 @@
     RetryLimits limits;
 };
 
-/// The retry and hedge budgets of one service at one node, shared by its calls and outliving each of them.
+/// The budgets of one service at one node, shared by its calls and outliving each of them.
 struct CallBudgets {
-    RetryBudget& retries;
+    /// For all extra attempts: retries, hedges, requests sent once more and calls made by repeated runs.
+    RetryBudget& extra;
+    /// Limits the part of them that are hedges.
     RetryBudget& hedges;
 };
 
--- a/Source/coordination/routing/RunningRequests.h
+++ b/Source/coordination/routing/RunningRequests.h
@@ -1,8 +1,9 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
-#include <unordered_set>
+#include <unordered_map>
 
 namespace Knapweedquay {
 
@@ -12,14 +13,21 @@
 /// has the value of its parent: refusing it wastes the whole run of the parent, even when the call is late.
 class RunningRequests {
 public:
+    /// What is known of a running request.
+    struct Run {
+        /// The run repeats an earlier attempt, or belongs to a call that a repeated run made.
+        bool isRepeat = false;
+    };
+
     /// Records a request that started to run; one without an id is ignored.
-    void started(const std::string& id);
-    void ended(const std::string& id) { m_ids.erase(id); }
-    /// Returns whether the call with this id was made by a request that is running here.
-    bool isParentOf(std::string_view id) const;
+    void started(const std::string& id, Run);
+    void ended(const std::string& id) { m_runs.erase(id); }
+    /// The request running here that made the call with this id; not set if there is none.
+    std::optional<Run> parentOf(std::string_view id) const;
 
 private:
-    std::unordered_set<std::string> m_ids;
+    /// By the id of the request.
+    std::unordered_map<std::string, Run> m_runs;
 };
 
 } // namespace Knapweedquay
--- a/Source/node/CallGateway.cpp
+++ b/Source/node/CallGateway.cpp
@@ -163,8 +163,11 @@
     session->startedAt = steadyNow();
     BOOST_OUTCOME_TRYV(classify(*session, *service));
     session->targetAt = session->startedAt - session->elapsedBefore + session->target;
-    if (m_localRunner.running().isParentOf(session->parsed.requestId))
+    if (const auto parent = m_localRunner.running().parentOf(session->parsed.requestId)) {
         session->targetAt = session->deadline;
+        session->isNested = true;
+        session->parsed.isRepeat = session->parsed.isRepeat || parent->isRepeat;
+    }
     return session;
 }
 
@@ -221,6 +224,7 @@
     CallParameters parameters;
     parameters.isIdempotent = session->isIdempotent;
     parameters.isRepeat = session->parsed.isRepeat;
+    parameters.isNested = session->isNested;
     parameters.deadline = session->deadline;
     if (session->isIdempotent)
         parameters.hedgeDelay = service.hedgeDelay(session->priority, session->target);
@@ -672,7 +676,7 @@
         service->setDocument(document);
         return;
     }
-    service = std::make_unique<ServiceTraffic>(document, m_self.dataCentre, m_settings.choice, m_metrics);
+    service = std::make_unique<ServiceTraffic>(document, m_self.dataCentre, m_settings.choice, retryBurst(), m_metrics);
     for (const auto& entry : m_members)
         setMember(MemberRecord(entry.second));
 }
@@ -686,7 +690,12 @@
         if (before && isReplaced)
             before->chooser().remove({ member.node, previous->second.version.incarnation });
     }
+    const bool isNew = previous == m_members.end();
     m_members[member.node] = member;
+    if (isNew) {
+        for (const auto& entry : m_services)
+            entry.second->setBurst(retryBurst());
+    }
     if (member.node != m_self.node && !member.peerAddress.isEmpty())
         m_links.setAddress(member.node, toText(member.peerAddress));
     ServiceTraffic* service = traffic(member.endpoint.service);
@@ -702,4 +711,10 @@
     service->chooser().update(id, { member.dataCentre, slots, member.endpoint.announcedAt, member.endpoint.lifecycle == EndpointLifecycle::Draining });
 }
 
+bool CallGateway::tryTakeExtraAttempt(const ServiceName& service)
+{
+    ServiceTraffic* entry = traffic(service);
+    return entry && entry->budgets().extra.tryTake();
+}
+
 } // namespace Knapweedquay
--- a/Source/node/CallGateway.h
+++ b/Source/node/CallGateway.h
@@ -61,6 +61,8 @@
         ServiceName callerService;
         bool needsRouting = false;
         ChoiceSettings choice;
+        /// Extra attempts beyond the shares of a service's document that all nodes together may make at once.
+        double fleetRetryBurst = 0;
         TraceSampler::Settings traces;
     };
 
@@ -78,6 +80,8 @@
     void setConfigurationProvedAt(TimePoint provedAt) { m_configurationProvedAt = provedAt; }
     /// Updates the links and the endpoints after a member of the deployment joined, changed or left.
     void setMember(const MemberRecord&);
+    /// Takes from the budget of extra attempts of a service; returns false if it is exhausted.
+    bool tryTakeExtraAttempt(const ServiceName&);
 
     /// Requests a document from another node; its answer is passed to the hook set by setDocumentHook().
     void requestDocument(const NodeId&, const ServiceName&);
@@ -121,6 +125,9 @@
     Result<PriorityIndex> choosePriority(const ServiceTraffic&, const ParsedCall&, PriorityIndex byRoute) const;
     HttpResponse refusalResponse(const Error&, CallOutcomeKind, Duration retryAfter) const;
     void applyDocument(const ServiceDocument&);
+    /// This node's part of the burst of extra attempts. Members that left count too: some may return, and a fleet that is
+    /// cut in two must not spend its burst twice.
+    double retryBurst() const { return RetryBudget::burstOfNode(m_settings.fleetRetryBurst, m_members.size()); }
     void startSession(const SessionPtr&);
     /// Claims the idempotency key of the call before its first attempt.
     void startKeyed(const SessionPtr&);
--- a/Source/node/EndpointRunner.cpp
+++ b/Source/node/EndpointRunner.cpp
@@ -314,7 +314,7 @@
     job.isRunning = true;
     job.backendRun = m_monitor.run();
     m_metrics.attemptStarted(job.startedAt - job.receivedAt);
-    m_running.started(job.requestId);
+    m_running.started(job.requestId, { job.message.isRepeat });
     m_metrics.backendRequestSent(job.message.isRepeat ? BackendRequestKind::Repeat : BackendRequestKind::Call);
     job.request = m_client.send(m_backend->address, backendRequest(job), backendOptions(job),
         [this, jobPointer](HttpClient::Outcome outcome) { handleOutcome(jobPointer, std::move(outcome)); });
@@ -326,11 +326,8 @@
     options.timeout = std::max(job.deadline - steadyNow(), Duration(1000));
     options.maximumBodyBytes = m_document->maximumBodyBytes;
     options.maximumIdle = job.message.isIdempotent ? maximumIdleIfIdempotent : maximumIdleIfNotIdempotent;
-    options.mayRepeat = job.message.isIdempotent;
-    options.resent = [this] {
-        m_metrics.backendRequestSent(BackendRequestKind::Resent);
-        m_queue->countRequest(steadyNow());
-    };
+    if (job.message.isIdempotent && !job.message.isRepeat)
+        options.allowsResend = [this] { return tryResend(); };
     if (job.requestId.empty())
         return options;
     options.matchesRequest = [name = m_settings.headers.requestId, id = job.requestId](const HttpResponse& response) {
@@ -340,6 +337,15 @@
     return options;
 }
 
+bool EndpointRunner::tryResend() const
+{
+    if (!m_backend || !m_resendHook || !m_resendHook(m_backend->service))
+        return false;
+    m_metrics.backendRequestSent(BackendRequestKind::Resent);
+    m_queue->countRequest(steadyNow());
+    return true;
+}
+
 HttpRequest EndpointRunner::backendRequest(const Job& job) const
 {
     const CallRequestMessage& message = job.message;
--- a/Source/node/EndpointRunner.h
+++ b/Source/node/EndpointRunner.h
@@ -71,6 +71,9 @@
     void setLoadHook(std::function<void()> hook) { m_loadHook = std::move(hook); }
     /// Sets a hook that is called when the local backend server tells for the first time that it leaves.
     void setLeavingHook(std::function<void(const LocalBackend&)> hook) { m_leavingHook = std::move(hook); }
+    /// Sets a hook that decides whether an idempotent request may be sent to the backend server of a service once more
+    /// because its pooled connection was stale. Without a hook none is.
+    void setResendHook(std::function<bool(const ServiceName&)> hook) { m_resendHook = std::move(hook); }
     /// Starts refusing new attempts; attempts in flight finish.
     void drain();
     /// Accepts new attempts again.
@@ -143,6 +146,8 @@
     void finish(const JobPtr&, BackendOutcome);
     HttpRequest backendRequest(const Job&) const;
     HttpClient::Options backendOptions(const Job&) const;
+    /// Asks the resend hook, and counts the request if it is sent once more.
+    bool tryResend() const;
     /// Adds the last event to the trace, and writes it if the attempt failed or is sampled.
     void finishTrace(Job&, LogEvent, CallTrace::Values, bool hasFailed);
     void handleResponse(const JobPtr&, const HttpResponse&, TimePoint now);
@@ -187,6 +192,7 @@
     std::uint32_t m_maximumConnections = 0;
     std::function<void()> m_loadHook;
     std::function<void(const LocalBackend&)> m_leavingHook;
+    std::function<bool(const ServiceName&)> m_resendHook;
     TraceSampler m_traceSampler;
     Counters m_counters;
     Timer m_queueTimer;
--- a/Source/node/NodeSettings.cpp
+++ b/Source/node/NodeSettings.cpp
@@ -26,6 +26,7 @@
 
 constexpr std::uint64_t maximumCandidates = 1000;
 constexpr double maximumPenalty = 10;
+constexpr double maximumRetryBurst = 1e6;
 
 bool isHeaderName(std::string_view text)
 {
@@ -104,6 +105,9 @@
     settings.choice.subset = choice.integer("subset", settings.choice.subset, 0, maximumCandidates);
     settings.choice.remotePenalty = choice.real("remote_penalty", settings.choice.remotePenalty, 0, maximumPenalty);
     choice.finish();
+    TomlReader retries = reader.section("retries");
+    settings.fleetRetryBurst = retries.real("fleet_burst", settings.fleetRetryBurst, 0, maximumRetryBurst);
+    retries.finish();
     readRouting(reader.section("routing"), settings);
     readHeaders(reader.section("headers"), settings.headers);
     readBackend(reader.section("backend"), settings);
--- a/Source/node/NodeSettings.h
+++ b/Source/node/NodeSettings.h
@@ -38,6 +38,9 @@
     /// Gossip addresses of other nodes, contacted to join the deployment.
     std::vector<SocketAddress> seeds;
     ChoiceSettings choice;
+    /// Extra attempts of one service, beyond the shares in its document, that all nodes of the deployment together may make
+    /// at once. Each node takes an equal part of it, but may store at least one.
+    double fleetRetryBurst = 30;
     /// Interval between polls of the local backend server's load while no response reports it.
     Duration backendLoadInterval { 40000 };
     CallHeaders headers;
--- a/Source/node/NodeTraffic.cpp
+++ b/Source/node/NodeTraffic.cpp
@@ -74,11 +74,12 @@
     , m_client(context)
     , m_runner(
           context, m_self, { settings.headers, settings.backendLoadInterval, settings.traces }, m_client, [this](ConnectionId connection, const PeerMessage& message) { reply(connection, message); }, metrics)
-    , m_gateway(context, m_self, m_runner, { settings.headers, settings.callerService, settings.needsRouting, choiceSettings(settings), settings.traces }, std::move(claims), metrics)
+    , m_gateway(context, m_self, m_runner, { settings.headers, settings.callerService, settings.needsRouting, choiceSettings(settings), settings.fleetRetryBurst, settings.traces }, std::move(claims), metrics)
     , m_callServer(context, callServerSettings(settings), [this](const HttpExchangePtr& exchange) { m_gateway.handle(exchange); })
     , m_linkServer(context, maximumPeerMessageBytes, [this](const LinkPtr& link) { accept(link); })
     , m_loadTimer(context, [this] { sendLoadUpdates(); })
 {
+    m_runner.setResendHook([this](const ServiceName& service) { return m_gateway.tryTakeExtraAttempt(service); });
     // Combines all changes within loadBatchInterval into one message.
     m_runner.setLoadHook([this] {
         if (!std::exchange(m_isLoadUpdateScheduled, true))
--- a/Source/node/ServiceTraffic.cpp
+++ b/Source/node/ServiceTraffic.cpp
@@ -26,6 +26,11 @@
     return matchesMethod && path.substr(0, route.path.size()) == route.path;
 }
 
+double extraShare(const RetryLimits& limits)
+{
+    return limits.retryShare + limits.hedgeShare;
+}
+
 std::vector<std::string> priorityNames(const ServiceDocument& document)
 {
     std::vector<std::string> names;
@@ -36,11 +41,11 @@
 
 } // namespace
 
-ServiceTraffic::ServiceTraffic(const ServiceDocument& document, const DataCentre& local, ChoiceSettings settings, NodeMetrics& metrics)
+ServiceTraffic::ServiceTraffic(const ServiceDocument& document, const DataCentre& local, ChoiceSettings settings, double burst, NodeMetrics& metrics)
     : m_document(document)
     , m_chooser(document, local, settings)
-    , m_retryBudget(document.retries.retryShare)
-    , m_hedgeBudget(document.retries.hedgeShare)
+    , m_extraBudget(extraShare(document.retries), burst, RetryBudget::minimumTokens)
+    , m_hedgeBudget(document.retries.hedgeShare, RetryBudget::defaultBurst, RetryBudget::minimumTokens)
     , m_measurement(document.measurement)
     , m_latencies(document.priorities.size(), QuantileEstimate(hedgeQuantile))
     , m_medians(document.priorities.size(), QuantileEstimate(medianQuantile))
@@ -54,7 +59,7 @@
     const bool hasSamePriorities = m_document.priorities == document.priorities;
     m_document = document;
     m_chooser.setDocument(document);
-    m_retryBudget.setShare(document.retries.retryShare);
+    m_extraBudget.setShare(extraShare(document.retries));
     m_hedgeBudget.setShare(document.retries.hedgeShare);
     m_measurement.setLimits(document.measurement);
     if (hasSamePriorities)
--- a/Source/node/ServiceTraffic.h
+++ b/Source/node/ServiceTraffic.h
@@ -20,16 +20,19 @@
 /// State of this node for the calls that it sends to one service: endpoints, budgets, latencies and metrics.
 class ServiceTraffic {
 public:
-    ServiceTraffic(const ServiceDocument&, const DataCentre& local, ChoiceSettings, NodeMetrics&);
+    /// burst: extra attempts beyond the shares of the document that this node may make at once.
+    ServiceTraffic(const ServiceDocument&, const DataCentre& local, ChoiceSettings, double burst, NodeMetrics&);
 
     void setDocument(const ServiceDocument&);
     const ServiceDocument& document() const { return m_document; }
     EndpointChooser& chooser() { return m_chooser; }
-    CallBudgets budgets() { return { m_retryBudget, m_hedgeBudget }; }
+    CallBudgets budgets() { return { m_extraBudget, m_hedgeBudget }; }
+    /// Sets the extra attempts beyond the shares of the document that this node may make at once.
+    void setBurst(double burst) { m_extraBudget.setBurst(burst); }
     MeasurementBudget& measurement() { return m_measurement; }
     ProbePlanner& probes() { return m_probes; }
     ServiceMetrics& metrics() { return *m_metrics; }
-    void updateMetrics() { m_metrics->setBudgets(m_retryBudget.availableTokens(), m_hedgeBudget.availableTokens()); }
+    void updateMetrics() { m_metrics->setBudgets(m_extraBudget.availableTokens(), m_hedgeBudget.availableTokens()); }
 
     /// Properties of a call that follow from its method and path.
     struct Classification {
@@ -51,7 +54,7 @@
 private:
     ServiceDocument m_document;
     EndpointChooser m_chooser;
-    RetryBudget m_retryBudget;
+    RetryBudget m_extraBudget;
     RetryBudget m_hedgeBudget;
     MeasurementBudget m_measurement;
     ProbePlanner m_probes;
--- a/Source/protocol/ResultCode.cpp
+++ b/Source/protocol/ResultCode.cpp
@@ -39,6 +39,7 @@
     { ResultCode::PeerUnreachable, 503, "Peer unreachable" },
     { ResultCode::CallerLimitReached, 429, "Caller limit reached" },
     { ResultCode::BackendRefused, 503, "Backend server refused" },
+    { ResultCode::RepeatBudgetSpent, 503, "Budget for repeats spent" },
     { ResultCode::OutcomeUnknown, 504, "Outcome unknown" },
     { ResultCode::AnswerIncomplete, 502, "Answer incomplete" },
     { ResultCode::AlreadyRunning, 409, "Already running" },
--- a/Source/protocol/ResultCode.h
+++ b/Source/protocol/ResultCode.h
@@ -34,6 +34,7 @@
     PeerUnreachable = 208,
     CallerLimitReached = 209,
     BackendRefused = 210,
+    RepeatBudgetSpent = 211,
 
     // 3xx: the call may have run, is running already or has run before.
     OutcomeUnknown = 300,
--- a/Source/transport/HttpClient.cpp
+++ b/Source/transport/HttpClient.cpp
@@ -33,6 +33,9 @@
 constexpr Duration keepAliveMargin { 700000 };
 /// Shortest interval between two expiries of the timer; deadlines within it are handled together.
 constexpr Duration expiryGranularity { 5000 };
+/// A pooled connection that ends within this time after a request was sent on it was closed before the request arrived. Later
+/// the server has probably ended while it ran the request, and another one is the better choice.
+constexpr Duration staleConnectionWindow { 100000 };
 /// Lower statuses belong to interim responses, which the final response follows.
 constexpr std::uint16_t firstFinalStatus = 200;
 
@@ -154,10 +157,9 @@
     bool isClosed() const { return m_isClosed; }
     const std::string& server() const { return m_server; }
     RequestId exchange() const { return m_exchange; }
-    /// True when the exchange in progress was started on a connection from the pool.
-    bool wasPooled() const { return m_wasPooled; }
+    /// True when the server had probably closed the connection before the request reached it.
+    bool wasStale() const { return m_wasPooled && !m_hasReceived && steadyNow() - m_sentAt <= staleConnectionWindow; }
     bool hasSent() const { return m_hasSent; }
-    bool hasReceived() const { return m_hasReceived; }
     Duration idleTime() const { return steadyNow() - m_idleSince; }
     /// Idle time after which the server may close the connection.
     Duration maximumIdleTime() const { return m_maximumIdleTime; }
@@ -194,6 +196,8 @@
     bool m_isWriting = false;
     /// True once a write of the current request was started.
     bool m_hasSent = false;
+    /// When that write was started.
+    TimePoint m_sentAt;
     /// True once a byte was received since that write was started.
     bool m_hasReceived = false;
     bool m_wasPooled = false;
@@ -246,6 +250,7 @@
 {
     m_isWriting = true;
     m_hasSent = true;
+    m_sentAt = steadyNow();
     asio::async_write(m_socket, asio::buffer(m_output), [self = ConnectionPtr(this)](const asio::error_code& error, std::size_t) {
         self->m_isWriting = false;
         // A response that has already arrived may still be read; the failure is reported when reading ends.
@@ -461,11 +466,8 @@
     if (entry == m_exchanges.end() || entry->second.connection.get() != &connection)
         return;
     Exchange& exchange = entry->second;
-    const bool isStalePooled = connection.wasPooled() && !connection.hasReceived();
-    if (isStalePooled && exchange.options.mayRepeat && !exchange.wasResent) {
+    if (connection.wasStale() && !exchange.wasResent && exchange.options.allowsResend && exchange.options.allowsResend()) {
         exchange.wasResent = true;
-        if (exchange.options.resent)
-            exchange.options.resent();
         return startExchange(exchange);
     }
     fail(exchange.id, failure);
--- a/Source/transport/HttpClient.h
+++ b/Source/transport/HttpClient.h
@@ -31,11 +31,10 @@
         std::size_t maximumBodyBytes = 16 * 1024 * 1024;
         /// A pooled connection that was idle for longer is not used; zero always opens a new connection.
         Duration maximumIdle { 2000000 };
-        /// True when the request may be sent once more, on a new connection, if a pooled connection ended before a
-        /// byte of the response arrived.
-        bool mayRepeat = false;
-        /// Called when the request is sent once more; may be unset.
-        std::function<void()> resent;
+        /// Asked before the request is sent once more, on a new connection, because the server had closed the pooled one
+        /// while it was idle: no byte of the response arrived, and the connection ended soon after the request was sent.
+        /// When unset, the request is never sent again.
+        std::function<bool()> allowsResend;
         /// Decides whether a response is the one to this request; when unset, every response is.
         std::function<bool(const HttpResponse&)> matchesRequest;
     };
--- a/Tests/coordination/OutgoingCallPropertyTest.cpp
+++ b/Tests/coordination/OutgoingCallPropertyTest.cpp
@@ -48,7 +48,7 @@
     for (std::size_t index = 0; index < simulation.calls().size(); ++index)
         checkGuarantees(simulation.calls()[index], index);
     // Retries and hedges have separate budgets.
-    const double allowed = 2 * (budgetShare * static_cast<double>(simulation.nonRepeatCalls()) + RetryBudget::defaultMaximumTokens);
+    const double allowed = 2 * (budgetShare * static_cast<double>(simulation.nonRepeatCalls()) + RetryBudget::defaultBurst);
     RC_ASSERT(static_cast<double>(simulation.extraAttempts()) <= allowed);
 }
 
@@ -75,7 +75,7 @@
             ++calls;
         } else
             taken += budget.tryTake();
-        RC_ASSERT(taken <= share * calls + RetryBudget::defaultMaximumTokens);
+        RC_ASSERT(taken <= share * calls + RetryBudget::defaultBurst);
     }
     if (share == 0)
         RC_ASSERT(taken == 0);
@@ -141,7 +141,7 @@
         for (int count = 0; count < calls; ++count)
             chain.call();
         for (std::size_t level = 0; level < CallChain::levelCount; ++level)
-            EXPECT_LE(chain.attempts(level), calls * (1 + budgetShare) + RetryBudget::defaultMaximumTokens);
+            EXPECT_LE(chain.attempts(level), calls * (1 + budgetShare) + RetryBudget::defaultBurst);
     }
 }
 
@@ -154,7 +154,7 @@
     // Each level adds its own share of the initial calls; it does not multiply the retries of the levels above.
     for (std::size_t level = 0; level < CallChain::levelCount; ++level) {
         const double levels = static_cast<double>(level) + 1;
-        EXPECT_LE(chain.attempts(level), calls * (1 + levels * budgetShare) + levels * RetryBudget::defaultMaximumTokens);
+        EXPECT_LE(chain.attempts(level), calls * (1 + levels * budgetShare) + levels * RetryBudget::defaultBurst);
     }
 }
 
--- a/Tests/coordination/RunningRequestsTest.cpp
+++ b/Tests/coordination/RunningRequestsTest.cpp
@@ -13,23 +13,31 @@
 
 TEST_F(RunningRequestsTest, RunningRequest_CallWithItsPrefix_HasParent)
 {
-    m_requests.started("a1.b2");
-    EXPECT_TRUE(m_requests.isParentOf("a1.b2.c3"));
+    m_requests.started("a1.b2", {});
+    EXPECT_TRUE(m_requests.parentOf("a1.b2.c3"));
 }
 
 TEST_F(RunningRequestsTest, RunningRequest_CallsWithOtherIds_HaveNoParent)
 {
-    m_requests.started("a1");
-    m_requests.started("");
+    m_requests.started("a1", {});
+    m_requests.started("", {});
     for (const char* id : { "a1", "a1.b2.c3", "a1x.b2", ".b2", "", "b2" })
-        EXPECT_FALSE(m_requests.isParentOf(id)) << id;
+        EXPECT_FALSE(m_requests.parentOf(id)) << id;
 }
 
 TEST_F(RunningRequestsTest, EndedRequest_CallWithItsPrefix_HasNoParent)
 {
-    m_requests.started("a1");
+    m_requests.started("a1", {});
     m_requests.ended("a1");
-    EXPECT_FALSE(m_requests.isParentOf("a1.b2"));
+    EXPECT_FALSE(m_requests.parentOf("a1.b2"));
+}
+
+TEST_F(RunningRequestsTest, RunningRequest_CallsWithItsPrefix_KnowWhetherItIsARepeat)
+{
+    m_requests.started("a1", { true });
+    m_requests.started("b1", { false });
+    EXPECT_TRUE(m_requests.parentOf("a1.x")->isRepeat);
+    EXPECT_FALSE(m_requests.parentOf("b1.x")->isRepeat);
 }
 
 } // namespace
--- a/Tests/transport/HttpPairTest.cpp
+++ b/Tests/transport/HttpPairTest.cpp
@@ -384,9 +384,13 @@
             socket.close();
         });
         m_handlers.emplace_back([](Tcp::socket& socket, const std::string&) { reply(socket, response("b", "second")); });
-        options.mayRepeat = mayRepeat;
         int resent = 0;
-        options.resent = [&resent] { ++resent; };
+        if (mayRepeat) {
+            options.allowsResend = [&resent] {
+                ++resent;
+                return true;
+            };
+        }
         send("b", options);
         ASSERT_TRUE(waitForOutcome());
         EXPECT_EQ(mayRepeat, m_outcome->succeeded);
@@ -394,6 +398,33 @@
     }
 }
 
+TEST_F(HttpClientTest, PooledConnection_EndsLongAfterTheRequest_IsNotResent)
+{
+    m_handlers.emplace_back([](Tcp::socket& socket, const std::string&) { reply(socket, response("a", "first")); });
+    send("a");
+    ASSERT_TRUE(waitForOutcome());
+    // A crashed server ends its connections while it runs the request.
+    asio::steady_timer crash(m_context, 200ms);
+    m_handlers.emplace_back([&crash](Tcp::socket& socket, const std::string&) {
+        crash.async_wait([&socket](const asio::error_code&) {
+            socket.set_option(asio::socket_base::linger(true, 0));
+            socket.close();
+        });
+    });
+    m_handlers.emplace_back([](Tcp::socket& socket, const std::string&) { reply(socket, response("b", "second")); });
+    HttpClient::Options options;
+    int asked = 0;
+    options.allowsResend = [&asked] {
+        ++asked;
+        return true;
+    };
+    send("b", options);
+    ASSERT_TRUE(waitForOutcome());
+    EXPECT_FALSE(m_outcome->succeeded);
+    EXPECT_TRUE(m_outcome->failure.mayHaveRun);
+    EXPECT_EQ(0, asked);
+}
+
 TEST_F(HttpClientTest, Request_Cancelled_ClosesConnection)
 {
     const HttpClient::RequestId id = send("a");
