--- a/Source/coordination/placing/EndpointChooser.cpp
+++ b/Source/coordination/placing/EndpointChooser.cpp
@@ -131,9 +131,13 @@
         if (const auto* trial = dueTrial(priority, now))
             return trial->record.id();
     }
-    auto eligible = candidates(excluded, false);
+    auto eligible = candidates(excluded, Pool::Subset);
+    // Endpoints outside the subset have no recent report and perhaps no link, so they serve only what the subset can't.
+    const bool isSubsetFull = std::all_of(eligible.begin(), eligible.end(), [&](const Endpoint* endpoint) { return endpoint->record.isSaturated(priority, now); });
+    if (eligible.empty() || (isSubsetFull && !excluded.empty()))
+        eligible = candidates(excluded, Pool::All);
     if (eligible.empty())
-        eligible = candidates(excluded, true);
+        eligible = candidates(excluded, Pool::Ejected);
     if (eligible.empty())
         return std::nullopt;
 
@@ -157,7 +161,7 @@
 
 bool EndpointChooser::isFleetOverloaded(PriorityIndex priority, TimePoint now) const
 {
-    const auto available = candidates({}, false);
+    const auto available = candidates({}, Pool::Subset);
     return !available.empty() && std::all_of(available.begin(), available.end(), [&](const Endpoint* endpoint) {
         return endpoint->record.isSaturated(priority, now);
     });
@@ -172,6 +176,16 @@
     return all;
 }
 
+std::vector<EndpointStatus> EndpointChooser::probeCandidates(TimePoint now) const
+{
+    std::vector<EndpointStatus> found;
+    for (const auto& [id, endpoint] : m_endpoints) {
+        if (endpoint->isInSubset || endpoint->record.isDraining())
+            found.push_back(makeStatus(id, *endpoint, PriorityIndex(0), now));
+    }
+    return found;
+}
+
 EndpointStatus EndpointChooser::statusOf(const EndpointId& id, PriorityIndex priority, TimePoint now) const
 {
     const auto found = m_endpoints.find(id);
@@ -232,15 +246,14 @@
     m_fleetServiceTime = *middle;
 }
 
-EndpointChooser::Candidates EndpointChooser::candidates(const std::vector<EndpointId>& excluded, bool ejected) const
+EndpointChooser::Candidates EndpointChooser::candidates(const std::vector<EndpointId>& excluded, Pool pool) const
 {
     Candidates found;
     found.reserve(m_endpoints.size());
     for (const auto& [id, endpoint] : m_endpoints) {
-        if (endpoint->record.isDraining() || endpoint->ejection.has_value() != ejected)
+        if (endpoint->record.isDraining() || endpoint->ejection.has_value() != (pool == Pool::Ejected))
             continue;
-        // A further attempt of a call, after one at an endpoint of the subset, may use any endpoint.
-        if (!endpoint->isInSubset && excluded.empty() && !ejected)
+        if (pool == Pool::Subset && !endpoint->isInSubset)
             continue;
         if (std::find(excluded.begin(), excluded.end(), id) == excluded.end())
             found.push_back(endpoint.get());
--- a/Source/coordination/placing/EndpointChooser.h
+++ b/Source/coordination/placing/EndpointChooser.h
@@ -95,8 +95,9 @@
     /// probe.
     void addRoundTripSample(const EndpointId&, Duration);
 
-    /// Selects an endpoint; nothing when every endpoint is excluded or draining. Apart from trial calls, ejected
-    /// endpoints are used only when no other endpoint is eligible.
+    /// Selects an endpoint; nothing when every endpoint is excluded or draining. Endpoints outside the subset are used when it
+    /// has none left, or for a further attempt when all of it is saturated. Apart from trial calls, ejected endpoints are used
+    /// only when no other endpoint is eligible.
     std::optional<EndpointId> choose(const std::vector<EndpointId>& excluded, PriorityIndex, TimePoint now, RandomEngine&);
 
     /// True when recent reports show that calls of this priority are queued at every eligible endpoint, so that
@@ -105,6 +106,9 @@
 
     /// Status of all endpoints, with the time predicted for a call of the most urgent priority.
     std::vector<EndpointStatus> status(TimePoint now) const;
+    /// Status of the endpoints whose load this node should know: those of the subset, and those that reported a drain, which
+    /// may return. Probes of others would open a link to every endpoint of a large service.
+    std::vector<EndpointStatus> probeCandidates(TimePoint now) const;
     /// Status of one endpoint, with the time predicted for a call of this priority; a default one if it is unknown.
     EndpointStatus statusOf(const EndpointId&, PriorityIndex, TimePoint now) const;
     bool isEmpty() const { return m_endpoints.empty(); }
@@ -141,8 +145,15 @@
     Duration cost(const Endpoint&, PriorityIndex, TimePoint now) const;
     void updateFleetServiceTime();
 
-    /// Endpoints that may be selected: either the ejected ones or those that are not.
-    Candidates candidates(const std::vector<EndpointId>& excluded, bool ejected) const;
+    /// Groups of endpoints, none of which are draining.
+    enum class Pool {
+        /// Those of the subset that are not ejected.
+        Subset,
+        /// All that are not ejected.
+        All,
+        Ejected
+    };
+    Candidates candidates(const std::vector<EndpointId>& excluded, Pool) const;
     /// Selects the subset by rendezvous hashing, so that adding or removing one endpoint changes at most one member.
     /// A third of the members are in other data centres if there are enough endpoints of both kinds.
     void updateSubset();
--- a/Source/node/CallGateway.cpp
+++ b/Source/node/CallGateway.cpp
@@ -623,7 +623,7 @@
     const TimePoint now = steadyNow();
     std::optional<EndpointId> endpoint;
     if (service.measurement().hasEarnedProbe())
-        endpoint = service.probes().next(service.chooser().status(now), now);
+        endpoint = service.probes().next(service.chooser().probeCandidates(now), now);
     if (endpoint && endpoint->node == m_self.node)
         service.chooser().applyReport(*endpoint, m_localRunner.loadReport(), now);
     else if (endpoint && service.measurement().tryProbe(maximumProbeExchangeBytes, now)) {
--- a/Tests/coordination/EndpointChooserTest.cpp
+++ b/Tests/coordination/EndpointChooserTest.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <set>
 
 using namespace Knapweedquay;
 
@@ -513,6 +514,63 @@
     EXPECT_FALSE(*retried == first);
 }
 
+/// A service of 180 endpoints in five data centres, of which the node uses twelve.
+class LargeServiceTest : public EndpointChooserTest {
+protected:
+    LargeServiceTest()
+    {
+        for (int index = 0; index < 180; ++index)
+            m_large.update(endpointId(index), { DataCentre(index % 5 ? "remote-" + std::to_string(index % 5) : "local"), slots, m_now - 100 * second, false });
+        for (const EndpointStatus& status : m_large.probeCandidates(m_now))
+            m_subset.insert(status.id);
+    }
+
+    EndpointChooser m_large { makeDocument(), DataCentre("local"), { ChoicePolicy::Predicted, 12, 12, 77, 0 } };
+    std::set<EndpointId> m_subset;
+};
+
+TEST_F(LargeServiceTest, ManyProbesAndRetries_SubsetWithRoom_UseNoOtherEndpoint)
+{
+    EXPECT_EQ(12U, m_subset.size());
+    std::vector<EndpointId> excluded;
+    for (std::size_t attempt = 0; attempt < m_subset.size(); ++attempt) {
+        excluded.push_back(*m_large.choose(excluded, PriorityIndex(0), m_now, m_random));
+        EXPECT_EQ(1U, m_subset.count(excluded.back()));
+    }
+    // An endpoint outside is the last resort.
+    EXPECT_EQ(0U, m_subset.count(*m_large.choose(excluded, PriorityIndex(0), m_now, m_random)));
+}
+
+TEST_F(LargeServiceTest, SubsetOfAServiceInFiveDataCentres_IsMostlyLocal)
+{
+    const auto local = std::count_if(m_subset.begin(), m_subset.end(), [](const EndpointId& id) { return std::stoi(id.node.value().substr(5)) % 5 == 0; });
+    EXPECT_EQ(8, local);
+}
+
+TEST_F(LargeServiceTest, SubsetSaturated_FurtherAttempt_LeavesTheSubset)
+{
+    LoadReport full = makeReport(slots);
+    full.queued = { 3, 0 };
+    for (const EndpointId& id : m_subset)
+        m_large.applyReport(id, full, m_now);
+    const EndpointId first = *m_large.choose({}, PriorityIndex(0), m_now, m_random);
+    EXPECT_EQ(1U, m_subset.count(first));
+    int outside = 0;
+    for (int draw = 0; draw < 100; ++draw)
+        outside += m_subset.count(*m_large.choose({ first }, PriorityIndex(0), m_now, m_random)) == 0;
+    EXPECT_GT(outside, 80);
+}
+
+TEST_F(LargeServiceTest, EndpointOfTheSubset_ReportsADrain_IsStillProbed)
+{
+    LoadReport draining = makeReport(0);
+    draining.draining = true;
+    m_large.applyReport(*m_subset.begin(), draining, m_now);
+    const auto probed = m_large.probeCandidates(m_now);
+    EXPECT_EQ(13U, probed.size());
+    EXPECT_TRUE(std::any_of(probed.begin(), probed.end(), [&](const EndpointStatus& status) { return status.id == *m_subset.begin(); }));
+}
+
 // Calls of one priority take ten times as long as those of the other. On a slow machine only the short ones are still
 // fast enough, so a prediction from the mean of all calls would be wrong for both.
 TEST_F(EndpointChooserTest, ServiceTimesByPriority_DifferWidely_PredictedPerPriority)
--- a/Utilities/PolicyBench/ChoiceBench.cpp
+++ b/Utilities/PolicyBench/ChoiceBench.cpp
@@ -68,7 +68,7 @@
     EndpointFixture fixture(state.range(0));
     const ProbePlanner planner;
     for (auto _ : state)
-        benchmark::DoNotOptimize(planner.next(fixture.chooser.status(fixture.now), fixture.now));
+        benchmark::DoNotOptimize(planner.next(fixture.chooser.probeCandidates(fixture.now), fixture.now));
 }
 
 /// Offer, start, end and load report of one call at an endpoint with a given number of queued calls.
--- a/Utilities/PolicyBench/PolicyBench.cpp
+++ b/Utilities/PolicyBench/PolicyBench.cpp
@@ -247,7 +247,7 @@
         m_budgets[index].callSent();
         if (m_options.settings.policy != ChoicePolicy::Predicted || !m_budgets[index].hasEarnedProbe())
             return;
-        const auto next = m_planners[index].next(m_choosers[index]->status(m_eventQueue.now()), m_eventQueue.now());
+        const auto next = m_planners[index].next(m_choosers[index]->probeCandidates(m_eventQueue.now()), m_eventQueue.now());
         if (!next || !m_budgets[index].tryProbe(probeBytes, m_eventQueue.now()))
             return;
         m_planners[index].probeSent(*next, m_eventQueue.now());
