Links: Close unused links and read them through smaller buffers

A link was never closed, and each has a read buffer of 16 KiB. Links over which nothing was sent for 10 s are closed, and buffers are 4 KiB. Test: PeerLinksTest.

--- a/Source/node/PeerLinks.cpp
+++ b/Source/node/PeerLinks.cpp
@@ -22,9 +22,10 @@
 
 } // namespace
 
-PeerLinks::PeerLinks(asio::io_context& context, NodeIdentity self, Hooks hooks)
+PeerLinks::PeerLinks(asio::io_context& context, NodeIdentity self, Hooks hooks, Duration maximumIdle)
     : m_self(std::move(self))
     , m_hooks(std::move(hooks))
+    , m_maximumIdle(maximumIdle)
     , m_client(context, maximumPeerMessageBytes, extendedLoadFeature)
     , m_checkTimer(context, [this] { checkLinks(); })
 {
@@ -51,6 +52,7 @@
     if (entry == m_peers.end())
         return false;
     Peer& peer = *entry->second;
+    peer.lastSent = steadyNow();
     if (peer.isReady && peer.link->send(encode(message)))
         return true;
     if (peer.queuedMessages.size() >= maximumQueuedMessages)
@@ -68,6 +70,11 @@
         entry->second->pendingAnswers += change;
 }
 
+std::size_t PeerLinks::openLinks() const
+{
+    return static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), [](const auto& entry) { return entry.second->link != nullptr; }));
+}
+
 bool PeerLinks::replaceIfSilent(const NodeId& node)
 {
     const auto entry = m_peers.find(node);
@@ -165,8 +172,11 @@
 
 void PeerLinks::checkLink(Peer& peer, TimePoint now)
 {
-    if (peer.pendingAnswers <= 0)
+    if (peer.pendingAnswers <= 0) {
+        if (peer.isReady && now - peer.lastSent > m_maximumIdle)
+            LinkPtr(peer.link)->abort();
         return;
+    }
     if (!peer.link) {
         if (now >= peer.reconnectAt)
             connect(peer);
--- a/Source/node/PeerLinks.h
+++ b/Source/node/PeerLinks.h
@@ -19,7 +19,7 @@
 /// Links from this node to the nodes that it sends calls to: one per node, opened on demand.
 ///
 /// A link is only monitored while answers are pending, so that idle links cost nothing. A monitored link without
-/// incoming data is pinged, and replaced if there is still no response.
+/// incoming data is pinged, and replaced if there is still no response. A link that is not used any more is closed.
 class PeerLinks {
 public:
     /// Handlers of messages and of changes of a link, with the node at its other end.
@@ -33,7 +33,12 @@
         std::function<void(const NodeId&, const PeerMessage&)> unsent;
     };
 
-    PeerLinks(asio::io_context&, NodeIdentity self, Hooks);
+    /// Default of the time after which an unused link is closed.
+    static constexpr Duration defaultMaximumIdle { 10000000 };
+
+    /// maximumIdle: a link over which nothing was sent for this time is closed. Without this, a node would in time hold a link
+    /// with its buffers to every node that it ever sent a retry to.
+    PeerLinks(asio::io_context&, NodeIdentity self, Hooks, Duration maximumIdle = defaultMaximumIdle);
 
     /// Sets the address of the node's peer port, "ip:port"; a link to another address is closed.
     void setAddress(const NodeId&, const std::string& address);
@@ -45,6 +50,8 @@
     /// Closes the link to a node unless it received data recently, so that a new one is opened. False if the link
     /// stays.
     bool replaceIfSilent(const NodeId&);
+    /// Links that are open or being opened.
+    std::size_t openLinks() const;
     /// Incarnation of the node at the other end of the link; 0 if there is no open link.
     Incarnation incarnation(const NodeId&) const;
 
@@ -67,6 +74,8 @@
         /// Number of attempts sent to the node that have not been answered.
         int pendingAnswers = 0;
         TimePoint lastPing;
+        /// When a message for the node was last sent or queued.
+        TimePoint lastSent;
         /// Earliest time at which checkLink() connects again.
         TimePoint reconnectAt;
         /// Delay after the last failed connection attempt; 0 once a link is ready.
@@ -86,6 +95,7 @@
 
     NodeIdentity m_self;
     Hooks m_hooks;
+    Duration m_maximumIdle;
     LinkClient m_client;
     std::map<NodeId, std::unique_ptr<Peer>> m_peers;
     Timer m_checkTimer;
--- a/Source/transport/Link.cpp
+++ b/Source/transport/Link.cpp
@@ -16,8 +16,19 @@
 
 namespace {
 
-using ServerEndpoint = websocketpp::server<websocketpp::config::asio>;
-using ClientEndpoint = websocketpp::client<websocketpp::config::asio_client>;
+/// Size of the buffer for one read of a link; most messages are far smaller, and a node has many links.
+constexpr std::size_t linkReadBufferBytes = 4 * 1024;
+
+struct ServerConfig : public websocketpp::config::asio {
+    static constexpr std::size_t connection_read_buffer_size = linkReadBufferBytes;
+};
+
+struct ClientConfig : public websocketpp::config::asio_client {
+    static constexpr std::size_t connection_read_buffer_size = linkReadBufferBytes;
+};
+
+using ServerEndpoint = websocketpp::server<ServerConfig>;
+using ClientEndpoint = websocketpp::client<ClientConfig>;
 
 /// A link refuses further messages while more bytes than this wait to be sent.
 constexpr std::size_t maximumSendBufferBytes = 20 * 1024 * 1024;
