--- a/Source/node/CallGateway.cpp
+++ b/Source/node/CallGateway.cpp
@@ -1,5 +1,6 @@
 #include "node/CallGateway.h"
 
+#include "node/PeerTraffic.h"
 #include "transport/Logger.h"
 
 #include <xxhash.h>
@@ -88,6 +89,7 @@
           { [this](const NodeId& from, const PeerMessage& message) { receive(from, message); },
               [this](const NodeId& node) { handleNodeEvent(node, LinkLost { node }); },
               [this](const NodeId& node, Incarnation incarnation) { handleNodeEvent(node, LinkRestored { node, incarnation }); },
+              [this](const NodeId& node, const PeerMessage& message, std::size_t bytes) { m_metrics.addPeerBytes(trafficOf(message), isInLocalDataCentre(node), bytes); },
               [this](const NodeId&, const PeerMessage& message) {
                   if (const auto* request = std::get_if<CallRequestMessage>(&message); request && !request->isResend)
                       handleAttemptEvent(request->attempt, AttemptRefused { request->attempt, { ResultCode::PeerUnreachable, refusalRetryAfter } });
@@ -475,6 +477,7 @@
 {
     for (const auto& entry : m_services)
         entry.second->updateMetrics();
+    m_metrics.setLinks(m_links.openLinks());
 }
 
 void CallGateway::removeSession(const SessionPtr& session)
@@ -711,6 +714,12 @@
     service->chooser().update(id, { member.dataCentre, slots, member.endpoint.announcedAt, member.endpoint.lifecycle == EndpointLifecycle::Draining });
 }
 
+bool CallGateway::isInLocalDataCentre(const NodeId& node) const
+{
+    const auto member = m_members.find(node);
+    return member != m_members.end() && member->second.dataCentre == m_self.dataCentre;
+}
+
 bool CallGateway::tryTakeExtraAttempt(const ServiceName& service)
 {
     ServiceTraffic* entry = traffic(service);
--- a/Source/node/CallGateway.h
+++ b/Source/node/CallGateway.h
@@ -80,6 +80,8 @@
     void setConfigurationProvedAt(TimePoint provedAt) { m_configurationProvedAt = provedAt; }
     /// Updates the links and the endpoints after a member of the deployment joined, changed or left.
     void setMember(const MemberRecord&);
+    /// True if the node is known to be in the data centre of this node.
+    bool isInLocalDataCentre(const NodeId&) const;
     /// Takes from the budget of extra attempts of a service; returns false if it is exhausted.
     bool tryTakeExtraAttempt(const ServiceName&);
 
--- a/Source/node/NodeMetrics.cpp
+++ b/Source/node/NodeMetrics.cpp
@@ -57,6 +57,17 @@
     return { kind("call"), kind("repeat"), kind("resent"), kind("health_check") };
 }
 
+std::array<std::array<prometheus::Counter*, 2>, peerTrafficKinds> peerByteCounters(prometheus::Registry& registry)
+{
+    std::array<std::array<prometheus::Counter*, 2>, peerTrafficKinds> counters {};
+    constexpr std::array<const char*, peerTrafficKinds> names { "call", "answer", "outcome", "probe", "load_update", "document", "hello" };
+    for (std::size_t kind = 0; kind < names.size(); ++kind) {
+        for (std::size_t where = 0; where < 2; ++where)
+            counters[kind][where] = &counter(registry, "knapweedquay_peer_bytes_sent_total", "Bytes of messages sent to other nodes", { { "kind", names[kind] }, { "data_centre", where == 0 ? "same" : "other" } });
+    }
+    return counters;
+}
+
 } // namespace
 
 ResultCodeCounter::ResultCodeCounter(prometheus::Registry& registry, const char* name, const char* help, Labels labels)
@@ -163,6 +174,7 @@
     : m_registry(std::make_shared<prometheus::Registry>())
     , m_endpointStarts(&counter(*m_registry, "knapweedquay_endpoint_starts_total", "Attempts started at the backend server beside this node"))
     , m_backendRequests(backendRequestCounters(*m_registry))
+    , m_peerBytes(peerByteCounters(*m_registry))
     , m_measurementTime(&counter(*m_registry, "knapweedquay_measurement_cpu_seconds_total", "Processor time spent on sending and reading probes"))
     , m_rejections(*m_registry, "knapweedquay_endpoint_rejections_total", "Attempts that this node rejected, by result code")
     , m_waits(&histogram(*m_registry, "knapweedquay_endpoint_wait_seconds", "Time from the admission of an attempt to its start"))
@@ -231,6 +243,16 @@
     increaseTo(*m_rateLimitedLines, rateLimited);
 }
 
+void NodeMetrics::addPeerBytes(PeerTraffic kind, bool isSameDataCentre, std::size_t bytes)
+{
+    m_peerBytes[static_cast<std::size_t>(kind)][isSameDataCentre ? 0 : 1]->Increment(static_cast<double>(bytes));
+}
+
+void NodeMetrics::setLinks(std::size_t links)
+{
+    gauge("knapweedquay_links_open", "Links that this node opened to other nodes").Set(static_cast<double>(links));
+}
+
 void NodeMetrics::addMeasurementTime(Duration processorTime)
 {
     m_measurementTime->Increment(toSeconds(processorTime));
--- a/Source/node/NodeMetrics.h
+++ b/Source/node/NodeMetrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "node/DocumentSender.h"
+#include "node/PeerTraffic.h"
 #include "protocol/Ids.h"
 #include "protocol/LoadReport.h"
 #include "protocol/ProblemDetails.h"
@@ -121,6 +122,10 @@
     /// Sets the totals of log lines dropped since the start of the process: unread, because the reader of the log was
     /// too slow; rateLimited, because traces exceeded their rate limit.
     void setDroppedLines(std::uint64_t unread, std::uint64_t rateLimited);
+    /// Counts bytes sent to another node.
+    void addPeerBytes(PeerTraffic, bool isSameDataCentre, std::size_t bytes);
+    /// Sets the number of links that this node opened to other nodes.
+    void setLinks(std::size_t);
     /// Adds processor time spent on sending and receiving probes.
     void addMeasurementTime(Duration processorTime);
     /// Sets the time since the documents in force were last proved recent.
@@ -141,6 +146,8 @@
     prometheus::Counter* m_endpointStarts;
     /// By BackendRequestKind.
     std::array<prometheus::Counter*, 4> m_backendRequests;
+    /// By PeerTraffic; the first of each pair counts bytes to the same data centre, the second those to others.
+    std::array<std::array<prometheus::Counter*, 2>, peerTrafficKinds> m_peerBytes;
     prometheus::Counter* m_measurementTime;
     ResultCodeCounter m_rejections;
     prometheus::Histogram* m_waits;
--- a/Source/node/NodeTraffic.cpp
+++ b/Source/node/NodeTraffic.cpp
@@ -71,6 +71,7 @@
 NodeTraffic::NodeTraffic(asio::io_context& context, NodeIdentity self, const NodeSettings& settings, CallGateway::ClaimHooks claims, NodeMetrics& metrics)
     : m_self(std::move(self))
     , m_settings(settings)
+    , m_metrics(metrics)
     , m_client(context)
     , m_runner(
           context, m_self, { settings.headers, settings.backendLoadInterval, settings.traces }, m_client, [this](ConnectionId connection, const PeerMessage& message) { reply(connection, message); }, metrics)
@@ -135,6 +136,7 @@
     }
     if (const auto* hello = std::get_if<HelloMessage>(&message.value())) {
         entry->second.hasReceivedHello = true;
+        entry->second.isSameDataCentre = m_gateway.isInLocalDataCentre(hello->node);
         excessDelay(entry->second, hello->sentAt);
     } else if (!entry->second.hasReceivedHello)
         LinkPtr(entry->second.link)->abort();
@@ -175,7 +177,7 @@
         if (now - connection.lastRequestAt > loadUpdateWindow || !isSignificantChange(connection.lastSentLoad, load))
             continue;
         connection.lastSentLoad = load;
-        connection.link->send(encode(LoadUpdateMessage { *m_backendService, load }, connection.loadEncoding));
+        send(connection, LoadUpdateMessage { *m_backendService, load });
     }
     // The gateway of this node has no link to the node itself, so it receives the update directly.
     m_gateway.receive(m_self.node, LoadUpdateMessage { *m_backendService, load });
@@ -262,7 +264,14 @@
         return;
     if (const LoadReport* load = loadOf(message))
         entry->second.lastSentLoad = *load;
-    entry->second.link->send(encode(message, entry->second.loadEncoding));
+    send(entry->second, message);
+}
+
+void NodeTraffic::send(const Connection& connection, const PeerMessage& message)
+{
+    const std::string bytes = encode(message, connection.loadEncoding);
+    if (connection.link->send(bytes))
+        m_metrics.addPeerBytes(trafficOf(message), connection.isSameDataCentre, bytes.size());
 }
 
 } // namespace Knapweedquay
--- a/Source/node/NodeTraffic.h
+++ b/Source/node/NodeTraffic.h
@@ -54,6 +54,8 @@
         LoadEncoding loadEncoding = LoadEncoding::Basic;
         /// False until the first message; other messages before it close the link.
         bool hasReceivedHello = false;
+        /// The other node is in the data centre of this one.
+        bool isSameDataCentre = false;
         /// Estimates the time that messages spent in buffers.
         TransitDelay delay;
         /// When the other node last sent a call or a probe.
@@ -68,12 +70,14 @@
     static Duration excessDelay(Connection&, std::uint64_t sentAt);
     void receiveCall(Connection&, CallRequestMessage, ConnectionId);
     void reply(ConnectionId, const PeerMessage&);
+    void send(const Connection&, const PeerMessage&);
     /// Sends the current load to nodes that sent calls recently, if it differs significantly from the load last sent.
     void sendLoadUpdates();
     void sendDocument(ConnectionId, const ServiceName&);
 
     NodeIdentity m_self;
     NodeSettings m_settings;
+    NodeMetrics& m_metrics;
     HttpClient m_client;
     EndpointRunner m_runner;
     CallGateway m_gateway;
--- a/Source/node/PeerLinks.cpp
+++ b/Source/node/PeerLinks.cpp
@@ -53,8 +53,13 @@
         return false;
     Peer& peer = *entry->second;
     peer.lastSent = steadyNow();
-    if (peer.isReady && peer.link->send(encode(message)))
-        return true;
+    if (peer.isReady) {
+        const std::string bytes = encode(message);
+        if (peer.link->send(bytes)) {
+            m_hooks.sent(peer.node, message, bytes.size());
+            return true;
+        }
+    }
     if (peer.queuedMessages.size() >= maximumQueuedMessages)
         return false;
     peer.queuedMessages.push_back(message);
--- a/Source/node/PeerLinks.h
+++ b/Source/node/PeerLinks.h
@@ -29,6 +29,8 @@
         std::function<void(const NodeId&)> lost;
         /// A new link was established after one was lost.
         std::function<void(const NodeId&, Incarnation)> restored;
+        /// A message of so many bytes was sent.
+        std::function<void(const NodeId&, const PeerMessage&, std::size_t bytes)> sent;
         /// A queued message was not sent, because the link closed first or could not be opened.
         std::function<void(const NodeId&, const PeerMessage&)> unsent;
     };
--- /dev/null
+++ b/Source/node/PeerTraffic.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "protocol/PeerMessages.h"
+
+#include <cstddef>
+
+namespace Knapweedquay {
+
+/// What a message between nodes is for, by which its bytes are counted.
+enum class PeerTraffic {
+    /// Calls and their cancels.
+    Call,
+    /// Answers of backend servers.
+    Answer,
+    /// Confirmations, refusals and unknown outcomes.
+    Outcome,
+    /// Probes and their answers.
+    Probe,
+    LoadUpdate,
+    /// Documents and requests for them.
+    Document,
+    Hello
+};
+constexpr std::size_t peerTrafficKinds = 7;
+
+PeerTraffic trafficOf(const PeerMessage&);
+
+} // namespace Knapweedquay
