--- a/Source/coordination/attempts/OutgoingCall.cpp
+++ b/Source/coordination/attempts/OutgoingCall.cpp
@@ -51,11 +51,11 @@
     if (m_phase != Phase::Idle)
         return;
     m_phase = Phase::Active;
-    if (m_parameters.isRepeat && !m_budgets.extra.tryTakeForRepeatedRun())
+    if (m_parameters.isRepeat && !m_budgets.extra.tryTakeForRepeatedRun(m_now))
         return finishUnanswered({ ResultCode::RepeatBudgetSpent });
     if (!m_parameters.isRepeat && !m_parameters.isNested) {
-        m_budgets.extra.addCall();
-        m_budgets.hedges.addCall();
+        m_budgets.extra.addCall(m_now);
+        m_budgets.hedges.addCall(m_now);
     }
     if (m_isCallerDisconnected)
         finishUnanswered({ ResultCode::CancelledBeforeStart });
@@ -251,7 +251,7 @@
 void OutgoingCall::hedge()
 {
     m_hasHedged = true;
-    if (hasTimeLeft() && m_budgets.extra.canTake() && m_budgets.hedges.tryTake() && m_budgets.extra.tryTake())
+    if (hasTimeLeft() && m_budgets.extra.canTake(m_now) && m_budgets.hedges.tryTake(m_now) && m_budgets.extra.tryTake(m_now))
         requestEndpoint(true);
 }
 
@@ -304,7 +304,7 @@
     if (!canStartAttempt() || !canAnotherEndpointAccept(refusal))
         return;
     // An attempt refused by the endpoint's node adds no load to its backend server, so its retry needs no budget.
-    if (refusal.code != ResultCode::BackendRefused || m_budgets.extra.tryTake())
+    if (refusal.code != ResultCode::BackendRefused || m_budgets.extra.tryTake(m_now))
         requestEndpoint(false);
 }
 
@@ -315,7 +315,7 @@
     });
     if (!m_parameters.isIdempotent || m_parameters.isRepeat || hasLiveAttempt || !canStartAttempt())
         return;
-    if (m_budgets.extra.tryTake())
+    if (m_budgets.extra.tryTake(m_now))
         requestEndpoint(false);
 }
 
--- a/Source/coordination/attempts/RetryBudget.cpp
+++ b/Source/coordination/attempts/RetryBudget.cpp
@@ -4,44 +4,84 @@
 
 namespace Knapweedquay {
 
-RetryBudget::RetryBudget(double share, double burst, double initialTokens)
+namespace {
+
+/// The least that a node may start within a window: fewer would allow no retry at all.
+constexpr double minimumAllowance = 1;
+
+std::int64_t secondOf(TimePoint time)
+{
+    return std::chrono::duration_cast<std::chrono::seconds>(time.time_since_epoch()).count();
+}
+
+} // namespace
+
+RetryBudget::RetryBudget(double share, double burst)
     : m_share(share)
     , m_burst(burst)
-    , m_tokens(initialTokens)
 {
-    setBurst(burst);
 }
 
 double RetryBudget::burstOfNode(double burstOfFleet, std::size_t nodes)
 {
-    return burstOfFleet / static_cast<double>(std::max<std::size_t>(nodes, 1));
+    return std::min(burstOfFleet / static_cast<double>(std::max<std::size_t>(nodes, 1)), maximumBurstOfNode);
 }
 
-void RetryBudget::setBurst(double burst)
+void RetryBudget::addCall(TimePoint now)
 {
-    m_burst = burst;
-    m_tokens = std::min(m_tokens, std::max(m_burst, minimumTokens));
+    ++current(now).calls;
 }
 
-void RetryBudget::addCall()
+bool RetryBudget::canTake(TimePoint now) const
 {
-    m_tokens = std::min(m_tokens + m_share, std::max(m_burst, minimumTokens));
+    return m_share > 0 && available(now) >= 1;
 }
 
-bool RetryBudget::tryTake()
+bool RetryBudget::tryTake(TimePoint now)
 {
-    if (!canTake())
+    if (!canTake(now))
         return false;
-    m_tokens -= 1;
+    ++current(now).extra;
     return true;
 }
 
-bool RetryBudget::tryTakeForRepeatedRun()
+bool RetryBudget::tryTakeForRepeatedRun(TimePoint now)
 {
-    if (m_tokens - 1 < -m_burst)
+    const Counts counts = sum(now);
+    if (counts.extra + 1 > m_share * counts.calls + 2 * m_burst)
         return false;
-    m_tokens -= 1;
+    ++current(now).extra;
     return true;
 }
 
+double RetryBudget::available(TimePoint now) const
+{
+    const Counts counts = sum(now);
+    return m_share * counts.calls + std::max(m_burst, minimumAllowance) - counts.extra;
+}
+
+RetryBudget::Counts& RetryBudget::current(TimePoint now)
+{
+    const Second second = secondOf(now);
+    Counts& counts = m_counts[static_cast<std::size_t>(second) % m_counts.size()];
+    if (counts.second != second)
+        counts = { second, 0, 0 };
+    return counts;
+}
+
+RetryBudget::Counts RetryBudget::sum(TimePoint now) const
+{
+    const Second second = secondOf(now);
+    Counts sum;
+    for (const Counts& counts : m_counts) {
+        const Second age = second - counts.second;
+        if (counts.second < 0 || age > static_cast<Second>(windowSeconds))
+            continue;
+        sum.extra += counts.extra;
+        if (age < static_cast<Second>(windowSeconds))
+            sum.calls += counts.calls;
+    }
+    return sum;
+}
+
 } // namespace Knapweedquay
--- a/Source/node/CallGateway.cpp
+++ b/Source/node/CallGateway.cpp
@@ -476,7 +476,7 @@
 void CallGateway::updateMetrics()
 {
     for (const auto& entry : m_services)
-        entry.second->updateMetrics();
+        entry.second->updateMetrics(steadyNow());
     m_metrics.setLinks(m_links.openLinks());
 }
 
@@ -723,7 +723,7 @@
 bool CallGateway::tryTakeExtraAttempt(const ServiceName& service)
 {
     ServiceTraffic* entry = traffic(service);
-    return entry && entry->budgets().extra.tryTake();
+    return entry && entry->budgets().extra.tryTake(steadyNow());
 }
 
 } // namespace Knapweedquay
--- a/Source/node/ServiceTraffic.h
+++ b/Source/node/ServiceTraffic.h
@@ -28,11 +28,15 @@
     EndpointChooser& chooser() { return m_chooser; }
     CallBudgets budgets() { return { m_extraBudget, m_hedgeBudget }; }
     /// Sets the extra attempts beyond the shares of the document that this node may make at once.
-    void setBurst(double burst) { m_extraBudget.setBurst(burst); }
+    void setBurst(double burst)
+    {
+        m_extraBudget.setBurst(burst);
+        m_hedgeBudget.setBurst(burst);
+    }
     MeasurementBudget& measurement() { return m_measurement; }
     ProbePlanner& probes() { return m_probes; }
     ServiceMetrics& metrics() { return *m_metrics; }
-    void updateMetrics() { m_metrics->setBudgets(m_extraBudget.availableTokens(), m_hedgeBudget.availableTokens()); }
+    void updateMetrics(TimePoint now) { m_metrics->setBudgets(m_extraBudget.available(now), m_hedgeBudget.available(now)); }
 
     /// Properties of a call that follow from its method and path.
     struct Classification {
--- a/Tests/coordination/OutgoingCallPropertyTest.cpp
+++ b/Tests/coordination/OutgoingCallPropertyTest.cpp
@@ -71,10 +71,10 @@
     double taken = 0;
     for (const bool isCall : *rc::gen::arbitrary<std::vector<bool>>()) {
         if (isCall) {
-            budget.addCall();
+            budget.addCall({});
             ++calls;
         } else
-            taken += budget.tryTake();
+            taken += budget.tryTake({});
         RC_ASSERT(taken <= share * calls + RetryBudget::defaultBurst);
     }
     if (share == 0)
--- a/Tests/coordination/OutgoingCallTest.cpp
+++ b/Tests/coordination/OutgoingCallTest.cpp
@@ -177,7 +177,7 @@
 
 TEST_F(OutgoingCallTest, SlowIdempotentCall_HedgeBudgetExhausted_IsNotHedged)
 {
-    while (m_hedges.tryTake()) { }
+    while (m_hedges.tryTake(m_now)) { }
     m_parameters.isIdempotent = true;
     m_parameters.hedgeDelay = Duration(1000);
     begin();
@@ -215,7 +215,7 @@
 
 TEST_F(OutgoingCallTest, RefusedByNodes_BudgetExhausted_IsSentToOtherEndpointsUpToLimit)
 {
-    while (m_retries.tryTake()) { }
+    while (m_retries.tryTake(m_now)) { }
     m_parameters.limits.maximumAttempts = 2;
     begin();
     for (std::uint64_t sequence = 1; sequence < maximumEndpointsPerCall; ++sequence) {
@@ -230,7 +230,7 @@
 
 TEST_F(OutgoingCallTest, RefusedByBackendServer_BudgetExhausted_IsNotSentAgain)
 {
-    while (m_retries.tryTake()) { }
+    while (m_retries.tryTake(m_now)) { }
     begin();
     handle(AttemptRefused { attempt(1), { ResultCode::BackendRefused, Duration(1000) } });
     EXPECT_EQ(1u, count<SendAttempt>());
