Retries: Let calls of first runs fill the budget of the called service

Calls of runs had been left out of what fills a budget, in the belief that the limit counts callers' requests only. The rule's own figures contradict that: 613 requests for inventory in 10 s are about what arrives there with the calls of dispatch (2,600 first arrivals in 50 s), and three times what callers send.

--- a/Source/coordination/attempts/OutgoingCall.cpp
+++ b/Source/coordination/attempts/OutgoingCall.cpp
@@ -53,7 +53,7 @@
     m_phase = Phase::Active;
     if (m_parameters.isRepeat && !m_budgets.extra.tryTakeForRepeatedRun(m_now))
         return finishUnanswered({ ResultCode::RepeatBudgetSpent });
-    if (!m_parameters.isRepeat && !m_parameters.isNested) {
+    if (!m_parameters.isRepeat) {
         m_budgets.extra.addCall(m_now);
         m_budgets.hedges.addCall(m_now);
     }
--- a/Source/coordination/attempts/OutgoingCall.h
+++ b/Source/coordination/attempts/OutgoingCall.h
@@ -26,9 +26,6 @@
     bool isIdempotent = false;
     /// The incoming call is itself a retry or a hedge of this level or an upstream one.
     bool isRepeat = false;
-    /// The call was made by a request that the local backend server is running. Only calls from outside the fleet fill the
-    /// budgets, so that the extra attempts of a service stay in proportion to what its callers ask for.
-    bool isNested = false;
     TimePoint deadline;
     /// A link over which an attempt is not accepted within this time is treated as unresponsive.
     Duration acceptanceTimeout { 200000 };
--- a/Source/node/CallGateway.cpp
+++ b/Source/node/CallGateway.cpp
@@ -167,7 +167,6 @@
     session->targetAt = session->startedAt - session->elapsedBefore + session->target;
     if (const auto parent = m_localRunner.running().parentOf(session->parsed.requestId)) {
         session->targetAt = session->deadline;
-        session->isNested = true;
         session->parsed.isRepeat = session->parsed.isRepeat || parent->isRepeat;
     }
     return session;
@@ -226,7 +225,6 @@
     CallParameters parameters;
     parameters.isIdempotent = session->isIdempotent;
     parameters.isRepeat = session->parsed.isRepeat;
-    parameters.isNested = session->isNested;
     parameters.deadline = session->deadline;
     if (session->isIdempotent)
         parameters.hedgeDelay = service.hedgeDelay(session->priority, session->target);
--- a/Source/node/CallSession.h
+++ b/Source/node/CallSession.h
@@ -25,8 +25,6 @@
     std::shared_ptr<const RoutingTable> routing;
     PriorityIndex priority;
     bool isIdempotent = false;
-    /// The call was made by a request that the local backend server is running.
-    bool isNested = false;
     /// Limits of retries and hedges, from the route or the service's document.
     RetryLimits limits;
     /// Latency target of the call's priority or route.
--- a/Tests/coordination/FleetRetryBudgetTest.cpp
+++ b/Tests/coordination/FleetRetryBudgetTest.cpp
@@ -61,9 +61,9 @@
             m_back.emplace_back();
             for (Node& node : m_nodes) {
                 for (int count = std::poisson_distribution<>(frontCallsPerNode)(m_random); count > 0; --count)
-                    call(node.front, true, {});
+                    call(node.front, true, false);
                 for (int count = std::poisson_distribution<>(backCallsPerNode)(m_random); count > 0; --count)
-                    call(node.back, false, {});
+                    call(node.back, false, false);
             }
         }
     }
@@ -107,24 +107,18 @@
         /// Calls of repeated runs that the budget refused.
         double refusedRepeats = 0;
     };
-    struct Origin {
-        bool isNested = false;
-        bool isRepeat = false;
-    };
-
     bool fails(bool isFront) const
     {
         return m_second >= m_storm.from && m_second < m_storm.until && (isFront ? m_storm.hitsFront : m_storm.hitsBack);
     }
 
-    void call(Service& service, bool isFront, Origin origin)
+    void call(Service& service, bool isFront, bool isRepeat)
     {
         Second& counts = isFront ? m_front.back() : m_back.back();
-        counts.calls += origin.isNested ? 0 : 1;
+        counts.calls += isRepeat ? 0 : 1;
         CallParameters parameters;
         parameters.isIdempotent = true;
-        parameters.isNested = origin.isNested;
-        parameters.isRepeat = origin.isRepeat;
+        parameters.isRepeat = isRepeat;
         const TimePoint now { Duration(1000000) * m_second };
         parameters.deadline = now + Duration(1000000);
         if (m_storm.isSlow)
@@ -145,7 +139,7 @@
             if (const auto* choose = std::get_if<ChooseEndpoint>(&action))
                 handle(EndpointChosen { NodeId(std::to_string(choose->excluded.size())), Incarnation(1) }, now);
             if (const auto* send = std::get_if<SendAttempt>(&action)) {
-                runAttempt(isFront, *send, counts, origin);
+                runAttempt(isFront, *send, counts);
                 if (fails(isFront))
                     handle(AttemptUnknown { send->attempt, ResultCode::AnswerIncomplete }, now);
                 else if (m_storm.isSlow && sequence == 1) {
@@ -158,13 +152,12 @@
     }
 
     // A run of the front service makes its call at the node beside its backend server, which may be any.
-    void runAttempt(bool isFront, const SendAttempt& send, Second& counts, Origin origin)
+    void runAttempt(bool isFront, const SendAttempt& send, Second& counts)
     {
-        const bool isRepeat = send.isRepeat;
-        counts.extra += isRepeat || origin.isRepeat ? 1 : 0;
+        counts.extra += send.isRepeat ? 1 : 0;
         if (isFront && std::bernoulli_distribution(nestedShare)(m_random)) {
             Node& node = m_nodes[std::uniform_int_distribution<std::size_t>(0, m_nodes.size() - 1)(m_random)];
-            call(node.back, false, { true, isRepeat });
+            call(node.back, false, send.isRepeat);
         }
     }
 
