Retries: Give back what a refused extra attempt has taken, and let more of the budget be hedges

A hedge that an endpoint's node refuses reached no backend server, so it isn't an extra attempt there. Hedges may be 12 in a hundred calls instead of 8, retries share the rest of 18.

Ruled out: counting a 421 as an attempt that reached a server, since a call that must not be repeated would then lose its only one.

--- a/Source/coordination/attempts/OutgoingCall.cpp
+++ b/Source/coordination/attempts/OutgoingCall.cpp
@@ -76,7 +76,7 @@
     }
     if (m_attempts.empty())
         m_firstSentAt = m_now;
-    m_attempts.push_back({ m_nextAttemptId(), chosen.node, chosen.incarnation, AttemptState::Sent, m_now, false });
+    m_attempts.push_back({ m_nextAttemptId(), chosen.node, chosen.incarnation, AttemptState::Sent, m_now, false, std::exchange(m_tookExtra, false), std::exchange(m_tookHedge, false) });
     send(m_attempts.back(), false);
 }
 
@@ -84,6 +84,7 @@
 {
     if (!std::exchange(m_isAwaitingEndpoint, false))
         return;
+    giveBack(std::exchange(m_tookExtra, false), std::exchange(m_tookHedge, false));
     // After an attempt, the refusal of that attempt is more informative to the caller.
     if (m_attempts.empty())
         m_refusal = event.refusal;
@@ -135,6 +136,8 @@
         return;
     attempt->state = AttemptState::NotRun;
     attempt->reachedBackend = event.refusal.code == ResultCode::BackendRefused;
+    if (!attempt->reachedBackend)
+        giveBack(std::exchange(attempt->tookExtra, false), std::exchange(attempt->tookHedge, false));
     m_refusal = event.refusal;
     if (!hasOutstanding())
         tryRetryAfterRefusal(event.refusal);
@@ -251,8 +254,11 @@
 void OutgoingCall::hedge()
 {
     m_hasHedged = true;
-    if (hasTimeLeft() && m_budgets.extra.canTake(m_now) && m_budgets.hedges.tryTake(m_now) && m_budgets.extra.tryTake(m_now))
-        requestEndpoint(true);
+    if (!hasTimeLeft() || !m_budgets.extra.canTake(m_now) || !m_budgets.hedges.tryTake(m_now))
+        return;
+    m_tookHedge = true;
+    m_tookExtra = m_budgets.extra.tryTake(m_now);
+    requestEndpoint(true);
 }
 
 // An idempotent call finishes at once; for a non-idempotent one an acknowledged cancel may still prove "not run".
@@ -304,8 +310,10 @@
     if (!canStartAttempt() || !canAnotherEndpointAccept(refusal))
         return;
     // An attempt refused by the endpoint's node adds no load to its backend server, so its retry needs no budget.
-    if (refusal.code != ResultCode::BackendRefused || m_budgets.extra.tryTake(m_now))
+    if (refusal.code != ResultCode::BackendRefused)
         requestEndpoint(false);
+    else
+        tryExtraAttempt();
 }
 
 void OutgoingCall::tryRetryAfterLoss()
@@ -315,10 +323,24 @@
     });
     if (!m_parameters.isIdempotent || m_parameters.isRepeat || hasLiveAttempt || !canStartAttempt())
         return;
-    if (m_budgets.extra.tryTake(m_now))
+    tryExtraAttempt();
+}
+
+void OutgoingCall::tryExtraAttempt()
+{
+    m_tookExtra = m_budgets.extra.tryTake(m_now);
+    if (m_tookExtra)
         requestEndpoint(false);
 }
 
+void OutgoingCall::giveBack(bool tookExtra, bool tookHedge)
+{
+    if (tookExtra)
+        m_budgets.extra.giveBack(m_now);
+    if (tookHedge)
+        m_budgets.hedges.giveBack(m_now);
+}
+
 bool OutgoingCall::canStartAttempt() const
 {
     return m_phase == Phase::Active && !m_isAwaitingEndpoint && hasTimeLeft() && m_attempts.size() < maximumEndpointsPerCall
--- a/Source/coordination/attempts/OutgoingCall.h
+++ b/Source/coordination/attempts/OutgoingCall.h
@@ -94,6 +94,9 @@
         TimePoint acceptanceDeadline;
         /// The backend server itself refused the attempt, which therefore counts against the limit on attempts.
         bool reachedBackend = false;
+        /// What the attempt took from the budgets.
+        bool tookExtra = false;
+        bool tookHedge = false;
     };
 
     void on(const CallStarted&);
@@ -124,6 +127,10 @@
     void tryRetryAfterLoss();
     bool canHedge() const;
     void hedge();
+    /// Takes an extra attempt from the budget and requests an endpoint for it, if there is one left.
+    void tryExtraAttempt();
+    /// Returns to the budgets what an attempt has taken.
+    void giveBack(bool tookExtra, bool tookHedge);
     bool canStartAttempt() const;
     bool hasTimeLeft() const;
     void finishIfNoneOutstanding();
@@ -152,6 +159,9 @@
     /// ChooseEndpoint was requested and not answered yet.
     bool m_isAwaitingEndpoint = false;
     bool m_hasHedged = false;
+    /// What the endpoint being chosen is for has taken from the budgets.
+    bool m_tookExtra = false;
+    bool m_tookHedge = false;
     bool m_isCallerDisconnected = false;
     TimePoint m_firstSentAt;
     /// End of the wait in phase Cancelling.
--- a/Source/coordination/attempts/RetryBudget.cpp
+++ b/Source/coordination/attempts/RetryBudget.cpp
@@ -45,6 +45,20 @@
     return true;
 }
 
+void RetryBudget::giveBack(TimePoint now)
+{
+    const Second second = secondOf(now);
+    // The latest counts, so that no earlier window is credited with what was taken after it.
+    Counts* latest = nullptr;
+    for (Counts& counts : m_counts) {
+        const bool isInWindow = counts.second >= 0 && second - counts.second <= static_cast<Second>(windowSeconds);
+        if (isInWindow && counts.extra > 0 && (!latest || counts.second > latest->second))
+            latest = &counts;
+    }
+    if (latest)
+        --latest->extra;
+}
+
 bool RetryBudget::tryTakeForRepeatedRun(TimePoint now)
 {
     const Counts counts = sum(now);
--- a/Source/coordination/attempts/RetryBudget.h
+++ b/Source/coordination/attempts/RetryBudget.h
@@ -42,6 +42,8 @@
     bool canTake(TimePoint now) const;
     /// Takes one extra attempt from the budget; returns false when it is exhausted.
     bool tryTake(TimePoint now);
+    /// Returns an extra attempt that was taken within the window and certainly reached no backend server.
+    void giveBack(TimePoint now);
     /// Takes the call of a repeated run from the budget; returns false when even that is too much.
     bool tryTakeForRepeatedRun(TimePoint now);
     /// Extra attempts that may be started now; negative while calls of repeated runs have taken more than that.
--- a/Source/state/RoutingDocument.cpp
+++ b/Source/state/RoutingDocument.cpp
@@ -18,8 +18,8 @@
 constexpr double reservedShare = 0.05;
 /// Retries and hedges of one node per call. Together they use three quarters of what a service accepts from all its
 /// callers, because the calls that a repeated run makes are repeats as well.
-constexpr double retryShare = 0.1;
-constexpr double hedgeShare = 0.08;
+constexpr double retryShare = 0.06;
+constexpr double hedgeShare = 0.12;
 /// Probes provide a node with the load of endpoints that it does not currently call.
 constexpr double probesPerCall = 0.5;
 constexpr double probeBytesPerSecond = 4096;
--- a/Tests/coordination/OutgoingCallTest.cpp
+++ b/Tests/coordination/OutgoingCallTest.cpp
@@ -175,6 +175,34 @@
     EXPECT_EQ(attempt(1), last<CancelAttempt>().attempt);
 }
 
+// What an endpoint's node refuses has not reached the backend server, so it isn't an extra attempt there.
+TEST_F(OutgoingCallTest, HedgeRefusedByItsNode_Budgets_GetItBack)
+{
+    m_parameters.isIdempotent = true;
+    m_parameters.hedgeDelay = Duration(1000);
+    begin();
+    handle(AttemptAccepted { attempt(1) });
+    advance(Duration(2000));
+    const double before = m_retries.available(m_now);
+    handle(EndpointChosen { NodeId("b"), Incarnation(1) });
+    handle(AttemptRefused { attempt(2), { ResultCode::Overloaded } });
+    EXPECT_DOUBLE_EQ(before + 1, m_retries.available(m_now));
+    EXPECT_DOUBLE_EQ(m_retries.available(m_now), m_hedges.available(m_now));
+}
+
+TEST_F(OutgoingCallTest, HedgeRefusedByTheBackendServer_Budgets_StayCharged)
+{
+    m_parameters.isIdempotent = true;
+    m_parameters.hedgeDelay = Duration(1000);
+    begin();
+    handle(AttemptAccepted { attempt(1) });
+    advance(Duration(2000));
+    const double before = m_retries.available(m_now);
+    handle(EndpointChosen { NodeId("b"), Incarnation(1) });
+    handle(AttemptRefused { attempt(2), { ResultCode::BackendRefused } });
+    EXPECT_DOUBLE_EQ(before, m_retries.available(m_now));
+}
+
 TEST_F(OutgoingCallTest, SlowIdempotentCall_HedgeBudgetExhausted_IsNotHedged)
 {
     while (m_hedges.tryTake(m_now)) { }
