HTTP client: Bound what a server may send in place of an answer

A health check accepts 16 KiB, and pauses for a second after more; a request reads over 16 interim responses and responses to others at most. Log event 408. Test: EndlessBytesTest, ten forms; without the bound of 16, interim responses and responses to others without end fail it by timeout. The health check's pause is not tested.

--- a/Source/node/BackendMonitor.cpp
+++ b/Source/node/BackendMonitor.cpp
@@ -10,6 +10,11 @@
 
 /// Timeout of a health check.
 constexpr Duration healthTimeout { 500000 };
+/// Only the headers of a health check's response matter. A larger body is cut off, and the connection closed.
+constexpr std::size_t maximumHealthBodyBytes = 16 * 1024;
+/// Time without a health check after one whose response was too large, so that a server that sends bytes without end costs its
+/// node little.
+constexpr Duration healthPause { 1000000 };
 /// Longest time for which no calls start because the backend server has not responded yet.
 constexpr Duration maximumPause { 500000 };
 /// Shortest time between two log lines about changes of the limit, and between two about unreadable headers.
@@ -135,6 +140,8 @@
 {
     m_healthTimer.setAfter(m_loadInterval);
     const TimePoint now = steadyNow();
+    if (now < m_healthPausedUntil)
+        return;
     if (!m_backend || !m_queue || m_healthPath.empty() || !m_state.isCheckDue(m_reachability.isReachable(), now) || !m_queue->allowsRequest(now))
         return;
     m_state.checkSent(now);
@@ -142,15 +149,24 @@
     m_metrics.backendRequestSent(BackendRequestKind::HealthCheck);
     HttpClient::Options options;
     options.timeout = healthTimeout;
+    options.maximumBodyBytes = maximumHealthBodyBytes;
     m_client.send(m_backend->address, { "GET", m_healthPath, {}, {} }, options, [this, run = m_run](const HttpClient::Outcome& outcome) {
         const TimePoint endedAt = steadyNow();
         m_state.checkEnded();
+        if (!outcome.succeeded && outcome.failure.isTooLarge)
+            pauseHealthChecks(outcome.failure.error, endedAt);
         requestEnded(outcome, endedAt);
         if (outcome.succeeded)
             apply(outcome.response, BackendState::ResponseTo::HealthCheck, run, endedAt);
     });
 }
 
+void BackendMonitor::pauseHealthChecks(const Error& error, TimePoint now)
+{
+    m_healthPausedUntil = now + healthPause;
+    log(LogEvent::HealthResponseTooLarge, { { "instance", m_backend ? m_backend->instance : std::string() }, { "detail", error.detail } });
+}
+
 void BackendMonitor::requestEnded(const HttpClient::Outcome& outcome, TimePoint now)
 {
     const bool wasReachable = m_reachability.isReachable();
--- a/Source/node/BackendMonitor.h
+++ b/Source/node/BackendMonitor.h
@@ -71,6 +71,8 @@
     void resumeStarts();
     /// Sends a health check if one is due.
     void checkHealth();
+    /// Sends no health check for a while.
+    void pauseHealthChecks(const Error&, TimePoint now);
 
     Duration m_loadInterval;
     HttpClient& m_client;
@@ -92,6 +94,8 @@
     /// Next times at which a change of the limit and an unreadable header may be logged.
     TimePoint m_limitLoggedUntil;
     TimePoint m_unreadableLoggedUntil;
+    /// No health checks are sent before this time.
+    TimePoint m_healthPausedUntil;
     Timer m_healthTimer;
     /// Ends the wait for a first response.
     Timer m_resumeTimer;
--- a/Source/protocol/LogEvent.cpp
+++ b/Source/protocol/LogEvent.cpp
@@ -41,6 +41,7 @@
     { LogEvent::ResponseHeaderUnread, LogLevel::Info, "response header passed on unread" },
     { LogEvent::BackendLimitChanged, LogLevel::Info, "backend server changed the limit of its requests" },
     { LogEvent::BackendStateUnreadable, LogLevel::Warning, "unreadable header of the backend server ignored" },
+    { LogEvent::HealthResponseTooLarge, LogLevel::Warning, "response to a health check cut off" },
     { LogEvent::CallAccepted, LogLevel::Info, "call accepted" },
     { LogEvent::EndpointChosen, LogLevel::Info, "endpoint chosen" },
     { LogEvent::AttemptRefused, LogLevel::Info, "attempt refused by the endpoint's node" },
--- a/Source/protocol/LogEvent.h
+++ b/Source/protocol/LogEvent.h
@@ -48,6 +48,7 @@
     ResponseHeaderUnread = 405,
     BackendLimitChanged = 406,
     BackendStateUnreadable = 407,
+    HealthResponseTooLarge = 408,
 
     // 6xx: calls, at the node that accepted them (61x) and at the endpoint's node (62x).
     CallAccepted = 610,
--- a/Source/transport/HttpClient.cpp
+++ b/Source/transport/HttpClient.cpp
@@ -36,6 +36,9 @@
 /// A pooled connection that ends within this time after a request was sent on it was closed before the request arrived. Later
 /// the server has probably ended while it ran the request, and another one is the better choice.
 constexpr Duration staleConnectionWindow { 100000 };
+/// Interim responses and responses to other requests that one request reads over; a server that sends more sends them without
+/// end.
+constexpr int maximumSkippedResponses = 16;
 /// Lower statuses belong to interim responses, which the final response follows.
 constexpr std::uint16_t firstFinalStatus = 200;
 
@@ -175,7 +178,7 @@
     void process();
     void handleResponse();
     /// Closes the connection and reports the failure to the client.
-    void failExchange(ResultCode, const std::string& reason);
+    void failExchange(ResultCode, const std::string& reason, bool isTooLarge = false);
 
     Implementation* m_client;
     std::weak_ptr<char> m_lifetime;
@@ -201,6 +204,8 @@
     /// True once a byte was received since that write was started.
     bool m_hasReceived = false;
     bool m_wasPooled = false;
+    /// Responses that were read over for the current request.
+    int m_skippedResponses = 0;
     /// True after an unmatched response or a failed write, after which the connection must not be reused.
     bool m_preventsReuse = false;
     bool m_isClosed = false;
@@ -239,6 +244,7 @@
     m_matchesRequest = exchange.options.matchesRequest;
     m_hasSent = false;
     m_hasReceived = false;
+    m_skippedResponses = 0;
     m_parser.setLimits({ HttpParser::Limits().headerBytes, exchange.options.maximumBodyBytes });
     m_parser.expectNoBody(exchange.isHead);
     m_output = exchange.bytes;
@@ -297,7 +303,7 @@
         const HttpParser::Progress progress = m_parser.feed(m_input, consumed);
         m_input.erase(0, consumed);
         if (progress == HttpParser::Progress::Failed)
-            return failExchange(ResultCode::AnswerIncomplete, "the answer is not well-formed HTTP/1.1, or too large");
+            return failExchange(ResultCode::AnswerIncomplete, "the answer is not well-formed HTTP/1.1, or too large", m_parser.failure() != HttpParser::Failure::Malformed);
         if (progress == HttpParser::Progress::Complete)
             handleResponse();
         else
@@ -311,9 +317,13 @@
 {
     const bool keepsConnection = m_parser.keepsConnection();
     HttpResponse response = m_parser.takeResponse();
-    if (response.status < firstFinalStatus)
+    const bool isInterim = response.status < firstFinalStatus;
+    const bool isUnmatched = !isInterim && m_matchesRequest && !m_matchesRequest(response);
+    if ((isInterim || isUnmatched) && ++m_skippedResponses > maximumSkippedResponses)
+        return failExchange(ResultCode::AnswerIncomplete, "too many responses before the one to this request", true);
+    if (isInterim)
         return;
-    if (m_matchesRequest && !m_matchesRequest(response)) {
+    if (isUnmatched) {
         ++m_client->m_counters.unmatchedResponses;
         m_preventsReuse = true;
         if (!keepsConnection)
@@ -331,11 +341,11 @@
     m_client->succeed(exchange, std::move(response));
 }
 
-void HttpClient::Implementation::Connection::failExchange(ResultCode code, const std::string& reason)
+void HttpClient::Implementation::Connection::failExchange(ResultCode code, const std::string& reason, bool isTooLarge)
 {
     const ConnectionPtr keptAlive(this);
     close();
-    m_client->handleConnectionFailure(*this, { { code, reason }, m_hasSent });
+    m_client->handleConnectionFailure(*this, { { code, reason }, m_hasSent, isTooLarge });
 }
 
 void HttpClient::Implementation::Connection::close()
--- a/Source/transport/HttpClient.h
+++ b/Source/transport/HttpClient.h
@@ -44,6 +44,9 @@
         Error error;
         /// False only when no byte of the request can have reached the server.
         bool mayHaveRun = true;
+        /// The server sent more than a response may have: a larger head or body, or one response after another that is not the
+        /// one to this request.
+        bool isTooLarge = false;
     };
 
     /// Result of a request: the response if succeeded is true, otherwise the failure.
--- a/Tests/transport/HttpPairTest.cpp
+++ b/Tests/transport/HttpPairTest.cpp
@@ -425,6 +425,72 @@
     EXPECT_EQ(0, asked);
 }
 
+/// Bytes without end that a server sends in place of an answer.
+struct EndlessBytes {
+    const char* name;
+    std::string start;
+    std::string repeated;
+};
+
+std::ostream& operator<<(std::ostream& stream, const EndlessBytes& bytes)
+{
+    return stream << bytes.name;
+}
+
+class EndlessBytesTest : public HttpClientTest, public ::testing::WithParamInterface<EndlessBytes> {
+protected:
+    /// Writes the repeated part until the client closes the connection.
+    void writeOn(Tcp::socket& socket)
+    {
+        while (m_chunk.size() < 64 * 1024)
+            m_chunk += GetParam().repeated;
+        asio::async_write(socket, asio::buffer(m_chunk), [this, &socket](const asio::error_code& error, std::size_t bytes) {
+            m_written += bytes;
+            m_isClosed = bool(error);
+            if (!error)
+                writeOn(socket);
+        });
+    }
+
+    std::string m_chunk;
+    std::size_t m_written = 0;
+    bool m_isClosed = false;
+};
+
+TEST_P(EndlessBytesTest, Request_FailsAndClosesTheConnection_WithinItsLimits)
+{
+    constexpr std::size_t limit = 64 * 1024;
+    // What the sockets of both ends may hold besides.
+    constexpr std::size_t socketBytes = 16 * 1024 * 1024;
+    m_handlers.emplace_back([this](Tcp::socket& socket, const std::string&) {
+        reply(socket, GetParam().start);
+        writeOn(socket);
+    });
+    HttpClient::Options options;
+    options.maximumBodyBytes = limit;
+    const auto startedAt = std::chrono::steady_clock::now();
+    send("a", options);
+    ASSERT_TRUE(waitForOutcome());
+    EXPECT_FALSE(m_outcome->succeeded);
+    EXPECT_EQ(ResultCode::AnswerIncomplete, m_outcome->failure.error.code);
+    EXPECT_TRUE(m_outcome->failure.mayHaveRun);
+    EXPECT_LT(std::chrono::steady_clock::now() - startedAt, 2s);
+    m_context.restart();
+    m_context.run_for(200ms);
+    EXPECT_TRUE(m_isClosed);
+    EXPECT_LT(m_written, limit + socketBytes);
+}
+
+INSTANTIATE_TEST_SUITE_P(Servers, EndlessBytesTest,
+    ::testing::Values(EndlessBytes { "noise_before_the_head", "", "x" }, EndlessBytes { "name_in_the_head", "HTTP/1.1 200 OK\r\n", "x" },
+        EndlessBytes { "headers", "HTTP/1.1 200 OK\r\n", "X-A: b\r\n" }, EndlessBytes { "body_without_length", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "x" },
+        EndlessBytes { "body_of_a_huge_length", "HTTP/1.1 200 OK\r\nContent-Length: 9000000000000\r\n\r\n", "x" },
+        EndlessBytes { "chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n" },
+        EndlessBytes { "trailers", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-A: b\r\n" },
+        EndlessBytes { "empty_lines", "", "\r\n" },
+        EndlessBytes { "interim_responses", "", "HTTP/1.1 100 Continue\r\n\r\n" },
+        EndlessBytes { "responses_to_others", "", "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 0\r\n\r\n" }));
+
 TEST_F(HttpClientTest, Request_Cancelled_ClosesConnection)
 {
     const HttpClient::RequestId id = send("a");
