Membership: Let control replicas answer all that start at once

Cause: 300 members start at the same moment and know nobody. All ask three control replicas, whose budget of 16 KB and 8 KB/s lets each answer eight at once and six a second after that; the least knowing tenth knew nobody after 3 s. The reply to a joining member also waited for a budget five times its size.

Test: MembershipStartTest.

--- a/Source/control/ControlDaemon.cpp
+++ b/Source/control/ControlDaemon.cpp
@@ -99,6 +99,8 @@
     membership.dataCentre = m_settings.dataCentre;
     membership.peerAddress = m_settings.links;
     membership.seeds = m_settings.seeds;
+    membership.bytesPerSecond = seedGossipBytesPerSecond;
+    membership.burstBytes = seedGossipBurstBytes;
     return m_membership.start(m_settings.gossip, membership);
 }
 
--- a/Source/coordination/membership/Membership.cpp
+++ b/Source/coordination/membership/Membership.cpp
@@ -238,14 +238,16 @@
 
 void Membership::answer(const GossipDigest& digest, const SocketAddress& from)
 {
-    // Without budget for the records that follow it, the summary would be useless.
-    if (!m_budget.isAvailable(repairBytes, m_now))
-        return;
     const std::size_t bucketsInUse = digestBuckets - static_cast<std::size_t>(std::count(digest.buckets.begin(), digest.buckets.end(), 0));
     if (bucketsInUse <= 1 && m_peers.size() > 1) {
-        sendInitialMembers(from);
+        // One datagram, which nothing can replace for a member that knows nobody.
+        if (m_budget.isAvailable(maximumGossipBytes, m_now))
+            sendInitialMembers(from);
         return;
     }
+    // Without budget for the records that follow it, the summary would be useless.
+    if (!m_budget.isAvailable(repairBytes, m_now))
+        return;
     const auto start = static_cast<std::uint32_t>(m_random() % digestBuckets);
     if (const auto summary = summarizeDifferences(m_table, digest, start))
         send(from, *summary);
--- a/Source/coordination/membership/MembershipSettings.h
+++ b/Source/coordination/membership/MembershipSettings.h
@@ -12,6 +12,11 @@
 
 namespace Knapweedquay {
 
+/// Bounds of the bytes that a control replica sends as a member, including IP and UDP headers. Members name control replicas as
+/// their seeds, so when all start at once, all ask a few.
+constexpr double seedGossipBytesPerSecond = 64000;
+constexpr double seedGossipBurstBytes = 512000;
+
 /// Identity of this member, and the periods, timeouts and bounds of the membership protocol.
 struct MembershipSettings {
     /// Members of different deployments ignore each other.
@@ -70,7 +75,7 @@
     /// Rate at which the budget for sent bytes is refilled, including IP and UDP headers; see GossipBudget.
     double bytesPerSecond = 8000;
     /// Size of that budget, which bounds the bytes of a burst, including IP and UDP headers.
-    double burstBytes = 16000;
+    double burstBytes = 48000;
     /// Maximum number of records in the membership table, including those of absent members.
     std::size_t maximumMembers = 4096;
 };
--- a/Tests/coordination/MembershipTest.cpp
+++ b/Tests/coordination/MembershipTest.cpp
@@ -148,6 +148,24 @@
     EXPECT_TRUE(holdsWithin([this] { return fleet.hasConverged(); }, healLimit));
 }
 
+// After a power cut of the whole deployment, nodes serve what they know of each other.
+TEST(MembershipStartTest, ThreeHundredMembers_StartAtOnce_SoonKnowMostOfTheOthers)
+{
+    MembershipFleet fleet(optionsFor(300));
+    fleet.startAll();
+    const auto leastKnown = [&fleet](std::size_t rank) {
+        std::vector<std::size_t> known;
+        for (std::size_t member = 0; member < fleet.size(); ++member)
+            known.push_back(fleet.membership(member).table().presentCount());
+        std::sort(known.begin(), known.end());
+        return known[rank];
+    };
+    fleet.run(seconds(1));
+    EXPECT_GE(leastKnown(fleet.size() / 2), fleet.size() / 2);
+    fleet.run(seconds(1));
+    EXPECT_GE(leastKnown(0), fleet.size() / 4);
+}
+
 TEST_F(MembershipTest, OneWayLink_IndirectProbes_PreventSuspicion)
 {
     fleet.setReachability([](std::size_t from, std::size_t to) { return !(from == 1 && to == 2); });
--- a/Utilities/MembershipBench/MembershipFleet.cpp
+++ b/Utilities/MembershipBench/MembershipFleet.cpp
@@ -52,6 +52,10 @@
     settings.peerAddress = { settings.gossipAddress.ip, peerPort };
     for (std::size_t seed = 0; seed < std::min(m_options.seeds, m_members.size()); ++seed)
         settings.seeds.push_back(addressOf(seed));
+    if (member < m_options.seeds) {
+        settings.bytesPerSecond = m_options.seedBytesPerSecond;
+        settings.burstBytes = m_options.seedBurstBytes;
+    }
     entry.membership = std::make_unique<Membership>(settings, m_random());
     entry.isFrozen = false;
     entry.waitingDatagrams.clear();
--- a/Utilities/MembershipBench/MembershipFleet.h
+++ b/Utilities/MembershipBench/MembershipFleet.h
@@ -40,6 +40,9 @@
         Duration maximumDelay { 2500 };
         /// Number of seed addresses of each member.
         std::size_t seeds = 3;
+        /// Bounds of the bytes that a seed sends; those of the settings hold for all others.
+        double seedBytesPerSecond = seedGossipBytesPerSecond;
+        double seedBurstBytes = seedGossipBurstBytes;
     };
 
     explicit MembershipFleet(Options);
