--- a/Source/node/ControlSubscription.cpp
+++ b/Source/node/ControlSubscription.cpp
@@ -14,6 +14,8 @@
 
 /// Interval between freshness requests.
 constexpr Duration freshnessInterval { 300000 };
+/// The same before the first proof, without which the node serves no calls.
+constexpr Duration firstFreshnessInterval { 100000 };
 /// The node disconnects from a replica whose last proof, or last part of an update, is older than this. It is half the time
 /// in which a change must be in force on all nodes.
 constexpr Duration maximumStaleness { 1000000 };
@@ -236,7 +238,7 @@
     }
     if (!m_link)
         connectNext();
-    else if (m_link->isOpen() && now - m_freshnessRequestedAt >= freshnessInterval)
+    else if (m_link->isOpen() && now - m_freshnessRequestedAt >= (m_isFresh ? freshnessInterval : firstFreshnessInterval))
         requestFreshness();
 }
 
