Control: Answer a conflict with an edit whose author is no text

The replica that answered ended (exception of the JSON library, connection closed without an answer): the conflict repeats the author of the winning edit, and a byte that is no UTF-8 can't be written. Test: ControlStoreTest.EditWithAnAuthorThatIsNoText_*, which failed with status 0. The same in the status of a node, whose texts come from other members; not tested there.

Looked for elsewhere: all other texts that processes write replace such bytes.

--- a/Source/control/OperatorInterface.cpp
+++ b/Source/control/OperatorInterface.cpp
@@ -65,7 +65,7 @@
     body["version"] = result.version.value();
     body["winner"] = result.winner.value();
     body["winner_author"] = result.winnerAuthor;
-    response.body = body.dump();
+    response.body = body.dump(-1, ' ', false, Json::error_handler_t::replace);
     return response;
 }
 
--- a/Source/node/NodeDaemon.cpp
+++ b/Source/node/NodeDaemon.cpp
@@ -164,7 +164,7 @@
             for (const EndpointStatus& endpoint : endpoints)
                 status["endpoints"][service.value()].push_back(toJson(endpoint));
         }
-        return status.dump();
+        return status.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     });
 }
 
