--- a/Tests/coordination/FleetRetryBudgetTest.cpp
+++ b/Tests/coordination/FleetRetryBudgetTest.cpp
@@ -13,8 +13,8 @@
 
 namespace {
 
-constexpr double retryShare = 0.1;
-constexpr double hedgeShare = 0.08;
+constexpr double retryShare = 0.06;
+constexpr double hedgeShare = 0.12;
 /// What the users allow to the whole fleet within any window of this length: a share of the callers' calls, and a slack in
 /// proportion to the nodes.
 constexpr double allowedShare = 0.2;
