--- a/Tests/coordination/FleetRetryBudgetTest.cpp
+++ b/Tests/coordination/FleetRetryBudgetTest.cpp
@@ -193,7 +193,7 @@
     const auto& [nodes, storm] = GetParam();
     Fleet fleet(nodes, storm);
     fleet.run();
-    const auto record = [this](const std::string& service, const Fleet::Window& window) {
+    const auto record = [](const std::string& service, const Fleet::Window& window) {
         RecordProperty(service + "_extra", std::to_string(static_cast<int>(window.extra)));
         RecordProperty(service + "_allowed", std::to_string(static_cast<int>(window.allowed)));
         EXPECT_LE(window.extra, window.allowed) << service;
