Retries: Charge the attempt that follows one that was given back

Cause, by reading: an attempt that an endpoint's node refuses gives back what it took, and the attempt after it was free. So a call whose first attempt was lost, or refused by a backend server, got its second arrival for nothing whenever one node between had refused it, which is the rule in an overload.

Now an attempt is free only while none of the call may have reached a backend server.

Test: OutgoingCallTest.RetryAfterALossRefusedByItsNode_NextAttempt_IsCharged, which found nothing taken before (10.1 left, 9.1 expected).

--- a/Source/coordination/attempts/OutgoingCall.cpp
+++ b/Source/coordination/attempts/OutgoingCall.cpp
@@ -309,8 +309,8 @@
 {
     if (!canStartAttempt() || !canAnotherEndpointAccept(refusal))
         return;
-    // An attempt refused by the endpoint's node adds no load to its backend server, so its retry needs no budget.
-    if (refusal.code != ResultCode::BackendRefused)
+    // Attempts that endpoints' nodes refused added no load to a backend server, so the next one is the call's first there.
+    if (attemptsAgainstLimit() == 0)
         requestEndpoint(false);
     else
         tryExtraAttempt();
--- a/Tests/coordination/OutgoingCallTest.cpp
+++ b/Tests/coordination/OutgoingCallTest.cpp
@@ -190,6 +190,22 @@
     EXPECT_DOUBLE_EQ(m_retries.available(m_now), m_hedges.available(m_now));
 }
 
+// The first attempt may have reached a backend server, so whichever attempt runs after it is an extra one.
+TEST_F(OutgoingCallTest, RetryAfterALossRefusedByItsNode_NextAttempt_IsCharged)
+{
+    m_parameters.isIdempotent = true;
+    m_parameters.limits.maximumAttempts = 3;
+    begin();
+    const double before = m_retries.available(m_now);
+    handle(AttemptUnknown { attempt(1), ResultCode::AnswerIncomplete });
+    for (std::uint64_t refused = 2; refused < 4; ++refused) {
+        handle(EndpointChosen { NodeId("b" + std::to_string(refused)), Incarnation(1) });
+        handle(AttemptRefused { attempt(refused), { ResultCode::Overloaded } });
+    }
+    EXPECT_EQ(4U, count<ChooseEndpoint>());
+    EXPECT_DOUBLE_EQ(before - 1, m_retries.available(m_now));
+}
+
 TEST_F(OutgoingCallTest, HedgeRefusedByTheBackendServer_Budgets_StayCharged)
 {
     m_parameters.isIdempotent = true;
