Control: Pass changes of the routing document on to the leader

Ruled out: the election (a new leader stood by 3.0 s, and accepted others' changes at once) and the commit (none took 50 ms).

A replica that cannot accept a change now passes it on to the leader over the link between them, and answers with the leader's result or as soon as it has applied the commit. While no replica leads, the change waits for the election, 0.8 s at most, then it is answered with a redirect or 503 as before. The change id makes a second sending safe. Weighed: a request to the leader's HTTP interface (another connection that may be cut, and the port of another replica is known on the platform only).

--- a/Source/control/ControlDaemon.cpp
+++ b/Source/control/ControlDaemon.cpp
@@ -168,7 +168,7 @@
         return service.error();
     m_service = std::move(service.value());
     m_subscriptions = std::make_unique<NodeSubscriptions>(*m_service);
-    m_routing = std::make_unique<RoutingStore>(*m_service, m_settings.parseRouting, RoutingStore::Hooks { steadyNow, [this] { scheduleFlush(); } });
+    m_routing = std::make_unique<RoutingStore>(*m_service, m_settings.parseRouting, RoutingStore::Hooks { steadyNow, [this] { scheduleFlush(); }, [this](const std::string& leader, const RoutingChangeMessage& message) { sendToReplica(leader, message); } });
     m_operators = std::make_unique<OperatorInterface>(*m_service, *m_subscriptions, m_settings, [this] { scheduleFlush(); });
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
@@ -231,6 +231,8 @@
         handleClaim(id, *claim);
     else if (const auto* end = std::get_if<ClaimEndMessage>(&message))
         handleClaimEnd(*end);
+    else if (const auto* change = std::get_if<RoutingChangeMessage>(&message))
+        handleForwardedChange(id, *change);
 }
 
 void ControlDaemon::receiveFromReplica(std::string_view bytes)
@@ -250,6 +252,8 @@
         return;
     if (const auto* answer = std::get_if<ClaimAnswerMessage>(&message.value()))
         handleForwardedAnswer(*answer);
+    else if (const auto* changeAnswer = std::get_if<RoutingChangeAnswerMessage>(&message.value()))
+        m_routing->leaderAnswered(*changeAnswer);
 }
 
 void ControlDaemon::handleClaim(NodeSubscriptions::SubscriberId id, const ClaimRequestMessage& message)
@@ -297,7 +301,29 @@
 {
     const std::string leader = m_service->leaderAddress();
     if (!leader.empty() && leader != toText(m_settings.links))
-        m_replicaLinks.send(leader, LinkChannel::wrap(LinkChannel::node, encode(message)));
+        sendToReplica(leader, message);
+}
+
+void ControlDaemon::sendToReplica(const std::string& address, const ControlMessage& message)
+{
+    m_replicaLinks.send(address, LinkChannel::wrap(LinkChannel::node, encode(message)));
+}
+
+void ControlDaemon::handleForwardedChange(NodeSubscriptions::SubscriberId id, const RoutingChangeMessage& message)
+{
+    // Without an extension, changes come to the operators' interface alone, which asks for a credential.
+    if (!m_extension.handle)
+        return;
+    m_routing->changeAsLeader({ message.text, message.baseVersion, message.author }, [this, id, request = message.request](const Result<std::uint64_t>& result) {
+        RoutingChangeAnswerMessage answer;
+        answer.request = request;
+        answer.code = result.has_error() ? result.error().code : ResultCode::Ok;
+        if (result.has_error())
+            answer.detail = result.error().detail;
+        else
+            answer.version = result.value();
+        m_subscriptions->send(id, answer);
+    });
 }
 
 void ControlDaemon::handleForwardedAnswer(const ClaimAnswerMessage& answer)
--- a/Source/control/ControlDaemon.h
+++ b/Source/control/ControlDaemon.h
@@ -67,6 +67,9 @@
     void handleClaimEnd(const ClaimEndMessage&);
     /// Sends a node's message to the leader; drops it if no other replica is known to lead.
     void forwardToLeader(const ControlMessage&);
+    void sendToReplica(const std::string& address, const ControlMessage&);
+    /// Handles a change of the routing document that another replica passed on.
+    void handleForwardedChange(NodeSubscriptions::SubscriberId, const RoutingChangeMessage&);
     void handleForwardedAnswer(const ClaimAnswerMessage&);
     void tick();
     /// Posts a flush of the service, unless one is posted already.
--- a/Source/control/RoutingStore.cpp
+++ b/Source/control/RoutingStore.cpp
@@ -18,17 +18,17 @@
 
 // Derives the change id from the content and the base version, so that a resent change has the same id, whoever sends
 // it.
-ChangeId changeIdOf(const RoutingStore::Change& change)
+ChangeId changeIdOf(const RoutingChange& change)
 {
     const XXH128_hash_t digest = XXH3_128bits_withSeed(change.text.data(), change.text.size(), change.baseVersion);
     return ChangeId("routing-" + std::to_string(digest.high64) + "-" + std::to_string(digest.low64) + "-" + std::to_string(change.baseVersion));
 }
 
-void logChange(const RoutingStore::Change& change, std::uint64_t version, const Result<EditResult>& result)
+void logChange(const RoutingChange& change, const ChangeId& id, std::uint64_t version, const Result<EditResult>& result)
 {
     const ResultCode code = result.has_error() ? result.error().code : result.value().code;
     log(code == ResultCode::Ok ? LogEvent::EditAccepted : LogEvent::EditRefused,
-        { { "service", routingDocumentName().value() }, { "author", change.author }, { "expected_version", std::to_string(change.baseVersion) }, { "version", std::to_string(version) }, { "code", std::to_string(static_cast<int>(code)) } });
+        { { "service", routingDocumentName().value() }, { "author", change.author }, { "change", id.value() }, { "expected_version", std::to_string(change.baseVersion) }, { "version", std::to_string(version) }, { "code", std::to_string(static_cast<int>(code)) } });
 }
 
 } // namespace
@@ -37,6 +37,7 @@
     : m_service(service)
     , m_parse(std::move(parse))
     , m_hooks(std::move(hooks))
+    , m_waitingChanges(m_hooks.forward)
 {
 }
 
@@ -62,7 +63,7 @@
     return m_parsedVersion->second;
 }
 
-DocumentEdit RoutingStore::makeEdit(const Change& change, const ChangeId& id, DocumentVersion expected)
+DocumentEdit RoutingStore::makeEdit(const RoutingChange& change, const ChangeId& id, DocumentVersion expected)
 {
     DocumentEdit edit;
     edit.service = routingDocumentName();
@@ -75,7 +76,24 @@
     return edit;
 }
 
-void RoutingStore::change(const Change& change, const ChangeHandler& handler)
+bool RoutingStore::canAccept() const
+{
+    return m_service.log() && m_service.log()->canAccept(m_hooks.now());
+}
+
+void RoutingStore::change(const RoutingChange& change, const RoutingChangeHandler& handler)
+{
+    const ChangeId id = changeIdOf(change);
+    if (isAccepted(id) || canAccept() || !m_hooks.forward)
+        return changeAsLeader(change, handler);
+    const auto routing = m_parse(change.text);
+    if (routing.has_error())
+        return handler(routing.error());
+    m_waitingChanges.add(change, id, handler, m_hooks.now());
+    tickChanges(m_hooks.now());
+}
+
+void RoutingStore::changeAsLeader(const RoutingChange& change, const RoutingChangeHandler& handler)
 {
     const ChangeId id = changeIdOf(change);
     const auto routing = m_parse(change.text);
@@ -84,8 +102,7 @@
     const std::uint64_t version = routing.value().version;
     if (isAccepted(id))
         return handler(version);
-    // Until it can accept changes, the replica may lack accepted ones and would refuse changes based on them.
-    if (!m_service.log() || !m_service.log()->canAccept(m_hooks.now()))
+    if (!canAccept())
         return handler(Error { m_service.isLeading() ? ResultCode::NoQuorum : ResultCode::NotLeader, "this replica cannot accept changes now" });
     const auto current = currentVersion();
     if (current.has_error())
@@ -94,11 +111,16 @@
         return handler(Error { ResultCode::VersionConflict, "the version in force is " + std::to_string(current.value()) });
     if (version <= current.value())
         return handler(Error { ResultCode::InvalidDocument, "the version must be greater than " + std::to_string(current.value()) });
+    submit(change, id, version, handler);
+}
+
+void RoutingStore::submit(const RoutingChange& change, const ChangeId& id, std::uint64_t version, const RoutingChangeHandler& handler)
+{
     const StoredDocument* document = storedDocument();
     const DocumentEdit edit = makeEdit(change, id, document ? document->version : DocumentVersion());
     m_service.edit(
-        edit, [change, version, handler](const Result<EditResult>& result) {
-            logChange(change, version, result);
+        edit, [change, id, version, handler](const Result<EditResult>& result) {
+            logChange(change, id, version, result);
             if (result.has_error())
                 return handler(result.error());
             if (result.value().code != ResultCode::Ok)
@@ -109,6 +131,23 @@
     m_hooks.flush();
 }
 
+void RoutingStore::leaderAnswered(const RoutingChangeAnswerMessage& answer)
+{
+    m_waitingChanges.answer(answer, m_hooks.now());
+}
+
+void RoutingStore::tickChanges(TimePoint now)
+{
+    if (m_waitingChanges.isEmpty())
+        return;
+    // The commit of a change may arrive before the leader's answer.
+    const bool canAcceptNow = canAccept();
+    for (const auto& entry : m_waitingChanges.take([&](const WaitingChanges::Entry& waiting) { return canAcceptNow || isAccepted(waiting.id); }))
+        changeAsLeader(entry.change, entry.handler);
+    m_waitingChanges.forward(otherLeader(), now);
+    m_waitingChanges.expire(otherLeader(), now);
+}
+
 void RoutingStore::read(ReadHandler handler)
 {
     if (m_pendingReads.size() >= maximumPendingReads)
@@ -118,6 +157,7 @@
 
 void RoutingStore::tick(TimePoint now)
 {
+    tickChanges(now);
     if (m_pendingReads.empty())
         return;
     const auto freshness = m_service.freshness(now);
--- a/Source/node/ControlSubscription.h
+++ b/Source/node/ControlSubscription.h
@@ -97,6 +97,8 @@
     void handle(const InForceMessage&) { }
     void handle(const ClaimRequestMessage&) { }
     void handle(const ClaimEndMessage&) { }
+    void handle(const RoutingChangeMessage&) { }
+    void handle(const RoutingChangeAnswerMessage&) { }
     void requestFreshness();
     void expireClaims(TimePoint now);
     /// True if no connected replica has proved recently that it is up to date, and the connected one has had time to.
--- a/Source/protocol/ControlMessages.cpp
+++ b/Source/protocol/ControlMessages.cpp
@@ -202,6 +202,38 @@
 {
 }
 
+void appendFields(Json& fields, const RoutingChangeMessage& message)
+{
+    fields.push_back(message.request);
+    fields.push_back(message.baseVersion);
+    fields.push_back(cborBytes(message.author));
+    fields.push_back(cborBytes(message.text));
+}
+
+void readFields(FieldReader& reader, RoutingChangeMessage& message)
+{
+    message.request = reader.unsignedInteger();
+    message.baseVersion = reader.unsignedInteger();
+    message.author = reader.bytes();
+    message.text = reader.bytes();
+}
+
+void appendFields(Json& fields, const RoutingChangeAnswerMessage& message)
+{
+    fields.push_back(message.request);
+    fields.push_back(static_cast<std::uint16_t>(message.code));
+    fields.push_back(message.version);
+    fields.push_back(cborBytes(message.detail));
+}
+
+void readFields(FieldReader& reader, RoutingChangeAnswerMessage& message)
+{
+    message.request = reader.unsignedInteger();
+    message.code = readCode(reader);
+    message.version = reader.unsignedInteger();
+    message.detail = reader.bytes();
+}
+
 } // namespace
 
 std::string encode(const ControlMessage& message)
--- a/Source/protocol/ControlMessages.h
+++ b/Source/protocol/ControlMessages.h
@@ -113,8 +113,30 @@
 struct UpdatesAcceptedMessage {
 };
 
+/// A change of the routing document that a replica which does not lead passes on to the leader.
+struct RoutingChangeMessage {
+    /// Number that the sender gives to the change; the answer repeats it.
+    std::uint64_t request = 0;
+    /// Version of the routing document that the operator edited; 0 for the first.
+    std::uint64_t baseVersion = 0;
+    std::string author;
+    /// Complete text of the new routing document.
+    std::string text;
+};
+
+/// Reply to a RoutingChangeMessage.
+struct RoutingChangeAnswerMessage {
+    std::uint64_t request = 0;
+    /// Ok when the change was accepted; NotLeader or NoQuorum when it may be sent again.
+    ResultCode code = ResultCode::NotLeader;
+    /// Version of the accepted document.
+    std::uint64_t version = 0;
+    /// Reason of a refusal.
+    std::string detail;
+};
+
 using ControlMessage = std::variant<SubscribeMessage, DocumentMessage, FreshnessRequestMessage, FreshnessMessage, InForceMessage, ClaimRequestMessage,
-    ClaimAnswerMessage, ClaimEndMessage, ReplicaListMessage, DocumentUpdateMessage, UpdatesAcceptedMessage>;
+    ClaimAnswerMessage, ClaimEndMessage, ReplicaListMessage, DocumentUpdateMessage, UpdatesAcceptedMessage, RoutingChangeMessage, RoutingChangeAnswerMessage>;
 
 /// Encodes a message as the CBOR array [type, fields...]; docs/PROTOCOL.md lists the types.
 std::string encode(const ControlMessage&);
--- a/Source/protocol/LogEvent.cpp
+++ b/Source/protocol/LogEvent.cpp
@@ -60,6 +60,7 @@
     { LogEvent::ReplicaRemoved, LogLevel::Warning, "replica removed" },
     { LogEvent::LeaderChanged, LogLevel::Info, "leader changed" },
     { LogEvent::ReplicasChanged, LogLevel::Info, "replicas changed" },
+    { LogEvent::EditForwarded, LogLevel::Info, "edit forwarded" },
 };
 
 const Row& rowOf(LogEvent event)
--- a/Source/protocol/LogEvent.h
+++ b/Source/protocol/LogEvent.h
@@ -71,6 +71,7 @@
     ReplicaRemoved = 504,
     LeaderChanged = 505,
     ReplicasChanged = 506,
+    EditForwarded = 507,
 };
 
 /// Severity of an event.
--- a/Tests/control/RoutingStoreTest.cpp
+++ b/Tests/control/RoutingStoreTest.cpp
@@ -5,7 +5,10 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
+#include <deque>
 #include <optional>
+#include <utility>
 
 using namespace Knapweedquay;
 using namespace std::chrono_literals;
@@ -29,7 +32,7 @@
         settings.newReplica = ReplicaId(1);
         settings.newCluster = ClusterId(1);
         m_service = std::move(ControlService::open(settings, m_files, {}, m_now).value());
-        m_store = std::make_unique<RoutingStore>(*m_service, parseRoutingToml, RoutingStore::Hooks { [this] { return m_now; }, [this] { m_service->flush(m_now); } });
+        m_store = std::make_unique<RoutingStore>(*m_service, parseRoutingToml, RoutingStore::Hooks { [this] { return m_now; }, [this] { m_service->flush(m_now); }, {} });
         becomeLeader();
     }
 
@@ -58,6 +61,122 @@
     std::unique_ptr<RoutingStore> m_store;
 };
 
+/// Three replicas of one store with a simulated clock, of which some may be cut off. Messages between them take no time.
+class RoutingStoresTest : public ::testing::Test {
+protected:
+    static constexpr std::size_t replicaCount = 3;
+
+    struct Replica {
+        FakeFileSystem files;
+        std::unique_ptr<ControlService> service;
+        std::unique_ptr<RoutingStore> store;
+        bool isCut = false;
+    };
+
+    void SetUp() override
+    {
+        for (std::size_t index = 0; index < replicaCount; ++index)
+            startReplica(index);
+        runUntil([this] { return leader() < replicaCount && m_replicas[0].service->leaderAddress() == m_replicas[2].service->leaderAddress(); });
+        ASSERT_LT(leader(), replicaCount);
+    }
+
+    void startReplica(std::size_t index)
+    {
+        Replica& replica = m_replicas[index];
+        ControlServiceSettings settings;
+        settings.folder = "data";
+        settings.address = std::to_string(index);
+        settings.founders = { "0", "1", "2" };
+        settings.bootstrap = true;
+        settings.newReplica = ReplicaId(index + 1);
+        settings.newCluster = ClusterId(1);
+        settings.log.seed = index + 1;
+        ControlServiceHooks hooks;
+        hooks.send = [this, index](const std::string& address, const ReplicaMessage& message) {
+            post(index, std::stoul(address), [this, message](Replica& receiver) { receiver.service->receive(message, m_now); });
+        };
+        replica.service = std::move(ControlService::open(settings, replica.files, hooks, m_now).value());
+        RoutingStore::Hooks storeHooks { [this] { return m_now; }, [&replica, this] { replica.service->flush(m_now); }, {} };
+        storeHooks.forward = [this, index](const std::string& address, const RoutingChangeMessage& sent) {
+            ++m_forwarded;
+            const auto message = std::get<RoutingChangeMessage>(decodeControlMessage(encode(sent)).value());
+            post(index, std::stoul(address), [this, index, address, message](Replica& receiver) {
+                receiver.store->changeAsLeader({ message.text, message.baseVersion, message.author }, [this, index, address, message](const Result<std::uint64_t>& result) {
+                    RoutingChangeAnswerMessage answer { message.request, ResultCode::Ok, 0, {} };
+                    answer.code = result.has_error() ? result.error().code : ResultCode::Ok;
+                    answer.version = result.has_error() ? 0 : result.value();
+                    if (!m_loseAnswers)
+                        post(std::stoul(address), index, [bytes = encode(answer)](Replica& sender) { sender.store->leaderAnswered(std::get<RoutingChangeAnswerMessage>(decodeControlMessage(bytes).value())); });
+                });
+            });
+        };
+        replica.store = std::make_unique<RoutingStore>(*replica.service, parseRoutingToml, storeHooks);
+    }
+
+    void post(std::size_t from, std::size_t to, std::function<void(Replica&)> deliver)
+    {
+        m_messages.push_back([this, from, to, deliver = std::move(deliver)] {
+            if (!m_replicas[from].isCut && !m_replicas[to].isCut)
+                deliver(m_replicas[to]);
+        });
+    }
+
+    void deliverAll()
+    {
+        while (!m_messages.empty()) {
+            const auto message = std::move(m_messages.front());
+            m_messages.pop_front();
+            message();
+            for (Replica& replica : m_replicas)
+                replica.service->flush(m_now);
+        }
+    }
+
+    void runUntil(const std::function<bool()>& isDone)
+    {
+        for (int step = 0; step < 200 && !isDone(); ++step) {
+            m_now += 20ms;
+            for (Replica& replica : m_replicas) {
+                replica.service->tick(m_now);
+                replica.service->flush(m_now);
+                deliverAll();
+                replica.store->tick(m_now);
+                deliverAll();
+            }
+        }
+    }
+
+    /// Index of the replica that accepts changes; replicaCount for none.
+    std::size_t leader() const
+    {
+        for (std::size_t index = 0; index < replicaCount; ++index) {
+            if (!m_replicas[index].isCut && m_replicas[index].service->log()->canAccept(m_now))
+                return index;
+        }
+        return replicaCount;
+    }
+
+    /// Sends a change to a replica and returns its result, TimedOut if there is none after a second, and the time it took.
+    std::pair<ResultCode, Duration> change(std::size_t index, const std::string& text, std::uint64_t base)
+    {
+        std::optional<ResultCode> code;
+        const TimePoint start = m_now;
+        m_replicas[index].store->change({ text, base, "tester" }, [&code](const Result<std::uint64_t>& result) {
+            code = result.has_error() ? result.error().code : ResultCode::Ok;
+        });
+        deliverAll();
+        runUntil([&] { return code || m_now - start > 1s; });
+        return { code.value_or(ResultCode::TimedOut), m_now - start };
+    }
+
+    TimePoint m_now { 100s };
+    std::array<Replica, replicaCount> m_replicas;
+    std::deque<std::function<void()>> m_messages;
+    std::size_t m_forwarded = 0;
+    bool m_loseAnswers = false;
+};
+
 } // namespace
 
 TEST_F(RoutingStoreTest, ChangeOnCurrentVersion_Sent_IsAccepted)
@@ -122,3 +241,60 @@
     }
     EXPECT_EQ(routingText(3), read);
 }
+
+// A redirect was one more response that could be lost, at the cost of a second.
+TEST_F(RoutingStoresTest, Change_SentToAFollower_IsAcceptedThroughTheLeader)
+{
+    const std::size_t follower = (leader() + 1) % replicaCount;
+    EXPECT_EQ(ResultCode::Ok, change(follower, routingText(3), 0).first);
+    EXPECT_EQ(ResultCode::VersionConflict, change(follower, routingText(4), 0).first);
+    EXPECT_EQ(ResultCode::InvalidDocument, change(follower, routingText(2), 3).first);
+    const TimePoint heardAt = m_now + 200ms;
+    runUntil([this, heardAt] { return m_now >= heardAt; });
+    EXPECT_EQ(ResultCode::Ok, change(follower, routingText(3), 0).first);
+    EXPECT_EQ(3u, m_forwarded) << "the follower knows the accepted change itself";
+    EXPECT_EQ(ResultCode::InvalidDocument, change(follower, "version = 9", 3).first);
+    EXPECT_EQ(3u, m_forwarded);
+}
+
+TEST_F(RoutingStoresTest, Change_SentWhileThereIsNoLeader_WaitsForTheElection)
+{
+    ASSERT_EQ(ResultCode::Ok, change(0, routingText(3), 0).first);
+    const std::size_t former = leader();
+    m_replicas[former].isCut = true;
+    const auto [code, time] = change((former + 1) % replicaCount, routingText(4), 3);
+    EXPECT_EQ(ResultCode::Ok, code);
+    EXPECT_LE(time, Duration(800ms));
+}
+
+TEST_F(RoutingStoresTest, LeadersAnswer_Lost_CommitAnswersTheChange)
+{
+    m_loseAnswers = true;
+    EXPECT_EQ(ResultCode::Ok, change((leader() + 1) % replicaCount, routingText(3), 0).first);
+}
+
+TEST_F(RoutingStoresTest, Majority_Gone_ChangeFailsBeforeItsOperatorGivesUp)
+{
+    const std::size_t alone = leader();
+    for (std::size_t index = 0; index < replicaCount; ++index)
+        m_replicas[index].isCut = index != alone;
+    runUntil([this] { return leader() == replicaCount; });
+    const auto [code, time] = change(alone, routingText(3), 0);
+    EXPECT_EQ(ResultCode::NoQuorum, code);
+    EXPECT_LE(time, Duration(900ms));
+}
+
+TEST_F(RoutingStoresTest, ManyChanges_WithoutALeader_AreBounded)
+{
+    for (Replica& replica : m_replicas)
+        replica.isCut = true;
+    runUntil([this] { return leader() == replicaCount; });
+    m_now += 1s;
+    std::size_t overloaded = 0;
+    for (std::uint64_t version = 1; version <= 100; ++version) {
+        m_replicas[0].store->change({ routingText(version), 0, "tester" }, [&overloaded](const Result<std::uint64_t>& result) {
+            overloaded += result.has_error() && result.error().code == ResultCode::Overloaded ? 1 : 0;
+        });
+    }
+    EXPECT_EQ(36u, overloaded);
+}
