Presence: Ask for a new limit by a health check before calls take all it allows

What callers saw: after a backend server had ended its limit, its node and all others held it for up to 15 s, and no call reached it.

The first health check was sent at 958.7, after the end of the limit, and so were all others; a response to a health check ends a limit only if one named it before. Health checks give way to queued calls, so a standing queue starved them. Ruled out: a lost or failed check (each was answered), and the other nodes' reports (the node itself held the limit).

One health check is now sent at once when a limit is first named, whatever calls take, and another at a quarter of the limit while none was answered; both are counted, so that calls wait the longer. A check that was sent before the limit was named no longer counts as having asked for it.

The test of BackendState failed before.

--- a/Source/coordination/presence/BackendState.cpp
+++ b/Source/coordination/presence/BackendState.cpp
@@ -59,6 +59,7 @@
     m_respondedAt.reset();
     m_requestLimit.reset();
     m_hasNamedLimit.fill(false);
+    m_hasAskedForLimit = false;
     m_hasCheckedLimit = false;
     m_isLeaving = false;
 }
@@ -97,7 +98,8 @@
         m_requestLimit.reset();
     }
     report.hasLimitChanged = m_requestLimit != before;
-    m_hasCheckedLimit = m_requestLimit && (m_hasCheckedLimit || request == ResponseTo::HealthCheck);
+    m_hasAskedForLimit = m_requestLimit && m_hasAskedForLimit;
+    m_hasCheckedLimit = m_requestLimit && (m_hasCheckedLimit || (request == ResponseTo::HealthCheck && (lowest || m_hasAskedForLimit)));
 }
 
 void BackendState::applyLeaving(const HttpHeaders& headers, Report& report)
@@ -117,6 +119,13 @@
     return now - std::max(m_checkSentAt, m_respondedAt.value_or(TimePoint::min())) >= limitedCheckInterval(*m_requestLimit);
 }
 
+bool BackendState::isLimitCheckDue(TimePoint now) const
+{
+    if (m_isCheckPending || !m_requestLimit || m_hasCheckedLimit)
+        return false;
+    return !m_hasAskedForLimit || now - m_checkSentAt >= limitedCheckInterval(*m_requestLimit);
+}
+
 bool BackendState::isCheckDue(bool isReachable, TimePoint now) const
 {
     if (m_isCheckPending)
@@ -133,6 +142,7 @@
 {
     m_isCheckPending = true;
     m_checkSentAt = now;
+    m_hasAskedForLimit = m_requestLimit.has_value();
 }
 
 } // namespace Knapweedquay
--- a/Source/coordination/presence/BackendState.h
+++ b/Source/coordination/presence/BackendState.h
@@ -57,6 +57,9 @@
 
     /// Returns whether a health check is due.
     bool isCheckDue(bool isReachable, TimePoint now) const;
+    /// Returns whether a health check is due although calls take all that the limit allows: none was answered since the limit
+    /// was first named. Only a health check that is known to name the limit can tell its end once no calls come.
+    bool isLimitCheckDue(TimePoint now) const;
     void checkSent(TimePoint now);
     void checkEnded() { m_isCheckPending = false; }
 
@@ -79,8 +82,10 @@
     bool m_isLeaving = false;
     /// When the last health check was sent.
     TimePoint m_checkSentAt;
-    /// True once a health check was answered since the limit was first named, so that it is known whether responses to health
-    /// checks name it.
+    /// True once a health check was sent since the limit was first named.
+    bool m_hasAskedForLimit = false;
+    /// True once such a health check was answered, or any that named the limit, so that it is known whether responses to
+    /// health checks name it.
     bool m_hasCheckedLimit = false;
     /// True while a health check has no response.
     bool m_isCheckPending = false;
--- a/Source/node/BackendMonitor.cpp
+++ b/Source/node/BackendMonitor.cpp
@@ -93,6 +93,8 @@
     if (report.startsToLeave)
         m_hooks.leaving();
     resumeStarts();
+    if (m_state.isLimitCheckDue(now))
+        checkHealth();
 }
 
 void BackendMonitor::applyLoad(const BackendLoad& load, bool isFirst, TimePoint now)
@@ -142,7 +144,10 @@
     const TimePoint now = steadyNow();
     if (now < m_healthPausedUntil)
         return;
-    if (!m_backend || !m_queue || m_healthPath.empty() || !m_state.isCheckDue(m_reachability.isReachable(), now) || !m_queue->allowsRequest(now))
+    if (!m_backend || !m_queue || m_healthPath.empty())
+        return;
+    const bool isDue = m_state.isCheckDue(m_reachability.isReachable(), now) && m_queue->allowsRequest(now);
+    if (!isDue && !m_state.isLimitCheckDue(now))
         return;
     m_state.checkSent(now);
     m_queue->countRequest(now);
--- a/Tests/coordination/BackendStateTest.cpp
+++ b/Tests/coordination/BackendStateTest.cpp
@@ -103,6 +103,28 @@
     EXPECT_FALSE(m_state.requestLimit());
 }
 
+// Calls took each request that the limit allowed, so the first health check came after the end of the limit.
+TEST_F(BackendStateReportTest, LimitNamedToACall_HealthCheckIsDueWhateverCallsTake_AtMostAQuarterOfTheLimit)
+{
+    EXPECT_FALSE(m_state.isLimitCheckDue(m_now));
+    m_state.checkSent(m_now);
+    limit("1");
+    EXPECT_FALSE(m_state.isLimitCheckDue(m_now)) << "a check is pending";
+    m_state.checkEnded();
+    limit(HttpHeaders {}, ResponseTo::HealthCheck);
+    EXPECT_TRUE(m_state.isLimitCheckDue(m_now)) << "the check was sent before the limit was named";
+    m_state.checkSent(m_now);
+    m_state.checkEnded();
+    EXPECT_FALSE(m_state.isLimitCheckDue(m_now + 3s));
+    EXPECT_TRUE(m_state.isLimitCheckDue(m_now + 4s)) << "the check failed";
+    m_state.checkSent(m_now + 4s);
+    m_state.checkEnded();
+    limit("1", ResponseTo::HealthCheck);
+    EXPECT_FALSE(m_state.isLimitCheckDue(m_now + 1min));
+    limit(HttpHeaders {}, ResponseTo::HealthCheck);
+    EXPECT_FALSE(m_state.requestLimit());
+}
+
 TEST_F(BackendStateReportTest, LimitedBackendServer_Asked_TakesAtMostAQuarterOfTheLimit)
 {
     const std::pair<const char*, Duration> cases[] = { { "100", 250ms }, { "8", 500ms }, { "1", 4s }, { "0", 10s } };
