Node: Give up a control replica whose connection does not open soon

Most nodes had met a machine that was still dark; nothing answered, and they waited a whole second for the attempt (31.82 to 31.97) before the next, while a node serves no call without a proof. Ruled out: the election, and the replicas' answers (5 to 10 ms after the connection opened).

An attempt that isn't open within 150 ms is given up for the next replica, the time doubles with each failure up to 1 s (compare the Connection Attempt Delay of RFC 8305). The log had two lines for each disconnect of the node's own; now it has one.

--- a/Source/node/ControlSubscription.cpp
+++ b/Source/node/ControlSubscription.cpp
@@ -75,13 +75,15 @@
 
 void ControlSubscription::disconnect()
 {
-    if (m_link)
-        LinkPtr(m_link)->abort();
-    m_link.reset();
+    if (const LinkPtr link = std::exchange(m_link, nullptr)) {
+        link->setHooks({});
+        link->abort();
+    }
 }
 
 void ControlSubscription::handleOpened()
 {
+    m_openingTimeout.opened();
     log(LogEvent::ControlConnected, { { "replica", m_currentReplica } });
     send(UpdatesAcceptedMessage());
     send(SubscribeMessage { m_self.node, m_self.incarnation, inForce() });
@@ -232,6 +234,11 @@
     const TimePoint now = m_hooks.now();
     expireClaims(now);
     fetchHinted(now);
+    if (m_link && !m_link->isOpen() && now - m_connectedAt > m_openingTimeout.value()) {
+        log(LogEvent::ControlDisconnected, { { "replica", m_currentReplica }, { "reason", "connection not open in time" } });
+        m_openingTimeout.expired();
+        disconnect();
+    }
     if (m_link && now - std::max({ m_lastProvedAt, m_connectedAt, m_lastPartAt }) > maximumStaleness) {
         log(LogEvent::ControlDisconnected, { { "replica", m_currentReplica }, { "reason", "no recent proof that its documents are up to date" }, { "proof_age_ms", std::to_string(toMilliseconds(now - m_lastProvedAt)) } });
         disconnect();
--- a/Source/node/ControlSubscription.h
+++ b/Source/node/ControlSubscription.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/membership/OpeningTimeout.h"
 #include "coordination/membership/ReplicaDirectory.h"
 #include "node/DocumentReceiver.h"
 #include "node/NodeIdentity.h"
@@ -16,8 +17,8 @@
 
 /// Keeps this node subscribed to one control replica whose documents are provably recent.
 ///
-/// A replica proves freshness by the age of its last quorum round. If it cannot, because it is partitioned or frozen,
-/// the node disconnects and connects to the next replica in the list. Versions in force never decrease, whatever a
+/// A replica proves freshness by the age of its last quorum round. If it cannot, because it is partitioned or frozen, or
+/// if the connection to it does not open soon, the node disconnects and connects to the next replica in the list. Versions in force never decrease, whatever a
 /// replica sends. It has no clock, timer or socket of its own.
 class ControlSubscription {
 public:
@@ -114,6 +115,7 @@
     std::string m_currentReplica;
     /// When the opening of the current connection began.
     TimePoint m_connectedAt;
+    OpeningTimeout m_openingTimeout;
     /// Latest time at which the documents are known to have been recent.
     TimePoint m_lastProvedAt;
     TimePoint m_freshnessRequestedAt;
