Control: Reopen links between replicas soon, and as long as a message waits

What callers saw: after a power cut all calls are refused until a leader stands, which needs votes over links between replicas.

Cause: a link that met a dark machine was kept for a second (the machine was up 0.3 s later), and the message that waited for it went out only with the next one to that replica.

An attempt is given up by the same OpeningTimeout as a node's, and a link is opened again while its message is less than a second old.

Both tests of ReplicaLinks failed before.

--- a/Source/control/ReplicaLinks.cpp
+++ b/Source/control/ReplicaLinks.cpp
@@ -8,9 +8,11 @@
 
 /// Minimum delay from the loss of a link to the next attempt to open it.
 constexpr Duration retryInterval { 100000 };
-constexpr Duration checkInterval { 200000 };
-/// A link that does not open, or receives nothing, for this time is closed; the next message opens a new one.
+constexpr Duration checkInterval { 100000 };
+/// A link that receives nothing for this time is closed; the next message opens a new one.
 constexpr Duration staleLinkTimeout { 1000000 };
+/// Time for which a message waits for its link. Later ones, or none, have replaced it by then.
+constexpr Duration maximumPendingTime { 1000000 };
 
 } // namespace
 
@@ -31,6 +33,7 @@
     }
     // Only the newest message is kept, since the protocols above repeat older ones.
     peer.pendingMessage = bytes;
+    peer.pendingSince = steadyNow();
     if (!peer.link && steadyNow() >= peer.retryAt)
         connect(address, peer);
 }
@@ -39,6 +42,7 @@
 {
     Link::Hooks hooks;
     hooks.opened = [&peer] {
+        peer.openingTimeout.opened();
         if (!peer.pendingMessage.empty())
             peer.link->send(peer.pendingMessage);
         peer.pendingMessage.clear();
@@ -52,19 +56,26 @@
     peer.link = m_client.connect(address, std::move(hooks));
 }
 
+void ReplicaLinks::checkOpening(const std::string& address, Peer& peer, TimePoint now)
+{
+    // While a link is being opened, no other is opened to this address, so an attempt that stalls is aborted.
+    if (peer.link && now - peer.openedAt > peer.openingTimeout.value()) {
+        peer.openingTimeout.expired();
+        const LinkPtr stalled = std::exchange(peer.link, nullptr);
+        stalled->abort();
+    }
+    if (now - peer.pendingSince > maximumPendingTime)
+        peer.pendingMessage.clear();
+    if (!peer.link && !peer.pendingMessage.empty() && now >= peer.retryAt)
+        connect(address, peer);
+}
+
 void ReplicaLinks::checkLinks()
 {
     const TimePoint now = steadyNow();
-    for (auto& entry : m_peers) {
-        Peer& peer = entry.second;
-        if (!peer.link)
-            continue;
-        if (!peer.link->isOpen()) {
-            // While a link is being opened, no other is opened to this address, so an attempt that stalls is aborted.
-            if (now - peer.openedAt > staleLinkTimeout) {
-                const LinkPtr stalled = std::exchange(peer.link, nullptr);
-                stalled->abort();
-            }
+    for (auto& [address, peer] : m_peers) {
+        if (!peer.link || !peer.link->isOpen()) {
+            checkOpening(address, peer, now);
             continue;
         }
         if (now - peer.link->lastReceived() > staleLinkTimeout && peer.lastPing > peer.link->lastReceived())
--- a/Source/control/ReplicaLinks.h
+++ b/Source/control/ReplicaLinks.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/membership/OpeningTimeout.h"
 #include "transport/Link.h"
 #include "transport/SteadyTime.h"
 
@@ -24,7 +25,8 @@
 
     ReplicaLinks(asio::io_context&, std::size_t maximumMessageBytes, ReceiveHook);
 
-    /// Sends the message if the link is open; otherwise keeps it, in place of an earlier one, until the link opens.
+    /// Sends the message if the link is open; otherwise keeps it, in place of an earlier one, until the link opens or the
+    /// message is a second old.
     void send(const std::string& address, const std::string& bytes);
 
 private:
@@ -33,15 +35,20 @@
         LinkPtr link;
         /// When the opening of the current link began.
         TimePoint openedAt;
+        OpeningTimeout openingTimeout;
         /// Earliest time for the next attempt to open a link.
         TimePoint retryAt;
         TimePoint lastPing;
         /// Newest message that could not be sent yet; empty when there is none.
         std::string pendingMessage;
+        /// When it was to be sent.
+        TimePoint pendingSince;
     };
 
     void connect(const std::string& address, Peer&);
-    /// Pings open links, and aborts links that are stale or whose opening stalls.
+    /// Handles a link that is not open: aborts it if its opening stalls, and opens it again while a message waits.
+    void checkOpening(const std::string& address, Peer&, TimePoint now);
+    /// Pings open links, and aborts those that are stale.
     void checkLinks();
 
     LinkClient m_client;
