Log: Ask for pre-votes soon after the start

Cause: the first election deadline was that of a replica that has just heard a leader, 0.4 to 0.8 s. A replica that has just started knows of none; where one leads, the others refuse the pre-vote, and nothing changes. It is 0.1 to 0.3 s now.

Ruled out: a lease that a restarted voter could break; an edit is accepted by a majority only, and proofs carry the age of their round.

The test failed before.

--- a/Source/state/ReplicatedLog.cpp
+++ b/Source/state/ReplicatedLog.cpp
@@ -18,7 +18,9 @@
     , m_followerFreshness(m_random())
 {
     m_followerFreshness.setAppliedIndex(m_appliedIndex);
-    resetElectionDeadline();
+    // After a power cut no replica leads. Where one does, the others refuse the pre-vote.
+    std::uniform_int_distribution<std::int64_t> randomDelay(m_settings.electionTimeout.count() / 4, 3 * m_settings.electionTimeout.count() / 4);
+    m_electionDeadline = m_now + Duration(randomDelay(m_random));
 }
 
 StoredLog ReplicatedLog::bootstrap(ReplicaId self, const std::string& address)
--- a/Tests/state/ReplicatedLogTest.cpp
+++ b/Tests/state/ReplicatedLogTest.cpp
@@ -129,6 +129,17 @@
     EXPECT_TRUE(votes[0].granted);
 }
 
+// After a power cut, calls waited for 0.4 to 0.8 s until the first replica asked whether it may lead.
+TEST_F(ReplicatedLogTest, ReplicaThatHasStarted_HearsNoLeader_AsksForPreVotesSoon)
+{
+    m_now += 300ms;
+    m_log->tick(m_now);
+    processActions();
+    ASSERT_EQ(2u, sent<VoteRequest>().size());
+    EXPECT_TRUE(sent<VoteRequest>().front().preVote);
+    EXPECT_EQ(Term(1), m_log->term());
+}
+
 TEST_F(ReplicatedLogTest, RecentLeader_VoteRequested_IsRefusedAndTermStays)
 {
     receive(AppendRequest { Term(2), LogIndex(1), Term(1), LogIndex(1), QuorumRound(1), QuorumRound(), 0, {} });
