Membership: Spread rumors mostly within data centres, and end them soon after a common start

A node sent 7.7 KB/s all the time, which is its whole budget: the 300 rumors of the common start were each sent some 7 times by everyone, for 20 s, though all members knew all others after 6 s.

With many rumors queued, receiving a known one now counts as five transmissions instead of one. Two of three targets of a rumor and three of four partners of a digest are drawn from the own data centre; pings still reach all.

The new test of a common start failed before.

--- a/Source/coordination/membership/Membership.cpp
+++ b/Source/coordination/membership/Membership.cpp
@@ -22,8 +22,9 @@
 constexpr std::size_t repairBytes = (repairDatagrams + 1) * maximumGossipBytes;
 // Members sent to a joining member in the first reply; about as many as fit into a datagram.
 constexpr std::size_t initialMembers = 10;
-// Number of queued rumors above which receiving a known record counts as one of its transmissions.
+// Number of queued rumors above which receiving a known record counts as several of its transmissions.
 constexpr std::size_t suppressionThreshold = 16;
+constexpr std::uint32_t suppressedTransmissions = 5;
 // Budget that rumors leave for anti-entropy, which costs fewer bytes per member when many records change at once.
 constexpr std::size_t repairReserveBytes = 8000;
 // Smallest encoded record; with less space left in a datagram, no further record is tried.
@@ -326,10 +327,10 @@
         handleRecordChange(before, *m_table.find(record.node));
     else if (record.health == MemberHealth::Suspect && before && before->version == record.version)
         confirmSuspicion(record);
-    // Other members spread this rumor too, so with many rumors queued it needs one transmission less (Demers and
-    // others, PODC '87).
+    // Other members spread this rumor too, so with many rumors queued it needs fewer transmissions (Demers and others,
+    // PODC '87). When a whole fleet starts, the rumors of all would otherwise use the budget long after all are known.
     if (result == MergeResult::Unchanged && m_rumors.size() > suppressionThreshold)
-        m_rumors.markSent(record.node, transmissionLimit());
+        m_rumors.markSent(record.node, transmissionLimit(), suppressedTransmissions);
     return result;
 }
 
@@ -386,6 +387,10 @@
         m_peers.add(after.node, m_random);
     if (!after.isPresent() && wasPresent)
         m_peers.remove(after.node);
+    if (after.isPresent() && after.dataCentre == m_settings.dataCentre)
+        m_localPeers.add(after.node, m_random);
+    else
+        m_localPeers.remove(after.node);
 
     if (after.health == MemberHealth::Suspect && after.isPresent()) {
         const std::size_t confirmers = m_peers.size() - 1;
@@ -411,13 +416,27 @@
     if (m_now < m_nextGossipAt || !hasRumors() || m_peers.isEmpty())
         return;
     m_nextGossipAt = m_now + m_settings.gossipPeriod;
-    for (const NodeId& node : m_peers.sample(m_settings.gossipFanout, m_random)) {
+    for (const NodeId& node : drawRumorTargets()) {
         const MemberRecord* peer = m_table.find(node);
         if (hasRumors() && m_budget.isAvailable(maximumGossipBytes + repairReserveBytes, m_now))
             send(peer->gossipAddress, GossipRumors {});
     }
 }
 
+std::vector<NodeId> Membership::drawRumorTargets()
+{
+    if (m_localPeers.isEmpty())
+        return m_peers.sample(m_settings.gossipFanout, m_random);
+    std::vector<NodeId> targets = m_peers.sample(m_settings.gossipFanout - m_settings.localGossipFanout, m_random);
+    for (const NodeId& node : m_localPeers.sample(m_settings.localGossipFanout, m_random)) {
+        if (std::find(targets.begin(), targets.end(), node) == targets.end())
+            targets.push_back(node);
+    }
+    // The budget may not suffice for all of them.
+    std::shuffle(targets.begin(), targets.end(), m_random);
+    return targets;
+}
+
 void Membership::exchangeDigest()
 {
     if (m_now < m_nextDigestAt)
@@ -428,7 +447,8 @@
     if (!partner || !partner->isPresent()) {
         if (m_peers.isEmpty())
             return;
-        partner = m_table.find(m_peers.sample(1, m_random).front());
+        const bool isLocal = !m_localPeers.isEmpty() && m_random() % m_settings.digestsPerDistantDigest != 0;
+        partner = m_table.find((isLocal ? m_localPeers : m_peers).sample(1, m_random).front());
     }
     send(partner->gossipAddress, GossipDigest { m_table.digest() });
 }
--- a/Source/coordination/membership/Membership.h
+++ b/Source/coordination/membership/Membership.h
@@ -88,6 +88,8 @@
 
     // Sending.
     void spreadRumors();
+    /// Draws the members that receive rumors next, most of them in this data centre.
+    std::vector<NodeId> drawRumorTargets();
     void exchangeDigest();
     void reconnectDead();
     void reconnectSeed();
@@ -108,6 +110,8 @@
     PeerList::Random m_random;
     MembershipTable m_table;
     PeerList m_peers;
+    /// The members of m_peers in this member's data centre.
+    PeerList m_localPeers;
     SuspicionTimers m_suspicions;
     FailureDetector m_failureDetector;
     RumorQueue<NodeId> m_rumors;
--- a/Source/coordination/membership/MembershipSettings.h
+++ b/Source/coordination/membership/MembershipSettings.h
@@ -51,12 +51,16 @@
     Duration gossipPeriod = std::chrono::milliseconds(200);
     /// Members that receive rumors in each gossip period.
     std::size_t gossipFanout = 3;
+    /// Those of them that are drawn from the own data centre, since bytes between data centres cost money.
+    std::size_t localGossipFanout = 2;
     /// Transmissions of one rumor: this factor times the decimal logarithm of one more than the number of present
     /// members, which is rounded up before the multiplication.
     std::uint32_t rumorTransmissionFactor = 5;
 
     /// Time between digests sent to a random member, on average.
     Duration digestPeriod = std::chrono::seconds(2);
+    /// One digest in this many goes to a member drawn from all data centres, the others to one in the own data centre.
+    std::uint64_t digestsPerDistantDigest = 4;
     /// Number of differing members from which on the next digest follows after the repair period.
     std::size_t repairThreshold = 8;
     /// Time between digests while the last exchange found a large difference.
--- a/Source/coordination/membership/RumorQueue.h
+++ b/Source/coordination/membership/RumorQueue.h
@@ -43,15 +43,16 @@
         }
     }
 
-    /// Counts one transmission; removes the rumor at the limit.
-    void markSent(const Key& key, std::uint32_t limit)
+    /// Counts transmissions of a rumor; removes it at the limit.
+    void markSent(const Key& key, std::uint32_t limit, std::uint32_t transmissions = 1)
     {
         const auto found = m_positions.find(key);
         if (found == m_positions.end())
             return;
         Position position = found->second;
         m_queue.erase(position);
-        if (++position.transmissions >= limit) {
+        position.transmissions += transmissions;
+        if (position.transmissions >= limit) {
             m_positions.erase(found);
             return;
         }
--- a/Tests/control/ReplicaLinksTest.cpp
+++ b/Tests/control/ReplicaLinksTest.cpp
@@ -28,11 +28,11 @@
     std::vector<std::string> m_received;
     std::vector<LinkPtr> m_accepted;
     LinkServer m_server { m_context, maximumMessageBytes, [this](const LinkPtr& link) {
-        Link::Hooks hooks;
-        hooks.received = [this](std::string_view bytes) { m_received.emplace_back(bytes); };
-        link->setHooks(std::move(hooks));
-        m_accepted.push_back(link);
-    } };
+                             Link::Hooks hooks;
+                             hooks.received = [this](std::string_view bytes) { m_received.emplace_back(bytes); };
+                             link->setHooks(std::move(hooks));
+                             m_accepted.push_back(link);
+                         } };
 };
 
 } // namespace
--- a/Tests/coordination/MembershipTest.cpp
+++ b/Tests/coordination/MembershipTest.cpp
@@ -166,6 +166,39 @@
     EXPECT_GE(leastKnown(0), fleet.size() / 4);
 }
 
+// The rumors of all members used their budgets for twenty seconds, four fifths of it between data centres.
+TEST(MembershipStartTest, ThreeHundredMembers_StartAtOnce_SendMostWithinDataCentresAndEndSoon)
+{
+    MembershipFleet fleet(optionsFor(300));
+    fleet.startAll();
+    const auto total = [&fleet](std::uint64_t MemberTraffic::*field) {
+        std::uint64_t sum = 0;
+        for (std::size_t member = 0; member < fleet.size(); ++member)
+            sum += fleet.traffic(member).*field;
+        return sum;
+    };
+    fleet.run(seconds(6));
+    ASSERT_TRUE(fleet.hasConverged());
+    fleet.run(seconds(9));
+    EXPECT_LE(total(&MemberTraffic::bytesSentAbroad), total(&MemberTraffic::bytesSent) / 2);
+    const std::uint64_t before = total(&MemberTraffic::bytesSent);
+    fleet.run(seconds(5));
+    // A tenth of the budget.
+    EXPECT_LE(total(&MemberTraffic::bytesSent) - before, fleet.size() * 5 * 800);
+}
+
+// Members 1 to 4 are alone in their data centres.
+TEST(MembershipStartTest, DataCentreOfOneMember_ChangeThere_ReachesAllInTime)
+{
+    MembershipFleet fleet(optionsFor(6));
+    fleet.startAll();
+    fleet.run(seconds(20));
+    ASSERT_TRUE(fleet.hasConverged());
+    fleet.setLifecycle(3, EndpointLifecycle::Draining);
+    const auto isDraining = [](const MemberRecord* record) { return record && record->endpoint.lifecycle == EndpointLifecycle::Draining; };
+    EXPECT_LT(fleet.runUntil([&] { return fleet.doAllSee(3, isDraining); }, spreadLimit), spreadLimit);
+}
+
 TEST_F(MembershipTest, OneWayLink_IndirectProbes_PreventSuspicion)
 {
     fleet.setReachability([](std::size_t from, std::size_t to) { return !(from == 1 && to == 2); });
--- a/Utilities/MembershipBench/MembershipFleet.cpp
+++ b/Utilities/MembershipBench/MembershipFleet.cpp
@@ -168,6 +168,8 @@
     traffic.bytesSent += datagram.bytes.size() + datagramHeaderBytes;
     ++traffic.datagramsSent;
     const auto target = m_byAddress.find(datagram.address);
+    if (target != m_byAddress.end() && target->second % dataCentres != member % dataCentres)
+        traffic.bytesSentAbroad += datagram.bytes.size() + datagramHeaderBytes;
     if (target == m_byAddress.end() || (m_isReachable && !m_isReachable(member, target->second)))
         return;
     const int copies = drawUniform() < m_options.duplication ? 2 : 1;
--- a/Utilities/MembershipBench/MembershipFleet.h
+++ b/Utilities/MembershipBench/MembershipFleet.h
@@ -16,6 +16,8 @@
 /// Traffic of one member; the bytes include UDP and IP headers.
 struct MemberTraffic {
     std::uint64_t bytesSent = 0;
+    /// The part of bytesSent that went to members in other data centres.
+    std::uint64_t bytesSentAbroad = 0;
     std::uint64_t bytesReceived = 0;
     std::uint64_t datagramsSent = 0;
 };
