Metrics: Count the bytes of the membership protocol by data centre, and show sent bytes in the command line

What operators saw: bytes between data centres were the largest price, and the metric of sent bytes lacked the kind that made up nine tenths of them; it took a trial with extra logs to find it.

Membership says of each datagram whether it goes to a member of its own data centre.

--- a/Source/cli/Commands.cpp
+++ b/Source/cli/Commands.cpp
@@ -92,6 +92,8 @@
         return trace();
     if (m_commandLine.command == "endpoints")
         return endpoints();
+    if (m_commandLine.command == "bytes")
+        return bytes();
     return setDraining(m_commandLine.command == "drain");
 }
 
@@ -300,10 +302,24 @@
     return ExitCode::Done;
 }
 
-ExitCode Commands::endpoints()
+Answer Commands::nodeStatus() const
 {
     const ControlClient node({ m_commandLine.node }, m_hooks.exchange);
-    const Answer answer = node.ask({ "GET", "/status", {}, {} });
+    return node.ask({ "GET", "/status", {}, {} });
+}
+
+ExitCode Commands::bytes()
+{
+    const Answer answer = nodeStatus();
+    if (!answer.isOk())
+        return fail(answer);
+    m_report.table(answer.body.value(Json::json_pointer("/traffic/sent_bytes"), Json::array()), { "kind", "same_data_centre", "other_data_centres" });
+    return ExitCode::Done;
+}
+
+ExitCode Commands::endpoints()
+{
+    const Answer answer = nodeStatus();
     if (!answer.isOk())
         return fail(answer);
     const Json services = answer.body.value(Json::json_pointer("/traffic/endpoints"), Json::object());
--- a/Source/cli/Commands.h
+++ b/Source/cli/Commands.h
@@ -42,6 +42,9 @@
     ExitCode replace();
     ExitCode trace();
     ExitCode endpoints();
+    ExitCode bytes();
+    /// Status of the node that the command names.
+    Answer nodeStatus() const;
     /// Name under which the store keeps this document: its service, or the reserved name of the routing document.
     Result<std::string> documentName(const std::string& text) const;
 
--- a/Source/coordination/membership/Membership.cpp
+++ b/Source/coordination/membership/Membership.cpp
@@ -387,10 +387,7 @@
         m_peers.add(after.node, m_random);
     if (!after.isPresent() && wasPresent)
         m_peers.remove(after.node);
-    if (after.isPresent() && after.dataCentre == m_settings.dataCentre)
-        m_localPeers.add(after.node, m_random);
-    else
-        m_localPeers.remove(after.node);
+    updateLocalPeer(before, after);
 
     if (after.health == MemberHealth::Suspect && after.isPresent()) {
         const std::size_t confirmers = m_peers.size() - 1;
@@ -402,6 +399,16 @@
         m_actions.push_back(MemberChanged { after });
 }
 
+void Membership::updateLocalPeer(const std::optional<MemberRecord>& before, const MemberRecord& after)
+{
+    if (before)
+        m_localAddresses.erase(before->gossipAddress);
+    if (!after.isPresent() || after.dataCentre != m_settings.dataCentre)
+        return m_localPeers.remove(after.node);
+    m_localPeers.add(after.node, m_random);
+    m_localAddresses.insert(after.gossipAddress);
+}
+
 void Membership::expireSuspicions()
 {
     for (const NodeId& node : m_suspicions.takeExpired(m_now)) {
@@ -539,7 +546,7 @@
     piggybackRumors(outgoing, encodeGossipMessage(outgoing, m_now).size());
     std::string bytes = encodeGossipMessage(outgoing, m_now);
     m_budget.spend(bytes.size() + datagramHeaderBytes, m_now);
-    m_actions.push_back(SendDatagram { address, std::move(bytes) });
+    m_actions.push_back(SendDatagram { address, std::move(bytes), m_localAddresses.count(address) > 0 });
 }
 
 // Fills the remaining space of a datagram with rumors about members and documents.
--- a/Source/coordination/membership/Membership.h
+++ b/Source/coordination/membership/Membership.h
@@ -13,6 +13,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -84,6 +85,8 @@
     void announceSelf(MemberRecord);
     void suspect(const NodeId&);
     void handleRecordChange(const std::optional<MemberRecord>& before, const MemberRecord& after);
+    /// Keeps the members of this data centre up to date.
+    void updateLocalPeer(const std::optional<MemberRecord>& before, const MemberRecord& after);
     void expireSuspicions();
 
     // Sending.
@@ -112,6 +115,7 @@
     PeerList m_peers;
     /// The members of m_peers in this member's data centre.
     PeerList m_localPeers;
+    std::set<SocketAddress> m_localAddresses;
     SuspicionTimers m_suspicions;
     FailureDetector m_failureDetector;
     RumorQueue<NodeId> m_rumors;
--- a/Source/coordination/membership/MembershipActions.h
+++ b/Source/coordination/membership/MembershipActions.h
@@ -14,6 +14,8 @@
 struct SendDatagram {
     SocketAddress address;
     std::string bytes;
+    /// True for a member that is known to be in the sender's data centre.
+    bool isLocal = false;
 };
 
 /// A member was added, or its health, incarnation, peer address or endpoint state changed.
--- a/Source/node/NodeControl.cpp
+++ b/Source/node/NodeControl.cpp
@@ -144,7 +144,9 @@
 
 void NodeControl::apply(const MembershipAction& action)
 {
-    if (const auto* changed = std::get_if<MemberChanged>(&action)) {
+    if (const auto* datagram = std::get_if<SendDatagram>(&action)) {
+        m_hooks.datagramSent(datagram->bytes.size(), datagram->isLocal);
+    } else if (const auto* changed = std::get_if<MemberChanged>(&action)) {
         logMember(memberEvent(changed->member), changed->member);
         m_hooks.memberChanged(changed->member);
     } else if (const auto* hint = std::get_if<NewerDocumentHint>(&action)) {
--- a/Source/node/NodeControl.h
+++ b/Source/node/NodeControl.h
@@ -30,6 +30,8 @@
 public:
     /// Functions that the owner provides: handlers of changes, and sources of metrics and status.
     struct Hooks {
+        /// A datagram of the membership protocol was sent; isLocal: to a member of the own data centre.
+        std::function<void(std::size_t bytes, bool isLocal)> datagramSent;
         std::function<void(const MemberRecord&)> memberChanged;
         std::function<void(const ServiceDocument&, const DocumentMessage& source)> documentChanged;
         std::function<void(const std::shared_ptr<const RoutingTable>&, const DocumentMessage& source)> routingChanged;
--- a/Source/node/NodeDaemon.cpp
+++ b/Source/node/NodeDaemon.cpp
@@ -103,6 +103,7 @@
 NodeControl::Hooks NodeDaemon::controlHooks()
 {
     NodeControl::Hooks hooks;
+    hooks.datagramSent = [this](std::size_t bytes, bool isLocal) { m_metrics.addPeerBytes(PeerTraffic::Membership, isLocal, bytes); };
     hooks.memberChanged = [this](const MemberRecord& member) {
         asio::post(m_trafficContext, [this, member] { m_traffic->gateway().setMember(member); });
     };
@@ -160,6 +161,8 @@
         nlohmann::json status = { { "sessions", m_traffic->gateway().sessionCount() }, { "calls", calls.calls }, { "answered", calls.answered },
             { "not_run", calls.notRun }, { "unknown", calls.unknown }, { "attempts", calls.attempts }, { "resends", calls.resends },
             { "endpoint_started", runs.started }, { "endpoint_idle", m_traffic->runner().isIdle() } };
+        for (const NodeMetrics::SentBytes& sent : m_metrics.sentBytes())
+            status["sent_bytes"].push_back({ { "kind", sent.kind }, { "same_data_centre", sent.sameDataCentre }, { "other_data_centres", sent.otherDataCentres } });
         for (const auto& [service, endpoints] : m_traffic->gateway().endpointStatus()) {
             for (const EndpointStatus& endpoint : endpoints)
                 status["endpoints"][service.value()].push_back(toJson(endpoint));
--- a/Source/node/NodeMetrics.cpp
+++ b/Source/node/NodeMetrics.cpp
@@ -57,13 +57,14 @@
     return { kind("call"), kind("repeat"), kind("resent"), kind("health_check") };
 }
 
+constexpr std::array<const char*, peerTrafficKinds> peerTrafficNames { "call", "answer", "outcome", "probe", "load_update", "document", "hello", "membership" };
+
 std::array<std::array<prometheus::Counter*, 2>, peerTrafficKinds> peerByteCounters(prometheus::Registry& registry)
 {
     std::array<std::array<prometheus::Counter*, 2>, peerTrafficKinds> counters {};
-    constexpr std::array<const char*, peerTrafficKinds> names { "call", "answer", "outcome", "probe", "load_update", "document", "hello" };
-    for (std::size_t kind = 0; kind < names.size(); ++kind) {
+    for (std::size_t kind = 0; kind < peerTrafficKinds; ++kind) {
         for (std::size_t where = 0; where < 2; ++where)
-            counters[kind][where] = &counter(registry, "knapweedquay_peer_bytes_sent_total", "Bytes of messages sent to other nodes", { { "kind", names[kind] }, { "data_centre", where == 0 ? "same" : "other" } });
+            counters[kind][where] = &counter(registry, "knapweedquay_peer_bytes_sent_total", "Bytes of messages sent to other nodes", { { "kind", peerTrafficNames[kind] }, { "data_centre", where == 0 ? "same" : "other" } });
     }
     return counters;
 }
@@ -248,6 +249,14 @@
     m_peerBytes[static_cast<std::size_t>(kind)][isSameDataCentre ? 0 : 1]->Increment(static_cast<double>(bytes));
 }
 
+std::vector<NodeMetrics::SentBytes> NodeMetrics::sentBytes() const
+{
+    std::vector<SentBytes> sent;
+    for (std::size_t kind = 0; kind < peerTrafficKinds; ++kind)
+        sent.push_back({ peerTrafficNames[kind], static_cast<std::uint64_t>(m_peerBytes[kind][0]->Value()), static_cast<std::uint64_t>(m_peerBytes[kind][1]->Value()) });
+    return sent;
+}
+
 void NodeMetrics::setLinks(std::size_t links)
 {
     gauge("knapweedquay_links_open", "Links that this node opened to other nodes").Set(static_cast<double>(links));
--- a/Source/node/NodeMetrics.h
+++ b/Source/node/NodeMetrics.h
@@ -99,6 +99,13 @@
 /// Counters and gauges may be set by any thread; the text is generated on the control thread.
 class NodeMetrics {
 public:
+    /// Bytes of one kind that were sent to other nodes.
+    struct SentBytes {
+        const char* kind;
+        std::uint64_t sameDataCentre;
+        std::uint64_t otherDataCentres;
+    };
+
     NodeMetrics();
     ~NodeMetrics();
 
@@ -124,6 +131,8 @@
     void setDroppedLines(std::uint64_t unread, std::uint64_t rateLimited);
     /// Counts bytes sent to another node.
     void addPeerBytes(PeerTraffic, bool isSameDataCentre, std::size_t bytes);
+    /// Bytes sent to other nodes since the start of the process, by kind.
+    std::vector<SentBytes> sentBytes() const;
     /// Sets the number of links that this node opened to other nodes.
     void setLinks(std::size_t);
     /// Adds processor time spent on sending and receiving probes.
--- a/Source/node/PeerTraffic.h
+++ b/Source/node/PeerTraffic.h
@@ -19,9 +19,11 @@
     LoadUpdate,
     /// Documents and requests for them.
     Document,
-    Hello
+    Hello,
+    /// Datagrams of the membership protocol.
+    Membership
 };
-constexpr std::size_t peerTrafficKinds = 7;
+constexpr std::size_t peerTrafficKinds = 8;
 
 PeerTraffic trafficOf(const PeerMessage&);
 
--- a/Source/transport/MembershipAgent.cpp
+++ b/Source/transport/MembershipAgent.cpp
@@ -29,8 +29,7 @@
     for (const MembershipAction& action : actions) {
         if (const auto* send = std::get_if<SendDatagram>(&action))
             m_socket.send(send->address, send->bytes);
-        else
-            m_hook(action);
+        m_hook(action);
     }
     scheduleTick();
 }
--- a/Source/transport/MembershipAgent.h
+++ b/Source/transport/MembershipAgent.h
@@ -16,7 +16,7 @@
 /// Runs the membership protocol of one process with a datagram socket and a timer.
 class MembershipAgent {
 public:
-    /// Called with every action except the sending of datagrams, which the agent does itself.
+    /// Called with every action. The agent has sent the datagrams itself.
     using ActionHook = std::function<void(const MembershipAction&)>;
 
     MembershipAgent(asio::io_context&, ActionHook);
--- a/Tests/cli/CommandsTest.cpp
+++ b/Tests/cli/CommandsTest.cpp
@@ -155,7 +155,7 @@
     answers.emplace("10.0.0.9:1 POST /return", okResponse({ { "node", "n" } }));
     answers.emplace("10.0.0.8:1 POST /return", okResponse({ { "node", "n" }, { "draining", true } }));
     const Json endpoints { { "dispatch", Json::array({ { { "node", "n" }, { "requests_per_second", 10.7 } } }) } };
-    answers.emplace("10.0.0.9:1 GET /status", okResponse({ { "traffic", { { "endpoints", endpoints } } } }));
+    answers.emplace("10.0.0.9:1 GET /status", okResponse({ { "traffic", { { "endpoints", endpoints }, { "sent_bytes", Json::array({ { { "kind", "membership" }, { "other_data_centres", 4711 } } }) } } } }));
     answers.emplace("10.0.0.1:1 DELETE /v1/replicas/12", problemResponse(ResultCode::NotLeader));
     answers.emplace("10.0.0.2:1 DELETE /v1/replicas/12", okResponse({ { "code", 0 } }));
     EXPECT_EQ(ExitCode::Done, run({ "drain", "--node", "10.0.0.9:1" }));
@@ -163,6 +163,8 @@
     EXPECT_EQ(ExitCode::Failed, run({ "undrain", "--node", "10.0.0.8:1" })) << "its backend server leaves";
     EXPECT_EQ(ExitCode::Done, run({ "endpoints", "--node", "10.0.0.9:1" }));
     EXPECT_NE(std::string::npos, output.str().find("10.7"));
+    EXPECT_EQ(ExitCode::Done, run({ "bytes", "--node", "10.0.0.9:1" }));
+    EXPECT_NE(std::string::npos, output.str().find("4711"));
     EXPECT_EQ(ExitCode::Done, run({ "replace", "12" }));
     EXPECT_TRUE(wasRequested("10.0.0.2:1 DELETE /v1/replicas/12"));
 }
--- a/Utilities/MembershipBench/MembershipFleet.cpp
+++ b/Utilities/MembershipBench/MembershipFleet.cpp
@@ -167,6 +167,8 @@
     MemberTraffic& traffic = m_members[member].traffic;
     traffic.bytesSent += datagram.bytes.size() + datagramHeaderBytes;
     ++traffic.datagramsSent;
+    if (datagram.isLocal)
+        traffic.bytesMarkedLocal += datagram.bytes.size() + datagramHeaderBytes;
     const auto target = m_byAddress.find(datagram.address);
     if (target != m_byAddress.end() && target->second % dataCentres != member % dataCentres)
         traffic.bytesSentAbroad += datagram.bytes.size() + datagramHeaderBytes;
--- a/Utilities/MembershipBench/MembershipFleet.h
+++ b/Utilities/MembershipBench/MembershipFleet.h
@@ -18,6 +18,8 @@
     std::uint64_t bytesSent = 0;
     /// The part of bytesSent that went to members in other data centres.
     std::uint64_t bytesSentAbroad = 0;
+    /// The part of bytesSent that the member took for local.
+    std::uint64_t bytesMarkedLocal = 0;
     std::uint64_t bytesReceived = 0;
     std::uint64_t datagramsSent = 0;
 };
