Tests: Read the sent vote requests once

The test of the first pre-vote ended with a segmentation fault, in each run, since its commit: the fixture's sent() empties the list, and the test called it twice. With the former election deadline it fails now (no request within 300 ms), and it passes with the present one.

--- a/Tests/state/ReplicatedLogTest.cpp
+++ b/Tests/state/ReplicatedLogTest.cpp
@@ -135,8 +135,9 @@
     m_now += 300ms;
     m_log->tick(m_now);
     processActions();
-    ASSERT_EQ(2u, sent<VoteRequest>().size());
-    EXPECT_TRUE(sent<VoteRequest>().front().preVote);
+    const std::vector<VoteRequest> requests = sent<VoteRequest>();
+    ASSERT_EQ(2u, requests.size());
+    EXPECT_TRUE(requests.front().preVote);
     EXPECT_EQ(Term(1), m_log->term());
 }
 
