Transport: Answer the requests that have arrived when a server stops

It could happen here, in three ways, each with a test that failed: the system had established the connection but the process had not accepted it when the listener was closed; the next request waited unread on an idle connection; a request had arrived in part. And the process ended 20 ms after the listener had closed if no call was in progress, with requests still on their way on new connections.

A server that stops accepts what is established first, and closes only connections whose last request was answered and on which no byte waits. The three tests pass, and those of HttpPairTest as before.

--- a/Source/node/NodeDaemon.cpp
+++ b/Source/node/NodeDaemon.cpp
@@ -18,6 +18,8 @@
 
 /// Interval between checks for calls in progress during shutdown.
 constexpr Duration idleCheckInterval { 20000 };
+/// Time from the end of accepting to the first such check, for requests that are on their way on accepted connections.
+constexpr Duration lastRequestsTime { 250000 };
 
 /// Milliseconds since 1970, so that each start of a node has a greater incarnation without storing the previous one.
 Incarnation newIncarnation()
@@ -48,7 +50,7 @@
     , m_drainTimer(m_controlContext, [this] {
         m_control->leave();
         asio::post(m_trafficContext, [this] { m_traffic->drain(); });
-        m_idleTimer.setAfter(idleCheckInterval);
+        m_idleTimer.setAfter(lastRequestsTime);
     })
 {
 }
--- a/Source/transport/HttpServer.cpp
+++ b/Source/transport/HttpServer.cpp
@@ -100,6 +100,8 @@
 private:
     /// Accepts connections until the server is stopped.
     void accept();
+    /// Accepts the connections that the system has established already.
+    void acceptEstablished();
     /// Starts to read an accepted connection, or drops it when there are too many.
     void addConnection(asio::ip::tcp::socket);
     /// Checks the timeouts of all connections.
@@ -142,7 +144,7 @@
     void read();
     /// Closes the connection or refuses the request when a timeout has expired.
     void checkTimeouts(TimePoint now);
-    /// Closes the connection unless a request is in progress or a response is being written.
+    /// Closes the connection if its last request was answered and no byte of another one has arrived.
     void closeIfIdle();
     /// Closes the connection without access to the server, which is being destroyed.
     void detach();
@@ -187,6 +189,8 @@
     /// Total size of the bodies of the unanswered requests of this connection.
     std::size_t m_pendingBodyBytes = 0;
     bool m_isReading = false;
+    /// True once a request was received.
+    bool m_hasRequested = false;
     /// True while a request has been received only in part.
     bool m_isInRequest = false;
     /// True while the headers of that request are complete but its body is not.
@@ -301,6 +305,7 @@
 
 void HttpServer::Implementation::Connection::addRequest()
 {
+    m_hasRequested = true;
     m_isLastRequest = !m_parser.keepsConnection();
     const ExchangePtr exchange(new Exchange(ConnectionPtr(this), m_parser.takeRequest()));
     const std::size_t bytes = exchange->request().body.size();
@@ -408,7 +413,9 @@
 
 void HttpServer::Implementation::Connection::closeIfIdle()
 {
-    if (m_exchanges.empty() && m_writing.empty() && m_output.empty())
+    asio::error_code error;
+    const bool hasUnreadBytes = m_socket.available(error) > 0 || !m_input.empty() || m_isInRequest;
+    if (m_hasRequested && m_exchanges.empty() && m_writing.empty() && m_output.empty() && !hasUnreadBytes)
         close();
 }
 
@@ -487,6 +494,17 @@
     });
 }
 
+void HttpServer::Implementation::acceptEstablished()
+{
+    asio::error_code error;
+    m_acceptor.non_blocking(true, error);
+    while (!error) {
+        asio::ip::tcp::socket socket = m_acceptor.accept(error);
+        if (!error)
+            addConnection(std::move(socket));
+    }
+}
+
 void HttpServer::Implementation::addConnection(asio::ip::tcp::socket socket)
 {
     // The socket is closed on return when the server has its maximum number of connections.
@@ -513,6 +531,8 @@
 {
     m_isStopped = true;
     m_closesAfterResponses = true;
+    // The system resets the connections that it has established but the process has not accepted.
+    acceptEstablished();
     asio::error_code ignored;
     m_acceptor.close(ignored);
     const std::vector<ConnectionPtr> keptAlive(m_connections.begin(), m_connections.end());
--- a/Source/transport/HttpServer.h
+++ b/Source/transport/HttpServer.h
@@ -81,8 +81,8 @@
     /// Makes each connection close after the responses to its requests in progress, announced by "Connection: close".
     /// New connections are still accepted.
     void closeAfterResponses();
-    /// Stops accepting connections and closes the idle ones. A connection with a request in progress is closed after
-    /// the response.
+    /// Stops accepting connections and closes the idle ones. A connection whose request is in progress, is arriving or has
+    /// not arrived yet, because the connection is new, is closed after the response.
     void stop();
     /// Port that the server listens on, once started.
     std::uint16_t port() const;
--- a/Tests/transport/HttpPairTest.cpp
+++ b/Tests/transport/HttpPairTest.cpp
@@ -253,6 +253,55 @@
     EXPECT_NE(std::string::npos, receive().find("HTTP/1.1 408"));
 }
 
+// A planned stop reset connections that the system had established but the server had not accepted yet.
+TEST_F(HttpServerTest, Stop_ConnectionsJustEstablishedWithRequests_AreAnswered)
+{
+    start();
+    std::vector<Tcp::socket> sockets;
+    for (int caller = 0; caller < 20; ++caller) {
+        sockets.emplace_back(m_context);
+        sockets.back().connect({ asio::ip::make_address("127.0.0.1"), m_server->port() });
+        asio::write(sockets.back(), asio::buffer(std::string("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx")));
+    }
+    m_server->stop();
+    ASSERT_TRUE(waitForRequests(sockets.size()));
+    for (const HttpExchangePtr& exchange : m_requests)
+        exchange->respond({ 200, {}, "whole" });
+    for (Tcp::socket& socket : sockets) {
+        m_socket = std::move(socket);
+        EXPECT_NE(std::string::npos, receive().find("whole"));
+    }
+}
+
+// A request that waited unread on an idle connection was cut off by the stop.
+TEST_F(HttpServerTest, Stop_NextRequestHasArrivedOnAnIdleConnection_IsAnswered)
+{
+    const std::string request = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+    start();
+    send(request);
+    ASSERT_TRUE(waitForRequests(1));
+    m_requests[0]->respond({ 200, {}, "first" });
+    receive("first");
+    send(request);
+    m_server->stop();
+    ASSERT_TRUE(waitForRequests(2));
+    m_requests[1]->respond({ 200, {}, "second" });
+    EXPECT_NE(std::string::npos, receive().find("second"));
+}
+
+// The rest of a request may still be on its way.
+TEST_F(HttpServerTest, Stop_RequestHasArrivedInPart_IsAnswered)
+{
+    start();
+    send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbo");
+    m_context.run_for(50ms);
+    m_server->stop();
+    send("dy");
+    ASSERT_TRUE(waitForRequests(1));
+    m_requests[0]->respond({ 200, {}, "whole" });
+    EXPECT_NE(std::string::npos, receive().find("whole"));
+}
+
 TEST_F(HttpServerTest, Stop_PipelinedRequestsInProgress_ClosesAfterLastResponseOnly)
 {
     start();
