--- a/Source/control/RoutingStore.h
+++ b/Source/control/RoutingStore.h
@@ -18,7 +18,8 @@
 ///
 /// A change carries its base version, and of two changes with the same base version only one is accepted. A resent
 /// change that was accepted before is accepted again at every replica that has applied it. A replica that does not lead
-/// passes a change on to the leader. A read is answered once a quorum round that began after the read's arrival proves that this replica lacks no accepted change.
+/// passes a change on to the leader. A read is answered once a quorum round that began after the read's arrival proves that
+/// this replica lacks no accepted change.
 class RoutingStore {
 public:
     /// Receives the text, empty when there is no routing document yet. Errors: NoQuorum, Overloaded.
