Control: Refuse changes at once where there has long been no leader

What operators would have seen: since changes wait for a leader, a try at the smaller side of a split got its 503 after 0.8 s, where it came at once before.

A replica that has known no leader for a second, twice what an election takes, refuses changes at once, and those that wait. The new test fails without that (0.82 s).

--- a/Source/control/RoutingStore.cpp
+++ b/Source/control/RoutingStore.cpp
@@ -138,6 +138,7 @@
 
 void RoutingStore::tickChanges(TimePoint now)
 {
+    m_waitingChanges.setHasLeader(!m_service.leaderAddress().empty(), now);
     if (m_waitingChanges.isEmpty())
         return;
     // The commit of a change may arrive before the leader's answer.
--- a/Source/control/WaitingChanges.cpp
+++ b/Source/control/WaitingChanges.cpp
@@ -10,6 +10,8 @@
 
 /// Operators' clients try another replica after 1 second.
 constexpr Duration answerTimeout { 800000 };
+/// Time without a leader after which none is expected soon; an election takes up to half of it.
+constexpr Duration maximumElectionTime { 1000000 };
 /// Time until a change is sent again to a replica that could not handle it.
 constexpr Duration retryInterval { 100000 };
 constexpr std::size_t maximumChanges = 64;
@@ -23,11 +25,24 @@
 
 void WaitingChanges::add(const RoutingChange& change, const ChangeId& id, const RoutingChangeHandler& handler, TimePoint now)
 {
+    if (isLeaderlessForLong(now))
+        return handler(Error { ResultCode::NoQuorum, "no replica leads the store" });
     if (m_entries.size() >= maximumChanges)
         return handler(Error { ResultCode::Overloaded, "too many changes wait for the leader" });
     m_entries.push_back({ ++m_lastRequest, change, id, handler, now, {}, now });
 }
 
+void WaitingChanges::setHasLeader(bool hasLeader, TimePoint now)
+{
+    if (hasLeader || !m_leaderSeenAt)
+        m_leaderSeenAt = now;
+}
+
+bool WaitingChanges::isLeaderlessForLong(TimePoint now) const
+{
+    return m_leaderSeenAt && now - *m_leaderSeenAt > maximumElectionTime;
+}
+
 void WaitingChanges::forward(const std::string& leader, TimePoint now)
 {
     if (leader.empty() || !m_forward)
@@ -62,7 +77,8 @@
 
 void WaitingChanges::expire(const std::string& leader, TimePoint now)
 {
-    for (const Entry& entry : take([now](const Entry& waiting) { return now - waiting.arrivedAt > answerTimeout; })) {
+    const bool isLeaderless = isLeaderlessForLong(now);
+    for (const Entry& entry : take([now, isLeaderless](const Entry& waiting) { return isLeaderless || now - waiting.arrivedAt > answerTimeout; })) {
         if (leader.empty())
             entry.handler(Error { ResultCode::NoQuorum, "no replica led the store in time" });
         else
--- a/Tests/control/RoutingStoreTest.cpp
+++ b/Tests/control/RoutingStoreTest.cpp
@@ -284,6 +284,19 @@
     EXPECT_LE(time, Duration(900ms));
 }
 
+// An operator whose try met the smaller side of a split waited there for nearly a second.
+TEST_F(RoutingStoresTest, NoLeaderForLong_ChangeIsRefusedAtOnce)
+{
+    const std::size_t alone = (leader() + 1) % replicaCount;
+    for (std::size_t index = 0; index < replicaCount; ++index)
+        m_replicas[index].isCut = index != alone;
+    const TimePoint cutAt = m_now;
+    runUntil([this, cutAt] { return m_now - cutAt > 3s; });
+    const auto [code, time] = change(alone, routingText(3), 0);
+    EXPECT_EQ(ResultCode::NoQuorum, code);
+    EXPECT_LE(time, Duration(20ms));
+}
+
 TEST_F(RoutingStoresTest, ManyChanges_WithoutALeader_AreBounded)
 {
     for (Replica& replica : m_replicas)
