--- a/Source/control/ControlDaemon.cpp
+++ b/Source/control/ControlDaemon.cpp
@@ -168,7 +168,11 @@
         return service.error();
     m_service = std::move(service.value());
     m_subscriptions = std::make_unique<NodeSubscriptions>(*m_service);
-    m_routing = std::make_unique<RoutingStore>(*m_service, m_settings.parseRouting, RoutingStore::Hooks { steadyNow, [this] { scheduleFlush(); }, [this](const std::string& leader, const RoutingChangeMessage& message) { sendToReplica(leader, message); } });
+    RoutingStore::Hooks routingHooks;
+    routingHooks.now = steadyNow;
+    routingHooks.flush = [this] { scheduleFlush(); };
+    routingHooks.forward = [this](const std::string& leader, const RoutingChangeMessage& message) { sendToReplica(leader, message); };
+    m_routing = std::make_unique<RoutingStore>(*m_service, m_settings.parseRouting, std::move(routingHooks));
     m_operators = std::make_unique<OperatorInterface>(*m_service, *m_subscriptions, m_settings, [this] { scheduleFlush(); });
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
--- a/Tests/coordination/MembershipTest.cpp
+++ b/Tests/coordination/MembershipTest.cpp
@@ -185,10 +185,10 @@
     fleet.run(seconds(5));
     // A tenth of the budget.
     EXPECT_LE(total(&MemberTraffic::bytesSent) - before, fleet.size() * 5 * 800);
-    const auto differently = [&total] { return total(&MemberTraffic::bytesSent) - total(&MemberTraffic::bytesSentAbroad) - total(&MemberTraffic::bytesMarkedLocal); };
-    const std::uint64_t beforeAllWereKnown = differently();
+    const auto takenForDistant = [&total] { return total(&MemberTraffic::bytesSent) - total(&MemberTraffic::bytesSentAbroad) - total(&MemberTraffic::bytesMarkedLocal); };
+    const std::uint64_t beforeAllWereKnown = takenForDistant();
     fleet.run(seconds(5));
-    EXPECT_EQ(beforeAllWereKnown, differently()) << "bytes to members of the own data centre are marked so";
+    EXPECT_EQ(beforeAllWereKnown, takenForDistant()) << "bytes to members of the own data centre are marked so";
 }
 
 // Members 1 to 4 are alone in their data centres.
