--- a/Tests/processes/ControlStoreTest.cpp
+++ b/Tests/processes/ControlStoreTest.cpp
@@ -7,6 +7,7 @@
 #include <filesystem>
 #include <fstream>
 #include <future>
+#include <sstream>
 
 namespace Knapweedquay::Load {
 
@@ -58,6 +59,20 @@
         return { std::istreambuf_iterator<char>(file), {} };
     }
 
+    /// The lines of all logs that tell of a change of the leader.
+    std::string leaderChanges()
+    {
+        std::string found;
+        for (std::size_t index = 0; index < m_deployment->controlCount(); ++index) {
+            std::istringstream lines(readLog(index));
+            for (std::string line; std::getline(lines, line);) {
+                if (line.find("leader changed") != std::string::npos)
+                    found += std::to_string(index) + ": " + line + "\n";
+            }
+        }
+        return found;
+    }
+
     std::size_t waitForLeader()
     {
         EXPECT_TRUE(waitUntil([this] { return leader() >= 0; }, waitTimeout));
@@ -261,8 +276,11 @@
     startStore(3);
     const std::size_t leading = waitForLeader();
     constexpr std::uint64_t changes = 500;
-    for (std::uint64_t version = 0; version < changes; ++version)
-        ASSERT_EQ(accepted, put(leading, "dispatch", version, "dispatch-" + std::to_string(version)).status);
+    for (std::uint64_t version = 0; version < changes; ++version) {
+        const HttpMessage answer = put(leading, "dispatch", version, "dispatch-" + std::to_string(version));
+        ASSERT_EQ(accepted, answer.status) << answer.body << "\n"
+                                           << leaderChanges();
+    }
     for (std::size_t index = 0; index < 3; ++index)
         m_deployment->control(index).kill();
     const auto begin = std::chrono::steady_clock::now();
