--- a/Tests/coordination/OutgoingCallTest.cpp
+++ b/Tests/coordination/OutgoingCallTest.cpp
@@ -22,6 +22,16 @@
         handle(EndpointChosen { NodeId("a"), Incarnation(1) });
     }
 
+    /// Begins an idempotent call and lets the time pass after which it is hedged.
+    void beginUntilHedge()
+    {
+        m_parameters.isIdempotent = true;
+        m_parameters.hedgeDelay = Duration(1000);
+        begin();
+        handle(AttemptAccepted { attempt(1) });
+        advance(Duration(1000));
+    }
+
     void handle(const CallEvent& event)
     {
         for (auto& action : m_call->handle(event, m_now))
@@ -163,11 +173,7 @@
 
 TEST_F(OutgoingCallTest, SlowIdempotentCall_HedgeAnswersFirst_OtherIsCancelled)
 {
-    m_parameters.isIdempotent = true;
-    m_parameters.hedgeDelay = Duration(1000);
-    begin();
-    handle(AttemptAccepted { attempt(1) });
-    advance(Duration(1000));
+    beginUntilHedge();
     EXPECT_TRUE(last<ChooseEndpoint>().isHedge);
     handle(EndpointChosen { NodeId("b"), Incarnation(1) });
     handle(AttemptAnswered { attempt(2), std::make_shared<const std::string>("answer") });
@@ -178,11 +184,7 @@
 // What an endpoint's node refuses has not reached the backend server, so it isn't an extra attempt there.
 TEST_F(OutgoingCallTest, HedgeRefusedByItsNode_Budgets_GetItBack)
 {
-    m_parameters.isIdempotent = true;
-    m_parameters.hedgeDelay = Duration(1000);
-    begin();
-    handle(AttemptAccepted { attempt(1) });
-    advance(Duration(2000));
+    beginUntilHedge();
     const double before = m_retries.available(m_now);
     handle(EndpointChosen { NodeId("b"), Incarnation(1) });
     handle(AttemptRefused { attempt(2), { ResultCode::Overloaded } });
@@ -208,11 +210,7 @@
 
 TEST_F(OutgoingCallTest, HedgeRefusedByTheBackendServer_Budgets_StayCharged)
 {
-    m_parameters.isIdempotent = true;
-    m_parameters.hedgeDelay = Duration(1000);
-    begin();
-    handle(AttemptAccepted { attempt(1) });
-    advance(Duration(2000));
+    beginUntilHedge();
     const double before = m_retries.available(m_now);
     handle(EndpointChosen { NodeId("b"), Incarnation(1) });
     handle(AttemptRefused { attempt(2), { ResultCode::BackendRefused } });
@@ -222,11 +220,7 @@
 TEST_F(OutgoingCallTest, SlowIdempotentCall_HedgeBudgetExhausted_IsNotHedged)
 {
     while (m_hedges.tryTake(m_now)) { }
-    m_parameters.isIdempotent = true;
-    m_parameters.hedgeDelay = Duration(1000);
-    begin();
-    handle(AttemptAccepted { attempt(1) });
-    advance(Duration(1000));
+    beginUntilHedge();
     EXPECT_EQ(1u, count<ChooseEndpoint>());
 }
 
