--- a/Source/coordination/placing/EndpointChooser.cpp
+++ b/Source/coordination/placing/EndpointChooser.cpp
@@ -132,9 +132,9 @@
             return trial->record.id();
     }
     auto eligible = candidates(excluded, Pool::Subset);
+    const auto isSaturated = [&](const Endpoint* endpoint) { return endpoint->record.isSaturated(priority, now); };
     // Endpoints outside the subset have no recent report and perhaps no link, so they serve only what the subset can't.
-    const bool isSubsetFull = std::all_of(eligible.begin(), eligible.end(), [&](const Endpoint* endpoint) { return endpoint->record.isSaturated(priority, now); });
-    if (eligible.empty() || (isSubsetFull && !excluded.empty()))
+    if (eligible.empty() || (!excluded.empty() && std::all_of(eligible.begin(), eligible.end(), isSaturated)))
         eligible = candidates(excluded, Pool::All);
     if (eligible.empty())
         eligible = candidates(excluded, Pool::Ejected);
