--- a/Source/coordination/attempts/OutgoingCall.cpp
+++ b/Source/coordination/attempts/OutgoingCall.cpp
@@ -76,7 +76,7 @@
     }
     if (m_attempts.empty())
         m_firstSentAt = m_now;
-    m_attempts.push_back({ m_nextAttemptId(), chosen.node, chosen.incarnation, AttemptState::Sent, m_now, false, std::exchange(m_tookExtra, false), std::exchange(m_tookHedge, false) });
+    m_attempts.push_back({ m_nextAttemptId(), chosen.node, chosen.incarnation, AttemptState::Sent, m_now, false, std::exchange(m_taken, {}) });
     send(m_attempts.back(), false);
 }
 
@@ -84,7 +84,7 @@
 {
     if (!std::exchange(m_isAwaitingEndpoint, false))
         return;
-    giveBack(std::exchange(m_tookExtra, false), std::exchange(m_tookHedge, false));
+    giveBack(std::exchange(m_taken, {}));
     // After an attempt, the refusal of that attempt is more informative to the caller.
     if (m_attempts.empty())
         m_refusal = event.refusal;
@@ -137,7 +137,7 @@
     attempt->state = AttemptState::NotRun;
     attempt->reachedBackend = event.refusal.code == ResultCode::BackendRefused;
     if (!attempt->reachedBackend)
-        giveBack(std::exchange(attempt->tookExtra, false), std::exchange(attempt->tookHedge, false));
+        giveBack(std::exchange(attempt->taken, {}));
     m_refusal = event.refusal;
     if (!hasOutstanding())
         tryRetryAfterRefusal(event.refusal);
@@ -256,8 +256,7 @@
     m_hasHedged = true;
     if (!hasTimeLeft() || !m_budgets.extra.canTake(m_now) || !m_budgets.hedges.tryTake(m_now))
         return;
-    m_tookHedge = true;
-    m_tookExtra = m_budgets.extra.tryTake(m_now);
+    m_taken = { m_budgets.extra.tryTake(m_now), true };
     requestEndpoint(true);
 }
 
@@ -328,16 +327,16 @@
 
 void OutgoingCall::tryExtraAttempt()
 {
-    m_tookExtra = m_budgets.extra.tryTake(m_now);
-    if (m_tookExtra)
+    m_taken.extra = m_budgets.extra.tryTake(m_now);
+    if (m_taken.extra)
         requestEndpoint(false);
 }
 
-void OutgoingCall::giveBack(bool tookExtra, bool tookHedge)
+void OutgoingCall::giveBack(const TakenBudgets& taken)
 {
-    if (tookExtra)
+    if (taken.extra)
         m_budgets.extra.giveBack(m_now);
-    if (tookHedge)
+    if (taken.hedge)
         m_budgets.hedges.giveBack(m_now);
 }
 
--- a/Source/coordination/attempts/OutgoingCall.h
+++ b/Source/coordination/attempts/OutgoingCall.h
@@ -83,6 +83,12 @@
         /// May have run; the call does not wait for its outcome.
         Unknown };
 
+    /// What an attempt took from the budgets.
+    struct TakenBudgets {
+        bool extra = false;
+        bool hedge = false;
+    };
+
     /// An attempt of the call and the latest that this node knows about it.
     struct Attempt {
         AttemptId id;
@@ -94,9 +100,7 @@
         TimePoint acceptanceDeadline;
         /// The backend server itself refused the attempt, which therefore counts against the limit on attempts.
         bool reachedBackend = false;
-        /// What the attempt took from the budgets.
-        bool tookExtra = false;
-        bool tookHedge = false;
+        TakenBudgets taken;
     };
 
     void on(const CallStarted&);
@@ -130,7 +134,7 @@
     /// Takes an extra attempt from the budget and requests an endpoint for it, if there is one left.
     void tryExtraAttempt();
     /// Returns to the budgets what an attempt has taken.
-    void giveBack(bool tookExtra, bool tookHedge);
+    void giveBack(const TakenBudgets&);
     bool canStartAttempt() const;
     bool hasTimeLeft() const;
     void finishIfNoneOutstanding();
@@ -160,8 +164,7 @@
     bool m_isAwaitingEndpoint = false;
     bool m_hasHedged = false;
     /// What the endpoint being chosen is for has taken from the budgets.
-    bool m_tookExtra = false;
-    bool m_tookHedge = false;
+    TakenBudgets m_taken;
     bool m_isCallerDisconnected = false;
     TimePoint m_firstSentAt;
     /// End of the wait in phase Cancelling.
