--- a/Source/coordination/presence/BackendState.cpp
+++ b/Source/coordination/presence/BackendState.cpp
@@ -119,7 +119,7 @@
     return now - std::max(m_checkSentAt, m_respondedAt.value_or(TimePoint::min())) >= limitedCheckInterval(*m_requestLimit);
 }
 
-bool BackendState::isLimitCheckDue(TimePoint now) const
+bool BackendState::mustAskForLimit(TimePoint now) const
 {
     if (m_isCheckPending || !m_requestLimit || m_hasCheckedLimit)
         return false;
--- a/Source/coordination/presence/BackendState.h
+++ b/Source/coordination/presence/BackendState.h
@@ -57,9 +57,9 @@
 
     /// Returns whether a health check is due.
     bool isCheckDue(bool isReachable, TimePoint now) const;
-    /// Returns whether a health check is due although calls take all that the limit allows: none was answered since the limit
-    /// was first named. Only a health check that is known to name the limit can tell its end once no calls come.
-    bool isLimitCheckDue(TimePoint now) const;
+    /// Returns whether a health check must be sent although calls take all that the limit allows: none was answered since the
+    /// limit was first named. Only a health check that is known to name the limit can tell its end once no calls come.
+    bool mustAskForLimit(TimePoint now) const;
     void checkSent(TimePoint now);
     void checkEnded() { m_isCheckPending = false; }
 
--- a/Source/node/BackendMonitor.cpp
+++ b/Source/node/BackendMonitor.cpp
@@ -93,7 +93,7 @@
     if (report.startsToLeave)
         m_hooks.leaving();
     resumeStarts();
-    if (m_state.isLimitCheckDue(now))
+    if (m_state.mustAskForLimit(now))
         checkHealth();
 }
 
@@ -147,7 +147,7 @@
     if (!m_backend || !m_queue || m_healthPath.empty())
         return;
     const bool isDue = m_state.isCheckDue(m_reachability.isReachable(), now) && m_queue->allowsRequest(now);
-    if (!isDue && !m_state.isLimitCheckDue(now))
+    if (!isDue && !m_state.mustAskForLimit(now))
         return;
     m_state.checkSent(now);
     m_queue->countRequest(now);
--- a/Source/node/ControlSubscription.h
+++ b/Source/node/ControlSubscription.h
@@ -18,8 +18,8 @@
 /// Keeps this node subscribed to one control replica whose documents are provably recent.
 ///
 /// A replica proves freshness by the age of its last quorum round. If it cannot, because it is partitioned or frozen, or
-/// if the connection to it does not open soon, the node disconnects and connects to the next replica in the list. Versions in force never decrease, whatever a
-/// replica sends. It has no clock, timer or socket of its own.
+/// if the connection to it does not open soon, the node disconnects and connects to the next replica in the list. Versions
+/// in force never decrease, whatever a replica sends. It has no clock, timer or socket of its own.
 class ControlSubscription {
 public:
     /// Functions that provide clock and links, and that handle what the control replica sends.
--- a/Source/state/RoutingDocument.cpp
+++ b/Source/state/RoutingDocument.cpp
@@ -16,8 +16,8 @@
 constexpr std::size_t maximumRanks = 32;
 /// Minimum share of the capacity that each priority except the most urgent keeps under load from more urgent ones.
 constexpr double reservedShare = 0.05;
-/// Retries and hedges of one node per call. Together they use three quarters of what a service accepts from all its
-/// callers, because the calls that a repeated run makes are repeats as well.
+/// Retries and hedges of one node per call. Together they use nine tenths of what a service accepts from all its callers; the
+/// calls that a repeated run makes are taken from the same budget.
 constexpr double retryShare = 0.06;
 constexpr double hedgeShare = 0.12;
 /// Probes provide a node with the load of endpoints that it does not currently call.
--- a/Tests/coordination/BackendStateTest.cpp
+++ b/Tests/coordination/BackendStateTest.cpp
@@ -106,21 +106,21 @@
 // Calls took each request that the limit allowed, so the first health check came after the end of the limit.
 TEST_F(BackendStateReportTest, LimitNamedToACall_HealthCheckIsDueWhateverCallsTake_AtMostAQuarterOfTheLimit)
 {
-    EXPECT_FALSE(m_state.isLimitCheckDue(m_now));
+    EXPECT_FALSE(m_state.mustAskForLimit(m_now));
     m_state.checkSent(m_now);
     limit("1");
-    EXPECT_FALSE(m_state.isLimitCheckDue(m_now)) << "a check is pending";
+    EXPECT_FALSE(m_state.mustAskForLimit(m_now)) << "a check is pending";
     m_state.checkEnded();
     limit(HttpHeaders {}, ResponseTo::HealthCheck);
-    EXPECT_TRUE(m_state.isLimitCheckDue(m_now)) << "the check was sent before the limit was named";
+    EXPECT_TRUE(m_state.mustAskForLimit(m_now)) << "the check was sent before the limit was named";
     m_state.checkSent(m_now);
     m_state.checkEnded();
-    EXPECT_FALSE(m_state.isLimitCheckDue(m_now + 3s));
-    EXPECT_TRUE(m_state.isLimitCheckDue(m_now + 4s)) << "the check failed";
+    EXPECT_FALSE(m_state.mustAskForLimit(m_now + 3s));
+    EXPECT_TRUE(m_state.mustAskForLimit(m_now + 4s)) << "the check failed";
     m_state.checkSent(m_now + 4s);
     m_state.checkEnded();
     limit("1", ResponseTo::HealthCheck);
-    EXPECT_FALSE(m_state.isLimitCheckDue(m_now + 1min));
+    EXPECT_FALSE(m_state.mustAskForLimit(m_now + 1min));
     limit(HttpHeaders {}, ResponseTo::HealthCheck);
     EXPECT_FALSE(m_state.requestLimit());
 }
