Control: Read a waiting change once, and give its steps one entrance

A change that waited was parsed a second time when its commit arrived, only for the version in its text; it is kept now, so the leader's answer needn't carry it either. Passing on and giving up were always called one after the other; tick() does both. A check for a hook that is always set there is gone.

--- a/Source/control/ControlDaemon.cpp
+++ b/Source/control/ControlDaemon.cpp
@@ -319,14 +319,8 @@
     if (!m_extension.handle)
         return;
     m_routing->changeAsLeader({ message.text, message.baseVersion, message.author }, [this, id, request = message.request](const Result<std::uint64_t>& result) {
-        RoutingChangeAnswerMessage answer;
-        answer.request = request;
-        answer.code = result.has_error() ? result.error().code : ResultCode::Ok;
-        if (result.has_error())
-            answer.detail = result.error().detail;
-        else
-            answer.version = result.value();
-        m_subscriptions->send(id, answer);
+        const Error error = result.has_error() ? result.error() : Error { ResultCode::Ok, {} };
+        m_subscriptions->send(id, RoutingChangeAnswerMessage { request, error.code, error.detail });
     });
 }
 
--- a/Source/control/RoutingStore.cpp
+++ b/Source/control/RoutingStore.cpp
@@ -89,7 +89,7 @@
     const auto routing = m_parse(change.text);
     if (routing.has_error())
         return handler(routing.error());
-    m_waitingChanges.add(change, id, handler, m_hooks.now());
+    m_waitingChanges.add(change, id, routing.value().version, handler, m_hooks.now());
     tickChanges(m_hooks.now());
 }
 
@@ -142,11 +142,13 @@
     if (m_waitingChanges.isEmpty())
         return;
     // The commit of a change may arrive before the leader's answer.
-    const bool canAcceptNow = canAccept();
-    for (const auto& entry : m_waitingChanges.take([&](const WaitingChanges::Entry& waiting) { return canAcceptNow || isAccepted(waiting.id); }))
-        changeAsLeader(entry.change, entry.handler);
-    m_waitingChanges.forward(otherLeader(), now);
-    m_waitingChanges.expire(otherLeader(), now);
+    for (const auto& entry : m_waitingChanges.take([this](const WaitingChanges::Entry& waiting) { return isAccepted(waiting.id); }))
+        entry.handler(entry.version);
+    if (canAccept()) {
+        for (const auto& entry : m_waitingChanges.take([](const WaitingChanges::Entry&) { return true; }))
+            changeAsLeader(entry.change, entry.handler);
+    }
+    m_waitingChanges.tick(m_service.isLeading() ? std::string() : m_service.leaderAddress(), now);
 }
 
 void RoutingStore::read(ReadHandler handler)
--- a/Source/control/RoutingStore.h
+++ b/Source/control/RoutingStore.h
@@ -68,8 +68,6 @@
     bool canAccept() const;
     /// Submits a change that fits the version in force. version: the version in its text.
     void submit(const RoutingChange&, const ChangeId&, std::uint64_t version, const RoutingChangeHandler&);
-    /// Link address of the leader if it is another replica, otherwise empty.
-    std::string otherLeader() const { return m_service.isLeading() ? std::string() : m_service.leaderAddress(); }
     void tickChanges(TimePoint now);
     /// True if this replica has applied an accepted change with this id.
     bool isAccepted(const ChangeId&) const;
--- a/Source/control/WaitingChanges.cpp
+++ b/Source/control/WaitingChanges.cpp
@@ -23,13 +23,13 @@
 {
 }
 
-void WaitingChanges::add(const RoutingChange& change, const ChangeId& id, const RoutingChangeHandler& handler, TimePoint now)
+void WaitingChanges::add(const RoutingChange& change, const ChangeId& id, std::uint64_t version, const RoutingChangeHandler& handler, TimePoint now)
 {
     if (isLeaderlessForLong(now))
         return handler(Error { ResultCode::NoQuorum, "no replica leads the store" });
     if (m_entries.size() >= maximumChanges)
         return handler(Error { ResultCode::Overloaded, "too many changes wait for the leader" });
-    m_entries.push_back({ ++m_lastRequest, change, id, handler, now, {}, now });
+    m_entries.push_back({ ++m_lastRequest, change, id, version, handler, now, {}, now });
 }
 
 void WaitingChanges::setHasLeader(bool hasLeader, TimePoint now)
@@ -43,10 +43,15 @@
     return m_leaderSeenAt && now - *m_leaderSeenAt > maximumElectionTime;
 }
 
+void WaitingChanges::tick(const std::string& leader, TimePoint now)
+{
+    if (!leader.empty())
+        forward(leader, now);
+    expire(leader, now);
+}
+
 void WaitingChanges::forward(const std::string& leader, TimePoint now)
 {
-    if (leader.empty() || !m_forward)
-        return;
     for (Entry& entry : m_entries) {
         if (entry.forwardedTo == leader || now < entry.forwardAt)
             continue;
@@ -69,7 +74,7 @@
     }
     for (const Entry& entry : take([&answer](const Entry& waiting) { return waiting.request == answer.request; })) {
         if (answer.code == ResultCode::Ok)
-            entry.handler(answer.version);
+            entry.handler(entry.version);
         else
             entry.handler(Error { answer.code, answer.detail });
     }
--- a/Source/control/WaitingChanges.h
+++ b/Source/control/WaitingChanges.h
@@ -29,6 +29,8 @@
         std::uint64_t request = 0;
         RoutingChange change;
         ChangeId id;
+        /// Version in the text of the change.
+        std::uint64_t version = 0;
         RoutingChangeHandler handler;
         TimePoint arrivedAt;
         /// Link address of the replica that the change was sent to and has not refused to handle; empty for none.
@@ -41,22 +43,22 @@
 
     /// Takes a change that this replica cannot accept now. Fails with Overloaded if too many wait, and with NoQuorum if there
     /// has been no leader for longer than an election takes, as on the smaller side of a split.
-    void add(const RoutingChange&, const ChangeId&, const RoutingChangeHandler&, TimePoint now);
+    void add(const RoutingChange&, const ChangeId&, std::uint64_t version, const RoutingChangeHandler&, TimePoint now);
     /// Registers whether a replica leads, this one or another.
     void setHasLeader(bool hasLeader, TimePoint now);
-    /// Sends the changes to the leader that it has not received from this replica. leader: its link address; empty when
-    /// no other replica is known to lead.
-    void forward(const std::string& leader, TimePoint now);
+    /// Sends the changes to the leader that it has not received from this replica, then fails those that have waited too long, or
+    /// all if there has been no leader for long. leader: its link address; empty when no other replica is known to lead.
+    void tick(const std::string& leader, TimePoint now);
     /// Handles the leader's answer to a change.
     void answer(const RoutingChangeAnswerMessage&, TimePoint now);
-    /// Fails the changes that have waited too long, or all if there has been no leader for long. leader: as above.
-    void expire(const std::string& leader, TimePoint now);
     /// Removes and returns the changes that the predicate selects.
     std::list<Entry> take(const std::function<bool(const Entry&)>& isSelected);
     bool isEmpty() const { return m_entries.empty(); }
 
 private:
     bool isLeaderlessForLong(TimePoint now) const;
+    void forward(const std::string& leader, TimePoint now);
+    void expire(const std::string& leader, TimePoint now);
 
     ForwardHook m_forward;
     /// When a replica was last known to lead, or since when none has been; not set before the first call.
--- a/Source/protocol/ControlMessages.cpp
+++ b/Source/protocol/ControlMessages.cpp
@@ -222,7 +222,6 @@
 {
     fields.push_back(message.request);
     fields.push_back(static_cast<std::uint16_t>(message.code));
-    fields.push_back(message.version);
     fields.push_back(cborBytes(message.detail));
 }
 
@@ -230,7 +229,6 @@
 {
     message.request = reader.unsignedInteger();
     message.code = readCode(reader);
-    message.version = reader.unsignedInteger();
     message.detail = reader.bytes();
 }
 
--- a/Source/protocol/ControlMessages.h
+++ b/Source/protocol/ControlMessages.h
@@ -129,8 +129,6 @@
     std::uint64_t request = 0;
     /// Ok when the change was accepted; NotLeader or NoQuorum when it may be sent again.
     ResultCode code = ResultCode::NotLeader;
-    /// Version of the accepted document.
-    std::uint64_t version = 0;
     /// Reason of a refusal.
     std::string detail;
 };
--- a/Tests/control/RoutingStoreTest.cpp
+++ b/Tests/control/RoutingStoreTest.cpp
@@ -103,9 +103,7 @@
             const auto message = std::get<RoutingChangeMessage>(decodeControlMessage(encode(sent)).value());
             post(index, std::stoul(address), [this, index, address, message](Replica& receiver) {
                 receiver.store->changeAsLeader({ message.text, message.baseVersion, message.author }, [this, index, address, message](const Result<std::uint64_t>& result) {
-                    RoutingChangeAnswerMessage answer { message.request, ResultCode::Ok, 0, {} };
-                    answer.code = result.has_error() ? result.error().code : ResultCode::Ok;
-                    answer.version = result.has_error() ? 0 : result.value();
+                    const RoutingChangeAnswerMessage answer { message.request, result.has_error() ? result.error().code : ResultCode::Ok, {} };
                     if (!m_loseAnswers)
                         post(std::stoul(address), index, [bytes = encode(answer)](Replica& sender) { sender.store->leaderAnswered(std::get<RoutingChangeAnswerMessage>(decodeControlMessage(bytes).value())); });
                 });
