Node: Tell that the backend server crashed and which requests it was running

- Event 409 and knapweedquay_backend_crashes_total for each crash, 410 for each request that was lost in it, with a digest that is equal for repetitions of a request (service, method, host, target, caller, body; BLAKE2b by libsodium, the body's part is computed while it arrives).
- Event 623 tells whether the request was sent once more.

No decision changes. A crash is told from a connection that a server closes by the next connection, which it refuses, or by the announcement of another run.

--- a/Source/node/BackendMonitor.cpp
+++ b/Source/node/BackendMonitor.cpp
@@ -2,6 +2,7 @@
 
 #include "transport/Logger.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace Knapweedquay {
@@ -20,6 +21,8 @@
 /// Shortest time between two log lines about changes of the limit, and between two about unreadable headers.
 constexpr Duration stateLogInterval { 1000000 };
 constexpr std::size_t maximumLoggedValueBytes = 64;
+/// Requests of one crash that are logged.
+constexpr std::size_t maximumLoggedRequests = 32;
 
 } // namespace
 
@@ -45,6 +48,8 @@
     if (!isNewRun)
         return;
     ++m_run;
+    if (m_crashDetector.runReplaced(steadyNow()))
+        reportCrash();
     m_state.reset();
     if (m_queue)
         m_queue->setRequestRate(std::nullopt, steadyNow());
@@ -176,6 +181,10 @@
 {
     const bool wasReachable = m_reachability.isReachable();
     const bool isRefused = !outcome.succeeded && !outcome.failure.mayHaveRun && outcome.failure.error.code == ResultCode::ConnectionFailed;
+    if (outcome.succeeded)
+        m_crashDetector.responseReceived(now);
+    if (outcome.failure.isRefused && m_crashDetector.connectionRefused(now))
+        reportCrash();
     if (isRefused)
         m_reachability.connectionRefused(now);
     else if (outcome.succeeded || outcome.failure.mayHaveRun)
@@ -186,6 +195,28 @@
     m_hooks.changed();
 }
 
+void BackendMonitor::requestLost(LostRequest request, TimePoint now)
+{
+    if (m_crashDetector.requestLost(std::move(request), now))
+        reportCrash();
+}
+
+void BackendMonitor::reportCrash()
+{
+    const CrashDetector::Crash crash = m_crashDetector.takeCrash();
+    if (crash.requests.empty())
+        return;
+    const std::string instance = m_lastBackend.instance;
+    if (std::exchange(m_reportedCrash, crash.number) != crash.number) {
+        m_metrics.backendCrashed();
+        log(LogEvent::BackendCrashed, { { "instance", instance }, { "address", m_lastBackend.address }, { "crash", std::to_string(crash.number) }, { "requests", std::to_string(crash.requests.size()) } });
+    }
+    for (std::size_t index = 0; index < std::min(crash.requests.size(), maximumLoggedRequests); ++index) {
+        const LostRequest& request = crash.requests[index];
+        log(LogEvent::RequestLostInCrash, { { "instance", instance }, { "crash", std::to_string(crash.number) }, { "request", request.requestId }, { "digest", toText(request.digest) }, { "target", request.target.substr(0, maximumLoggedValueBytes) }, { "ran_us", std::to_string(request.ran.count()) } });
+    }
+}
+
 void BackendMonitor::logUnreadHeaders(const HttpResponse& response)
 {
     for (const std::string& name : m_unreadHeaders.add(response.headers))
--- a/Source/node/BackendMonitor.h
+++ b/Source/node/BackendMonitor.h
@@ -3,6 +3,7 @@
 #include "coordination/admission/AdmissionQueue.h"
 #include "coordination/presence/BackendReachability.h"
 #include "coordination/presence/BackendState.h"
+#include "coordination/presence/CrashDetector.h"
 #include "coordination/presence/UnreadHeaders.h"
 #include "node/LocalBackend.h"
 #include "node/NodeMetrics.h"
@@ -53,6 +54,8 @@
     void responseReceived(const HttpResponse&, std::uint64_t run, TimePoint now);
     /// Updates the reachability of the backend server after any request.
     void requestEnded(const HttpClient::Outcome&, TimePoint now);
+    /// Records a call whose connection ended before its response; call it before requestEnded().
+    void requestLost(LostRequest, TimePoint now);
 
     bool isReachable() const { return m_reachability.isReachable(); }
     /// Returns whether a call may be sent, see BackendReachability.
@@ -63,6 +66,8 @@
     void apply(const HttpResponse&, BackendState::ResponseTo, std::uint64_t run, TimePoint now);
     void applyLoad(const BackendLoad&, bool isFirst, TimePoint now);
     void logState(const BackendState::Report&, TimePoint now);
+    /// Logs and counts the latest crash, or the requests that are now known to be lost in it.
+    void reportCrash();
     /// Logs the names of headers that this node does not read, each once.
     void logUnreadHeaders(const HttpResponse&);
     /// Starts no calls until the backend server has told its state in a first response, which a health check asks for. A run
@@ -90,6 +95,9 @@
     bool m_isConfigurationProved = false;
     BackendReachability m_reachability;
     BackendState m_state;
+    CrashDetector m_crashDetector;
+    /// Number of the latest crash that was reported.
+    std::uint64_t m_reportedCrash = 0;
     UnreadHeaders m_unreadHeaders;
     /// Next times at which a change of the limit and an unreadable header may be logged.
     TimePoint m_limitLoggedUntil;
--- a/Source/node/CallRequestParser.cpp
+++ b/Source/node/CallRequestParser.cpp
@@ -109,6 +109,7 @@
         call.requestId = *id;
     call.request.method = source.method;
     call.request.body = source.body;
+    call.request.bodyDigest = source.bodyDigest;
     for (const HttpHeader& header : source.headers) {
         if (!isHopByHopHeader(header.name) && !isConsumedHeader(header.name, names))
             call.request.headers.push_back(header);
--- a/Source/node/CallTrace.cpp
+++ b/Source/node/CallTrace.cpp
@@ -45,7 +45,7 @@
     case LogEvent::AttemptStarted:
         return { "queued_us", "running", "limit", "slowdown_percent" };
     case LogEvent::AttemptEnded:
-        return { "status", "code", "service_us", "slowdown_percent" };
+        return { "status", "code", "service_us", "resent" };
     default:
         return { "", "", "", "" };
     }
--- a/Source/node/EndpointRunner.cpp
+++ b/Source/node/EndpointRunner.cpp
@@ -37,6 +37,12 @@
     return status >= firstServerErrorStatus ? BackendOutcome::Failed : BackendOutcome::Succeeded;
 }
 
+/// True if the connection of a request ended before its response.
+bool isLost(const HttpClient::Outcome& outcome)
+{
+    return !outcome.succeeded && (outcome.failure.mayHaveRun || outcome.wasResent) && outcome.failure.error.code != ResultCode::TimedOut;
+}
+
 } // namespace
 
 EndpointRunner::EndpointRunner(asio::io_context& context, NodeIdentity self, Settings settings, HttpClient& client, ReplyHook reply, NodeMetrics& metrics)
@@ -182,6 +188,7 @@
     job->message = *m_currentRequest;
     if (const std::string* id = findHeader(m_currentRequest->request.headers, m_settings.headers.requestId))
         job->requestId = *id;
+    job->digest = digestOf(job->message.service, job->message.request, m_settings.headers.callerService);
     job->connection = m_currentConnection;
     job->deadline = now + m_currentRequest->remaining;
     job->receivedAt = now;
@@ -226,7 +233,7 @@
     // have received no answer, so the attempt is traced as failed.
     const TimePoint now = steadyNow();
     const bool isLate = job->targetLeft(now) < Duration::zero();
-    finishTrace(*job, LogEvent::AttemptEnded, { 0, static_cast<std::int64_t>(ResultCode::CancelledBeforeStart), (now - job->startedAt).count(), m_queue->slowdownPercent() }, isLate);
+    finishTrace(*job, LogEvent::AttemptEnded, { 0, static_cast<std::int64_t>(ResultCode::CancelledBeforeStart), (now - job->startedAt).count(), false }, isLate);
     m_client.cancel(job->request);
     finish(job, BackendOutcome::Abandoned);
     perform(m_fates.recordUnknownOutcome(action.attempt, ResultCode::OutcomeUnknown, steadyNow()));
@@ -381,11 +388,13 @@
 {
     const TimePoint now = steadyNow();
     const AttemptId attempt = job->message.attempt;
+    if (isLost(outcome) && !m_isDraining)
+        m_monitor.requestLost({ job->digest, job->requestId, job->message.request.target, now - job->startedAt }, now);
     m_monitor.requestEnded(outcome, now);
     const std::int64_t status = outcome.succeeded ? outcome.response.status : 0;
     const std::int64_t code = outcome.succeeded ? 0 : static_cast<std::int64_t>(outcome.failure.error.code);
     const bool isLate = job->targetLeft(now) < Duration::zero();
-    finishTrace(*job, LogEvent::AttemptEnded, { status, code, (now - job->startedAt).count(), m_queue ? m_queue->slowdownPercent() : 0 }, !outcome.succeeded || status >= firstServerErrorStatus || isLate);
+    finishTrace(*job, LogEvent::AttemptEnded, { status, code, (now - job->startedAt).count(), outcome.wasResent }, !outcome.succeeded || status >= firstServerErrorStatus || isLate);
     if (outcome.succeeded) {
         handleResponse(job, outcome.response, now);
     } else if (outcome.failure.mayHaveRun) {
--- a/Source/node/EndpointRunner.h
+++ b/Source/node/EndpointRunner.h
@@ -100,6 +100,7 @@
         CallRequestMessage message;
         /// Request id set by the caller; empty if there is none.
         std::string requestId;
+        RequestDigest digest;
         /// Connection over which the attempt was last received; replies are sent over it.
         ConnectionId connection;
         /// Time by which the answer is needed, from the remaining time in the message.
--- a/Source/node/NodeMetrics.cpp
+++ b/Source/node/NodeMetrics.cpp
@@ -174,6 +174,7 @@
 NodeMetrics::NodeMetrics()
     : m_registry(std::make_shared<prometheus::Registry>())
     , m_endpointStarts(&counter(*m_registry, "knapweedquay_endpoint_starts_total", "Attempts started at the backend server beside this node"))
+    , m_backendCrashes(&counter(*m_registry, "knapweedquay_backend_crashes_total", "Times that the backend server beside this node ended while it ran requests"))
     , m_backendRequests(backendRequestCounters(*m_registry))
     , m_peerBytes(peerByteCounters(*m_registry))
     , m_measurementTime(&counter(*m_registry, "knapweedquay_measurement_cpu_seconds_total", "Processor time spent on sending and reading probes"))
@@ -228,6 +229,11 @@
     m_rejections.increment(code);
 }
 
+void NodeMetrics::backendCrashed()
+{
+    m_backendCrashes->Increment();
+}
+
 void NodeMetrics::attemptStarted(Duration waited)
 {
     m_waits->Observe(toSeconds(waited));
--- a/Source/node/NodeMetrics.h
+++ b/Source/node/NodeMetrics.h
@@ -123,6 +123,7 @@
     /// Counts an attempt for the local backend server that this node refused.
     void attemptRejected(ResultCode);
     /// Records the time from the admission of an attempt to its start.
+    void backendCrashed();
     void attemptStarted(Duration waited);
     /// Records the service time of an attempt that the backend server answered successfully.
     void attemptSucceeded(Duration serviceTime);
@@ -153,6 +154,7 @@
     /// Owns the metrics that the pointers below refer to.
     std::shared_ptr<prometheus::Registry> m_registry;
     prometheus::Counter* m_endpointStarts;
+    prometheus::Counter* m_backendCrashes;
     /// By BackendRequestKind.
     std::array<prometheus::Counter*, 4> m_backendRequests;
     /// By PeerTraffic; the first of each pair counts bytes to the same data centre, the second those to others.
--- a/Source/protocol/HttpMessage.h
+++ b/Source/protocol/HttpMessage.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "protocol/RequestDigest.h"
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -23,6 +25,8 @@
     std::string target;
     HttpHeaders headers;
     std::string body;
+    /// Digest of the body, if it was computed while the body arrived.
+    std::optional<RequestDigest> bodyDigest = std::nullopt;
 };
 
 /// A complete HTTP response.
--- a/Source/protocol/LogEvent.cpp
+++ b/Source/protocol/LogEvent.cpp
@@ -42,6 +42,8 @@
     { LogEvent::BackendLimitChanged, LogLevel::Info, "backend server changed the limit of its requests" },
     { LogEvent::BackendStateUnreadable, LogLevel::Warning, "unreadable header of the backend server ignored" },
     { LogEvent::HealthResponseTooLarge, LogLevel::Warning, "response to a health check cut off" },
+    { LogEvent::BackendCrashed, LogLevel::Warning, "backend server ended while it ran requests" },
+    { LogEvent::RequestLostInCrash, LogLevel::Info, "request lost when the backend server ended" },
     { LogEvent::CallAccepted, LogLevel::Info, "call accepted" },
     { LogEvent::EndpointChosen, LogLevel::Info, "endpoint chosen" },
     { LogEvent::AttemptRefused, LogLevel::Info, "attempt refused by the endpoint's node" },
--- a/Source/protocol/LogEvent.h
+++ b/Source/protocol/LogEvent.h
@@ -49,6 +49,8 @@
     BackendLimitChanged = 406,
     BackendStateUnreadable = 407,
     HealthResponseTooLarge = 408,
+    BackendCrashed = 409,
+    RequestLostInCrash = 410,
 
     // 6xx: calls, at the node that accepted them (61x) and at the endpoint's node (62x).
     CallAccepted = 610,
--- a/Source/transport/HttpClient.cpp
+++ b/Source/transport/HttpClient.cpp
@@ -178,6 +178,7 @@
     void process();
     void handleResponse();
     /// Closes the connection and reports the failure to the client.
+    void failExchange(Failure);
     void failExchange(ResultCode, const std::string& reason, bool isTooLarge = false);
 
     Implementation* m_client;
@@ -228,8 +229,11 @@
     m_socket.async_connect({ ip, address.value().port }, [self = ConnectionPtr(this)](const asio::error_code& failure) {
         if (!self->isAlive())
             return;
-        if (failure)
-            return self->failExchange(ResultCode::ConnectionFailed, "cannot connect to " + self->m_server + ": " + failure.message());
+        if (failure) {
+            Failure reason { { ResultCode::ConnectionFailed, "cannot connect to " + self->m_server + ": " + failure.message() } };
+            reason.isRefused = failure == asio::error::connection_refused;
+            return self->failExchange(std::move(reason));
+        }
         configureStream(self->m_socket);
         const auto entry = self->m_client->m_exchanges.find(self->m_exchange);
         if (entry != self->m_client->m_exchanges.end())
@@ -342,10 +346,18 @@
 }
 
 void HttpClient::Implementation::Connection::failExchange(ResultCode code, const std::string& reason, bool isTooLarge)
+{
+    Failure failure { { code, reason } };
+    failure.isTooLarge = isTooLarge;
+    failExchange(std::move(failure));
+}
+
+void HttpClient::Implementation::Connection::failExchange(Failure failure)
 {
     const ConnectionPtr keptAlive(this);
     close();
-    m_client->handleConnectionFailure(*this, { { code, reason }, m_hasSent, isTooLarge });
+    failure.mayHaveRun = m_hasSent;
+    m_client->handleConnectionFailure(*this, failure);
 }
 
 void HttpClient::Implementation::Connection::close()
@@ -496,6 +508,7 @@
     if (entry == m_exchanges.end())
         return;
     const Hook hook = std::move(entry->second.hook);
+    outcome.wasResent = entry->second.wasResent;
     m_exchanges.erase(entry);
     hook(std::move(outcome));
 }
--- a/Source/transport/HttpClient.h
+++ b/Source/transport/HttpClient.h
@@ -47,6 +47,8 @@
         /// The server sent more than a response may have: a larger head or body, or one response after another that is not the
         /// one to this request.
         bool isTooLarge = false;
+        /// The server refused the connection, so no process listens at its address.
+        bool isRefused = false;
     };
 
     /// Result of a request: the response if succeeded is true, otherwise the failure.
@@ -54,6 +56,8 @@
         bool succeeded = false;
         HttpResponse response;
         Failure failure;
+        /// The request was sent once more on a new connection, see Options::allowsResend.
+        bool wasResent = false;
     };
     /// Called with the result of a request.
     using Hook = std::function<void(Outcome)>;
--- a/Source/transport/HttpParser.cpp
+++ b/Source/transport/HttpParser.cpp
@@ -75,6 +75,7 @@
     m_target.clear();
     m_headers.clear();
     m_body.clear();
+    m_bodyDigest.reset();
     return continueParsing;
 }
 
@@ -130,6 +131,11 @@
     if (m_body.size() + bytes.size() > m_limits.bodyBytes)
         return fail(Failure::BodyTooLarge);
     m_body.append(bytes);
+    if (m_parser.type == HTTP_REQUEST) {
+        if (!m_bodyDigest)
+            m_bodyDigest = std::make_unique<DigestBuilder>();
+        m_bodyDigest->add(bytes);
+    }
     return continueParsing;
 }
 
@@ -151,7 +157,10 @@
 
 HttpRequest HttpParser::takeRequest()
 {
-    return { std::move(m_method), std::move(m_target), std::move(m_headers), std::move(m_body) };
+    HttpRequest request { std::move(m_method), std::move(m_target), std::move(m_headers), std::move(m_body) };
+    if (m_bodyDigest)
+        request.bodyDigest = m_bodyDigest->finish();
+    return request;
 }
 
 HttpResponse HttpParser::takeResponse()
--- a/Source/transport/HttpParser.h
+++ b/Source/transport/HttpParser.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -112,6 +113,8 @@
     std::string m_target;
     HttpHeaders m_headers;
     std::string m_body;
+    /// Digest of the body of a request; null until its first byte.
+    std::unique_ptr<DigestBuilder> m_bodyDigest;
 };
 
 } // namespace Knapweedquay
--- a/cmake/Dependencies.cmake
+++ b/cmake/Dependencies.cmake
@@ -11,6 +11,7 @@
 find_library(HTTP_PARSER_LIBRARY http_parser REQUIRED)
 find_library(XXHASH_LIBRARY xxhash REQUIRED)
 find_library(ZSTD_LIBRARY zstd REQUIRED)
+find_library(SODIUM_LIBRARY sodium REQUIRED)
 
 # websocketpp and http_parser, with standalone Asio. Their headers are system headers, so that this project's warning
 # options apply to its own code only.
