Tests: Send requests that crash the backend servers that run them

The stand-in ends its process while it runs a request of a given path and body, and comes back as another instance.

--- a/Utilities/Load/BackendMain.cpp
+++ b/Utilities/Load/BackendMain.cpp
@@ -23,6 +23,11 @@
     description.add_options()("queue", po::value(&options.maximumQueue), "maximum number of requests that wait for a slot");
     description.add_options()("seed", po::value(&options.seed), "seed of the service times");
     description.add_options()("service-time", po::value(&options.serviceTimes), "prefix=distribution:mean in ms; exponential, lognormal or constant; repeatable");
+    description.add_options()("instance", po::value(&options.instance), "name of the instance to announce; the start time is added to it");
+    description.add_options()("crash-path", po::value(&options.crashPath), "path of requests that end this process while they run");
+    description.add_options()("crash-caller", po::value(&options.crashCaller), "only with this caller service");
+    description.add_options()("crash-body", po::value(&options.crashBody), "only with this body");
+    description.add_options()("crash-delay", po::value(&options.crashDelayMs), "time from the start of such a request to the end, in ms");
     description.add_options()("record", po::value(&options.recordFile), "file to which the id of every started request is appended");
     return description;
 }
--- a/Utilities/Load/Deployment.cpp
+++ b/Utilities/Load/Deployment.cpp
@@ -179,6 +179,10 @@
         "--record", pathOf(name + ".record") };
     for (const std::string& rule : node.plan.serviceTimes)
         command.insert(command.end(), { "--service-time", rule });
+    if (!node.plan.crashPath.empty())
+        command.insert(command.end(), { "--instance", name, "--crash-path", node.plan.crashPath });
+    if (!node.plan.crashBody.empty())
+        command.insert(command.end(), { "--crash-body", node.plan.crashBody });
     if (node.plan.isBackendForwarded) {
         node.backendLink = forwardTo(node.addresses.backend);
         command.insert(command.end(), { "--announce", node.backendLink.address });
--- a/Utilities/Load/Deployment.h
+++ b/Utilities/Load/Deployment.h
@@ -32,6 +32,9 @@
     std::size_t slots = 12;
     /// Values of the backend server's --service-time.
     std::vector<std::string> serviceTimes;
+    /// Path and body of the requests that end the backend server; empty as in BackendOptions.
+    std::string crashPath;
+    std::string crashBody;
     /// Value of choice.policy in the node's settings.
     std::string policy = "predicted";
     /// False for a node without a backend server, which only sends calls to others.
--- a/Utilities/Load/StandInBackend.cpp
+++ b/Utilities/Load/StandInBackend.cpp
@@ -4,6 +4,7 @@
 #include "protocol/CallHeaders.h"
 
 #include <algorithm>
+#include <cstdlib>
 
 namespace Knapweedquay::Load {
 
@@ -19,6 +20,7 @@
 constexpr std::chrono::milliseconds idleCheckInterval { 20 };
 /// Time after the leave during which calls may still arrive that the node sent before it processed the leave.
 constexpr std::chrono::seconds leaveGrace { 1 };
+constexpr int crashExitCode = 70;
 
 HttpMessage jsonRequest(const std::string& target, const nlohmann::json& body)
 {
@@ -108,6 +110,13 @@
     m_running.insert(call);
     m_record.add(call->request.query("id"));
     m_lastStart = Clock::now();
+    if (isCrashing(call->request)) {
+        call->timer.expires_after(std::chrono::milliseconds(m_options.crashDelayMs));
+        return call->timer.async_wait([](const asio::error_code& error) {
+            if (!error)
+                std::_Exit(crashExitCode);
+        });
+    }
     call->timer.expires_after(drawTime(call->request.path()));
     call->timer.async_wait([this, call](const asio::error_code& error) {
         if (!error)
@@ -115,6 +124,14 @@
     });
 }
 
+bool StandInBackend::isCrashing(const HttpMessage& request) const
+{
+    if (m_options.crashPath.empty() || request.path() != m_options.crashPath)
+        return false;
+    const bool isCaller = m_options.crashCaller.empty() || request.header("knapweedquay-caller-service") == m_options.crashCaller;
+    return isCaller && (m_options.crashBody.empty() || request.body == m_options.crashBody);
+}
+
 std::chrono::microseconds StandInBackend::drawTime(const std::string& path)
 {
     double factor = m_modes.slowdown;
@@ -252,7 +269,9 @@
     if (m_leaveTime)
         return;
     const std::string address = m_options.announcedAddress.empty() ? "127.0.0.1:" + std::to_string(port()) : m_options.announcedAddress;
-    const nlohmann::json body { { "service", m_options.service }, { "address", address }, { "slots", m_options.slots }, { "started_at", m_startedAt } };
+    nlohmann::json body { { "service", m_options.service }, { "address", address }, { "slots", m_options.slots }, { "started_at", m_startedAt } };
+    if (!m_options.instance.empty())
+        body["instance"] = m_options.instance + "-" + std::to_string(m_startedAt);
     m_client.send(m_options.node, jsonRequest("/announce", body), announceTimeout, [](ExchangeFailure, const HttpMessage&) {});
     m_announceTimer.expires_after(announceInterval);
     m_announceTimer.async_wait([this](const asio::error_code& error) {
--- a/Utilities/Load/StandInBackend.h
+++ b/Utilities/Load/StandInBackend.h
@@ -37,6 +37,15 @@
     std::vector<std::string> serviceTimes;
     /// File of the execution record; empty for none.
     std::string recordFile;
+    /// Name of the instance, announced with a suffix that differs for each start; empty to announce none.
+    std::string instance;
+    /// Path of requests that end the process soon after they begin to run; empty for none.
+    std::string crashPath;
+    /// Only requests with this caller and this body do so, unless empty.
+    std::string crashCaller;
+    std::string crashBody;
+    /// Time from the start of such a request to the end of the process.
+    std::uint64_t crashDelayMs = 60;
 };
 
 /// A backend server for tests and measurement, with slots, a queue, random service times and fault injection.
@@ -59,6 +68,8 @@
     void handle(HttpMessage, const std::shared_ptr<HttpConnection>&);
     void handleControl(const HttpMessage&, const std::shared_ptr<HttpConnection>&);
     void answerHealthCheck(const std::shared_ptr<HttpConnection>&);
+    /// True if the request ends the process when it runs.
+    bool isCrashing(const HttpMessage&) const;
     void startQueued();
     void start(const CallPointer&);
     void finish(const CallPointer&);
