HttpClient: Report a request as possibly run if its server ended before the second sending

Cause: a request whose pooled connection ended within 100 ms was sent once more. If the server had ended, the new connection was refused, and that failure alone was reported: no byte sent, so "not run". The origin then placed the call again at once, outside of the budget and of the limit. After: a third or later attempt only of calls whose earlier ones did not run.

--- a/Source/node/BackendMonitor.cpp
+++ b/Source/node/BackendMonitor.cpp
@@ -180,7 +180,7 @@
 void BackendMonitor::requestEnded(const HttpClient::Outcome& outcome, TimePoint now)
 {
     const bool wasReachable = m_reachability.isReachable();
-    const bool isRefused = !outcome.succeeded && !outcome.failure.mayHaveRun && outcome.failure.error.code == ResultCode::ConnectionFailed;
+    const bool isRefused = !outcome.succeeded && (outcome.failure.isRefused || outcome.failure.error.code == ResultCode::ConnectionFailed);
     if (outcome.succeeded)
         m_crashDetector.responseReceived(now);
     if (outcome.failure.isRefused && m_crashDetector.connectionRefused(now))
--- a/Source/node/EndpointRunner.cpp
+++ b/Source/node/EndpointRunner.cpp
@@ -40,7 +40,7 @@
 /// True if the connection of a request ended before its response.
 bool isLost(const HttpClient::Outcome& outcome)
 {
-    return !outcome.succeeded && (outcome.failure.mayHaveRun || outcome.wasResent) && outcome.failure.error.code != ResultCode::TimedOut;
+    return !outcome.succeeded && outcome.failure.mayHaveRun && outcome.failure.error.code != ResultCode::TimedOut;
 }
 
 } // namespace
--- a/Source/transport/HttpClient.cpp
+++ b/Source/transport/HttpClient.cpp
@@ -492,7 +492,13 @@
         exchange.wasResent = true;
         return startExchange(exchange);
     }
-    fail(exchange.id, failure);
+    if (!exchange.wasResent || failure.mayHaveRun)
+        return fail(exchange.id, failure);
+    // The first connection ended after the request was sent on it, possibly because the server ended while it ran the request.
+    Failure afterResend = failure;
+    afterResend.mayHaveRun = true;
+    afterResend.error = { ResultCode::AnswerIncomplete, "the connection ended before the answer, and no new one opened: " + failure.error.detail };
+    fail(exchange.id, std::move(afterResend));
 }
 
 void HttpClient::Implementation::fail(RequestId id, Failure failure)
--- a/Source/transport/HttpClient.h
+++ b/Source/transport/HttpClient.h
@@ -42,7 +42,7 @@
     /// Why a request ended without a complete response.
     struct Failure {
         Error error;
-        /// False only when no byte of the request can have reached the server.
+        /// False only when no byte of the request can have reached the server, on any connection.
         bool mayHaveRun = true;
         /// The server sent more than a response may have: a larger head or body, or one response after another that is not the
         /// one to this request.
--- a/Tests/transport/HttpPairTest.cpp
+++ b/Tests/transport/HttpPairTest.cpp
@@ -447,6 +447,26 @@
     }
 }
 
+TEST_F(HttpClientTest, PooledConnection_EndsWithItsServer_FailsAsPossiblyRun)
+{
+    m_handlers.emplace_back([](Tcp::socket& socket, const std::string&) { reply(socket, response("a", "first")); });
+    send("a");
+    ASSERT_TRUE(waitForOutcome());
+    m_handlers.emplace_back([this](Tcp::socket& socket, const std::string&) {
+        m_acceptor.close();
+        socket.set_option(asio::socket_base::linger(true, 0));
+        socket.close();
+    });
+    HttpClient::Options options;
+    options.allowsResend = [] { return true; };
+    send("b", options);
+    ASSERT_TRUE(waitForOutcome());
+    EXPECT_TRUE(m_outcome->wasResent);
+    EXPECT_TRUE(m_outcome->failure.isRefused);
+    EXPECT_TRUE(m_outcome->failure.mayHaveRun);
+    EXPECT_EQ(ResultCode::AnswerIncomplete, m_outcome->failure.error.code);
+}
+
 TEST_F(HttpClientTest, PooledConnection_EndsLongAfterTheRequest_IsNotResent)
 {
     m_handlers.emplace_back([](Tcp::socket& socket, const std::string&) { reply(socket, response("a", "first")); });
