--- a/Source/cli/CommandLine.cpp
+++ b/Source/cli/CommandLine.cpp
@@ -35,6 +35,8 @@
     { "drain", "", false, "stop new calls to the backend server of a node", "Needs --node, the admin address of the node.\n" },
     { "undrain", "", false, "resume calls to the backend server of a node", "Needs --node, the admin address of the node.\n" },
     { "bytes", "", false, "print the bytes that a node has sent to others, by kind", "Needs --node, the admin address of the node. Bytes between data centres cost money; which kind rises tells why.\n" },
+    { "held", "", false, "print the requests that a node refuses because backend servers crashed while they ran them", "Needs --node, the admin address of the node. The digest is that of the log events 410 to 414.\n" },
+    { "release", "DIGEST", true, "let a held request run again, at all nodes", "Needs --node, the admin address of any node, which tells the others.\n" },
     { "endpoints", "", false, "print what a node knows of each endpoint: load, limit, drain", "Needs --node, the admin address of the node. requests_per_second is the limit that the backend server named.\n" },
     { "trace", "REQUEST", false, "print the logged events of one request in the order of time", "Reads the log files given with --log. Contacts no server.\n" },
     { "replace", "REPLICA", false, "remove a lost control replica from the store", "Afterwards, start a new replica with an empty data folder; it joins automatically. The status command shows when the\nstore can survive the loss of another replica.\n" },
@@ -157,7 +159,8 @@
         if (parsed.has_error())
             return usageError(parsed.error().detail);
     }
-    const bool isNodeCommand = commandLine.command == "drain" || commandLine.command == "undrain" || commandLine.command == "endpoints" || commandLine.command == "bytes";
+    const bool isNodeCommand = commandLine.command == "drain" || commandLine.command == "undrain" || commandLine.command == "endpoints" || commandLine.command == "bytes"
+        || commandLine.command == "held" || commandLine.command == "release";
     if (isNodeCommand && commandLine.node.empty())
         return usageError("--node is required");
     const bool isOffline = commandLine.command == "validate" || commandLine.command == "trace";
--- a/Source/cli/Commands.cpp
+++ b/Source/cli/Commands.cpp
@@ -94,6 +94,10 @@
         return endpoints();
     if (m_commandLine.command == "bytes")
         return bytes();
+    if (m_commandLine.command == "held")
+        return held();
+    if (m_commandLine.command == "release")
+        return release();
     return setDraining(m_commandLine.command == "drain");
 }
 
@@ -317,6 +321,25 @@
     return ExitCode::Done;
 }
 
+ExitCode Commands::held()
+{
+    const Answer answer = nodeStatus();
+    if (!answer.isOk())
+        return fail(answer);
+    m_report.table(answer.body.value(Json::json_pointer("/traffic/held_requests"), Json::array()), { "digest", "service", "crashes", "trial_in_s" });
+    return ExitCode::Done;
+}
+
+ExitCode Commands::release()
+{
+    const ControlClient node({ m_commandLine.node }, m_hooks.exchange);
+    const Answer answer = node.ask({ "POST", "/release", { { "Content-Type", "application/json" } }, Json { { "digest", m_commandLine.operand } }.dump() });
+    if (!answer.isOk())
+        return fail(answer);
+    m_report.result(m_commandLine.operand + ": released at all nodes that hear of it", answer.body);
+    return ExitCode::Done;
+}
+
 ExitCode Commands::endpoints()
 {
     const Answer answer = nodeStatus();
--- a/Source/cli/Commands.h
+++ b/Source/cli/Commands.h
@@ -43,6 +43,8 @@
     ExitCode trace();
     ExitCode endpoints();
     ExitCode bytes();
+    ExitCode held();
+    ExitCode release();
     /// Status of the node that the command names.
     Answer nodeStatus() const;
     /// Name under which the store keeps this document: its service, or the reserved name of the routing document.
--- a/Source/coordination/attempts/OutgoingCall.cpp
+++ b/Source/coordination/attempts/OutgoingCall.cpp
@@ -151,6 +151,8 @@
         return;
     attempt->state = AttemptState::Unknown;
     m_unknownCode = event.code;
+    if (event.code == ResultCode::BackendCrashed)
+        ++m_crashes;
     tryRetryAfterLoss();
     finishIfNoneOutstanding();
 }
@@ -320,7 +322,7 @@
     const bool hasLiveAttempt = std::any_of(m_attempts.begin(), m_attempts.end(), [](const Attempt& attempt) {
         return attempt.state == AttemptState::Sent || attempt.state == AttemptState::Accepted;
     });
-    if (!m_parameters.isIdempotent || m_parameters.isRepeat || hasLiveAttempt || !canStartAttempt())
+    if (!m_parameters.isIdempotent || m_parameters.isRepeat || hasLiveAttempt || !canStartAttempt() || m_crashes >= maximumCrashesPerCall)
         return;
     tryExtraAttempt();
 }
--- a/Source/coordination/attempts/OutgoingCall.h
+++ b/Source/coordination/attempts/OutgoingCall.h
@@ -17,6 +17,9 @@
 constexpr Duration hopMargin { 1000 };
 /// Maximum number of endpoints that one call is sent to, including those that refuse it.
 constexpr std::size_t maximumEndpointsPerCall = 6;
+/// Backend servers that may crash under one call. The first crash may be due to another request that it was running, a second
+/// one hardly.
+constexpr std::size_t maximumCrashesPerCall = 2;
 /// Retry-After time for refusals that specify none.
 constexpr Duration defaultRetryAfter { 1000000 };
 
@@ -156,6 +159,8 @@
     std::vector<Attempt> m_attempts;
     /// Reason reported when no attempt ran.
     Refusal m_refusal { ResultCode::NoEndpoint };
+    /// Attempts under which their backend servers crashed.
+    std::size_t m_crashes = 0;
     /// Reason reported when an attempt may have run.
     ResultCode m_unknownCode = ResultCode::OutcomeUnknown;
     /// Answer of a backend server that failed; reported when no other attempt is answered.
--- a/Source/coordination/membership/Membership.cpp
+++ b/Source/coordination/membership/Membership.cpp
@@ -27,6 +27,8 @@
 constexpr std::uint32_t suppressedTransmissions = 5;
 // Budget that rumors leave for anti-entropy, which costs fewer bytes per member when many records change at once.
 constexpr std::size_t repairReserveBytes = 8000;
+// Bytes of evidence in one datagram; the rest is left for the fields of every message.
+constexpr std::size_t evidenceBytes = maximumGossipBytes - 200;
 // Smallest encoded record; with less space left in a datagram, no further record is tried.
 constexpr std::size_t smallestRecordBytes = 40;
 
@@ -72,6 +74,7 @@
     , m_failureDetector(m_settings, m_table, m_peers, m_random,
           { [this](const SocketAddress& address, const GossipBody& body) { send(address, body); }, [this](const NodeId& node) { suspect(node); } })
     , m_budget(m_settings.bytesPerSecond, m_settings.burstBytes)
+    , m_evidenceBudget(m_settings.evidenceBytesPerSecond, m_settings.evidenceBurstBytes)
 {
     m_table.merge(initialRecord(m_settings), TimePoint());
     m_rumors.add(m_settings.node);
@@ -152,6 +155,20 @@
     return finishCall();
 }
 
+MembershipActions Membership::spreadEvidence(const std::vector<CrashEvidence>& evidence, const std::vector<NodeId>& recipients, TimePoint now)
+{
+    beginCall(now);
+    for (const CrashEvidence& piece : evidence)
+        m_evidence.add(piece, m_now);
+    std::vector<NodeId> targets = recipients;
+    for (const NodeId& node : drawRumorTargets())
+        targets.push_back(node);
+    std::sort(targets.begin(), targets.end());
+    targets.erase(std::unique(targets.begin(), targets.end()), targets.end());
+    spreadEvidenceRumors(targets);
+    return finishCall();
+}
+
 void Membership::beginCall(TimePoint now)
 {
     if (!m_isStarted) {
@@ -223,6 +240,8 @@
         answer(*request, from);
     else if (const auto* documents = std::get_if<GossipDocuments>(&message.body))
         answer(*documents, message, from);
+    else if (const auto* evidence = std::get_if<GossipCrashEvidence>(&message.body))
+        receive(*evidence);
 
     if (m_budget.isAvailable(maximumGossipBytes, m_now))
         sendRecords(from, outdated, 1);
@@ -239,6 +258,7 @@
 
 void Membership::answer(const GossipDigest& digest, const SocketAddress& from)
 {
+    sendEvidence(from, m_evidence.repeatedCrashes(evidenceBytes, m_random(), m_now));
     const std::size_t bucketsInUse = digestBuckets - static_cast<std::size_t>(std::count(digest.buckets.begin(), digest.buckets.end(), 0));
     if (bucketsInUse <= 1 && m_peers.size() > 1) {
         // One datagram, which nothing can replace for a member that knows nobody.
@@ -293,6 +313,14 @@
         sendDocuments(from, true);
 }
 
+void Membership::receive(const GossipCrashEvidence& message)
+{
+    for (const CrashEvidence& evidence : message.evidence) {
+        if (m_evidence.add(evidence, m_now))
+            m_actions.push_back(EvidenceReceived { evidence });
+    }
+}
+
 void Membership::compareDocuments(const GossipMessage& message, const SocketAddress& from)
 {
     if (message.documentsHash == m_documents.hash() || std::holds_alternative<GossipDocuments>(message.body) || m_now < m_nextDocumentsAt)
@@ -423,13 +451,33 @@
     if (m_now < m_nextGossipAt || !hasRumors() || m_peers.isEmpty())
         return;
     m_nextGossipAt = m_now + m_settings.gossipPeriod;
-    for (const NodeId& node : drawRumorTargets()) {
+    const std::vector<NodeId> targets = drawRumorTargets();
+    spreadEvidenceRumors(targets);
+    for (const NodeId& node : targets) {
         const MemberRecord* peer = m_table.find(node);
         if (hasRumors() && m_budget.isAvailable(maximumGossipBytes + repairReserveBytes, m_now))
             send(peer->gossipAddress, GossipRumors {});
     }
 }
 
+void Membership::spreadEvidenceRumors(const std::vector<NodeId>& targets)
+{
+    for (const NodeId& node : targets) {
+        const MemberRecord* peer = m_table.find(node);
+        if (peer && m_evidence.hasRumors() && m_evidenceBudget.isAvailable(maximumGossipBytes, m_now))
+            sendEvidence(peer->gossipAddress, m_evidence.takeRumors(evidenceBytes, transmissionLimit(), m_now));
+    }
+}
+
+void Membership::sendEvidence(const SocketAddress& address, std::vector<CrashEvidence> evidence)
+{
+    if (address.isEmpty() || evidence.empty())
+        return;
+    std::string bytes = encodeGossipMessage(message(GossipCrashEvidence { std::move(evidence) }), m_now);
+    m_evidenceBudget.spend(bytes.size() + datagramHeaderBytes, m_now);
+    m_actions.push_back(SendDatagram { address, std::move(bytes), m_localAddresses.count(address) > 0 });
+}
+
 std::vector<NodeId> Membership::drawRumorTargets()
 {
     if (m_localPeers.isEmpty())
@@ -450,6 +498,7 @@
         return;
     m_nextDigestAt = m_now + jittered(m_settings.digestPeriod);
     m_table.removeAbsentBefore(m_now - m_settings.absentRetention);
+    m_evidence.expire(m_now);
     const MemberRecord* partner = m_table.find(std::exchange(m_digestPartner, {}));
     if (!partner || !partner->isPresent()) {
         if (m_peers.isEmpty())
@@ -603,7 +652,7 @@
 
 bool Membership::hasRumors() const
 {
-    return !m_rumors.isEmpty() || !m_documents.rumors().isEmpty();
+    return !m_rumors.isEmpty() || !m_documents.rumors().isEmpty() || m_evidence.hasRumors();
 }
 
 // Draws a duration between half and one and a half times the period, so that members don't synchronize.
--- a/Source/coordination/membership/Membership.h
+++ b/Source/coordination/membership/Membership.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/membership/DocumentGossip.h"
+#include "coordination/membership/EvidenceGossip.h"
 #include "coordination/membership/FailureDetector.h"
 #include "coordination/membership/GossipBudget.h"
 #include "coordination/membership/MembershipActions.h"
@@ -57,7 +58,12 @@
     /// Replaces the document versions that this node has in force.
     MembershipActions updateDocuments(const std::vector<DocumentHint>& inForce, TimePoint now);
 
+    /// Passes on evidence that this node found about requests that were running in crashes. recipients: nodes that receive it at
+    /// once, because their callers may send such a request again next.
+    MembershipActions spreadEvidence(const std::vector<CrashEvidence>&, const std::vector<NodeId>& recipients, TimePoint now);
+
     const MembershipTable& table() const { return m_table; }
+    const CrashEvidenceTable& crashEvidence() const { return m_evidence.table(); }
     /// This node's own record.
     const MemberRecord& self() const;
 
@@ -75,6 +81,7 @@
     void answer(const GossipSummary&, const SocketAddress& from);
     void answer(const GossipRequest&, const SocketAddress& from);
     void answer(const GossipDocuments&, const GossipMessage&, const SocketAddress& from);
+    void receive(const GossipCrashEvidence&);
     void compareDocuments(const GossipMessage&, const SocketAddress& from);
     void compareSenderVersion(const GossipMessage&, const SocketAddress& from);
 
@@ -91,6 +98,8 @@
 
     // Sending.
     void spreadRumors();
+    void spreadEvidenceRumors(const std::vector<NodeId>& targets);
+    void sendEvidence(const SocketAddress&, std::vector<CrashEvidence>);
     /// Draws the members that receive rumors next, most of them in this data centre.
     std::vector<NodeId> drawRumorTargets();
     void exchangeDigest();
@@ -120,7 +129,10 @@
     FailureDetector m_failureDetector;
     RumorQueue<NodeId> m_rumors;
     DocumentGossip m_documents;
+    EvidenceGossip m_evidence;
     GossipBudget m_budget;
+    /// For the rumors of crash evidence, so that neither they nor those of members have to wait for the others.
+    GossipBudget m_evidenceBudget;
     MembershipActions m_actions;
     TimePoint m_now;
     /// Value of nextTick() after the last call; a much later call shows that the process was frozen.
--- a/Source/coordination/membership/MembershipActions.h
+++ b/Source/coordination/membership/MembershipActions.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "protocol/CrashEvidence.h"
 #include "protocol/Ids.h"
 #include "protocol/MemberRecord.h"
 #include "protocol/SocketAddress.h"
@@ -35,8 +36,13 @@
     Incarnation incarnation;
 };
 
+/// Another member has news about a request that was running in crashes.
+struct EvidenceReceived {
+    CrashEvidence evidence;
+};
+
 /// An action or event that a function of Membership returns.
-using MembershipAction = std::variant<SendDatagram, MemberChanged, NewerDocumentHint, IncarnationSuperseded>;
+using MembershipAction = std::variant<SendDatagram, MemberChanged, NewerDocumentHint, IncarnationSuperseded, EvidenceReceived>;
 using MembershipActions = std::vector<MembershipAction>;
 
 } // namespace Knapweedquay
--- a/Source/coordination/membership/MembershipSettings.h
+++ b/Source/coordination/membership/MembershipSettings.h
@@ -80,6 +80,9 @@
     double bytesPerSecond = 8000;
     /// Size of that budget, which bounds the bytes of a burst, including IP and UDP headers.
     double burstBytes = 48000;
+    /// Rate and size of a further budget, for evidence about requests that were running in crashes.
+    double evidenceBytesPerSecond = 4000;
+    double evidenceBurstBytes = 48000;
     /// Maximum number of records in the membership table, including those of absent members.
     std::size_t maximumMembers = 4096;
 };
--- a/Source/coordination/presence/CrashDetector.h
+++ b/Source/coordination/presence/CrashDetector.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "protocol/Ids.h"
 #include "protocol/RequestDigest.h"
 #include "protocol/Time.h"
 
@@ -14,6 +15,7 @@
 /// A request whose connection to the backend server ended before its response.
 struct LostRequest {
     RequestDigest digest;
+    ServiceName service;
     /// Request id set by the caller; empty if there is none.
     std::string requestId;
     std::string target;
--- a/Source/node/BackendMonitor.cpp
+++ b/Source/node/BackendMonitor.cpp
@@ -154,11 +154,25 @@
     const bool isDue = m_state.isCheckDue(m_reachability.isReachable(), now) && m_queue->allowsRequest(now);
     if (!isDue && !m_state.mustAskForLimit(now))
         return;
+    sendHealthCheck(HttpClient::Options().maximumIdle);
+}
+
+void BackendMonitor::checkForCrash()
+{
+    const TimePoint now = steadyNow();
+    if (m_backend && m_queue && !m_healthPath.empty() && now >= m_healthPausedUntil && m_queue->allowsRequest(now))
+        sendHealthCheck(Duration::zero());
+}
+
+void BackendMonitor::sendHealthCheck(Duration maximumIdle)
+{
+    const TimePoint now = steadyNow();
     m_state.checkSent(now);
     m_queue->countRequest(now);
     m_metrics.backendRequestSent(BackendRequestKind::HealthCheck);
     HttpClient::Options options;
     options.timeout = healthTimeout;
+    options.maximumIdle = maximumIdle;
     options.maximumBodyBytes = maximumHealthBodyBytes;
     m_client.send(m_backend->address, { "GET", m_healthPath, {}, {} }, options, [this, run = m_run](const HttpClient::Outcome& outcome) {
         const TimePoint endedAt = steadyNow();
@@ -181,8 +195,10 @@
 {
     const bool wasReachable = m_reachability.isReachable();
     const bool isRefused = !outcome.succeeded && (outcome.failure.isRefused || outcome.failure.error.code == ResultCode::ConnectionFailed);
-    if (outcome.succeeded)
+    if (outcome.succeeded) {
         m_crashDetector.responseReceived(now);
+        m_hooks.responded();
+    }
     if (outcome.failure.isRefused && m_crashDetector.connectionRefused(now))
         reportCrash();
     if (isRefused)
@@ -215,6 +231,7 @@
         const LostRequest& request = crash.requests[index];
         log(LogEvent::RequestLostInCrash, { { "instance", instance }, { "crash", std::to_string(crash.number) }, { "request", request.requestId }, { "digest", toText(request.digest) }, { "target", request.target.substr(0, maximumLoggedValueBytes) }, { "ran_us", std::to_string(request.ran.count()) } });
     }
+    m_hooks.crashed(crash);
 }
 
 void BackendMonitor::logUnreadHeaders(const HttpResponse& response)
--- a/Source/node/BackendMonitor.h
+++ b/Source/node/BackendMonitor.h
@@ -32,6 +32,10 @@
         std::function<void()> leaving;
         /// Calls that waited for the first response may start.
         std::function<void()> resumed;
+        /// The backend server crashed, or further requests are known to be lost in its latest crash.
+        std::function<void(const CrashDetector::Crash&)> crashed;
+        /// The backend server responded to a request.
+        std::function<void()> responded;
     };
 
     /// loadInterval: interval between health checks while no response reports the load.
@@ -47,6 +51,9 @@
     /// Registers that all documents that were committed when the node started are in force.
     void configurationProved();
 
+    /// Sends a health check on a new connection, which shows whether the backend server still runs.
+    void checkForCrash();
+
     /// Number of the present run, to be given with the responses to the requests that are sent now.
     std::uint64_t run() const { return m_run; }
     /// Applies what the backend server tells of itself in the response to a call. Responses of earlier runs tell nothing of
@@ -76,6 +83,7 @@
     void resumeStarts();
     /// Sends a health check if one is due.
     void checkHealth();
+    void sendHealthCheck(Duration maximumIdle);
     /// Sends no health check for a while.
     void pauseHealthChecks(const Error&, TimePoint now);
 
--- a/Source/node/CallGateway.cpp
+++ b/Source/node/CallGateway.cpp
@@ -77,10 +77,11 @@
 
 } // namespace
 
-CallGateway::CallGateway(asio::io_context& context, NodeIdentity self, EndpointRunner& local, Settings settings, ClaimHooks claims, NodeMetrics& metrics)
+CallGateway::CallGateway(asio::io_context& context, NodeIdentity self, EndpointRunner& local, NodeQuarantine& quarantine, Settings settings, ClaimHooks claims, NodeMetrics& metrics)
     : m_context(context)
     , m_self(std::move(self))
     , m_localRunner(local)
+    , m_quarantine(quarantine)
     , m_settings(std::move(settings))
     , m_intake(m_settings.headers, m_settings.callerService, m_settings.needsRouting, randomShare())
     , m_claimHooks(std::move(claims))
@@ -162,6 +163,7 @@
     if (session->parsed.request.body.size() > maximumBodyBytes)
         return Error { ResultCode::RequestTooLarge, "the service takes bodies of at most " + std::to_string(maximumBodyBytes) + " bytes" };
     session->id = ++m_lastSequence;
+    session->digest = digestOf(session->parsed.service, session->parsed.request, m_settings.headers.callerService);
     session->startedAt = steadyNow();
     BOOST_OUTCOME_TRYV(classify(*session, *service));
     session->targetAt = session->startedAt - session->elapsedBefore + session->target;
@@ -320,7 +322,14 @@
             excluded.push_back({ node, member->second.version.incarnation });
     }
     const TimePoint now = steadyNow();
-    const auto chosen = chooser.choose(excluded, session->priority, now, m_random);
+    const QuarantineVerdict verdict = m_quarantine.verdict(session->digest);
+    const bool isTrial = verdict.state == QuarantineState::TrialDue;
+    // A request that may crash backend servers runs at one of them at a time.
+    const bool isBarred = verdict.state == QuarantineState::Held || (isTrial && !excluded.empty()) || (verdict.state == QuarantineState::Suspected && action.isHedge);
+    const auto chosen = isBarred ? std::nullopt : isTrial ? trialEndpoint(*session)
+                                                          : chooser.choose(excluded, session->priority, now, m_random);
+    if (!chosen && (isBarred || isTrial))
+        return handleEvent(session, NoEndpointAvailable { m_quarantine.refuse(session->digest, verdict) });
     session->isHedging = action.isHedge;
     if (action.isHedge)
         session->trace.add(LogEvent::CallHedged, now, {}, { (now - session->startedAt).count() });
@@ -340,6 +349,24 @@
     handleEvent(session, EndpointChosen { chosen->node, chosen->incarnation });
 }
 
+std::optional<EndpointId> CallGateway::trialEndpoint(const CallSession& session) const
+{
+    const MemberRecord* chosen = nullptr;
+    std::uint64_t highest = 0;
+    for (const auto& [node, member] : m_members) {
+        if (!member.isPresent() || member.endpoint.service != session.parsed.service)
+            continue;
+        const std::uint64_t rank = XXH3_64bits_withSeed(node.value().data(), node.value().size(), std::hash<RequestDigest>()(session.digest));
+        if (chosen && rank <= highest)
+            continue;
+        chosen = &member;
+        highest = rank;
+    }
+    if (!chosen || chosen->endpoint.lifecycle != EndpointLifecycle::Ready)
+        return std::nullopt;
+    return EndpointId { chosen->node, chosen->version.incarnation };
+}
+
 void CallGateway::perform(const SessionPtr& session, const SendAttempt& action)
 {
     ServiceTraffic& service = *traffic(session->parsed.service);
@@ -435,7 +462,9 @@
     const ResultCode code = outcome.code == ResultCode::Ok ? ResultCode::OutcomeUnknown : outcome.code;
     service.metrics().callFailed(code);
     const Duration left = std::max(session->deadline - steadyNow(), Duration::zero());
-    const HttpResponse response = refusalResponse({ code, title(code) }, kind, std::min(outcome.retryAfter, left / retryAfterDivisor));
+    // A caller that returns early is of use where room may become free, but not with a request that is held.
+    const Duration retryAfter = code == ResultCode::RequestHeld ? outcome.retryAfter : std::min(outcome.retryAfter, left / retryAfterDivisor);
+    const HttpResponse response = refusalResponse({ code, title(code) }, kind, retryAfter);
     finishTrace(*session, response.status, static_cast<std::int64_t>(code), !session->isCallerDisconnected);
     session->exchange->respond(response);
 }
--- a/Source/node/CallGateway.h
+++ b/Source/node/CallGateway.h
@@ -66,7 +66,7 @@
         TraceSampler::Settings traces;
     };
 
-    CallGateway(asio::io_context&, NodeIdentity self, EndpointRunner& local, Settings, ClaimHooks, NodeMetrics&);
+    CallGateway(asio::io_context&, NodeIdentity self, EndpointRunner& local, NodeQuarantine&, Settings, ClaimHooks, NodeMetrics&);
     ~CallGateway();
 
     /// Starts the call of a caller's request, or refuses it.
@@ -139,6 +139,9 @@
     /// Passes an event to the session's OutgoingCall and executes the resulting actions.
     void handleEvent(const SessionPtr&, const CallEvent&);
     void perform(const SessionPtr&, const ChooseEndpoint&);
+    /// The only endpoint at which a held request may run for a trial; not set unless it takes calls. Chosen by rendezvous hashing, so
+    /// that all nodes agree on it.
+    std::optional<EndpointId> trialEndpoint(const CallSession&) const;
     void perform(const SessionPtr&, const SendAttempt&);
     void perform(const SessionPtr&, const CancelAttempt&);
     void perform(const SessionPtr&, const ReplaceLink&);
@@ -177,6 +180,7 @@
     asio::io_context& m_context;
     NodeIdentity m_self;
     EndpointRunner& m_localRunner;
+    NodeQuarantine& m_quarantine;
     Settings m_settings;
     CallIntake m_intake;
     CallerDeadlines m_callerDeadlines;
--- a/Source/node/CallSession.h
+++ b/Source/node/CallSession.h
@@ -21,6 +21,7 @@
     /// The caller's request, and the means to respond to it.
     HttpExchangePtr exchange;
     ParsedCall parsed;
+    RequestDigest digest;
     /// Keeps the routing table alive that parsed.route points into.
     std::shared_ptr<const RoutingTable> routing;
     PriorityIndex priority;
--- a/Source/node/EndpointRunner.cpp
+++ b/Source/node/EndpointRunner.cpp
@@ -26,6 +26,11 @@
 /// A request that must not be repeated therefore only reuses a connection that was used very recently.
 constexpr Duration maximumIdleIfIdempotent { 4000000 };
 constexpr Duration maximumIdleIfNotIdempotent { 400000 };
+/// Time from the end of an attempt's connection to the check whether the backend server still runs. The connections of all that
+/// it ran end together, and an attempt that is still running shows that it lives.
+constexpr Duration crashCheckDelay { 5000 };
+/// Longest time for which the origin of such an attempt waits for the result.
+constexpr Duration maximumCrashWait { 60000 };
 constexpr std::uint16_t misdirectedStatus = 421;
 constexpr std::uint16_t serviceUnavailableStatus = 503;
 constexpr std::uint16_t firstServerErrorStatus = 500;
@@ -45,16 +50,18 @@
 
 } // namespace
 
-EndpointRunner::EndpointRunner(asio::io_context& context, NodeIdentity self, Settings settings, HttpClient& client, ReplyHook reply, NodeMetrics& metrics)
+EndpointRunner::EndpointRunner(asio::io_context& context, NodeIdentity self, Settings settings, HttpClient& client, ReplyHook reply, NodeQuarantine& quarantine, NodeMetrics& metrics)
     : m_self(std::move(self))
     , m_settings(std::move(settings))
     , m_client(client)
     , m_replyHook(std::move(reply))
+    , m_quarantine(quarantine)
     , m_metrics(metrics)
     , m_fates(m_self.incarnation)
     , m_monitor(context, m_settings.headers, m_settings.loadInterval, client, metrics, monitorHooks())
     , m_traceSampler(m_settings.traces)
     , m_queueTimer(context, [this] { startReadyJobs(); })
+    , m_lostTimer(context, [this] { checkLostAttempts(); })
     , m_confirmTimer(context, [this] { confirmDueJobs(); })
     , m_expiryTimer(context, [this] { expire(); })
 {
@@ -197,6 +204,12 @@
         perform(m_fates.refuse(action.attempt, *refusal, now));
         return;
     }
+    if (const QuarantineVerdict verdict = m_quarantine.verdict(job->digest); verdict.state == QuarantineState::Held) {
+        const Refusal refusal = m_quarantine.refuse(job->digest, verdict);
+        recordRejection(*job, refusal, now);
+        perform(m_fates.refuse(action.attempt, refusal, now));
+        return;
+    }
     const AdmissionDecision decision = m_queue->offer(job->ticket, job->message.priority, job->deadline, now, now + job->message.targetRemaining);
     if (decision.kind == AdmissionKind::Refused) {
         const Refusal refusal { decision.code, decision.retryAfter };
@@ -290,15 +303,18 @@
     if (!m_queue)
         return;
     const TimePoint now = steadyNow();
-    const StartableCalls calls = m_queue->takeStartable(now);
-    for (const GivenUpCall& call : calls.givenUp) {
-        const JobPtr job = m_jobsByTicket.at(call.ticket);
-        recordRejection(*job, { call.code, call.retryAfter }, now);
-        removeJob(*job);
-        perform(m_fates.refuse(job->message.attempt, { call.code, call.retryAfter }, now));
+    bool hasFreedSlot = true;
+    while (std::exchange(hasFreedSlot, false)) {
+        const StartableCalls calls = m_queue->takeStartable(now);
+        for (const GivenUpCall& call : calls.givenUp) {
+            const JobPtr job = m_jobsByTicket.at(call.ticket);
+            recordRejection(*job, { call.code, call.retryAfter }, now);
+            removeJob(*job);
+            perform(m_fates.refuse(job->message.attempt, { call.code, call.retryAfter }, now));
+        }
+        for (const CallTicket& ticket : calls.started)
+            hasFreedSlot = !start(*m_jobsByTicket.at(ticket)) || hasFreedSlot;
     }
-    for (const CallTicket& ticket : calls.started)
-        start(*m_jobsByTicket.at(ticket));
     if (const auto next = m_queue->nextTimer())
         m_queueTimer.setAt(*next);
     else
@@ -306,13 +322,21 @@
     notifyLoadChanged();
 }
 
-void EndpointRunner::start(Job& job)
+bool EndpointRunner::start(Job& job)
 {
     const JobPtr jobPointer = m_jobsByTicket.at(job.ticket);
+    // What was learned while the attempt was waiting counts too.
+    if (const auto held = m_quarantine.checkRun(job.digest)) {
+        const TimePoint now = steadyNow();
+        recordRejection(job, *held, now);
+        finish(jobPointer, BackendOutcome::Abandoned);
+        perform(m_fates.refuse(job.message.attempt, *held, now));
+        return false;
+    }
     if (!m_fates.tryStart(job.message.attempt) || !m_backend) {
         finish(jobPointer, BackendOutcome::Abandoned);
         perform(m_fates.refuse(job.message.attempt, { ResultCode::Draining, unavailableRetryAfter }, steadyNow()));
-        return;
+        return false;
     }
     ++m_counters.started;
     job.startedAt = steadyNow();
@@ -325,6 +349,7 @@
     m_metrics.backendRequestSent(job.message.isRepeat ? BackendRequestKind::Repeat : BackendRequestKind::Call);
     job.request = m_client.send(m_backend->address, backendRequest(job), backendOptions(job),
         [this, jobPointer](HttpClient::Outcome outcome) { handleOutcome(jobPointer, std::move(outcome)); });
+    return true;
 }
 
 HttpClient::Options EndpointRunner::backendOptions(const Job& job) const
@@ -334,7 +359,7 @@
     options.maximumBodyBytes = m_document->maximumBodyBytes;
     options.maximumIdle = job.message.isIdempotent ? maximumIdleIfIdempotent : maximumIdleIfNotIdempotent;
     if (job.message.isIdempotent && !job.message.isRepeat)
-        options.allowsResend = [this] { return tryResend(); };
+        options.allowsResend = [this, digest = job.digest] { return m_quarantine.verdict(digest).state == QuarantineState::Clear && tryResend(); };
     if (job.requestId.empty())
         return options;
     options.matchesRequest = [name = m_settings.headers.requestId, id = job.requestId](const HttpResponse& response) {
@@ -388,8 +413,12 @@
 {
     const TimePoint now = steadyNow();
     const AttemptId attempt = job->message.attempt;
-    if (isLost(outcome) && !m_isDraining)
-        m_monitor.requestLost({ job->digest, job->requestId, job->message.request.target, now - job->startedAt }, now);
+    // A backend server that leaves may end while it runs its last requests.
+    const bool mayBeCrash = isLost(outcome) && !m_isDraining;
+    if (mayBeCrash) {
+        loseAttempt(*job, outcome.failure.error.code, now);
+        m_monitor.requestLost({ job->digest, job->message.service, job->requestId, job->message.request.target, now - job->startedAt }, now);
+    }
     m_monitor.requestEnded(outcome, now);
     const std::int64_t status = outcome.succeeded ? outcome.response.status : 0;
     const std::int64_t code = outcome.succeeded ? 0 : static_cast<std::int64_t>(outcome.failure.error.code);
@@ -399,7 +428,8 @@
         handleResponse(job, outcome.response, now);
     } else if (outcome.failure.mayHaveRun) {
         finish(job, BackendOutcome::Failed);
-        perform(m_fates.recordUnknownOutcome(attempt, outcome.failure.error.code, now));
+        if (!mayBeCrash)
+            perform(m_fates.recordUnknownOutcome(attempt, outcome.failure.error.code, now));
     } else {
         const bool isExpired = outcome.failure.error.code == ResultCode::TimedOut;
         finish(job, isExpired ? BackendOutcome::Abandoned : BackendOutcome::Failed);
@@ -408,12 +438,54 @@
     startReadyJobs();
 }
 
+void EndpointRunner::loseAttempt(const Job& job, ResultCode code, TimePoint now)
+{
+    m_lostAttempts.push_back({ job.message.attempt, code, now });
+    if (m_lostAttempts.size() == 1)
+        m_lostTimer.setAfter(crashCheckDelay);
+}
+
+void EndpointRunner::handleCrash(const CrashDetector::Crash& crash)
+{
+    std::vector<RequestDigest> digests;
+    for (const LostRequest& request : crash.requests)
+        digests.push_back(request.digest);
+    std::vector<NodeId> origins;
+    for (const LostAttempt& lost : m_lostAttempts)
+        origins.push_back(lost.attempt.node);
+    m_quarantine.crashed(crash.number, crash.requests.front().service, digests, origins);
+    for (const LostAttempt& lost : std::exchange(m_lostAttempts, {}))
+        perform(m_fates.recordUnknownOutcome(lost.attempt, ResultCode::BackendCrashed, steadyNow()));
+}
+
+void EndpointRunner::releaseLostAttempts()
+{
+    for (const LostAttempt& lost : std::exchange(m_lostAttempts, {}))
+        perform(m_fates.recordUnknownOutcome(lost.attempt, lost.code, steadyNow()));
+}
+
+void EndpointRunner::checkLostAttempts()
+{
+    if (m_lostAttempts.empty())
+        return;
+    const TimePoint firstLostAt = m_lostAttempts.front().lostAt;
+    const Duration waited = steadyNow() - firstLostAt;
+    if (waited >= maximumCrashWait)
+        return releaseLostAttempts();
+    m_lostTimer.setAfter(maximumCrashWait - waited);
+    const bool isOneRunning = std::any_of(m_jobs.begin(), m_jobs.end(), [&](const auto& entry) { return entry.second->isRunning && entry.second->startedAt < firstLostAt; });
+    if (!isOneRunning)
+        m_monitor.checkForCrash();
+}
+
 BackendMonitor::Hooks EndpointRunner::monitorHooks()
 {
     BackendMonitor::Hooks hooks;
     hooks.changed = [this] { notifyLoadChanged(); };
     hooks.leaving = [this] { drainLeavingBackend(); };
     hooks.resumed = [this] { startReadyJobs(); };
+    hooks.crashed = [this](const CrashDetector::Crash& crash) { handleCrash(crash); };
+    hooks.responded = [this] { releaseLostAttempts(); };
     return hooks;
 }
 
@@ -448,6 +520,7 @@
     if (end == BackendOutcome::Succeeded)
         m_metrics.attemptSucceeded(now - job->startedAt);
     finish(job, end);
+    m_quarantine.succeeded(job->digest);
     perform(m_fates.answer(attempt, std::make_shared<const std::string>(encodeResponse(response)), now));
 }
 
@@ -474,6 +547,7 @@
 void EndpointRunner::expire()
 {
     m_fates.expire(steadyNow());
+    m_quarantine.expire();
     m_expiryTimer.setAfter(expiryInterval);
 }
 
--- a/Source/node/EndpointRunner.h
+++ b/Source/node/EndpointRunner.h
@@ -8,6 +8,7 @@
 #include "node/LocalBackend.h"
 #include "node/NodeIdentity.h"
 #include "node/NodeMetrics.h"
+#include "node/NodeQuarantine.h"
 #include "protocol/CallHeaders.h"
 #include "protocol/PeerMessages.h"
 #include "protocol/SocketAddress.h"
@@ -24,6 +25,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace Knapweedquay {
 
@@ -53,7 +55,7 @@
         TraceSampler::Settings traces;
     };
 
-    EndpointRunner(asio::io_context&, NodeIdentity self, Settings, HttpClient&, ReplyHook, NodeMetrics&);
+    EndpointRunner(asio::io_context&, NodeIdentity self, Settings, HttpClient&, ReplyHook, NodeQuarantine&, NodeMetrics&);
 
     /// Sets the local backend server after its first announcement, or one that differs from the previous one.
     void setBackend(const LocalBackend&);
@@ -79,7 +81,7 @@
     /// Accepts new attempts again.
     void undrain();
     /// True if no admitted attempt is waiting or running.
-    bool isIdle() const { return m_jobs.empty(); }
+    bool isIdle() const { return m_jobs.empty() && m_lostAttempts.empty(); }
 
     /// Handles an attempt that was sent or resent by an origin node.
     void receive(const CallRequestMessage&, ConnectionId);
@@ -121,6 +123,14 @@
     };
     using JobPtr = std::shared_ptr<Job>;
 
+    /// An attempt whose connection to the backend server ended, while it isn't known whether the server crashed.
+    struct LostAttempt {
+        AttemptId attempt;
+        /// What its origin is told if the server did not crash.
+        ResultCode code = ResultCode::AnswerIncomplete;
+        TimePoint lostAt;
+    };
+
     /// Counts a rejected attempt and finishes its trace.
     void recordRejection(Job&, const Refusal&, TimePoint now);
     void perform(const FateActions&);
@@ -142,7 +152,8 @@
     void removeJob(const Job&);
     /// Starts the jobs that the admission queue releases, and refuses those that it gives up.
     void startReadyJobs();
-    void start(Job&);
+    /// False if the job was refused instead, so that its slot is free again.
+    bool start(Job&);
     void handleOutcome(const JobPtr&, HttpClient::Outcome);
     void finish(const JobPtr&, BackendOutcome);
     HttpRequest backendRequest(const Job&) const;
@@ -156,6 +167,15 @@
     /// Drains because the backend server told that it leaves. What is queued is refused at once.
     void drainLeavingBackend();
     void notifyLoadChanged();
+    /// Tells the origin what became of an attempt whose connection to the backend server ended: at once if the server is known to
+    /// have crashed, otherwise once that is known or has not shown in a short time.
+    void loseAttempt(const Job&, ResultCode, TimePoint now);
+    /// Tells the origins of all lost attempts that the backend server crashed.
+    void handleCrash(const CrashDetector::Crash&);
+    /// Tells the origins of all lost attempts that their connections ended.
+    void releaseLostAttempts();
+    /// Releases the lost attempts after the longest wait, and before it looks whether the backend server still runs.
+    void checkLostAttempts();
     /// Confirms the attempts that have been admitted for the confirmation delay without an answer.
     void confirmDueJobs();
     /// Removes expired entries from the fate table.
@@ -165,6 +185,7 @@
     Settings m_settings;
     HttpClient& m_client;
     ReplyHook m_replyHook;
+    NodeQuarantine& m_quarantine;
     NodeMetrics& m_metrics;
     FateTable m_fates;
     /// Not set while no backend server is announced.
@@ -189,6 +210,7 @@
     /// Admitted attempts that have not been confirmed to their origin, with the time when confirmation is due; oldest
     /// first.
     std::deque<std::pair<AttemptId, TimePoint>> m_unconfirmed;
+    std::vector<LostAttempt> m_lostAttempts;
     BackendMonitor m_monitor;
     std::uint32_t m_maximumConnections = 0;
     std::function<void()> m_loadHook;
@@ -197,6 +219,7 @@
     TraceSampler m_traceSampler;
     Counters m_counters;
     Timer m_queueTimer;
+    Timer m_lostTimer;
     Timer m_confirmTimer;
     Timer m_expiryTimer;
 };
--- a/Source/node/NodeControl.cpp
+++ b/Source/node/NodeControl.cpp
@@ -151,6 +151,8 @@
         m_hooks.memberChanged(changed->member);
     } else if (const auto* hint = std::get_if<NewerDocumentHint>(&action)) {
         m_subscription.hint(hint->member, hint->service, hint->version);
+    } else if (const auto* evidence = std::get_if<EvidenceReceived>(&action)) {
+        m_hooks.evidenceReceived(evidence->evidence);
     } else if (const auto* superseded = std::get_if<IncarnationSuperseded>(&action)) {
         log(LogEvent::NodeSuperseded, { { "incarnation", std::to_string(superseded->incarnation.value()) } });
         m_hooks.superseded();
@@ -217,12 +219,14 @@
         exchange->respond(handleLeave());
     else if (request.method == "POST" && request.target == "/return")
         exchange->respond(handleReturn());
+    else if (request.method == "POST" && request.target == "/release")
+        exchange->respond(handleRelease(request));
     else if (request.method == "GET" && request.target == "/metrics")
         exchange->respond({ 200, { { "Content-Type", "text/plain; version=0.0.4" } }, m_hooks.metrics() });
     else if (request.method == "GET" && request.target == "/status")
         exchange->respond({ 200, { { "Content-Type", "application/json" } }, status() });
     else
-        exchange->respond(problemResponse({ ResultCode::UnknownResource, "POST /announce, POST /leave, POST /return, GET /metrics, GET /status" }, CallOutcomeKind::NotRun));
+        exchange->respond(problemResponse({ ResultCode::UnknownResource, "POST /announce, POST /leave, POST /return, POST /release, GET /metrics, GET /status" }, CallOutcomeKind::NotRun));
 }
 
 HttpResponse NodeControl::handleAnnounce(const HttpRequest& request)
@@ -263,6 +267,23 @@
     return jsonResponse(200, { { "node", m_self.node.value() }, { "draining", m_presence.isDraining() } });
 }
 
+HttpResponse NodeControl::handleRelease(const HttpRequest& request)
+{
+    const nlohmann::json json = nlohmann::json::parse(request.body, nullptr, false);
+    const auto digest = json.is_object() && json.contains("digest") && json["digest"].is_string() ? parseRequestDigest(json["digest"].get<std::string>()) : std::nullopt;
+    if (!digest)
+        return problemResponse({ ResultCode::MalformedRequest, "expected a JSON object with digest, 32 hexadecimal digits" }, CallOutcomeKind::NotRun);
+    if (!m_hooks.releaseRequest(*digest))
+        return problemResponse({ ResultCode::UnknownResource, "nothing is held against a request with this digest" }, CallOutcomeKind::NotRun);
+    return jsonResponse(200, { { "node", m_self.node.value() }, { "released", toText(*digest) } });
+}
+
+void NodeControl::spreadEvidence(const std::vector<CrashEvidence>& evidence, const std::vector<NodeId>& recipients)
+{
+    if (m_membership.isStarted())
+        m_membership.perform(m_membership.membership().spreadEvidence(evidence, recipients, steadyNow()));
+}
+
 void NodeControl::apply(PresenceChange change, const char* source)
 {
     const auto& current = m_presence.current();
--- a/Source/node/NodeControl.h
+++ b/Source/node/NodeControl.h
@@ -19,6 +19,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Knapweedquay {
 
@@ -35,6 +36,10 @@
         std::function<void(const MemberRecord&)> memberChanged;
         std::function<void(const ServiceDocument&, const DocumentMessage& source)> documentChanged;
         std::function<void(const std::shared_ptr<const RoutingTable>&, const DocumentMessage& source)> routingChanged;
+        /// Another member has news about a request that was running in crashes.
+        std::function<void(const CrashEvidence&)> evidenceReceived;
+        /// Releases a held request; false if nothing is known of it.
+        std::function<bool(const RequestDigest&)> releaseRequest;
         /// Requests a document from another node; its answer is passed to offerDocument().
         std::function<void(const NodeId&, const ServiceName&)> fetchDocument;
         /// All that was committed at that time is in force.
@@ -65,6 +70,8 @@
     void updateMetrics(NodeMetrics&) const;
     /// Applies a document that another node has in force, if it is newer.
     void offerDocument(const DocumentMessage&, const NodeId& sender);
+    /// Passes evidence about requests that were running in crashes to the other members, first to the recipients.
+    void spreadEvidence(const std::vector<CrashEvidence>&, const std::vector<NodeId>& recipients);
     /// Handles an announcement of the local backend server.
     void announce(const BackendAnnouncement&);
     /// Handles a message that a run of the local backend server is leaving; startedAt is the start time of that run.
@@ -86,6 +93,8 @@
     HttpResponse handleLeave();
     /// Stops draining the local backend server.
     HttpResponse handleReturn();
+    /// Releases the held request whose digest the body names.
+    HttpResponse handleRelease(const HttpRequest&);
     ControlSubscription::Hooks subscriptionHooks();
     /// Checks the subscription, and again after its interval.
     void checkSubscription();
--- a/Source/node/NodeDaemon.cpp
+++ b/Source/node/NodeDaemon.cpp
@@ -65,6 +65,9 @@
     m_traffic->runner().setLeavingHook([this](const LocalBackend& backend) {
         asio::post(m_controlContext, [this, backend] { m_control->backendLeaves(backend); });
     });
+    m_traffic->quarantine().setSpreadHook([this](const std::vector<CrashEvidence>& evidence, const std::vector<NodeId>& recipients) {
+        asio::post(m_controlContext, [this, evidence, recipients] { m_control->spreadEvidence(evidence, recipients); });
+    });
     BOOST_OUTCOME_TRYV(m_traffic->start());
     BOOST_OUTCOME_TRYV(m_control->start(m_traffic->peersPort()));
     if (m_extension.started) {
@@ -119,6 +122,12 @@
             m_traffic->setRouting(routing, { source.service, source.version, source.text });
         });
     };
+    hooks.evidenceReceived = [this](const CrashEvidence& evidence) {
+        asio::post(m_trafficContext, [this, evidence] { m_traffic->quarantine().receive(evidence); });
+    };
+    hooks.releaseRequest = [this](const RequestDigest& digest) {
+        return queryTrafficThread([this, digest] { return std::string(m_traffic->quarantine().release(digest) ? "released" : ""); }) == "released";
+    };
     hooks.fetchDocument = [this](const NodeId& node, const ServiceName& service) {
         asio::post(m_trafficContext, [this, node, service] { m_traffic->gateway().requestDocument(node, service); });
     };
@@ -169,6 +178,8 @@
             for (const EndpointStatus& endpoint : endpoints)
                 status["endpoints"][service.value()].push_back(toJson(endpoint));
         }
+        for (const NodeQuarantine::Entry& entry : m_traffic->quarantine().entries())
+            status["held_requests"].push_back({ { "digest", toText(entry.digest) }, { "service", entry.service.value() }, { "crashes", entry.crashes }, { "trial_in_s", std::chrono::duration<double>(entry.left).count() } });
         return status.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     });
 }
--- a/Source/node/NodeMetrics.cpp
+++ b/Source/node/NodeMetrics.cpp
@@ -175,6 +175,8 @@
     : m_registry(std::make_shared<prometheus::Registry>())
     , m_endpointStarts(&counter(*m_registry, "knapweedquay_endpoint_starts_total", "Attempts started at the backend server beside this node"))
     , m_backendCrashes(&counter(*m_registry, "knapweedquay_backend_crashes_total", "Times that the backend server beside this node ended while it ran requests"))
+    , m_quarantineRefusals(&counter(*m_registry, "knapweedquay_quarantine_refusals_total", "Calls and attempts refused because their requests are held"))
+    , m_quarantined(&gaugeOf(*m_registry, "knapweedquay_quarantined_requests", "Requests held because backend servers crashed while they ran them"))
     , m_backendRequests(backendRequestCounters(*m_registry))
     , m_peerBytes(peerByteCounters(*m_registry))
     , m_measurementTime(&counter(*m_registry, "knapweedquay_measurement_cpu_seconds_total", "Processor time spent on sending and reading probes"))
@@ -234,6 +236,16 @@
     m_backendCrashes->Increment();
 }
 
+void NodeMetrics::requestHeld()
+{
+    m_quarantineRefusals->Increment();
+}
+
+void NodeMetrics::setQuarantined(std::size_t count)
+{
+    m_quarantined->Set(static_cast<double>(count));
+}
+
 void NodeMetrics::attemptStarted(Duration waited)
 {
     m_waits->Observe(toSeconds(waited));
--- a/Source/node/NodeMetrics.h
+++ b/Source/node/NodeMetrics.h
@@ -124,6 +124,10 @@
     void attemptRejected(ResultCode);
     /// Records the time from the admission of an attempt to its start.
     void backendCrashed();
+    /// Counts a refused call or attempt of a held request.
+    void requestHeld();
+    /// Sets the number of held requests.
+    void setQuarantined(std::size_t);
     void attemptStarted(Duration waited);
     /// Records the service time of an attempt that the backend server answered successfully.
     void attemptSucceeded(Duration serviceTime);
@@ -155,6 +159,8 @@
     std::shared_ptr<prometheus::Registry> m_registry;
     prometheus::Counter* m_endpointStarts;
     prometheus::Counter* m_backendCrashes;
+    prometheus::Counter* m_quarantineRefusals;
+    prometheus::Gauge* m_quarantined;
     /// By BackendRequestKind.
     std::array<prometheus::Counter*, 4> m_backendRequests;
     /// By PeerTraffic; the first of each pair counts bytes to the same data centre, the second those to others.
--- a/Source/node/NodeTraffic.h
+++ b/Source/node/NodeTraffic.h
@@ -41,6 +41,7 @@
 
     CallGateway& gateway() { return m_gateway; }
     EndpointRunner& runner() { return m_runner; }
+    NodeQuarantine& quarantine() { return m_quarantine; }
     /// Updates the metrics of the endpoint, the calls in progress and the dropped log lines.
     void updateMetrics(NodeMetrics&);
     std::uint16_t callsPort() const { return m_callServer.port(); }
@@ -79,6 +80,7 @@
     NodeSettings m_settings;
     NodeMetrics& m_metrics;
     HttpClient m_client;
+    NodeQuarantine m_quarantine;
     EndpointRunner m_runner;
     CallGateway m_gateway;
     HttpServer m_callServer;
--- a/Source/protocol/GossipMessages.cpp
+++ b/Source/protocol/GossipMessages.cpp
@@ -17,8 +17,9 @@
 constexpr std::size_t maximumIntegerBytes = 9;
 constexpr unsigned bitsPerByte = 8;
 constexpr std::size_t hashBytes = sizeof(RecordHash);
-// Larger ages are reduced to this one, which is far longer than any ramp after the start of an endpoint.
-constexpr std::chrono::milliseconds maximumAnnouncementAge = std::chrono::hours(24 * 365);
+// Larger ages are reduced to this one, which is far longer than any ramp after the start of an endpoint, and than crash evidence is
+// kept.
+constexpr std::chrono::milliseconds maximumAge = std::chrono::hours(24 * 365);
 
 std::string packHashes(const RecordHash* hashes, std::size_t count)
 {
@@ -88,10 +89,16 @@
     return static_cast<Enum>(value);
 }
 
-std::uint64_t announcementAgeMilliseconds(const EndpointState& endpoint, TimePoint now)
+std::uint64_t ageMilliseconds(TimePoint time, TimePoint now)
 {
-    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - endpoint.announcedAt);
-    return static_cast<std::uint64_t>(std::clamp(age, std::chrono::milliseconds(0), maximumAnnouncementAge).count());
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - time);
+    return static_cast<std::uint64_t>(std::clamp(age, std::chrono::milliseconds(0), maximumAge).count());
+}
+
+TimePoint readTime(FieldReader& reader, TimePoint now)
+{
+    const std::uint64_t age = std::min<std::uint64_t>(reader.unsignedInteger(), maximumAge.count());
+    return now - std::chrono::milliseconds(age);
 }
 
 std::string encodeRecord(const MemberRecord& record, TimePoint now)
@@ -110,7 +117,7 @@
         cborBytes(packAddress(endpoint.backendServer)),
         endpoint.slots,
         static_cast<std::uint8_t>(endpoint.lifecycle),
-        announcementAgeMilliseconds(endpoint, now),
+        ageMilliseconds(endpoint.announcedAt, now),
     }));
 }
 
@@ -129,8 +136,7 @@
     record.endpoint.backendServer = readAddress(reader);
     record.endpoint.slots = readUnsigned32(reader);
     record.endpoint.lifecycle = readEnum(reader, EndpointLifecycle::Left);
-    const std::uint64_t age = std::min<std::uint64_t>(reader.unsignedInteger(), maximumAnnouncementAge.count());
-    record.endpoint.announcedAt = now - std::chrono::milliseconds(age);
+    record.endpoint.announcedAt = readTime(reader, now);
     return record;
 }
 
@@ -143,8 +149,69 @@
     return record;
 }
 
+/// A time that may be missing is an array of at most one age.
+Json encodeTime(const std::optional<TimePoint>& time, TimePoint now)
+{
+    Json fields = Json::array();
+    if (time)
+        fields.push_back(ageMilliseconds(*time, now));
+    return fields;
+}
+
+std::optional<TimePoint> readOptionalTime(FieldReader& reader, TimePoint now)
+{
+    FieldReader fields(reader.array());
+    std::optional<TimePoint> time;
+    if (fields.remaining() > 0)
+        time = readTime(fields, now);
+    if (fields.finish().has_error())
+        reader.fail("a time is not an array of at most one age");
+    return time;
+}
+
+Json encodeEvidence(const CrashEvidence& evidence, TimePoint now)
+{
+    Json crashes = Json::array();
+    for (const Crash& crash : evidence.crashes) {
+        crashes.push_back(crash.id.value());
+        crashes.push_back(ageMilliseconds(crash.at, now));
+    }
+    return Json::array({
+        cborBytes(std::string(evidence.digest.bytes.begin(), evidence.digest.bytes.end())),
+        evidence.service.value(),
+        std::move(crashes),
+        encodeTime(evidence.succeededAt, now),
+        encodeTime(evidence.releasedAt, now),
+        encodeTime(evidence.triedAt, now),
+    });
+}
+
+CrashEvidence readEvidence(FieldReader& reader, TimePoint now)
+{
+    CrashEvidence evidence;
+    const std::string digest = reader.bytes();
+    if (digest.size() == evidence.digest.bytes.size())
+        std::copy(digest.begin(), digest.end(), evidence.digest.bytes.begin());
+    else
+        reader.fail("digest of another size");
+    evidence.service = ServiceName(readName(reader));
+    FieldReader crashes(reader.array());
+    while (!crashes.failed() && crashes.remaining() > 0) {
+        const CrashId id(crashes.unsignedInteger());
+        evidence.crashes.push_back({ id, readTime(crashes, now) });
+    }
+    if (crashes.failed() || evidence.crashes.size() > maximumCrashesOfRequest)
+        reader.fail("crashes are not a bounded list of ids and ages");
+    evidence.succeededAt = readOptionalTime(reader, now);
+    evidence.releasedAt = readOptionalTime(reader, now);
+    evidence.triedAt = readOptionalTime(reader, now);
+    return evidence;
+}
+
 // Encodes each alternative of GossipBody as an array of its fields.
 struct BodyEncoder {
+    TimePoint now;
+
     Json operator()(const GossipPing& body) const { return Json::array({ body.sequence, body.target.value() }); }
     Json operator()(const GossipAck& body) const { return Json::array({ body.sequence, body.target.value() }); }
     Json operator()(const GossipIndirectPing& body) const
@@ -171,6 +238,13 @@
         return Json::array({ cborBytes(packHashes(body.nodes.data(), body.nodes.size())) });
     }
     Json operator()(const GossipDocuments& body) const { return Json::array({ body.isReply }); }
+    Json operator()(const GossipCrashEvidence& body) const
+    {
+        Json fields = Json::array();
+        for (const CrashEvidence& evidence : body.evidence)
+            fields.push_back(encodeEvidence(evidence, now));
+        return fields;
+    }
 };
 
 GossipDigest readDigest(FieldReader& reader)
@@ -200,8 +274,20 @@
     return summary;
 }
 
+GossipCrashEvidence readCrashEvidence(FieldReader& reader, TimePoint now)
+{
+    GossipCrashEvidence body;
+    while (!reader.failed() && reader.remaining() > 0) {
+        FieldReader fields(reader.array());
+        body.evidence.push_back(readEvidence(fields, now));
+        if (fields.finish().has_error())
+            reader.fail("crash evidence has other fields");
+    }
+    return body;
+}
+
 // Decodes the alternative of GossipBody with this index; the index is the message type on the wire.
-GossipBody readBody(std::uint64_t type, FieldReader& reader)
+GossipBody readBody(std::uint64_t type, FieldReader& reader, TimePoint now)
 {
     switch (type) {
     case 0: {
@@ -231,6 +317,8 @@
         return GossipRequest { unpackHashes(reader) };
     case 8:
         return GossipDocuments { reader.boolean() };
+    case 9:
+        return readCrashEvidence(reader, now);
     default:
         reader.fail("message type " + std::to_string(type) + " is unknown");
         return GossipRumors {};
@@ -271,7 +359,7 @@
         message.senderVersion.state,
         message.documentsHash,
         message.body.index(),
-        std::visit(BodyEncoder {}, message.body),
+        std::visit(BodyEncoder { now }, message.body),
         std::move(records),
         encodeDocuments(message.documents),
     }));
@@ -294,7 +382,7 @@
     BOOST_OUTCOME_TRY(reader.finish());
 
     FieldReader bodyReader(body);
-    message.body = readBody(type, bodyReader);
+    message.body = readBody(type, bodyReader, now);
     BOOST_OUTCOME_TRY(bodyReader.finish());
 
     FieldReader recordsReader(records);
@@ -320,4 +408,9 @@
     return hint.service.value().size() + maximumStringHeaderBytes + maximumIntegerBytes;
 }
 
+std::size_t encodedSize(const CrashEvidence& evidence, TimePoint now)
+{
+    return encodeCbor(encodeEvidence(evidence, now)).size();
+}
+
 } // namespace Knapweedquay
--- a/Source/protocol/GossipMessages.h
+++ b/Source/protocol/GossipMessages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "protocol/CrashEvidence.h"
 #include "protocol/MemberRecord.h"
 #include "protocol/Result.h"
 
@@ -84,7 +85,13 @@
     bool isReply = false;
 };
 
-using GossipBody = std::variant<GossipPing, GossipAck, GossipIndirectPing, GossipNack, GossipRumors, GossipDigest, GossipSummary, GossipRequest, GossipDocuments>;
+/// Evidence about requests that were running in crashes. Members of releases that do not know it ignore the datagram.
+struct GossipCrashEvidence {
+    std::vector<CrashEvidence> evidence;
+};
+
+using GossipBody = std::variant<GossipPing, GossipAck, GossipIndirectPing, GossipNack, GossipRumors, GossipDigest, GossipSummary, GossipRequest, GossipDocuments,
+    GossipCrashEvidence>;
 
 /// A version of a service's document that the sender has in force.
 struct DocumentHint {
@@ -105,15 +112,16 @@
     std::vector<DocumentHint> documents;
 };
 
-/// Encodes one datagram. Announcement times are sent as ages relative to now.
+/// Encodes one datagram. Announcement times and those of crash evidence are sent as ages relative to now.
 std::string encodeGossipMessage(const GossipMessage&, TimePoint now);
 
-/// Decodes one datagram. Announcement times are restored relative to now.
+/// Decodes one datagram. These times are restored relative to now.
 /// Errors: MessageTooLarge above maximumGossipBytes; MalformedMessage for anything other than one complete message.
 Result<GossipMessage> decodeGossipMessage(std::string_view bytes, TimePoint now);
 
 /// Upper bound of the bytes that a record or hint adds to a datagram.
 std::size_t encodedSize(const MemberRecord&, TimePoint now);
 std::size_t encodedSize(const DocumentHint&);
+std::size_t encodedSize(const CrashEvidence&, TimePoint now);
 
 } // namespace Knapweedquay
--- a/Source/protocol/LogEvent.h
+++ b/Source/protocol/LogEvent.h
@@ -51,6 +51,10 @@
     HealthResponseTooLarge = 408,
     BackendCrashed = 409,
     RequestLostInCrash = 410,
+    RequestQuarantined = 411,
+    RequestReleased = 412,
+    QuarantineRefusals = 413,
+    QuarantineTrial = 414,
 
     // 6xx: calls, at the node that accepted them (61x) and at the endpoint's node (62x).
     CallAccepted = 610,
--- a/Source/protocol/ResultCode.h
+++ b/Source/protocol/ResultCode.h
@@ -35,6 +35,7 @@
     CallerLimitReached = 209,
     BackendRefused = 210,
     RepeatBudgetSpent = 211,
+    RequestHeld = 212,
 
     // 3xx: the call may have run, is running already or has run before.
     OutcomeUnknown = 300,
@@ -42,6 +43,7 @@
     AlreadyRunning = 302,
     AlreadyRan = 303,
     KeyReusedForOtherRequest = 304,
+    BackendCrashed = 305,
 
     // 4xx: documents and edits.
     InvalidDocument = 400,
