--- a/Tests/coordination/OutgoingCallTest.cpp
+++ b/Tests/coordination/OutgoingCallTest.cpp
@@ -192,6 +192,18 @@
     EXPECT_DOUBLE_EQ(m_retries.available(m_now), m_hedges.available(m_now));
 }
 
+TEST_F(OutgoingCallTest, BackendServers_ThatCrashUnderACall_AreAtMostTwo)
+{
+    m_parameters.isIdempotent = true;
+    m_parameters.limits.maximumAttempts = 4;
+    begin();
+    handle(AttemptUnknown { attempt(1), ResultCode::BackendCrashed });
+    EXPECT_EQ(2U, count<ChooseEndpoint>());
+    handle(EndpointChosen { NodeId("b"), Incarnation(1) });
+    handle(AttemptUnknown { attempt(2), ResultCode::BackendCrashed });
+    expectOutcome(CallOutcome::Kind::Unknown, ResultCode::BackendCrashed);
+}
+
 // The first attempt may have reached a backend server, so whichever attempt runs after it is an extra one.
 TEST_F(OutgoingCallTest, RetryAfterALossRefusedByItsNode_NextAttempt_IsCharged)
 {
--- a/Tests/processes/PoisonRequestTest.cpp
+++ b/Tests/processes/PoisonRequestTest.cpp
@@ -30,6 +30,7 @@
     {
         NodePlan plan = plans.front();
         plan.crashPath = "/catalogue/poison";
+        plan.crashBody = m_crashBody;
         plan.serviceTimes = { "/=constant:40" };
         plans.clear();
         for (const char* name : { "a", "b", "c", "d", "e", "f", "g", "h" }) {
@@ -121,6 +122,8 @@
         int retries = 0;
     };
 
+    /// Only requests with this body end the backend servers, unless empty.
+    std::string m_crashBody;
     TestCallPointer m_hot;
     std::vector<TestCallPointer> m_harmless;
     std::deque<PoisonCall> m_poison;
@@ -149,4 +152,35 @@
     EXPECT_GE(answeredShare(known), 0.95) << answeredShare(0) << " over the whole time, " << m_runs << " runs of the crashing request";
 }
 
+TEST_F(PoisonRequestTest, HeldRequest_IsRefusedUntilAnOperatorReleasesIt)
+{
+    m_crashBody = "poison";
+    startFleet();
+    TestCall poison = *m_caller.send(callAddress("a"), "POST", "/catalogue/poison", 2s);
+    poison.request.body = "poison";
+    m_isSendingPoison = false;
+    for (int calls = 0; calls < 4; ++calls) {
+        m_caller.resend(callAddress("a"), poison);
+        sendFor(500ms);
+    }
+    const TestCallPointer refused = m_caller.resend(callAddress("h"), poison);
+    TestCall other = poison;
+    other.request.body = "harmless";
+    const TestCallPointer served = m_caller.resend(callAddress("h"), other);
+    ASSERT_TRUE(m_caller.waitForAnswers(6s));
+    EXPECT_TRUE(refused->isReportedNotRun());
+    EXPECT_EQ(212, refused->code()) << refused->answer.body;
+    EXPECT_GE(std::stoi(refused->answer.header("retry-after")), 30);
+    EXPECT_EQ(200U, served->answer.status) << served->answer.body;
+    const nlohmann::json held = m_deployment->nodeStatus("h")["traffic"]["held_requests"];
+    ASSERT_EQ(1U, held.size()) << held;
+
+    const std::uint64_t runs = executionCount(poison.id);
+    EXPECT_TRUE(m_deployment->release("b", held[0]["digest"]));
+    sendFor(1s);
+    m_caller.resend(callAddress("h"), poison);
+    sendFor(500ms);
+    EXPECT_GT(executionCount(poison.id), runs);
+}
+
 } // namespace Knapweedquay::Load
--- a/Tests/protocol/GossipMessagesTest.cpp
+++ b/Tests/protocol/GossipMessagesTest.cpp
@@ -39,12 +39,24 @@
     return message;
 }
 
+CrashEvidence completeEvidence()
+{
+    CrashEvidence evidence;
+    evidence.digest.bytes = { 1, 2, 255 };
+    evidence.service = ServiceName("dispatch");
+    evidence.crashes = { { CrashId(UINT64_MAX), now - std::chrono::seconds(3) }, { CrashId(2), now } };
+    evidence.succeededAt = now - std::chrono::milliseconds(1);
+    evidence.triedAt = now - std::chrono::hours(2);
+    return evidence;
+}
+
 std::vector<GossipBody> allBodies()
 {
     GossipDigest digest;
     digest.buckets[63] = 0xfedcba98;
     return { GossipPing { 1, NodeId("a") }, GossipAck { 2, NodeId("a") }, GossipIndirectPing { 3, NodeId("a"), { "10.0.0.2", 1 } }, GossipNack { 4 },
-        GossipRumors {}, digest, GossipSummary { { 63 }, { { 1, 2 } } }, GossipRequest { { 3, 4 } }, GossipDocuments { true } };
+        GossipRumors {}, digest, GossipSummary { { 63 }, { { 1, 2 } } }, GossipRequest { { 3, 4 } }, GossipDocuments { true },
+        GossipCrashEvidence { { completeEvidence(), CrashEvidence() } } };
 }
 
 TEST(GossipMessagesTest, EachBody_EncodedAndDecoded_KeepsFields)
@@ -67,6 +79,23 @@
     }
 }
 
+TEST(GossipMessagesTest, CrashEvidence_EncodedAndDecoded_KeepsAges)
+{
+    const TimePoint receiverNow = now + std::chrono::hours(70);
+    const auto decoded = decodeGossipMessage(encodeGossipMessage(messageWith(GossipCrashEvidence { { completeEvidence() } }), now), receiverNow);
+    ASSERT_TRUE(decoded.has_value());
+    const CrashEvidence sent = completeEvidence();
+    const CrashEvidence received = std::get<GossipCrashEvidence>(decoded.value().body).evidence.at(0);
+    EXPECT_EQ(sent.digest, received.digest);
+    EXPECT_EQ(sent.service, received.service);
+    ASSERT_EQ(2U, received.crashes.size());
+    EXPECT_EQ(sent.crashes[0].id, received.crashes[0].id);
+    EXPECT_EQ(receiverNow - std::chrono::seconds(3), received.crashes[0].at);
+    EXPECT_EQ(receiverNow - std::chrono::milliseconds(1), received.succeededAt);
+    EXPECT_EQ(receiverNow - std::chrono::hours(2), received.triedAt);
+    EXPECT_FALSE(received.releasedAt);
+}
+
 TEST(GossipMessagesTest, RecordsThatFitBySize_Encoded_StayInOneDatagram)
 {
     GossipMessage message = messageWith(GossipRumors {});
--- a/Utilities/Load/Deployment.cpp
+++ b/Utilities/Load/Deployment.cpp
@@ -268,6 +268,12 @@
     return exchangeOnce(addresses(node).backendControl, plainRequest("POST", "/modes", modes.dump()), requestTimeout).status == statusOk;
 }
 
+bool Deployment::release(const std::string& node, const std::string& digest)
+{
+    constexpr unsigned statusOk = 200;
+    return exchangeOnce(addresses(node).admin, plainRequest("POST", "/release", nlohmann::json({ { "digest", digest } }).dump()), requestTimeout).status == statusOk;
+}
+
 nlohmann::json Deployment::backendStats(const std::string& node)
 {
     return readJson(addresses(node).backendControl, "/stats");
--- a/Utilities/Load/Deployment.h
+++ b/Utilities/Load/Deployment.h
@@ -104,6 +104,8 @@
     nlohmann::json backendArrivals(const std::string& node);
     /// Answer of the node to GET /status; discarded JSON when it doesn't answer.
     nlohmann::json nodeStatus(const std::string& node);
+    /// Lets a node release a held request; false when it does not.
+    bool release(const std::string& node, const std::string& digest);
     /// Metrics of the node in the Prometheus text format; empty when it doesn't answer.
     std::string nodeMetrics(const std::string& node);
 
--- a/Utilities/MembershipBench/MembershipFleet.cpp
+++ b/Utilities/MembershipBench/MembershipFleet.cpp
@@ -108,6 +108,11 @@
     execute(member, m_members[member].membership->updateDocuments(inForce, m_now));
 }
 
+void MembershipFleet::spreadEvidence(std::size_t member, const std::vector<CrashEvidence>& evidence, const std::vector<NodeId>& recipients)
+{
+    execute(member, m_members[member].membership->spreadEvidence(evidence, recipients, m_now));
+}
+
 void MembershipFleet::run(Duration time)
 {
     const TimePoint end = m_now + time;
@@ -158,6 +163,8 @@
             transmit(member, *datagram);
         else if (const auto* hint = std::get_if<NewerDocumentHint>(&action))
             m_members[member].hints.push_back(*hint);
+        else if (const auto* received = std::get_if<EvidenceReceived>(&action); received && m_evidenceHook)
+            m_evidenceHook(member, received->evidence);
     }
     scheduleTimer(member);
 }
--- a/Utilities/MembershipBench/MembershipFleet.h
+++ b/Utilities/MembershipBench/MembershipFleet.h
@@ -71,12 +71,18 @@
     /// Sets the versions of the documents in force at a member.
     void setDocuments(std::size_t member, const std::vector<DocumentHint>&);
 
+    /// Sets the function that receives the evidence of other members about requests that were running in crashes.
+    void setEvidenceHook(std::function<void(std::size_t member, const CrashEvidence&)> hook) { m_evidenceHook = std::move(hook); }
+    /// Lets a member pass on evidence that it found.
+    void spreadEvidence(std::size_t member, const std::vector<CrashEvidence>&, const std::vector<NodeId>& recipients);
+
     /// Advances the virtual time.
     void run(Duration);
     /// Runs until the condition holds, which is checked every 50 ms, or the limit is reached; returns the elapsed time.
     Duration runUntil(const std::function<bool()>& condition, Duration limit);
 
     std::size_t size() const { return m_members.size(); }
+    bool isFrozen(std::size_t member) const { return m_members[member].isFrozen; }
     bool isRunning(std::size_t member) const { return m_members[member].membership != nullptr; }
     const Membership& membership(std::size_t member) const { return *m_members[member].membership; }
     NodeId nodeId(std::size_t member) const;
@@ -151,6 +157,7 @@
     /// Datagrams that were sent but have not arrived, by number.
     std::map<std::uint64_t, Datagram> m_inFlight;
     std::function<bool(std::size_t, std::size_t)> m_isReachable;
+    std::function<void(std::size_t, const CrashEvidence&)> m_evidenceHook;
     std::uint64_t m_lastSequence = 0;
     TimePoint m_now;
 };
