Gateway: Don't count a hedge that is left out as a refusal of a held request

A hedge for a request that was running in a crash is left out; the metric and event 413 told a refusal though nothing was held. The choice of the endpoint reads as cases now, the check at the endpoint's node stands with the other preconditions, and pieces of evidence are begun in one place.

--- a/Source/coordination/quarantine/RequestQuarantine.cpp
+++ b/Source/coordination/quarantine/RequestQuarantine.cpp
@@ -58,6 +58,15 @@
     return std::min(hold, RequestQuarantine::longestHold);
 }
 
+/// Evidence about the same request that says nothing yet.
+CrashEvidence emptyPieceOf(const CrashEvidence& known)
+{
+    CrashEvidence piece;
+    piece.digest = known.digest;
+    piece.service = known.service;
+    return piece;
+}
+
 TimePoint lastCrash(const CrashEvidence& evidence)
 {
     TimePoint last;
@@ -90,9 +99,7 @@
     const CrashEvidence* known = m_evidence.find(digest);
     if (!known || known->crashes.empty())
         return {};
-    CrashEvidence piece;
-    piece.digest = digest;
-    piece.service = known->service;
+    CrashEvidence piece = emptyPieceOf(*known);
     piece.succeededAt = now;
     return addOwn(piece, now);
 }
@@ -109,9 +116,7 @@
     const auto first = std::min_element(known->crashes.begin(), known->crashes.end(), [](const Crash& a, const Crash& b) { return a.at < b.at; });
     if (*success <= first->at && hasSucceededBefore(*known, first->at))
         return {};
-    CrashEvidence own;
-    own.digest = piece.digest;
-    own.service = known->service;
+    CrashEvidence own = emptyPieceOf(*known);
     own.succeededAt = success;
     return addOwn(own, now);
 }
@@ -121,9 +126,7 @@
     const CrashEvidence* known = m_evidence.find(digest);
     if (!known)
         return {};
-    CrashEvidence piece;
-    piece.digest = digest;
-    piece.service = known->service;
+    CrashEvidence piece = emptyPieceOf(*known);
     piece.releasedAt = now;
     return addOwn(piece, now);
 }
@@ -133,9 +136,7 @@
     const CrashEvidence* known = m_evidence.find(digest);
     if (!known)
         return {};
-    CrashEvidence piece;
-    piece.digest = digest;
-    piece.service = known->service;
+    CrashEvidence piece = emptyPieceOf(*known);
     piece.triedAt = now;
     return addOwn(piece, now);
 }
--- a/Source/node/CallGateway.cpp
+++ b/Source/node/CallGateway.cpp
@@ -323,13 +323,18 @@
     }
     const TimePoint now = steadyNow();
     const QuarantineVerdict verdict = m_quarantine.verdict(session->digest);
-    const bool isTrial = verdict.state == QuarantineState::TrialDue;
     // A request that may crash backend servers runs at one of them at a time.
-    const bool isBarred = verdict.state == QuarantineState::Held || (isTrial && !excluded.empty()) || (verdict.state == QuarantineState::Suspected && action.isHedge);
-    const auto chosen = isBarred ? std::nullopt : isTrial ? trialEndpoint(*session)
-                                                          : chooser.choose(excluded, session->priority, now, m_random);
-    if (!chosen && (isBarred || isTrial))
-        return handleEvent(session, NoEndpointAvailable { m_quarantine.refuse(session->digest, verdict) });
+    if (verdict.state == QuarantineState::Suspected && action.isHedge)
+        return handleEvent(session, NoEndpointAvailable {});
+    std::optional<EndpointId> chosen;
+    if (verdict.state == QuarantineState::Clear || verdict.state == QuarantineState::Suspected)
+        chosen = chooser.choose(excluded, session->priority, now, m_random);
+    else {
+        if (verdict.state == QuarantineState::TrialDue && excluded.empty())
+            chosen = trialEndpoint(*session);
+        if (!chosen)
+            return handleEvent(session, NoEndpointAvailable { m_quarantine.refuse(session->digest, verdict) });
+    }
     session->isHedging = action.isHedge;
     if (action.isHedge)
         session->trace.add(LogEvent::CallHedged, now, {}, { (now - session->startedAt).count() });
--- a/Source/node/EndpointRunner.cpp
+++ b/Source/node/EndpointRunner.cpp
@@ -182,6 +182,8 @@
         return Refusal { ResultCode::Draining, unavailableRetryAfter };
     if (job.message.remaining <= Duration::zero())
         return Refusal { ResultCode::DeadlineExpired };
+    if (const QuarantineVerdict verdict = m_quarantine.verdict(job.digest); verdict.state == QuarantineState::Held)
+        return m_quarantine.refuse(job.digest, verdict);
     if (m_jobBodyBytes + job.message.request.body.size() > maximumJobBodyBytes)
         return Refusal { ResultCode::Overloaded, unavailableRetryAfter };
     return std::nullopt;
@@ -204,12 +206,6 @@
         perform(m_fates.refuse(action.attempt, *refusal, now));
         return;
     }
-    if (const QuarantineVerdict verdict = m_quarantine.verdict(job->digest); verdict.state == QuarantineState::Held) {
-        const Refusal refusal = m_quarantine.refuse(job->digest, verdict);
-        recordRejection(*job, refusal, now);
-        perform(m_fates.refuse(action.attempt, refusal, now));
-        return;
-    }
     const AdmissionDecision decision = m_queue->offer(job->ticket, job->message.priority, job->deadline, now, now + job->message.targetRemaining);
     if (decision.kind == AdmissionKind::Refused) {
         const Refusal refusal { decision.code, decision.retryAfter };
