--- a/Source/coordination/membership/EvidenceGossip.cpp
+++ b/Source/coordination/membership/EvidenceGossip.cpp
@@ -10,7 +10,7 @@
 /// pass it on as well.
 constexpr std::size_t suppressionThreshold = 16;
 constexpr std::uint32_t suppressedTransmissions = 5;
-/// Rumors that are heard again are dropped after as many suppressed transmissions as in a deployment of thousands of members.
+/// Transmissions after which a rumor that is heard again is dropped; no deployment makes more of one rumor.
 constexpr std::uint32_t suppressionLimit = 20;
 
 } // namespace
