Workspaces: Add the types, settings and result codes that the new parts share

Keys, quotas, evacuations and the pace of cold backend servers are built side by side. They agree on: Workspace and its quota in the routing document, digests of keys, the cold time and rate of a service, the bounds of revocation and quotas in the settings, and codes 112 and 213 to 215. Nothing uses them yet, so nothing changes for callers.

--- a/Source/control/ControlSettings.h
+++ b/Source/control/ControlSettings.h
@@ -42,6 +42,9 @@
     SocketAddress gossip;
     /// Gossip addresses of some members.
     std::vector<SocketAddress> seeds;
+    /// All data centres of the deployment; empty where the settings don't list them.
+    std::vector<DataCentre> dataCentres;
+    QuotaBound quotaBound;
     LogSettings log;
     /// Parses the routing document; set by the program, not by the settings file.
     RoutingParser parseRouting = parseRoutingToml;
--- a/Source/node/CallRequestParser.h
+++ b/Source/node/CallRequestParser.h
@@ -4,6 +4,7 @@
 #include "protocol/CallHeaders.h"
 #include "protocol/HttpMessage.h"
 #include "protocol/Ids.h"
+#include "protocol/KeyDigest.h"
 #include "protocol/Result.h"
 #include "protocol/Time.h"
 
@@ -31,6 +32,10 @@
     bool isRepeat = false;
     /// Level of this call in a chain of calls, as received in the depth header; 0 without one.
     std::uint32_t depth = 0;
+    /// Workspace of the caller's key; empty for calls that need no key.
+    WorkspaceName workspace;
+    /// Digest of the caller's key; not set for calls that need no key.
+    std::optional<KeyDigest> callerKey;
     /// Null if the request itself named the service. Owned by the routing table that was in force during parsing.
     const RoutingTable::Entry* route = nullptr;
 };
--- a/Source/node/NodeSettings.h
+++ b/Source/node/NodeSettings.h
@@ -55,6 +55,10 @@
     Duration stopNotice { 0 };
     /// Maximum time after a stop signal for calls in progress; the process then ends and aborts them.
     Duration maximumStopTime { 30000000 };
+    /// Time after the acknowledgement of a key's withdrawal from which no request with it runs at any node; not set where a
+    /// node that is cut off may go on by the keys that it knows.
+    std::optional<Duration> keyRevocationTime;
+    QuotaBound quotaBound;
     LogSettings log;
     TraceSampler::Settings traces;
     /// Parser of the routing document; set by the program, not in the settings file.
--- a/Source/protocol/Ids.h
+++ b/Source/protocol/Ids.h
@@ -27,6 +27,9 @@
 /// Index of a priority in its service document; 0 is the most urgent.
 using PriorityIndex = StrongType<struct PriorityIndexTag, std::uint32_t>;
 
+/// Name of a workspace; empty where a request belongs to none.
+using WorkspaceName = StrongType<struct WorkspaceNameTag, std::string>;
+
 /// Identity of one attempt of a call, unique across all nodes and their restarts.
 struct AttemptId {
     /// Node that made the attempt.
--- a/Source/protocol/ResultCode.h
+++ b/Source/protocol/ResultCode.h
@@ -21,6 +21,7 @@
     UnknownResource = 109,
     HeadersTooLarge = 110,
     UnknownRoute = 111,
+    UnknownKey = 112,
 
     // 2xx: the call was refused or could not be sent; it was not run.
     Overloaded = 200,
@@ -36,6 +37,9 @@
     BackendRefused = 210,
     RepeatBudgetSpent = 211,
     RequestHeld = 212,
+    QuotaExceeded = 213,
+    DataCentreEvacuated = 214,
+    KeyUnproved = 215,
 
     // 3xx: the call may have run, is running already or has run before.
     OutcomeUnknown = 300,
--- a/Source/state/RoutingDocument.h
+++ b/Source/state/RoutingDocument.h
@@ -1,13 +1,16 @@
 #pragma once
 
 #include "protocol/Ids.h"
+#include "protocol/RequestRate.h"
 #include "protocol/Result.h"
 #include "protocol/Time.h"
 #include "state/ServiceDocument.h"
+#include "state/Workspace.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -17,9 +20,6 @@
 /// Name under which the control store keeps the routing document, next to the service documents.
 inline ServiceName routingDocumentName() { return ServiceName("@routing"); }
 
-/// Urgency rank of a route; 0 is the most urgent.
-using Rank = StrongType<struct RankTag, std::uint32_t>;
-
 /// Service that a route sends calls to, and the weight of its share of these calls.
 struct RouteTarget {
     ServiceName service;
@@ -42,6 +42,8 @@
     Rank rank;
     /// Maximum number of attempts of one call, including the first.
     std::uint32_t maximumAttempts = 1;
+    /// Whether calls need no key although the deployment has workspaces.
+    bool allowsAnonymous = false;
     /// One service, or several that share the calls according to their weights.
     std::vector<RouteTarget> targets;
 };
@@ -54,6 +56,10 @@
     std::uint32_t maximumConnections = 0;
     /// Path of the health check of its backend servers; empty when they have none.
     std::string healthPath;
+    /// Time for which a backend server is cold after its start; 0 where it never is.
+    Duration coldTime { 0 };
+    /// Requests per second that a cold backend server bears; not set where it bears as many as a warm one.
+    std::optional<RequestRate> coldRate;
 };
 
 /// Limits on the size and duration of requests from callers.
@@ -71,6 +77,8 @@
     std::vector<RoutedService> services;
     std::vector<RoutingRule> rules;
     CallerLimits limits;
+    /// Empty where calls need no key.
+    std::vector<Workspace> workspaces;
 };
 
 /// Function that parses a routing document. Errors: InvalidDocument.
