--- a/Source/coordination/routing/RoutingTable.cpp
+++ b/Source/coordination/routing/RoutingTable.cpp
@@ -21,6 +21,7 @@
 
 RoutingTable::RoutingTable(RoutingDocument document)
     : m_document(std::move(document))
+    , m_keys(m_document)
 {
     const std::vector<Rank> ranks = ranksOf(m_document);
     m_entries.reserve(m_document.rules.size());
--- a/Source/coordination/routing/RoutingTable.h
+++ b/Source/coordination/routing/RoutingTable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/workspaces/KeyTable.h"
 #include "state/RoutingDocument.h"
 
 #include <functional>
@@ -29,6 +30,7 @@
     RoutingTable& operator=(const RoutingTable&) = delete;
 
     const RoutingDocument& document() const { return m_document; }
+    const KeyTable& keys() const { return m_keys; }
     /// The host may include a port and upper-case letters; the target may include a query. Returns null when no route
     /// matches.
     const Entry* find(std::string_view host, std::string_view target) const;
@@ -39,6 +41,7 @@
     const Prefixes* prefixesOf(std::string_view host) const;
 
     RoutingDocument m_document;
+    KeyTable m_keys;
     std::vector<Entry> m_entries;
     /// Entries by path prefix, for each host; the prefixes and pointers refer to m_entries.
     std::unordered_map<std::string, Prefixes> m_hosts;
--- a/Source/coordination/routing/RunningRequests.cpp
+++ b/Source/coordination/routing/RunningRequests.cpp
@@ -10,8 +10,18 @@
 
 void RunningRequests::started(const std::string& id, Run run)
 {
-    if (!id.empty())
-        m_runs[id] = run;
+    if (id.empty())
+        return;
+    Runs& runs = m_runs[id];
+    runs.last = run;
+    ++runs.count;
+}
+
+void RunningRequests::ended(const std::string& id)
+{
+    const auto runs = m_runs.find(id);
+    if (runs != m_runs.end() && --runs->second.count == 0)
+        m_runs.erase(runs);
 }
 
 std::optional<RunningRequests::Run> RunningRequests::parentOf(std::string_view id) const
@@ -20,7 +30,7 @@
     if (end == std::string_view::npos || m_runs.empty())
         return std::nullopt;
     const auto run = m_runs.find(std::string(id.substr(0, end)));
-    return run == m_runs.end() ? std::nullopt : std::optional(run->second);
+    return run == m_runs.end() ? std::nullopt : std::optional(run->second.last);
 }
 
 } // namespace Knapweedquay
--- a/Source/coordination/routing/RunningRequests.h
+++ b/Source/coordination/routing/RunningRequests.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -21,13 +22,21 @@
 
     /// Records a request that started to run; one without an id is ignored.
     void started(const std::string& id, Run);
-    void ended(const std::string& id) { m_runs.erase(id); }
+    /// Records the end of one run; a request may run more than once at the same time.
+    void ended(const std::string& id);
     /// The request running here that made the call with this id; not set if there is none.
     std::optional<Run> parentOf(std::string_view id) const;
 
 private:
+    /// The runs of one request at the same time.
+    struct Runs {
+        /// The run that started last.
+        Run last;
+        std::size_t count = 0;
+    };
+
     /// By the id of the request.
-    std::unordered_map<std::string, Run> m_runs;
+    std::unordered_map<std::string, Runs> m_runs;
 };
 
 } // namespace Knapweedquay
--- a/Source/node/CallGateway.cpp
+++ b/Source/node/CallGateway.cpp
@@ -1,5 +1,6 @@
 #include "node/CallGateway.h"
 
+#include "coordination/workspaces/CallerAuthentication.h"
 #include "node/PeerTraffic.h"
 #include "transport/Logger.h"
 
@@ -77,11 +78,12 @@
 
 } // namespace
 
-CallGateway::CallGateway(asio::io_context& context, NodeIdentity self, EndpointRunner& local, NodeQuarantine& quarantine, Settings settings, ClaimHooks claims, NodeMetrics& metrics)
+CallGateway::CallGateway(asio::io_context& context, NodeIdentity self, EndpointRunner& local, NodeQuarantine& quarantine, NodeKeys& keyChecks, Settings settings, ClaimHooks claims, NodeMetrics& metrics)
     : m_context(context)
     , m_self(std::move(self))
     , m_localRunner(local)
     , m_quarantine(quarantine)
+    , m_keyChecks(keyChecks)
     , m_settings(std::move(settings))
     , m_intake(m_settings.headers, m_settings.callerService, m_settings.needsRouting, randomShare())
     , m_claimHooks(std::move(claims))
@@ -124,6 +126,10 @@
     const auto session = createSession(exchange);
     if (session.has_error() && session.error().code == ResultCode::UnknownRoute && steadyNow() - *m_configurationProvedAt > maximumProofAgeToDenyRoutes)
         return refuse(exchange, { ResultCode::StaleConfiguration, "no route, but newer routes may exist" }, refusalRetryAfter);
+    if (session.has_error() && (session.error().code == ResultCode::UnknownKey || session.error().code == ResultCode::KeyUnproved)) {
+        m_keyChecks.callRefused(session.error().code);
+        return refuse(exchange, session.error(), session.error().code == ResultCode::KeyUnproved ? refusalRetryAfter : Duration::zero());
+    }
     if (session.has_error())
         return refuse(exchange, session.error());
     startSession(session.value());
@@ -138,6 +144,8 @@
 HttpResponse CallGateway::refusalResponse(const Error& error, CallOutcomeKind kind, Duration retryAfter) const
 {
     HttpResponse response = problemResponse(error, kind, retryAfter);
+    if (error.code == ResultCode::UnknownKey)
+        response.headers.push_back({ HeaderName::authenticate, "Bearer" });
     if (!m_settings.headers.hasFractionalRetryAfter)
         return response;
     for (HttpHeader& header : response.headers) {
@@ -149,9 +157,11 @@
 
 Result<CallGateway::SessionPtr> CallGateway::createSession(const HttpExchangePtr& exchange)
 {
-    auto parsed = m_intake.read(exchange->request());
+    auto parsed = m_intake.read(exchange->request(), steadyNow() - *m_configurationProvedAt, m_localRunner.running());
     if (parsed.has_error())
         return parsed.error();
+    if (const auto refusal = m_keyChecks.check(parsed.value().callerProof()))
+        return Error { refusal->code, "this node has no recent proof that the key was not withdrawn" };
     const SessionPtr session = std::make_shared<CallSession>();
     session->exchange = exchange;
     session->parsed = std::move(parsed.value());
@@ -163,7 +173,7 @@
     if (session->parsed.request.body.size() > maximumBodyBytes)
         return Error { ResultCode::RequestTooLarge, "the service takes bodies of at most " + std::to_string(maximumBodyBytes) + " bytes" };
     session->id = ++m_lastSequence;
-    session->digest = digestOf(session->parsed.service, session->parsed.request, m_settings.headers.callerService);
+    session->digest = digestOf(session->parsed.service, session->parsed.request, m_settings.headers.callerService, session->parsed.workspace);
     session->startedAt = steadyNow();
     BOOST_OUTCOME_TRYV(classify(*session, *service));
     session->targetAt = session->startedAt - session->elapsedBefore + session->target;
@@ -181,7 +191,7 @@
     session.limits = document.retries;
     if (call.route) {
         const RoutingRule& rule = call.route->rule;
-        session.priority = call.route->priority;
+        session.priority = call.workspacePriority.value_or(call.route->priority);
         session.isIdempotent = rule.isIdempotent;
         session.limits.maximumAttempts = rule.maximumAttempts;
         session.target = rule.target;
@@ -245,7 +255,7 @@
     const ClaimOwner owner { m_self.node, m_self.incarnation, ++m_lastSequence };
     session->claim = owner;
     m_keyedSessions.emplace(owner, session);
-    performKeyActions(m_keys.request({ session->parsed.service, session->parsed.key, fingerprintOf(session->parsed.request) }, owner));
+    performKeyActions(m_keys.request({ session->parsed.service, claimKey(session->parsed.workspace, session->parsed.key), fingerprintOf(session->parsed.request) }, owner));
 }
 
 void CallGateway::claimAnswered(const ClaimOwner& owner, ResultCode code)
@@ -322,6 +332,8 @@
             excluded.push_back({ node, member->second.version.incarnation });
     }
     const TimePoint now = steadyNow();
+    if (const auto refusal = m_keyChecks.check(session->parsed.callerProof()))
+        return handleEvent(session, NoEndpointAvailable { *refusal });
     const QuarantineVerdict verdict = m_quarantine.verdict(session->digest);
     // A request that may crash backend servers runs at one of them at a time.
     if (verdict.state == QuarantineState::Suspected && action.isHedge)
@@ -400,6 +412,7 @@
     message.depth = session->parsed.depth;
     message.idempotencyKey = session->parsed.key;
     message.request = session->parsed.request;
+    message.caller = session->parsed.callerProof();
     sendTo(action.node, message);
     if (!action.isResend)
         probeIfDue(service);
@@ -439,7 +452,7 @@
     if (session->claim) {
         m_keyedSessions.erase(*session->claim);
         if (outcome.kind == CallOutcome::Kind::Answered)
-            m_claimHooks.complete(*session->claim, session->parsed.service, session->parsed.key);
+            m_claimHooks.complete(*session->claim, session->parsed.service, claimKey(session->parsed.workspace, session->parsed.key));
         performKeyActions(m_keys.finish(*session->claim, outcome, steadyNow()));
     }
     removeSession(session);
--- a/Source/node/CallGateway.h
+++ b/Source/node/CallGateway.h
@@ -6,6 +6,7 @@
 #include "node/CallSession.h"
 #include "node/EndpointRunner.h"
 #include "node/NodeIdentity.h"
+#include "node/NodeKeys.h"
 #include "node/PeerLinks.h"
 #include "node/ServiceTraffic.h"
 #include "protocol/MemberRecord.h"
@@ -66,7 +67,7 @@
         TraceSampler::Settings traces;
     };
 
-    CallGateway(asio::io_context&, NodeIdentity self, EndpointRunner& local, NodeQuarantine&, Settings, ClaimHooks, NodeMetrics&);
+    CallGateway(asio::io_context&, NodeIdentity self, EndpointRunner& local, NodeQuarantine&, NodeKeys&, Settings, ClaimHooks, NodeMetrics&);
     ~CallGateway();
 
     /// Starts the call of a caller's request, or refuses it.
@@ -181,6 +182,7 @@
     NodeIdentity m_self;
     EndpointRunner& m_localRunner;
     NodeQuarantine& m_quarantine;
+    NodeKeys& m_keyChecks;
     Settings m_settings;
     CallIntake m_intake;
     CallerDeadlines m_callerDeadlines;
--- a/Source/node/CallIntake.cpp
+++ b/Source/node/CallIntake.cpp
@@ -1,5 +1,7 @@
 #include "node/CallIntake.h"
 
+#include "coordination/workspaces/CallerAuthentication.h"
+
 namespace Knapweedquay {
 
 CallIntake::CallIntake(CallHeaders headers, ServiceName callerService, bool needsRouting, double choiceStart)
@@ -10,7 +12,31 @@
 {
 }
 
-Result<ParsedCall> CallIntake::read(const HttpRequest& request)
+Result<ParsedCall> CallIntake::read(const HttpRequest& request, Duration proofAge, const RunningRequests& running)
+{
+    BOOST_OUTCOME_TRY(call, parse(request));
+    BOOST_OUTCOME_TRYV(identifyCaller(request, proofAge, running, call));
+    return call;
+}
+
+Result<void> CallIntake::identifyCaller(const HttpRequest& request, Duration proofAge, const RunningRequests& running, ParsedCall& call) const
+{
+    if (!m_routing || !m_routing->keys().isNeeded())
+        return BOOST_OUTCOME_V2_NAMESPACE::success();
+    CallerRequest caller { request.headers };
+    caller.allowsAnonymous = call.route && call.route->rule.allowsAnonymous;
+    caller.isOwnBackendCall = running.parentOf(call.requestId).has_value();
+    caller.proofAge = proofAge;
+    BOOST_OUTCOME_TRY(authenticated, authenticate(m_routing->keys(), caller));
+    call.workspace = authenticated.proof.workspace;
+    call.callerKey = authenticated.proof.key;
+    call.checkedByVersion = authenticated.proof.routingVersion;
+    call.workspacePriority = authenticated.priority;
+    removeCallerHeaders(call.request.headers, m_headers.workspace);
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+Result<ParsedCall> CallIntake::parse(const HttpRequest& request)
 {
     const std::string* host = findHeader(request.headers, "Host");
     const RoutingTable::Entry* route = m_routing && host ? m_routing->find(*host, request.target) : nullptr;
--- a/Source/node/CallIntake.h
+++ b/Source/node/CallIntake.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/routing/RoutingTable.h"
+#include "coordination/routing/RunningRequests.h"
 #include "coordination/routing/WeightedChoice.h"
 #include "node/CallRequestParser.h"
 #include "protocol/CallHeaders.h"
@@ -24,10 +25,18 @@
     const std::shared_ptr<const RoutingTable>& routing() const { return m_routing; }
     void setCallerService(ServiceName service) { m_callerService = std::move(service); }
 
-    /// Errors: those of parseCall(); UnknownRoute; StaleConfiguration while routing is required and not yet known.
-    Result<ParsedCall> read(const HttpRequest&);
+    /// proofAge: time since the routing document was proved to be the newest. running: the requests that the local backend
+    /// server is running; the calls that it makes for them need no key.
+    ///
+    /// Errors: those of parseCall() and authenticate(); UnknownRoute; StaleConfiguration while routing is required and not yet
+    /// known.
+    Result<ParsedCall> read(const HttpRequest&, Duration proofAge, const RunningRequests& running);
 
 private:
+    Result<ParsedCall> parse(const HttpRequest&);
+    /// Determines the workspace of the call, and removes the headers that only nodes may set.
+    Result<void> identifyCaller(const HttpRequest&, Duration proofAge, const RunningRequests&, ParsedCall&) const;
+
     CallHeaders m_headers;
     ServiceName m_callerService;
     bool m_needsRouting;
--- a/Source/node/CallRequestParser.cpp
+++ b/Source/node/CallRequestParser.cpp
@@ -119,6 +119,13 @@
 
 } // namespace
 
+std::optional<CallerProof> ParsedCall::callerProof() const
+{
+    if (!checkedByVersion)
+        return std::nullopt;
+    return CallerProof { *checkedByVersion, workspace, callerKey };
+}
+
 bool namesService(const HttpRequest& source)
 {
     return std::string_view(source.target).substr(0, callPrefix.size()) == callPrefix;
--- a/Source/node/CallRequestParser.h
+++ b/Source/node/CallRequestParser.h
@@ -2,6 +2,7 @@
 
 #include "coordination/routing/RoutingTable.h"
 #include "protocol/CallHeaders.h"
+#include "protocol/CallerProof.h"
 #include "protocol/HttpMessage.h"
 #include "protocol/Ids.h"
 #include "protocol/KeyDigest.h"
@@ -36,8 +37,15 @@
     WorkspaceName workspace;
     /// Digest of the caller's key; not set for calls that need no key.
     std::optional<KeyDigest> callerKey;
+    /// Priority of the workspace's calls; not set where the route decides.
+    std::optional<PriorityIndex> workspacePriority;
+    /// Version of the routing document by which the caller was checked; not set where the deployment has no workspaces.
+    std::optional<std::uint64_t> checkedByVersion;
     /// Null if the request itself named the service. Owned by the routing table that was in force during parsing.
     const RoutingTable::Entry* route = nullptr;
+
+    /// What other nodes are told of the caller.
+    std::optional<CallerProof> callerProof() const;
 };
 
 /// Parses a request for "/call/SERVICE/PATH" and the headers listed in docs/PROTOCOL.md.
--- a/Source/node/EndpointRunner.cpp
+++ b/Source/node/EndpointRunner.cpp
@@ -1,5 +1,6 @@
 #include "node/EndpointRunner.h"
 
+#include "coordination/workspaces/CallerAuthentication.h"
 #include "protocol/ProblemDetails.h"
 #include "transport/Logger.h"
 
@@ -50,12 +51,13 @@
 
 } // namespace
 
-EndpointRunner::EndpointRunner(asio::io_context& context, NodeIdentity self, Settings settings, HttpClient& client, ReplyHook reply, NodeQuarantine& quarantine, NodeMetrics& metrics)
+EndpointRunner::EndpointRunner(asio::io_context& context, NodeIdentity self, Settings settings, HttpClient& client, ReplyHook reply, NodeQuarantine& quarantine, NodeKeys& keyChecks, NodeMetrics& metrics)
     : m_self(std::move(self))
     , m_settings(std::move(settings))
     , m_client(client)
     , m_replyHook(std::move(reply))
     , m_quarantine(quarantine)
+    , m_keyChecks(keyChecks)
     , m_metrics(metrics)
     , m_fates(m_self.incarnation)
     , m_monitor(context, m_settings.headers, m_settings.loadInterval, client, metrics, monitorHooks())
@@ -184,6 +186,8 @@
         return Refusal { ResultCode::DeadlineExpired };
     if (const QuarantineVerdict verdict = m_quarantine.verdict(job.digest); verdict.state == QuarantineState::Held)
         return m_quarantine.refuse(job.digest, verdict);
+    if (const auto refusal = m_keyChecks.check(job.message.caller))
+        return refusal;
     if (m_jobBodyBytes + job.message.request.body.size() > maximumJobBodyBytes)
         return Refusal { ResultCode::Overloaded, unavailableRetryAfter };
     return std::nullopt;
@@ -197,7 +201,7 @@
     job->message = *m_currentRequest;
     if (const std::string* id = findHeader(m_currentRequest->request.headers, m_settings.headers.requestId))
         job->requestId = *id;
-    job->digest = digestOf(job->message.service, job->message.request, m_settings.headers.callerService);
+    job->digest = digestOf(job->message.service, job->message.request, m_settings.headers.callerService, job->message.caller.value_or(CallerProof()).workspace);
     job->connection = m_currentConnection;
     job->deadline = now + m_currentRequest->remaining;
     job->receivedAt = now;
@@ -318,15 +322,21 @@
     notifyLoadChanged();
 }
 
+std::optional<Refusal> EndpointRunner::checkRun(const Job& job)
+{
+    if (const auto refusal = m_keyChecks.check(job.message.caller))
+        return refusal;
+    return m_quarantine.checkRun(job.digest);
+}
+
 bool EndpointRunner::start(Job& job)
 {
     const JobPtr jobPointer = m_jobsByTicket.at(job.ticket);
-    // What was learned while the attempt was waiting counts too.
-    if (const auto held = m_quarantine.checkRun(job.digest)) {
+    if (const auto refusal = checkRun(job)) {
         const TimePoint now = steadyNow();
-        recordRejection(job, *held, now);
+        recordRejection(job, *refusal, now);
         finish(jobPointer, BackendOutcome::Abandoned);
-        perform(m_fates.refuse(job.message.attempt, *held, now));
+        perform(m_fates.refuse(job.message.attempt, *refusal, now));
         return false;
     }
     if (!m_fates.tryStart(job.message.attempt) || !m_backend) {
@@ -355,7 +365,10 @@
     options.maximumBodyBytes = m_document->maximumBodyBytes;
     options.maximumIdle = job.message.isIdempotent ? maximumIdleIfIdempotent : maximumIdleIfNotIdempotent;
     if (job.message.isIdempotent && !job.message.isRepeat)
-        options.allowsResend = [this, digest = job.digest] { return m_quarantine.verdict(digest).state == QuarantineState::Clear && tryResend(); };
+        options.allowsResend = [this, digest = job.digest, caller = job.message.caller] { return m_quarantine.verdict(digest).state == QuarantineState::Clear && !m_keyChecks.check(caller) && tryResend(); };
+    // The node may have been frozen while a connection opened.
+    if (job.message.caller && job.message.caller->key)
+        options.maySend = [this, caller = job.message.caller] { return !m_keyChecks.check(caller); };
     if (job.requestId.empty())
         return options;
     options.matchesRequest = [name = m_settings.headers.requestId, id = job.requestId](const HttpResponse& response) {
@@ -378,6 +391,11 @@
 {
     const CallRequestMessage& message = job.message;
     HttpRequest request = message.request;
+    if (message.caller) {
+        removeCallerHeaders(request.headers, m_settings.headers.workspace);
+        if (!message.caller->workspace.value().empty())
+            request.headers.push_back({ m_settings.headers.workspace, message.caller->workspace.value() });
+    }
     const auto milliseconds = std::chrono::floor<std::chrono::milliseconds>(job.deadline - steadyNow()).count();
     request.headers.push_back({ m_settings.headers.deadline, std::to_string(std::max<std::int64_t>(1, milliseconds)) });
     if (!m_backend->instance.empty())
@@ -428,8 +446,11 @@
             perform(m_fates.recordUnknownOutcome(attempt, outcome.failure.error.code, now));
     } else {
         const bool isExpired = outcome.failure.error.code == ResultCode::TimedOut;
-        finish(job, isExpired ? BackendOutcome::Abandoned : BackendOutcome::Failed);
-        perform(m_fates.refuse(attempt, { isExpired ? ResultCode::DeadlineExpired : ResultCode::PeerUnreachable, unavailableRetryAfter }, now));
+        // Options::maySend only asks for the key.
+        const bool isUnproved = outcome.failure.error.code == ResultCode::CancelledBeforeStart;
+        finish(job, isExpired || isUnproved ? BackendOutcome::Abandoned : BackendOutcome::Failed);
+        const ResultCode reason = isUnproved ? ResultCode::KeyUnproved : ResultCode::PeerUnreachable;
+        perform(m_fates.refuse(attempt, { isExpired ? ResultCode::DeadlineExpired : reason, unavailableRetryAfter }, now));
     }
     startReadyJobs();
 }
--- a/Source/node/EndpointRunner.h
+++ b/Source/node/EndpointRunner.h
@@ -7,6 +7,7 @@
 #include "node/CallTrace.h"
 #include "node/LocalBackend.h"
 #include "node/NodeIdentity.h"
+#include "node/NodeKeys.h"
 #include "node/NodeMetrics.h"
 #include "node/NodeQuarantine.h"
 #include "protocol/CallHeaders.h"
@@ -55,7 +56,7 @@
         TraceSampler::Settings traces;
     };
 
-    EndpointRunner(asio::io_context&, NodeIdentity self, Settings, HttpClient&, ReplyHook, NodeQuarantine&, NodeMetrics&);
+    EndpointRunner(asio::io_context&, NodeIdentity self, Settings, HttpClient&, ReplyHook, NodeQuarantine&, NodeKeys&, NodeMetrics&);
 
     /// Sets the local backend server after its first announcement, or one that differs from the previous one.
     void setBackend(const LocalBackend&);
@@ -143,6 +144,9 @@
     void perform(const SendUnknown&);
     void perform(const SendCancelResult&);
 
+    /// Returns why the attempt must not run although it was admitted, if anything forbids it. What was learned while it was
+    /// waiting counts too.
+    std::optional<Refusal> checkRun(const Job&);
     /// Returns why the attempt cannot be offered to the admission queue, if anything prevents it.
     std::optional<Refusal> checkPreconditions(const Job&) const;
     /// Calls that the backend server can run at once, as announced and as its connections allow; nothing for the default of
@@ -186,6 +190,7 @@
     HttpClient& m_client;
     ReplyHook m_replyHook;
     NodeQuarantine& m_quarantine;
+    NodeKeys& m_keyChecks;
     NodeMetrics& m_metrics;
     FateTable m_fates;
     /// Not set while no backend server is announced.
--- a/Source/node/NodeDaemon.cpp
+++ b/Source/node/NodeDaemon.cpp
@@ -132,10 +132,7 @@
         asio::post(m_trafficContext, [this, node, service] { m_traffic->gateway().requestDocument(node, service); });
     };
     hooks.configurationProved = [this](TimePoint provedAt) {
-        asio::post(m_trafficContext, [this, provedAt] {
-            m_traffic->gateway().setConfigurationProvedAt(provedAt);
-            m_traffic->runner().configurationProved();
-        });
+        asio::post(m_trafficContext, [this, provedAt] { m_traffic->configurationProved(provedAt); });
     };
     hooks.claimAnswered = [this](const AttemptId& owner, ResultCode code) {
         asio::post(m_trafficContext, [this, owner, code] { m_traffic->gateway().claimAnswered(owner, code); });
--- a/Source/node/NodeMetrics.cpp
+++ b/Source/node/NodeMetrics.cpp
@@ -181,6 +181,7 @@
     , m_peerBytes(peerByteCounters(*m_registry))
     , m_measurementTime(&counter(*m_registry, "knapweedquay_measurement_cpu_seconds_total", "Processor time spent on sending and reading probes"))
     , m_rejections(*m_registry, "knapweedquay_endpoint_rejections_total", "Attempts that this node rejected, by result code")
+    , m_refusedCallers(*m_registry, "knapweedquay_callers_refused_total", "Requests refused because of their keys when they arrived, by result code")
     , m_waits(&histogram(*m_registry, "knapweedquay_endpoint_wait_seconds", "Time from the admission of an attempt to its start"))
     , m_serviceTimes(&histogram(*m_registry, "knapweedquay_endpoint_service_seconds", "Time of successful attempts at the backend server"))
     , m_unreadLines(&counter(*m_registry, "knapweedquay_log_lines_dropped_total", "Lines of the log that were not written", { { "reason", "unread" } }))
@@ -226,6 +227,11 @@
     m_backendRequests[static_cast<std::size_t>(kind)]->Increment();
 }
 
+void NodeMetrics::callerRefused(ResultCode code)
+{
+    m_refusedCallers.increment(code);
+}
+
 void NodeMetrics::attemptRejected(ResultCode code)
 {
     m_rejections.increment(code);
--- a/Source/node/NodeMetrics.h
+++ b/Source/node/NodeMetrics.h
@@ -120,6 +120,8 @@
     void setEndpointStarts(std::uint64_t);
     /// Counts a request to the local backend server.
     void backendRequestSent(BackendRequestKind);
+    /// Counts a caller's request that was refused because of its key when it arrived.
+    void callerRefused(ResultCode);
     /// Counts an attempt for the local backend server that this node refused.
     void attemptRejected(ResultCode);
     /// Records the time from the admission of an attempt to its start.
@@ -167,6 +169,7 @@
     std::array<std::array<prometheus::Counter*, 2>, peerTrafficKinds> m_peerBytes;
     prometheus::Counter* m_measurementTime;
     ResultCodeCounter m_rejections;
+    ResultCodeCounter m_refusedCallers;
     prometheus::Histogram* m_waits;
     prometheus::Histogram* m_serviceTimes;
     prometheus::Counter* m_unreadLines;
--- a/Source/node/NodeSettings.cpp
+++ b/Source/node/NodeSettings.cpp
@@ -41,6 +41,7 @@
     names.deadline = headers.text("deadline", names.deadline, isHeaderName, expectation);
     names.expectedInstance = headers.text("expected_instance", names.expectedInstance, isHeaderName, expectation);
     names.callerService = headers.text("caller_service", names.callerService, isHeaderName, expectation);
+    names.workspace = headers.text("workspace", names.workspace, isHeaderName, expectation);
     names.notRun = headers.text("not_run", names.notRun, isHeaderName, expectation);
     names.load = headers.text("load", names.load, isHeaderName, expectation);
     names.requestLimit = headers.text("request_limit", names.requestLimit, isHeaderName, expectation);
@@ -56,6 +57,14 @@
     routing.finish();
 }
 
+void readWorkspaces(TomlReader workspaces, NodeSettings& settings)
+{
+    constexpr Duration maximumRevocationTime = std::chrono::hours(1);
+    if (workspaces.has("key_revocation_ms"))
+        settings.keyRevocationTime = workspaces.milliseconds("key_revocation_ms", Duration::zero(), std::chrono::milliseconds(1), maximumRevocationTime);
+    workspaces.finish();
+}
+
 void readTraces(TomlReader traces, NodeSettings& settings)
 {
     constexpr std::uint64_t maximumRate = 1000000;
@@ -109,6 +118,7 @@
     settings.fleetRetryBurst = retries.real("fleet_burst", settings.fleetRetryBurst, 0, maximumRetryBurst);
     retries.finish();
     readRouting(reader.section("routing"), settings);
+    readWorkspaces(reader.section("workspaces"), settings);
     readHeaders(reader.section("headers"), settings.headers);
     readBackend(reader.section("backend"), settings);
     readTraces(reader.section("trails"), settings);
--- a/Source/node/NodeTraffic.cpp
+++ b/Source/node/NodeTraffic.cpp
@@ -74,9 +74,10 @@
     , m_metrics(metrics)
     , m_client(context)
     , m_quarantine(m_self, metrics)
+    , m_keyChecks(settings.keyRevocationTime, metrics)
     , m_runner(
-          context, m_self, { settings.headers, settings.backendLoadInterval, settings.traces }, m_client, [this](ConnectionId connection, const PeerMessage& message) { reply(connection, message); }, m_quarantine, metrics)
-    , m_gateway(context, m_self, m_runner, m_quarantine, { settings.headers, settings.callerService, settings.needsRouting, choiceSettings(settings), settings.fleetRetryBurst, settings.traces }, std::move(claims), metrics)
+          context, m_self, { settings.headers, settings.backendLoadInterval, settings.traces }, m_client, [this](ConnectionId connection, const PeerMessage& message) { reply(connection, message); }, m_quarantine, m_keyChecks, metrics)
+    , m_gateway(context, m_self, m_runner, m_quarantine, m_keyChecks, { settings.headers, settings.callerService, settings.needsRouting, choiceSettings(settings), settings.fleetRetryBurst, settings.traces }, std::move(claims), metrics)
     , m_callServer(context, callServerSettings(settings), [this](const HttpExchangePtr& exchange) { m_gateway.handle(exchange); })
     , m_linkServer(context, maximumPeerMessageBytes, [this](const LinkPtr& link) { accept(link); })
     , m_loadTimer(context, [this] { sendLoadUpdates(); })
@@ -202,6 +203,7 @@
 void NodeTraffic::setRouting(const std::shared_ptr<const RoutingTable>& routing, const DocumentAnswerMessage& source)
 {
     m_routing = routing;
+    m_keyChecks.setRouting(routing);
     m_documentMessages[source.service] = source;
     const CallerLimits& limits = routing->document().limits;
     HttpServer::Limits serverLimits;
@@ -218,6 +220,13 @@
         m_runner.setDocument(*document);
 }
 
+void NodeTraffic::configurationProved(TimePoint provedAt)
+{
+    m_gateway.setConfigurationProvedAt(provedAt);
+    m_runner.configurationProved();
+    m_keyChecks.configurationProved(provedAt);
+}
+
 std::optional<ServiceDocument> NodeTraffic::documentOf(const ServiceName& service) const
 {
     const auto entry = m_documents.find(service);
--- a/Source/node/NodeTraffic.h
+++ b/Source/node/NodeTraffic.h
@@ -34,6 +34,8 @@
     void setDocument(const ServiceDocument&, const DocumentAnswerMessage& source);
     /// Applies newer routes and limits of callers, and keeps their text to answer requests from other nodes.
     void setRouting(const std::shared_ptr<const RoutingTable>&, const DocumentAnswerMessage& source);
+    /// Registers that all documents that were committed at that time are in force.
+    void configurationProved(TimePoint);
     /// Asks callers to close their connections; they are still served until drain().
     void announceStop() { m_callServer.closeAfterResponses(); }
     /// Sets the local backend server after an announcement, and stops refusing attempts.
@@ -81,6 +83,7 @@
     NodeMetrics& m_metrics;
     HttpClient m_client;
     NodeQuarantine m_quarantine;
+    NodeKeys m_keyChecks;
     EndpointRunner m_runner;
     CallGateway m_gateway;
     HttpServer m_callServer;
--- a/Source/protocol/CallHeaders.h
+++ b/Source/protocol/CallHeaders.h
@@ -14,6 +14,9 @@
     std::string expectedInstance = "Knapweedquay-Expected-Instance";
     /// Request: the service whose backend server made the request. The node sets it and discards what the caller sent.
     std::string callerService = "Knapweedquay-Caller-Service";
+    /// Request: the workspace of the caller. Where the deployment has workspaces, the node sets it and discards what the caller
+    /// sent.
+    std::string workspace = "Knapweedquay-Workspace";
     /// Response: the backend server did not run the request.
     std::string notRun = "Knapweedquay-Not-Run";
     /// Response: load of the backend server as "running,waiting,slots,percent"; percent is the current duration of work
--- a/Source/protocol/LogEvent.cpp
+++ b/Source/protocol/LogEvent.cpp
@@ -67,6 +67,8 @@
     { LogEvent::LeaderChanged, LogLevel::Info, "leader changed" },
     { LogEvent::ReplicasChanged, LogLevel::Info, "replicas changed" },
     { LogEvent::EditForwarded, LogLevel::Info, "edit forwarded" },
+    { LogEvent::KeysUnproved, LogLevel::Warning, "requests with keys refused for lack of a recent proof" },
+    { LogEvent::KeysProved, LogLevel::Info, "requests with keys taken again" },
 };
 
 const Row& rowOf(LogEvent event)
--- a/Source/protocol/LogEvent.h
+++ b/Source/protocol/LogEvent.h
@@ -78,6 +78,10 @@
     LeaderChanged = 505,
     ReplicasChanged = 506,
     EditForwarded = 507,
+
+    // 7xx: workspaces.
+    KeysUnproved = 700,
+    KeysProved = 701,
 };
 
 /// Severity of an event.
--- a/Source/protocol/PeerMessages.cpp
+++ b/Source/protocol/PeerMessages.cpp
@@ -116,6 +116,36 @@
     return headers;
 }
 
+void append(Json& fields, const CallerProof& caller)
+{
+    const std::string_view key = caller.key ? std::string_view(reinterpret_cast<const char*>(caller.key->digest.bytes.data()), caller.key->digest.bytes.size()) : std::string_view();
+    fields.push_back(Json::array({ caller.routingVersion, cborBytes(caller.workspace.value()), cborBytes(key) }));
+}
+
+/// Reads a caller, or null for none. Later releases may add fields to it.
+std::optional<CallerProof> readCaller(FieldReader& reader)
+{
+    const Json& field = reader.any();
+    if (field.is_null())
+        return std::nullopt;
+    if (!field.is_array()) {
+        reader.fail("the caller of a request is not an array");
+        return std::nullopt;
+    }
+    FieldReader fields(field);
+    CallerProof caller;
+    caller.routingVersion = fields.unsignedInteger();
+    caller.workspace = WorkspaceName(fields.bytes());
+    const std::string key = fields.bytes();
+    if (key.size() == RequestDigest().bytes.size()) {
+        caller.key.emplace();
+        std::copy(key.begin(), key.end(), caller.key->digest.bytes.begin());
+    }
+    if (fields.failed() || caller.key.has_value() == caller.workspace.value().empty())
+        reader.fail("the caller of a request is not a version, a workspace and the digest of its key");
+    return caller;
+}
+
 void appendFields(Json& fields, const HelloMessage& message)
 {
     fields.push_back(message.node.value());
@@ -148,6 +178,8 @@
     fields.push_back(cborBytes(message.request.target));
     append(fields, message.request.headers);
     fields.push_back(cborBytes(message.request.body));
+    if (message.caller)
+        append(fields, *message.caller);
 }
 
 void readFields(FieldReader& reader, CallRequestMessage& message)
@@ -168,6 +200,9 @@
     message.request.target = reader.bytes();
     message.request.headers = readHeaders(reader);
     message.request.body = reader.bytes();
+    // Earlier releases don't send the caller.
+    if (reader.remaining() > 0)
+        message.caller = readCaller(reader);
 }
 
 void appendFields(Json& fields, const CallAcceptedMessage& message)
--- a/Source/protocol/PeerMessages.h
+++ b/Source/protocol/PeerMessages.h
@@ -2,6 +2,7 @@
 
 #include "protocol/AttemptOutcome.h"
 #include "protocol/LoadReport.h"
+#include "protocol/CallerProof.h"
 #include "protocol/HttpMessage.h"
 #include "protocol/Ids.h"
 #include "protocol/Result.h"
@@ -9,6 +10,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -51,6 +53,8 @@
     /// Empty when the caller sent no Idempotency-Key header.
     IdempotencyKey idempotencyKey;
     HttpRequest request;
+    /// Not set when the sender knows of no workspaces.
+    std::optional<CallerProof> caller;
 };
 
 /// The attempt is queued or running; its answer or a refusal follows.
--- a/Source/protocol/ProblemDetails.h
+++ b/Source/protocol/ProblemDetails.h
@@ -32,6 +32,7 @@
 constexpr const char* retryAfterMilliseconds = "Knapweedquay-Retry-After-Ms";
 constexpr const char* retryAfter = "Retry-After";
 constexpr const char* idempotencyKey = "Idempotency-Key";
+constexpr const char* authenticate = "WWW-Authenticate";
 } // namespace HeaderName
 
 /// Returns a problem details response (RFC 9457) with the numbered code and the outcome. A positive retryAfter adds
--- a/Source/protocol/RequestDigest.cpp
+++ b/Source/protocol/RequestDigest.cpp
@@ -86,7 +86,7 @@
     return digest;
 }
 
-RequestDigest digestOf(const ServiceName& service, const HttpRequest& request, const std::string& callerHeader)
+RequestDigest digestOf(const ServiceName& service, const HttpRequest& request, const std::string& callerHeader, const WorkspaceName& workspace)
 {
     DigestBuilder builder;
     builder.addField(service.value());
@@ -94,6 +94,8 @@
     builder.addField(headerText(request, "Host"));
     builder.addField(request.target);
     builder.addField(headerText(request, callerHeader));
+    if (!workspace.value().empty())
+        builder.addField(workspace.value());
     if (!request.body.empty())
         builder.add(viewOf(request.bodyDigest ? *request.bodyDigest : digestOfBody(request.body)));
     return builder.finish();
--- a/Source/protocol/RequestDigest.h
+++ b/Source/protocol/RequestDigest.h
@@ -54,8 +54,9 @@
 
 /// Digest of a request to a service: of its method, host, target, caller and body.
 ///
-/// callerHeader: name of the header with the service that the request comes from.
-RequestDigest digestOf(const ServiceName&, const HttpRequest&, const std::string& callerHeader);
+/// callerHeader: name of the header with the service that the request comes from. workspace: that of the caller, empty for
+/// none; requests of two workspaces never have the same digest.
+RequestDigest digestOf(const ServiceName&, const HttpRequest&, const std::string& callerHeader, const WorkspaceName& workspace = {});
 
 } // namespace Knapweedquay
 
--- a/Source/state/RoutingDocument.cpp
+++ b/Source/state/RoutingDocument.cpp
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <map>
 #include <set>
+#include <unordered_map>
 #include <utility>
 
 namespace Knapweedquay {
@@ -14,6 +16,10 @@
 constexpr std::size_t maximumRules = 20000;
 constexpr std::size_t maximumServices = 1024;
 constexpr std::size_t maximumRanks = 32;
+constexpr std::size_t maximumWorkspaces = 16384;
+constexpr std::size_t maximumKeys = 65536;
+/// The name of a workspace is sent in a header.
+constexpr std::size_t longestWorkspaceNameBytes = 255;
 /// Minimum share of the capacity that each priority except the most urgent keeps under load from more urgent ones.
 constexpr double reservedShare = 0.05;
 /// Retries and hedges of one node per call. Together they use nine tenths of what a service accepts from all its callers; the
@@ -51,6 +57,59 @@
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
+bool isAmount(double value)
+{
+    return std::isfinite(value) && value >= 0;
+}
+
+Result<void> checkService(const RoutedService& service)
+{
+    if (service.coldTime < Duration::zero() || (service.coldRate && !isAmount(service.coldRate->value())))
+        return invalidDocument("service " + service.name.value() + ": the time and the rate of cold backend servers must be 0 or more");
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+/// True for a text that can be the value of a header and arrives there unchanged.
+bool isWorkspaceName(const std::string& name)
+{
+    constexpr char firstPrintable = 0x20;
+    constexpr char deleteCharacter = 0x7f;
+    if (name.empty() || name.size() > longestWorkspaceNameBytes || name.front() == ' ' || name.back() == ' ')
+        return false;
+    return std::none_of(name.begin(), name.end(), [](char letter) { return (letter >= 0 && letter < firstPrintable) || letter == deleteCharacter; });
+}
+
+// The problems name workspaces, never a key or its digest.
+Result<void> checkWorkspaces(const std::vector<Workspace>& workspaces)
+{
+    if (workspaces.size() > maximumWorkspaces)
+        return invalidDocument("more than " + std::to_string(maximumWorkspaces) + " workspaces");
+    const KeyDigest emptyKey = digestOfKey({});
+    std::set<WorkspaceName> names;
+    std::unordered_map<KeyDigest, const Workspace*> holders;
+    for (const Workspace& workspace : workspaces) {
+        const std::string where = "workspace '" + workspace.name.value() + "': ";
+        if (!isWorkspaceName(workspace.name.value()))
+            return invalidDocument("a workspace needs a name of 1 to " + std::to_string(longestWorkspaceNameBytes) + " bytes without control characters, and without blanks at its ends");
+        if (!names.insert(workspace.name).second)
+            return invalidDocument("two workspaces with the name '" + workspace.name.value() + "'");
+        if (!isAmount(workspace.quota.requestsPerSecond) || !isAmount(workspace.quota.burst))
+            return invalidDocument(where + "its rate and its burst must be 0 or more");
+        for (const KeyDigest& key : workspace.keys) {
+            if (key == emptyKey)
+                return invalidDocument(where + "a key is empty");
+            const auto [holder, isNew] = holders.emplace(key, &workspace);
+            if (!isNew && holder->second == &workspace)
+                return invalidDocument(where + "it has one key twice");
+            if (!isNew)
+                return invalidDocument(where + "it shares a key with workspace '" + holder->second->name.value() + "'");
+        }
+        if (holders.size() > maximumKeys)
+            return invalidDocument("more than " + std::to_string(maximumKeys) + " keys of workspaces");
+    }
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
 } // namespace
 
 std::vector<Rank> ranksOf(const RoutingDocument& routing)
@@ -58,6 +117,10 @@
     std::set<Rank> ranks;
     for (const RoutingRule& rule : routing.rules)
         ranks.insert(rule.rank);
+    for (const Workspace& workspace : routing.workspaces) {
+        if (workspace.rank)
+            ranks.insert(*workspace.rank);
+    }
     return { ranks.begin(), ranks.end() };
 }
 
@@ -71,6 +134,7 @@
     for (const RoutedService& service : routing.services) {
         if (service.name.value().empty() || !services.insert(service.name).second)
             return invalidDocument("a service without a name, or two with the name '" + service.name.value() + "'");
+        BOOST_OUTCOME_TRYV(checkService(service));
     }
     std::set<std::pair<std::string_view, std::string_view>> seenPrefixes;
     for (const RoutingRule& rule : routing.rules) {
@@ -78,6 +142,7 @@
         if (!seenPrefixes.emplace(rule.host, rule.pathPrefix).second)
             return invalidDocument("two routes for " + rule.host + rule.pathPrefix);
     }
+    BOOST_OUTCOME_TRYV(checkWorkspaces(routing.workspaces));
     if (ranksOf(routing).size() > maximumRanks)
         return invalidDocument("more than " + std::to_string(maximumRanks) + " priorities");
     return BOOST_OUTCOME_V2_NAMESPACE::success();
@@ -91,12 +156,19 @@
 
 ServiceDocument documentFromRoutes(const RoutingDocument& routing, const ServiceName& service)
 {
-    // Shortest target and longest timeout of the routes of one rank to the service.
+    // Shortest target and longest timeout of routes to the service.
     struct Times {
         Duration target = Duration::max();
         Duration timeout { 0 };
+
+        void add(const RoutingRule& rule)
+        {
+            target = std::min(target, rule.target);
+            timeout = std::max(timeout, rule.timeout);
+        }
     };
     std::map<Rank, Times> timesOfRanks;
+    Times timesOfAllRoutes;
     ServiceDocument document;
     document.service = service;
     for (const RoutingRule& rule : routing.rules) {
@@ -104,8 +176,13 @@
         const bool leadsToService = std::any_of(rule.targets.begin(), rule.targets.end(), [&service](const RouteTarget& target) { return target.service == service; });
         if (!leadsToService)
             continue;
-        times.target = std::min(times.target, rule.target);
-        times.timeout = std::max(times.timeout, rule.timeout);
+        times.add(rule);
+        timesOfAllRoutes.add(rule);
+    }
+    // Calls of a workspace with a rank of its own may come by any route.
+    for (const Workspace& workspace : routing.workspaces) {
+        if (workspace.rank)
+            timesOfRanks[*workspace.rank] = timesOfAllRoutes;
     }
     for (const auto& [rank, times] : timesOfRanks) {
         Priority priority;
--- a/Source/state/RoutingDocument.h
+++ b/Source/state/RoutingDocument.h
@@ -91,7 +91,7 @@
 /// for each rank of the routing document, most urgent first, so that a rank has the same index at every service.
 ServiceDocument documentFromRoutes(const RoutingDocument&, const ServiceName&);
 
-/// Returns the distinct ranks of all routes, most urgent first.
+/// Returns the distinct ranks of all routes and workspaces, most urgent first.
 std::vector<Rank> ranksOf(const RoutingDocument&);
 
 /// Returns the priority index of a rank in service documents derived from routes.
--- a/Source/state/RoutingParser.cpp
+++ b/Source/state/RoutingParser.cpp
@@ -14,6 +14,7 @@
 constexpr std::size_t maximumRoutes = 20000;
 constexpr std::size_t maximumServices = 1024;
 constexpr std::size_t maximumTargets = 64;
+constexpr std::size_t maximumWorkspaces = 16384;
 constexpr std::size_t longestTextBytes = 1024;
 constexpr std::uint64_t largestHeaderBytes = 1024 * 1024;
 constexpr std::uint64_t largestBodyBytes = 256 * 1024 * 1024;
@@ -21,6 +22,8 @@
 constexpr std::uint64_t largestWeight = 1000000;
 constexpr std::uint64_t largestRank = 1000;
 constexpr std::uint64_t largestAttempts = 10;
+constexpr double largestRequestRate = 1e6;
+constexpr double largestQuota = 1e9;
 constexpr Duration shortestTime = std::chrono::milliseconds(1);
 constexpr Duration longestTime = std::chrono::minutes(10);
 
@@ -50,10 +53,27 @@
     service.name = ServiceName(section.requiredText("name", isPlainName, plainNameExpectation));
     service.maximumConnections = readNumber(section, "maximum_connections", service.maximumConnections, 0, largestConnections);
     service.healthPath = section.text("health_path", service.healthPath, isTextWithoutBlanks, textWithoutBlanksExpectation);
+    service.coldTime = section.milliseconds("cold_time_ms", service.coldTime, Duration::zero(), longestTime);
+    if (section.has("cold_requests_per_second"))
+        service.coldRate = RequestRate(section.real("cold_requests_per_second", 0, 0, largestRequestRate));
     section.finish();
     return service;
 }
 
+Workspace readWorkspace(TomlReader& section)
+{
+    Workspace workspace;
+    workspace.name = WorkspaceName(section.requiredText("name", isTextWithoutBlanks, textWithoutBlanksExpectation));
+    for (const std::string& key : section.texts("keys", isTextWithoutBlanks, textWithoutBlanksExpectation, TomlReader::Quoting::Never))
+        workspace.keys.push_back(digestOfKey(key));
+    if (section.has("rank"))
+        workspace.rank = Rank(readNumber(section, "rank", 0, 0, largestRank));
+    workspace.quota.requestsPerSecond = section.real("requests_per_second", 0, 0, largestQuota);
+    workspace.quota.burst = section.real("burst", 0, 0, largestQuota);
+    section.finish();
+    return workspace;
+}
+
 RoutingRule readRule(TomlReader& section)
 {
     RoutingRule rule;
@@ -65,6 +85,7 @@
     rule.target = section.milliseconds("target_ms", rule.target, shortestTime, longestTime);
     rule.rank = Rank(readNumber(section, "rank", 0, 0, largestRank));
     rule.maximumAttempts = readNumber(section, "maximum_attempts", rule.maximumAttempts, 1, largestAttempts);
+    rule.allowsAnonymous = section.boolean("allow_anonymous", rule.allowsAnonymous);
     for (TomlReader& targetSection : section.sections("targets", 1, maximumTargets)) {
         RouteTarget target;
         target.service = ServiceName(targetSection.requiredText("service", isPlainName, plainNameExpectation));
@@ -90,6 +111,8 @@
             routing.services.push_back(readService(section));
         for (TomlReader& section : reader.sections("routes", 0, maximumRoutes))
             routing.rules.push_back(readRule(section));
+        for (TomlReader& section : reader.sections("workspaces", 0, maximumWorkspaces))
+            routing.workspaces.push_back(readWorkspace(section));
         reader.finish();
     }
     if (!problems.empty())
--- a/Source/state/TomlReader.cpp
+++ b/Source/state/TomlReader.cpp
@@ -40,9 +40,9 @@
     return text;
 }
 
-std::string foundText(const toml::node& node)
+std::string foundText(const toml::node& node, TomlReader::Quoting quoting = TomlReader::Quoting::Always)
 {
-    return ", found " + describe(node);
+    return ", found " + (quoting == TomlReader::Quoting::Always ? describe(node) : "another value");
 }
 
 std::string numberText(double number)
@@ -96,9 +96,9 @@
     m_problems->push_back({ position.line, position.column, pathOf(key), expected });
 }
 
-void TomlReader::addValueProblem(std::string_view key, const toml::node& node, std::string_view expected)
+void TomlReader::addValueProblem(std::string_view key, const toml::node& node, std::string_view expected, Quoting quoting)
 {
-    problem(key, "expected " + std::string(expected) + foundText(node));
+    problem(key, "expected " + std::string(expected) + foundText(node, quoting));
 }
 
 std::string TomlReader::text(std::string_view key, const std::string& fallback, TextCheck check, std::string_view expectation)
@@ -120,7 +120,7 @@
     return text(key, {}, check, expectation);
 }
 
-std::vector<std::string> TomlReader::texts(std::string_view key, TextCheck check, std::string_view expectation)
+std::vector<std::string> TomlReader::texts(std::string_view key, TextCheck check, std::string_view expectation, Quoting quoting)
 {
     std::vector<std::string> values;
     const toml::node* node = readNode(key);
@@ -128,7 +128,7 @@
         return values;
     const toml::array* array = node->as_array();
     if (!array) {
-        addValueProblem(key, *node, "an array, each entry " + std::string(expectation));
+        addValueProblem(key, *node, "an array, each entry " + std::string(expectation), quoting);
         return values;
     }
     for (std::size_t index = 0; index < array->size(); ++index) {
@@ -139,7 +139,7 @@
             continue;
         }
         const toml::source_position position = entry.source().begin;
-        m_problems->push_back({ position.line, position.column, pathOf(key) + "[" + std::to_string(index) + "]", "expected " + std::string(expectation) + foundText(entry) });
+        m_problems->push_back({ position.line, position.column, pathOf(key) + "[" + std::to_string(index) + "]", "expected " + std::string(expectation) + foundText(entry, quoting) });
     }
     return values;
 }
--- a/Source/state/TomlReader.h
+++ b/Source/state/TomlReader.h
@@ -37,8 +37,13 @@
     using TextCheck = bool (*)(std::string_view);
     std::string text(std::string_view key, const std::string& fallback, TextCheck, std::string_view expectation);
     std::string requiredText(std::string_view key, TextCheck, std::string_view expectation);
+    /// Whether problems show the values that were found; those of secrets never do.
+    enum class Quoting {
+        Always,
+        Never,
+    };
     /// Reads an array of texts and omits invalid entries.
-    std::vector<std::string> texts(std::string_view key, TextCheck, std::string_view expectation);
+    std::vector<std::string> texts(std::string_view key, TextCheck, std::string_view expectation, Quoting = Quoting::Always);
     std::uint64_t integer(std::string_view key, std::uint64_t fallback, std::uint64_t minimum, std::uint64_t maximum);
     /// Reads an array of integers within a range. The result is empty when an entry is invalid.
     std::vector<std::uint64_t> integers(std::string_view key, std::uint64_t minimum, std::uint64_t maximum);
@@ -47,6 +52,8 @@
     /// Reads an integer number of milliseconds.
     Duration milliseconds(std::string_view key, Duration fallback, Duration minimum, Duration maximum);
 
+    /// True when the table has a value of this key.
+    bool has(std::string_view key) const { return m_table->get(key) != nullptr; }
     /// Returns a reader of a subtable. It reads an empty table when the key is missing.
     TomlReader section(std::string_view key);
     /// Returns the readers of an array of tables, whose size must be within the bounds.
@@ -64,7 +71,7 @@
 private:
     const toml::node* readNode(std::string_view key);
     std::string pathOf(std::string_view key) const;
-    void addValueProblem(std::string_view key, const toml::node& node, std::string_view expected);
+    void addValueProblem(std::string_view key, const toml::node& node, std::string_view expected, Quoting = Quoting::Always);
 
     const toml::table* m_table;
     std::string m_path;
--- a/Source/transport/HttpClient.cpp
+++ b/Source/transport/HttpClient.cpp
@@ -236,8 +236,11 @@
         }
         configureStream(self->m_socket);
         const auto entry = self->m_client->m_exchanges.find(self->m_exchange);
-        if (entry != self->m_client->m_exchanges.end())
-            self->start(entry->second);
+        if (entry == self->m_client->m_exchanges.end())
+            return;
+        if (entry->second.options.maySend && !entry->second.options.maySend())
+            return self->failExchange({ { ResultCode::CancelledBeforeStart, "the sender no longer allows the request" }, false });
+        self->start(entry->second);
     });
 }
 
--- a/Source/transport/HttpClient.h
+++ b/Source/transport/HttpClient.h
@@ -35,6 +35,9 @@
         /// while it was idle: no byte of the response arrived, and the connection ended soon after the request was sent.
         /// When unset, the request is never sent again.
         std::function<bool()> allowsResend;
+        /// Asked once a new connection is open, right before the request is sent on it. If false, the request ends with the code
+        /// CancelledBeforeStart and certainly did not run. When unset, the request is always sent.
+        std::function<bool()> maySend;
         /// Decides whether a response is the one to this request; when unset, every response is.
         std::function<bool(const HttpResponse&)> matchesRequest;
     };
--- a/Tests/coordination/RunningRequestsTest.cpp
+++ b/Tests/coordination/RunningRequestsTest.cpp
@@ -32,6 +32,16 @@
     EXPECT_FALSE(m_requests.parentOf("a1.b2"));
 }
 
+TEST_F(RunningRequestsTest, RequestThatRunsTwice_OneRunEnded_StillHasItsCalls)
+{
+    m_requests.started("a1", {});
+    m_requests.started("a1", { true });
+    m_requests.ended("a1");
+    EXPECT_TRUE(m_requests.parentOf("a1.b2"));
+    m_requests.ended("a1");
+    EXPECT_FALSE(m_requests.parentOf("a1.b2"));
+}
+
 TEST_F(RunningRequestsTest, RunningRequest_CallsWithItsPrefix_KnowWhetherItIsARepeat)
 {
     m_requests.started("a1", { true });
--- a/Tests/platform/DecoderTest.cpp
+++ b/Tests/platform/DecoderTest.cpp
@@ -81,12 +81,34 @@
     expectInvalid([](Json& json) { json["Services"] = "none"; });
     expectInvalid([](Json& json) { json["Limits"]["MaxHeaderBytes"] = -1; });
     expectInvalid([](Json& json) { json = Json::array(); });
+    expectInvalid([](Json& json) { json["Tenants"] = Json::array({ 1, 2 }); });
+    expectInvalid([](Json& json) { json["Tenants"] = Json::parse(R"([{"Name":"t-1","ApiKeys":["a"]},{"Name":"t-2","ApiKeys":["b","a"]}])"); });
+    expectInvalid([](Json& json) { json["Tenants"] = Json::parse(R"([{"Name":"t-1","ApiKeys":["a",3]}])"); });
+    expectInvalid([](Json& json) { json["Tenants"] = Json::parse(R"([{"Name":"t-1","ApiKeys":[],"PerS":-1}])"); });
+    expectInvalid([](Json& json) { json["Tenants"] = Json::parse(R"([{"Name":"t-1\r\nX-Tenant-Id: t-2","ApiKeys":["a"]}])"); });
+    expectInvalid([](Json& json) { json["Services"][0]["ColdStartS"] = -1; });
+}
+
+TEST_F(ConfigurationDecoderTest, Workspaces_Decoded_HoldDigestsOfTheirKeys)
+{
+    Json json = Json::parse(configuration);
+    json["Tenants"] = Json::parse(R"([{"Name":"t-1","ApiKeys":["a","b"],"Priority":2,"PerS":12.5,"Burst":3},{"Name":"t-2","ApiKeys":[]}])");
+    route(json, 0)["AllowAnonymous"] = true;
+    const auto decoded = decodeConfiguration(json.dump());
+    ASSERT_FALSE(decoded.has_error()) << decoded.error().detail;
+    const std::vector<Workspace>& workspaces = decoded.value().workspaces;
+    ASSERT_EQ(2u, workspaces.size());
+    EXPECT_EQ((std::vector { digestOfKey("a"), digestOfKey("b") }), workspaces[0].keys);
+    EXPECT_EQ(Rank(2), workspaces[0].rank);
+    EXPECT_EQ(12.5, workspaces[0].quota.requestsPerSecond);
+    EXPECT_FALSE(workspaces[1].quota.isLimited());
+    EXPECT_TRUE(decoded.value().rules[0].allowsAnonymous);
 }
 
 TEST_F(ConfigurationDecoderTest, UnknownMembers_Decoded_AreIgnored)
 {
     Json json = Json::parse(configuration);
-    json["Tenants"] = Json::array({ 1, 2 });
+    json["Regions"] = Json::array({ 1, 2 });
     route(json, 0)["Mirror"] = "x";
     EXPECT_FALSE(decodeConfiguration(json.dump()).has_error());
 }
--- a/Tests/protocol/PeerMessagesTest.cpp
+++ b/Tests/protocol/PeerMessagesTest.cpp
@@ -17,8 +17,54 @@
     return message;
 }
 
+CallRequestMessage requestOf(std::optional<CallerProof> caller)
+{
+    CallRequestMessage message;
+    message.service = ServiceName("dispatch");
+    message.request = { "GET", "/x", { { "Host", "a.example" } }, "body" };
+    message.caller = std::move(caller);
+    return message;
+}
+
 } // namespace
 
+TEST(PeerMessagesTest, Request_WithCaller_KeepsIt)
+{
+    for (const CallerProof& caller : { CallerProof { 7, WorkspaceName("archive"), digestOfKey("k1") }, CallerProof { 9, {}, {} } }) {
+        const auto decoded = decodePeerMessage(encode(requestOf(caller)));
+        ASSERT_TRUE(decoded.has_value());
+        const auto& read = std::get<CallRequestMessage>(decoded.value()).caller;
+        ASSERT_TRUE(read);
+        EXPECT_EQ(caller.routingVersion, read->routingVersion);
+        EXPECT_EQ(caller.workspace, read->workspace);
+        EXPECT_EQ(caller.key, read->key);
+    }
+}
+
+// Nodes of earlier releases close the link on a request with further fields, so one without a caller has none.
+TEST(PeerMessagesTest, Request_WithoutCaller_HasTheFieldsOfEarlierReleases)
+{
+    const auto fields = decodeCbor(encode(requestOf(std::nullopt)), maximumPeerMessageBytes);
+    ASSERT_TRUE(fields.has_value());
+    constexpr std::size_t typeAttemptAndOthers = 1 + 3 + 15;
+    EXPECT_EQ(typeAttemptAndOthers, fields.value().size());
+    const auto decoded = decodePeerMessage(encode(requestOf(std::nullopt)));
+    ASSERT_TRUE(decoded.has_value());
+    EXPECT_FALSE(std::get<CallRequestMessage>(decoded.value()).caller);
+}
+
+TEST(PeerMessagesTest, Request_WithInvalidCaller_IsRefused)
+{
+    const auto fields = decodeCbor(encode(requestOf(std::nullopt)), maximumPeerMessageBytes).value();
+    const std::string digest(RequestDigest().bytes.size(), 'x');
+    const nlohmann::json text = cborBytes("archive");
+    for (const nlohmann::json& caller : { nlohmann::json("archive"), nlohmann::json::array({ 7 }), nlohmann::json::array({ 7, text, cborBytes("short") }), nlohmann::json::array({ 7, cborBytes(""), cborBytes(digest) }), nlohmann::json::array({ -1, text, cborBytes(digest) }) }) {
+        auto changed = fields;
+        changed.push_back(caller);
+        EXPECT_TRUE(decodePeerMessage(encodeCbor(changed)).has_error()) << caller;
+    }
+}
+
 // Nodes of release 0.2 close the link on a load report with further fields.
 TEST(PeerMessagesTest, LoadReportWithRate_EncodedForEarlierRelease_HasTheFieldsOfThatRelease)
 {
--- a/Tests/state/RoutingDocumentTest.cpp
+++ b/Tests/state/RoutingDocumentTest.cpp
@@ -3,6 +3,9 @@
 
 #include <gtest/gtest.h>
 
+#include <cmath>
+#include <functional>
+
 using namespace Knapweedquay;
 using namespace std::chrono_literals;
 
@@ -41,16 +44,28 @@
 weight = 10
 )";
 
+const std::string workspacesText = R"([[workspaces]]
+name = "archive"
+keys = ["secret-1", "secret-2"]
+rank = 1
+requests_per_second = 12.5
+burst = 3
+[[workspaces]]
+name = "school"
+keys = ["secret-3"]
+)";
+
 class RoutingDocumentTest : public ::testing::Test {
 protected:
     void expectInvalid(const std::string& from, const std::string& to, const std::string& reason)
     {
-        std::string text = validText;
+        std::string text = validText + workspacesText;
         text.replace(text.find(from), from.size(), to);
         const auto routing = parseRoutingToml(text);
         ASSERT_TRUE(routing.has_error()) << to;
         EXPECT_EQ(ResultCode::InvalidDocument, routing.error().code);
         EXPECT_NE(std::string::npos, routing.error().detail.find(reason)) << routing.error().detail;
+        EXPECT_EQ(std::string::npos, routing.error().detail.find("secret")) << routing.error().detail;
     }
 };
 
@@ -84,6 +99,56 @@
     expectInvalid("weight = 10\n", "weight = \n", "TOML");
 }
 
+TEST_F(RoutingDocumentTest, InvalidWorkspace_Parsed_IsRefusedWithReasonButWithoutKeys)
+{
+    expectInvalid("\"secret-3\"", "\"secret-2\"", "workspace 'school': it shares a key with workspace 'archive'");
+    expectInvalid("\"secret-2\"", "\"secret-1\"", "workspace 'archive': it has one key twice");
+    expectInvalid("name = \"school\"", "name = \"archive\"", "two workspaces with the name 'archive'");
+    expectInvalid("name = \"school\"", "", "workspaces[1].name");
+    expectInvalid("\"secret-3\"", "\"\"", "workspaces[1].keys[0]");
+    expectInvalid("\"secret-3\"", "\"secret 3\"", "workspaces[1].keys[0]");
+    expectInvalid("[\"secret-3\"]", "\"secret-3\"", "workspaces[1].keys");
+    for (const char* rate : { "nan", "inf", "-1" }) {
+        expectInvalid("12.5", rate, "requests_per_second");
+        expectInvalid("burst = 3", std::string("burst = ") + rate, "burst");
+        expectInvalid("health_path = \"/health\"", std::string("cold_requests_per_second = ") + rate, "cold_requests_per_second");
+    }
+    expectInvalid("health_path = \"/health\"", "cold_time_ms = -1", "cold_time_ms");
+}
+
+TEST_F(RoutingDocumentTest, Workspaces_CheckedInAnyFormat_HaveNamesAndFiniteNumbers)
+{
+    const RoutingDocument valid = parseRoutingToml(validText + workspacesText).value();
+    const auto isRefused = [&valid](const std::function<void(Workspace&)>& change) {
+        RoutingDocument routing = valid;
+        change(routing.workspaces[1]);
+        return checkRouting(routing).has_error();
+    };
+    EXPECT_FALSE(isRefused([](Workspace& workspace) { workspace.name = WorkspaceName("Gemeinde Süd"); }));
+    for (const char* name : { "", " school", "school ", "a\r\nb", "a\x7f" })
+        EXPECT_TRUE(isRefused([name](Workspace& workspace) { workspace.name = WorkspaceName(name); })) << name;
+    EXPECT_TRUE(isRefused([](Workspace& workspace) { workspace.keys.push_back(digestOfKey("")); }));
+    EXPECT_TRUE(isRefused([](Workspace& workspace) { workspace.quota.burst = std::nan(""); }));
+    EXPECT_TRUE(isRefused([](Workspace& workspace) { workspace.quota.requestsPerSecond = -1; }));
+    EXPECT_TRUE(isRefused([](Workspace& workspace) {
+        for (int key = 0; key < 65536; ++key)
+            workspace.keys.push_back(digestOfKey(std::to_string(key)));
+    }));
+}
+
+TEST_F(RoutingDocumentTest, WorkspaceWithRank_DocumentDerived_HasItsPriorityWithTheTimesOfAllRoutesToTheService)
+{
+    const RoutingDocument routing = parseRoutingToml(validText + workspacesText).value();
+    EXPECT_EQ((std::vector { Rank(0), Rank(1), Rank(3) }), ranksOf(routing));
+    const ServiceDocument dispatch = documentFromRoutes(routing, ServiceName("dispatch"));
+    ASSERT_EQ(3u, dispatch.priorities.size());
+    EXPECT_EQ(Duration(250ms), dispatch.priorities[1].target);
+    EXPECT_EQ(Duration(2000ms), dispatch.priorities[1].maximumQueueTime);
+    EXPECT_EQ(Duration(1200ms), dispatch.priorities[2].target);
+    const ServiceDocument inventory = documentFromRoutes(routing, ServiceName("inventory"));
+    EXPECT_EQ(Duration(1200ms), inventory.priorities[1].target);
+}
+
 TEST_F(RoutingDocumentTest, SplitWithZeroWeights_Checked_IsRefused)
 {
     RoutingDocument routing = parseRoutingToml(validText).value();
