--- a/Source/state/RoutingDocument.h
+++ b/Source/state/RoutingDocument.h
@@ -59,7 +59,7 @@
     /// Time for which a backend server is cold after its start; 0 where it never is.
     Duration coldTime { 0 };
     /// Requests per second that a cold backend server bears; not set where it bears as many as a warm one.
-    std::optional<RequestRate> coldRate;
+    std::optional<RequestRate> coldRate {};
 };
 
 /// Limits on the size and duration of requests from callers.
