Control: Let operators empty data centres and take them back

Every accepted order creates a version, also one that changes nothing: otherwise an opposite order that its operator gave up could arrive late and take effect after it.

A replica that can't accept it passes it on to the leader as it does with routing changes; the list of waiting changes no longer knows what kind of change waits.

--- a/Source/control/ControlDaemon.cpp
+++ b/Source/control/ControlDaemon.cpp
@@ -113,7 +113,7 @@
 
 void ControlDaemon::handleHttp(const HttpExchangePtr& exchange)
 {
-    if (!m_extension.handle || !m_extension.handle(exchange, *m_routing))
+    if (!m_extension.handle || !m_extension.handle(exchange, { *m_routing, *m_evacuations }))
         m_operators->handle(exchange);
 }
 
@@ -171,9 +171,14 @@
     RoutingStore::Hooks routingHooks;
     routingHooks.now = steadyNow;
     routingHooks.flush = [this] { scheduleFlush(); };
-    routingHooks.forward = [this](const std::string& leader, const RoutingChangeMessage& message) { sendToReplica(leader, message); };
+    routingHooks.forward = [this](const std::string& leader, const ControlMessage& message) { sendToReplica(leader, message); };
     m_routing = std::make_unique<RoutingStore>(*m_service, m_settings.parseRouting, std::move(routingHooks));
-    m_operators = std::make_unique<OperatorInterface>(*m_service, *m_subscriptions, m_settings, [this] { scheduleFlush(); });
+    EvacuationStore::Hooks evacuationHooks;
+    evacuationHooks.now = steadyNow;
+    evacuationHooks.flush = [this] { scheduleFlush(); };
+    evacuationHooks.forward = [this](const std::string& leader, const ControlMessage& message) { sendToReplica(leader, message); };
+    m_evacuations = std::make_unique<EvacuationStore>(*m_service, m_settings.dataCentres, std::move(evacuationHooks));
+    m_operators = std::make_unique<OperatorInterface>(*m_service, *m_subscriptions, *m_evacuations, m_settings, [this] { scheduleFlush(); });
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
@@ -183,6 +188,7 @@
     m_service->tick(now);
     m_service->flush(now);
     m_routing->tick(now);
+    m_evacuations->tick(now);
     m_observer.observe(*m_service);
     for (auto entry = m_forwardedClaims.begin(); entry != m_forwardedClaims.end();)
         entry = entry->second.expiry <= now ? m_forwardedClaims.erase(entry) : std::next(entry);
@@ -237,6 +243,8 @@
         handleClaimEnd(*end);
     else if (const auto* change = std::get_if<RoutingChangeMessage>(&message))
         handleForwardedChange(id, *change);
+    else if (const auto* order = std::get_if<EvacuationOrderMessage>(&message))
+        handleForwardedOrder(id, *order);
 }
 
 void ControlDaemon::receiveFromReplica(std::string_view bytes)
@@ -258,6 +266,8 @@
         handleForwardedAnswer(*answer);
     else if (const auto* changeAnswer = std::get_if<RoutingChangeAnswerMessage>(&message.value()))
         m_routing->leaderAnswered(*changeAnswer);
+    else if (const auto* orderAnswer = std::get_if<EvacuationAnswerMessage>(&message.value()))
+        m_evacuations->leaderAnswered(*orderAnswer);
 }
 
 void ControlDaemon::handleClaim(NodeSubscriptions::SubscriberId id, const ClaimRequestMessage& message)
@@ -324,6 +334,17 @@
     });
 }
 
+void ControlDaemon::handleForwardedOrder(NodeSubscriptions::SubscriberId id, const EvacuationOrderMessage& message)
+{
+    if (!m_extension.handle)
+        return;
+    const EvacuationOrder order { message.dataCentre, message.isStart ? EvacuationOrder::Action::Start : EvacuationOrder::Action::Finish, message.author };
+    m_evacuations->orderAsLeader(order, message.expected, [this, id, request = message.request](const Result<std::uint64_t>& result) {
+        const Error error = result.has_error() ? result.error() : Error { ResultCode::Ok, {} };
+        m_subscriptions->send(id, EvacuationAnswerMessage { request, error.code, error.detail });
+    });
+}
+
 void ControlDaemon::handleForwardedAnswer(const ClaimAnswerMessage& answer)
 {
     const auto entry = m_forwardedClaims.find(answer.owner);
--- a/Source/control/ControlDaemon.h
+++ b/Source/control/ControlDaemon.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control/ControlSettings.h"
+#include "control/EvacuationStore.h"
 #include "control/NodeSubscriptions.h"
 #include "control/OperatorInterface.h"
 #include "control/ReplicaLinks.h"
@@ -28,12 +29,18 @@
 /// operators.
 class ControlDaemon {
 public:
+    /// What operators change at this replica.
+    struct Stores {
+        RoutingStore& routing;
+        EvacuationStore& evacuations;
+    };
+
     /// Hooks by which a program extends the daemon; each may be unset.
     struct Extension {
         /// Called after the store, the servers and the membership have started.
         std::function<void(asio::io_context&, ControlDaemon&)> started;
         /// Handles an HTTP request before the operators' interface. Returns false to pass it on to that interface.
-        std::function<bool(const HttpExchangePtr&, RoutingStore&)> handle;
+        std::function<bool(const HttpExchangePtr&, const Stores&)> handle;
         /// Called on SIGHUP, since the settings may have changed.
         std::function<void(ControlDaemon&)> reload;
     };
@@ -70,6 +77,7 @@
     void sendToReplica(const std::string& address, const ControlMessage&);
     /// Handles a change of the routing document that another replica passed on.
     void handleForwardedChange(NodeSubscriptions::SubscriberId, const RoutingChangeMessage&);
+    void handleForwardedOrder(NodeSubscriptions::SubscriberId, const EvacuationOrderMessage&);
     void handleForwardedAnswer(const ClaimAnswerMessage&);
     void tick();
     /// Posts a flush of the service, unless one is posted already.
@@ -86,6 +94,7 @@
     std::unique_ptr<NodeSubscriptions> m_subscriptions;
     std::unique_ptr<OperatorInterface> m_operators;
     std::unique_ptr<RoutingStore> m_routing;
+    std::unique_ptr<EvacuationStore> m_evacuations;
     StoreObserver m_observer;
     MembershipAgent m_membership;
     ReplicaLinks m_replicaLinks;
--- a/Source/control/OperatorInterface.cpp
+++ b/Source/control/OperatorInterface.cpp
@@ -19,7 +19,8 @@
 constexpr std::string_view documentsPath = "/v1/documents";
 constexpr std::string_view historyPath = "/v1/history/";
 constexpr std::string_view replicasPath = "/v1/replicas/";
-// The team that may remove replicas and owns the routing document.
+constexpr std::string_view evacuationsPath = "/v1/evacuations";
+// The team that may remove replicas, owns the routing document and empties data centres.
 constexpr const char* operationsTeam = "operations";
 constexpr std::size_t maximumHistoryEntries = 1000;
 
@@ -78,9 +79,10 @@
 
 } // namespace
 
-OperatorInterface::OperatorInterface(ControlService& service, const NodeSubscriptions& subscriptions, const ControlSettings& settings, std::function<void()> flush)
+OperatorInterface::OperatorInterface(ControlService& service, const NodeSubscriptions& subscriptions, EvacuationStore& evacuations, const ControlSettings& settings, std::function<void()> flush)
     : m_service(service)
     , m_subscriptions(subscriptions)
+    , m_evacuations(evacuations)
     , m_settings(settings)
     , m_flush(std::move(flush))
 {
@@ -97,6 +99,13 @@
         return putDocument(exchange, suffixAfter(documentPrefix));
     if (request.method == "DELETE" && isBelow(replicasPath))
         return exchange->respond(removeReplica(request, suffixAfter(replicasPath)));
+    const std::string evacuationPrefix = std::string(evacuationsPath) + "/";
+    if (request.method == "PUT" && isBelow(evacuationPrefix))
+        return orderEvacuation(exchange, suffixAfter(evacuationPrefix), EvacuationOrder::Action::Start);
+    if (request.method == "DELETE" && isBelow(evacuationPrefix))
+        return orderEvacuation(exchange, suffixAfter(evacuationPrefix), EvacuationOrder::Action::Finish);
+    if (request.method == "GET" && path == evacuationsPath)
+        return exchange->respond(listEvacuations());
     if (request.method == "GET" && path == documentsPath)
         return exchange->respond(listDocuments());
     if (request.method == "GET" && isBelow(documentPrefix))
@@ -172,6 +181,28 @@
     m_flush();
 }
 
+void OperatorInterface::orderEvacuation(const HttpExchangePtr& exchange, const std::string& dataCentre, EvacuationOrder::Action action)
+{
+    const HttpHeaders& headers = exchange->request().headers;
+    if (authenticatedTeam(headers) != operationsTeam)
+        return exchange->respond(errorResponse({ ResultCode::NotAuthorized, std::string("needs the credential of the team '") + operationsTeam + "'" }));
+    const std::string* author = findHeader(headers, authorHeader);
+    m_evacuations.orderAsLeader({ DataCentre(dataCentre), action, author ? *author : std::string() }, [exchange](const Result<std::uint64_t>& version) {
+        exchange->respond(version.has_error() ? errorResponse(version.error()) : jsonResponse({ { "code", 0 }, { "version", version.value() } }));
+    });
+}
+
+HttpResponse OperatorInterface::listEvacuations() const
+{
+    const auto evacuations = m_evacuations.evacuations();
+    if (evacuations.has_error())
+        return errorResponse(evacuations.error());
+    Json list = Json::array();
+    for (const DataCentre& dataCentre : evacuations.value().emptied)
+        list.push_back({ { "data_centre", dataCentre.value() } });
+    return jsonResponse(list);
+}
+
 HttpResponse OperatorInterface::listDocuments() const
 {
     Json list = Json::array();
--- a/Source/control/OperatorInterface.h
+++ b/Source/control/OperatorInterface.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control/ControlSettings.h"
+#include "control/EvacuationStore.h"
 #include "control/NodeSubscriptions.h"
 #include "state/ControlService.h"
 #include "transport/HttpServer.h"
@@ -14,7 +15,7 @@
 class OperatorInterface {
 public:
     /// flush is called after each request that submits an edit or a change of the replicas to the service.
-    OperatorInterface(ControlService&, const NodeSubscriptions&, const ControlSettings&, std::function<void()> flush);
+    OperatorInterface(ControlService&, const NodeSubscriptions&, EvacuationStore&, const ControlSettings&, std::function<void()> flush);
 
     void handle(const HttpExchangePtr&);
 
@@ -22,6 +23,9 @@
     /// Validates the text and returns the team that owns the document of the service. Errors: InvalidDocument.
     Result<std::string> validateAndFindOwner(const std::string& service, const std::string& text) const;
     void putDocument(const HttpExchangePtr&, const std::string& service);
+    /// Empties a data centre, or takes it back.
+    void orderEvacuation(const HttpExchangePtr&, const std::string& dataCentre, EvacuationOrder::Action);
+    HttpResponse listEvacuations() const;
     HttpResponse listDocuments() const;
     HttpResponse getDocument(const std::string& service) const;
     HttpResponse history(const std::string& service) const;
@@ -33,6 +37,7 @@
 
     ControlService& m_service;
     const NodeSubscriptions& m_subscriptions;
+    EvacuationStore& m_evacuations;
     const ControlSettings& m_settings;
     std::function<void()> m_flush;
 };
--- a/Source/control/RoutingStore.cpp
+++ b/Source/control/RoutingStore.cpp
@@ -89,7 +89,10 @@
     const auto routing = m_parse(change.text);
     if (routing.has_error())
         return handler(routing.error());
-    m_waitingChanges.add(change, id, routing.value().version, handler, m_hooks.now());
+    WaitingChanges::Change waiting { id, change.baseVersion, routing.value().version, {}, {}, handler };
+    waiting.message = [change](std::uint64_t request) -> ControlMessage { return RoutingChangeMessage { request, change.baseVersion, change.author, change.text }; };
+    waiting.submit = [this, change, handler] { changeAsLeader(change, handler); };
+    m_waitingChanges.add(std::move(waiting), m_hooks.now(), m_hooks.now());
     tickChanges(m_hooks.now());
 }
 
@@ -133,7 +136,7 @@
 
 void RoutingStore::leaderAnswered(const RoutingChangeAnswerMessage& answer)
 {
-    m_waitingChanges.answer(answer, m_hooks.now());
+    m_waitingChanges.answer({ answer.request, answer.code, answer.detail }, m_hooks.now());
 }
 
 void RoutingStore::tickChanges(TimePoint now)
@@ -142,11 +145,11 @@
     if (m_waitingChanges.isEmpty())
         return;
     // The commit of a change may arrive before the leader's answer.
-    for (const auto& entry : m_waitingChanges.take([this](const WaitingChanges::Entry& waiting) { return isAccepted(waiting.id); }))
-        entry.handler(entry.version);
+    for (const WaitingChanges::Change& change : m_waitingChanges.take([this](const WaitingChanges::Change& waiting) { return isAccepted(waiting.id); }))
+        change.handler(change.version);
     if (canAccept()) {
-        for (const auto& entry : m_waitingChanges.take([](const WaitingChanges::Entry&) { return true; }))
-            changeAsLeader(entry.change, entry.handler);
+        for (const WaitingChanges::Change& change : m_waitingChanges.take([](const WaitingChanges::Change&) { return true; }))
+            change.submit();
     }
     m_waitingChanges.tick(m_service.isLeading() ? std::string() : m_service.leaderAddress(), now);
 }
--- a/Source/control/WaitingChanges.cpp
+++ b/Source/control/WaitingChanges.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-/// Operators' clients try another replica after 1 second.
-constexpr Duration answerTimeout { 800000 };
 /// Time without a leader after which none is expected soon; an election takes up to half of it.
 constexpr Duration maximumElectionTime { 1000000 };
 /// Time until a change is sent again to a replica that could not handle it.
@@ -23,13 +21,13 @@
 {
 }
 
-void WaitingChanges::add(const RoutingChange& change, const ChangeId& id, std::uint64_t version, const RoutingChangeHandler& handler, TimePoint now)
+void WaitingChanges::add(Change change, TimePoint arrivedAt, TimePoint now)
 {
     if (isLeaderlessForLong(now))
-        return handler(Error { ResultCode::NoQuorum, "no replica leads the store" });
+        return change.handler(Error { ResultCode::NoQuorum, "no replica leads the store" });
     if (m_entries.size() >= maximumChanges)
-        return handler(Error { ResultCode::Overloaded, "too many changes wait for the leader" });
-    m_entries.push_back({ ++m_lastRequest, change, id, version, handler, now, {}, now });
+        return change.handler(Error { ResultCode::Overloaded, "too many changes wait for the leader" });
+    m_entries.push_back({ ++m_lastRequest, std::move(change), arrivedAt, {}, now });
 }
 
 void WaitingChanges::setHasLeader(bool hasLeader, TimePoint now)
@@ -56,12 +54,13 @@
         if (entry.forwardedTo == leader || now < entry.forwardAt)
             continue;
         entry.forwardedTo = leader;
-        log(LogEvent::EditForwarded, { { "leader", leader }, { "change", entry.id.value() }, { "expected_version", std::to_string(entry.change.baseVersion) }, { "waited_ms", std::to_string(toMilliseconds(now - entry.arrivedAt)) } });
-        m_forward(leader, { entry.request, entry.change.baseVersion, entry.change.author, entry.change.text });
+        const Change& change = entry.change;
+        log(LogEvent::EditForwarded, { { "leader", leader }, { "change", change.id.value() }, { "expected_version", std::to_string(change.baseVersion) }, { "waited_ms", std::to_string(toMilliseconds(now - entry.arrivedAt)) } });
+        m_forward(leader, change.message(entry.request));
     }
 }
 
-void WaitingChanges::answer(const RoutingChangeAnswerMessage& answer, TimePoint now)
+void WaitingChanges::answer(const Answer& answer, TimePoint now)
 {
     if (answer.code == ResultCode::NotLeader || answer.code == ResultCode::NoQuorum) {
         for (Entry& entry : m_entries) {
@@ -72,33 +71,40 @@
         }
         return;
     }
-    for (const Entry& entry : take([&answer](const Entry& waiting) { return waiting.request == answer.request; })) {
+    for (const Change& change : takeEntries([&answer](const Entry& waiting) { return waiting.request == answer.request; })) {
         if (answer.code == ResultCode::Ok)
-            entry.handler(entry.version);
+            change.handler(change.version);
         else
-            entry.handler(Error { answer.code, answer.detail });
+            change.handler(Error { answer.code, answer.detail });
     }
 }
 
 void WaitingChanges::expire(const std::string& leader, TimePoint now)
 {
     const bool isLeaderless = isLeaderlessForLong(now);
-    for (const Entry& entry : take([now, isLeaderless](const Entry& waiting) { return isLeaderless || now - waiting.arrivedAt > answerTimeout; })) {
+    for (const Change& change : takeEntries([now, isLeaderless](const Entry& waiting) { return isLeaderless || now - waiting.arrivedAt > answerTimeout; })) {
         if (leader.empty())
-            entry.handler(Error { ResultCode::NoQuorum, "no replica led the store in time" });
+            change.handler(Error { ResultCode::NoQuorum, "no replica led the store in time" });
         else
-            entry.handler(Error { ResultCode::NotLeader, "the leader did not answer in time; whether the change was accepted is unknown: send it again" });
+            change.handler(Error { ResultCode::NotLeader, "the leader did not answer in time; whether the change was accepted is unknown: send it again" });
     }
 }
 
-std::list<WaitingChanges::Entry> WaitingChanges::take(const std::function<bool(const Entry&)>& isSelected)
+std::list<WaitingChanges::Change> WaitingChanges::take(const std::function<bool(const Change&)>& isSelected)
 {
-    std::list<Entry> taken;
+    return takeEntries([&isSelected](const Entry& entry) { return isSelected(entry.change); });
+}
+
+std::list<WaitingChanges::Change> WaitingChanges::takeEntries(const std::function<bool(const Entry&)>& isSelected)
+{
+    std::list<Change> taken;
     for (auto entry = m_entries.begin(); entry != m_entries.end();) {
-        const auto next = std::next(entry);
-        if (isSelected(*entry))
-            taken.splice(taken.end(), m_entries, entry);
-        entry = next;
+        if (!isSelected(*entry)) {
+            ++entry;
+            continue;
+        }
+        taken.push_back(std::move(entry->change));
+        entry = m_entries.erase(entry);
     }
     return taken;
 }
--- a/Source/protocol/ControlMessages.cpp
+++ b/Source/protocol/ControlMessages.cpp
@@ -232,6 +232,38 @@
     message.detail = reader.bytes();
 }
 
+void appendFields(Json& fields, const EvacuationOrderMessage& message)
+{
+    fields.push_back(message.request);
+    fields.push_back(cborBytes(message.dataCentre.value()));
+    fields.push_back(message.isStart);
+    fields.push_back(message.expected.value());
+    fields.push_back(cborBytes(message.author));
+}
+
+void readFields(FieldReader& reader, EvacuationOrderMessage& message)
+{
+    message.request = reader.unsignedInteger();
+    message.dataCentre = DataCentre(reader.bytes());
+    message.isStart = reader.boolean();
+    message.expected = DocumentVersion(reader.unsignedInteger());
+    message.author = reader.bytes();
+}
+
+void appendFields(Json& fields, const EvacuationAnswerMessage& message)
+{
+    fields.push_back(message.request);
+    fields.push_back(static_cast<std::uint16_t>(message.code));
+    fields.push_back(cborBytes(message.detail));
+}
+
+void readFields(FieldReader& reader, EvacuationAnswerMessage& message)
+{
+    message.request = reader.unsignedInteger();
+    message.code = readCode(reader);
+    message.detail = reader.bytes();
+}
+
 } // namespace
 
 std::string encode(const ControlMessage& message)
--- a/Source/protocol/ControlMessages.h
+++ b/Source/protocol/ControlMessages.h
@@ -133,8 +133,31 @@
     std::string detail;
 };
 
+/// An order to empty a data centre or to take it back, which a replica that does not lead passes on to the leader.
+struct EvacuationOrderMessage {
+    /// Number that the sender gives to the order; the answer repeats it.
+    std::uint64_t request = 0;
+    DataCentre dataCentre;
+    /// True: nothing more is sent to the backend servers there. False: they are taken back.
+    bool isStart = true;
+    /// Version of the evacuation document that the sender knows. The order is refused if another one is in force, so that one
+    /// that was delayed on its way can't undo a later one.
+    DocumentVersion expected;
+    std::string author;
+};
+
+/// Reply to an EvacuationOrderMessage.
+struct EvacuationAnswerMessage {
+    std::uint64_t request = 0;
+    /// Ok when the order was accepted; NotLeader, NoQuorum or VersionConflict when it may be sent again.
+    ResultCode code = ResultCode::NotLeader;
+    /// Reason of a refusal.
+    std::string detail;
+};
+
 using ControlMessage = std::variant<SubscribeMessage, DocumentMessage, FreshnessRequestMessage, FreshnessMessage, InForceMessage, ClaimRequestMessage,
-    ClaimAnswerMessage, ClaimEndMessage, ReplicaListMessage, DocumentUpdateMessage, UpdatesAcceptedMessage, RoutingChangeMessage, RoutingChangeAnswerMessage>;
+    ClaimAnswerMessage, ClaimEndMessage, ReplicaListMessage, DocumentUpdateMessage, UpdatesAcceptedMessage, RoutingChangeMessage, RoutingChangeAnswerMessage,
+    EvacuationOrderMessage, EvacuationAnswerMessage>;
 
 /// Encodes a message as the CBOR array [type, fields...]; docs/PROTOCOL.md lists the types.
 std::string encode(const ControlMessage&);
--- a/Source/protocol/LogEvent.cpp
+++ b/Source/protocol/LogEvent.cpp
@@ -67,6 +67,10 @@
     { LogEvent::LeaderChanged, LogLevel::Info, "leader changed" },
     { LogEvent::ReplicasChanged, LogLevel::Info, "replicas changed" },
     { LogEvent::EditForwarded, LogLevel::Info, "edit forwarded" },
+    { LogEvent::EvacuationStarted, LogLevel::Warning, "operator empties a data centre" },
+    { LogEvent::EvacuationFinished, LogLevel::Info, "operator takes a data centre back" },
+    { LogEvent::EvacuationsInForce, LogLevel::Info, "evacuations in force" },
+    { LogEvent::EmptiedEndpointMovesOn, LogLevel::Info, "endpoint emptied, waiting attempts move on" },
 };
 
 const Row& rowOf(LogEvent event)
--- a/Source/protocol/LogEvent.h
+++ b/Source/protocol/LogEvent.h
@@ -78,6 +78,12 @@
     LeaderChanged = 505,
     ReplicasChanged = 506,
     EditForwarded = 507,
+    EvacuationStarted = 508,
+    EvacuationFinished = 509,
+
+    // 72x: data centres that operators empty.
+    EvacuationsInForce = 720,
+    EmptiedEndpointMovesOn = 721,
 };
 
 /// Severity of an event.
--- a/Tests/control/RoutingStoreTest.cpp
+++ b/Tests/control/RoutingStoreTest.cpp
@@ -98,7 +98,7 @@
         };
         replica.service = std::move(ControlService::open(settings, replica.files, hooks, m_now).value());
         RoutingStore::Hooks storeHooks { [this] { return m_now; }, [&replica, this] { replica.service->flush(m_now); }, {} };
-        storeHooks.forward = [this, index](const std::string& address, const RoutingChangeMessage& sent) {
+        storeHooks.forward = [this, index](const std::string& address, const ControlMessage& sent) {
             ++m_forwarded;
             const auto message = std::get<RoutingChangeMessage>(decodeControlMessage(encode(sent)).value());
             post(index, std::stoul(address), [this, index, address, message](Replica& receiver) {
--- a/Tests/platform/DecoderTest.cpp
+++ b/Tests/platform/DecoderTest.cpp
@@ -1,5 +1,6 @@
 #include "platform/AnnouncementDecoder.h"
 #include "platform/ConfigurationDecoder.h"
+#include "platform/PathDecoder.h"
 
 #include <gtest/gtest.h>
 
@@ -128,3 +129,11 @@
     EXPECT_TRUE(decodeAnnouncement("", "{}").has_error());
     EXPECT_EQ(0u, decodeStartTime("not JSON"));
 }
+
+TEST(PathDecoderTest, Segments_Decoded_GiveNamesOrNothing)
+{
+    EXPECT_EQ("north-1", Platform::decodePathSegment("north-1"));
+    EXPECT_EQ("a b/%", Platform::decodePathSegment("a%20b%2F%25"));
+    for (const char* segment : { "", "a/b", "a?b", "%", "%2", "%2g", "%+1" })
+        EXPECT_EQ(std::nullopt, Platform::decodePathSegment(segment)) << segment;
+}
