Nodes: Send nothing to backend servers of emptied data centres

Endpoints of an emptied data centre take no part in the choice from the moment at which the document is applied, also for hedges and trials of held requests, and count as new when they are taken back.

--- a/Source/coordination/admission/AdmissionQueue.cpp
+++ b/Source/coordination/admission/AdmissionQueue.cpp
@@ -285,7 +285,7 @@
     m_slowdownPercent = nominalPercent;
 }
 
-void AdmissionQueue::drain(TimePoint now, Duration queueTime)
+void AdmissionQueue::drain(TimePoint now, Duration queueTime, ResultCode code)
 {
     m_draining = true;
     const auto latestStart = now + queueTime;
@@ -293,7 +293,7 @@
         auto& call = *m_expiryOrder.rbegin();
         m_expiryOrder.erase(m_expiryOrder.iterator_to(call));
         call.expiry = latestStart;
-        call.expiryCode = ResultCode::Draining;
+        call.expiryCode = code;
         m_expiryOrder.insert(call);
     }
 }
--- a/Source/coordination/admission/AdmissionQueue.h
+++ b/Source/coordination/admission/AdmissionQueue.h
@@ -125,8 +125,9 @@
     /// Starts no calls while set; calls are still offered and queued.
     void setPaused(bool isPaused) { m_isPaused = isPaused; }
     bool isPaused() const { return m_isPaused; }
-    /// Refuses new calls from now on. Queued calls may still start for queueTime, and running calls continue.
-    void drain(TimePoint now, Duration queueTime = defaultDrainQueueTime);
+    /// Refuses new calls from now on. Queued calls may still start for queueTime, then they are given up with the code; running
+    /// calls continue.
+    void drain(TimePoint now, Duration queueTime = defaultDrainQueueTime, ResultCode code = ResultCode::Draining);
     /// Accepts new calls again after drain().
     void resume() { m_draining = false; }
     bool isDraining() const { return m_draining; }
--- a/Source/coordination/attempts/OutgoingCall.cpp
+++ b/Source/coordination/attempts/OutgoingCall.cpp
@@ -10,7 +10,7 @@
 // Returns whether the refusal is caused by the state of one endpoint only.
 bool isEndpointSpecific(ResultCode code)
 {
-    return code == ResultCode::Draining || code == ResultCode::PeerUnreachable;
+    return code == ResultCode::Draining || code == ResultCode::DataCentreEvacuated || code == ResultCode::PeerUnreachable;
 }
 
 bool canAnotherEndpointAccept(const Refusal& refusal)
--- a/Source/node/CallGateway.cpp
+++ b/Source/node/CallGateway.cpp
@@ -359,7 +359,7 @@
     const MemberRecord* chosen = nullptr;
     std::uint64_t highest = 0;
     for (const auto& [node, member] : m_members) {
-        if (!member.isPresent() || member.endpoint.service != session.parsed.service)
+        if (!member.isPresent() || member.endpoint.service != session.parsed.service || m_emptied.contains(member.dataCentre))
             continue;
         const std::uint64_t rank = XXH3_64bits_withSeed(node.value().data(), node.value().size(), std::hash<RequestDigest>()(session.digest));
         if (chosen && rank <= highest)
@@ -738,12 +738,24 @@
         return;
     const EndpointId id { member.node, member.version.incarnation };
     const bool hasEndpoint = member.isPresent() && (member.endpoint.lifecycle == EndpointLifecycle::Ready || member.endpoint.lifecycle == EndpointLifecycle::Draining);
-    if (!hasEndpoint) {
+    if (!hasEndpoint || m_emptied.contains(member.dataCentre)) {
         service->chooser().remove(id);
         return;
     }
     const std::uint32_t slots = member.endpoint.slots > 0 ? member.endpoint.slots : service->document().defaultSlots;
-    service->chooser().update(id, { member.dataCentre, slots, member.endpoint.announcedAt, member.endpoint.lifecycle == EndpointLifecycle::Draining });
+    service->chooser().update(id, { member.dataCentre, slots, m_emptied.availableSince(member.dataCentre, member.endpoint.announcedAt), member.endpoint.lifecycle == EndpointLifecycle::Draining });
+}
+
+void CallGateway::setEvacuations(const EvacuationDocument& evacuations)
+{
+    const std::set<DataCentre> changed = m_emptied.apply(evacuations, steadyNow());
+    if (changed.empty())
+        return;
+    log(LogEvent::EvacuationsInForce, { { "data_centres", m_emptied.text() }, { "own", m_emptied.contains(m_self.dataCentre) ? "1" : "0" } });
+    for (const auto& entry : std::map<NodeId, MemberRecord>(m_members)) {
+        if (changed.count(entry.second.dataCentre) > 0)
+            setMember(entry.second);
+    }
 }
 
 bool CallGateway::isInLocalDataCentre(const NodeId& node) const
--- a/Source/node/CallGateway.h
+++ b/Source/node/CallGateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/attempts/IdempotencyKeyTable.h"
+#include "coordination/placing/EmptiedDataCentres.h"
 #include "coordination/routing/CallerDeadlines.h"
 #include "node/CallIntake.h"
 #include "node/CallSession.h"
@@ -76,6 +77,9 @@
     void setDocument(const ServiceDocument&);
     /// Applies newer routes, and documents derived from them to the services that have no document of their own.
     void setRouting(const std::shared_ptr<const RoutingTable>&);
+    /// Stops sending calls to endpoints of emptied data centres, and takes back those of the others.
+    void setEvacuations(const EvacuationDocument&);
+    const EmptiedDataCentres& emptiedDataCentres() const { return m_emptied; }
     /// Sets the time at which the documents were last proved recent. Calls are refused until the first proof.
     void setConfigurationProvedAt(TimePoint provedAt) { m_configurationProvedAt = provedAt; }
     /// Updates the links and the endpoints after a member of the deployment joined, changed or left.
@@ -197,6 +201,7 @@
     /// Services with a document of their own, as opposed to one derived from the routes.
     std::set<ServiceName> m_servicesWithOwnDocument;
     std::map<NodeId, MemberRecord> m_members;
+    EmptiedDataCentres m_emptied;
     /// Calls in progress, by session id.
     std::unordered_map<std::uint64_t, SessionPtr> m_sessions;
     /// Attempts without an outcome, by sequence number.
--- a/Source/node/ControlSubscription.h
+++ b/Source/node/ControlSubscription.h
@@ -100,6 +100,8 @@
     void handle(const ClaimEndMessage&) { }
     void handle(const RoutingChangeMessage&) { }
     void handle(const RoutingChangeAnswerMessage&) { }
+    void handle(const EvacuationOrderMessage&) { }
+    void handle(const EvacuationAnswerMessage&) { }
     void requestFreshness();
     void expireClaims(TimePoint now);
     /// True if no connected replica has proved recently that it is up to date, and the connected one has had time to.
--- a/Source/node/EndpointRunner.cpp
+++ b/Source/node/EndpointRunner.cpp
@@ -133,14 +133,29 @@
     // A backend server that told that it leaves does not return.
     if (m_monitor.isLeaving())
         return;
-    if (std::exchange(m_isDraining, false) && m_queue)
+    if (std::exchange(m_isDraining, false) && m_queue && !m_isEmptied)
         m_queue->resume();
 }
 
+void EndpointRunner::setEmptied(bool isEmptied)
+{
+    if (std::exchange(m_isEmptied, isEmptied) == isEmptied)
+        return;
+    if (!m_queue)
+        return notifyLoadChanged();
+    if (isEmptied) {
+        const auto waiting = std::count_if(m_jobs.begin(), m_jobs.end(), [](const auto& entry) { return !entry.second->isRunning; });
+        log(LogEvent::EmptiedEndpointMovesOn, { { "waiting", std::to_string(waiting) }, { "running", std::to_string(m_jobs.size() - static_cast<std::size_t>(waiting)) } });
+        m_queue->drain(steadyNow(), Duration(0), ResultCode::DataCentreEvacuated);
+    } else if (!m_isDraining)
+        m_queue->resume();
+    startReadyJobs();
+}
+
 LoadReport EndpointRunner::loadReport() const
 {
     LoadReport report = m_queue ? m_queue->report() : LoadReport();
-    report.draining = report.draining || m_isDraining || !m_backend || !m_monitor.isReachable();
+    report.draining = report.draining || m_isDraining || m_isEmptied || !m_backend || !m_monitor.isReachable();
     return report;
 }
 
@@ -178,6 +193,8 @@
         return Refusal { ResultCode::StaleConfiguration, unavailableRetryAfter };
     if (!m_monitor.mayTry(steadyNow()))
         return Refusal { ResultCode::PeerUnreachable, unavailableRetryAfter };
+    if (m_isEmptied)
+        return Refusal { ResultCode::DataCentreEvacuated, unavailableRetryAfter };
     if (m_isDraining)
         return Refusal { ResultCode::Draining, unavailableRetryAfter };
     if (job.message.remaining <= Duration::zero())
@@ -367,7 +384,7 @@
 
 bool EndpointRunner::tryResend() const
 {
-    if (!m_backend || !m_resendHook || !m_resendHook(m_backend->service))
+    if (!m_backend || m_isEmptied || !m_resendHook || !m_resendHook(m_backend->service))
         return false;
     m_metrics.backendRequestSent(BackendRequestKind::Resent);
     m_queue->countRequest(steadyNow());
--- a/Source/node/EndpointRunner.h
+++ b/Source/node/EndpointRunner.h
@@ -80,6 +80,9 @@
     void drain();
     /// Accepts new attempts again.
     void undrain();
+    /// Sets whether operators keep the data centre of this node empty. If so, new attempts are refused, waiting ones move on
+    /// unrun, and running ones finish.
+    void setEmptied(bool);
     /// True if no admitted attempt is waiting or running.
     bool isIdle() const { return m_jobs.empty() && m_lostAttempts.empty(); }
 
@@ -196,6 +199,7 @@
     std::unique_ptr<AdmissionQueue> m_queue;
     /// True between drain() and undrain().
     bool m_isDraining = false;
+    bool m_isEmptied = false;
     /// Ticket number last assigned to a job.
     std::uint64_t m_lastTicket = 0;
     /// The request being handled by receive(); null outside of it.
--- a/Source/node/NodeControl.cpp
+++ b/Source/node/NodeControl.cpp
@@ -178,10 +178,27 @@
     return true;
 }
 
+bool NodeControl::applyEvacuations(const DocumentMessage& message, const DocumentSender& sender)
+{
+    const LogField name { "service", message.service.value() };
+    const LogField version { "version", std::to_string(message.version.value()) };
+    const auto evacuations = parseEvacuations(message.text);
+    if (evacuations.has_error()) {
+        log(LogEvent::DocumentRefused, { name, version, { "detail", evacuations.error().detail } });
+        return false;
+    }
+    m_hooks.evacuationsChanged(evacuations.value(), message);
+    m_context.post([this] { publishDocuments(); });
+    log(LogEvent::DocumentInForce, { name, version, { "sender", sender.name }, { "bytes", std::to_string(sender.receivedBytes) } });
+    return true;
+}
+
 bool NodeControl::applyDocument(const DocumentMessage& message, const DocumentSender& sender)
 {
     if (message.service == routingDocumentName())
         return applyRouting(message, sender);
+    if (message.service == evacuationDocumentName())
+        return applyEvacuations(message, sender);
     const TimePoint startedAt = steadyNow();
     auto document = parseDocument(message.text);
     const LogField service { "service", message.service.value() };
--- a/Source/node/NodeControl.h
+++ b/Source/node/NodeControl.h
@@ -8,6 +8,7 @@
 #include "node/NodeIdentity.h"
 #include "node/NodeMetrics.h"
 #include "node/NodeSettings.h"
+#include "state/EvacuationDocument.h"
 #include "state/ServiceDocument.h"
 #include "transport/HttpServer.h"
 #include "transport/MembershipAgent.h"
@@ -36,6 +37,7 @@
         std::function<void(const MemberRecord&)> memberChanged;
         std::function<void(const ServiceDocument&, const DocumentMessage& source)> documentChanged;
         std::function<void(const std::shared_ptr<const RoutingTable>&, const DocumentMessage& source)> routingChanged;
+        std::function<void(const EvacuationDocument&, const DocumentMessage& source)> evacuationsChanged;
         /// Another member has news about a request that was running in crashes.
         std::function<void(const CrashEvidence&)> evidenceReceived;
         /// Releases a held request; false if nothing is known of it.
@@ -103,6 +105,8 @@
     void apply(PresenceChange, const char* source = "announcement");
     /// Like applyDocument(), for the routing document.
     bool applyRouting(const DocumentMessage&, const DocumentSender&);
+    /// Like applyDocument(), for the evacuation document.
+    bool applyEvacuations(const DocumentMessage&, const DocumentSender&);
     std::string status() const;
     /// Publishes the endpoint of the local backend server to the other members.
     void publishEndpoint(EndpointLifecycle);
--- a/Source/node/NodeDaemon.cpp
+++ b/Source/node/NodeDaemon.cpp
@@ -122,6 +122,11 @@
             m_traffic->setRouting(routing, { source.service, source.version, source.text });
         });
     };
+    hooks.evacuationsChanged = [this](const EvacuationDocument& evacuations, const DocumentMessage& source) {
+        asio::post(m_trafficContext, [this, evacuations, source] {
+            m_traffic->setEvacuations(evacuations, { source.service, source.version, source.text });
+        });
+    };
     hooks.evidenceReceived = [this](const CrashEvidence& evidence) {
         asio::post(m_trafficContext, [this, evidence] { m_traffic->quarantine().receive(evidence); });
     };
@@ -178,6 +183,8 @@
             for (const EndpointStatus& endpoint : endpoints)
                 status["endpoints"][service.value()].push_back(toJson(endpoint));
         }
+        for (const DataCentre& dataCentre : m_traffic->gateway().emptiedDataCentres().document().emptied)
+            status["emptied_data_centres"].push_back(dataCentre.value());
         for (const NodeQuarantine::Entry& entry : m_traffic->quarantine().entries())
             status["held_requests"].push_back({ { "digest", toText(entry.digest) }, { "service", entry.service.value() }, { "crashes", entry.crashes }, { "trial_in_s", std::chrono::duration<double>(entry.left).count() } });
         return status.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
--- a/Source/node/NodeMetrics.cpp
+++ b/Source/node/NodeMetrics.cpp
@@ -306,6 +306,11 @@
     set("node", "discarded", bytes.discardedFromNodes);
 }
 
+void NodeMetrics::setDataCentreEmptied(bool isEmptied)
+{
+    gauge("knapweedquay_data_centre_emptied", "1 while operators keep the data centre of this node empty").Set(isEmptied ? 1 : 0);
+}
+
 void NodeMetrics::setMembers(std::size_t present, std::size_t known)
 {
     gauge("knapweedquay_members_present", "Nodes held to be present, this one included").Set(static_cast<double>(present));
--- a/Source/node/NodeMetrics.h
+++ b/Source/node/NodeMetrics.h
@@ -147,6 +147,8 @@
     void setDocumentVersion(const ServiceName&, DocumentVersion);
     /// Sets the bytes of documents received since the start of the process.
     void setDocumentBytes(const DocumentBytes&);
+    /// Sets whether operators have emptied the data centre of this node.
+    void setDataCentreEmptied(bool isEmptied);
     void setMembers(std::size_t present, std::size_t known);
 
     /// Returns all metrics in the Prometheus text format 0.0.4.
--- a/Source/node/NodeTraffic.cpp
+++ b/Source/node/NodeTraffic.cpp
@@ -218,6 +218,15 @@
         m_runner.setDocument(*document);
 }
 
+void NodeTraffic::setEvacuations(const EvacuationDocument& evacuations, const DocumentAnswerMessage& source)
+{
+    m_documentMessages[source.service] = source;
+    // First the choice, so that the attempts that the runner refuses go elsewhere.
+    m_gateway.setEvacuations(evacuations);
+    m_runner.setEmptied(evacuations.isEmptied(m_self.dataCentre));
+    m_metrics.setDataCentreEmptied(evacuations.isEmptied(m_self.dataCentre));
+}
+
 std::optional<ServiceDocument> NodeTraffic::documentOf(const ServiceName& service) const
 {
     const auto entry = m_documents.find(service);
--- a/Source/node/NodeTraffic.h
+++ b/Source/node/NodeTraffic.h
@@ -5,6 +5,7 @@
 #include "node/EndpointRunner.h"
 #include "node/NodeIdentity.h"
 #include "node/NodeSettings.h"
+#include "state/EvacuationDocument.h"
 #include "transport/HttpClient.h"
 #include "transport/HttpServer.h"
 #include "transport/Link.h"
@@ -34,6 +35,8 @@
     void setDocument(const ServiceDocument&, const DocumentAnswerMessage& source);
     /// Applies newer routes and limits of callers, and keeps their text to answer requests from other nodes.
     void setRouting(const std::shared_ptr<const RoutingTable>&, const DocumentAnswerMessage& source);
+    /// Applies which data centres are emptied, and keeps the text to answer requests from other nodes.
+    void setEvacuations(const EvacuationDocument&, const DocumentAnswerMessage& source);
     /// Asks callers to close their connections; they are still served until drain().
     void announceStop() { m_callServer.closeAfterResponses(); }
     /// Sets the local backend server after an announcement, and stops refusing attempts.
