--- a/Source/cli/CommandLine.cpp
+++ b/Source/cli/CommandLine.cpp
@@ -38,6 +38,9 @@
     { "held", "", false, "print the requests that a node refuses because backend servers crashed while they ran them", "Needs --node, the admin address of the node. The digest is that of the log events 410 to 414.\n" },
     { "release", "DIGEST", true, "let a held request run again, at all nodes", "Needs --node, the admin address of any node, which tells the others.\n" },
     { "endpoints", "", false, "print what a node knows of each endpoint: load, limit, drain", "Needs --node, the admin address of the node. requests_per_second is the limit that the backend server named.\n" },
+    { "evacuate", "DATA-CENTRE", false, "send nothing more to the backend servers of a data centre", "Needs the credential of the team operations. Nodes there still take callers' calls and run them elsewhere; what waits there\nmoves on, what runs ends. It holds until the command restore, also through restarts. With --wait, waits until it is in\nforce at all subscribed nodes. May be sent again at will.\n" },
+    { "restore", "DATA-CENTRE", false, "take the backend servers of an emptied data centre back", "Needs the credential of the team operations. They get work again as newly started ones do. May be sent again at will.\n" },
+    { "evacuations", "", false, "print the data centres that are emptied", "history @evacuations tells who ordered it, and when.\n" },
     { "trace", "REQUEST", false, "print the logged events of one request in the order of time", "Reads the log files given with --log. Contacts no server.\n" },
     { "replace", "REPLICA", false, "remove a lost control replica from the store", "Afterwards, start a new replica with an empty data folder; it joins automatically. The status command shows when the\nstore can survive the loss of another replica.\n" },
 };
--- a/Source/cli/Commands.cpp
+++ b/Source/cli/Commands.cpp
@@ -3,6 +3,7 @@
 #include "cli/DocumentDifference.h"
 #include "cli/RequestTimeline.h"
 #include "state/DocumentParser.h"
+#include "state/EvacuationDocument.h"
 #include "state/RoutingParser.h"
 
 #include <chrono>
@@ -88,6 +89,12 @@
         return status();
     if (m_commandLine.command == "replace")
         return replace();
+    if (m_commandLine.command == "evacuate")
+        return setEmptied(true);
+    if (m_commandLine.command == "restore")
+        return setEmptied(false);
+    if (m_commandLine.command == "evacuations")
+        return evacuations();
     if (m_commandLine.command == "trace")
         return trace();
     if (m_commandLine.command == "endpoints")
@@ -375,6 +382,32 @@
     return ExitCode::Done;
 }
 
+ExitCode Commands::setEmptied(bool isEmptied)
+{
+    const std::string& dataCentre = m_commandLine.operand;
+    HttpRequest request { isEmptied ? "PUT" : "DELETE", "/v1/evacuations/" + dataCentre, {}, {} };
+    request.headers = { { "Authorization", "Bearer " + m_commandLine.credential }, { "Knapweedquay-Author", m_commandLine.author } };
+    const Answer answer = m_client.ask(request);
+    if (!answer.isOk()) {
+        const ExitCode code = fail(answer);
+        if (code == ExitCode::OutcomeUnknown)
+            m_report.error("send the command again");
+        return code;
+    }
+    const std::uint64_t version = answer.body.value("version", std::uint64_t { 0 });
+    m_report.result(dataCentre + (isEmptied ? ": emptied" : ": taken back") + ", version " + std::to_string(version), { { "data_centre", dataCentre }, { "emptied", isEmptied }, { "version", version } });
+    return m_commandLine.wait > Duration(0) ? waitUntilInForce(evacuationDocumentName().value(), version) : ExitCode::Done;
+}
+
+ExitCode Commands::evacuations()
+{
+    const Answer answer = get("/v1/evacuations");
+    if (!answer.isOk())
+        return fail(answer);
+    m_report.table(answer.body, { "data_centre" });
+    return ExitCode::Done;
+}
+
 ExitCode Commands::replace()
 {
     const Answer answer = m_client.ask({ "DELETE", "/v1/replicas/" + m_commandLine.operand, { { "Authorization", "Bearer " + m_commandLine.credential } }, {} });
--- a/Source/cli/Commands.h
+++ b/Source/cli/Commands.h
@@ -40,6 +40,9 @@
     ExitCode status();
     ExitCode setDraining(bool isDraining);
     ExitCode replace();
+    /// Empties a data centre, or takes it back.
+    ExitCode setEmptied(bool isEmptied);
+    ExitCode evacuations();
     ExitCode trace();
     ExitCode endpoints();
     ExitCode bytes();
--- a/Tests/cli/CommandsTest.cpp
+++ b/Tests/cli/CommandsTest.cpp
@@ -169,6 +169,26 @@
     EXPECT_TRUE(wasRequested("10.0.0.2:1 DELETE /v1/replicas/12"));
 }
 
+TEST_F(CommandsTest, EvacuateAndRestore_FirstReplicaIsFollower_SendTheOrderToTheLeader)
+{
+    for (const char* method : { "PUT", "DELETE" }) {
+        answers.emplace(std::string("10.0.0.1:1 ") + method + " /v1/evacuations/north", problemResponse(ResultCode::NotLeader));
+        answers.emplace(std::string("10.0.0.2:1 ") + method + " /v1/evacuations/north", okResponse({ { "code", 0 }, { "version", 3 } }));
+    }
+    answers.emplace("10.0.0.1:1 PUT /v1/evacuations/nowhere", problemResponse(ResultCode::UnknownResource));
+    answers.emplace("10.0.0.1:1 GET /v1/nodes", okResponse(Json::array({ { { "node", "a" }, { "in_force", { { "@evacuations", 2 } } } } })));
+    answers.emplace("10.0.0.1:1 GET /v1/evacuations", okResponse(Json::array({ { { "data_centre", "north" } } })));
+    EXPECT_EQ(ExitCode::Done, run({ "evacuate", "north" })) << errors.str();
+    EXPECT_EQ("Bearer secret", *findHeader(requests.back().headers, "Authorization"));
+    EXPECT_EQ("rania", *findHeader(requests.back().headers, "Knapweedquay-Author"));
+    EXPECT_EQ(ExitCode::NotInForce, run({ "evacuate", "north", "--wait", "1" }));
+    EXPECT_EQ(ExitCode::Done, run({ "restore", "north" }));
+    EXPECT_TRUE(wasRequested("10.0.0.2:1 DELETE /v1/evacuations/north"));
+    EXPECT_EQ(ExitCode::Failed, run({ "evacuate", "nowhere" }));
+    EXPECT_EQ(ExitCode::Done, run({ "evacuations" }));
+    EXPECT_NE(std::string::npos, output.str().find("north: emptied, version 3"));
+}
+
 TEST_F(CommandsTest, WrongUsage_OfEachKind_IsRefusedAndHelpExistsForEachCommand)
 {
     for (const std::vector<std::string>& arguments : { std::vector<std::string> {}, { "fly" }, { "apply" }, { "apply", "a", "b" }, { "status", "x" }, { "drain" }, { "status", "--output", "xml" }, { "status", "--colour" }, { "apply", "f", "--expected-version", "-x" }, { "drain", "--node", "localhost:1" } })
