--- a/Source/node/NodeTraffic.cpp
+++ b/Source/node/NodeTraffic.cpp
@@ -227,6 +227,15 @@
     m_keyChecks.configurationProved(provedAt);
 }
 
+void NodeTraffic::setEvacuations(const EvacuationDocument& evacuations, const DocumentAnswerMessage& source)
+{
+    m_documentMessages[source.service] = source;
+    // First the choice, so that the attempts that the runner refuses go elsewhere.
+    m_gateway.setEvacuations(evacuations);
+    m_runner.setEmptied(evacuations.isEmptied(m_self.dataCentre));
+    m_metrics.setDataCentreEmptied(evacuations.isEmptied(m_self.dataCentre));
+}
+
 std::optional<ServiceDocument> NodeTraffic::documentOf(const ServiceName& service) const
 {
     const auto entry = m_documents.find(service);
--- a/Source/protocol/LogEvent.cpp
+++ b/Source/protocol/LogEvent.cpp
@@ -69,6 +69,10 @@
     { LogEvent::EditForwarded, LogLevel::Info, "edit forwarded" },
     { LogEvent::KeysUnproved, LogLevel::Warning, "requests with keys refused for lack of a recent proof" },
     { LogEvent::KeysProved, LogLevel::Info, "requests with keys taken again" },
+    { LogEvent::EvacuationStarted, LogLevel::Warning, "operator empties a data centre" },
+    { LogEvent::EvacuationFinished, LogLevel::Info, "operator takes a data centre back" },
+    { LogEvent::EvacuationsInForce, LogLevel::Info, "evacuations in force" },
+    { LogEvent::EmptiedEndpointMovesOn, LogLevel::Info, "endpoint emptied, waiting attempts move on" },
 };
 
 const Row& rowOf(LogEvent event)
