Node: Keep earlier attempts to reach a replica while the next is tried

After a power cut a node gave its first replica up after 0.2 s and the second 0.3 s later, each time with a new attempt from the start: machines that are dark drop the SYN, and the system repeats it only after a second. Now attempts follow each other after 75 ms, each to the next replica, and the first that opens is taken; a replica whose system has accepted the connection is up and gets 0.3 s, so that many nodes that start at once do not add to its work. The links between replicas use the same times. A link that was aborted before its socket was open closes it once it is.

--- a/Source/control/ReplicaLinks.cpp
+++ b/Source/control/ReplicaLinks.cpp
@@ -7,8 +7,10 @@
 namespace {
 
 /// Minimum delay from the loss of a link to the next attempt to open it.
-constexpr Duration retryInterval { 100000 };
+constexpr Duration retryInterval { 50000 };
 constexpr Duration checkInterval { 100000 };
+/// The same while a link is being opened or a message waits for one.
+constexpr Duration openingCheckInterval { 25000 };
 /// A link that receives nothing for this time is closed; the next message opens a new one.
 constexpr Duration staleLinkTimeout { 1000000 };
 /// Time for which a message waits for its link. Later ones, or none, have replaced it by then.
@@ -59,10 +61,11 @@
 void ReplicaLinks::checkOpening(const std::string& address, Peer& peer, TimePoint now)
 {
     // While a link is being opened, no other is opened to this address, so an attempt that stalls is aborted.
-    if (peer.link && now - peer.openedAt > peer.openingTimeout.value()) {
+    if (peer.link && now - peer.openedAt >= peer.openingTimeout.value(peer.link->isReached())) {
         peer.openingTimeout.expired();
         const LinkPtr stalled = std::exchange(peer.link, nullptr);
         stalled->abort();
+        peer.retryAt = now;
     }
     if (now - peer.pendingSince > maximumPendingTime)
         peer.pendingMessage.clear();
@@ -73,11 +76,15 @@
 void ReplicaLinks::checkLinks()
 {
     const TimePoint now = steadyNow();
+    bool isOpening = false;
     for (auto& [address, peer] : m_peers) {
         if (!peer.link || !peer.link->isOpen()) {
             checkOpening(address, peer, now);
+            isOpening = isOpening || peer.link || !peer.pendingMessage.empty();
             continue;
         }
+        if (now - peer.lastPing < checkInterval)
+            continue;
         if (now - peer.link->lastReceived() > staleLinkTimeout && peer.lastPing > peer.link->lastReceived())
             LinkPtr(peer.link)->abort();
         else {
@@ -85,7 +92,7 @@
             peer.link->ping();
         }
     }
-    m_checkTimer.setAfter(checkInterval);
+    m_checkTimer.setAfter(isOpening ? openingCheckInterval : checkInterval);
 }
 
 } // namespace Knapweedquay
--- a/Source/node/ControlSubscription.cpp
+++ b/Source/node/ControlSubscription.cpp
@@ -19,6 +19,10 @@
 /// The node disconnects from a replica whose last proof, or last part of an update, is older than this. It is half the time
 /// in which a change must be in force on all nodes.
 constexpr Duration maximumStaleness { 1000000 };
+/// Interval of the checks until the node is connected and its documents are proved recent.
+constexpr Duration firstCheckInterval { 25000 };
+/// Delay after a connection that was refused or lost, from the begin of its opening.
+constexpr Duration reconnectInterval { 75000 };
 /// Time in which a connected replica sends its first update, or the next part of one, before newer documents are sought from
 /// other nodes.
 constexpr Duration firstProofTime { 500000 };
@@ -49,17 +53,72 @@
 {
     if (m_replicas.isEmpty())
         return;
-    m_connectedAt = m_hooks.now();
-    m_documents.startConnection();
+    m_openingAt = m_hooks.now();
+    const std::uint64_t id = ++m_lastOpening;
+    const std::string& replica = m_replicas.next();
+    const auto earlier = std::find_if(m_openings.begin(), m_openings.end(), [&replica](const Opening& opening) { return opening.replica == replica; });
+    if (earlier != m_openings.end()) {
+        log(LogEvent::ControlDisconnected, { { "replica", replica }, { "reason", "connection not open in time" } });
+        abandon(takeOpening(earlier->id).link);
+    }
     Link::Hooks hooks;
-    hooks.opened = [this] { handleOpened(); };
+    hooks.opened = [this, id] { handleOpened(id); };
     hooks.received = [this](std::string_view bytes) { handleReceived(bytes); };
-    hooks.closed = [this] {
-        log(LogEvent::ControlDisconnected, { { "replica", m_currentReplica }, { "reason", "connection closed" } });
+    hooks.closed = [this, id] { handleClosed(id); };
+    if (LinkPtr link = m_hooks.connect(replica, std::move(hooks)))
+        m_openings.push_back({ id, std::move(link), replica });
+}
+
+void ControlSubscription::connectIfDue(TimePoint now)
+{
+    if (m_link)
+        return;
+    const Duration waited = now - m_openingAt;
+    if (m_openings.empty()) {
+        if (waited >= reconnectInterval)
+            connectNext();
+        return;
+    }
+    if (waited < m_openingTimeout.value(m_openings.back().link->isReached()))
+        return;
+    m_openingTimeout.expired();
+    connectNext();
+}
+
+ControlSubscription::Opening ControlSubscription::takeOpening(std::uint64_t id)
+{
+    const auto entry = std::find_if(m_openings.begin(), m_openings.end(), [id](const Opening& opening) { return opening.id == id; });
+    if (entry == m_openings.end())
+        return {};
+    Opening opening = std::move(*entry);
+    m_openings.erase(entry);
+    return opening;
+}
+
+void ControlSubscription::abandon(const LinkPtr& link)
+{
+    link->setHooks({});
+    link->abort();
+}
+
+void ControlSubscription::handleClosed(std::uint64_t opening)
+{
+    const Opening failed = takeOpening(opening);
+    log(LogEvent::ControlDisconnected, { { "replica", failed.link ? failed.replica : m_currentReplica }, { "reason", "connection closed" } });
+    if (!failed.link)
         m_link.reset();
-    };
-    m_currentReplica = m_replicas.next();
-    m_link = m_hooks.connect(m_currentReplica, std::move(hooks));
+}
+
+std::string ControlSubscription::currentReplica() const
+{
+    if (m_link)
+        return m_currentReplica;
+    return m_openings.empty() ? std::string() : m_openings.back().replica;
+}
+
+Duration ControlSubscription::nextCheck() const
+{
+    return m_link && m_isFresh ? checkInterval : firstCheckInterval;
 }
 
 void ControlSubscription::setReplicas(const std::vector<std::string>& replicas)
@@ -75,14 +134,19 @@
 
 void ControlSubscription::disconnect()
 {
-    if (const LinkPtr link = std::exchange(m_link, nullptr)) {
-        link->setHooks({});
-        link->abort();
-    }
+    if (const LinkPtr link = std::exchange(m_link, nullptr))
+        abandon(link);
 }
 
-void ControlSubscription::handleOpened()
+void ControlSubscription::handleOpened(std::uint64_t id)
 {
+    Opening opening = takeOpening(id);
+    for (const Opening& other : std::exchange(m_openings, {}))
+        abandon(other.link);
+    m_link = std::move(opening.link);
+    m_currentReplica = std::move(opening.replica);
+    m_connectedAt = m_hooks.now();
+    m_documents.startConnection();
     m_openingTimeout.opened();
     log(LogEvent::ControlConnected, { { "replica", m_currentReplica } });
     send(UpdatesAcceptedMessage());
@@ -130,7 +194,7 @@
 
 bool ControlSubscription::lacksReplica(TimePoint now) const
 {
-    const bool sendsUpdates = m_link && m_link->isOpen() && now - std::max(m_connectedAt, m_lastPartAt) <= firstProofTime;
+    const bool sendsUpdates = m_link && now - std::max(m_connectedAt, m_lastPartAt) <= firstProofTime;
     return staleness(now) > maximumStaleness && !sendsUpdates;
 }
 
@@ -234,18 +298,12 @@
     const TimePoint now = m_hooks.now();
     expireClaims(now);
     fetchHinted(now);
-    if (m_link && !m_link->isOpen() && now - m_connectedAt > m_openingTimeout.value()) {
-        log(LogEvent::ControlDisconnected, { { "replica", m_currentReplica }, { "reason", "connection not open in time" } });
-        m_openingTimeout.expired();
-        disconnect();
-    }
     if (m_link && now - std::max({ m_lastProvedAt, m_connectedAt, m_lastPartAt }) > maximumStaleness) {
         log(LogEvent::ControlDisconnected, { { "replica", m_currentReplica }, { "reason", "no recent proof that its documents are up to date" }, { "proof_age_ms", std::to_string(toMilliseconds(now - m_lastProvedAt)) } });
         disconnect();
     }
-    if (!m_link)
-        connectNext();
-    else if (m_link->isOpen() && now - m_freshnessRequestedAt >= (m_isFresh ? freshnessInterval : firstFreshnessInterval))
+    connectIfDue(now);
+    if (m_link && now - m_freshnessRequestedAt >= (m_isFresh ? freshnessInterval : firstFreshnessInterval))
         requestFreshness();
 }
 
--- a/Source/node/ControlSubscription.h
+++ b/Source/node/ControlSubscription.h
@@ -17,9 +17,11 @@
 
 /// Keeps this node subscribed to one control replica whose documents are provably recent.
 ///
-/// A replica proves freshness by the age of its last quorum round. If it cannot, because it is partitioned or frozen, or
-/// if the connection to it does not open soon, the node disconnects and connects to the next replica in the list. Versions
-/// in force never decrease, whatever a replica sends. It has no clock, timer or socket of its own.
+/// A replica proves freshness by the age of its last quorum round. If it cannot, because it is partitioned or frozen, the
+/// node disconnects and connects to the next replica in the list. If a connection does not open soon, the node also tries the
+/// next replica, and stays with the one that opens first (compare RFC 8305): after a power cut of all machines, some replicas
+/// are up before others. Versions in force never decrease, whatever a replica sends. It has no clock, timer or socket of its
+/// own.
 class ControlSubscription {
 public:
     /// Functions that provide clock and links, and that handle what the control replica sends.
@@ -40,8 +42,10 @@
     /// discoversReplicas: also connects to the replicas listed by the store, not only to those given here.
     ControlSubscription(NodeIdentity, std::vector<std::string> replicas, bool discoversReplicas, Hooks);
 
-    /// Interval at which the owner calls check().
+    /// Interval at which the owner calls check() once the node is subscribed.
     static constexpr Duration checkInterval { 100000 };
+    /// Time until the owner next calls check().
+    Duration nextCheck() const;
 
     /// Connects to the first replica.
     void start();
@@ -65,8 +69,8 @@
     /// Time since the documents were last proved recent; the maximum value if they never were.
     Duration staleness(TimePoint now) const;
     const DocumentBytes& documentBytes() const { return m_documents.documentBytes(); }
-    /// Address of the replica that the node is connected or connecting to; empty if there is none.
-    std::string currentReplica() const { return m_link ? m_currentReplica : std::string(); }
+    /// Address of the replica that the node is connected or last tried to connect to; empty if there is none.
+    std::string currentReplica() const;
 
 private:
     /// A claim that the store has not replied to.
@@ -76,6 +80,13 @@
         TimePoint expiry;
     };
 
+    /// A connection that is being opened.
+    struct Opening {
+        std::uint64_t id = 0;
+        LinkPtr link;
+        std::string replica;
+    };
+
     /// Newer version of a document at another node.
     struct Hint {
         NodeId node;
@@ -83,8 +94,15 @@
     };
 
     void connectNext();
+    /// Connects to the next replica if none is connected and the openings under way had their time.
+    void connectIfDue(TimePoint now);
     void disconnect();
-    void handleOpened();
+    void handleOpened(std::uint64_t opening);
+    void handleClosed(std::uint64_t opening);
+    /// Removes an opening and returns it; its link is null if there is none with this number.
+    Opening takeOpening(std::uint64_t id);
+    /// Ends an opening without a report to handleClosed().
+    static void abandon(const LinkPtr&);
     bool send(const ControlMessage&);
     void handleReceived(std::string_view bytes);
     void handle(const DocumentMessage&);
@@ -111,9 +129,15 @@
     ReplicaDirectory m_replicas;
     bool m_discoversReplicas;
     Hooks m_hooks;
+    /// The open connection; null while there is none.
     LinkPtr m_link;
     std::string m_currentReplica;
-    /// When the opening of the current connection began.
+    /// Connections being opened, oldest first; at most one for each replica.
+    std::vector<Opening> m_openings;
+    std::uint64_t m_lastOpening = 0;
+    /// When the last opening began.
+    TimePoint m_openingAt;
+    /// When the current connection was open.
     TimePoint m_connectedAt;
     OpeningTimeout m_openingTimeout;
     /// Latest time at which the documents are known to have been recent.
--- a/Source/node/NodeControl.cpp
+++ b/Source/node/NodeControl.cpp
@@ -117,7 +117,7 @@
 void NodeControl::checkSubscription()
 {
     m_subscription.check();
-    m_subscriptionTimer.setAfter(ControlSubscription::checkInterval);
+    m_subscriptionTimer.setAfter(m_subscription.nextCheck());
 }
 
 Result<void> NodeControl::start(std::uint16_t peersPort)
@@ -132,7 +132,7 @@
     membership.seeds = m_settings.seeds;
     BOOST_OUTCOME_TRYV(m_membership.start(m_settings.gossip, membership));
     m_subscription.start();
-    m_subscriptionTimer.setAfter(ControlSubscription::checkInterval);
+    m_subscriptionTimer.setAfter(m_subscription.nextCheck());
     m_backendTimer.setAfter(backendCheckInterval);
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
--- a/Source/transport/Link.cpp
+++ b/Source/transport/Link.cpp
@@ -50,7 +50,15 @@
         , m_lastReceived(steadyNow())
         , m_self(std::make_shared<WebsocketLink*>(this))
     {
-        m_connection->set_open_handler(ifAlive([](WebsocketLink& link) { link.handleOpened(); }));
+        m_connection->set_open_handler([weak = std::weak_ptr<WebsocketLink*>(m_self)](websocketpp::connection_hdl handle) {
+            const auto link = lock(weak);
+            if (link && !link->m_isClosed)
+                return link->handleOpened();
+            // It was aborted before its socket was open.
+            asio::error_code ignored;
+            if (const auto connection = std::static_pointer_cast<typename Connection::element_type>(handle.lock()))
+                connection->get_raw_socket().close(ignored);
+        });
         m_connection->set_close_handler(ifAlive([](WebsocketLink& link) { link.handleClosed(); }));
         m_connection->set_fail_handler(ifAlive([](WebsocketLink& link) { link.handleClosed(); }));
         m_connection->set_message_handler([weak = std::weak_ptr<WebsocketLink*>(m_self)](websocketpp::connection_hdl, typename Endpoint::message_ptr message) {
@@ -92,6 +100,12 @@
     }
 
     bool isOpen() const override { return m_isOpen; }
+    bool isReached() const override
+    {
+        asio::error_code error;
+        m_connection->get_raw_socket().remote_endpoint(error);
+        return m_isOpen || !error;
+    }
     TimePoint lastReceived() override
     {
         const TimePoint now = steadyNow();
--- a/Source/transport/Link.h
+++ b/Source/transport/Link.h
@@ -39,6 +39,9 @@
     /// Closes the link immediately, without a closing handshake, since an unresponsive peer would not answer it.
     virtual void abort() = 0;
     virtual bool isOpen() const = 0;
+    /// True once the peer's system has accepted the connection, even if its process has not answered yet. A machine without
+    /// power accepts none.
+    virtual bool isReached() const { return isOpen(); }
     /// When the last message or pong was received, or the link was opened; while a large message is on its way in either
     /// direction, the last call at which more of it had passed than at the call before.
     virtual TimePoint lastReceived() = 0;
