Control: Answer requests for a proof as soon as there is one

A replica that could not prove its freshness yet dropped the request, and the node asked again every 100 ms. It keeps the newest request of each node now and answers it with its first proof. The proof's age is taken when it is sent, so a request that waited makes the proof look older than it is, never newer.

--- a/Source/control/ControlDaemon.cpp
+++ b/Source/control/ControlDaemon.cpp
@@ -151,6 +151,7 @@
             asio::post(m_context, [this, done, result = job()] {
                 done(result, steadyNow());
                 m_service->flush(steadyNow());
+                m_subscriptions->answerWaiting(steadyNow());
             });
         });
     };
@@ -182,6 +183,7 @@
     const TimePoint now = steadyNow();
     m_service->tick(now);
     m_service->flush(now);
+    m_subscriptions->answerWaiting(now);
     m_routing->tick(now);
     m_observer.observe(*m_service);
     for (auto entry = m_forwardedClaims.begin(); entry != m_forwardedClaims.end();)
@@ -197,6 +199,7 @@
     asio::post(m_context, [this] {
         m_isFlushScheduled = false;
         m_service->flush(steadyNow());
+        m_subscriptions->answerWaiting(steadyNow());
     });
 }
 
--- a/Source/control/NodeSubscriptions.cpp
+++ b/Source/control/NodeSubscriptions.cpp
@@ -94,7 +94,29 @@
     }
     const auto freshness = m_service.freshness(now);
     if (freshness)
-        send(id, FreshnessMessage { request.clock, freshness->term.value(), freshness->round.value(), freshness->age });
+        return send(id, FreshnessMessage { request.clock, freshness->term.value(), freshness->round.value(), freshness->age });
+    entry->second.waitingRequest = request;
+    m_lacksProof = true;
+}
+
+void NodeSubscriptions::answerWaiting(TimePoint now)
+{
+    if (!m_lacksProof || !m_service.freshness(now))
+        return;
+    m_lacksProof = false;
+    // An answer may close its link, and so remove the subscriber.
+    std::vector<SubscriberId> waiting;
+    for (const auto& [id, subscriber] : m_subscribers) {
+        if (subscriber.waitingRequest)
+            waiting.push_back(id);
+    }
+    for (const SubscriberId id : waiting) {
+        const auto entry = m_subscribers.find(id);
+        if (entry == m_subscribers.end())
+            continue;
+        if (const auto request = std::exchange(entry->second.waitingRequest, std::nullopt))
+            answerFreshness(id, *request, now);
+    }
 }
 
 const StoredDocument* NodeSubscriptions::unsentDocument(const Subscriber& subscriber) const
--- a/Source/control/NodeSubscriptions.h
+++ b/Source/control/NodeSubscriptions.h
@@ -49,7 +49,7 @@
         DocumentVersions sent;
         /// The update whose last part the node has not reported on.
         std::optional<Transfer> transfer;
-        /// Request for a proof that has to wait until the newest version of each document was sent.
+        /// Request for a proof that has to wait until the newest version of each document was sent, or until there is a proof.
         std::optional<FreshnessRequestMessage> waitingRequest;
     };
 
@@ -66,9 +66,12 @@
     void send(SubscriberId, const ControlMessage&);
     /// Sends newly applied versions of documents to all subscribed nodes.
     void documentsChanged();
-    /// Sends the replica's current proof of freshness, once the newest version of each document was sent. Without a proof
-    /// no answer is sent, and the node switches to another replica.
+    /// Sends the replica's current proof of freshness, once the newest version of each document was sent and there is a proof.
+    /// Without a proof no answer is sent, and in time the node switches to another replica.
     void answerFreshness(SubscriberId, const FreshnessRequestMessage&, TimePoint now);
+    /// Answers the requests that waited for this replica's first proof. After a start of all replicas at once, nodes are
+    /// connected before a leader is elected; a proof that comes later than its request is not older than it says.
+    void answerWaiting(TimePoint now);
 
     const std::map<SubscriberId, Subscriber>& subscribers() const { return m_subscribers; }
 
@@ -96,6 +99,8 @@
     std::map<ServiceName, CompressedTexts> m_compressedTexts;
     std::map<SubscriberId, Subscriber> m_subscribers;
     SubscriberId m_lastId = 0;
+    /// True while a request may wait for the first proof.
+    bool m_lacksProof = false;
 };
 
 } // namespace Knapweedquay
