Store: Repeat pre-votes soon, and start a leader's first rounds closely

A pre-vote after a power cut meets links that are not open; the next came 0.4 to 0.8 s later. It changes nothing at the others, so it is repeated after 0.1 to 0.2 s, a vote after 0.2 to 0.6 s. A follower proves its freshness with the third round of a leader; the first five rounds follow each other at 10 ms (the daemon's tick makes it 20) in place of 50 ms.

--- a/Source/state/ReplicatedLog.cpp
+++ b/Source/state/ReplicatedLog.cpp
@@ -135,6 +135,14 @@
     m_electionDeadline = m_now + m_settings.electionTimeout + Duration(randomDelay(m_random));
 }
 
+void ReplicatedLog::setRepeatDeadline(bool preVote)
+{
+    const Duration shortest = m_settings.electionTimeout / (preVote ? 4 : 2);
+    const Duration spread = m_settings.electionTimeout / (preVote ? 4 : 1);
+    std::uniform_int_distribution<std::int64_t> randomDelay(0, spread.count());
+    m_electionDeadline = m_now + shortest + Duration(randomDelay(m_random));
+}
+
 void ReplicatedLog::setHardState(HardState hardState)
 {
     if (hardState == m_hardState)
--- a/Source/state/ReplicatedLog.h
+++ b/Source/state/ReplicatedLog.h
@@ -29,6 +29,8 @@
     /// leader steps down when its latest confirmed round was sent more than one election timeout ago.
     Duration electionTimeout { 400000 };
     Duration heartbeatInterval { 50000 };
+    /// Interval of a new leader's first rounds, after which followers can prove their freshness.
+    Duration firstHeartbeatInterval { 10000 };
     /// Maximum payload bytes of the entries in one append request; a larger single entry is sent alone.
     std::size_t maximumAppendBytes = 1048576;
     /// Size of the chunks in which a snapshot is sent.
@@ -158,6 +160,9 @@
     bool isLeaseValid(TimePoint) const;
     bool hasRecentLeader(TimePoint) const;
     void resetElectionDeadline();
+    /// Sets the time after which an election without a result is repeated. A pre-vote changes nothing at the others, and may just
+    /// have met links that were not open yet, so that it is repeated soon.
+    void setRepeatDeadline(bool preVote);
     void becomeFollower(Term, ReplicaId leader);
     void startElection(bool preVote);
     void countVotes();
--- a/Source/state/ReplicatedLogElection.cpp
+++ b/Source/state/ReplicatedLogElection.cpp
@@ -28,7 +28,7 @@
     m_leader = noReplica();
     m_votes.clear();
     m_votesRequestedAt = m_now;
-    resetElectionDeadline();
+    setRepeatDeadline(preVote);
     const Term electionTerm(term().value() + 1);
     if (!preVote) {
         m_delayedMessages.clear();
--- a/Source/state/ReplicatedLogReplication.cpp
+++ b/Source/state/ReplicatedLogReplication.cpp
@@ -11,6 +11,8 @@
 
 // Number of heartbeat intervals without a response after which entries or a snapshot chunk are sent again.
 constexpr int resendIntervals = 3;
+// Rounds of a new leader at the shorter interval.
+constexpr std::uint64_t firstRounds = 5;
 
 } // namespace
 
@@ -122,7 +124,7 @@
     m_rounds.start(m_now);
     m_rounds.updateConfirmed(self(), members());
     m_commitAtLastRound = m_commitIndex;
-    m_nextHeartbeat = m_now + m_settings.heartbeatInterval;
+    m_nextHeartbeat = m_now + (m_rounds.current().value() <= firstRounds ? m_settings.firstHeartbeatInterval : m_settings.heartbeatInterval);
     for (auto& [id, peer] : m_peers) {
         peer.roundClock = peer.clock;
         sendHeartbeat(id, peer);
--- a/Tests/state/ReplicatedLogTest.cpp
+++ b/Tests/state/ReplicatedLogTest.cpp
@@ -141,6 +141,41 @@
     EXPECT_EQ(Term(1), m_log->term());
 }
 
+// After a power cut the first pre-vote met links that were not open, and the next came half a second later or more.
+TEST_F(ReplicatedLogTest, PreVoteWithoutResult_IsRepeatedSoon)
+{
+    m_now += 1s;
+    m_log->tick(m_now);
+    processActions();
+    ASSERT_FALSE(sent<VoteRequest>().empty());
+    for (int tick = 0; tick < 11; ++tick) {
+        m_now += 20ms;
+        m_log->tick(m_now);
+        processActions();
+    }
+    const auto repeated = sent<VoteRequest>();
+    ASSERT_FALSE(repeated.empty());
+    EXPECT_TRUE(repeated.back().preVote);
+    EXPECT_EQ(Term(1), m_log->term());
+}
+
+TEST_F(ReplicatedLogTest, NewLeader_FirstRounds_FollowEachOtherSoon)
+{
+    becomeLeader();
+    sent<AppendRequest>();
+    const auto tickSoon = [this] {
+        m_now += 20ms;
+        m_log->tick(m_now);
+        processActions();
+        return !sent<AppendRequest>().empty();
+    };
+    EXPECT_TRUE(tickSoon());
+    EXPECT_TRUE(tickSoon());
+    for (int round = 0; round < 8; ++round)
+        runRound(ReplicaId(3), LogIndex(2));
+    EXPECT_FALSE(tickSoon());
+}
+
 TEST_F(ReplicatedLogTest, RecentLeader_VoteRequested_IsRefusedAndTermStays)
 {
     receive(AppendRequest { Term(2), LogIndex(1), Term(1), LogIndex(1), QuorumRound(1), QuorumRound(), 0, {} });
