Node: Return attempts unsent whose link does not open soon

An attempt that waited for its link was taken for lost after 0.2 s, though it had never left the node: its caller got 504 with code 300 at the deadline, or a retry cost budget. It is returned after 0.125 s now, which is a certain "not run", so that the call goes to another endpoint at no cost; a link whose machine does not accept the connection is opened anew.

--- a/Source/node/PeerLinks.cpp
+++ b/Source/node/PeerLinks.cpp
@@ -2,12 +2,18 @@
 
 #include <algorithm>
 #include <utility>
+#include <variant>
+#include <vector>
 
 namespace Knapweedquay {
 
 namespace {
 
 constexpr Duration checkInterval { 100000 };
+/// The same while messages wait for a link.
+constexpr Duration openingCheckInterval { 25000 };
+/// Longest time for which an attempt waits for its link; shorter than the time after which its call takes it for lost.
+constexpr Duration maximumQueueTime { 125000 };
 /// A link with pending answers is pinged after this time without incoming data.
 constexpr Duration pingSilence { 400000 };
 /// A link with pending answers is replaced after this time without incoming data.
@@ -62,7 +68,9 @@
     }
     if (peer.queuedMessages.size() >= maximumQueuedMessages)
         return false;
-    peer.queuedMessages.push_back(message);
+    if (peer.queuedMessages.empty())
+        m_checkTimer.setAfter(openingCheckInterval);
+    peer.queuedMessages.push_back({ message, peer.lastSent });
     if (!peer.link)
         connect(peer);
     return true;
@@ -106,6 +114,7 @@
     hooks.opened = [this, &peer] { handleOpened(peer); };
     hooks.received = [this, &peer](std::string_view bytes) { handleReceived(peer, bytes); };
     hooks.closed = [this, &peer] { handleClosed(peer); };
+    peer.openedAt = steadyNow();
     peer.link = m_client.connect(peer.address, std::move(hooks));
     if (!peer.link)
         returnUnsentMessages(peer);
@@ -139,11 +148,11 @@
     peer.isReady = true;
     peer.incarnation = hello.incarnation;
     peer.backoff = Duration::zero();
-    std::deque<PeerMessage> queuedMessages = std::exchange(peer.queuedMessages, {});
+    const std::deque<QueuedMessage> queuedMessages = std::exchange(peer.queuedMessages, {});
     if (std::exchange(peer.wasLost, false))
         m_hooks.restored(peer.node, hello.incarnation);
-    for (const PeerMessage& message : queuedMessages)
-        send(peer.node, message);
+    for (const QueuedMessage& queued : queuedMessages)
+        send(peer.node, queued.message);
 }
 
 void PeerLinks::handleClosed(Peer& peer)
@@ -162,17 +171,40 @@
 
 void PeerLinks::returnUnsentMessages(Peer& peer)
 {
-    const std::deque<PeerMessage> queuedMessages = std::exchange(peer.queuedMessages, {});
-    for (const PeerMessage& message : queuedMessages)
-        m_hooks.unsent(peer.node, message);
+    const std::deque<QueuedMessage> queuedMessages = std::exchange(peer.queuedMessages, {});
+    for (const QueuedMessage& queued : queuedMessages)
+        m_hooks.unsent(peer.node, queued.message);
+}
+
+void PeerLinks::checkOpening(Peer& peer, TimePoint now)
+{
+    if (!peer.link || peer.isReady)
+        return;
+    if (!peer.link->isReached() && now - peer.openedAt >= maximumQueueTime) {
+        // Its system's next SYN would be sent a second after the first.
+        LinkPtr(peer.link)->abort();
+        return;
+    }
+    const auto isOverdue = [now](const QueuedMessage& queued) {
+        return std::holds_alternative<CallRequestMessage>(queued.message) && now - queued.queuedAt >= maximumQueueTime;
+    };
+    const auto firstOverdue = std::stable_partition(peer.queuedMessages.begin(), peer.queuedMessages.end(), [&isOverdue](const QueuedMessage& queued) { return !isOverdue(queued); });
+    const std::vector<QueuedMessage> overdue(firstOverdue, peer.queuedMessages.end());
+    peer.queuedMessages.erase(firstOverdue, peer.queuedMessages.end());
+    for (const QueuedMessage& queued : overdue)
+        m_hooks.unsent(peer.node, queued.message);
 }
 
 void PeerLinks::checkLinks()
 {
     const TimePoint now = steadyNow();
-    for (auto& entry : m_peers)
+    bool isOpening = false;
+    for (auto& entry : m_peers) {
+        checkOpening(*entry.second, now);
         checkLink(*entry.second, now);
-    m_checkTimer.setAfter(checkInterval);
+        isOpening = isOpening || !entry.second->queuedMessages.empty();
+    }
+    m_checkTimer.setAfter(isOpening ? openingCheckInterval : checkInterval);
 }
 
 void PeerLinks::checkLink(Peer& peer, TimePoint now)
--- a/Source/node/PeerLinks.h
+++ b/Source/node/PeerLinks.h
@@ -19,7 +19,9 @@
 /// Links from this node to the nodes that it sends calls to: one per node, opened on demand.
 ///
 /// A link is only monitored while answers are pending, so that idle links cost nothing. A monitored link without
-/// incoming data is pinged, and replaced if there is still no response. A link that is not used any more is closed.
+/// incoming data is pinged, and replaced if there is still no response. A link that is not used any more is closed. An attempt
+/// whose link does not open soon is returned unsent, while it can still be answered in time by another node: it has certainly
+/// not run.
 class PeerLinks {
 public:
     /// Handlers of messages and of changes of a link, with the node at its other end.
@@ -31,7 +33,7 @@
         std::function<void(const NodeId&, Incarnation)> restored;
         /// A message of so many bytes was sent.
         std::function<void(const NodeId&, const PeerMessage&, std::size_t bytes)> sent;
-        /// A queued message was not sent, because the link closed first or could not be opened.
+        /// A queued message was not sent, because the link closed first, could not be opened or took too long to open.
         std::function<void(const NodeId&, const PeerMessage&)> unsent;
     };
 
@@ -58,6 +60,12 @@
     Incarnation incarnation(const NodeId&) const;
 
 private:
+    /// A message that waits for its link.
+    struct QueuedMessage {
+        PeerMessage message;
+        TimePoint queuedAt;
+    };
+
     /// Another node and the link to it.
     struct Peer {
         NodeId node;
@@ -72,7 +80,9 @@
         /// Incarnation of the node, as it last identified itself.
         Incarnation incarnation;
         /// Messages to send once the link is ready.
-        std::deque<PeerMessage> queuedMessages;
+        std::deque<QueuedMessage> queuedMessages;
+        /// When the opening of the link began.
+        TimePoint openedAt;
         /// Number of attempts sent to the node that have not been answered.
         int pendingAnswers = 0;
         TimePoint lastPing;
@@ -91,6 +101,8 @@
     void handleClosed(Peer&);
     /// Reports all queued messages as unsent.
     void returnUnsentMessages(Peer&);
+    /// Reports attempts as unsent that have waited too long for the link, and gives up a link to a machine that does not answer.
+    void checkOpening(Peer&, TimePoint now);
     void checkLinks();
     /// Reconnects, pings or replaces the link of a node with pending answers.
     void checkLink(Peer&, TimePoint now);
--- a/Tests/node/PeerLinksTest.cpp
+++ b/Tests/node/PeerLinksTest.cpp
@@ -2,6 +2,8 @@
 
 #include "transport/SteadyTime.h"
 
+#include <asio/ip/tcp.hpp>
+
 #include <gtest/gtest.h>
 
 #include <chrono>
@@ -43,6 +45,18 @@
         m_context.run_for(time);
     }
 
+    /// Sends an attempt to a machine that does not answer; true if it comes back unsent within the time.
+    bool isReturned(const std::string& address, Duration time)
+    {
+        m_links.setAddress(m_peer, address);
+        CallRequestMessage attempt;
+        attempt.service = ServiceName("s");
+        m_links.addPendingAnswers(m_peer, 1);
+        EXPECT_TRUE(m_links.send(m_peer, attempt));
+        runFor(time);
+        return m_unsent == 1;
+    }
+
     bool sendProbe() { return m_links.send(m_peer, ProbeMessage { 1, ServiceName("s") }); }
 
     asio::io_context m_context;
@@ -52,7 +66,8 @@
     int m_accepted = 0;
     int m_closed = 0;
     int m_probes = 0;
-    PeerLinks m_links { m_context, { NodeId("self"), Incarnation(1), DataCentre("a") }, { [](const NodeId&, const PeerMessage&) {}, [](const NodeId&) {}, [](const NodeId&, Incarnation) {}, [](const NodeId&, const PeerMessage&, std::size_t) {}, [](const NodeId&, const PeerMessage&) {} }, 300ms };
+    int m_unsent = 0;
+    PeerLinks m_links { m_context, { NodeId("self"), Incarnation(1), DataCentre("a") }, { [](const NodeId&, const PeerMessage&) {}, [](const NodeId&) {}, [](const NodeId&, Incarnation) {}, [](const NodeId&, const PeerMessage&, std::size_t) {}, [this](const NodeId&, const PeerMessage&) { ++m_unsent; } }, 300ms };
 };
 
 TEST_F(PeerLinksTest, UnusedLink_IsClosed_AndOpenedAgainWhenNeeded)
@@ -70,6 +85,37 @@
     EXPECT_EQ(2, m_probes);
 }
 
+// Callers got "the outcome is unknown" at their deadline for attempts that had never left this node.
+TEST_F(PeerLinksTest, MachineThatDoesNotAnswer_AttemptIsReturnedUnsentSoon)
+{
+    // Connections beyond a full backlog get no answer.
+    asio::ip::tcp::acceptor silent(m_context, asio::ip::tcp::v4());
+    silent.bind({ asio::ip::make_address("127.0.0.1"), 0 });
+    silent.listen(0);
+    std::vector<asio::ip::tcp::socket> fillers;
+    for (int index = 0; index < 4; ++index) {
+        fillers.emplace_back(m_context);
+        fillers.back().async_connect(silent.local_endpoint(), [](const asio::error_code&) {});
+    }
+    runFor(20ms);
+    EXPECT_TRUE(isReturned("127.0.0.1:" + std::to_string(silent.local_endpoint().port()), 190ms));
+}
+
+TEST_F(PeerLinksTest, NodeThatAcceptsAndDoesNotAnswer_AttemptIsReturnedUnsentSoon)
+{
+    const asio::ip::tcp::acceptor frozen(m_context, { asio::ip::make_address("127.0.0.1"), 0 });
+    EXPECT_TRUE(isReturned("127.0.0.1:" + std::to_string(frozen.local_endpoint().port()), 190ms));
+    EXPECT_EQ(1U, m_links.openLinks());
+}
+
+TEST_F(PeerLinksTest, NodeThatRefuses_AttemptIsReturnedUnsentAtOnce)
+{
+    asio::ip::tcp::acceptor port(m_context, { asio::ip::make_address("127.0.0.1"), 0 });
+    const std::string address = "127.0.0.1:" + std::to_string(port.local_endpoint().port());
+    port.close();
+    EXPECT_TRUE(isReturned(address, 50ms));
+}
+
 TEST_F(PeerLinksTest, LinkWithPendingAnswers_StaysOpen)
 {
     EXPECT_TRUE(sendProbe());
