Placing: Prefer endpoints that have reported while few have

After a start of all nodes, endpoints known from other members only looked idle, and calls waited for links to them. While fewer than half of the eligible endpoints have reported to this node, those that have get all but a sixteenth of the calls, if one can answer in target; probes open the links to the others. The node's own endpoint reports to it as soon as it is known.

--- a/Source/coordination/placing/EndpointChooser.cpp
+++ b/Source/coordination/placing/EndpointChooser.cpp
@@ -20,6 +20,8 @@
 constexpr double ejectionErrorRate = 0.5;
 /// Error rate assumed for an endpoint that was readmitted after an ejection.
 constexpr double readmissionErrorRate = 0.2;
+/// Share of the calls that may go to endpoints without a report while others have one; probes find most of them sooner.
+constexpr double unprovenShare = 1.0 / 16;
 /// Bound on the number of doublings of the ejection time.
 constexpr std::uint32_t maximumDoublings = 5;
 
@@ -140,6 +142,8 @@
         eligible = candidates(excluded, Pool::Ejected);
     if (eligible.empty())
         return std::nullopt;
+    if (m_settings.policy == ChoicePolicy::Predicted)
+        preferProven(eligible, priority, now, random);
 
     const Endpoint* chosen = nullptr;
     switch (m_settings.policy) {
@@ -261,6 +265,23 @@
     return found;
 }
 
+void EndpointChooser::preferProven(Candidates& eligible, PriorityIndex priority, TimePoint now, RandomEngine& random) const
+{
+    const auto isProven = [](const Endpoint* endpoint) { return endpoint->record.reportedAt().has_value(); };
+    // A single new endpoint is warmed up instead.
+    if (2 * std::count_if(eligible.begin(), eligible.end(), isProven) >= static_cast<std::ptrdiff_t>(eligible.size()))
+        return;
+    const Duration target = priority.value() < m_document.priorities.size() ? m_document.priorities[priority.value()].target : Duration::max();
+    const bool hasRoom = std::any_of(eligible.begin(), eligible.end(), [&](const Endpoint* endpoint) {
+        const EndpointRecord& record = endpoint->record;
+        return isProven(endpoint) && !record.isSaturated(priority, now) && record.predictedTime(priority, fleetView(record), m_document, now) <= target;
+    });
+    if (!hasRoom)
+        return;
+    if (std::uniform_real_distribution<double>(0, 1)(random) >= unprovenShare)
+        eligible.erase(std::remove_if(eligible.begin(), eligible.end(), [&](const Endpoint* endpoint) { return !isProven(endpoint); }), eligible.end());
+}
+
 void EndpointChooser::updateSubset()
 {
     if (m_settings.subset == 0)
--- a/Source/coordination/placing/EndpointChooser.h
+++ b/Source/coordination/placing/EndpointChooser.h
@@ -154,6 +154,9 @@
         Ejected
     };
     Candidates candidates(const std::vector<EndpointId>& excluded, Pool) const;
+    /// While few endpoints have reported to this node, keeps most calls at those that have, if one of them can answer in time.
+    /// The others are known by hearsay: after a start of all nodes at once, their links are not open, and some may not be up.
+    void preferProven(Candidates&, PriorityIndex, TimePoint now, RandomEngine&) const;
     /// Selects the subset by rendezvous hashing, so that adding or removing one endpoint changes at most one member.
     /// A third of the members are in other data centres if there are enough endpoints of both kinds.
     void updateSubset();
--- a/Source/node/CallGateway.cpp
+++ b/Source/node/CallGateway.cpp
@@ -744,6 +744,12 @@
     }
     const std::uint32_t slots = member.endpoint.slots > 0 ? member.endpoint.slots : service->document().defaultSlots;
     service->chooser().update(id, { member.dataCentre, slots, member.endpoint.announcedAt, member.endpoint.lifecycle == EndpointLifecycle::Draining });
+    if (member.node != m_self.node)
+        return;
+    // The endpoint beside this node needs no link, so that calls can go there before anything is known of the others.
+    const LoadReport load = m_localRunner.loadReport();
+    if (!load.draining && load.concurrencyLimit > 0)
+        service->chooser().applyReport(id, load, steadyNow());
 }
 
 bool CallGateway::isInLocalDataCentre(const NodeId& node) const
--- a/Source/node/NodeTraffic.cpp
+++ b/Source/node/NodeTraffic.cpp
@@ -197,6 +197,7 @@
     m_documentMessages[document.service] = source;
     m_gateway.setDocument(document);
     m_runner.setDocument(document);
+    sendLoadUpdates();
 }
 
 void NodeTraffic::setRouting(const std::shared_ptr<const RoutingTable>& routing, const DocumentAnswerMessage& source)
@@ -216,6 +217,7 @@
         return;
     if (const auto document = documentOf(*m_backendService))
         m_runner.setDocument(*document);
+    sendLoadUpdates();
 }
 
 std::optional<ServiceDocument> NodeTraffic::documentOf(const ServiceName& service) const
@@ -252,6 +254,7 @@
     applyRoutedService();
     if (const auto document = documentOf(backend.service))
         m_runner.setDocument(*document);
+    sendLoadUpdates();
 }
 
 void NodeTraffic::reply(ConnectionId id, const PeerMessage& message)
--- a/Tests/coordination/EndpointChooserTest.cpp
+++ b/Tests/coordination/EndpointChooserTest.cpp
@@ -138,6 +138,29 @@
     EXPECT_TRUE(m_chooser.isFleetOverloaded(PriorityIndex(0), m_now));
 }
 
+// After a start of all nodes, calls were sent to endpoints that were known from other members only, and had no link yet.
+TEST_F(EndpointChooserTest, EndpointsWithoutReport_AnotherHasRoom_GetFewCalls)
+{
+    addEndpoints(1);
+    for (; m_count < 20; ++m_count)
+        m_chooser.update(endpointId(m_count), { DataCentre("local"), slots, m_now - 100 * second, false });
+    constexpr int draws = 1000;
+    EXPECT_GE(chosenCounts(draws)[0], draws * 9 / 10);
+
+    LoadReport saturated = makeReport(slots);
+    saturated.queued = { 3, 0 };
+    m_chooser.applyReport(endpointId(0), saturated, m_now);
+    EXPECT_LE(chosenCounts(draws)[0], draws / 10);
+}
+
+TEST_F(EndpointChooserTest, NoEndpointWithReport_CallsAreSpread)
+{
+    for (; m_count < 4; ++m_count)
+        m_chooser.update(endpointId(m_count), { DataCentre("local"), slots, m_now - 100 * second, false });
+    for (const int count : chosenCounts(1000))
+        EXPECT_GE(count, 150);
+}
+
 TEST_F(EndpointChooserTest, BusyReport_CallsSentSince_AddToReportedLoad)
 {
     addEndpoints(2);
