--- a/Tests/processes/FailureTest.cpp
+++ b/Tests/processes/FailureTest.cpp
@@ -3,9 +3,11 @@
 #include "Load/Waiting.h"
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <filesystem>
 #include <functional>
+#include <iostream>
 
 namespace Knapweedquay::Load {
 
@@ -67,6 +69,43 @@
 
 } // namespace
 
+TEST_F(FailureTest, AllProcesses_KilledAndStartedAgain_ServeWithinASecond)
+{
+    constexpr std::size_t controls = 3;
+    start(controls);
+    const std::vector<std::string> nodes = m_deployment->nodeNames();
+    for (const std::string& node : nodes) {
+        m_deployment->node(node).kill();
+        m_deployment->backend(node).kill();
+    }
+    for (std::size_t control = 0; control < controls; ++control)
+        m_deployment->control(control).kill();
+    for (std::size_t control = 0; control < controls; ++control)
+        m_deployment->restartControl(control);
+    for (const std::string& node : nodes) {
+        m_deployment->restartNode(node);
+        m_deployment->startBackend(node);
+    }
+    // Calls by the second in which they were sent; their deadline is the target of their priority.
+    std::array<std::vector<TestCallPointer>, 3> bySecond;
+    const auto startedAt = std::chrono::steady_clock::now();
+    for (std::size_t sent = 0;; ++sent) {
+        const auto second = static_cast<std::size_t>((std::chrono::steady_clock::now() - startedAt) / 1s);
+        if (second >= bySecond.size())
+            break;
+        bySecond[second].push_back(m_caller.send(callAddress(nodes[sent % nodes.size()]), "GET", "/stock", 100ms));
+        m_caller.runFor(5ms);
+    }
+    ASSERT_TRUE(m_caller.waitForAnswers(6s));
+    const auto answered = [](const std::vector<TestCallPointer>& calls) {
+        return static_cast<double>(std::count_if(calls.begin(), calls.end(), [](const TestCallPointer& call) { return call->isAnsweredCorrectly(); })) / static_cast<double>(calls.size());
+    };
+    std::cout << "answered in target, by second: " << answered(bySecond[0]) << " " << answered(bySecond[1]) << " " << answered(bySecond[2]) << "\n";
+    EXPECT_GE(answered(bySecond[1]), 0.5);
+    EXPECT_GE(answered(bySecond[2]), 0.9);
+    expectGuaranteesHold();
+}
+
 TEST_F(FailureTest, Node_KilledWithPostsInFlight_GuaranteesHold)
 {
     start();
