Daemons: End a stop that a blocked thread would hold

A stop joined the thread of the traffic for as long as it was blocked, and the log too; the platform killed such processes at the end of its grace. A node now ends itself 0.2 s after its maximum stop time. It also waited for calls whose callers had left and that hold no key.

--- a/Source/node/CallGateway.cpp
+++ b/Source/node/CallGateway.cpp
@@ -489,6 +489,11 @@
         entry->second.session->trace.add(event, steadyNow(), peer, values);
 }
 
+bool CallGateway::hasCallers() const
+{
+    return std::any_of(m_sessions.begin(), m_sessions.end(), [](const auto& entry) { return !entry.second->isCallerDisconnected || entry.second->claim; });
+}
+
 void CallGateway::logDroppedTraces()
 {
     const std::uint64_t dropped = m_traceSampler.droppedLines();
--- a/Source/node/NodeDaemon.cpp
+++ b/Source/node/NodeDaemon.cpp
@@ -1,5 +1,7 @@
 #include "node/NodeDaemon.h"
 
+#include "transport/StopDeadline.h"
+
 #include <asio/executor_work_guard.hpp>
 #include <asio/post.hpp>
 
@@ -20,6 +22,8 @@
 constexpr Duration idleCheckInterval { 20000 };
 /// Time from the end of accepting to the first such check, for requests that are on their way on accepted connections.
 constexpr Duration lastRequestsTime { 250000 };
+/// Time beyond the maximum stop time after which the process ends although a thread is blocked.
+constexpr Duration blockedStopTime { 200000 };
 
 /// Milliseconds since 1970, so that each start of a node has a greater incarnation without storing the previous one.
 Incarnation newIncarnation()
@@ -214,6 +218,7 @@
 {
     log(LogEvent::Stopping);
     m_stopBy = steadyNow() + m_settings.maximumStopTime;
+    endProcessAfter(m_settings.maximumStopTime + blockedStopTime);
     m_control->endReadiness();
     asio::post(m_trafficContext, [this] { m_traffic->announceStop(); });
     m_drainTimer.setAfter(m_settings.stopNotice);
--- a/Source/node/NodeTraffic.h
+++ b/Source/node/NodeTraffic.h
@@ -28,7 +28,7 @@
     Result<void> start();
     /// Stops accepting connections from callers and new attempts; calls in progress finish.
     void drain();
-    bool isIdle() const { return m_gateway.sessionCount() == 0 && m_runner.isIdle(); }
+    bool isIdle() const { return !m_gateway.hasCallers() && m_runner.isIdle(); }
 
     /// Applies a newer document, and keeps its text to answer requests from other nodes.
     void setDocument(const ServiceDocument&, const DocumentAnswerMessage& source);
