Store: Elect anew as soon as the leader's connection ends

When the leader's process ends, the followers see their connections from it end at once, and still waited out the election timeout of 0.4 to 0.8 s. A control replica ends itself 2 s after the signal to stop, since it waits for a storage job under way.

--- a/Source/control/ControlDaemon.cpp
+++ b/Source/control/ControlDaemon.cpp
@@ -1,6 +1,7 @@
 #include "control/ControlDaemon.h"
 
 #include "transport/Logger.h"
+#include "transport/StopDeadline.h"
 
 #include "protocol/LinkChannel.h"
 
@@ -17,6 +18,8 @@
 namespace {
 
 constexpr Duration tickInterval { 20000 };
+/// Time after the signal to stop in which a storage job under way may end.
+constexpr Duration maximumStopTime { 2000000 };
 constexpr std::uint64_t microsecondsPerMillisecond = 1000;
 /// Bounds the memory for claims that wait for the leader's answer.
 constexpr std::size_t maximumForwardedClaims = 10000;
@@ -79,8 +82,10 @@
     m_signals.async_wait([this](const asio::error_code& error, int signal) {
         if (error)
             return;
-        if (signal != SIGHUP)
+        if (signal != SIGHUP) {
+            endProcessAfter(maximumStopTime);
             return m_context.stop();
+        }
         log(LogEvent::Reloaded);
         if (m_extension.reload)
             m_extension.reload(*this);
@@ -206,16 +211,20 @@
 void ControlDaemon::accept(const LinkPtr& link)
 {
     const NodeSubscriptions::SubscriberId id = m_subscriptions->add(link);
+    const auto replica = std::make_shared<ReplicaId>(noReplica());
     Link::Hooks hooks;
-    hooks.received = [this, id](std::string_view bytes) {
+    hooks.received = [this, id, replica](std::string_view bytes) {
         if (bytes.empty())
             return;
         if (bytes.front() == LinkChannel::replica)
-            receiveFromReplica(bytes);
+            *replica = receiveFromReplica(bytes);
         else
             receiveNodeMessage(id, LinkChannel::unwrap(bytes));
     };
-    hooks.closed = [this, id] { m_subscriptions->remove(id); };
+    hooks.closed = [this, id, replica] {
+        m_subscriptions->remove(id);
+        m_service->disconnected(*replica, steadyNow());
+    };
     link->setHooks(std::move(hooks));
 }
 
@@ -242,25 +251,26 @@
         handleForwardedChange(id, *change);
 }
 
-void ControlDaemon::receiveFromReplica(std::string_view bytes)
+ReplicaId ControlDaemon::receiveFromReplica(std::string_view bytes)
 {
     if (bytes.empty())
-        return;
+        return noReplica();
     if (bytes.front() == LinkChannel::replica) {
         const auto message = decodeReplicaMessage(LinkChannel::unwrap(bytes));
         if (message.has_error())
-            return;
+            return noReplica();
         m_service->receive(message.value(), steadyNow());
         scheduleFlush();
-        return;
+        return message.value().from;
     }
     const auto message = decodeControlMessage(LinkChannel::unwrap(bytes));
     if (message.has_error())
-        return;
+        return noReplica();
     if (const auto* answer = std::get_if<ClaimAnswerMessage>(&message.value()))
         handleForwardedAnswer(*answer);
     else if (const auto* changeAnswer = std::get_if<RoutingChangeAnswerMessage>(&message.value()))
         m_routing->leaderAnswered(*changeAnswer);
+    return noReplica();
 }
 
 void ControlDaemon::handleClaim(NodeSubscriptions::SubscriberId id, const ClaimRequestMessage& message)
