--- a/Source/node/CallGateway.cpp
+++ b/Source/node/CallGateway.cpp
@@ -502,6 +502,11 @@
         entry->second.session->trace.add(event, steadyNow(), peer, values);
 }
 
+bool CallGateway::hasCallers() const
+{
+    return std::any_of(m_sessions.begin(), m_sessions.end(), [](const auto& entry) { return !entry.second->isCallerDisconnected || entry.second->claim; });
+}
+
 void CallGateway::logDroppedTraces()
 {
     const std::uint64_t dropped = m_traceSampler.droppedLines();
@@ -757,6 +762,12 @@
     }
     const std::uint32_t slots = member.endpoint.slots > 0 ? member.endpoint.slots : service->document().defaultSlots;
     service->chooser().update(id, { member.dataCentre, slots, m_emptied.availableSince(member.dataCentre, member.endpoint.announcedAt), member.endpoint.lifecycle == EndpointLifecycle::Draining });
+    if (member.node != m_self.node)
+        return;
+    // The endpoint beside this node needs no link, so that calls can go there before anything is known of the others.
+    const LoadReport load = m_localRunner.loadReport();
+    if (!load.draining && load.concurrencyLimit > 0)
+        service->chooser().applyReport(id, load, steadyNow());
 }
 
 void CallGateway::setEvacuations(const EvacuationDocument& evacuations)
