--- a/Tests/coordination/RoutingTableTest.cpp
+++ b/Tests/coordination/RoutingTableTest.cpp
@@ -26,7 +26,7 @@
 {
     RoutingDocument result;
     result.version = 1;
-    result.services = { { ServiceName("a"), 0, {} }, { ServiceName("b"), 0, {} } };
+    result.services = { { ServiceName("a"), 0, {}, Duration(0), {} }, { ServiceName("b"), 0, {}, Duration(0), {} } };
     result.rules = std::move(rules);
     return result;
 }
