Admission: Pace cold backend servers, whose warmth must be proved

A cold backend server bears a few requests per second and falls over at more; nothing kept to that. A server may turn cold without a word, so a health response that tells it warm is good for a bounded number of requests only; the next check is asked for before they are spent, and what was sent without proof counts against the bound when a pace begins.

--- a/Source/coordination/admission/AdmissionQueue.h
+++ b/Source/coordination/admission/AdmissionQueue.h
@@ -13,6 +13,7 @@
 #include <boost/intrusive/list.hpp>
 #include <boost/intrusive/set.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <unordered_map>
@@ -118,6 +119,10 @@
     /// Limits the calls started per second, together with the requests counted by countRequest(). An unset rate ends the
     /// limit.
     void setRequestRate(std::optional<RequestRate>, TimePoint now);
+    /// Delays the next request until this time because of requests that were sent before the limit was set.
+    void delayRequests(TimePoint until) { m_rate.setDueAt(std::max(m_rate.dueAt(), until)); }
+    /// Takes back the requests that were counted: they did not arrive.
+    void forgetRequests(TimePoint now) { m_rate.setDueAt(now); }
     /// True if a request that is no call, such as a health check, may be sent now without delaying a call.
     bool allowsRequest(TimePoint now) const { return m_rate.isDue(now) && !hasQueued(); }
     /// Counts a request to the backend server that is not the start of a call.
--- a/Source/coordination/admission/RequestRateLimit.cpp
+++ b/Source/coordination/admission/RequestRateLimit.cpp
@@ -6,16 +6,20 @@
 
 namespace {
 
-constexpr double minimumRequestsPerSecond = 0.1;
 constexpr double microsecondsPerSecond = 1e6;
 /// Longest time by which a request may be early.
 constexpr Duration tolerance { 300000 };
 
 } // namespace
 
+double RequestRateLimit::mostRequests(RequestRate rate, Duration time)
+{
+    return std::max(rate.value(), minimumRate) * static_cast<double>((time + tolerance).count()) / microsecondsPerSecond + 1;
+}
+
 double RequestRateLimit::requestsPerSecond() const
 {
-    return std::max(m_rate.value_or(RequestRate(0)).value(), minimumRequestsPerSecond);
+    return std::max(m_rate.value_or(RequestRate(0)).value(), minimumRate);
 }
 
 Duration RequestRateLimit::interval() const
--- a/Source/coordination/admission/RequestRateLimit.h
+++ b/Source/coordination/admission/RequestRateLimit.h
@@ -15,6 +15,12 @@
 /// limit ends.
 class RequestRateLimit {
 public:
+    /// Rates below this one, in requests per second, are raised to it.
+    static constexpr double minimumRate = 0.1;
+
+    /// Most requests that a constant rate allows in any time of this length.
+    static double mostRequests(RequestRate, Duration);
+
     /// Sets the rate; while it is unset, any number of requests is allowed. A change scales the time until the next request.
     void setRate(std::optional<RequestRate>, TimePoint now);
     /// The rate as it was set.
@@ -30,6 +36,8 @@
     TimePoint allowedAt() const;
     /// Time from which the next request is due; only valid while a rate is set.
     TimePoint dueAt() const { return m_nextDue; }
+    /// Sets when the next request is due, to count requests that were sent before the rate was set, or to take back some.
+    void setDueAt(TimePoint due) { m_nextDue = due; }
     /// Counts a request that is sent now.
     void count(TimePoint now);
 
--- a/Source/coordination/presence/BackendPresence.cpp
+++ b/Source/coordination/presence/BackendPresence.cpp
@@ -47,6 +47,11 @@
     return adopt(announcement, now);
 }
 
+bool BackendPresence::isLatest(const BackendAnnouncement& announcement) const
+{
+    return m_current && m_current->instance == announcement.instance && m_current->startedAt == announcement.startedAt && m_current->sequence == announcement.sequence;
+}
+
 PresenceChange BackendPresence::update(const BackendAnnouncement& announcement, TimePoint now)
 {
     if (announcement.sequence != 0 && announcement.sequence <= m_current->sequence)
--- a/Source/coordination/presence/BackendPresence.h
+++ b/Source/coordination/presence/BackendPresence.h
@@ -23,7 +23,7 @@
     /// Calls that the backend server runs concurrently; 0 when not specified.
     std::uint32_t slots = 0;
     bool draining = false;
-    /// Time after its start for which the backend server is slow.
+    /// Time for which the backend server stays cold.
     Duration warmUp { 0 };
 };
 
@@ -67,6 +67,8 @@
 
     /// The present run, which accepts calls or drains; empty when there is none.
     const std::optional<BackendAnnouncement>& current() const { return m_current; }
+    /// Returns whether this is the latest announcement of the present run.
+    bool isLatest(const BackendAnnouncement&) const;
     bool isDraining() const { return m_current && m_current->draining; }
 
 private:
--- a/Source/coordination/presence/BackendState.cpp
+++ b/Source/coordination/presence/BackendState.cpp
@@ -18,6 +18,9 @@
 /// A limit that no response has named for this long ends with any response that names none.
 constexpr Duration unconfirmedLimitTime { 15000000 };
 constexpr double microsecondsPerSecond = 1e6;
+constexpr double microsecondsPerMillisecond = 1e3;
+/// A longer time is an error of the backend server.
+constexpr double maximumColdMilliseconds = 3600e3;
 constexpr std::string_view leavingValue = "1";
 
 /// Values of all headers with this name. Values that an intermediary has joined with commas count as several (RFC 9110,
@@ -74,6 +77,7 @@
         m_loadReportedAt = now;
     applyLimit(headers, request, now, report);
     applyLeaving(headers, report);
+    readColdTime(headers, report);
     return report;
 }
 
@@ -112,6 +116,19 @@
     }
 }
 
+void BackendState::readColdTime(const HttpHeaders& headers, Report& report) const
+{
+    for (const std::string& value : headerValues(headers, m_headers.cold)) {
+        const auto milliseconds = parseDecimal(value);
+        if (!milliseconds || *milliseconds > maximumColdMilliseconds) {
+            report.unreadable.push_back({ m_headers.cold, value });
+            continue;
+        }
+        const Duration time(static_cast<Duration::rep>(*milliseconds * microsecondsPerMillisecond));
+        report.coldTime = std::max(report.coldTime.value_or(time), time);
+    }
+}
+
 bool BackendState::isLimitedCheckDue(TimePoint now) const
 {
     if (!m_hasCheckedLimit)
--- a/Source/coordination/presence/BackendState.h
+++ b/Source/coordination/presence/BackendState.h
@@ -31,6 +31,8 @@
         std::optional<BackendLoad> load;
         /// True if the limit of requests per second was set, changed or ended.
         bool hasLimitChanged = false;
+        /// Time for which the backend server stays cold; not set if it told none.
+        std::optional<Duration> coldTime;
         /// True for the first response that tells that the backend server leaves.
         bool startsToLeave = false;
         /// Headers whose values have no meaning and were ignored.
@@ -54,6 +56,8 @@
     /// Requests per second that the backend server takes; not set when it names no limit.
     const std::optional<RequestRate>& requestLimit() const { return m_requestLimit; }
     bool isLeaving() const { return m_isLeaving; }
+    /// True while a health check has no response.
+    bool isCheckPending() const { return m_isCheckPending; }
 
     /// Returns whether a health check is due.
     bool isCheckDue(bool isReachable, TimePoint now) const;
@@ -66,6 +70,7 @@
 private:
     void applyLimit(const HttpHeaders&, ResponseTo, TimePoint now, Report&);
     void applyLeaving(const HttpHeaders&, Report&);
+    void readColdTime(const HttpHeaders&, Report&) const;
     bool isLimitedCheckDue(TimePoint now) const;
 
     CallHeaders m_headers;
--- a/Source/protocol/CallHeaders.h
+++ b/Source/protocol/CallHeaders.h
@@ -23,6 +23,8 @@
     std::string requestLimit = "Knapweedquay-Request-Limit";
     /// Response: "1" when the backend server leaves, in all responses from then on.
     std::string leaving = "Knapweedquay-Leaving";
+    /// Response: time in whole milliseconds for which the backend server stays cold, 0 when it is warm.
+    std::string cold = "Knapweedquay-Cold-Ms";
     /// True when backend servers also receive the headers that only nodes interpret, such as the depth of a call.
     bool sendsNodeHeaders = true;
     /// True when Retry-After may have a fraction of a second; otherwise it has whole seconds, rounded up.
