Node: Keep cold backend servers to their rate

BackendMonitor feeds ColdPace and asks for health when a proof is due; the queue refuses at once what waits when a paced server stops accepting connections, so that it does not wait for the pace. Repeated announcements pass their cold time on. Events 730 and 731, the gauge knapweedquay_endpoint_cold_seconds, the settings headers.cold, services.cold_time_ms and services.cold_requests_per_second. Without a cold rate nothing changes.

--- a/Source/node/BackendMonitor.h
+++ b/Source/node/BackendMonitor.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/admission/AdmissionQueue.h"
+#include "coordination/admission/ColdPace.h"
 #include "coordination/presence/BackendReachability.h"
 #include "coordination/presence/BackendState.h"
 #include "coordination/presence/CrashDetector.h"
@@ -36,10 +37,12 @@
         std::function<void(const CrashDetector::Crash&)> crashed;
         /// The backend server responded to a request.
         std::function<void()> responded;
+        /// A backend server that has to be paced refuses connections, so what waits for it should not wait for the pace.
+        std::function<void()> unreachable;
     };
 
     /// loadInterval: interval between health checks while no response reports the load.
-    BackendMonitor(asio::io_context&, const CallHeaders&, Duration loadInterval, HttpClient&, NodeMetrics&, Hooks);
+    BackendMonitor(asio::io_context&, const CallHeaders&, Duration loadInterval, const ColdBound&, HttpClient&, NodeMetrics&, Hooks);
 
     /// Sets the local backend server after an announcement.
     void setBackend(const LocalBackend&);
@@ -51,11 +54,20 @@
     /// Registers that all documents that were committed when the node started are in force.
     void configurationProved();
 
+    /// Sets for how long after a start, and at which rate, backend servers of the service are cold.
+    void setCold(Duration coldTime, std::optional<RequestRate> coldRate);
+    /// Handles an announcement that the present run stays cold for this time.
+    void announcedCold(Duration left);
+    /// Time for which the backend server is held to be cold.
+    Duration coldTimeLeft() const { return m_cold.timeLeft(steadyNow()); }
+
     /// Sends a health check on a new connection, which shows whether the backend server still runs.
     void checkForCrash();
 
     /// Number of the present run, to be given with the responses to the requests that are sent now.
     std::uint64_t run() const { return m_run; }
+    /// Counts a call that is sent now.
+    void requestSent(TimePoint now);
     /// Applies what the backend server tells of itself in the response to a call. Responses of earlier runs tell nothing of
     /// the present one.
     void responseReceived(const HttpResponse&, std::uint64_t run, TimePoint now);
@@ -70,8 +82,12 @@
     bool isLeaving() const { return m_state.isLeaving(); }
 
 private:
-    void apply(const HttpResponse&, BackendState::ResponseTo, std::uint64_t run, TimePoint now);
+    /// sentAt: when the request was sent; only used for health checks.
+    void apply(const HttpResponse&, BackendState::ResponseTo, std::uint64_t run, TimePoint sentAt, TimePoint now);
     void applyLoad(const BackendLoad&, bool isFirst, TimePoint now);
+    /// Gives the queue the lower one of the limit that the backend server names and its rate while it is cold.
+    void updateRate(TimePoint now);
+    void logCold(TimePoint now);
     void logState(const BackendState::Report&, TimePoint now);
     /// Logs and counts the latest crash, or the requests that are now known to be lost in it.
     void reportCrash();
@@ -103,6 +119,9 @@
     bool m_isConfigurationProved = false;
     BackendReachability m_reachability;
     BackendState m_state;
+    ColdPace m_cold;
+    /// True if the last line of the log told that the backend server is cold.
+    bool m_isLoggedCold = false;
     CrashDetector m_crashDetector;
     /// Number of the latest crash that was reported.
     std::uint64_t m_reportedCrash = 0;
--- a/Source/node/EndpointRunner.cpp
+++ b/Source/node/EndpointRunner.cpp
@@ -58,7 +58,7 @@
     , m_quarantine(quarantine)
     , m_metrics(metrics)
     , m_fates(m_self.incarnation)
-    , m_monitor(context, m_settings.headers, m_settings.loadInterval, client, metrics, monitorHooks())
+    , m_monitor(context, m_settings.headers, m_settings.loadInterval, m_settings.coldBound, client, metrics, monitorHooks())
     , m_traceSampler(m_settings.traces)
     , m_queueTimer(context, [this] { startReadyJobs(); })
     , m_lostTimer(context, [this] { checkLostAttempts(); })
@@ -345,6 +345,7 @@
     m_metrics.backendRequestSent(job.message.isRepeat ? BackendRequestKind::Repeat : BackendRequestKind::Call);
     job.request = m_client.send(m_backend->address, backendRequest(job), backendOptions(job),
         [this, jobPointer](HttpClient::Outcome outcome) { handleOutcome(jobPointer, std::move(outcome)); });
+    m_monitor.requestSent(job.startedAt);
     return true;
 }
 
@@ -482,6 +483,7 @@
     hooks.resumed = [this] { startReadyJobs(); };
     hooks.crashed = [this](const CrashDetector::Crash& crash) { handleCrash(crash); };
     hooks.responded = [this] { releaseLostAttempts(); };
+    hooks.unreachable = [this] { refuseQueued(); };
     return hooks;
 }
 
@@ -494,6 +496,14 @@
         m_leavingHook(*m_backend);
 }
 
+void EndpointRunner::refuseQueued()
+{
+    m_queue->drain(steadyNow(), Duration(0));
+    startReadyJobs();
+    if (!m_isDraining)
+        m_queue->resume();
+}
+
 void EndpointRunner::notifyLoadChanged()
 {
     if (m_loadHook)
--- a/Source/node/EndpointRunner.h
+++ b/Source/node/EndpointRunner.h
@@ -52,6 +52,7 @@
         CallHeaders headers;
         /// Interval between polls of the backend server's load while no response reports it.
         Duration loadInterval { 40000 };
+        ColdBound coldBound;
         TraceSampler::Settings traces;
     };
 
@@ -67,6 +68,12 @@
     void setHealthPath(const std::string& path) { m_monitor.setHealthPath(path); }
     /// Sets the number of connections that the backend server accepts from all callers; 0 if not bounded.
     void setMaximumConnections(std::uint32_t);
+    /// Sets for how long after a start, and at which rate, backend servers of the service are cold.
+    void setCold(Duration coldTime, std::optional<RequestRate> coldRate) { m_monitor.setCold(coldTime, coldRate); }
+    /// Handles an announcement that the backend server stays cold for this time.
+    void announcedCold(Duration left) { m_monitor.announcedCold(left); }
+    /// Time for which the backend server is held to be cold.
+    Duration coldTimeLeft() const { return m_monitor.coldTimeLeft(); }
     /// Registers that all documents that were committed when the node started are in force.
     void configurationProved() { m_monitor.configurationProved(); }
     /// Sets a hook that is called whenever the result of loadReport() may have changed.
@@ -166,6 +173,8 @@
     BackendMonitor::Hooks monitorHooks();
     /// Drains because the backend server told that it leaves. What is queued is refused at once.
     void drainLeavingBackend();
+    /// Refuses what is queued, so that it is tried elsewhere at once.
+    void refuseQueued();
     void notifyLoadChanged();
     /// Tells the origin what became of an attempt whose connection to the backend server ended: at once if the server is known to
     /// have crashed, otherwise once that is known or has not shown in a short time.
--- a/Source/node/NodeControl.cpp
+++ b/Source/node/NodeControl.cpp
@@ -35,6 +35,7 @@
 Result<BackendAnnouncement> parseAnnouncement(const std::string& body)
 {
     constexpr std::uint32_t maximumSlots = 100000;
+    constexpr std::uint64_t maximumColdMilliseconds = 3600000;
     const nlohmann::json json = nlohmann::json::parse(body, nullptr, false);
     if (!json.is_object() || !json.contains("service") || !json["service"].is_string() || !json.contains("address") || !json["address"].is_string())
         return Error { ResultCode::MalformedRequest, "expected a JSON object with service and address" };
@@ -49,6 +50,11 @@
             return Error { ResultCode::MalformedRequest, "slots: expected a whole number up to " + std::to_string(maximumSlots) };
         announcement.slots = json["slots"].get<std::uint32_t>();
     }
+    if (json.contains("cold_ms")) {
+        if (!json["cold_ms"].is_number_unsigned() || json["cold_ms"].get<std::uint64_t>() > maximumColdMilliseconds)
+            return Error { ResultCode::MalformedRequest, "cold_ms: expected a whole number up to " + std::to_string(maximumColdMilliseconds) };
+        announcement.warmUp = std::chrono::milliseconds(json["cold_ms"].get<std::uint64_t>());
+    }
     if (json.contains("instance")) {
         if (!json["instance"].is_string())
             return Error { ResultCode::MalformedRequest, "instance: expected a text" };
@@ -241,6 +247,8 @@
 void NodeControl::announce(const BackendAnnouncement& announcement)
 {
     apply(m_presence.announce(announcement, steadyNow()));
+    if (announcement.warmUp > Duration::zero() && m_presence.isLatest(announcement))
+        m_hooks.backendCold(announcement.warmUp);
 }
 
 void NodeControl::announceLeave(const std::string& instance, std::uint64_t startedAt)
--- a/Source/node/NodeControl.h
+++ b/Source/node/NodeControl.h
@@ -49,6 +49,8 @@
         std::function<void(const LocalBackend&)> backendAnnounced;
         std::function<void()> backendRemoved;
         std::function<void()> backendDraining;
+        /// The present run announced that it stays cold for this time.
+        std::function<void(Duration left)> backendCold;
         /// Another process with a newer incarnation uses this node's id.
         std::function<void()> superseded;
         /// Returns the text of all metrics, for the admin port.
--- a/Source/node/NodeDaemon.cpp
+++ b/Source/node/NodeDaemon.cpp
@@ -149,6 +149,9 @@
     hooks.backendDraining = [this] {
         asio::post(m_trafficContext, [this] { m_traffic->runner().drain(); });
     };
+    hooks.backendCold = [this](Duration left) {
+        asio::post(m_trafficContext, [this, left] { m_traffic->runner().announcedCold(left); });
+    };
     hooks.superseded = [this] { stop(); };
     hooks.metrics = [this] { return metricsText(); };
     hooks.trafficStatus = [this] { return trafficStatus(); };
--- a/Source/node/NodeMetrics.cpp
+++ b/Source/node/NodeMetrics.cpp
@@ -216,6 +216,11 @@
         gauge("knapweedquay_endpoint_queued", "Attempts waiting at this node; index 0 is the most urgent priority", { { "priority_index", std::to_string(index) } }).Set(load.queued[index]);
 }
 
+void NodeMetrics::setEndpointCold(Duration left)
+{
+    gauge("knapweedquay_endpoint_cold_seconds", "Time for which the backend server beside this node is held to be cold").Set(toSeconds(left));
+}
+
 void NodeMetrics::setEndpointStarts(std::uint64_t total)
 {
     increaseTo(*m_endpointStarts, total);
--- a/Source/node/NodeMetrics.h
+++ b/Source/node/NodeMetrics.h
@@ -116,6 +116,8 @@
     void setSessions(std::size_t);
     /// Sets what is known of the local backend server's load, and the attempts that wait for it.
     void setEndpoint(const LoadReport&);
+    /// Sets the time for which the local backend server is held to be cold.
+    void setEndpointCold(Duration left);
     /// Sets the total number of attempts started since the start of the process.
     void setEndpointStarts(std::uint64_t);
     /// Counts a request to the local backend server.
--- a/Source/node/NodeSettings.h
+++ b/Source/node/NodeSettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/admission/ColdPace.h"
 #include "coordination/placing/EndpointChooser.h"
 #include "node/CallTrace.h"
 #include "protocol/CallHeaders.h"
@@ -59,6 +60,7 @@
     /// node that is cut off may go on by the keys that it knows.
     std::optional<Duration> keyRevocationTime;
     QuotaBound quotaBound;
+    ColdBound coldBound;
     LogSettings log;
     TraceSampler::Settings traces;
     /// Parser of the routing document; set by the program, not in the settings file.
--- a/Source/node/NodeTraffic.cpp
+++ b/Source/node/NodeTraffic.cpp
@@ -75,7 +75,7 @@
     , m_client(context)
     , m_quarantine(m_self, metrics)
     , m_runner(
-          context, m_self, { settings.headers, settings.backendLoadInterval, settings.traces }, m_client, [this](ConnectionId connection, const PeerMessage& message) { reply(connection, message); }, m_quarantine, metrics)
+          context, m_self, { settings.headers, settings.backendLoadInterval, settings.coldBound, settings.traces }, m_client, [this](ConnectionId connection, const PeerMessage& message) { reply(connection, message); }, m_quarantine, metrics)
     , m_gateway(context, m_self, m_runner, m_quarantine, { settings.headers, settings.callerService, settings.needsRouting, choiceSettings(settings), settings.fleetRetryBurst, settings.traces }, std::move(claims), metrics)
     , m_callServer(context, callServerSettings(settings), [this](const HttpExchangePtr& exchange) { m_gateway.handle(exchange); })
     , m_linkServer(context, maximumPeerMessageBytes, [this](const LinkPtr& link) { accept(link); })
@@ -109,6 +109,7 @@
     metrics.setEndpointStarts(m_runner.counters().started);
     metrics.setSessions(m_gateway.sessionCount());
     metrics.setEndpoint(load);
+    metrics.setEndpointCold(m_runner.coldTimeLeft());
 }
 
 void NodeTraffic::accept(const LinkPtr& link)
@@ -239,6 +240,7 @@
     for (const RoutedService& routed : m_routing->document().services) {
         if (routed.name != *m_backendService)
             continue;
+        m_runner.setCold(routed.coldTime, routed.coldRate);
         m_runner.setMaximumConnections(routed.maximumConnections);
         m_runner.setHealthPath(routed.healthPath);
     }
--- a/Source/protocol/LogEvent.cpp
+++ b/Source/protocol/LogEvent.cpp
@@ -60,6 +60,8 @@
     { LogEvent::AttemptStarted, LogLevel::Info, "attempt sent to the backend server" },
     { LogEvent::AttemptEnded, LogLevel::Info, "attempt ended at the backend server" },
     { LogEvent::RequestLinesDropped, LogLevel::Warning, "request log lines dropped" },
+    { LogEvent::BackendCold, LogLevel::Info, "backend server cold, requests paced" },
+    { LogEvent::BackendWarm, LogLevel::Info, "backend server warm" },
     { LogEvent::StorageStopped, LogLevel::Error, "storage failed, replica stopped" },
     { LogEvent::EditAccepted, LogLevel::Info, "edit accepted" },
     { LogEvent::EditRefused, LogLevel::Warning, "edit refused" },
--- a/Source/protocol/LogEvent.h
+++ b/Source/protocol/LogEvent.h
@@ -70,6 +70,10 @@
     AttemptEnded = 623,
     RequestLinesDropped = 630,
 
+    // 73x: the pace of a cold backend server.
+    BackendCold = 730,
+    BackendWarm = 731,
+
     // 5xx: the control store.
     StorageStopped = 501,
     EditAccepted = 502,
--- a/Source/state/RoutingParser.cpp
+++ b/Source/state/RoutingParser.cpp
@@ -50,6 +50,10 @@
     service.name = ServiceName(section.requiredText("name", isPlainName, plainNameExpectation));
     service.maximumConnections = readNumber(section, "maximum_connections", service.maximumConnections, 0, largestConnections);
     service.healthPath = section.text("health_path", service.healthPath, isTextWithoutBlanks, textWithoutBlanksExpectation);
+    service.coldTime = section.milliseconds("cold_time_ms", service.coldTime, Duration(0), longestTime);
+    const double coldRate = section.real("cold_requests_per_second", 0, 0, unlimitedRequestsPerSecond);
+    if (coldRate > 0)
+        service.coldRate = RequestRate(coldRate);
     section.finish();
     return service;
 }
