--- a/Tests/processes/BackendStateTest.cpp
+++ b/Tests/processes/BackendStateTest.cpp
@@ -1,6 +1,7 @@
 #include "processes/ProcessFixture.h"
 
 #include "Load/Waiting.h"
+#include "coordination/admission/ColdPace.h"
 
 #include <algorithm>
 #include <csignal>
@@ -29,6 +30,7 @@
 /// Time after a backend server first said that it leaves from which it must receive no calls.
 constexpr std::chrono::milliseconds leavingTime { 2000 };
 constexpr std::chrono::milliseconds window { 4000 };
+constexpr double coldRate = 6;
 
 /// Largest number of requests that a backend server with this limit per second may receive in a window.
 double allowedInWindow(double limit)
@@ -50,6 +52,17 @@
         sendFor(500ms);
     }
 
+    void startWithColdRate()
+    {
+        start();
+        std::string document = routingDocument;
+        document.insert(document.find("health_path"), "cold_time_ms = 3000\ncold_requests_per_second = 6\n");
+        ASSERT_TRUE(m_deployment->applyRouting(document, 5s));
+        for (const std::string& node : m_deployment->nodeNames())
+            ASSERT_TRUE(m_deployment->setModes(node, { { "reportsLoad", true }, { "coldMs", 0 } }));
+        sendFor(1500ms);
+    }
+
     /// Sends 60 calls per second, through each node in turn.
     void sendFor(std::chrono::milliseconds time)
     {
@@ -99,6 +112,22 @@
         EXPECT_LE(static_cast<double>(most), allowedInWindow(limit)) << "node " << node << " " << requestMetrics(node);
     }
 
+    /// Expects that in no second the backend server received more requests than a cold one with this rate bears, since it was
+    /// told that it is cold.
+    void expectColdBoundKept(const std::string& node, double rate)
+    {
+        const std::vector<double> times = arrivals(node, { "call", "repeat", "health_check" });
+        std::size_t most = 0;
+        auto first = std::lower_bound(times.begin(), times.end(), 0.0);
+        for (auto last = first; last != times.end(); ++last) {
+            while (*last - *first >= 1000)
+                ++first;
+            most = std::max<std::size_t>(most, static_cast<std::size_t>(last - first) + 1);
+        }
+        const ColdBound bound;
+        EXPECT_LE(static_cast<double>(most), rate * bound.overage + bound.slack) << "node " << node << " " << requestMetrics(node);
+    }
+
     void expectNoCallsAfterLeaving(const std::string& node)
     {
         const std::vector<double> times = arrivals(node, { "call", "repeat" });
@@ -230,6 +259,39 @@
     expectLimitKept("b", 2);
 }
 
+TEST_F(BackendStateTest, BackendServer_TurnsColdWithoutAWord_ReceivesNoMoreThanItBears)
+{
+    startWithColdRate();
+    for (const std::string& node : m_deployment->nodeNames())
+        tell(node, { { "coldMs", 4000 } });
+    sendFor(3900ms);
+    for (const std::string& node : m_deployment->nodeNames()) {
+        expectColdBoundKept(node, coldRate);
+        EXPECT_GE(callsSinceTold(node), 0.8 * 3.9 * coldRate) << "node " << node << " " << requestMetrics(node);
+    }
+    m_caller.runFor(500ms);
+    for (const std::string& node : m_deployment->nodeNames())
+        tell(node, nlohmann::json::object());
+    sendFor(2s);
+    std::size_t calls = 0;
+    for (const std::string& node : m_deployment->nodeNames())
+        calls += callsSinceTold(node);
+    // All calls would be 120.
+    EXPECT_GE(calls, 110u);
+    ASSERT_TRUE(m_caller.waitForAnswers(6s));
+    expectGuaranteesHold();
+}
+
+TEST_F(BackendStateTest, NodeOfAColdBackendServer_Restarts_BackendServerReceivesNoMoreThanItBears)
+{
+    startWithColdRate();
+    tell("b", { { "coldMs", 6000 } });
+    sendFor(500ms);
+    restartNode("b");
+    sendFor(5s);
+    expectColdBoundKept("b", coldRate);
+}
+
 TEST_F(BackendStateTest, BackendServer_SaysThatItLeaves_ReceivesNoCallsTwoSecondsLater)
 {
     startWithHealthChecks();
--- a/Utilities/Load/BackendModes.h
+++ b/Utilities/Load/BackendModes.h
@@ -29,10 +29,13 @@
     std::string requestLimit;
     /// Value of the header that tells that the backend server leaves, in every answer; empty to send none.
     std::string leaving;
+    /// Time for which the backend server is cold from the setting of this mode on. Answers to health checks tell what is left of
+    /// it; a negative time is not told.
+    std::int64_t coldMs = -1;
     /// Sends the load header in every answer.
     bool reportsLoad = false;
 };
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(BackendModes, slowdown, failFast, refuse, coldCalls, coldFactor, freezeAnswers, shortBody, answerDelayMs, requestLimit, leaving, reportsLoad)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(BackendModes, slowdown, failFast, refuse, coldCalls, coldFactor, freezeAnswers, shortBody, answerDelayMs, requestLimit, leaving, coldMs, reportsLoad)
 
 } // namespace Knapweedquay::Load
--- a/Utilities/Load/StandInBackend.cpp
+++ b/Utilities/Load/StandInBackend.cpp
@@ -91,8 +91,13 @@
 {
     const auto timer = std::make_shared<asio::steady_timer>(m_context, std::chrono::milliseconds(m_modes.answerDelayMs));
     timer->async_wait([this, timer, connection](const asio::error_code& error) {
-        if (!error)
-            connection->send(serializeAnswer(withState(textAnswer(200, "healthy\n"))));
+        if (error)
+            return;
+        HttpMessage answer = withState(textAnswer(200, "healthy\n"));
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(m_coldUntil - Clock::now()).count();
+        if (m_modes.coldMs >= 0)
+            answer.headers[CallHeaders().cold] = std::to_string(std::max<std::int64_t>(left, 0));
+        connection->send(serializeAnswer(answer));
     });
 }
 
@@ -243,6 +248,8 @@
 
 void StandInBackend::setModes(const BackendModes& modes)
 {
+    if (modes.coldMs != m_modes.coldMs)
+        m_coldUntil = Clock::now() + std::chrono::milliseconds(modes.coldMs);
     m_modes = modes;
     if (m_modes.freezeAnswers)
         return;
--- a/Utilities/Load/StandInBackend.h
+++ b/Utilities/Load/StandInBackend.h
@@ -91,6 +91,7 @@
     asio::io_context& m_context;
     BackendOptions m_options;
     BackendModes m_modes;
+    Clock::time_point m_coldUntil;
     ServiceTimes m_times;
     ExecutionRecord m_record;
     HttpClient m_client;
