Quotas: Lease credit of workspaces from the leader of the control store

A quota binds the runs of all nodes together, in touch or not. The leader grants whole credits from one bucket for each workspace, and bounds what is granted and not yet reported; a node uses credit only for a fixed time after its own request. Nodes ask ahead of their demand, and refuse at once (213) until the time that the owner told, or with 216 when no owner can be reached. A new owner starts with empty buckets and a smaller allowance until what it does not know of has expired.

--- a/Source/control/ControlDaemon.cpp
+++ b/Source/control/ControlDaemon.cpp
@@ -173,6 +173,7 @@
     routingHooks.flush = [this] { scheduleFlush(); };
     routingHooks.forward = [this](const std::string& leader, const RoutingChangeMessage& message) { sendToReplica(leader, message); };
     m_routing = std::make_unique<RoutingStore>(*m_service, m_settings.parseRouting, std::move(routingHooks));
+    m_quotas = std::make_unique<QuotaOwner>(*m_service, m_settings.parseRouting, m_settings.quotaBound);
     m_operators = std::make_unique<OperatorInterface>(*m_service, *m_subscriptions, m_settings, [this] { scheduleFlush(); });
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
@@ -183,6 +184,7 @@
     m_service->tick(now);
     m_service->flush(now);
     m_routing->tick(now);
+    m_quotas->tick(now);
     m_observer.observe(*m_service);
     for (auto entry = m_forwardedClaims.begin(); entry != m_forwardedClaims.end();)
         entry = entry->second.expiry <= now ? m_forwardedClaims.erase(entry) : std::next(entry);
@@ -237,6 +239,8 @@
         handleClaimEnd(*end);
     else if (const auto* change = std::get_if<RoutingChangeMessage>(&message))
         handleForwardedChange(id, *change);
+    else if (const auto* quota = std::get_if<QuotaRequestMessage>(&message))
+        handleQuotaRequest(id, *quota);
 }
 
 void ControlDaemon::receiveFromReplica(std::string_view bytes)
@@ -258,6 +262,8 @@
         handleForwardedAnswer(*answer);
     else if (const auto* changeAnswer = std::get_if<RoutingChangeAnswerMessage>(&message.value()))
         m_routing->leaderAnswered(*changeAnswer);
+    else if (const auto* grant = std::get_if<QuotaGrantMessage>(&message.value()))
+        m_subscriptions->sendToNode(grant->node, *grant);
 }
 
 void ControlDaemon::handleClaim(NodeSubscriptions::SubscriberId id, const ClaimRequestMessage& message)
@@ -301,6 +307,14 @@
     scheduleFlush();
 }
 
+void ControlDaemon::handleQuotaRequest(NodeSubscriptions::SubscriberId id, const QuotaRequestMessage& message)
+{
+    if (!m_service->isLeading())
+        return forwardToLeader(message);
+    if (const auto grant = m_quotas->answer(message, steadyNow()))
+        m_subscriptions->send(id, *grant);
+}
+
 void ControlDaemon::forwardToLeader(const ControlMessage& message)
 {
     const std::string leader = m_service->leaderAddress();
--- a/Source/control/ControlDaemon.h
+++ b/Source/control/ControlDaemon.h
@@ -3,6 +3,7 @@
 #include "control/ControlSettings.h"
 #include "control/NodeSubscriptions.h"
 #include "control/OperatorInterface.h"
+#include "control/QuotaOwner.h"
 #include "control/ReplicaLinks.h"
 #include "control/RoutingStore.h"
 #include "control/StoreObserver.h"
@@ -71,6 +72,7 @@
     /// Handles a change of the routing document that another replica passed on.
     void handleForwardedChange(NodeSubscriptions::SubscriberId, const RoutingChangeMessage&);
     void handleForwardedAnswer(const ClaimAnswerMessage&);
+    void handleQuotaRequest(NodeSubscriptions::SubscriberId, const QuotaRequestMessage&);
     void tick();
     /// Posts a flush of the service, unless one is posted already.
     void scheduleFlush();
@@ -86,6 +88,7 @@
     std::unique_ptr<NodeSubscriptions> m_subscriptions;
     std::unique_ptr<OperatorInterface> m_operators;
     std::unique_ptr<RoutingStore> m_routing;
+    std::unique_ptr<QuotaOwner> m_quotas;
     StoreObserver m_observer;
     MembershipAgent m_membership;
     ReplicaLinks m_replicaLinks;
--- /dev/null
+++ b/Source/coordination/quotas/QuotaLedger.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "coordination/quotas/QuotaPlan.h"
+#include "protocol/ControlMessages.h"
+#include "state/Workspace.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace Knapweedquay {
+
+/// Grants credit for the requests of workspaces with a quota to all nodes: the part of the owner, which is the leader of the
+/// control store.
+///
+/// Answers a workspace that asks for more than its quota, at nodes that all see only a part of its requests. Its state is not
+/// stored: a new owner knows nothing of the credit that former owners granted, and starts with empty buckets and a small
+/// allowance until that credit has expired. docs/design/QUOTAS.md shows why the bound holds. It has no clock of its own; the
+/// caller checks that it leads at the moment of each request.
+class QuotaLedger {
+public:
+    explicit QuotaLedger(QuotaBound);
+
+    /// Begins, or goes on, as the owner in this term.
+    void lead(std::uint64_t term, TimePoint now);
+    /// Replaces the quotas. Must not be called before lead().
+    void setQuotas(const std::vector<Workspace>&, TimePoint now);
+    /// Takes the reports of a node and grants credit.
+    QuotaGrantMessage answer(const QuotaRequestMessage&, TimePoint now);
+
+    /// Credit of a workspace that nodes may still use.
+    std::uint64_t outstanding(const WorkspaceName&, TimePoint now);
+
+private:
+    using NodeNumber = std::uint32_t;
+    /// A grant is known by its node and the clock of its request.
+    using GrantKey = std::pair<NodeNumber, std::uint64_t>;
+
+    struct Demand {
+        /// Calls in the interval that is under way, and in the one before it.
+        double current = 0;
+        double previous = 0;
+        /// Credit that this node may take while there is too little for all.
+        double share = 1;
+    };
+
+    struct Account {
+        QuotaPlan plan;
+        double level = 0;
+        TimePoint filledAt;
+        /// False while the configuration does not have the workspace, or has no limit for it.
+        bool isLimited = true;
+        /// When it ceased to be limited.
+        TimePoint endedAt;
+        std::map<GrantKey, std::uint64_t> grants;
+        /// Keys of all grants, oldest first, with the time at which their credit expires.
+        std::deque<std::pair<TimePoint, GrantKey>> expiries;
+        std::uint64_t outstanding = 0;
+        double refundsLeft = 0;
+        TimePoint refundsFrom;
+        /// Demand by node, where there is any.
+        std::unordered_map<NodeNumber, Demand> demands;
+        TimePoint intervalStart;
+        /// Calls of the interval before that the quota did not cover.
+        double excess = 0;
+        /// Calls of a node in such an interval up to which it asked for no more than its part.
+        double fairDemand = 0;
+    };
+
+    NodeNumber numberOf(const QuotaRequestMessage&);
+    void advance(Account&, TimePoint now) const;
+    /// Divides what an interval brings among the nodes, each at most what it needed in the interval before.
+    static void divide(Account&, double intervals);
+    void takeReports(Account&, NodeNumber, const QuotaNeed&) const;
+    QuotaGrantMessage::Grant grant(Account&, const GrantKey&, const QuotaNeed&, TimePoint now) const;
+
+    QuotaBound m_bound;
+    Duration m_lifetime;
+    std::uint64_t m_term = 0;
+    TimePoint m_leadingSince;
+    /// False until the quotas were set in this term.
+    bool m_hasQuotas = false;
+    std::unordered_map<std::string, Account> m_accounts;
+    std::map<std::pair<NodeId, Incarnation>, NodeNumber> m_nodes;
+};
+
+} // namespace Knapweedquay
--- a/Source/node/CallGateway.cpp
+++ b/Source/node/CallGateway.cpp
@@ -96,6 +96,13 @@
                       handleAttemptEvent(request->attempt, AttemptRefused { request->attempt, { ResultCode::PeerUnreachable, refusalRetryAfter } });
               } })
     , m_random(std::random_device {}())
+    , m_quotas(context, m_self, m_settings.quotaBound,
+          { m_claimHooks.requestQuota,
+              [this](const QuotaCredit::Decision& decision) {
+                  if (const auto entry = m_sessions.find(decision.call); entry != m_sessions.end())
+                      handleCredit(SessionPtr(entry->second), decision);
+              } },
+          metrics)
     , m_traceSampler(m_settings.traces)
     , m_maintenanceTimer(context, [this] {
         m_keys.expire(steadyNow());
@@ -169,6 +176,7 @@
     session->targetAt = session->startedAt - session->elapsedBefore + session->target;
     if (const auto parent = m_localRunner.running().parentOf(session->parsed.requestId)) {
         session->targetAt = session->deadline;
+        session->isCallOfRun = true;
         session->parsed.isRepeat = session->parsed.isRepeat || parent->isRepeat;
     }
     return session;
@@ -234,6 +242,35 @@
     parameters.target = session->target;
     session->call = std::make_unique<OutgoingCall>(parameters, service.budgets(),
         [this] { return AttemptId { m_self.node, m_self.incarnation, ++m_lastSequence }; });
+    startWithCredit(session);
+}
+
+void CallGateway::startWithCredit(const SessionPtr& session)
+{
+    if (session->isCallOfRun || !m_quotas.isLimited(session->parsed.workspace))
+        return startAttempts(session);
+    const Duration timeLeft = std::min(session->targetAt, session->deadline) - session->startedAt;
+    const QuotaCredit::Decision decision = m_quotas.take(session->parsed.workspace, session->id, timeLeft);
+    if (decision.code)
+        handleCredit(session, decision);
+}
+
+void CallGateway::handleCredit(const SessionPtr& session, const QuotaCredit::Decision& decision)
+{
+    if (*decision.code == ResultCode::Ok) {
+        session->credit = decision.ticket;
+        return startAttempts(session);
+    }
+    CallOutcome outcome;
+    outcome.kind = CallOutcome::Kind::NotRun;
+    outcome.code = *decision.code;
+    outcome.retryAfter = decision.retryAfter;
+    answer(session, outcome);
+    removeSession(session);
+}
+
+void CallGateway::startAttempts(const SessionPtr& session)
+{
     if (session->isIdempotent || session->parsed.key.value().empty())
         handleEvent(session, CallStarted());
     else
@@ -302,6 +339,9 @@
 {
     session->isCallerDisconnected = true;
     handleEvent(session, CallerDisconnected());
+    // A call that waits for credit ends by its start, now that its caller is gone.
+    if (m_quotas.cancel(session->id))
+        handleEvent(session, CallStarted());
 }
 
 void CallGateway::handleEvent(const SessionPtr& session, const CallEvent& event)
@@ -435,6 +475,8 @@
     session->isAnswered = outcome.kind == CallOutcome::Kind::Answered;
     if (session->isAnswered && !session->isCallerDisconnected)
         traffic(session->parsed.service)->addLatency(session->priority, steadyNow() - session->startedAt);
+    if (session->credit && outcome.kind == CallOutcome::Kind::NotRun)
+        m_quotas.giveBack(session->parsed.workspace, *session->credit);
     answer(session, outcome);
     if (session->claim) {
         m_keyedSessions.erase(*session->claim);
@@ -467,8 +509,9 @@
     const ResultCode code = outcome.code == ResultCode::Ok ? ResultCode::OutcomeUnknown : outcome.code;
     service.metrics().callFailed(code);
     const Duration left = std::max(session->deadline - steadyNow(), Duration::zero());
-    // A caller that returns early is of use where room may become free, but not with a request that is held.
-    const Duration retryAfter = code == ResultCode::RequestHeld ? outcome.retryAfter : std::min(outcome.retryAfter, left / retryAfterDivisor);
+    // A caller that returns early is of use where room may become free, but not with a request that is held or beyond a quota.
+    const bool hasKnownTime = code == ResultCode::RequestHeld || code == ResultCode::QuotaExceeded;
+    const Duration retryAfter = hasKnownTime ? outcome.retryAfter : std::min(outcome.retryAfter, left / retryAfterDivisor);
     const HttpResponse response = refusalResponse({ code, title(code) }, kind, retryAfter);
     finishTrace(*session, response.status, static_cast<std::int64_t>(code), !session->isCallerDisconnected);
     session->exchange->respond(response);
@@ -516,6 +559,7 @@
 {
     session->timer->cancel();
     m_sessions.erase(session->id);
+    m_quotas.cancel(session->id);
     // Attempts still in flight are abandoned if the caller disconnected or another attempt was answered first;
     // otherwise they are lost at the deadline.
     const CallEnd end = session->isCallerDisconnected || session->isAnswered ? CallEnd::Abandoned : CallEnd::Lost;
@@ -698,6 +742,7 @@
 void CallGateway::setRouting(const std::shared_ptr<const RoutingTable>& routing)
 {
     m_intake.setRouting(routing);
+    m_quotas.setRouting(routing);
     for (const RoutedService& service : routing->document().services) {
         if (m_servicesWithOwnDocument.count(service.name) == 0)
             applyDocument(documentFromRoutes(routing->document(), service.name));
--- a/Source/node/CallGateway.h
+++ b/Source/node/CallGateway.h
@@ -6,6 +6,7 @@
 #include "node/CallSession.h"
 #include "node/EndpointRunner.h"
 #include "node/NodeIdentity.h"
+#include "node/NodeQuotas.h"
 #include "node/PeerLinks.h"
 #include "node/ServiceTraffic.h"
 #include "protocol/MemberRecord.h"
@@ -40,6 +41,8 @@
         /// Reports that the owner's call was answered, so that the store refuses later claims on its key with
         /// AlreadyRan.
         std::function<void(const ClaimOwner&, const ServiceName&, const IdempotencyKey&)> complete;
+        /// Requests credit of quotas; the reply is passed to quotaGranted().
+        std::function<void(const QuotaRequestMessage&)> requestQuota;
     };
 
     /// Totals since the start of the process.
@@ -64,6 +67,7 @@
         /// Extra attempts beyond the shares of a service's document that all nodes together may make at once.
         double fleetRetryBurst = 0;
         TraceSampler::Settings traces;
+        QuotaBound quotaBound;
     };
 
     CallGateway(asio::io_context&, NodeIdentity self, EndpointRunner& local, NodeQuarantine&, Settings, ClaimHooks, NodeMetrics&);
@@ -92,6 +96,8 @@
     /// Handles the reply to ClaimHooks::request: Ok if the claim was granted, otherwise the code of the refusal.
     void claimAnswered(const ClaimOwner&, ResultCode);
 
+    void quotaGranted(const QuotaGrantMessage& message) { m_quotas.receive(message); }
+
     /// Handles a message from the local endpoint runner or another node: about an attempt of this node, a probe, the
     /// sender's load or a document.
     void receive(const NodeId& from, const PeerMessage&);
@@ -131,6 +137,11 @@
     /// cut in two must not spend its burst twice.
     double retryBurst() const { return RetryBudget::burstOfNode(m_settings.fleetRetryBurst, m_members.size()); }
     void startSession(const SessionPtr&);
+    /// Starts the call if its workspace has credit, refuses it, or leaves it waiting for credit.
+    void startWithCredit(const SessionPtr&);
+    void handleCredit(const SessionPtr&, const QuotaCredit::Decision&);
+    /// Starts a call that may run.
+    void startAttempts(const SessionPtr&);
     /// Claims the idempotency key of the call before its first attempt.
     void startKeyed(const SessionPtr&);
     void performKeyActions(const KeyActions&);
@@ -203,6 +214,7 @@
     std::unordered_map<std::uint64_t, OutgoingAttempt> m_attempts;
     /// Unanswered probes, by sequence number.
     std::map<std::uint64_t, SentProbe> m_sentProbes;
+    NodeQuotas m_quotas;
     IdempotencyKeyTable m_keys;
     /// Calls with an idempotency key that hold or request a claim.
     std::unordered_map<ClaimOwner, SessionPtr> m_keyedSessions;
--- a/Source/node/CallSession.h
+++ b/Source/node/CallSession.h
@@ -2,6 +2,7 @@
 
 #include "coordination/attempts/IdempotencyKeyTable.h"
 #include "coordination/attempts/OutgoingCall.h"
+#include "coordination/quotas/QuotaCredit.h"
 #include "node/CallRequestParser.h"
 #include "node/CallTrace.h"
 #include "transport/HttpServer.h"
@@ -38,6 +39,10 @@
     TimePoint targetAt;
     /// The call is not run, or its outcome is unknown, if there is no answer by then.
     TimePoint deadline;
+    /// Made by a request that the local backend server is running.
+    bool isCallOfRun = false;
+    /// Credit that the call took from the quota of its workspace.
+    std::optional<QuotaTicket> credit;
     /// Owner of the claim on the call's idempotency key; not set without a key, or if the key decided the outcome.
     std::optional<ClaimOwner> claim;
     /// State machine that decides on attempts, retries and hedges.
--- a/Source/node/NodeControl.cpp
+++ b/Source/node/NodeControl.cpp
@@ -111,6 +111,7 @@
         m_hooks.configurationProved(provedAt);
     };
     hooks.claimAnswered = [this](const AttemptId& owner, ResultCode code) { m_hooks.claimAnswered(owner, code); };
+    hooks.quotaGranted = [this](const QuotaGrantMessage& message) { m_hooks.quotaGranted(message); };
     return hooks;
 }
 
--- a/Source/node/NodeControl.h
+++ b/Source/node/NodeControl.h
@@ -46,6 +46,8 @@
         std::function<void(TimePoint provedAt)> configurationProved;
         /// The store replied to a claim, or did not reply in time.
         std::function<void(const AttemptId& owner, ResultCode)> claimAnswered;
+        /// The owner of the quotas granted credit.
+        std::function<void(const QuotaGrantMessage&)> quotaGranted;
         std::function<void(const LocalBackend&)> backendAnnounced;
         std::function<void()> backendRemoved;
         std::function<void()> backendDraining;
--- a/Source/node/NodeDaemon.cpp
+++ b/Source/node/NodeDaemon.cpp
@@ -102,6 +102,9 @@
             m_control->subscription().endClaim({ owner, service, key, true });
         });
     };
+    hooks.requestQuota = [this](const QuotaRequestMessage& message) {
+        asio::post(m_controlContext, [this, message] { m_control->subscription().requestQuota(message); });
+    };
     return hooks;
 }
 
@@ -140,6 +143,9 @@
     hooks.claimAnswered = [this](const AttemptId& owner, ResultCode code) {
         asio::post(m_trafficContext, [this, owner, code] { m_traffic->gateway().claimAnswered(owner, code); });
     };
+    hooks.quotaGranted = [this](const QuotaGrantMessage& message) {
+        asio::post(m_trafficContext, [this, message] { m_traffic->gateway().quotaGranted(message); });
+    };
     hooks.backendAnnounced = [this](const LocalBackend& backend) {
         asio::post(m_trafficContext, [this, backend] { m_traffic->setBackend(backend); });
     };
--- a/Source/node/NodeMetrics.cpp
+++ b/Source/node/NodeMetrics.cpp
@@ -181,6 +181,9 @@
     , m_peerBytes(peerByteCounters(*m_registry))
     , m_measurementTime(&counter(*m_registry, "knapweedquay_measurement_cpu_seconds_total", "Processor time spent on sending and reading probes"))
     , m_rejections(*m_registry, "knapweedquay_endpoint_rejections_total", "Attempts that this node rejected, by result code")
+    , m_quotaRequests(&counter(*m_registry, "knapweedquay_quota_requests_total", "Requests to the control store for credit of quotas"))
+    , m_quotaCredit(&counter(*m_registry, "knapweedquay_quota_credit_total", "Credit of quotas granted to this node"))
+    , m_quotaRefusals(*m_registry, "knapweedquay_quota_refusals_total", "Calls refused for the quotas of their workspaces, by result code")
     , m_waits(&histogram(*m_registry, "knapweedquay_endpoint_wait_seconds", "Time from the admission of an attempt to its start"))
     , m_serviceTimes(&histogram(*m_registry, "knapweedquay_endpoint_service_seconds", "Time of successful attempts at the backend server"))
     , m_unreadLines(&counter(*m_registry, "knapweedquay_log_lines_dropped_total", "Lines of the log that were not written", { { "reason", "unread" } }))
@@ -236,6 +239,21 @@
     m_backendCrashes->Increment();
 }
 
+void NodeMetrics::quotaRequested()
+{
+    m_quotaRequests->Increment();
+}
+
+void NodeMetrics::quotaGranted(std::uint64_t credit)
+{
+    m_quotaCredit->Increment(static_cast<double>(credit));
+}
+
+void NodeMetrics::quotaRefused(ResultCode code)
+{
+    m_quotaRefusals.increment(code);
+}
+
 void NodeMetrics::requestHeld()
 {
     m_quarantineRefusals->Increment();
--- a/Source/node/NodeMetrics.h
+++ b/Source/node/NodeMetrics.h
@@ -128,6 +128,11 @@
     void requestHeld();
     /// Sets the number of held requests.
     void setQuarantined(std::size_t);
+    /// Counts a request to the control store for credit of quotas.
+    void quotaRequested();
+    void quotaGranted(std::uint64_t credit);
+    /// Counts a call that was refused for the quota of its workspace.
+    void quotaRefused(ResultCode);
     void attemptStarted(Duration waited);
     /// Records the service time of an attempt that the backend server answered successfully.
     void attemptSucceeded(Duration serviceTime);
@@ -167,6 +172,9 @@
     std::array<std::array<prometheus::Counter*, 2>, peerTrafficKinds> m_peerBytes;
     prometheus::Counter* m_measurementTime;
     ResultCodeCounter m_rejections;
+    prometheus::Counter* m_quotaRequests;
+    prometheus::Counter* m_quotaCredit;
+    ResultCodeCounter m_quotaRefusals;
     prometheus::Histogram* m_waits;
     prometheus::Histogram* m_serviceTimes;
     prometheus::Counter* m_unreadLines;
--- /dev/null
+++ b/Source/node/NodeQuotas.cpp
@@ -0,0 +1,133 @@
+#include "node/NodeQuotas.h"
+
+#include "transport/Logger.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Knapweedquay {
+
+namespace {
+
+/// Longest wait of a call for credit, and the part of its time to its target that it may take.
+constexpr Duration longestWait { 80000 };
+constexpr Duration shortestWait { 10000 };
+constexpr int waitDivisor = 4;
+/// Interval between log lines about refusals.
+constexpr Duration refusalLogInterval { 1000000 };
+
+} // namespace
+
+NodeQuotas::NodeQuotas(asio::io_context& context, const NodeIdentity& self, const QuotaBound& bound, Hooks hooks, NodeMetrics& metrics)
+    : m_hooks(std::move(hooks))
+    , m_metrics(metrics)
+    , m_credit(self.node, self.incarnation, creditLifetime(bound))
+    , m_timer(context, [this] { update(); })
+{
+}
+
+void NodeQuotas::setRouting(const std::shared_ptr<const RoutingTable>& routing)
+{
+    m_limited.clear();
+    for (const Workspace& workspace : routing->document().workspaces) {
+        if (workspace.quota.isLimited())
+            m_limited.insert(workspace.name.value());
+    }
+}
+
+QuotaCredit::Decision NodeQuotas::take(const WorkspaceName& workspace, std::uint64_t call, Duration timeLeft)
+{
+    const TimePoint now = steadyNow();
+    const Duration wait = std::clamp(timeLeft / waitDivisor, shortestWait, longestWait);
+    const QuotaCredit::Decision decision = m_credit.take(workspace, call, now + wait, now);
+    if (decision.code)
+        count(workspace, decision);
+    else
+        m_waiting.emplace(call, workspace);
+    update();
+    return decision;
+}
+
+bool NodeQuotas::cancel(std::uint64_t call)
+{
+    m_waiting.erase(call);
+    return m_credit.cancel(call);
+}
+
+void NodeQuotas::giveBack(const WorkspaceName& workspace, const QuotaTicket& ticket)
+{
+    m_credit.giveBack(workspace, ticket, steadyNow());
+    update();
+}
+
+void NodeQuotas::receive(const QuotaGrantMessage& message)
+{
+    for (const QuotaGrantMessage::Grant& grant : message.grants)
+        m_metrics.quotaGranted(grant.credit);
+    pass(m_credit.receive(message, steadyNow()));
+    update();
+}
+
+void NodeQuotas::update()
+{
+    const TimePoint now = steadyNow();
+    if (const auto request = m_credit.nextRequest(now)) {
+        m_metrics.quotaRequested();
+        m_hooks.request(*request);
+    }
+    pass(m_credit.expire(now));
+    logRefusals(now);
+    std::optional<TimePoint> next = m_credit.nextTime(now);
+    if (!m_refusals.empty() || !m_refused.empty())
+        next = std::min(next.value_or(TimePoint::max()), m_loggedAt + refusalLogInterval);
+    if (next)
+        m_timer.setAt(*next);
+}
+
+void NodeQuotas::pass(const std::vector<QuotaCredit::Decision>& decisions)
+{
+    for (const QuotaCredit::Decision& decision : decisions) {
+        const auto entry = m_waiting.find(decision.call);
+        if (entry != m_waiting.end()) {
+            count(entry->second, decision);
+            m_waiting.erase(entry);
+        }
+        m_hooks.decided(decision);
+    }
+}
+
+void NodeQuotas::count(const WorkspaceName& workspace, const QuotaCredit::Decision& decision)
+{
+    if (*decision.code == ResultCode::Ok)
+        return;
+    m_metrics.quotaRefused(*decision.code);
+    ++m_refusals[workspace];
+}
+
+void NodeQuotas::logRefusals(TimePoint now)
+{
+    if (now - m_loggedAt < refusalLogInterval || (m_refusals.empty() && m_refused.empty()))
+        return;
+    m_loggedAt = now;
+    std::string begun;
+    std::string ended;
+    std::uint64_t calls = 0;
+    std::set<WorkspaceName> refused;
+    for (const auto& [workspace, refusals] : std::exchange(m_refusals, {})) {
+        calls += refusals;
+        refused.insert(workspace);
+        if (m_refused.count(workspace) == 0)
+            begun += (begun.empty() ? "" : " ") + workspace.value();
+    }
+    for (const WorkspaceName& workspace : m_refused) {
+        if (refused.count(workspace) == 0)
+            ended += (ended.empty() ? "" : " ") + workspace.value();
+    }
+    m_refused = std::move(refused);
+    if (!begun.empty())
+        log(LogEvent::QuotaRefusalsBegan, { { "workspaces", begun }, { "calls", std::to_string(calls) } });
+    if (!ended.empty())
+        log(LogEvent::QuotaRefusalsEnded, { { "workspaces", ended } });
+}
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Source/node/NodeQuotas.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "coordination/quotas/QuotaCredit.h"
+#include "coordination/quotas/QuotaPlan.h"
+#include "coordination/routing/RoutingTable.h"
+#include "node/NodeIdentity.h"
+#include "node/NodeMetrics.h"
+#include "protocol/ControlMessages.h"
+#include "transport/SteadyTime.h"
+
+#include <asio/io_context.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_set>
+
+namespace Knapweedquay {
+
+/// The credit of this node for calls of workspaces with a quota, on its traffic thread: sends its requests for credit, and
+/// logs and counts refusals.
+class NodeQuotas {
+public:
+    struct Hooks {
+        /// Sends a request for credit to the control store.
+        std::function<void(const QuotaRequestMessage&)> request;
+        /// Passes on the decision about a call for which take() had none.
+        std::function<void(const QuotaCredit::Decision&)> decided;
+    };
+
+    NodeQuotas(asio::io_context&, const NodeIdentity&, const QuotaBound&, Hooks, NodeMetrics&);
+
+    void setRouting(const std::shared_ptr<const RoutingTable>&);
+    /// True if calls of the workspace need credit.
+    bool isLimited(const WorkspaceName& workspace) const { return m_limited.count(workspace.value()) > 0; }
+    /// Takes a credit for a call that has so much time to its target. The decision may follow through the hook.
+    QuotaCredit::Decision take(const WorkspaceName&, std::uint64_t call, Duration timeLeft);
+    /// Forgets a waiting call; returns false if it does not wait.
+    bool cancel(std::uint64_t call);
+    /// Gives back the credit of a call that certainly has not run and will not.
+    void giveBack(const WorkspaceName&, const QuotaTicket&);
+    void receive(const QuotaGrantMessage&);
+
+private:
+    /// Sends the request that is due, decides calls that waited too long, and sets the timer.
+    void update();
+    void pass(const std::vector<QuotaCredit::Decision>&);
+    void count(const WorkspaceName&, const QuotaCredit::Decision&);
+    /// Logs which workspaces began and ceased to be refused since the last line.
+    void logRefusals(TimePoint now);
+
+    Hooks m_hooks;
+    NodeMetrics& m_metrics;
+    QuotaCredit m_credit;
+    std::unordered_set<std::string> m_limited;
+    /// Workspaces of calls that wait.
+    std::map<std::uint64_t, WorkspaceName> m_waiting;
+    /// Refused calls by workspace since the last check, and the workspaces refused in the check before.
+    std::map<WorkspaceName, std::uint64_t> m_refusals;
+    std::set<WorkspaceName> m_refused;
+    TimePoint m_loggedAt;
+    Timer m_timer;
+};
+
+} // namespace Knapweedquay
--- a/Source/protocol/LogEvent.cpp
+++ b/Source/protocol/LogEvent.cpp
@@ -67,6 +67,8 @@
     { LogEvent::LeaderChanged, LogLevel::Info, "leader changed" },
     { LogEvent::ReplicasChanged, LogLevel::Info, "replicas changed" },
     { LogEvent::EditForwarded, LogLevel::Info, "edit forwarded" },
+    { LogEvent::QuotaRefusalsBegan, LogLevel::Warning, "calls of workspaces refused for their quotas" },
+    { LogEvent::QuotaRefusalsEnded, LogLevel::Info, "calls of workspaces no longer refused for their quotas" },
 };
 
 const Row& rowOf(LogEvent event)
--- a/Source/protocol/LogEvent.h
+++ b/Source/protocol/LogEvent.h
@@ -78,6 +78,10 @@
     LeaderChanged = 505,
     ReplicasChanged = 506,
     EditForwarded = 507,
+
+    // 71x: quotas of workspaces.
+    QuotaRefusalsBegan = 710,
+    QuotaRefusalsEnded = 711,
 };
 
 /// Severity of an event.
--- a/Source/protocol/ResultCode.cpp
+++ b/Source/protocol/ResultCode.cpp
@@ -45,6 +45,7 @@
     { ResultCode::QuotaExceeded, 429, "Quota exceeded" },
     { ResultCode::DataCentreEvacuated, 503, "Data centre evacuated" },
     { ResultCode::KeyUnproved, 503, "Key not proved to be in force" },
+    { ResultCode::QuotaUnproved, 503, "Quota not proved" },
     { ResultCode::OutcomeUnknown, 504, "Outcome unknown" },
     { ResultCode::AnswerIncomplete, 502, "Answer incomplete" },
     { ResultCode::AlreadyRunning, 409, "Already running" },
--- a/Source/protocol/ResultCode.h
+++ b/Source/protocol/ResultCode.h
@@ -40,6 +40,7 @@
     QuotaExceeded = 213,
     DataCentreEvacuated = 214,
     KeyUnproved = 215,
+    QuotaUnproved = 216,
 
     // 3xx: the call may have run, is running already or has run before.
     OutcomeUnknown = 300,
