Quotas: Test credit and the bound over random fleets

QuotaFleet plays nodes and successive owners in virtual time with frozen, cut-off and restarted nodes, lost and late messages, changes of the owner and of quotas.

--- /dev/null
+++ b/Tests/coordination/QuotaFleetTest.cpp
@@ -0,0 +1,111 @@
+#include "QuotaBench/QuotaFleet.h"
+
+#include <gtest/gtest.h>
+
+using namespace Knapweedquay;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+Duration randomTime(QuotaFleet& fleet, Duration longest)
+{
+    return Duration(static_cast<std::int64_t>(fleet.random() * static_cast<double>(longest.count())));
+}
+
+/// Calls per second from which on the demand is not raised any more.
+constexpr double maximumDemand = 800;
+
+/// Troubles of all kinds at random times.
+void addTroubles(QuotaFleet& fleet, std::size_t workspaces, Duration time)
+{
+    for (int i = 0; i < 30; ++i) {
+        fleet.at(randomTime(fleet, time), [&fleet, workspaces] {
+            const auto node = static_cast<std::size_t>(fleet.random() * static_cast<double>(fleet.size()));
+            const auto workspace = static_cast<std::size_t>(fleet.random() * static_cast<double>(workspaces));
+            const double kind = fleet.random();
+            if (kind < 0.2)
+                fleet.freezeNode(node, randomTime(fleet, seconds(3)));
+            else if (kind < 0.4)
+                fleet.cutNode(node, randomTime(fleet, seconds(5)));
+            else if (kind < 0.5)
+                fleet.restartNode(node);
+            else if (kind < 0.7)
+                fleet.scaleDemand(workspace, fleet.demand() < maximumDemand && fleet.random() < 0.6 ? 6 : 0.3);
+            else if (kind < 0.8)
+                fleet.scaleQuota(workspace, fleet.random() < 0.5 ? 0.2 : 2);
+            else if (kind < 0.9)
+                fleet.moveDemand(fleet.random());
+            else
+                fleet.replaceOwner(milliseconds(400) + randomTime(fleet, milliseconds(800)));
+        });
+    }
+}
+
+} // namespace
+
+class QuotaFleetTest : public testing::TestWithParam<std::uint64_t> { };
+
+TEST_P(QuotaFleetTest, RandomTroubles_NoWindowPassesTheBound)
+{
+    QuotaFleet::Settings settings;
+    settings.seed = GetParam();
+    std::mt19937_64 random(GetParam());
+    const auto choose = [&random](double low, double high) { return std::uniform_real_distribution<double>(low, high)(random); };
+    settings.nodes = static_cast<std::size_t>(choose(1, 40));
+    settings.workspaces = static_cast<std::size_t>(choose(1, 8));
+    settings.callsPerSecond = choose(20, 400);
+    settings.quotaFactor = choose(0.2, 2);
+    settings.burstSeconds = choose(0, 3);
+    settings.bound.overage = choose(0, 0.3);
+    settings.bound.slack = choose(0, 1) < 0.3 ? 0 : choose(0, 40);
+    settings.longestDelay = Duration(static_cast<std::int64_t>(choose(1000, 150000)));
+    settings.lossShare = choose(0, 0.1);
+    settings.stallShare = choose(0, 0.1);
+    settings.notRunShare = choose(0, 0.5);
+    QuotaFleet fleet(settings);
+    addTroubles(fleet, settings.workspaces, seconds(20));
+    fleet.run(seconds(24));
+    const QuotaFleet::Result result = fleet.result();
+    EXPECT_LE(result.worstWindow, 1);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, QuotaFleetTest, testing::Range<std::uint64_t>(1, 41));
+
+namespace {
+
+QuotaFleet::Settings usualSettings()
+{
+    QuotaFleet::Settings settings;
+    settings.nodes = 68;
+    settings.callsPerSecond = 3000;
+    return settings;
+}
+
+constexpr double goalWhenSteady = 1.0 / 200;
+constexpr double goalInTrouble = 1.0 / 50;
+
+} // namespace
+
+TEST(QuotaFleetGoalTest, SteadyBelowTheLimit_HardlyAnyCallIsRefused)
+{
+    QuotaFleet fleet(usualSettings());
+    fleet.run(seconds(5));
+    fleet.startMeasurement();
+    fleet.run(seconds(10));
+    const QuotaFleet::Result result = fleet.result();
+    EXPECT_LE(result.worstWindow, 1);
+    EXPECT_LT(result.wronglyRefusedShare(), goalWhenSteady);
+}
+
+TEST(QuotaFleetGoalTest, OneWorkspaceFarAboveItsLimit_ItGetsItsLimitAndTheOthersTheirs)
+{
+    QuotaFleet fleet(usualSettings());
+    fleet.run(seconds(5));
+    fleet.scaleDemand(2, 7.5);
+    fleet.startMeasurement();
+    fleet.run(seconds(10));
+    const QuotaFleet::Result result = fleet.result();
+    EXPECT_LE(result.worstWindow, 1);
+    EXPECT_LT(result.wronglyRefusedShare(), goalInTrouble);
+}
