--- a/Source/node/NodeMetrics.h
+++ b/Source/node/NodeMetrics.h
@@ -132,6 +132,11 @@
     void requestHeld();
     /// Sets the number of held requests.
     void setQuarantined(std::size_t);
+    /// Counts a request to the control store for credit of quotas.
+    void quotaRequested();
+    void quotaGranted(std::uint64_t credit);
+    /// Counts a call that was refused for the quota of its workspace.
+    void quotaRefused(ResultCode);
     void attemptStarted(Duration waited);
     /// Records the service time of an attempt that the backend server answered successfully.
     void attemptSucceeded(Duration serviceTime);
@@ -174,6 +179,9 @@
     prometheus::Counter* m_measurementTime;
     ResultCodeCounter m_rejections;
     ResultCodeCounter m_refusedCallers;
+    prometheus::Counter* m_quotaRequests;
+    prometheus::Counter* m_quotaCredit;
+    ResultCodeCounter m_quotaRefusals;
     prometheus::Histogram* m_waits;
     prometheus::Histogram* m_serviceTimes;
     prometheus::Counter* m_unreadLines;
--- a/Source/protocol/LogEvent.cpp
+++ b/Source/protocol/LogEvent.cpp
@@ -75,6 +75,8 @@
     { LogEvent::EvacuationFinished, LogLevel::Info, "operator takes a data centre back" },
     { LogEvent::EvacuationsInForce, LogLevel::Info, "evacuations in force" },
     { LogEvent::EmptiedEndpointMovesOn, LogLevel::Info, "endpoint emptied, waiting attempts move on" },
+    { LogEvent::QuotaRefusalsBegan, LogLevel::Warning, "calls of workspaces refused for their quotas" },
+    { LogEvent::QuotaRefusalsEnded, LogLevel::Info, "calls of workspaces no longer refused for their quotas" },
 };
 
 const Row& rowOf(LogEvent event)
--- a/Source/protocol/LogEvent.h
+++ b/Source/protocol/LogEvent.h
@@ -92,6 +92,10 @@
     // 72x: data centres that operators empty.
     EvacuationsInForce = 720,
     EmptiedEndpointMovesOn = 721,
+
+    // 71x: quotas of workspaces.
+    QuotaRefusalsBegan = 710,
+    QuotaRefusalsEnded = 711,
 };
 
 /// Severity of an event.
