--- a/Source/node/NodeControl.cpp
+++ b/Source/node/NodeControl.cpp
@@ -106,6 +106,9 @@
     hooks.document = [this](const DocumentMessage& document, const DocumentSender& sender) { return applyDocument(document, sender); };
     hooks.fetchFromNode = [this](const NodeId& node, const ServiceName& service) { m_hooks.fetchDocument(node, service); };
     hooks.proved = [this](TimePoint provedAt) {
+        // A document that this release can't read may withdraw keys.
+        if (m_settings.keyRevocationTime && m_isRoutingRefused)
+            return;
         if (!std::exchange(m_hasProof, true))
             log(LogEvent::ConfigurationFresh);
         m_hooks.configurationProved(provedAt);
@@ -165,6 +168,7 @@
     const LogField name { "service", message.service.value() };
     const LogField version { "version", std::to_string(message.version.value()) };
     auto routing = m_settings.parseRouting(message.text);
+    m_isRoutingRefused = routing.has_error();
     if (routing.has_error()) {
         log(LogEvent::DocumentRefused, { name, version, { "detail", routing.error().detail } });
         return false;
--- a/Source/node/NodeControl.h
+++ b/Source/node/NodeControl.h
@@ -128,6 +128,8 @@
     /// True once the documents were proved recent for the first time.
     bool m_hasProof = false;
     bool m_hasRouting = false;
+    /// True while a newer routing document than the one in force was refused here.
+    bool m_isRoutingRefused = false;
     /// True after endReadiness().
     bool m_isStopping = false;
     Timer m_backendTimer;
--- a/Tests/coordination/RoutingTableTest.cpp
+++ b/Tests/coordination/RoutingTableTest.cpp
@@ -26,7 +26,9 @@
 {
     RoutingDocument result;
     result.version = 1;
-    result.services = { { ServiceName("a"), 0, {} }, { ServiceName("b"), 0, {} } };
+    result.services.resize(2);
+    result.services[0].name = ServiceName("a");
+    result.services[1].name = ServiceName("b");
     result.rules = std::move(rules);
     return result;
 }
--- a/Utilities/Load/Deployment.cpp
+++ b/Utilities/Load/Deployment.cpp
@@ -162,7 +162,7 @@
     // The replicas advertise their own addresses, which would bypass the forwarders, so discovery is switched off.
     file << fmt::format("[control]\nreplicas = {}\ndiscover = {}\n", formatList(replicas), !node.plan.isControlForwarded);
     file << fmt::format("[membership]\nseeds = {}\n", formatList(seeds));
-    file << fmt::format("[choice]\npolicy = \"{}\"\n", node.plan.policy);
+    file << fmt::format("[choice]\npolicy = \"{}\"\n", node.plan.policy) << node.plan.furtherSettings;
 }
 
 void Deployment::restartNode(const std::string& name)
@@ -195,9 +195,9 @@
     return sendEdit(findQuotedValue(document, "service"), findQuotedValue(document, "team"), document, expectedVersion, timeout);
 }
 
-bool Deployment::applyRouting(const std::string& document, std::chrono::milliseconds timeout)
+bool Deployment::applyRouting(const std::string& document, std::chrono::milliseconds timeout, std::uint64_t expectedVersion)
 {
-    return sendEdit(routingDocumentName().value(), "operations", document, 0, timeout);
+    return sendEdit(routingDocumentName().value(), "operations", document, expectedVersion, timeout);
 }
 
 bool Deployment::sendEdit(const std::string& service, const std::string& team, const std::string& document, std::uint64_t expectedVersion, std::chrono::milliseconds timeout)
--- a/Utilities/Load/Deployment.h
+++ b/Utilities/Load/Deployment.h
@@ -45,6 +45,8 @@
     bool arePeersForwarded = false;
     /// True when the connections to the control replicas go through forwarders.
     bool isControlForwarded = false;
+    /// Further sections of the node's settings file.
+    std::string furtherSettings;
 };
 
 /// Listening addresses of a node and of its backend server, each "IP:port".
@@ -89,8 +91,8 @@
 
     /// Sends a service document to the control replicas in turn until one accepts it; false after the timeout.
     bool apply(const std::string& document, std::uint64_t expectedVersion, std::chrono::milliseconds timeout);
-    /// Applies the first version of the routing document as the team "operations"; false after the timeout.
-    bool applyRouting(const std::string& document, std::chrono::milliseconds timeout);
+    /// Applies a version of the routing document as the team "operations"; false after the timeout.
+    bool applyRouting(const std::string& document, std::chrono::milliseconds timeout, std::uint64_t expectedVersion = 0);
     /// Waits until every running node has a fresh configuration with all applied services and sees every running
     /// endpoint as ready; false after the timeout.
     bool waitUntilReady(std::chrono::milliseconds timeout);
