Workspaces: Compare header names without copies, test the remaining paths of refused keys

Each header of each call was copied several times to be compared with two names. Tests: equal requests of two workspaces have different digests, a refusal for lack of a proof goes to another endpoint, a request whose sender allows it no longer is not sent on a new connection.

--- a/Source/coordination/workspaces/CallerAuthentication.cpp
+++ b/Source/coordination/workspaces/CallerAuthentication.cpp
@@ -19,13 +19,18 @@
     return first == std::string_view::npos ? std::string_view() : text.substr(first, text.find_last_not_of(blanks) + 1 - first);
 }
 
+char plain(char letter)
+{
+    constexpr char caseOffset = 'a' - 'A';
+    if (letter == '_')
+        return '-';
+    return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter + caseOffset) : letter;
+}
+
 bool isNameLike(std::string_view name, std::string_view expected)
 {
-    std::string plain(trimmed(name));
-    std::replace(plain.begin(), plain.end(), '_', '-');
-    std::string plainExpected(expected);
-    std::replace(plainExpected.begin(), plainExpected.end(), '_', '-');
-    return equalHeaderNames(plain, plainExpected);
+    name = trimmed(name);
+    return std::equal(name.begin(), name.end(), expected.begin(), expected.end(), [](char a, char b) { return plain(a) == plain(b); });
 }
 
 /// The key in the value of an Authorization header; empty if there is none.
--- a/Tests/coordination/OutgoingCallTest.cpp
+++ b/Tests/coordination/OutgoingCallTest.cpp
@@ -142,6 +142,15 @@
     EXPECT_FALSE(last<SendAttempt>().isRepeat);
 }
 
+TEST_F(OutgoingCallTest, RefusedForLackOfProofOfItsKey_OtherEndpoint_IsTried)
+{
+    begin();
+    handle(AttemptRefused { attempt(1), { ResultCode::KeyUnproved, Duration(5) } });
+    ASSERT_EQ(2u, count<ChooseEndpoint>());
+    handle(NoEndpointAvailable { { ResultCode::NoEndpoint } });
+    expectOutcome(CallOutcome::Kind::NotRun, ResultCode::KeyUnproved);
+}
+
 TEST_F(OutgoingCallTest, FleetWideOverload_Refused_FinishesAtOnceWithRetryAfter)
 {
     begin();
--- a/Tests/coordination/WorkspaceKeysTest.cpp
+++ b/Tests/coordination/WorkspaceKeysTest.cpp
@@ -105,6 +105,17 @@
     EXPECT_EQ(claimKey(WorkspaceName("a"), key), claimKey(WorkspaceName("a"), key));
 }
 
+// One workspace's request that crashes backend servers must not hold that of another.
+TEST_F(WorkspaceKeysTest, EqualRequests_OfTwoWorkspaces_HaveDifferentDigests)
+{
+    const HttpRequest request { "POST", "/x", { { "Host", "a.example" } }, "body" };
+    const auto digest = [&request](const char* workspace) { return digestOf(ServiceName("dispatch"), request, "Knapweedquay-Caller-Service", WorkspaceName(workspace)); };
+    EXPECT_EQ(digest("archive"), digest("archive"));
+    EXPECT_NE(digest("archive"), digest("school"));
+    EXPECT_NE(digest("archive"), digest(""));
+    EXPECT_EQ(digest(""), digestOf(ServiceName("dispatch"), request, "Knapweedquay-Caller-Service"));
+}
+
 TEST_F(WorkspaceKeysTest, Lease_ProofsOfDifferentAge_IsHeldForItsShareOfTheRevocationTime)
 {
     EXPECT_TRUE(RevocationLease(std::nullopt).isHeld(start));
--- a/Tests/transport/HttpPairTest.cpp
+++ b/Tests/transport/HttpPairTest.cpp
@@ -410,6 +410,17 @@
     EXPECT_FALSE(m_outcome->failure.mayHaveRun);
 }
 
+TEST_F(HttpClientTest, NewConnection_SenderAllowsRequestNoLonger_FailsAsNotRun)
+{
+    HttpClient::Options options;
+    options.maySend = [] { return false; };
+    send("a", options);
+    ASSERT_TRUE(waitForOutcome());
+    EXPECT_FALSE(m_outcome->succeeded);
+    EXPECT_FALSE(m_outcome->failure.mayHaveRun);
+    EXPECT_EQ(ResultCode::CancelledBeforeStart, m_outcome->failure.error.code);
+}
+
 TEST_F(HttpClientTest, UnresponsiveServer_TimeoutExpires_FailsAsPossiblyRun)
 {
     HttpClient::Options options;
