--- a/Tests/platform/MachineSettingsTest.cpp
+++ b/Tests/platform/MachineSettingsTest.cpp
@@ -91,3 +91,17 @@
     ASSERT_TRUE(machine.has_error());
     EXPECT_EQ(ResultCode::InvalidSettings, machine.error().code);
 }
+
+TEST_F(MachineSettingsTest, StrictRevocation_OnAndOff_SetsTheRevocationTimeOfNodesOnlyWhenOn)
+{
+    const std::string bounds = "\"GraceS=6.5\"";
+    for (const char* strict : { "true", "false" }) {
+        std::string text = settingsText;
+        text.replace(text.find(bounds), bounds.size(), "\"RevokeS=5\",\"StrictRevocation=" + std::string(strict) + "\"");
+        const auto settings = load(text);
+        ASSERT_TRUE(settings.has_value());
+        EXPECT_EQ(strict == std::string("true") ? std::optional(Duration(5s)) : std::nullopt, nodeSettings(settings.value()).keyRevocationTime);
+        EXPECT_EQ("X-Tenant-Id", nodeSettings(settings.value()).headers.workspace);
+    }
+    EXPECT_FALSE(nodeSettings(load(settingsText).value()).keyRevocationTime);
+}
