Control: Send nodes the evacuations before other documents, and list data centres in the settings

A node that has just started would otherwise run attempts for a service whose document sorts first before it knows that its data centre is emptied. membership.data_centres lets the product refuse orders with a mistyped name, as the platform's settings do.

--- a/Source/control/ControlSettings.cpp
+++ b/Source/control/ControlSettings.cpp
@@ -31,6 +31,8 @@
     settings.deployment = membership.text("deployment", settings.deployment, isPlainName, plainNameExpectation);
     settings.gossip = readAddress(membership, "gossip", settings.gossip);
     settings.seeds = readAddresses(membership, "seeds");
+    for (std::string& name : membership.texts("data_centres", isPlainName, plainNameExpectation))
+        settings.dataCentres.emplace_back(std::move(name));
     membership.finish();
     if (!settings.gossip.isEmpty() && settings.node.value().empty())
         membership.problem("node", "expected a name, since there is a gossip address");
--- a/Source/control/NodeSubscriptions.cpp
+++ b/Source/control/NodeSubscriptions.cpp
@@ -2,6 +2,7 @@
 
 #include "protocol/DocumentCompression.h"
 #include "protocol/LinkChannel.h"
+#include "state/EvacuationDocument.h"
 
 #include <utility>
 
@@ -99,9 +100,16 @@
 
 const StoredDocument* NodeSubscriptions::unsentDocument(const Subscriber& subscriber) const
 {
-    for (const StoredDocument* document : m_service.state().documents().documents()) {
-        const auto sent = subscriber.sent.find(document->service);
-        if (sent == subscriber.sent.end() || sent->second < document->version)
+    const auto isUnsent = [&subscriber](const StoredDocument& document) {
+        const auto sent = subscriber.sent.find(document.service);
+        return sent == subscriber.sent.end() || sent->second < document.version;
+    };
+    const DocumentRegister& documents = m_service.state().documents();
+    // First, so that a node which has just started runs nothing in an emptied data centre once it knows the services.
+    if (const StoredDocument* evacuations = documents.find(evacuationDocumentName()); evacuations && isUnsent(*evacuations))
+        return evacuations;
+    for (const StoredDocument* document : documents.documents()) {
+        if (isUnsent(*document))
             return document;
     }
     return nullptr;
