Admission: Count what a server got while it was cold, and ask for fewer proofs

A server that turned cold again right after it was warm got what the pace had sent and what a proof allows in one second: 38 requests against a bound of 33.5 in a test of six, once a proof was good for more. Requests sent to a server known to be cold now stay counted for a second.

ColdPaceTest fails (8 and 12 of 39 cases) if nothing sent before a pace counts, and if health is not asked for.

--- a/Source/coordination/admission/ColdPace.cpp
+++ b/Source/coordination/admission/ColdPace.cpp
@@ -14,6 +14,8 @@
 constexpr Duration boundWindow = std::chrono::seconds(1);
 /// Requests that stay unused in each such time, for those that are sent in one and arrive in the next.
 constexpr double margin = 2;
+/// Share of the requests that a proof of warmth is good for, from which on the next one is asked for.
+constexpr double askShare = 0.75;
 /// Interval between health checks of a paced server that are not urgent.
 constexpr Duration pacedCheckInterval = std::chrono::seconds(1);
 /// An announcement that agrees up to this with what is known is no news. Announcements are repeated, and told a little late.
@@ -95,9 +97,9 @@
 {
     if (!m_rate)
         return;
-    while (!m_unproven.empty() && m_unproven.front() <= now - boundWindow)
+    while (!m_unproven.empty() && m_unproven.front().sentAt <= now - boundWindow)
         m_unproven.pop_front();
-    m_unproven.push_back(now);
+    m_unproven.push_back({ now, isCold(now) });
     if (m_hasHealthChecks && static_cast<double>(m_unproven.size()) >= maximumUnproven())
         m_isProvenWarm = false;
 }
@@ -112,8 +114,15 @@
 {
     if (!left || *left <= Duration::zero() || now + *left <= m_coldUntil)
         return;
+    toldCold(*left, now);
+}
+
+void ColdPace::toldCold(Duration left, TimePoint now)
+{
     m_isProvenWarm = false;
-    setCold(*left, Evidence::Response, now);
+    setCold(left, Evidence::Response, now);
+    for (Request& request : m_unproven)
+        request.wasCold = true;
 }
 
 void ColdPace::checkAnswered(std::optional<Duration> left, bool isSuccess, TimePoint sentAt, TimePoint now)
@@ -122,18 +131,20 @@
     const bool isNewer = sentAt >= m_coldSetAt;
     if (!left && isSuccess && m_tellsInChecks)
         left = Duration::zero();
-    if (left && (isNewer || now + *left > m_coldUntil))
-        setCold(*left, *left > Duration::zero() ? Evidence::Response : Evidence::None, now);
-    if (!isNewer)
-        return;
-    m_mustConfirm = false;
+    if (isNewer)
+        m_mustConfirm = false;
     if (left && *left > Duration::zero()) {
-        m_isProvenWarm = false;
+        if (isNewer || now + *left > m_coldUntil)
+            toldCold(*left, now);
         return;
     }
+    if (!isNewer)
+        return;
+    if (left)
+        setCold(Duration::zero(), Evidence::None, now);
     m_isProvenWarm = true;
-    while (!m_unproven.empty() && m_unproven.front() <= sentAt)
-        m_unproven.pop_front();
+    const auto isProven = [&](const Request& request) { return request.sentAt <= sentAt && !request.wasCold; };
+    m_unproven.erase(std::remove_if(m_unproven.begin(), m_unproven.end(), isProven), m_unproven.end());
 }
 
 bool ColdPace::mustAsk(TimePoint now) const
@@ -142,7 +153,7 @@
         return false;
     if (m_mustConfirm)
         return true;
-    return !isCold(now) && (!m_isProvenWarm || static_cast<double>(unprovenRequests(now)) >= std::max(unpacedRequests(), 1.0));
+    return !isCold(now) && (!m_isProvenWarm || static_cast<double>(unprovenRequests(now)) >= askShare * maximumUnproven());
 }
 
 bool ColdPace::mayAsk(TimePoint now) const
@@ -188,7 +199,8 @@
 
 std::size_t ColdPace::unprovenRequests(TimePoint now) const
 {
-    return static_cast<std::size_t>(m_unproven.end() - std::upper_bound(m_unproven.begin(), m_unproven.end(), now - boundWindow));
+    const auto isOld = [&](const Request& request) { return request.sentAt <= now - boundWindow; };
+    return static_cast<std::size_t>(m_unproven.end() - std::find_if_not(m_unproven.begin(), m_unproven.end(), isOld));
 }
 
 double ColdPace::unpacedRequests() const
@@ -200,7 +212,7 @@
 double ColdPace::maximumUnproven() const
 {
     const double bound = m_rate->value() * m_bound.overage + m_bound.slack;
-    return std::clamp(2 * unpacedRequests(), 1.0, std::max(bound - margin - RequestRateLimit::mostRequests(*m_rate, Duration::zero()), 1.0));
+    return std::max(bound - margin - RequestRateLimit::mostRequests(*m_rate, Duration::zero()), 1.0);
 }
 
 } // namespace Knapweedquay
--- a/Source/coordination/admission/ColdPace.h
+++ b/Source/coordination/admission/ColdPace.h
@@ -24,8 +24,8 @@
 /// there, and it holds whatever other nodes know.
 ///
 /// A server may turn cold without a word at any moment, so its warmth is a lease: a health response that tells it is good for a
-/// number of requests small enough for a cold server to bear. From the first half of them on the next health check is due,
-/// and beyond them the server is taken for cold until one is answered. Requests sent since the last proof of warmth count
+/// number of requests small enough for a cold server to bear. Before they are spent the next health check is due, and
+/// beyond them the server is taken for cold until one is answered. Requests sent since the last proof of warmth count
 /// against the bound when a pace begins. A run that is new, or reachable again, has no proof.
 ///
 /// Without health checks the announcements decide, and a new run is cold for the time that its service states.
@@ -83,6 +83,12 @@
     Evidence evidence() const { return m_evidence; }
 
 private:
+    struct Request {
+        TimePoint sentAt;
+        /// True if the server is known to have been cold.
+        bool wasCold = false;
+    };
+
     bool isCold(TimePoint now) const { return now < m_coldUntil; }
     bool isPaced(TimePoint now) const;
     /// Rate at which requests may be sent now; not set while there is no pace.
@@ -90,9 +96,11 @@
     /// Time for which no request may be sent if the pace begins now.
     Duration delay(TimePoint now) const;
     void setCold(Duration left, Evidence, TimePoint now);
+    /// Handles that the server told so itself.
+    void toldCold(Duration left, TimePoint now);
     /// doubtSince: a health check that was sent after it tells of the present state.
     void presumeCold(TimePoint doubtSince, TimePoint now);
-    /// Requests of the last second that were sent since the server proved to be warm.
+    /// Requests of the last second of which the server did not prove that it received them while it was warm.
     std::size_t unprovenRequests(TimePoint now) const;
     /// Requests that a server which turned cold without a word bears in a second beside those that the pace allows.
     double unpacedRequests() const;
@@ -117,8 +125,8 @@
     bool m_tellsInChecks = false;
     /// When the last health check was sent.
     TimePoint m_askedAt;
-    /// Sending times within the last second, without those before the proof of warmth.
-    std::deque<TimePoint> m_unproven;
+    /// Requests of the last second, without those that the server proved to have received while it was warm.
+    std::deque<Request> m_unproven;
     std::optional<RequestRate> m_paceInForce;
     /// Limit that the queue has.
     std::optional<RequestRate> m_rateInForce;
--- a/Tests/coordination/ColdPaceTest.cpp
+++ b/Tests/coordination/ColdPaceTest.cpp
@@ -256,8 +256,7 @@
     const std::size_t before = m_started;
     flood(1s);
     const double capacity = GetParam().slots * 1e6 / static_cast<double>(GetParam().serviceTime.count());
-    RecordProperty("share", std::to_string((m_started - before) / std::min(capacity, GetParam().callsPerSecond)));
-    EXPECT_GE(m_started - before, 0.9 * std::min(capacity, GetParam().callsPerSecond));
+    EXPECT_GE(static_cast<double>(m_started - before), 0.9 * std::min(capacity, GetParam().callsPerSecond));
 }
 
 TEST_F(ColdPaceTest, CallsTellTheLoad_HealthChecksOfAWarmServer_AreFewerThanAFifthOfTheCalls)
