--- a/Source/node/EndpointRunner.cpp
+++ b/Source/node/EndpointRunner.cpp
@@ -80,6 +80,7 @@
     if (m_queue)
         m_queue->setBackend(slots());
     m_monitor.setBackend(backend);
+    notifyLoadChanged();
 }
 
 void EndpointRunner::removeBackend()
--- a/Source/node/NodeTraffic.cpp
+++ b/Source/node/NodeTraffic.cpp
@@ -47,6 +47,9 @@
     return higher - lower > minimumRateChange * higher;
 }
 
+/// Failure rates below this one do not matter to the choice of an endpoint.
+constexpr std::uint32_t minimumFailuresPerThousand = 200;
+
 /// True if the load differs from the one last sent by enough to justify an update.
 bool isSignificantChange(const LoadReport& lastSent, const LoadReport& now)
 {
@@ -54,6 +57,9 @@
         return true;
     if (isSignificantChange(lastSent.requestRate, now.requestRate))
         return true;
+    // Another run of the backend server begins without failures. Until they know, other nodes avoid it for those of the last one.
+    if (lastSent.failuresPerThousand >= minimumFailuresPerThousand && now.failuresPerThousand == 0)
+        return true;
     const std::uint32_t slower = std::max(lastSent.slowdownPercent, now.slowdownPercent);
     const std::uint32_t faster = std::min(lastSent.slowdownPercent, now.slowdownPercent);
     if ((slower - faster) * hundredPercent > minimumSlowdownChangePercent * faster)
