--- a/Tests/platform/MachineSettingsTest.cpp
+++ b/Tests/platform/MachineSettingsTest.cpp
@@ -24,7 +24,7 @@
 DataDir = "/data"
 HeartbeatS = 1.5
 Service = "huvo11a"
-Bounds = ["SeedLagS=3","GraceS=6.5"]
+Bounds = ["SeedLagS=3","GraceS=6.5","ColdOverage=1.4","ColdSlack=8"]
 NewKey = { a = 1 }
 [Listen]
 Inbound = "10.1.0.35:8145"
@@ -65,6 +65,9 @@
     ASSERT_FALSE(machine.has_error()) << machine.error().detail;
     const NodeSettings node = nodeSettings(machine.value());
     EXPECT_EQ(NodeId("sidecar-1"), node.node);
+    EXPECT_EQ(1.4, node.coldBound.overage);
+    EXPECT_EQ(8, node.coldBound.slack);
+    EXPECT_EQ("X-Cold-Ms", node.headers.cold);
     EXPECT_EQ((SocketAddress { "10.1.0.35", 8141 }), node.calls);
     EXPECT_EQ((SocketAddress { "10.1.0.35", 7660 }), node.peers);
     EXPECT_EQ((std::vector<std::string> { "10.1.0.39:7660", "10.2.0.31:7660" }), node.controlReplicas);
--- a/Tests/state/RoutingDocumentTest.cpp
+++ b/Tests/state/RoutingDocumentTest.cpp
@@ -18,6 +18,8 @@
 [[services]]
 name = "inventory"
 health_path = "/health"
+cold_time_ms = 3000
+cold_requests_per_second = 7.2
 [[routes]]
 host = "shop.example"
 path = "/orders/"
@@ -68,6 +70,9 @@
     EXPECT_EQ(Rank(3), routing.value().rules[1].rank);
     EXPECT_EQ(90u, routing.value().rules[1].targets[0].weight);
     EXPECT_EQ("/health", routing.value().services[1].healthPath);
+    EXPECT_EQ(std::nullopt, routing.value().services[0].coldRate);
+    EXPECT_EQ(Duration(3s), routing.value().services[1].coldTime);
+    EXPECT_EQ(RequestRate(7.2), routing.value().services[1].coldRate);
 }
 
 TEST_F(RoutingDocumentTest, InvalidText_Parsed_IsRefusedWithReason)
@@ -81,6 +86,7 @@
     expectInvalid("name = \"inventory\"", "name = \"dispatch\"", "two with the name 'dispatch'");
     expectInvalid("maximum_attempts = 2", "maximum_attempts = 0", "maximum_attempts");
     expectInvalid("[limits]", "[limit]", "limit");
+    expectInvalid("= 7.2", "= -1", "cold_requests_per_second");
     expectInvalid("weight = 10\n", "weight = \n", "TOML");
 }
 
