--- a/Source/control/ControlDaemon.cpp
+++ b/Source/control/ControlDaemon.cpp
@@ -66,6 +66,10 @@
 {
     BOOST_OUTCOME_TRYV(openStore());
     BOOST_OUTCOME_TRYV(m_linkServer.start(m_settings.links.ip, m_settings.links.port));
+    for (const std::string& address : replicaList().addresses) {
+        if (address != toText(m_settings.links))
+            m_replicaLinks.open(address);
+    }
     BOOST_OUTCOME_TRYV(m_httpServer.start());
     BOOST_OUTCOME_TRYV(startMembership());
     if (m_extension.started)
--- a/Source/control/ReplicaLinks.cpp
+++ b/Source/control/ReplicaLinks.cpp
@@ -40,6 +40,15 @@
         connect(address, peer);
 }
 
+void ReplicaLinks::open(const std::string& address)
+{
+    Peer& peer = m_peers[address];
+    peer.wantedUntil = steadyNow() + maximumPendingTime;
+    if (!peer.link)
+        connect(address, peer);
+    m_checkTimer.setAfter(openingCheckInterval);
+}
+
 void ReplicaLinks::connect(const std::string& address, Peer& peer)
 {
     Link::Hooks hooks;
@@ -69,7 +78,7 @@
     }
     if (now - peer.pendingSince > maximumPendingTime)
         peer.pendingMessage.clear();
-    if (!peer.link && !peer.pendingMessage.empty() && now >= peer.retryAt)
+    if (!peer.link && peer.isWanted(now) && now >= peer.retryAt)
         connect(address, peer);
 }
 
@@ -80,7 +89,7 @@
     for (auto& [address, peer] : m_peers) {
         if (!peer.link || !peer.link->isOpen()) {
             checkOpening(address, peer, now);
-            isOpening = isOpening || peer.link || !peer.pendingMessage.empty();
+            isOpening = isOpening || peer.link || peer.isWanted(now);
             continue;
         }
         if (now - peer.lastPing < checkInterval)
--- a/Source/control/ReplicaLinks.h
+++ b/Source/control/ReplicaLinks.h
@@ -28,6 +28,9 @@
     /// Sends the message if the link is open; otherwise keeps it, in place of an earlier one, until the link opens or the
     /// message is a second old.
     void send(const std::string& address, const std::string& bytes);
+    /// Opens the link before there is a message, for a second at most. After a start of all replicas, the first votes would
+    /// otherwise wait for links that open beside those of many nodes.
+    void open(const std::string& address);
 
 private:
     /// Another replica and the link to it.
@@ -43,6 +46,10 @@
         std::string pendingMessage;
         /// When it was to be sent.
         TimePoint pendingSince;
+        /// The link is opened until then although no message waits.
+        TimePoint wantedUntil;
+
+        bool isWanted(TimePoint now) const { return !pendingMessage.empty() || now < wantedUntil; }
     };
 
     void connect(const std::string& address, Peer&);
--- a/Source/coordination/membership/OpeningTimeout.h
+++ b/Source/coordination/membership/OpeningTimeout.h
@@ -11,7 +11,7 @@
 /// the machine has started in the meantime. Many such machines start at once after a power cut, when no call can be served
 /// until a replica is reached. The first attempts follow each other closely, because the machines of a deployment start within
 /// some tenths of a second; then each failure doubles the time. A replica whose system has accepted the connection is up and
-/// just slow, so that it gets more time: further attempts would add to its work.
+/// just slow, so that the time doubles with the first failure: further attempts would add to its work.
 class OpeningTimeout {
 public:
     /// isReached: the system of the replica has accepted the connection.
@@ -22,9 +22,9 @@
     void opened();
 
 private:
-    static constexpr Duration shortest { 75000 };
+    static constexpr Duration shortest { 150000 };
     static constexpr Duration longest { 1500000 };
-    static constexpr Duration shortestReached { 300000 };
+    static constexpr Duration shortestReached { 150000 };
     /// Attempts before the time is doubled.
     static constexpr int closeAttempts = 5;
 
--- a/Source/node/ControlSubscription.cpp
+++ b/Source/node/ControlSubscription.cpp
@@ -12,10 +12,8 @@
 
 namespace {
 
-/// Interval between freshness requests.
+/// Interval between freshness requests. A replica without a proof answers once it has one, so more requests gain nothing.
 constexpr Duration freshnessInterval { 300000 };
-/// The same before the first proof, without which the node serves no calls.
-constexpr Duration firstFreshnessInterval { 100000 };
 /// The node disconnects from a replica whose last proof, or last part of an update, is older than this. It is half the time
 /// in which a change must be in force on all nodes.
 constexpr Duration maximumStaleness { 1000000 };
@@ -303,7 +301,7 @@
         disconnect();
     }
     connectIfDue(now);
-    if (m_link && now - m_freshnessRequestedAt >= (m_isFresh ? freshnessInterval : firstFreshnessInterval))
+    if (m_link && now - m_freshnessRequestedAt >= freshnessInterval)
         requestFreshness();
 }
 
--- a/Tests/control/ReplicaLinksTest.cpp
+++ b/Tests/control/ReplicaLinksTest.cpp
@@ -50,6 +50,18 @@
     EXPECT_EQ(std::vector<std::string> { "vote" }, m_received);
 }
 
+TEST_F(ReplicaLinksTest, LinkOpenedToAReplicaThatStartsSoon_IsOpenBeforeTheFirstMessage)
+{
+    asio::ip::tcp::acceptor port(m_context, { asio::ip::make_address("127.0.0.1"), 0 });
+    const std::uint16_t number = port.local_endpoint().port();
+    port.close();
+    m_links.open("127.0.0.1:" + std::to_string(number));
+    runFor(50ms);
+    ASSERT_FALSE(m_server.start("127.0.0.1", number).has_error());
+    runFor(300ms);
+    EXPECT_EQ(1u, m_accepted.size());
+}
+
 // After a power cut, an attempt that met a dark machine was kept for a second although the machine was up by then.
 TEST_F(ReplicaLinksTest, AttemptThatGetsNoAnswer_IsRepeatedSoonAndThenMoreRarely)
 {
