Store: Wait for a leader's silence again before another is elected

Quotas rely on leaders that start at least one election timeout apart: a leader whose connections were reset, but which runs on, keeps its lease for 0.4 s, and would grant credit beside its successor. The shorter pause after a killed leader was not measured; it needs a lease that ends before it.

--- a/Source/control/ControlDaemon.cpp
+++ b/Source/control/ControlDaemon.cpp
@@ -1,7 +1,6 @@
 #include "control/ControlDaemon.h"
 
 #include "transport/Logger.h"
-#include "transport/StopDeadline.h"
 
 #include "protocol/LinkChannel.h"
 
@@ -18,8 +17,6 @@
 namespace {
 
 constexpr Duration tickInterval { 20000 };
-/// Time after the signal to stop in which a storage job under way may end.
-constexpr Duration maximumStopTime { 2000000 };
 constexpr std::uint64_t microsecondsPerMillisecond = 1000;
 /// Bounds the memory for claims that wait for the leader's answer.
 constexpr std::size_t maximumForwardedClaims = 10000;
@@ -86,10 +83,8 @@
     m_signals.async_wait([this](const asio::error_code& error, int signal) {
         if (error)
             return;
-        if (signal != SIGHUP) {
-            endProcessAfter(maximumStopTime);
+        if (signal != SIGHUP)
             return m_context.stop();
-        }
         log(LogEvent::Reloaded);
         if (m_extension.reload)
             m_extension.reload(*this);
@@ -223,20 +218,16 @@
 void ControlDaemon::accept(const LinkPtr& link)
 {
     const NodeSubscriptions::SubscriberId id = m_subscriptions->add(link);
-    const auto replica = std::make_shared<ReplicaId>(noReplica());
     Link::Hooks hooks;
-    hooks.received = [this, id, replica](std::string_view bytes) {
+    hooks.received = [this, id](std::string_view bytes) {
         if (bytes.empty())
             return;
         if (bytes.front() == LinkChannel::replica)
-            *replica = receiveFromReplica(bytes);
+            receiveFromReplica(bytes);
         else
             receiveNodeMessage(id, LinkChannel::unwrap(bytes));
     };
-    hooks.closed = [this, id, replica] {
-        m_subscriptions->remove(id);
-        m_service->disconnected(*replica, steadyNow());
-    };
+    hooks.closed = [this, id] { m_subscriptions->remove(id); };
     link->setHooks(std::move(hooks));
 }
 
@@ -267,21 +258,21 @@
         handleQuotaRequest(id, *quota);
 }
 
-ReplicaId ControlDaemon::receiveFromReplica(std::string_view bytes)
+void ControlDaemon::receiveFromReplica(std::string_view bytes)
 {
     if (bytes.empty())
-        return noReplica();
+        return;
     if (bytes.front() == LinkChannel::replica) {
         const auto message = decodeReplicaMessage(LinkChannel::unwrap(bytes));
         if (message.has_error())
-            return noReplica();
+            return;
         m_service->receive(message.value(), steadyNow());
         scheduleFlush();
-        return message.value().from;
+        return;
     }
     const auto message = decodeControlMessage(LinkChannel::unwrap(bytes));
     if (message.has_error())
-        return noReplica();
+        return;
     if (const auto* answer = std::get_if<ClaimAnswerMessage>(&message.value()))
         handleForwardedAnswer(*answer);
     else if (const auto* changeAnswer = std::get_if<RoutingChangeAnswerMessage>(&message.value()))
@@ -290,7 +281,6 @@
         m_evacuations->leaderAnswered(*orderAnswer);
     else if (const auto* grant = std::get_if<QuotaGrantMessage>(&message.value()))
         m_subscriptions->sendToNode(grant->node, *grant);
-    return noReplica();
 }
 
 void ControlDaemon::handleClaim(NodeSubscriptions::SubscriberId id, const ClaimRequestMessage& message)
--- a/Source/control/ControlDaemon.h
+++ b/Source/control/ControlDaemon.h
@@ -70,8 +70,7 @@
     ReplicaListMessage replicaList() const;
     void accept(const LinkPtr&);
     void receiveNodeMessage(NodeSubscriptions::SubscriberId, std::string_view bytes);
-    /// Returns the replica that sent the message; none if it is no message of a replica.
-    ReplicaId receiveFromReplica(std::string_view bytes);
+    void receiveFromReplica(std::string_view bytes);
     void handleClaim(NodeSubscriptions::SubscriberId, const ClaimRequestMessage&);
     void handleClaimEnd(const ClaimEndMessage&);
     /// Sends a node's message to the leader; drops it if no other replica is known to lead.
--- a/Source/state/ControlService.cpp
+++ b/Source/state/ControlService.cpp
@@ -174,12 +174,6 @@
     m_log->receive(message, now);
 }
 
-void ControlService::disconnected(ReplicaId replica, TimePoint now)
-{
-    if (m_log && !m_failure)
-        m_log->disconnected(replica, now);
-}
-
 void ControlService::flush(TimePoint now)
 {
     while (m_log && !m_failure) {
--- a/Source/state/ControlService.h
+++ b/Source/state/ControlService.h
@@ -96,8 +96,6 @@
 
     void tick(TimePoint);
     void receive(const ReplicaMessage&, TimePoint);
-    /// Records that the connection over which a replica sent its messages was closed.
-    void disconnected(ReplicaId, TimePoint);
     /// Performs the actions of the log (sending, writing, syncing, applying) until there are none left.
     void flush(TimePoint);
 
--- a/Source/state/ReplicatedLog.h
+++ b/Source/state/ReplicatedLog.h
@@ -91,9 +91,6 @@
 
     void tick(TimePoint);
     void receive(const ReplicaMessage&, TimePoint);
-    /// Records that the connection over which a replica sent its messages was closed, as when its process ends. If it led, this
-    /// replica does not wait for its silence to last. Others that still hear it refuse their votes.
-    void disconnected(ReplicaId, TimePoint);
     /// Appends a command and returns its index. Errors: NotLeader, Overloaded, MessageTooLarge.
     Result<LogIndex> propose(std::string payload, TimePoint);
     /// Adds a learner. Once it has caught up, the leader removes the member `replaces` and promotes the learner to a
--- a/Source/state/ReplicatedLogElection.cpp
+++ b/Source/state/ReplicatedLogElection.cpp
@@ -22,16 +22,6 @@
         m_actions.push_back(LeadershipChanged { false, m_hardState.term });
 }
 
-void ReplicatedLog::disconnected(ReplicaId replica, TimePoint now)
-{
-    advanceTime(now);
-    if (m_role != ReplicaRole::Follower || m_leader != replica)
-        return;
-    m_leader = noReplica();
-    std::uniform_int_distribution<std::int64_t> randomDelay(0, m_settings.electionTimeout.count() / 4);
-    m_electionDeadline = std::min(m_electionDeadline, m_now + Duration(randomDelay(m_random)));
-}
-
 void ReplicatedLog::startElection(bool preVote)
 {
     m_role = preVote ? ReplicaRole::PreCandidate : ReplicaRole::Candidate;
