--- a/Tests/coordination/QuotaCreditTest.cpp
+++ b/Tests/coordination/QuotaCreditTest.cpp
@@ -109,6 +109,18 @@
     EXPECT_EQ(m_ledger.outstanding(m_workspace, m_now), 0U);
 }
 
+TEST_F(QuotaCreditTest, NodeFrozenForTheLifetime_WhatItHeldIsWorthNothing)
+{
+    take(m_node);
+    const auto request = m_node.nextRequest(m_now);
+    m_node.cancel(m_call);
+    m_node.receive(m_ledger.answer(*request, m_now), m_now);
+    EXPECT_EQ(m_node.inHand(m_now), 1U);
+    advance(creditLifetime(m_bound));
+    EXPECT_NE(take(m_node).code, ResultCode::Ok);
+    EXPECT_EQ(m_ledger.outstanding(m_workspace, m_now), 0U);
+}
+
 TEST_F(QuotaCreditTest, CallThatDidNotRun_ItsCreditServesTheNext)
 {
     EXPECT_FALSE(take(m_node).code);
--- a/Tests/coordination/QuotaFleetTest.cpp
+++ b/Tests/coordination/QuotaFleetTest.cpp
@@ -75,6 +75,26 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, QuotaFleetTest, testing::Range<std::uint64_t>(1, 41));
 
+TEST(QuotaOwnersTest, OwnersFollowEachOtherUnderTooMuchDemand_NoWindowPassesTheBound)
+{
+    QuotaFleet::Settings settings;
+    settings.nodes = 10;
+    settings.workspaces = 3;
+    settings.callsPerSecond = 500;
+    settings.quotaFactor = 0.2;
+    settings.burstSeconds = 3;
+    settings.bound.slack = 5;
+    QuotaFleet fleet(settings);
+    // Fills the buckets before each row of owners.
+    for (int row = 0; row < 3; ++row) {
+        fleet.at(seconds(20 * row), [&fleet] { fleet.stopCalls(seconds(15)); });
+        for (int owner = 0; owner < 6; ++owner)
+            fleet.at(seconds(20 * row + 15) + owner * milliseconds(700), [&fleet] { fleet.replaceOwner(milliseconds(400)); });
+    }
+    fleet.run(seconds(60));
+    EXPECT_LE(fleet.result().worstWindow, 1);
+}
+
 class QuotaGoalTest : public testing::Test {
 protected:
     static QuotaFleet::Result play(const char* name)
