--- a/Utilities/Scripts/test.sh
+++ b/Utilities/Scripts/test.sh
@@ -11,7 +11,7 @@
 export RC_PARAMS=${RC_PARAMS:-"seed=20261203 max_success=200"}
 
 # Each line that is not a comment starts with the name of a test.
-known=$(grep -oE '^[A-Za-z_0-9]+\.[A-Za-z_0-9]+' KNOWN-RED.txt 2>/dev/null | paste -sd '|' || true)
+known=$(grep -oE '^[A-Za-z_0-9/]+\.[A-Za-z_0-9/]+' KNOWN-RED.txt 2>/dev/null | paste -sd '|' || true)
 status=0
 if [ -n "$known" ]; then
     ctest --test-dir "build/$preset" --output-on-failure -j "$jobs" -E "^($known)\$" || status=$?
