--- a/Source/state/RoutingParser.cpp
+++ b/Source/state/RoutingParser.cpp
@@ -22,7 +22,6 @@
 constexpr std::uint64_t largestWeight = 1000000;
 constexpr std::uint64_t largestRank = 1000;
 constexpr std::uint64_t largestAttempts = 10;
-constexpr double largestRequestRate = 1e6;
 constexpr double largestQuota = 1e9;
 constexpr Duration shortestTime = std::chrono::milliseconds(1);
 constexpr Duration longestTime = std::chrono::minutes(10);
