--- a/Tests/control/RestartTest.cpp
+++ b/Tests/control/RestartTest.cpp
@@ -14,6 +14,7 @@
 double quantile(const std::vector<RestartSimulation::Times>& times, Duration RestartSimulation::Times::*step, double share, Duration limit)
 {
     std::vector<Duration> values;
+    values.reserve(times.size());
     for (const RestartSimulation::Times& node : times)
         values.push_back(node.*step < Duration(0) ? limit : node.*step);
     std::sort(values.begin(), values.end());
