Tests: Ask again that any restart of all replicas proves freshness within a second

The bound was replaced by quantiles before the test landed, because one of 40 restarts takes 1.05 s (disks whose writes take up to 0.8 s). Both stand now; the one that fails is known red.

--- a/Tests/state/StoreSimulationTest.cpp
+++ b/Tests/state/StoreSimulationTest.cpp
@@ -218,33 +218,46 @@
 }
 
 // After a power cut, nodes serve nothing until a replica proves that its documents are recent.
-TEST_F(StoreFormingTest, AllReplicas_RestartedAtOnce_ProveFreshnessSoon)
-{
-    constexpr std::size_t replicas = 5;
-    std::vector<Duration> times;
-    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
-        StoreSimulation store = StoreSimulation::withFounders(3, replicas, replicas, seed);
-        ASSERT_TRUE(waitUntilFormed(store)) << seed;
-        for (std::size_t replica = 0; replica < replicas; ++replica)
-            store.crash(replica);
-        store.run(500ms);
-        for (std::size_t replica = 0; replica < replicas; ++replica)
-            store.restart(replica);
-        const TimePoint start = store.now();
-        const auto areAllFresh = [&store] {
-            for (std::size_t replica = 0; replica < replicas; ++replica) {
-                if (!store.service(replica)->freshness(store.now()))
-                    return false;
-            }
-            return true;
-        };
-        ASSERT_TRUE(store.runUntil(areAllFresh, 2s)) << seed;
-        times.push_back(store.now() - start);
+/// Times from the restart of all replicas at once until all can prove that they are fresh, shortest first.
+class StoreRestartTest : public StoreFormingTest {
+protected:
+    void SetUp() override
+    {
+        constexpr std::size_t replicas = 5;
+        for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+            StoreSimulation store = StoreSimulation::withFounders(3, replicas, replicas, seed);
+            ASSERT_TRUE(waitUntilFormed(store)) << seed;
+            for (std::size_t replica = 0; replica < replicas; ++replica)
+                store.crash(replica);
+            store.run(500ms);
+            for (std::size_t replica = 0; replica < replicas; ++replica)
+                store.restart(replica);
+            const TimePoint start = store.now();
+            const auto areAllFresh = [&store] {
+                for (std::size_t replica = 0; replica < replicas; ++replica) {
+                    if (!store.service(replica)->freshness(store.now()))
+                        return false;
+                }
+                return true;
+            };
+            ASSERT_TRUE(store.runUntil(areAllFresh, 2s)) << seed;
+            m_times.push_back(store.now() - start);
+        }
+        std::sort(m_times.begin(), m_times.end());
     }
-    std::sort(times.begin(), times.end());
-    // Some runs have disks whose writes take up to 0.8 s.
-    EXPECT_LE(times[times.size() / 2], Duration(250ms));
-    EXPECT_LE(times[times.size() * 9 / 10], Duration(500ms)) << times[times.size() * 9 / 10].count();
+
+    std::vector<Duration> m_times;
+};
+
+TEST_F(StoreRestartTest, MostRestarts_ProveFreshnessSoon)
+{
+    EXPECT_LE(m_times[m_times.size() / 2], Duration(250ms));
+    EXPECT_LE(m_times[m_times.size() * 9 / 10], Duration(500ms));
+}
+
+TEST_F(StoreRestartTest, AnyRestart_ProvesFreshnessWithinASecond)
+{
+    EXPECT_LE(m_times.back(), Duration(1s));
 }
 
 TEST_F(StoreFormingTest, RandomReplicas_KilledWhileForming_StillFormOneStore)
