Logs: Count what quotas refuse and grant each second

A refusal of a quota could not be told apart in the logs: event 710 named workspaces, whichever of 213 and 216 they got, and nothing said how old the owner's last answer was or which of its limits stood against a request.

Event 712 counts refusals of a node by reason with the age of the last answer; 713 counts what the owner of the quotas granted and what stood against the rest: bucket, outstanding credit or shares of other nodes.

--- a/Source/control/QuotaOwner.cpp
+++ b/Source/control/QuotaOwner.cpp
@@ -1,9 +1,19 @@
 #include "control/QuotaOwner.h"
 
+#include "transport/Logger.h"
+
+#include <string>
 #include <utility>
 
 namespace Knapweedquay {
 
+namespace {
+
+/// Interval between log lines about grants.
+constexpr Duration countInterval { 1000000 };
+
+} // namespace
+
 QuotaOwner::QuotaOwner(const ControlService& service, RoutingParser parse, const QuotaBound& bound)
     : m_service(service)
     , m_parse(std::move(parse))
@@ -36,6 +46,18 @@
 void QuotaOwner::tick(TimePoint now)
 {
     prepare(now);
+    logCounts(now);
+}
+
+void QuotaOwner::logCounts(TimePoint now)
+{
+    if (now - m_loggedAt < countInterval)
+        return;
+    m_loggedAt = now;
+    const QuotaLedger::Counts counts = m_ledger.takeCounts();
+    if (counts.requests == 0)
+        return;
+    log(LogEvent::QuotaGrantsCounted, { { "requests", std::to_string(counts.requests) }, { "wanted", std::to_string(counts.wanted) }, { "granted", std::to_string(counts.granted) }, { "denied_by_bucket", std::to_string(counts.deniedByBucket) }, { "denied_by_allowance", std::to_string(counts.deniedByAllowance) }, { "denied_by_share", std::to_string(counts.deniedByShare) } });
 }
 
 std::optional<QuotaGrantMessage> QuotaOwner::answer(const QuotaRequestMessage& message, TimePoint now)
--- a/Source/control/QuotaOwner.h
+++ b/Source/control/QuotaOwner.h
@@ -22,6 +22,8 @@
 private:
     /// True if this replica leads now and has applied all accepted changes of the quotas.
     bool prepare(TimePoint now);
+    /// Logs what was granted, once a second.
+    void logCounts(TimePoint now);
 
     const ControlService& m_service;
     RoutingParser m_parse;
@@ -29,6 +31,7 @@
     std::uint64_t m_term = 0;
     /// Version of the routing document whose quotas are in the ledger; not set in a term before they were.
     std::optional<DocumentVersion> m_version;
+    TimePoint m_loggedAt;
 };
 
 } // namespace Knapweedquay
--- a/Source/coordination/quotas/QuotaLedger.cpp
+++ b/Source/coordination/quotas/QuotaLedger.cpp
@@ -152,7 +152,7 @@
     account.level = std::min(account.plan.capacity, account.level + refunded);
 }
 
-QuotaGrantMessage::Grant QuotaLedger::grant(Account& account, const GrantKey& key, const QuotaNeed& need, TimePoint now) const
+QuotaGrantMessage::Grant QuotaLedger::grant(Account& account, const GrantKey& key, const QuotaNeed& need, TimePoint now)
 {
     QuotaGrantMessage::Grant answer;
     answer.workspace = need.workspace;
@@ -175,7 +175,11 @@
         demand.share -= isScarce ? possible : 0;
     } else
         answer.credit = 0;
+    m_counts.wanted += need.wanted;
+    m_counts.granted += answer.credit;
     if (answer.credit < need.wanted) {
+        std::uint64_t& denied = available <= std::min(allowed, shared) ? m_counts.deniedByBucket : allowed <= shared ? m_counts.deniedByAllowance : m_counts.deniedByShare;
+        denied += need.wanted - answer.credit;
         // Under a demand that the quota does not cover, what was refused already waits for the same credit.
         const double missing = std::max(1 - available, 0.0) + (isScarce ? account.excess : 0);
         const double seconds = account.plan.rate > 0 ? missing / account.plan.rate : inSeconds(longestWait);
@@ -186,6 +190,7 @@
 
 QuotaGrantMessage QuotaLedger::answer(const QuotaRequestMessage& message, TimePoint now)
 {
+    ++m_counts.requests;
     const NodeNumber node = numberOf(message);
     QuotaGrantMessage answer;
     answer.node = message.node;
@@ -210,6 +215,11 @@
     return answer;
 }
 
+QuotaLedger::Counts QuotaLedger::takeCounts()
+{
+    return std::exchange(m_counts, {});
+}
+
 std::uint64_t QuotaLedger::outstanding(const WorkspaceName& workspace, TimePoint now)
 {
     const auto entry = m_accounts.find(workspace.value());
--- a/Source/coordination/quotas/QuotaLedger.h
+++ b/Source/coordination/quotas/QuotaLedger.h
@@ -22,6 +22,19 @@
 /// caller checks that it leads at the moment of each request.
 class QuotaLedger {
 public:
+    /// What was asked for and granted, and which limits stood against the rest, in credits.
+    struct Counts {
+        std::uint64_t requests = 0;
+        std::uint64_t wanted = 0;
+        std::uint64_t granted = 0;
+        /// The bucket of the workspace had too little.
+        std::uint64_t deniedByBucket = 0;
+        /// Too much credit was outstanding.
+        std::uint64_t deniedByAllowance = 0;
+        /// Other nodes were entitled to it.
+        std::uint64_t deniedByShare = 0;
+    };
+
     explicit QuotaLedger(QuotaBound);
 
     /// Begins, or goes on, as the owner in this term.
@@ -31,6 +44,8 @@
     /// Takes the reports of a node and grants credit.
     QuotaGrantMessage answer(const QuotaRequestMessage&, TimePoint now);
 
+    /// Returns what was counted since the last call.
+    Counts takeCounts();
     /// Credit of a workspace that nodes may still use.
     std::uint64_t outstanding(const WorkspaceName&, TimePoint now);
 
@@ -77,7 +92,7 @@
     /// Divides what an interval brings among the nodes, each at most what it needed in the interval before.
     static void divide(Account&, double intervals);
     void takeReports(Account&, NodeNumber, const QuotaNeed&) const;
-    QuotaGrantMessage::Grant grant(Account&, const GrantKey&, const QuotaNeed&, TimePoint now) const;
+    QuotaGrantMessage::Grant grant(Account&, const GrantKey&, const QuotaNeed&, TimePoint now);
 
     QuotaBound m_bound;
     Duration m_lifetime;
@@ -87,6 +102,7 @@
     bool m_hasQuotas = false;
     std::unordered_map<std::string, Account> m_accounts;
     std::map<std::pair<NodeId, Incarnation>, NodeNumber> m_nodes;
+    Counts m_counts;
 };
 
 } // namespace Knapweedquay
--- a/Source/node/NodeQuotas.cpp
+++ b/Source/node/NodeQuotas.cpp
@@ -3,6 +3,7 @@
 #include "transport/Logger.h"
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 namespace Knapweedquay {
@@ -62,6 +63,7 @@
 
 void NodeQuotas::receive(const QuotaGrantMessage& message)
 {
+    m_answeredAt = steadyNow();
     for (const QuotaGrantMessage::Grant& grant : message.grants)
         m_metrics.quotaGranted(grant.credit);
     pass(m_credit.receive(message, steadyNow()));
@@ -102,6 +104,7 @@
         return;
     m_metrics.quotaRefused(*decision.code);
     ++m_refusals[workspace];
+    ++(*decision.code == ResultCode::QuotaExceeded ? m_spent : m_unproved);
 }
 
 void NodeQuotas::logRefusals(TimePoint now)
@@ -124,6 +127,10 @@
             ended += (ended.empty() ? "" : " ") + workspace.value();
     }
     m_refused = std::move(refused);
+    if (calls > 0) {
+        const auto answerAge = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_answeredAt).count();
+        log(LogEvent::QuotaRefusalsCounted, { { "spent", std::to_string(std::exchange(m_spent, 0)) }, { "unproved", std::to_string(std::exchange(m_unproved, 0)) }, { "answer_age_ms", std::to_string(answerAge) } });
+    }
     if (!begun.empty())
         log(LogEvent::QuotaRefusalsBegan, { { "workspaces", begun }, { "calls", std::to_string(calls) } });
     if (!ended.empty())
--- a/Source/node/NodeQuotas.h
+++ b/Source/node/NodeQuotas.h
@@ -58,6 +58,10 @@
     std::unordered_set<std::string> m_limited;
     /// Workspaces of calls that wait.
     std::map<std::uint64_t, WorkspaceName> m_waiting;
+    /// Refusals since the last line about them: quota known to be used up, and not known.
+    std::uint64_t m_spent = 0;
+    std::uint64_t m_unproved = 0;
+    TimePoint m_answeredAt;
     /// Refused calls by workspace since the last check, and the workspaces refused in the check before.
     std::map<WorkspaceName, std::uint64_t> m_refusals;
     std::set<WorkspaceName> m_refused;
--- a/Source/protocol/LogEvent.cpp
+++ b/Source/protocol/LogEvent.cpp
@@ -77,6 +77,8 @@
     { LogEvent::EmptiedEndpointMovesOn, LogLevel::Info, "endpoint emptied, waiting attempts move on" },
     { LogEvent::QuotaRefusalsBegan, LogLevel::Warning, "calls of workspaces refused for their quotas" },
     { LogEvent::QuotaRefusalsEnded, LogLevel::Info, "calls of workspaces no longer refused for their quotas" },
+    { LogEvent::QuotaRefusalsCounted, LogLevel::Debug, "calls refused for quotas in the last second" },
+    { LogEvent::QuotaGrantsCounted, LogLevel::Debug, "credit granted for quotas in the last second" },
 };
 
 const Row& rowOf(LogEvent event)
--- a/Source/protocol/LogEvent.h
+++ b/Source/protocol/LogEvent.h
@@ -96,6 +96,8 @@
     // 71x: quotas of workspaces.
     QuotaRefusalsBegan = 710,
     QuotaRefusalsEnded = 711,
+    QuotaRefusalsCounted = 712,
+    QuotaGrantsCounted = 713,
 };
 
 /// Severity of an event.
