--- a/Tests/coordination/QuotaFleetTest.cpp
+++ b/Tests/coordination/QuotaFleetTest.cpp
@@ -157,6 +157,16 @@
     EXPECT_LT(play("3 s without an owner").wronglyRefusedShare(), wronglyRefusedGoalInTrouble);
 }
 
+TEST_F(QuotaGoalTest, NoOwnerForTwoSecondsAgainAndAgain_WithinTheBound)
+{
+    expectInBound(play("no owner for 2 s again and again"));
+}
+
+TEST_F(QuotaGoalTest, NoOwnerForTwoSecondsAgainAndAgain_FewWronglyRefused)
+{
+    EXPECT_LT(play("no owner for 2 s again and again").wronglyRefusedShare(), wronglyRefusedGoalInTrouble);
+}
+
 TEST_F(QuotaGoalTest, FifthOfTheNodesCutOff_WithinTheBound)
 {
     expectInBound(play("a fifth cut off for 8 s"));
--- a/Utilities/QuotaBench/QuotaScenarios.cpp
+++ b/Utilities/QuotaBench/QuotaScenarios.cpp
@@ -14,6 +14,9 @@
 constexpr Duration ownerGap = seconds(3);
 constexpr Duration restartTime = seconds(1);
 constexpr Duration cutTime = seconds(8);
+constexpr Duration shortPause = seconds(2);
+constexpr Duration pauseInterval = seconds(4);
+constexpr int pauses = 3;
 /// Times of the trouble after the start of the fleet.
 constexpr Duration troubleTime = seconds(10);
 constexpr std::size_t hotWorkspace = 3;
@@ -31,6 +34,10 @@
         { "demand moves", false, [](QuotaFleet& fleet) { fleet.moveDemand(movedShare); } },
         { "quota cut to a fifth", false, [](QuotaFleet& fleet) { fleet.scaleQuota(hotWorkspace, cutQuota); } },
         { "3 s without an owner", false, [](QuotaFleet& fleet) { fleet.replaceOwner(ownerGap); } },
+        { "no owner for 2 s again and again", false, [](QuotaFleet& fleet) {
+             for (int pause = 0; pause < pauses; ++pause)
+                 fleet.at(troubleTime + pause * pauseInterval, [&fleet] { fleet.replaceOwner(shortPause); });
+         } },
         { "a fifth cut off for 8 s", false, [](QuotaFleet& fleet) {
              for (std::size_t node = 0; node < fleet.size() / 5; ++node)
                  fleet.cutNode(node, cutTime);
