--- a/Source/control/ControlDaemon.cpp
+++ b/Source/control/ControlDaemon.cpp
@@ -183,7 +183,8 @@
     evacuationHooks.flush = [this] { scheduleFlush(); };
     evacuationHooks.forward = [this](const std::string& leader, const ControlMessage& message) { sendToReplica(leader, message); };
     m_evacuations = std::make_unique<EvacuationStore>(*m_service, m_settings.dataCentres, std::move(evacuationHooks));
-    m_quotas = std::make_unique<QuotaOwner>(*m_service, m_settings.parseRouting, m_settings.quotaBound);
+    m_quotaHolders = std::make_unique<QuotaHolderStore>(*m_service, m_settings.parseRouting, m_settings.quotaBound,
+        QuotaHolderStore::Hooks { [this] { return m_membership.membership().table().records(); }, [this] { scheduleFlush(); } });
     m_operators = std::make_unique<OperatorInterface>(*m_service, *m_subscriptions, *m_evacuations, m_settings, [this] { scheduleFlush(); });
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
@@ -196,7 +197,8 @@
     m_subscriptions->answerWaiting(now);
     m_routing->tick(now);
     m_evacuations->tick(now);
-    m_quotas->tick(now);
+    if (m_membership.isStarted())
+        m_quotaHolders->tick(now);
     m_observer.observe(*m_service);
     for (auto entry = m_forwardedClaims.begin(); entry != m_forwardedClaims.end();)
         entry = entry->second.expiry <= now ? m_forwardedClaims.erase(entry) : std::next(entry);
@@ -254,8 +256,6 @@
         handleForwardedChange(id, *change);
     else if (const auto* order = std::get_if<EvacuationOrderMessage>(&message))
         handleForwardedOrder(id, *order);
-    else if (const auto* quota = std::get_if<QuotaRequestMessage>(&message))
-        handleQuotaRequest(id, *quota);
 }
 
 void ControlDaemon::receiveFromReplica(std::string_view bytes)
@@ -279,8 +279,6 @@
         m_routing->leaderAnswered(*changeAnswer);
     else if (const auto* orderAnswer = std::get_if<EvacuationAnswerMessage>(&message.value()))
         m_evacuations->leaderAnswered(*orderAnswer);
-    else if (const auto* grant = std::get_if<QuotaGrantMessage>(&message.value()))
-        m_subscriptions->sendToNode(grant->node, *grant);
 }
 
 void ControlDaemon::handleClaim(NodeSubscriptions::SubscriberId id, const ClaimRequestMessage& message)
@@ -324,14 +322,6 @@
     scheduleFlush();
 }
 
-void ControlDaemon::handleQuotaRequest(NodeSubscriptions::SubscriberId id, const QuotaRequestMessage& message)
-{
-    if (!m_service->isLeading())
-        return forwardToLeader(message);
-    if (const auto grant = m_quotas->answer(message, steadyNow()))
-        m_subscriptions->send(id, *grant);
-}
-
 void ControlDaemon::forwardToLeader(const ControlMessage& message)
 {
     const std::string leader = m_service->leaderAddress();
--- a/Source/control/ControlDaemon.h
+++ b/Source/control/ControlDaemon.h
@@ -4,7 +4,7 @@
 #include "control/EvacuationStore.h"
 #include "control/NodeSubscriptions.h"
 #include "control/OperatorInterface.h"
-#include "control/QuotaOwner.h"
+#include "control/QuotaHolderStore.h"
 #include "control/ReplicaLinks.h"
 #include "control/RoutingStore.h"
 #include "control/StoreObserver.h"
@@ -80,7 +80,6 @@
     void handleForwardedChange(NodeSubscriptions::SubscriberId, const RoutingChangeMessage&);
     void handleForwardedOrder(NodeSubscriptions::SubscriberId, const EvacuationOrderMessage&);
     void handleForwardedAnswer(const ClaimAnswerMessage&);
-    void handleQuotaRequest(NodeSubscriptions::SubscriberId, const QuotaRequestMessage&);
     void tick();
     /// Posts a flush of the service, unless one is posted already.
     void scheduleFlush();
@@ -97,7 +96,7 @@
     std::unique_ptr<OperatorInterface> m_operators;
     std::unique_ptr<RoutingStore> m_routing;
     std::unique_ptr<EvacuationStore> m_evacuations;
-    std::unique_ptr<QuotaOwner> m_quotas;
+    std::unique_ptr<QuotaHolderStore> m_quotaHolders;
     StoreObserver m_observer;
     MembershipAgent m_membership;
     ReplicaLinks m_replicaLinks;
--- a/Source/control/NodeSubscriptions.cpp
+++ b/Source/control/NodeSubscriptions.cpp
@@ -71,14 +71,6 @@
         entry->second.link->send(LinkChannel::wrap(LinkChannel::node, encode(message)));
 }
 
-void NodeSubscriptions::sendToNode(const NodeId& node, const ControlMessage& message)
-{
-    for (const auto& [id, subscriber] : m_subscribers) {
-        if (subscriber.node == node)
-            send(id, message);
-    }
-}
-
 void NodeSubscriptions::documentsChanged()
 {
     std::vector<LinkPtr> stalledLinks;
--- a/Source/control/NodeSubscriptions.h
+++ b/Source/control/NodeSubscriptions.h
@@ -64,8 +64,6 @@
     /// Records the document versions that the node reports as in force, and sends what was held back until this report.
     void reportInForce(SubscriberId, const InForceMessage&, TimePoint now);
     void send(SubscriberId, const ControlMessage&);
-    /// Sends a message to a subscribed node; drops it if the node has no link to this replica.
-    void sendToNode(const NodeId&, const ControlMessage&);
     /// Sends newly applied versions of documents to all subscribed nodes.
     void documentsChanged();
     /// Sends the replica's current proof of freshness, once the newest version of each document was sent and there is a proof.
--- a/Source/coordination/quotas/QuotaCredit.cpp
+++ b/Source/coordination/quotas/QuotaCredit.cpp
@@ -9,12 +9,14 @@
 
 namespace {
 
-/// Interval between messages to the owner, and the shortest one when a call waits.
+/// Interval between messages to a holder, and the shortest one when a call waits.
 constexpr Duration reportInterval { 50000 };
 constexpr Duration urgentInterval { 5000 };
 constexpr Duration shortestPause { 1000 };
-/// A request that was not answered in this time is made again.
+/// A request that was not answered in this time is made again, of another slice if there is one.
 constexpr Duration answerTimeout { 40000 };
+/// Interval between requests to a holder that does not answer.
+constexpr Duration silentInterval { 200000 };
 /// Demand of this time is held as credit.
 constexpr double prefetchSeconds = 0.25;
 /// Time constant of the measured demand.
@@ -23,7 +25,7 @@
 constexpr double negligibleDemand = 0.01;
 /// Credit that expires within this time is given back.
 constexpr Duration giveBackBefore { 150000 };
-/// Retry-After where the owner can't be reached.
+/// Retry-After where no holder can be reached.
 constexpr Duration unprovedRetryAfter { 500000 };
 
 double inSeconds(Duration duration)
@@ -81,21 +83,54 @@
 
 std::uint64_t QuotaCredit::wanted(const Pool& pool, TimePoint now)
 {
-    const bool isAsking = pool.asked > 0 && now - pool.askedAt < answerTimeout;
-    if (isAsking)
-        return 0;
+    std::uint64_t held = inHand(pool, now);
+    for (const Request& request : pool.requests)
+        held += now - request.askedAt < answerTimeout ? request.wanted : 0;
     const std::uint64_t need = pool.waiting.size() + target(pool);
-    const std::uint64_t held = inHand(pool, now);
     return need > held ? need - held : 0;
 }
 
-QuotaCredit::Decision QuotaCredit::refusal(const Pool& pool, const WaitingCall& call, TimePoint now)
+Duration QuotaCredit::silence(QuotaSlice slice, TimePoint now) const
+{
+    const std::optional<TimePoint>& since = holder(slice).unansweredSince;
+    return since ? now - *since : Duration::zero();
+}
+
+bool QuotaCredit::isSilent(QuotaSlice slice, TimePoint now) const
+{
+    return silence(slice, now) >= answerTimeout;
+}
+
+std::optional<QuotaSlice> QuotaCredit::chooseSlice(const Pool& pool, TimePoint now) const
+{
+    std::optional<QuotaSlice> silent;
+    for (const QuotaSlice slice : m_order) {
+        if (pool.requests.at(slice.value()).deniedUntil > now)
+            continue;
+        if (!isSilent(slice, now))
+            return slice;
+        if (!silent && now - holder(slice).sentAt >= silentInterval)
+            silent = slice;
+    }
+    return silent;
+}
+
+TimePoint QuotaCredit::deniedUntil(const Pool& pool) const
+{
+    TimePoint until = TimePoint::max();
+    for (const QuotaSlice slice : m_order)
+        until = std::min(until, pool.requests.at(slice.value()).deniedUntil);
+    return until;
+}
+
+QuotaCredit::Decision QuotaCredit::refusal(const Pool& pool, const WaitingCall& call, TimePoint now) const
 {
     Decision decision;
     decision.call = call.call;
-    const bool isSpent = pool.spentUntil > now || pool.answeredAt > call.since;
+    // Only all slices together tell that the quota is used up.
+    const bool isSpent = m_order.size() == quotaSlices && std::all_of(pool.requests.begin(), pool.requests.end(), [&call, now](const Request& request) { return request.deniedUntil > now || request.deniedAt > call.since; });
     decision.code = isSpent ? ResultCode::QuotaExceeded : ResultCode::QuotaUnproved;
-    decision.retryAfter = isSpent ? std::max(pool.spentUntil - now, Duration::zero()) : unprovedRetryAfter;
+    decision.retryAfter = isSpent ? std::max(deniedUntil(pool) - now, Duration::zero()) : unprovedRetryAfter;
     return decision;
 }
 
@@ -114,7 +149,7 @@
             return decision;
         }
     }
-    if (pool.spentUntil >= decideBy)
+    if (deniedUntil(pool) >= decideBy)
         return refusal(pool, { call, now, decideBy }, now);
     pool.waiting.push_back({ call, now, decideBy });
     m_waitingCalls.emplace(call, workspace);
@@ -137,28 +172,23 @@
 {
     Pool& pool = m_pools[workspace];
     for (Lot& lot : pool.lots) {
-        if (lot.ticket.owner != ticket.owner || lot.ticket.grant != ticket.grant || lot.used == 0 || lot.expiry <= now)
+        if (lot.ticket.slice != ticket.slice || lot.ticket.tenure != ticket.tenure || lot.ticket.grant != ticket.grant || lot.used == 0 || lot.expiry <= now)
             continue;
         --lot.used;
         ++lot.left;
         return;
     }
-    if (ticket.owner == m_owner)
-        ++pool.refunded;
-}
-
-bool QuotaCredit::isUrgent(const Pool& pool, TimePoint now)
-{
-    return !pool.waiting.empty() && pool.spentUntil <= now && wanted(pool, now) > 0;
+    if (ticket.tenure == holder(ticket.slice).tenure)
+        ++pool.requests.at(ticket.slice.value()).refunded;
 }
 
-void QuotaCredit::report(Pool& pool, QuotaNeed& need, TimePoint now) const
+void QuotaCredit::report(Pool& pool, QuotaSlice slice, QuotaNeed& need, TimePoint now) const
 {
     const std::uint64_t held = inHand(pool, now);
     const std::uint64_t kept = target(pool);
     std::uint64_t excess = held > 2 * kept ? held - kept : 0;
     for (Lot& lot : pool.lots) {
-        if (lot.ticket.owner != m_owner || lot.expiry <= now)
+        if (lot.ticket.slice != slice || lot.ticket.tenure != holder(slice).tenure || lot.expiry <= now)
             continue;
         QuotaNeed::Report report { lot.ticket.grant, std::exchange(lot.used, 0), 0 };
         report.returned = lot.expiry - now < giveBackBefore ? lot.left : std::min(lot.left, excess);
@@ -171,63 +201,89 @@
     pool.lots.erase(std::remove_if(pool.lots.begin(), pool.lots.end(), isDone), pool.lots.end());
 }
 
-void QuotaCredit::addNeed(const WorkspaceName& workspace, Pool& pool, QuotaRequestMessage& message, TimePoint now) const
+void QuotaCredit::addNeed(const WorkspaceName& workspace, Pool& pool, QuotaRequestMessage& message, TimePoint now)
 {
     decay(pool, now);
+    Request& request = pool.requests.at(message.slice.value());
     QuotaNeed need;
     need.workspace = workspace;
-    need.wanted = wanted(pool, now);
-    report(pool, need, now);
-    need.refunded = std::exchange(pool.refunded, 0);
+    const bool isAsked = chooseSlice(pool, now) == message.slice;
+    need.wanted = isAsked ? wanted(pool, now) : 0;
+    report(pool, message.slice, need, now);
+    need.refunded = std::exchange(request.refunded, 0);
     if (need.wanted > 0) {
-        pool.askedClock = message.clock;
-        pool.asked = need.wanted;
-        pool.askedAt = now;
+        request.clock = message.clock;
+        request.wanted = need.wanted;
+        request.askedAt = now;
     }
-    if (need.wanted + need.refunded > 0 || !need.reports.empty()) {
+    if (need.wanted + need.refunded == 0 && need.reports.empty())
+        return;
+    if (isAsked)
         need.demand = std::exchange(pool.demand, 0);
-        message.needs.push_back(std::move(need));
+    message.needs.push_back(std::move(need));
+}
+
+void QuotaCredit::forgetIdle(TimePoint now)
+{
+    for (auto entry = m_pools.begin(); entry != m_pools.end();) {
+        Pool& pool = entry->second;
+        decay(pool, now);
+        const bool isIdle = pool.lots.empty() && pool.waiting.empty() && pool.rate < negligibleDemand && deniedUntil(pool) <= now;
+        entry = isIdle ? m_pools.erase(entry) : std::next(entry);
     }
 }
 
-std::optional<QuotaRequestMessage> QuotaCredit::nextRequest(TimePoint now)
+std::optional<QuotaRequestMessage> QuotaCredit::nextRequest(QuotaSlice slice, TimePoint now)
 {
-    const bool isDue = now - m_checkedAt >= reportInterval;
-    if (now - m_sentAt < urgentInterval || (!isDue && m_waitingPools.empty()))
+    Holder& asked = holder(slice);
+    const bool isDue = now - asked.checkedAt >= reportInterval;
+    if (now - asked.sentAt < urgentInterval || (!isDue && m_waitingPools.empty()))
         return std::nullopt;
     QuotaRequestMessage message;
+    message.slice = slice;
     message.node = m_node;
     message.incarnation = m_incarnation;
     message.clock = std::max(m_lastClock + 1, static_cast<std::uint64_t>(now.time_since_epoch().count()));
-    message.owner = m_owner;
+    message.tenure = asked.tenure;
     if (isDue) {
-        m_checkedAt = now;
-        for (auto entry = m_pools.begin(); entry != m_pools.end();) {
-            Pool& pool = entry->second;
-            addNeed(entry->first, pool, message, now);
-            const bool isIdle = pool.lots.empty() && pool.waiting.empty() && pool.rate < negligibleDemand && pool.spentUntil <= now;
-            entry = isIdle ? m_pools.erase(entry) : std::next(entry);
-        }
+        asked.checkedAt = now;
+        if (slice == m_order.front())
+            forgetIdle(now);
+        for (auto& [workspace, pool] : m_pools)
+            addNeed(workspace, pool, message, now);
     } else {
         for (const WorkspaceName& workspace : m_waitingPools) {
             Pool& pool = m_pools[workspace];
-            if (isUrgent(pool, now))
+            if (!pool.waiting.empty() && wanted(pool, now) > 0 && chooseSlice(pool, now) == slice)
                 addNeed(workspace, pool, message, now);
         }
     }
     if (message.needs.empty())
         return std::nullopt;
     m_lastClock = message.clock;
-    m_sentAt = now;
+    asked.sentAt = now;
+    const bool isAnswered = std::any_of(message.needs.begin(), message.needs.end(), [](const QuotaNeed& need) { return need.wanted > 0; });
+    if (isAnswered && !asked.unansweredSince)
+        asked.unansweredSince = now;
     return message;
 }
 
+std::vector<QuotaRequestMessage> QuotaCredit::nextRequests(TimePoint now)
+{
+    std::vector<QuotaRequestMessage> requests;
+    for (const QuotaSlice slice : m_order) {
+        if (auto request = nextRequest(slice, now))
+            requests.push_back(std::move(*request));
+    }
+    return requests;
+}
+
 void QuotaCredit::decideWaiting(Pool& pool, TimePoint now, std::vector<Decision>& decisions)
 {
     std::deque<WaitingCall> undecided;
     for (const WaitingCall& call : pool.waiting) {
         const auto ticket = call.decideBy > now ? tryTake(pool, now) : std::nullopt;
-        if (!ticket && call.decideBy > now && pool.spentUntil < call.decideBy) {
+        if (!ticket && call.decideBy > now && deniedUntil(pool) < call.decideBy) {
             undecided.push_back(call);
             continue;
         }
@@ -247,22 +303,26 @@
 std::vector<QuotaCredit::Decision> QuotaCredit::receive(const QuotaGrantMessage& message, TimePoint now)
 {
     std::vector<Decision> decisions;
-    // A former owner's grants are worth nothing once its successor may have given the credit to others.
-    if (message.node != m_node || message.incarnation != m_incarnation || message.owner < m_owner || message.clock > m_lastClock)
+    Holder& sender = holder(message.slice);
+    // A former holder's grants are worth nothing once its successor may have given the credit to others.
+    if (message.node != m_node || message.incarnation != m_incarnation || message.tenure < sender.tenure || message.clock > m_lastClock)
         return decisions;
-    m_owner = message.owner;
+    sender.tenure = message.tenure;
+    sender.unansweredSince.reset();
     const TimePoint expiry = TimePoint(Duration(static_cast<std::int64_t>(message.clock))) + m_lifetime;
     for (const QuotaGrantMessage::Grant& grant : message.grants) {
         const auto entry = m_pools.find(grant.workspace);
         if (entry == m_pools.end())
             continue;
         Pool& pool = entry->second;
-        if (pool.askedClock == message.clock)
-            pool.asked = 0;
-        pool.answeredAt = now;
+        Request& request = pool.requests.at(message.slice.value());
+        if (request.clock == message.clock)
+            request.wanted = 0;
         if (grant.credit > 0 && expiry > now)
-            pool.lots.push_back({ { message.owner, message.clock }, expiry, grant.credit, 0 });
-        pool.spentUntil = grant.wait > Duration::zero() ? now + grant.wait : TimePoint();
+            pool.lots.push_back({ { message.slice, message.tenure, message.clock }, expiry, grant.credit, 0 });
+        const bool isDenied = grant.wait > Duration::zero();
+        request.deniedAt = isDenied ? now : TimePoint();
+        request.deniedUntil = isDenied ? now + grant.wait : TimePoint();
         decideWaiting(pool, now, decisions);
     }
     return decisions;
@@ -279,17 +339,34 @@
     return decisions;
 }
 
+TimePoint QuotaCredit::nextTime(const Pool& pool, TimePoint now) const
+{
+    TimePoint next = TimePoint::max();
+    for (const WaitingCall& call : pool.waiting)
+        next = std::min(next, call.decideBy);
+    if (wanted(pool, now) == 0) {
+        for (const Request& request : pool.requests)
+            next = request.wanted > 0 && request.askedAt + answerTimeout > now ? std::min(next, request.askedAt + answerTimeout) : next;
+        return next;
+    }
+    if (const auto slice = chooseSlice(pool, now))
+        return std::min(next, holder(*slice).sentAt + urgentInterval);
+    for (const QuotaSlice slice : m_order)
+        next = std::min(next, std::max(pool.requests.at(slice.value()).deniedUntil, isSilent(slice, now) ? holder(slice).sentAt + silentInterval : now));
+    return next;
+}
+
 std::optional<TimePoint> QuotaCredit::nextTime(TimePoint now) const
 {
     if (m_pools.empty())
         return std::nullopt;
-    TimePoint next = m_checkedAt + reportInterval;
+    TimePoint next = now + reportInterval;
+    for (const QuotaSlice slice : m_order)
+        next = std::min(next, holder(slice).checkedAt + reportInterval);
     for (const WorkspaceName& workspace : m_waitingPools) {
         const Pool& pool = m_pools.at(workspace);
-        for (const WaitingCall& call : pool.waiting)
-            next = std::min(next, call.decideBy);
         if (!pool.waiting.empty())
-            next = std::min(next, std::max({ m_sentAt + urgentInterval, pool.spentUntil, pool.asked > 0 ? pool.askedAt + answerTimeout : now }));
+            next = std::min(next, nextTime(pool, now));
     }
     return std::max(next, now + shortestPause);
 }
--- a/Source/coordination/quotas/QuotaLedger.cpp
+++ b/Source/coordination/quotas/QuotaLedger.cpp
@@ -25,21 +25,24 @@
 
 } // namespace
 
-QuotaLedger::QuotaLedger(QuotaBound bound)
-    : m_bound(bound)
-    , m_lifetime(creditLifetime(bound))
+QuotaLedger::Counts& QuotaLedger::Counts::operator+=(const Counts& other)
 {
+    requests += other.requests;
+    wanted += other.wanted;
+    granted += other.granted;
+    deniedByBucket += other.deniedByBucket;
+    deniedByAllowance += other.deniedByAllowance;
+    deniedByShare += other.deniedByShare;
+    return *this;
 }
 
-void QuotaLedger::lead(std::uint64_t term, TimePoint now)
+QuotaLedger::QuotaLedger(QuotaBound bound, QuotaSlice slice, std::uint64_t tenure, TimePoint now)
+    : m_bound(bound)
+    , m_lifetime(creditLifetime(bound))
+    , m_slice(slice)
+    , m_tenure(tenure)
+    , m_heldSince(now)
 {
-    if (term == m_term)
-        return;
-    m_term = term;
-    m_leadingSince = now;
-    m_hasQuotas = false;
-    m_accounts.clear();
-    m_nodes.clear();
 }
 
 void QuotaLedger::setQuotas(const std::vector<Workspace>& workspaces, TimePoint now)
@@ -57,12 +60,12 @@
         account.plan = planOf(workspace.quota, m_bound);
         account.isLimited = true;
         if (isNew) {
-            // What a former owner granted in this window is not known; of a quota that begins now there is nothing to know.
+            // What a former holder granted in this window is not known; of a quota that begins now there is nothing to know.
             account.level = m_hasQuotas ? account.plan.capacity : 0;
             account.isFirstFill = !m_hasQuotas;
             account.filledAt = now;
             account.intervalStart = now;
-            account.refundsFrom = m_leadingSince + m_bound.window;
+            account.refundsFrom = m_heldSince + m_bound.window;
         }
         account.level = std::min(account.level, account.plan.capacity);
         account.refundsLeft = std::min(account.refundsLeft, account.plan.refunds);
@@ -158,8 +161,7 @@
     answer.workspace = need.workspace;
     Demand& demand = account.demands[key.first];
     demand.current += static_cast<double>(need.demand);
-    const double allowance = now - m_leadingSince < m_lifetime ? account.plan.youngAllowance : account.plan.allowance;
-    const double allowed = std::max(allowance - static_cast<double>(account.outstanding), 0.0);
+    const double allowed = std::max(account.plan.allowance - static_cast<double>(account.outstanding), 0.0);
     // Shares bind only while the bucket holds less than an interval brings.
     const bool isScarce = account.level < account.plan.rate * inSeconds(demandInterval);
     const double shared = isScarce && account.demands.size() > 1 ? demand.share : account.level;
@@ -178,7 +180,8 @@
     m_counts.wanted += need.wanted;
     m_counts.granted += answer.credit;
     if (answer.credit < need.wanted) {
-        std::uint64_t& denied = available <= std::min(allowed, shared) ? m_counts.deniedByBucket : allowed <= shared ? m_counts.deniedByAllowance : m_counts.deniedByShare;
+        std::uint64_t& denied = available <= std::min(allowed, shared) ? m_counts.deniedByBucket : allowed <= shared ? m_counts.deniedByAllowance
+                                                                                                                     : m_counts.deniedByShare;
         denied += need.wanted - answer.credit;
         // Under a demand that the quota does not cover, what was refused already waits for the same credit.
         const double missing = std::max(1 - available, 0.0) + (isScarce ? account.excess : 0);
@@ -196,7 +199,8 @@
     answer.node = message.node;
     answer.incarnation = message.incarnation;
     answer.clock = message.clock;
-    answer.owner = m_term;
+    answer.tenure = m_tenure;
+    answer.slice = m_slice;
     for (const QuotaNeed& need : message.needs) {
         const auto entry = m_accounts.find(need.workspace.value());
         if (entry == m_accounts.end() || !entry->second.isLimited) {
@@ -205,7 +209,7 @@
             continue;
         }
         advance(entry->second, now);
-        if (message.owner == m_term)
+        if (message.tenure == m_tenure)
             takeReports(entry->second, node, need);
         if (need.wanted > 0)
             answer.grants.push_back(grant(entry->second, { node, message.clock }, need, now));
--- a/Source/coordination/quotas/QuotaLedger.h
+++ b/Source/coordination/quotas/QuotaLedger.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "coordination/quotas/QuotaPlan.h"
-#include "protocol/ControlMessages.h"
+#include "protocol/QuotaMessages.h"
 #include "state/Workspace.h"
 
 #include <cstdint>
@@ -13,13 +13,11 @@
 
 namespace Knapweedquay {
 
-/// Grants credit for the requests of workspaces with a quota to all nodes: the part of the owner, which is the leader of the
-/// control store.
+/// Grants credit of one slice of each quota to all nodes: the part of the slice's holder.
 ///
 /// Answers a workspace that asks for more than its quota, at nodes that all see only a part of its requests. Its state is not
-/// stored: a new owner knows nothing of the credit that former owners granted, and starts with empty buckets and a small
-/// allowance until that credit has expired. docs/design/QUOTAS.md shows why the bound holds. It has no clock of its own; the
-/// caller checks that it leads at the moment of each request.
+/// stored: it begins after the credit of its predecessor has expired, with empty buckets. docs/design/QUOTAS.md shows why the bound
+/// holds. It has no clock of its own; the caller checks that it holds the slice at the moment of each request.
 class QuotaLedger {
 public:
     /// What was asked for and granted, and which limits stood against the rest, in credits.
@@ -33,13 +31,13 @@
         std::uint64_t deniedByAllowance = 0;
         /// Other nodes were entitled to it.
         std::uint64_t deniedByShare = 0;
+
+        Counts& operator+=(const Counts&);
     };
 
-    explicit QuotaLedger(QuotaBound);
+    QuotaLedger(QuotaBound, QuotaSlice, std::uint64_t tenure, TimePoint now);
 
-    /// Begins, or goes on, as the owner in this term.
-    void lead(std::uint64_t term, TimePoint now);
-    /// Replaces the quotas. Must not be called before lead().
+    /// Replaces the quotas.
     void setQuotas(const std::vector<Workspace>&, TimePoint now);
     /// Takes the reports of a node and grants credit.
     QuotaGrantMessage answer(const QuotaRequestMessage&, TimePoint now);
@@ -66,7 +64,7 @@
         QuotaPlan plan;
         double level = 0;
         TimePoint filledAt;
-        /// True from the start of this owner until the bucket was full.
+        /// True from the start of this holder until the bucket was full.
         bool isFirstFill = false;
         /// False while the configuration does not have the workspace, or has no limit for it.
         bool isLimited = true;
@@ -96,9 +94,10 @@
 
     QuotaBound m_bound;
     Duration m_lifetime;
-    std::uint64_t m_term = 0;
-    TimePoint m_leadingSince;
-    /// False until the quotas were set in this term.
+    QuotaSlice m_slice;
+    std::uint64_t m_tenure;
+    TimePoint m_heldSince;
+    /// False until the quotas were set for the first time.
     bool m_hasQuotas = false;
     std::unordered_map<std::string, Account> m_accounts;
     std::map<std::pair<NodeId, Incarnation>, NodeNumber> m_nodes;
--- a/Source/node/CallGateway.cpp
+++ b/Source/node/CallGateway.cpp
@@ -99,7 +99,8 @@
               } })
     , m_random(std::random_device {}())
     , m_quotas(context, m_self, m_settings.quotaBound,
-          { m_claimHooks.requestQuota,
+          { [this](const NodeId& holder, const QuotaRequestMessage& request) { m_links.send(holder, request); },
+              [this](const NodeId& holder) { m_links.replaceIfSilent(holder); },
               [this](const QuotaCredit::Decision& decision) {
                   if (const auto entry = m_sessions.find(decision.call); entry != m_sessions.end())
                       handleCredit(SessionPtr(entry->second), decision);
@@ -697,6 +698,8 @@
             handleNodeEvent(from, EndpointSlowed { from });
     } else if (const auto* document = std::get_if<DocumentAnswerMessage>(&message)) {
         m_documentHook(from, *document);
+    } else if (const auto* grant = std::get_if<QuotaGrantMessage>(&message)) {
+        m_quotas.receive(*grant);
     }
 }
 
@@ -779,8 +782,15 @@
         setMember(MemberRecord(entry.second));
 }
 
+void CallGateway::setConfigurationProvedAt(TimePoint provedAt)
+{
+    m_configurationProvedAt = provedAt;
+    m_quotas.configurationProved(provedAt);
+}
+
 void CallGateway::setMember(const MemberRecord& member)
 {
+    m_quotas.setMember(member);
     const auto previous = m_members.find(member.node);
     if (previous != m_members.end()) {
         ServiceTraffic* before = traffic(previous->second.endpoint.service);
--- a/Source/node/CallGateway.h
+++ b/Source/node/CallGateway.h
@@ -43,8 +43,6 @@
         /// Reports that the owner's call was answered, so that the store refuses later claims on its key with
         /// AlreadyRan.
         std::function<void(const ClaimOwner&, const ServiceName&, const IdempotencyKey&)> complete;
-        /// Requests credit of quotas; the reply is passed to quotaGranted().
-        std::function<void(const QuotaRequestMessage&)> requestQuota;
     };
 
     /// Totals since the start of the process.
@@ -86,7 +84,7 @@
     void setEvacuations(const EvacuationDocument&);
     const EmptiedDataCentres& emptiedDataCentres() const { return m_emptied; }
     /// Sets the time at which the documents were last proved recent. Calls are refused until the first proof.
-    void setConfigurationProvedAt(TimePoint provedAt) { m_configurationProvedAt = provedAt; }
+    void setConfigurationProvedAt(TimePoint);
     /// Updates the links and the endpoints after a member of the deployment joined, changed or left.
     void setMember(const MemberRecord&);
     /// True if the node is known to be in the data centre of this node.
@@ -101,7 +99,7 @@
     /// Handles the reply to ClaimHooks::request: Ok if the claim was granted, otherwise the code of the refusal.
     void claimAnswered(const ClaimOwner&, ResultCode);
 
-    void quotaGranted(const QuotaGrantMessage& message) { m_quotas.receive(message); }
+    NodeQuotas& quotas() { return m_quotas; }
 
     /// Handles a message from the local endpoint runner or another node: about an attempt of this node, a probe, the
     /// sender's load or a document.
--- a/Source/node/ControlSubscription.cpp
+++ b/Source/node/ControlSubscription.cpp
@@ -273,13 +273,6 @@
         m_pendingClaimEnds.push_back(message);
 }
 
-void ControlSubscription::requestQuota(const QuotaRequestMessage& message)
-{
-    // What was lost expires at the owner; what waited for a link would be worth nothing.
-    if (m_link && m_link->isOpen())
-        send(message);
-}
-
 Duration ControlSubscription::staleness(TimePoint now) const
 {
     return m_isFresh ? now - m_lastProvedAt : Duration::max();
--- a/Source/node/ControlSubscription.h
+++ b/Source/node/ControlSubscription.h
@@ -37,8 +37,6 @@
         std::function<void(TimePoint provedAt)> proved;
         /// Receives the reply to requestClaim(); ClaimUnavailable if there was none in time.
         std::function<void(const AttemptId& owner, ResultCode)> claimAnswered;
-        /// Receives the reply to requestQuota().
-        std::function<void(const QuotaGrantMessage&)> quotaGranted;
     };
 
     /// discoversReplicas: also connects to the replicas listed by the store, not only to those given here.
@@ -59,8 +57,6 @@
     void requestClaim(const ClaimRequestMessage&, Duration timeout);
     /// Sends the end of a claim, or queues it until a link is open.
     void endClaim(const ClaimEndMessage&);
-    /// Sends a request for credit; it is lost while no link is open.
-    void requestQuota(const QuotaRequestMessage&);
     /// Records that another node has this version in force. It is fetched from there only if no replica can be expected to
     /// send it soon.
     void hint(const NodeId&, const ServiceName&, DocumentVersion);
@@ -124,8 +120,6 @@
     void handle(const RoutingChangeAnswerMessage&) { }
     void handle(const EvacuationOrderMessage&) { }
     void handle(const EvacuationAnswerMessage&) { }
-    void handle(const QuotaRequestMessage&) { }
-    void handle(const QuotaGrantMessage& message) { m_hooks.quotaGranted(message); }
     void requestFreshness();
     void expireClaims(TimePoint now);
     /// True if no connected replica has proved recently that it is up to date, and the connected one has had time to.
--- a/Source/node/NodeControl.cpp
+++ b/Source/node/NodeControl.cpp
@@ -120,7 +120,6 @@
         m_hooks.configurationProved(provedAt);
     };
     hooks.claimAnswered = [this](const AttemptId& owner, ResultCode code) { m_hooks.claimAnswered(owner, code); };
-    hooks.quotaGranted = [this](const QuotaGrantMessage& message) { m_hooks.quotaGranted(message); };
     return hooks;
 }
 
@@ -204,12 +203,29 @@
     return true;
 }
 
+bool NodeControl::applyQuotaHolders(const DocumentMessage& message, const DocumentSender& sender)
+{
+    const LogField name { "service", message.service.value() };
+    const LogField version { "version", std::to_string(message.version.value()) };
+    const auto holders = parseQuotaHolders(message.text);
+    if (holders.has_error()) {
+        log(LogEvent::DocumentRefused, { name, version, { "detail", holders.error().detail } });
+        return false;
+    }
+    m_hooks.quotaHoldersChanged(holders.value(), message);
+    m_context.post([this] { publishDocuments(); });
+    log(LogEvent::DocumentInForce, { name, version, { "sender", sender.name }, { "bytes", std::to_string(sender.receivedBytes) } });
+    return true;
+}
+
 bool NodeControl::applyDocument(const DocumentMessage& message, const DocumentSender& sender)
 {
     if (message.service == routingDocumentName())
         return applyRouting(message, sender);
     if (message.service == evacuationDocumentName())
         return applyEvacuations(message, sender);
+    if (message.service == quotaHolderDocumentName())
+        return applyQuotaHolders(message, sender);
     const TimePoint startedAt = steadyNow();
     auto document = parseDocument(message.text);
     const LogField service { "service", message.service.value() };
--- a/Source/node/NodeControl.h
+++ b/Source/node/NodeControl.h
@@ -9,6 +9,7 @@
 #include "node/NodeMetrics.h"
 #include "node/NodeSettings.h"
 #include "state/EvacuationDocument.h"
+#include "state/QuotaHolderDocument.h"
 #include "state/ServiceDocument.h"
 #include "transport/HttpServer.h"
 #include "transport/MembershipAgent.h"
@@ -38,6 +39,7 @@
         std::function<void(const ServiceDocument&, const DocumentMessage& source)> documentChanged;
         std::function<void(const std::shared_ptr<const RoutingTable>&, const DocumentMessage& source)> routingChanged;
         std::function<void(const EvacuationDocument&, const DocumentMessage& source)> evacuationsChanged;
+        std::function<void(const QuotaHolderDocument&, const DocumentMessage& source)> quotaHoldersChanged;
         /// Another member has news about a request that was running in crashes.
         std::function<void(const CrashEvidence&)> evidenceReceived;
         /// Releases a held request; false if nothing is known of it.
@@ -48,8 +50,6 @@
         std::function<void(TimePoint provedAt)> configurationProved;
         /// The store replied to a claim, or did not reply in time.
         std::function<void(const AttemptId& owner, ResultCode)> claimAnswered;
-        /// The owner of the quotas granted credit.
-        std::function<void(const QuotaGrantMessage&)> quotaGranted;
         std::function<void(const LocalBackend&)> backendAnnounced;
         std::function<void()> backendRemoved;
         std::function<void()> backendDraining;
@@ -111,6 +111,7 @@
     bool applyRouting(const DocumentMessage&, const DocumentSender&);
     /// Like applyDocument(), for the evacuation document.
     bool applyEvacuations(const DocumentMessage&, const DocumentSender&);
+    bool applyQuotaHolders(const DocumentMessage&, const DocumentSender&);
     std::string status() const;
     /// Publishes the endpoint of the local backend server to the other members.
     void publishEndpoint(EndpointLifecycle);
--- a/Source/node/NodeDaemon.cpp
+++ b/Source/node/NodeDaemon.cpp
@@ -106,9 +106,6 @@
             m_control->subscription().endClaim({ owner, service, key, true });
         });
     };
-    hooks.requestQuota = [this](const QuotaRequestMessage& message) {
-        asio::post(m_controlContext, [this, message] { m_control->subscription().requestQuota(message); });
-    };
     return hooks;
 }
 
@@ -149,8 +146,10 @@
     hooks.claimAnswered = [this](const AttemptId& owner, ResultCode code) {
         asio::post(m_trafficContext, [this, owner, code] { m_traffic->gateway().claimAnswered(owner, code); });
     };
-    hooks.quotaGranted = [this](const QuotaGrantMessage& message) {
-        asio::post(m_trafficContext, [this, message] { m_traffic->gateway().quotaGranted(message); });
+    hooks.quotaHoldersChanged = [this](const QuotaHolderDocument& holders, const DocumentMessage& source) {
+        asio::post(m_trafficContext, [this, holders, source] {
+            m_traffic->setQuotaHolders(holders, { source.service, source.version, source.text });
+        });
     };
     hooks.backendAnnounced = [this](const LocalBackend& backend) {
         asio::post(m_trafficContext, [this, backend] { m_traffic->setBackend(backend); });
--- a/Source/node/NodeMetrics.cpp
+++ b/Source/node/NodeMetrics.cpp
@@ -57,7 +57,7 @@
     return { kind("call"), kind("repeat"), kind("resent"), kind("health_check") };
 }
 
-constexpr std::array<const char*, peerTrafficKinds> peerTrafficNames { "call", "answer", "outcome", "probe", "load_update", "document", "hello", "membership" };
+constexpr std::array<const char*, peerTrafficKinds> peerTrafficNames { "call", "answer", "outcome", "probe", "load_update", "document", "hello", "membership", "quota" };
 
 std::array<std::array<prometheus::Counter*, 2>, peerTrafficKinds> peerByteCounters(prometheus::Registry& registry)
 {
--- a/Source/node/NodeQuotas.cpp
+++ b/Source/node/NodeQuotas.cpp
@@ -2,6 +2,8 @@
 
 #include "transport/Logger.h"
 
+#include <asio/post.hpp>
+
 #include <algorithm>
 #include <chrono>
 #include <utility>
@@ -16,13 +18,20 @@
 constexpr int waitDivisor = 4;
 /// Interval between log lines about refusals.
 constexpr Duration refusalLogInterval { 1000000 };
+/// Interval between log lines about grants.
+constexpr Duration grantLogInterval { 1000000 };
+/// Silence of a holder after which its link is replaced.
+constexpr Duration longestSilence { 1000000 };
 
 } // namespace
 
 NodeQuotas::NodeQuotas(asio::io_context& context, const NodeIdentity& self, const QuotaBound& bound, Hooks hooks, NodeMetrics& metrics)
-    : m_hooks(std::move(hooks))
+    : m_context(context)
+    , m_self(self)
+    , m_hooks(std::move(hooks))
     , m_metrics(metrics)
     , m_credit(self.node, self.incarnation, creditLifetime(bound))
+    , m_holder(self.node, bound, steadyNow())
     , m_timer(context, [this] { update(); })
 {
 }
@@ -34,6 +43,69 @@
         if (workspace.quota.isLimited())
             m_limited.insert(workspace.name.value());
     }
+    m_holder.setQuotas(routing->document().workspaces, steadyNow());
+}
+
+void NodeQuotas::setHolders(const QuotaHolderDocument& holders)
+{
+    m_holders = holders;
+    m_holder.setHolders(holders, steadyNow());
+    updateSlices();
+}
+
+void NodeQuotas::setMember(const MemberRecord& member)
+{
+    if (member.isPresent())
+        m_dataCentres[member.node] = member.dataCentre;
+    else
+        m_dataCentres.erase(member.node);
+    const auto isHolder = [&member](const QuotaHolderDocument::Slice& slice) { return slice.holder == member.node; };
+    if (std::any_of(m_holders.slices.begin(), m_holders.slices.end(), isHolder))
+        updateSlices();
+}
+
+void NodeQuotas::updateSlices()
+{
+    std::vector<QuotaSlice> near;
+    std::vector<QuotaSlice> far;
+    // Nodes in data centres without a holder begin with different slices.
+    const std::size_t first = std::hash<NodeId>()(m_self.node) % quotaSlices;
+    for (std::size_t i = 0; i < quotaSlices; ++i) {
+        const QuotaSlice slice(static_cast<std::uint32_t>((first + i) % quotaSlices));
+        const auto holder = m_dataCentres.find(m_holders.slice(slice).holder);
+        if (holder != m_dataCentres.end())
+            (holder->second == m_self.dataCentre ? near : far).push_back(slice);
+    }
+    near.insert(near.end(), far.begin(), far.end());
+    m_credit.setSlices(std::move(near));
+    update();
+}
+
+std::optional<QuotaGrantMessage> NodeQuotas::answer(const QuotaRequestMessage& request)
+{
+    const TimePoint now = steadyNow();
+    auto grant = m_holder.answer(request, now);
+    logGrants(now);
+    if (!grant || grant->grants.empty())
+        return std::nullopt;
+    return grant;
+}
+
+void NodeQuotas::send(const QuotaRequestMessage& request)
+{
+    m_metrics.quotaRequested();
+    const NodeId holder = m_holders.slice(request.slice).holder;
+    if (holder == m_self.node) {
+        // Posted, since a grant decides calls that may be in the middle of something.
+        asio::post(m_context, [this, request] {
+            if (const auto grant = answer(request))
+                receive(*grant);
+        });
+        return;
+    }
+    if (m_credit.silence(request.slice, steadyNow()) > longestSilence)
+        m_hooks.replaceLink(holder);
+    m_hooks.request(holder, request);
 }
 
 QuotaCredit::Decision NodeQuotas::take(const WorkspaceName& workspace, std::uint64_t call, Duration timeLeft)
@@ -73,10 +145,8 @@
 void NodeQuotas::update()
 {
     const TimePoint now = steadyNow();
-    if (const auto request = m_credit.nextRequest(now)) {
-        m_metrics.quotaRequested();
-        m_hooks.request(*request);
-    }
+    for (const QuotaRequestMessage& request : m_credit.nextRequests(now))
+        send(request);
     pass(m_credit.expire(now));
     logRefusals(now);
     std::optional<TimePoint> next = m_credit.nextTime(now);
@@ -107,6 +177,17 @@
     ++(*decision.code == ResultCode::QuotaExceeded ? m_spent : m_unproved);
 }
 
+void NodeQuotas::logGrants(TimePoint now)
+{
+    if (now - m_grantsLoggedAt < grantLogInterval)
+        return;
+    m_grantsLoggedAt = now;
+    const QuotaLedger::Counts counts = m_holder.takeCounts();
+    if (counts.requests == 0)
+        return;
+    log(LogEvent::QuotaGrantsCounted, { { "requests", std::to_string(counts.requests) }, { "wanted", std::to_string(counts.wanted) }, { "granted", std::to_string(counts.granted) }, { "denied_by_bucket", std::to_string(counts.deniedByBucket) }, { "denied_by_allowance", std::to_string(counts.deniedByAllowance) }, { "denied_by_share", std::to_string(counts.deniedByShare) } });
+}
+
 void NodeQuotas::logRefusals(TimePoint now)
 {
     if (now - m_loggedAt < refusalLogInterval || (m_refusals.empty() && m_refused.empty()))
--- a/Source/node/NodeQuotas.h
+++ b/Source/node/NodeQuotas.h
@@ -1,11 +1,14 @@
 #pragma once
 
 #include "coordination/quotas/QuotaCredit.h"
+#include "coordination/quotas/QuotaHolder.h"
 #include "coordination/quotas/QuotaPlan.h"
 #include "coordination/routing/RoutingTable.h"
 #include "node/NodeIdentity.h"
 #include "node/NodeMetrics.h"
-#include "protocol/ControlMessages.h"
+#include "protocol/MemberRecord.h"
+#include "protocol/QuotaMessages.h"
+#include "state/QuotaHolderDocument.h"
 #include "transport/SteadyTime.h"
 
 #include <asio/io_context.hpp>
@@ -20,13 +23,15 @@
 
 namespace Knapweedquay {
 
-/// The credit of this node for calls of workspaces with a quota, on its traffic thread: sends its requests for credit, and
-/// logs and counts refusals.
+/// Quotas on the traffic thread of a node: sends requests for credit to the holders of the slices, answers those of other nodes
+/// for the slices that this node holds, and logs and counts refusals.
 class NodeQuotas {
 public:
     struct Hooks {
-        /// Sends a request for credit to the control store.
-        std::function<void(const QuotaRequestMessage&)> request;
+        /// Sends a request for credit to the holder of its slice.
+        std::function<void(const NodeId& holder, const QuotaRequestMessage&)> request;
+        /// Replaces the link to a holder that has been silent for long.
+        std::function<void(const NodeId& holder)> replaceLink;
         /// Passes on the decision about a call for which take() had none.
         std::function<void(const QuotaCredit::Decision&)> decided;
     };
@@ -34,6 +39,13 @@
     NodeQuotas(asio::io_context&, const NodeIdentity&, const QuotaBound&, Hooks, NodeMetrics&);
 
     void setRouting(const std::shared_ptr<const RoutingTable>&);
+    void setHolders(const QuotaHolderDocument&);
+    /// Registers that a member joined, changed or left.
+    void setMember(const MemberRecord&);
+    /// Registers that all documents that were committed at that time are in force.
+    void configurationProved(TimePoint provedAt) { m_holder.proved(provedAt); }
+    /// Answers another node's request for credit; not set if this node does not hold the slice.
+    std::optional<QuotaGrantMessage> answer(const QuotaRequestMessage&);
     /// True if calls of the workspace need credit.
     bool isLimited(const WorkspaceName& workspace) const { return m_limited.count(workspace.value()) > 0; }
     /// Takes a credit for a call that has so much time to its target. The decision may follow through the hook.
@@ -45,16 +57,27 @@
     void receive(const QuotaGrantMessage&);
 
 private:
-    /// Sends the request that is due, decides calls that waited too long, and sets the timer.
+    /// Sends the requests that are due, decides calls that waited too long, and sets the timer.
     void update();
     void pass(const std::vector<QuotaCredit::Decision>&);
     void count(const WorkspaceName&, const QuotaCredit::Decision&);
     /// Logs which workspaces began and ceased to be refused since the last line.
     void logRefusals(TimePoint now);
+    void logGrants(TimePoint now);
+    /// Sets which slices can be asked: first those that are held in this data centre.
+    void updateSlices();
+    void send(const QuotaRequestMessage&);
 
+    asio::io_context& m_context;
+    NodeIdentity m_self;
     Hooks m_hooks;
     NodeMetrics& m_metrics;
     QuotaCredit m_credit;
+    QuotaHolder m_holder;
+    QuotaHolderDocument m_holders;
+    /// Data centres of the members that are present.
+    std::map<NodeId, DataCentre> m_dataCentres;
+    TimePoint m_grantsLoggedAt;
     std::unordered_set<std::string> m_limited;
     /// Workspaces of calls that wait.
     std::map<std::uint64_t, WorkspaceName> m_waiting;
--- a/Source/node/NodeTraffic.cpp
+++ b/Source/node/NodeTraffic.cpp
@@ -158,6 +158,10 @@
         m_runner.probe(*probe, id);
     } else if (const auto* document = std::get_if<DocumentRequestMessage>(&message.value()))
         sendDocument(id, document->service);
+    else if (const auto* quota = std::get_if<QuotaRequestMessage>(&message.value())) {
+        if (const auto grant = m_gateway.quotas().answer(*quota))
+            reply(id, *grant);
+    }
 }
 
 Duration NodeTraffic::excessDelay(Connection& connection, std::uint64_t sentAt)
@@ -245,6 +249,12 @@
     m_metrics.setDataCentreEmptied(evacuations.isEmptied(m_self.dataCentre));
 }
 
+void NodeTraffic::setQuotaHolders(const QuotaHolderDocument& holders, const DocumentAnswerMessage& source)
+{
+    m_documentMessages[source.service] = source;
+    m_gateway.quotas().setHolders(holders);
+}
+
 std::optional<ServiceDocument> NodeTraffic::documentOf(const ServiceName& service) const
 {
     const auto entry = m_documents.find(service);
--- a/Source/node/NodeTraffic.h
+++ b/Source/node/NodeTraffic.h
@@ -6,6 +6,7 @@
 #include "node/NodeIdentity.h"
 #include "node/NodeSettings.h"
 #include "state/EvacuationDocument.h"
+#include "state/QuotaHolderDocument.h"
 #include "transport/HttpClient.h"
 #include "transport/HttpServer.h"
 #include "transport/Link.h"
@@ -39,6 +40,8 @@
     void configurationProved(TimePoint);
     /// Applies which data centres are emptied, and keeps the text to answer requests from other nodes.
     void setEvacuations(const EvacuationDocument&, const DocumentAnswerMessage& source);
+    /// Applies which nodes hold the slices of the quotas, and keeps the text to answer requests from other nodes.
+    void setQuotaHolders(const QuotaHolderDocument&, const DocumentAnswerMessage& source);
     /// Asks callers to close their connections; they are still served until drain().
     void announceStop() { m_callServer.closeAfterResponses(); }
     /// Sets the local backend server after an announcement, and stops refusing attempts.
--- a/Source/node/PeerTraffic.cpp
+++ b/Source/node/PeerTraffic.cpp
@@ -17,6 +17,8 @@
     PeerTraffic operator()(const LoadUpdateMessage&) const { return PeerTraffic::LoadUpdate; }
     PeerTraffic operator()(const DocumentRequestMessage&) const { return PeerTraffic::Document; }
     PeerTraffic operator()(const DocumentAnswerMessage&) const { return PeerTraffic::Document; }
+    PeerTraffic operator()(const QuotaRequestMessage&) const { return PeerTraffic::Quota; }
+    PeerTraffic operator()(const QuotaGrantMessage&) const { return PeerTraffic::Quota; }
     PeerTraffic operator()(const HelloMessage&) const { return PeerTraffic::Hello; }
 };
 
--- a/Source/node/PeerTraffic.h
+++ b/Source/node/PeerTraffic.h
@@ -21,9 +21,11 @@
     Document,
     Hello,
     /// Datagrams of the membership protocol.
-    Membership
+    Membership,
+    /// Requests for credit of quotas, and grants.
+    Quota
 };
-constexpr std::size_t peerTrafficKinds = 8;
+constexpr std::size_t peerTrafficKinds = 9;
 
 PeerTraffic trafficOf(const PeerMessage&);
 
--- a/Source/protocol/ControlMessages.cpp
+++ b/Source/protocol/ControlMessages.cpp
@@ -11,7 +11,6 @@
 
 constexpr std::size_t maximumServices = 4096;
 constexpr std::size_t maximumReplicaAddresses = 64;
-constexpr std::size_t maximumQuotaFields = 16384;
 
 void append(Json& fields, const DocumentVersions& versions)
 {
@@ -265,99 +264,6 @@
     message.detail = reader.bytes();
 }
 
-void appendFields(Json& fields, const QuotaRequestMessage& message)
-{
-    fields.push_back(message.node.value());
-    fields.push_back(message.incarnation.value());
-    fields.push_back(message.clock);
-    fields.push_back(message.owner);
-    Json list = Json::array();
-    for (const QuotaNeed& need : message.needs) {
-        list.push_back(need.workspace.value());
-        list.push_back(need.wanted);
-        list.push_back(need.demand);
-        list.push_back(need.refunded);
-        Json reports = Json::array();
-        for (const QuotaNeed::Report& report : need.reports) {
-            // Grants are older than the request that reports on them; the difference takes fewer bytes.
-            reports.push_back(message.clock - report.grant);
-            reports.push_back(report.used);
-            reports.push_back(report.returned);
-        }
-        list.push_back(std::move(reports));
-    }
-    fields.push_back(std::move(list));
-}
-
-void readFields(FieldReader& reader, QuotaRequestMessage& message)
-{
-    message.node = NodeId(reader.text());
-    message.incarnation = Incarnation(reader.unsignedInteger());
-    message.clock = reader.unsignedInteger();
-    message.owner = reader.unsignedInteger();
-    const Json& list = reader.array();
-    if (list.size() > maximumQuotaFields)
-        return reader.fail("too many workspaces");
-    FieldReader needs(list);
-    while (!reader.failed() && !needs.failed() && needs.remaining() > 0) {
-        QuotaNeed need;
-        need.workspace = WorkspaceName(needs.text());
-        need.wanted = readUnsigned32(needs);
-        need.demand = readUnsigned32(needs);
-        need.refunded = readUnsigned32(needs);
-        FieldReader reports(needs.array());
-        while (!reports.failed() && reports.remaining() > 0) {
-            const std::uint64_t age = reports.unsignedInteger();
-            const std::uint64_t used = readUnsigned32(reports);
-            const std::uint64_t returned = readUnsigned32(reports);
-            if (age > message.clock)
-                reports.fail("a grant is younger than the report on it");
-            need.reports.push_back({ message.clock - age, used, returned });
-        }
-        if (reports.failed())
-            needs.fail("malformed report on a grant");
-        message.needs.push_back(std::move(need));
-    }
-    if (needs.failed())
-        reader.fail("malformed need of credit");
-}
-
-void appendFields(Json& fields, const QuotaGrantMessage& message)
-{
-    fields.push_back(message.node.value());
-    fields.push_back(message.incarnation.value());
-    fields.push_back(message.clock);
-    fields.push_back(message.owner);
-    Json list = Json::array();
-    for (const QuotaGrantMessage::Grant& grant : message.grants) {
-        list.push_back(grant.workspace.value());
-        list.push_back(grant.credit);
-        list.push_back(grant.wait.count());
-    }
-    fields.push_back(std::move(list));
-}
-
-void readFields(FieldReader& reader, QuotaGrantMessage& message)
-{
-    message.node = NodeId(reader.text());
-    message.incarnation = Incarnation(reader.unsignedInteger());
-    message.clock = reader.unsignedInteger();
-    message.owner = reader.unsignedInteger();
-    const Json& list = reader.array();
-    if (list.size() > maximumQuotaFields)
-        return reader.fail("too many workspaces");
-    FieldReader grants(list);
-    while (!reader.failed() && !grants.failed() && grants.remaining() > 0) {
-        QuotaGrantMessage::Grant grant;
-        grant.workspace = WorkspaceName(grants.text());
-        grant.credit = readUnsigned32(grants);
-        grant.wait = grants.duration();
-        message.grants.push_back(std::move(grant));
-    }
-    if (grants.failed())
-        reader.fail("malformed grant of credit");
-}
-
 } // namespace
 
 std::string encode(const ControlMessage& message)
--- a/Source/protocol/ControlMessages.h
+++ b/Source/protocol/ControlMessages.h
@@ -155,60 +155,9 @@
     std::string detail;
 };
 
-/// What a node reports and asks about the quota of one workspace.
-struct QuotaNeed {
-    /// Use of the credit of one grant, since the previous report on it.
-    struct Report {
-        /// Clock of the request that was granted.
-        std::uint64_t grant = 0;
-        std::uint64_t used = 0;
-        /// Credit that was not used and no longer is.
-        std::uint64_t returned = 0;
-    };
-
-    WorkspaceName workspace;
-    /// Credit that the node asks for.
-    std::uint64_t wanted = 0;
-    /// Calls that needed credit since the previous message.
-    std::uint64_t demand = 0;
-    /// Credit of calls that did not run, whose use was reported before.
-    std::uint64_t refunded = 0;
-    std::vector<Report> reports;
-};
-
-/// A node's request for credit of workspaces with a quota, and its report on earlier grants.
-struct QuotaRequestMessage {
-    NodeId node;
-    Incarnation incarnation;
-    /// Clock of the node in microseconds, different for each request; the answer repeats it.
-    std::uint64_t clock = 0;
-    /// Owner whose grants are reported on; 0 before the first grant.
-    std::uint64_t owner = 0;
-    std::vector<QuotaNeed> needs;
-};
-
-/// Credit that the owner of the quotas grants. The node may use it for a fixed time after the clock of its request, so a grant
-/// that was delayed, or a node that was suspended, never has credit that the owner has forgotten.
-struct QuotaGrantMessage {
-    /// Credit for one workspace.
-    struct Grant {
-        WorkspaceName workspace;
-        std::uint64_t credit = 0;
-        /// Time until there will be more; 0 when all that was wanted was granted.
-        Duration wait { 0 };
-    };
-
-    NodeId node;
-    Incarnation incarnation;
-    std::uint64_t clock = 0;
-    /// Term of the leader of the control store that granted it.
-    std::uint64_t owner = 0;
-    std::vector<Grant> grants;
-};
-
 using ControlMessage = std::variant<SubscribeMessage, DocumentMessage, FreshnessRequestMessage, FreshnessMessage, InForceMessage, ClaimRequestMessage,
     ClaimAnswerMessage, ClaimEndMessage, ReplicaListMessage, DocumentUpdateMessage, UpdatesAcceptedMessage, RoutingChangeMessage, RoutingChangeAnswerMessage,
-    EvacuationOrderMessage, EvacuationAnswerMessage, QuotaRequestMessage, QuotaGrantMessage>;
+    EvacuationOrderMessage, EvacuationAnswerMessage>;
 
 /// Encodes a message as the CBOR array [type, fields...]; docs/PROTOCOL.md lists the types.
 std::string encode(const ControlMessage&);
--- a/Source/protocol/Ids.h
+++ b/Source/protocol/Ids.h
@@ -28,6 +28,8 @@
 using PriorityIndex = StrongType<struct PriorityIndexTag, std::uint32_t>;
 
 /// Name of a workspace; empty where a request belongs to none.
+/// Number of one of the equal slices of a quota; below quotaSlices.
+using QuotaSlice = StrongType<struct QuotaSliceTag, std::uint32_t>;
 using WorkspaceName = StrongType<struct WorkspaceNameTag, std::string>;
 
 /// Identity of one attempt of a call, unique across all nodes and their restarts.
--- a/Source/protocol/LogEvent.cpp
+++ b/Source/protocol/LogEvent.cpp
@@ -79,6 +79,7 @@
     { LogEvent::QuotaRefusalsEnded, LogLevel::Info, "calls of workspaces no longer refused for their quotas" },
     { LogEvent::QuotaRefusalsCounted, LogLevel::Debug, "calls refused for quotas in the last second" },
     { LogEvent::QuotaGrantsCounted, LogLevel::Debug, "credit granted for quotas in the last second" },
+    { LogEvent::QuotaHoldersChanged, LogLevel::Info, "holders of the quotas changed" },
 };
 
 const Row& rowOf(LogEvent event)
--- a/Source/protocol/LogEvent.h
+++ b/Source/protocol/LogEvent.h
@@ -98,6 +98,7 @@
     QuotaRefusalsEnded = 711,
     QuotaRefusalsCounted = 712,
     QuotaGrantsCounted = 713,
+    QuotaHoldersChanged = 714,
 };
 
 /// Severity of an event.
--- a/Source/protocol/PeerMessages.h
+++ b/Source/protocol/PeerMessages.h
@@ -5,6 +5,7 @@
 #include "protocol/CallerProof.h"
 #include "protocol/HttpMessage.h"
 #include "protocol/Ids.h"
+#include "protocol/QuotaMessages.h"
 #include "protocol/Result.h"
 #include "protocol/Time.h"
 
@@ -137,7 +138,8 @@
 };
 
 using PeerMessage = std::variant<HelloMessage, CallRequestMessage, CallAcceptedMessage, CallAnswerMessage, CallRefusalMessage, CallUnknownMessage,
-    CallCancelMessage, CallCancelledMessage, ProbeMessage, ProbeAnswerMessage, DocumentRequestMessage, DocumentAnswerMessage, LoadUpdateMessage>;
+    CallCancelMessage, CallCancelledMessage, ProbeMessage, ProbeAnswerMessage, DocumentRequestMessage, DocumentAnswerMessage, LoadUpdateMessage, QuotaRequestMessage,
+    QuotaGrantMessage>;
 
 /// Fields of a load report that the receiver of a message can read.
 enum class LoadEncoding {
--- a/Tests/coordination/QuotaCreditTest.cpp
+++ b/Tests/coordination/QuotaCreditTest.cpp
@@ -1,5 +1,7 @@
 #include "coordination/quotas/QuotaCredit.h"
 #include "coordination/quotas/QuotaLedger.h"
+#include "coordination/quotas/QuotaPlan.h"
+#include "protocol/PeerMessages.h"
 
 #include <gtest/gtest.h>
 
@@ -7,13 +9,14 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// Two nodes and an owner without delays.
+/// Two nodes and the holders of all slices, without delays.
 class QuotaCreditTest : public testing::Test {
 protected:
     QuotaCreditTest()
     {
-        m_ledger.lead(1, m_now);
-        setQuota(10, 5);
+        replaceHolders();
+        m_node.setSlices(allSlices());
+        m_other.setSlices(allSlices());
         advance(seconds(5));
     }
 
@@ -22,22 +25,55 @@
         Workspace workspace;
         workspace.name = m_workspace;
         workspace.quota = { rate, burst };
-        m_ledger.setQuotas({ workspace }, m_now);
+        for (QuotaLedger& ledger : m_ledgers)
+            ledger.setQuotas({ workspace }, m_now);
+    }
+
+    /// Lets other holders begin, which know nothing of what was granted before.
+    void replaceHolders()
+    {
+        ++m_tenure;
+        m_ledgers.clear();
+        for (const QuotaSlice slice : allSlices())
+            m_ledgers.emplace_back(m_bound, slice, m_tenure, m_now);
+        setQuota(10, 5);
+    }
+
+    static std::vector<QuotaSlice> allSlices()
+    {
+        std::vector<QuotaSlice> slices;
+        for (std::uint32_t slice = 0; slice < quotaSlices; ++slice)
+            slices.emplace_back(slice);
+        return slices;
+    }
+
+    std::uint64_t outstanding()
+    {
+        std::uint64_t sum = 0;
+        for (QuotaLedger& ledger : m_ledgers)
+            sum += ledger.outstanding(m_workspace, m_now);
+        return sum;
     }
 
     void advance(Duration time) { m_now += time; }
 
     QuotaCredit::Decision take(QuotaCredit& node) { return node.take(m_workspace, ++m_call, m_now + milliseconds(80), m_now); }
 
-    /// Lets the node ask the owner, and returns its decisions.
+    QuotaGrantMessage answer(const QuotaRequestMessage& request) { return m_ledgers.at(request.slice.value()).answer(request, m_now); }
+
+    /// Lets the node ask the holders until it has nothing more to ask, and returns its decisions.
     std::vector<QuotaCredit::Decision> exchange(QuotaCredit& node)
     {
-        const auto request = node.nextRequest(m_now);
-        if (!request)
-            return {};
-        const auto received = decodeControlMessage(encode(*request));
-        const auto answer = decodeControlMessage(encode(m_ledger.answer(std::get<QuotaRequestMessage>(received.value()), m_now)));
-        return node.receive(std::get<QuotaGrantMessage>(answer.value()), m_now);
+        std::vector<QuotaCredit::Decision> decisions;
+        for (auto requests = node.nextRequests(m_now); !requests.empty(); requests = node.nextRequests(m_now)) {
+            for (const QuotaRequestMessage& request : requests) {
+                const auto received = decodePeerMessage(encode(PeerMessage(request)));
+                const auto grant = decodePeerMessage(encode(PeerMessage(answer(std::get<QuotaRequestMessage>(received.value())))));
+                const auto decided = node.receive(std::get<QuotaGrantMessage>(grant.value()), m_now);
+                decisions.insert(decisions.end(), decided.begin(), decided.end());
+            }
+        }
+        return decisions;
     }
 
     /// Number of calls that the node runs when so many arrive at once.
@@ -59,7 +95,8 @@
     const QuotaBound m_bound { seconds(5), 0.1, 20 };
     TimePoint m_now { std::chrono::hours(1) };
     std::uint64_t m_call = 0;
-    QuotaLedger m_ledger { m_bound };
+    std::uint64_t m_tenure = 0;
+    std::vector<QuotaLedger> m_ledgers;
     QuotaCredit m_node { NodeId("a"), Incarnation(1), creditLifetime(m_bound) };
     QuotaCredit m_other { NodeId("b"), Incarnation(1), creditLifetime(m_bound) };
 };
@@ -90,7 +127,7 @@
 TEST_F(QuotaCreditTest, NoAnswer_RefusedAsUnprovedAfterTheWait)
 {
     EXPECT_FALSE(take(m_node).code);
-    m_node.nextRequest(m_now);
+    m_node.nextRequests(m_now);
     advance(milliseconds(80));
     const auto decisions = m_node.expire(m_now);
     ASSERT_EQ(decisions.size(), 1U);
@@ -100,25 +137,24 @@
 TEST_F(QuotaCreditTest, GrantArrivesAfterItsLifetime_IsWorthNothing)
 {
     EXPECT_FALSE(take(m_node).code);
-    const auto request = m_node.nextRequest(m_now);
-    const QuotaGrantMessage grant = m_ledger.answer(*request, m_now);
+    const QuotaGrantMessage grant = answer(m_node.nextRequests(m_now).at(0));
     advance(creditLifetime(m_bound));
     for (const QuotaCredit::Decision& decision : m_node.receive(grant, m_now))
         EXPECT_NE(decision.code, ResultCode::Ok);
     EXPECT_EQ(m_node.inHand(m_now), 0U);
-    EXPECT_EQ(m_ledger.outstanding(m_workspace, m_now), 0U);
+    EXPECT_EQ(outstanding(), 0U);
 }
 
 TEST_F(QuotaCreditTest, NodeFrozenForTheLifetime_WhatItHeldIsWorthNothing)
 {
     take(m_node);
-    const auto request = m_node.nextRequest(m_now);
+    const auto requests = m_node.nextRequests(m_now);
     m_node.cancel(m_call);
-    m_node.receive(m_ledger.answer(*request, m_now), m_now);
+    m_node.receive(answer(requests.at(0)), m_now);
     EXPECT_EQ(m_node.inHand(m_now), 1U);
     advance(creditLifetime(m_bound));
     EXPECT_NE(take(m_node).code, ResultCode::Ok);
-    EXPECT_EQ(m_ledger.outstanding(m_workspace, m_now), 0U);
+    EXPECT_EQ(outstanding(), 0U);
 }
 
 TEST_F(QuotaCreditTest, CallThatDidNotRun_ItsCreditServesTheNext)
@@ -130,7 +166,7 @@
     EXPECT_EQ(take(m_node).code, ResultCode::Ok);
 }
 
-TEST_F(QuotaCreditTest, NodeBecomesIdle_ItsCreditReturnsToTheOwner)
+TEST_F(QuotaCreditTest, NodeBecomesIdle_ItsCreditReturnsToTheHolders)
 {
     for (int i = 0; i < 40; ++i) {
         take(m_node);
@@ -142,7 +178,7 @@
         advance(milliseconds(100));
     }
     EXPECT_EQ(m_node.inHand(m_now), 0U);
-    EXPECT_EQ(m_ledger.outstanding(m_workspace, m_now), 0U);
+    EXPECT_EQ(outstanding(), 0U);
 }
 
 TEST_F(QuotaCreditTest, SmallNodeBesideOneThatAsksForMore_GetsWhatItNeeds)
@@ -155,28 +191,26 @@
     EXPECT_GE(small, 16);
 }
 
-TEST_F(QuotaCreditTest, NewOwner_TakesNoReportsOnGrantsOfTheFormer)
+TEST_F(QuotaCreditTest, NewHolder_TakesNoReportsOnGrantsOfTheFormer)
 {
     EXPECT_FALSE(take(m_node).code);
     ASSERT_EQ(exchange(m_node).size(), 1U);
-    m_ledger.lead(2, m_now);
-    setQuota(10, 5);
+    replaceHolders();
     advance(milliseconds(300));
     EXPECT_FALSE(take(m_other).code);
     exchange(m_other);
-    const std::uint64_t before = m_ledger.outstanding(m_workspace, m_now);
+    const std::uint64_t before = outstanding();
     EXPECT_GT(before, 0U);
     exchange(m_node);
-    EXPECT_EQ(m_ledger.outstanding(m_workspace, m_now), before);
+    EXPECT_EQ(outstanding(), before);
 }
 
-TEST_F(QuotaCreditTest, FormerOwnersGrantArrivesAfterItsSuccessors_IsNotUsed)
+TEST_F(QuotaCreditTest, FormerHoldersGrantArrivesAfterItsSuccessors_IsNotUsed)
 {
+    m_node.setSlices({ QuotaSlice(0) });
     EXPECT_FALSE(take(m_node).code);
-    const auto request = m_node.nextRequest(m_now);
-    const QuotaGrantMessage late = m_ledger.answer(*request, m_now);
-    m_ledger.lead(2, m_now);
-    setQuota(10, 5);
+    const QuotaGrantMessage late = answer(m_node.nextRequests(m_now).at(0));
+    replaceHolders();
     advance(milliseconds(300));
     take(m_node);
     exchange(m_node);
@@ -192,3 +226,44 @@
     EXPECT_FALSE(m_node.cancel(m_call));
     EXPECT_TRUE(exchange(m_node).empty());
 }
+
+TEST_F(QuotaCreditTest, HolderSilent_CallRunsWithCreditOfAnotherSlice)
+{
+    EXPECT_FALSE(take(m_node).code);
+    EXPECT_EQ(m_node.nextRequests(m_now).at(0).slice, QuotaSlice(0));
+    advance(milliseconds(40));
+    const auto requests = m_node.nextRequests(m_now);
+    ASSERT_EQ(requests.size(), 1U);
+    EXPECT_EQ(requests[0].slice, QuotaSlice(1));
+    const auto decisions = m_node.receive(answer(requests[0]), m_now);
+    ASSERT_EQ(decisions.size(), 1U);
+    EXPECT_EQ(decisions[0].code, ResultCode::Ok);
+}
+
+TEST_F(QuotaCreditTest, SliceUsedUp_CallsRunWithCreditOfTheOthers)
+{
+    // The bucket of a slice holds three credits.
+    EXPECT_EQ(runs(m_node, 9), 9);
+}
+
+TEST_F(QuotaCreditTest, SliceWithoutHolder_RefusedAsUnprovedWhenTheOthersAreUsedUp)
+{
+    m_node.setSlices({ QuotaSlice(0), QuotaSlice(1) });
+    QuotaCredit::Decision refused;
+    for (int i = 0; i < 200 && !refused.code; ++i) {
+        const QuotaCredit::Decision taken = take(m_node);
+        refused = taken.code && *taken.code != ResultCode::Ok ? taken : refused;
+        for (const QuotaCredit::Decision& decision : exchange(m_node))
+            refused = *decision.code == ResultCode::Ok ? refused : decision;
+        advance(milliseconds(10));
+        for (const QuotaCredit::Decision& decision : m_node.expire(m_now))
+            refused = *decision.code == ResultCode::Ok ? refused : decision;
+    }
+    EXPECT_EQ(refused.code, ResultCode::QuotaUnproved);
+}
+
+TEST_F(QuotaCreditTest, NoHolderKnown_RefusedAtOnce)
+{
+    m_node.setSlices({});
+    EXPECT_EQ(take(m_node).code, ResultCode::QuotaUnproved);
+}
--- a/Tests/coordination/QuotaFleetTest.cpp
+++ b/Tests/coordination/QuotaFleetTest.cpp
@@ -24,15 +24,19 @@
 {
     for (int i = 0; i < 30; ++i) {
         fleet.at(randomTime(fleet, time), [&fleet, workspaces] {
-            const auto node = static_cast<std::size_t>(fleet.random() * static_cast<double>(fleet.size()));
+            const auto holder = fleet.holder(QuotaSlice(static_cast<std::uint32_t>(fleet.random() * quotaSlices)));
+            const bool isHolder = holder && fleet.random() < 0.5;
+            const auto node = isHolder ? *holder : static_cast<std::size_t>(fleet.random() * static_cast<double>(fleet.size()));
             const auto workspace = static_cast<std::size_t>(fleet.random() * static_cast<double>(workspaces));
             const double kind = fleet.random();
             if (kind < 0.2)
                 fleet.freezeNode(node, randomTime(fleet, seconds(3)));
             else if (kind < 0.4)
                 fleet.cutNode(node, randomTime(fleet, seconds(5)));
-            else if (kind < 0.5)
+            else if (kind < 0.45)
                 fleet.restartNode(node);
+            else if (kind < 0.5)
+                fleet.stopNode(node, randomTime(fleet, seconds(12)));
             else if (kind < 0.7)
                 fleet.scaleDemand(workspace, fleet.demand() < maximumDemand && fleet.random() < 0.6 ? 6 : 0.3);
             else if (kind < 0.8)
@@ -40,7 +44,7 @@
             else if (kind < 0.9)
                 fleet.moveDemand(fleet.random());
             else
-                fleet.replaceOwner(milliseconds(400) + randomTime(fleet, milliseconds(800)));
+                fleet.replaceLeader(milliseconds(400) + randomTime(fleet, milliseconds(800)));
         });
     }
 }
@@ -75,7 +79,7 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, QuotaFleetTest, testing::Range<std::uint64_t>(1, 41));
 
-TEST(QuotaOwnersTest, OwnersFollowEachOtherUnderTooMuchDemand_NoWindowPassesTheBound)
+TEST(QuotaHoldersTest, HoldersFollowEachOtherUnderTooMuchDemand_NoWindowPassesTheBound)
 {
     QuotaFleet::Settings settings;
     settings.nodes = 10;
@@ -85,13 +89,18 @@
     settings.burstSeconds = 3;
     settings.bound.slack = 5;
     QuotaFleet fleet(settings);
-    // Fills the buckets before each row of owners.
+    // Fills the buckets before each row of losses; restarted nodes hold the same slices, others lose them.
     for (int row = 0; row < 3; ++row) {
-        fleet.at(seconds(20 * row), [&fleet] { fleet.stopCalls(seconds(15)); });
-        for (int owner = 0; owner < 6; ++owner)
-            fleet.at(seconds(20 * row + 15) + owner * milliseconds(700), [&fleet] { fleet.replaceOwner(milliseconds(400)); });
+        fleet.at(seconds(40 * row), [&fleet] { fleet.stopCalls(seconds(15)); });
+        for (int loss = 0; loss < 12; ++loss) {
+            fleet.at(seconds(40 * row + 15) + loss * milliseconds(1700), [&fleet, loss] {
+                if (const auto holder = fleet.holder(QuotaSlice(static_cast<std::uint32_t>(loss) % quotaSlices)))
+                    fleet.stopNode(*holder, loss % 2 == 0 ? milliseconds(300) : seconds(9));
+                fleet.replaceLeader(milliseconds(400));
+            });
+        }
     }
-    fleet.run(seconds(60));
+    fleet.run(seconds(120));
     EXPECT_LE(fleet.result().worstWindow, 1);
 }
 
@@ -167,6 +176,27 @@
     EXPECT_LT(play("no owner for 2 s again and again").wronglyRefusedShare(), wronglyRefusedGoalInTrouble);
 }
 
+TEST_F(QuotaGoalTest, HolderLost_FewWronglyRefused)
+{
+    const QuotaFleet::Result result = play("a holder lost");
+    expectInBound(result);
+    EXPECT_LT(result.wronglyRefusedShare(), wronglyRefusedGoalInTrouble);
+}
+
+TEST_F(QuotaGoalTest, HolderFrozen_FewWronglyRefused)
+{
+    const QuotaFleet::Result result = play("a holder frozen for 4 s");
+    expectInBound(result);
+    EXPECT_LT(result.wronglyRefusedShare(), wronglyRefusedGoalInTrouble);
+}
+
+TEST_F(QuotaGoalTest, ThirdOfTheNodesLosesMessages_FewWronglyRefused)
+{
+    const QuotaFleet::Result result = play("a third loses 3 % of its messages");
+    expectInBound(result);
+    EXPECT_LT(result.wronglyRefusedShare(), wronglyRefusedGoalInTrouble);
+}
+
 TEST_F(QuotaGoalTest, FifthOfTheNodesCutOff_WithinTheBound)
 {
     expectInBound(play("a fifth cut off for 8 s"));
--- a/Utilities/QuotaBench/QuotaBench.cpp
+++ b/Utilities/QuotaBench/QuotaBench.cpp
@@ -19,7 +19,7 @@
         for (std::size_t i = 1; i < arguments.size(); ++i)
             sizes.push_back(std::stoul(arguments[i]));
     }
-    std::printf("| Nodes | Workspaces | Scenario | Worst window / bound | Wrongly refused | Bytes a node a second |\n|---|---|---|---|---|---|\n");
+    std::printf("| Nodes | Workspaces | Scenario | Worst window / bound | Wrongly refused | Bytes a node a second | Requests a holder a second |\n|---|---|---|---|---|---|---|\n");
     for (const std::size_t nodes : sizes) {
         for (const std::size_t workspaces : { 76, 1000 }) {
             for (const QuotaScenario& scenario : quotaScenarios()) {
@@ -28,7 +28,7 @@
                 settings.workspaces = workspaces;
                 settings.callsPerSecond = callsPerNode * static_cast<double>(nodes);
                 const QuotaFleet::Result result = playScenario(scenario, settings);
-                std::printf("| %zu | %zu | %s | %.3f | %.5f | %.0f |\n", nodes, workspaces, scenario.name.c_str(), result.worstWindow, result.wronglyRefusedShare(), result.bytesPerNodeSecond);
+                std::printf("| %zu | %zu | %s | %.3f | %.5f | %.0f | %.0f |\n", nodes, workspaces, scenario.name.c_str(), result.worstWindow, result.wronglyRefusedShare(), result.bytesPerNodeSecond, result.requestsPerHolderSecond);
                 std::fflush(stdout);
             }
         }
--- a/Utilities/QuotaBench/QuotaFleet.cpp
+++ b/Utilities/QuotaBench/QuotaFleet.cpp
@@ -1,5 +1,8 @@
 #include "QuotaBench/QuotaFleet.h"
 
+#include "coordination/quotas/QuotaPlan.h"
+#include "protocol/PeerMessages.h"
+
 #include <algorithm>
 #include <chrono>
 #include <cmath>
@@ -8,6 +11,9 @@
 
 namespace {
 
+/// Interval at which nodes ask the control store for proof that their documents are the newest.
+constexpr Duration proofInterval { 200000 };
+constexpr std::size_t dataCentres = 3;
 /// Longest wait of a call for credit.
 constexpr Duration decisionTime { 80000 };
 /// Longest time after which a call turns out not to run.
@@ -23,9 +29,14 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
 }
 
+NodeId idOf(std::size_t node)
+{
+    return NodeId("node-" + std::to_string(node));
+}
+
 QuotaCredit creditOf(std::size_t node, std::uint64_t incarnation, const QuotaBound& bound)
 {
-    return { NodeId("node-" + std::to_string(node)), Incarnation(incarnation), creditLifetime(bound) };
+    return { idOf(node), Incarnation(incarnation), creditLifetime(bound) };
 }
 
 } // namespace
@@ -33,11 +44,11 @@
 QuotaFleet::QuotaFleet(const Settings& settings)
     : m_settings(settings)
     , m_random(settings.seed)
-    , m_ledger(settings.bound)
-    , m_ownerFrom(m_now)
+    , m_assignment(settings.bound)
+    , m_leaderFrom(m_now)
 {
     for (std::size_t i = 0; i < settings.nodes; ++i)
-        m_nodes.emplace_back(creditOf(i, 1, settings.bound));
+        m_nodes.emplace_back(creditOf(i, 1, settings.bound), QuotaHolder(idOf(i), settings.bound, m_now));
     double sum = 0;
     for (std::size_t i = 0; i < settings.workspaces; ++i)
         sum += std::pow(static_cast<double>(i + 1), -settings.skew);
@@ -53,8 +64,7 @@
         m_totalDemand += workspace.demand;
         m_workspaces.push_back(std::move(workspace));
     }
-    m_ledger.lead(m_term, m_now);
-    applyQuotas();
+    tickStore();
     nextCall();
 }
 
@@ -85,6 +95,7 @@
     m_isMeasuring = true;
     m_measuredFrom = m_now;
     m_bytes = 0;
+    m_holderRequests = 0;
     m_calls = 0;
 }
 
@@ -95,9 +106,93 @@
     return random() < m_settings.stallShare ? usual + fromSeconds(share * inSeconds(m_settings.maximumStall)) : usual;
 }
 
-bool QuotaFleet::isLost(const Node& node)
+bool QuotaFleet::isLost(const Node& from, const Node& to)
+{
+    if ((from.cutUntil > m_now) != (to.cutUntil > m_now) || from.stoppedUntil > m_now || to.stoppedUntil > m_now)
+        return true;
+    return random() < std::max({ m_settings.lossShare, from.lossShare, to.lossShare });
+}
+
+DataCentre QuotaFleet::dataCentreOf(std::size_t node) const
+{
+    return DataCentre(std::to_string(node * dataCentres / m_nodes.size()));
+}
+
+std::vector<Knapweedquay::Workspace> QuotaFleet::quotas() const
+{
+    std::vector<Knapweedquay::Workspace> quotas;
+    for (const Workspace& workspace : m_workspaces)
+        quotas.push_back({ workspace.name, {}, std::nullopt, workspace.quota });
+    return quotas;
+}
+
+std::vector<MemberRecord> QuotaFleet::members() const
+{
+    std::vector<MemberRecord> members;
+    for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+        MemberRecord member;
+        member.node = idOf(i);
+        member.dataCentre = dataCentreOf(i);
+        member.endpoint.service = ServiceName("service");
+        const Node& node = m_nodes[i];
+        member.health = std::max({ node.cutUntil, node.frozenUntil, node.stoppedUntil }) > m_now ? MemberHealth::Suspect : MemberHealth::Alive;
+        members.push_back(std::move(member));
+    }
+    return members;
+}
+
+void QuotaFleet::tickStore()
+{
+    schedule(m_now + proofInterval, [this] { tickStore(); });
+    if (m_leaderFrom > m_now)
+        return;
+    m_assignment.lead(m_term, m_now);
+    if (const auto next = m_assignment.next(m_committed, m_version + 1, members(), m_now)) {
+        m_committed = next;
+        ++m_version;
+    }
+    for (std::size_t node = 0; node < m_nodes.size(); ++node) {
+        const Node& asking = m_nodes[node];
+        if (std::max({ asking.cutUntil, asking.frozenUntil, asking.stoppedUntil }) <= m_now)
+            proveTo(node);
+    }
+}
+
+void QuotaFleet::proveTo(std::size_t node)
 {
-    return node.cutUntil > m_now || random() < m_settings.lossShare;
+    schedule(m_now + delay(), [this, node, holders = m_committed, quotas = quotas(), provedAt = m_now, incarnation = m_nodes[node].incarnation] {
+        onNode(node, [this, node, holders, quotas, provedAt, incarnation] {
+            if (m_nodes[node].incarnation == incarnation && holders)
+                applyDocuments(node, *holders, quotas, provedAt);
+        });
+    });
+}
+
+void QuotaFleet::applyDocuments(std::size_t index, const QuotaHolderDocument& holders, const std::vector<Knapweedquay::Workspace>& quotas, TimePoint provedAt)
+{
+    Node& node = m_nodes[index];
+    node.holders = holders;
+    node.holder.setQuotas(quotas, m_now);
+    node.holder.setHolders(holders, m_now);
+    node.holder.proved(provedAt);
+    std::vector<QuotaSlice> order;
+    std::vector<QuotaSlice> far;
+    for (std::size_t i = 0; i < quotaSlices; ++i) {
+        const QuotaSlice slice(static_cast<std::uint32_t>((index + i) % quotaSlices));
+        if (const auto holder = this->holder(slice))
+            (dataCentreOf(*holder) == dataCentreOf(index) ? order : far).push_back(slice);
+    }
+    order.insert(order.end(), far.begin(), far.end());
+    node.credit.setSlices(std::move(order));
+}
+
+std::optional<std::size_t> QuotaFleet::holder(QuotaSlice slice) const
+{
+    for (std::size_t i = 0; m_committed && i < m_nodes.size(); ++i) {
+        if (m_committed->slice(slice).holder == idOf(i))
+            return i;
+    }
+    return std::nullopt;
 }
 
 void QuotaFleet::onNode(std::size_t index, std::function<void()> action)
@@ -131,27 +226,21 @@
 {
     Node& node = m_nodes[index];
     node.credit = creditOf(index, ++node.incarnation, m_settings.bound);
+    node.holder = QuotaHolder(idOf(index), m_settings.bound, m_now);
+    node.holders = {};
 }
 
-void QuotaFleet::replaceOwner(Duration gap)
+void QuotaFleet::stopNode(std::size_t index, Duration time)
 {
-    // Messages that a former owner receives after its lease has ended are refused, whenever it wakes.
-    ++m_term;
-    m_ownerFrom = m_now + gap;
-    schedule(m_ownerFrom, [this, term = m_term] {
-        if (term != m_term)
-            return;
-        m_ledger.lead(m_term, m_now);
-        applyQuotas();
-    });
+    m_nodes[index].stoppedUntil = m_now + time;
+    restartNode(index);
+    schedule(m_now + time, [this, index] { restartNode(index); });
 }
 
-void QuotaFleet::applyQuotas()
+void QuotaFleet::replaceLeader(Duration gap)
 {
-    std::vector<Knapweedquay::Workspace> quotas;
-    for (const Workspace& workspace : m_workspaces)
-        quotas.push_back({ workspace.name, {}, std::nullopt, workspace.quota });
-    m_ledger.setQuotas(quotas, m_now);
+    ++m_term;
+    m_leaderFrom = m_now + gap;
 }
 
 void QuotaFleet::scaleDemand(std::size_t index, double factor)
@@ -168,8 +257,6 @@
     workspace.quota.burst *= factor;
     workspace.quotas.emplace_back(m_now, workspace.quota);
     workspace.level = std::min(workspace.level, workspace.quota.burst);
-    if (m_ownerFrom <= m_now)
-        applyQuotas();
 }
 
 std::size_t QuotaFleet::chooseWorkspace()
@@ -189,7 +276,10 @@
         if (m_callsFrom > m_now)
             return nextCall();
         const double spread = random() < m_movedShare ? 1.0 / 3 : 1;
-        arrive(static_cast<std::size_t>(random() * spread * static_cast<double>(m_nodes.size())), chooseWorkspace());
+        auto node = static_cast<std::size_t>(random() * spread * static_cast<double>(m_nodes.size()));
+        for (std::size_t tries = 0; m_nodes[node].stoppedUntil > m_now && tries < m_nodes.size(); ++tries)
+            node = (node + 1) % m_nodes.size();
+        arrive(node, chooseWorkspace());
         nextCall();
     });
 }
@@ -248,8 +338,8 @@
 void QuotaFleet::pump(std::size_t index)
 {
     Node& node = m_nodes[index];
-    if (const auto request = node.credit.nextRequest(m_now))
-        send(index, *request);
+    for (const QuotaRequestMessage& request : node.credit.nextRequests(m_now))
+        send(index, request);
     for (const QuotaCredit::Decision& decision : node.credit.expire(m_now))
         handle(index, decision);
     const auto next = node.credit.nextTime(m_now);
@@ -265,29 +355,39 @@
 
 void QuotaFleet::send(std::size_t index, const QuotaRequestMessage& message)
 {
-    const std::string bytes = encode(message);
+    const std::string bytes = encode(PeerMessage(message));
     m_bytes += bytes.size();
-    if (isLost(m_nodes[index]))
-        return;
-    schedule(m_now + delay(), [this, index, bytes, term = m_term] {
-        // A message that was sent to a former owner is not passed on.
-        if (term == m_term && m_ownerFrom <= m_now)
-            ownerReceives(index, bytes);
-    });
+    const NodeId& name = m_nodes[index].holders.slice(message.slice).holder;
+    for (std::size_t holder = 0; holder < m_nodes.size(); ++holder) {
+        if (idOf(holder) != name)
+            continue;
+        if (holder != index && isLost(m_nodes[index], m_nodes[holder]))
+            return;
+        schedule(m_now + delay(), [this, index, holder, bytes, incarnation = m_nodes[holder].incarnation] {
+            onNode(holder, [this, index, holder, bytes, incarnation] {
+                if (m_nodes[holder].incarnation == incarnation)
+                    holderReceives(holder, index, bytes);
+            });
+        });
+    }
 }
 
-void QuotaFleet::ownerReceives(std::size_t index, const std::string& bytes)
+void QuotaFleet::holderReceives(std::size_t holder, std::size_t index, const std::string& bytes)
 {
-    const auto request = std::get<QuotaRequestMessage>(decodeControlMessage(bytes).value());
-    const std::string answer = encode(m_ledger.answer(request, m_now));
+    ++m_holderRequests;
+    const auto request = std::get<QuotaRequestMessage>(decodePeerMessage(bytes).value());
+    const auto grant = m_nodes[holder].holder.answer(request, m_now);
+    if (!grant || grant->grants.empty())
+        return;
+    const std::string answer = encode(PeerMessage(*grant));
     m_bytes += answer.size();
-    if (isLost(m_nodes[index]))
+    if (holder != index && isLost(m_nodes[holder], m_nodes[index]))
         return;
     schedule(m_now + delay(), [this, index, answer, incarnation = m_nodes[index].incarnation] {
         onNode(index, [this, index, answer, incarnation] {
             if (m_nodes[index].incarnation != incarnation)
                 return;
-            for (const QuotaCredit::Decision& decision : m_nodes[index].credit.receive(std::get<QuotaGrantMessage>(decodeControlMessage(answer).value()), m_now))
+            for (const QuotaCredit::Decision& decision : m_nodes[index].credit.receive(std::get<QuotaGrantMessage>(decodePeerMessage(answer).value()), m_now))
                 handle(index, decision);
             pump(index);
         });
@@ -328,6 +428,7 @@
     }
     result.calls = m_calls;
     result.bytesPerNodeSecond = static_cast<double>(m_bytes) / static_cast<double>(m_nodes.size()) / inSeconds(m_now - m_measuredFrom);
+    result.requestsPerHolderSecond = static_cast<double>(m_holderRequests) / quotaSlices / inSeconds(m_now - m_measuredFrom);
     return result;
 }
 
--- a/Utilities/QuotaBench/QuotaFleet.h
+++ b/Utilities/QuotaBench/QuotaFleet.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "coordination/quotas/QuotaAssignment.h"
 #include "coordination/quotas/QuotaCredit.h"
-#include "coordination/quotas/QuotaLedger.h"
+#include "coordination/quotas/QuotaHolder.h"
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <queue>
 #include <random>
 #include <string>
@@ -13,8 +15,8 @@
 
 namespace Knapweedquay {
 
-/// Nodes and successive owners of quotas in virtual time, with calls at random times, delayed and lost messages, frozen and
-/// restarted nodes. Counts the runs of each workspace in all windows, and the calls that its quota allows but that were refused.
+/// Nodes that hold and use slices of quotas, and successive leaders of the control store, in virtual time, with calls at random
+/// times, delayed and lost messages, frozen, lost and restarted nodes. Counts the runs of each workspace in all windows, and the calls that its quota allows but that were refused.
 class QuotaFleet {
 public:
     struct Settings {
@@ -49,6 +51,8 @@
         std::uint64_t runs = 0;
         /// Bytes that a node sent and received in a second, as an average over all.
         double bytesPerNodeSecond = 0;
+        /// Requests for credit that a holder got in a second, as an average over all.
+        double requestsPerHolderSecond = 0;
 
         double wronglyRefusedShare() const { return owed > 0 ? wronglyRefused / owed : 0; }
     };
@@ -65,11 +69,17 @@
     void startMeasurement();
     Result result() const;
 
-    /// Ends the owner's leadership; the next one leads after the gap, which must be an election timeout or more. A frozen
-    /// owner handles what arrived when it wakes.
-    void replaceOwner(Duration gap);
+    /// Ends the leadership in the control store; the next leader leads after the gap.
+    void replaceLeader(Duration gap);
     void freezeNode(std::size_t, Duration);
+    /// Cuts a node off from the control store and from all nodes that are not cut off.
     void cutNode(std::size_t, Duration);
+    /// Ends a node for this time; calls go to others.
+    void stopNode(std::size_t, Duration);
+    /// The node that holds a slice; not set if there is none.
+    std::optional<std::size_t> holder(QuotaSlice) const;
+    /// Loses a share of all messages of a node from now on.
+    void setLoss(std::size_t node, double share) { m_nodes.at(node).lossShare = share; }
     void restartNode(std::size_t);
     /// Lets no calls arrive for this time.
     void stopCalls(Duration time) { m_callsFrom = m_now + time; }
@@ -84,11 +94,16 @@
 
 private:
     struct Node {
-        explicit Node(QuotaCredit part)
-            : credit(std::move(part))
+        Node(QuotaCredit user, QuotaHolder keeper)
+            : credit(std::move(user))
+            , holder(std::move(keeper))
         {
         }
         QuotaCredit credit;
+        QuotaHolder holder;
+        QuotaHolderDocument holders;
+        double lossShare = 0;
+        TimePoint stoppedUntil;
         std::uint64_t incarnation = 1;
         TimePoint frozenUntil;
         TimePoint cutUntil;
@@ -124,15 +139,21 @@
     void onNode(std::size_t, std::function<void()>);
     void thaw(std::size_t);
     Duration delay();
-    bool isLost(const Node&);
+    bool isLost(const Node& from, const Node& to);
+    DataCentre dataCentreOf(std::size_t node) const;
+    /// Lets the control store prove its documents to the nodes, and its leader name holders.
+    void tickStore();
+    void proveTo(std::size_t node);
+    std::vector<MemberRecord> members() const;
+    void applyDocuments(std::size_t node, const QuotaHolderDocument&, const std::vector<Knapweedquay::Workspace>&, TimePoint provedAt);
+    std::vector<Knapweedquay::Workspace> quotas() const;
     void nextCall();
     std::size_t chooseWorkspace();
     void arrive(std::size_t node, std::size_t workspace);
     void handle(std::size_t node, const QuotaCredit::Decision&);
     void pump(std::size_t node);
     void send(std::size_t node, const QuotaRequestMessage&);
-    void ownerReceives(std::size_t node, const std::string& bytes);
-    void applyQuotas();
+    void holderReceives(std::size_t holder, std::size_t node, const std::string& bytes);
     std::pair<double, double>& windowOf(Workspace&);
     double limitOf(const Workspace&, TimePoint windowStart) const;
 
@@ -147,15 +168,18 @@
     double m_totalDemand = 0;
     double m_movedShare = 0;
     TimePoint m_callsFrom;
-    QuotaLedger m_ledger;
+    QuotaAssignment m_assignment;
+    std::optional<QuotaHolderDocument> m_committed;
+    std::uint64_t m_version = 0;
     std::uint64_t m_term = 1;
-    TimePoint m_ownerFrom;
+    TimePoint m_leaderFrom;
     std::uint64_t m_lastCall = 0;
     std::unordered_map<std::uint64_t, std::size_t> m_waiting;
     bool m_isMeasuring = false;
     TimePoint m_measuredFrom;
     std::uint64_t m_calls = 0;
     std::uint64_t m_bytes = 0;
+    std::uint64_t m_holderRequests = 0;
 };
 
 } // namespace Knapweedquay
--- a/Utilities/QuotaBench/QuotaScenarios.cpp
+++ b/Utilities/QuotaBench/QuotaScenarios.cpp
@@ -14,9 +14,11 @@
 constexpr Duration ownerGap = seconds(3);
 constexpr Duration restartTime = seconds(1);
 constexpr Duration cutTime = seconds(8);
+constexpr Duration freezeTime = seconds(4);
 constexpr Duration shortPause = seconds(2);
 constexpr Duration pauseInterval = seconds(4);
 constexpr int pauses = 3;
+constexpr double lossShare = 0.03;
 /// Times of the trouble after the start of the fleet.
 constexpr Duration troubleTime = seconds(10);
 constexpr std::size_t hotWorkspace = 3;
@@ -33,19 +35,31 @@
         { "one at 7.5 times its usual", false, [](QuotaFleet& fleet) { fleet.scaleDemand(hotWorkspace, hotFactor); } },
         { "demand moves", false, [](QuotaFleet& fleet) { fleet.moveDemand(movedShare); } },
         { "quota cut to a fifth", false, [](QuotaFleet& fleet) { fleet.scaleQuota(hotWorkspace, cutQuota); } },
-        { "3 s without an owner", false, [](QuotaFleet& fleet) { fleet.replaceOwner(ownerGap); } },
-        { "no owner for 2 s again and again", false, [](QuotaFleet& fleet) {
-             for (int pause = 0; pause < pauses; ++pause)
-                 fleet.at(troubleTime + pause * pauseInterval, [&fleet] { fleet.replaceOwner(shortPause); });
-         } },
+        { "3 s without an owner", false, [](QuotaFleet& fleet) { fleet.replaceLeader(ownerGap); } },
         { "a fifth cut off for 8 s", false, [](QuotaFleet& fleet) {
              for (std::size_t node = 0; node < fleet.size() / 5; ++node)
                  fleet.cutNode(node, cutTime);
          } },
+        { "no owner for 2 s again and again", false, [](QuotaFleet& fleet) {
+             for (int pause = 0; pause < pauses; ++pause)
+                 fleet.at(troubleTime + pause * pauseInterval, [&fleet] { fleet.replaceLeader(shortPause); });
+         } },
+        { "a holder lost", false, [](QuotaFleet& fleet) {
+             if (const auto holder = fleet.holder(QuotaSlice(0)))
+                 fleet.stopNode(*holder, measuredTime);
+         } },
+        { "a holder frozen for 4 s", false, [](QuotaFleet& fleet) {
+             if (const auto holder = fleet.holder(QuotaSlice(0)))
+                 fleet.freezeNode(*holder, freezeTime);
+         } },
+        { "a third loses 3 % of its messages", false, [](QuotaFleet& fleet) {
+             for (std::size_t node = 0; node < fleet.size() / 3; ++node)
+                 fleet.setLoss(node, lossShare);
+         } },
         { "all restarted", false, [](QuotaFleet& fleet) {
              // Nodes take no calls before the store proves the configuration, which takes a leader.
              fleet.stopCalls(restartTime);
-             fleet.replaceOwner(restartTime);
+             fleet.replaceLeader(restartTime);
              for (std::size_t node = 0; node < fleet.size(); ++node)
                  fleet.restartNode(node);
          } },
