Admission: Finish begun work before new work where there are workspaces

Callers saw runs that ended in 500 because a call that the run made was refused, and sent them again, which was more work.

Cause: calls of running requests had the priority of their route, waited behind new work and were judged by its service times. Their own priority now goes before all ranks in documents derived from routes, in deployments with workspaces only.

--- a/Source/coordination/routing/RoutingTable.cpp
+++ b/Source/coordination/routing/RoutingTable.cpp
@@ -26,7 +26,7 @@
     const std::vector<Rank> ranks = ranksOf(m_document);
     m_entries.reserve(m_document.rules.size());
     for (const RoutingRule& rule : m_document.rules) {
-        m_entries.push_back({ rule, priorityOfRank(ranks, rule.rank) });
+        m_entries.push_back({ rule, priorityOfRank(m_document, ranks, rule.rank) });
         const Entry& entry = m_entries.back();
         m_hosts[normalizedHost(rule.host)][entry.rule.pathPrefix] = &entry;
     }
--- a/Source/coordination/workspaces/KeyTable.cpp
+++ b/Source/coordination/workspaces/KeyTable.cpp
@@ -10,7 +10,7 @@
         return;
     const std::vector<Rank> ranks = ranksOf(routing);
     for (const Workspace& workspace : routing.workspaces) {
-        const std::optional<PriorityIndex> priority = workspace.rank ? std::optional(priorityOfRank(ranks, *workspace.rank)) : std::nullopt;
+        const std::optional<PriorityIndex> priority = workspace.rank ? std::optional(priorityOfRank(routing, ranks, *workspace.rank)) : std::nullopt;
         for (const KeyDigest& key : workspace.keys)
             m_holders.emplace(key, Holder { workspace.name, priority });
     }
--- a/Source/node/CallGateway.cpp
+++ b/Source/node/CallGateway.cpp
@@ -188,6 +188,8 @@
     if (const auto parent = m_localRunner.running().parentOf(session->parsed.requestId)) {
         session->targetAt = session->deadline;
         session->isCallOfRun = true;
+        if (session->parsed.route && !session->routing->document().workspaces.empty())
+            session->priority = PriorityIndex(runPriorityIndex);
         session->parsed.isRepeat = session->parsed.isRepeat || parent->isRepeat;
     }
     return session;
--- a/Source/protocol/PeerMessages.cpp
+++ b/Source/protocol/PeerMessages.cpp
@@ -14,8 +14,8 @@
 using Json = nlohmann::json;
 
 constexpr std::size_t maximumHeaders = 200;
-// Service documents derived from a routing document have up to 32 priorities, others up to 16.
-constexpr std::size_t maximumReportedPriorities = 32;
+// Service documents derived from a routing document have up to 32 ranks and the priority of calls of runs, others up to 16.
+constexpr std::size_t maximumReportedPriorities = 33;
 /// A request rate is sent as requests in a thousand seconds.
 constexpr double requestRateScale = 1000;
 
--- a/Source/state/RoutingDocument.cpp
+++ b/Source/state/RoutingDocument.cpp
@@ -148,10 +148,11 @@
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
-PriorityIndex priorityOfRank(const std::vector<Rank>& ranks, Rank rank)
+PriorityIndex priorityOfRank(const RoutingDocument& routing, const std::vector<Rank>& ranks, Rank rank)
 {
     const auto position = std::lower_bound(ranks.begin(), ranks.end(), rank);
-    return PriorityIndex(static_cast<std::uint32_t>(position - ranks.begin()));
+    const std::uint32_t first = routing.workspaces.empty() ? 0 : runPriorityIndex + 1;
+    return PriorityIndex(first + static_cast<std::uint32_t>(position - ranks.begin()));
 }
 
 ServiceDocument documentFromRoutes(const RoutingDocument& routing, const ServiceName& service)
@@ -184,6 +185,16 @@
         if (workspace.rank)
             timesOfRanks[*workspace.rank] = timesOfAllRoutes;
     }
+    if (!routing.workspaces.empty()) {
+        Priority runs;
+        runs.name = "runs";
+        if (timesOfAllRoutes.timeout > Duration::zero()) {
+            runs.target = timesOfAllRoutes.timeout;
+            runs.maximumQueueTime = timesOfAllRoutes.timeout;
+        }
+        document.priorities.push_back(runs);
+    }
+    const std::size_t firstRank = document.priorities.size();
     for (const auto& [rank, times] : timesOfRanks) {
         Priority priority;
         priority.name = "rank-" + std::to_string(rank.value());
@@ -191,7 +202,7 @@
             priority.target = times.target;
             priority.maximumQueueTime = times.timeout;
         }
-        priority.minimumShare = document.priorities.empty() ? 0 : reservedShare;
+        priority.minimumShare = document.priorities.size() == firstRank ? 0 : reservedShare;
         document.priorities.push_back(priority);
     }
     document.defaultDeadline = longestTimeout;
--- a/Source/state/RoutingDocument.h
+++ b/Source/state/RoutingDocument.h
@@ -87,14 +87,20 @@
 /// Validates a routing document, independently of its text format. Errors: InvalidDocument with the first problem.
 Result<void> checkRouting(const RoutingDocument&);
 
+/// Priority index, in service documents derived from routes, of the calls that running requests make, where the routing document
+/// has workspaces. Work that has begun is finished before new work: all that its callers wait for, and all that was spent
+/// on it, depends on these calls.
+constexpr std::uint32_t runPriorityIndex = 0;
+
 /// Derives a service document from the routes, for a service without a document of its own team. It has one priority
-/// for each rank of the routing document, most urgent first, so that a rank has the same index at every service.
+/// for each rank of the routing document, most urgent first, so that a rank has the same index at every service. Where there
+/// are workspaces, they follow that of the calls that running requests make.
 ServiceDocument documentFromRoutes(const RoutingDocument&, const ServiceName&);
 
 /// Returns the distinct ranks of all routes and workspaces, most urgent first.
 std::vector<Rank> ranksOf(const RoutingDocument&);
 
-/// Returns the priority index of a rank in service documents derived from routes.
-PriorityIndex priorityOfRank(const std::vector<Rank>&, Rank);
+/// Returns the priority index of a rank in service documents derived from routes. ranks: those of the routing document.
+PriorityIndex priorityOfRank(const RoutingDocument&, const std::vector<Rank>& ranks, Rank);
 
 } // namespace Knapweedquay
--- a/Tests/coordination/RoutingTableTest.cpp
+++ b/Tests/coordination/RoutingTableTest.cpp
@@ -65,7 +65,7 @@
     EXPECT_EQ(PriorityIndex(0), m_table.find("one.example", "/x/")->priority);
     EXPECT_EQ(PriorityIndex(1), m_table.find("two.example", "/")->priority);
     EXPECT_EQ(PriorityIndex(2), m_table.find("one.example", "/x/y/")->priority);
-    EXPECT_EQ(PriorityIndex(2), priorityOfRank(ranksOf(m_table.document()), Rank(4)));
+    EXPECT_EQ(PriorityIndex(2), priorityOfRank(m_table.document(), ranksOf(m_table.document()), Rank(4)));
 }
 
 // Compares the lookup with a linear search over all routes.
--- a/Tests/state/RoutingDocumentTest.cpp
+++ b/Tests/state/RoutingDocumentTest.cpp
@@ -147,12 +147,17 @@
     const RoutingDocument routing = parseRoutingToml(validText + workspacesText).value();
     EXPECT_EQ((std::vector { Rank(0), Rank(1), Rank(3) }), ranksOf(routing));
     const ServiceDocument dispatch = documentFromRoutes(routing, ServiceName("dispatch"));
-    ASSERT_EQ(3u, dispatch.priorities.size());
-    EXPECT_EQ(Duration(250ms), dispatch.priorities[1].target);
-    EXPECT_EQ(Duration(2000ms), dispatch.priorities[1].maximumQueueTime);
-    EXPECT_EQ(Duration(1200ms), dispatch.priorities[2].target);
+    // The first one is that of the calls that running requests make.
+    ASSERT_EQ(4u, dispatch.priorities.size());
+    EXPECT_EQ(Duration(2000ms), dispatch.priorities[0].target);
+    EXPECT_EQ(0, dispatch.priorities[1].minimumShare);
+    EXPECT_EQ(Duration(250ms), dispatch.priorities[2].target);
+    EXPECT_EQ(Duration(2000ms), dispatch.priorities[2].maximumQueueTime);
+    EXPECT_EQ(Duration(1200ms), dispatch.priorities[3].target);
+    EXPECT_GT(dispatch.priorities[3].minimumShare, 0);
+    EXPECT_EQ(PriorityIndex(2), priorityOfRank(routing, ranksOf(routing), Rank(1)));
     const ServiceDocument inventory = documentFromRoutes(routing, ServiceName("inventory"));
-    EXPECT_EQ(Duration(1200ms), inventory.priorities[1].target);
+    EXPECT_EQ(Duration(1200ms), inventory.priorities[2].target);
 }
 
 TEST_F(RoutingDocumentTest, SplitWithZeroWeights_Checked_IsRefused)
