Endpoint: Close a connection behind a refusal

Another operator's clients were told "not run" for requests that ran: an endpoint wrote an earlier refusal once more on a kept connection, while the next request ran there. It could happen here where the refusal carried no id, or the id of the same request that came again.

A connection now ends behind a response that promises "not run", and behind an error without an id, so that no earlier one can be repeated on it. Health checks, whose answers carry no id, have connections of their own.

--- a/Source/node/BackendMonitor.cpp
+++ b/Source/node/BackendMonitor.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 /// Timeout of a health check.
+/// Answers to health checks carry no id, so they have connections of their own.
+constexpr const char* healthPool = "health";
 constexpr Duration healthTimeout { 500000 };
 /// Only the headers of a health check's response matter. A larger body is cut off, and the connection closed.
 constexpr std::size_t maximumHealthBodyBytes = 16 * 1024;
@@ -236,6 +238,7 @@
     options.timeout = healthTimeout;
     options.maximumIdle = maximumIdle;
     options.maximumBodyBytes = maximumHealthBodyBytes;
+    options.pool = healthPool;
     m_client.send(m_backend->address, { "GET", m_healthPath, {}, {} }, options, [this, run = m_run, now](const HttpClient::Outcome& outcome) {
         const TimePoint endedAt = steadyNow();
         m_state.checkEnded();
--- a/Source/node/EndpointRunner.cpp
+++ b/Source/node/EndpointRunner.cpp
@@ -33,6 +33,7 @@
 /// Longest time for which the origin of such an attempt waits for the result.
 constexpr Duration maximumCrashWait { 60000 };
 constexpr std::uint16_t misdirectedStatus = 421;
+constexpr std::uint16_t firstErrorStatus = 400;
 constexpr std::uint16_t serviceUnavailableStatus = 503;
 constexpr std::uint16_t firstServerErrorStatus = 500;
 
@@ -49,6 +50,15 @@
     return !outcome.succeeded && outcome.failure.mayHaveRun && outcome.failure.error.code != ResultCode::TimedOut;
 }
 
+/// True for a response that could not be told from the one to a later request if the backend server sent it once more. A refusal
+/// ends its connection whatever it carries, since the same request may come again.
+bool mayBeSentAgain(const HttpResponse& response, const CallHeaders& names)
+{
+    const bool isRefusal = response.status == misdirectedStatus || findHeader(response.headers, names.notRun);
+    const bool isUnnamedError = response.status >= firstErrorStatus && !findHeader(response.headers, names.requestId);
+    return isRefusal || isUnnamedError;
+}
+
 } // namespace
 
 EndpointRunner::EndpointRunner(asio::io_context& context, NodeIdentity self, Settings settings, HttpClient& client, ReplyHook reply, NodeQuarantine& quarantine, NodeKeys& keyChecks, NodeMetrics& metrics)
@@ -388,6 +398,7 @@
     // The node may have been frozen while a connection opened.
     if (job.message.caller && job.message.caller->key)
         options.maySend = [this, caller = job.message.caller] { return !m_keyChecks.check(caller); };
+    options.endsConnection = [names = m_settings.headers](const HttpResponse& response) { return mayBeSentAgain(response, names); };
     if (job.requestId.empty())
         return options;
     options.matchesRequest = [name = m_settings.headers.requestId, id = job.requestId](const HttpResponse& response) {
--- a/Source/transport/HttpClient.cpp
+++ b/Source/transport/HttpClient.cpp
@@ -78,6 +78,9 @@
     class Connection;
     using ConnectionPtr = boost::intrusive_ptr<Connection>;
 
+    /// A server and the name of one of its pools.
+    using PoolName = std::pair<std::string, std::string>;
+
     /// A request without a result.
     struct Exchange {
         RequestId id = 0;
@@ -110,8 +113,8 @@
 private:
     /// Sends the request on an idle connection, or opens a new one.
     void startExchange(Exchange&);
-    /// Removes a usable connection from the pool; null when there is none.
-    ConnectionPtr takeIdle(const std::string& server, Duration maximumIdle);
+    /// Removes a usable connection from its pool; null when there is none.
+    ConnectionPtr takeIdle(const PoolName&, Duration maximumIdle);
     void succeed(RequestId, HttpResponse);
     void fail(RequestId, Failure);
     /// Resends the request of a stale pooled connection if that is allowed, otherwise fails it.
@@ -134,8 +137,8 @@
     std::multimap<TimePoint, RequestId> m_deadlines;
     /// When the timer expires next; the largest value when it isn't set.
     TimePoint m_timerExpiry = TimePoint::max();
-    /// Idle connections by server, the most recently used last.
-    std::map<std::string, std::vector<ConnectionPtr>> m_idle;
+    /// Idle connections by server and pool, the most recently used last.
+    std::map<PoolName, std::vector<ConnectionPtr>> m_idle;
     Counters m_counters;
     Timer m_timer;
 };
@@ -143,10 +146,11 @@
 /// One connection to a server; it carries one exchange at a time or is idle in the pool.
 class HttpClient::Implementation::Connection : public boost::intrusive_ref_counter<Connection, boost::thread_unsafe_counter> {
 public:
-    Connection(Implementation& client, std::string server)
+    Connection(Implementation& client, std::string server, std::string pool)
         : m_client(&client)
         , m_lifetime(client.m_lifetime)
         , m_server(std::move(server))
+        , m_pool(std::move(pool))
         , m_socket(client.m_context)
         , m_parser(HttpParser::Kind::Responses, {})
     {
@@ -158,7 +162,7 @@
     void connect(Exchange&);
     void close();
     bool isClosed() const { return m_isClosed; }
-    const std::string& server() const { return m_server; }
+    PoolName poolName() const { return { m_server, m_pool }; }
     RequestId exchange() const { return m_exchange; }
     /// True when the server had probably closed the connection before the request reached it.
     bool wasStale() const { return m_wasPooled && !m_hasReceived && steadyNow() - m_sentAt <= staleConnectionWindow; }
@@ -184,6 +188,7 @@
     Implementation* m_client;
     std::weak_ptr<char> m_lifetime;
     std::string m_server;
+    std::string m_pool;
     asio::ip::tcp::socket m_socket;
     HttpParser m_parser;
     std::array<char, readBufferBytes> m_buffer {};
@@ -194,6 +199,7 @@
     /// The exchange in progress; 0 while the connection is idle.
     RequestId m_exchange = 0;
     std::function<bool(const HttpResponse&)> m_matchesRequest;
+    std::function<bool(const HttpResponse&)> m_endsConnection;
     Duration m_maximumIdleTime = Duration::max();
     TimePoint m_idleSince;
     bool m_isReading = false;
@@ -249,6 +255,7 @@
     m_wasPooled = m_exchange != exchange.id;
     m_exchange = exchange.id;
     m_matchesRequest = exchange.options.matchesRequest;
+    m_endsConnection = exchange.options.endsConnection;
     m_hasSent = false;
     m_hasReceived = false;
     m_skippedResponses = 0;
@@ -339,9 +346,11 @@
     }
     const ConnectionPtr keptAlive(this);
     const RequestId exchange = std::exchange(m_exchange, 0);
+    const bool isEnd = m_endsConnection && m_endsConnection(response);
     m_matchesRequest = nullptr;
+    m_endsConnection = nullptr;
     m_maximumIdleTime = advertisedIdleTime(response.headers);
-    if (keepsConnection && !m_isWriting && !m_preventsReuse && m_input.empty())
+    if (keepsConnection && !isEnd && !m_isWriting && !m_preventsReuse && m_input.empty())
         m_client->returnToPool(keptAlive);
     else
         close();
@@ -378,7 +387,7 @@
         if (exchange.connection)
             exchange.connection->close();
     }
-    for (auto& [server, connections] : m_idle) {
+    for (auto& [name, connections] : m_idle) {
         for (const ConnectionPtr& connection : connections)
             connection->close();
     }
@@ -403,10 +412,10 @@
 
 void HttpClient::Implementation::startExchange(Exchange& exchange)
 {
-    exchange.connection = exchange.wasResent ? nullptr : takeIdle(exchange.server, exchange.options.maximumIdle);
+    exchange.connection = exchange.wasResent ? nullptr : takeIdle({ exchange.server, exchange.options.pool }, exchange.options.maximumIdle);
     if (exchange.connection)
         return exchange.connection->start(exchange);
-    exchange.connection = ConnectionPtr(new Connection(*this, exchange.server));
+    exchange.connection = ConnectionPtr(new Connection(*this, exchange.server, exchange.options.pool));
     exchange.connection->connect(exchange);
     const TimePoint connectBy = steadyNow() + connectTimeout;
     if (connectBy < exchange.deadline) {
@@ -415,9 +424,9 @@
     }
 }
 
-HttpClient::Implementation::ConnectionPtr HttpClient::Implementation::takeIdle(const std::string& server, Duration maximumIdle)
+HttpClient::Implementation::ConnectionPtr HttpClient::Implementation::takeIdle(const PoolName& name, Duration maximumIdle)
 {
-    const auto entry = m_idle.find(server);
+    const auto entry = m_idle.find(name);
     if (entry == m_idle.end())
         return nullptr;
     std::vector<ConnectionPtr>& connections = entry->second;
@@ -437,7 +446,7 @@
 
 void HttpClient::Implementation::returnToPool(const ConnectionPtr& connection)
 {
-    std::vector<ConnectionPtr>& connections = m_idle[connection->server()];
+    std::vector<ConnectionPtr>& connections = m_idle[connection->poolName()];
     if (connections.size() >= maximumPooledPerServer)
         return connection->close();
     connection->becomeIdle();
@@ -448,7 +457,7 @@
 {
     const ConnectionPtr keptAlive(&connection);
     connection.close();
-    const auto entry = m_idle.find(connection.server());
+    const auto entry = m_idle.find(connection.poolName());
     if (entry == m_idle.end())
         return;
     std::vector<ConnectionPtr>& connections = entry->second;
@@ -457,13 +466,10 @@
 
 void HttpClient::Implementation::closeIdleConnections(const std::string& server)
 {
-    const auto entry = m_idle.find(server);
-    if (entry == m_idle.end())
-        return;
-    const std::vector<ConnectionPtr> connections = std::move(entry->second);
-    m_idle.erase(entry);
-    for (const ConnectionPtr& connection : connections)
-        connection->close();
+    for (auto entry = m_idle.lower_bound({ server, {} }); entry != m_idle.end() && entry->first.first == server; entry = m_idle.erase(entry)) {
+        for (const ConnectionPtr& connection : entry->second)
+            connection->close();
+    }
 }
 
 void HttpClient::Implementation::cancel(RequestId id)
--- a/Source/transport/HttpClient.h
+++ b/Source/transport/HttpClient.h
@@ -40,6 +40,12 @@
         std::function<bool()> maySend;
         /// Decides whether a response is the one to this request; when unset, every response is.
         std::function<bool(const HttpResponse&)> matchesRequest;
+        /// Decides whether the connection is closed behind the response to this request, for a response that would be mistaken for
+        /// the one to a later request if the server sent it once more; when unset, it is kept.
+        std::function<bool(const HttpResponse&)> endsConnection;
+        /// Only connections of the same pool are reused, so that no response to a request of another pool is taken for the one to
+        /// this request.
+        std::string pool;
     };
 
     /// Why a request ended without a complete response.
--- a/Tests/processes/FailureTest.cpp
+++ b/Tests/processes/FailureTest.cpp
@@ -69,6 +69,18 @@
 
 } // namespace
 
+// Clients were told "not run" for requests that ran, because a refusal was sent once more on a kept connection.
+TEST_F(FailureTest, BackendServers_SendRefusalsOnceMore_NoRequestThatRanIsReportedAsNotRun)
+{
+    start();
+    for (const std::string& node : m_deployment->nodeNames())
+        ASSERT_TRUE(m_deployment->setModes(node, { { "repeatsRefusals", true }, { "answerDelayMs", 60 } }));
+    for (const std::string& node : m_deployment->nodeNames())
+        sendMany(100, node, "POST", "/bookings", 2s);
+    ASSERT_TRUE(m_caller.waitForAnswers(6s));
+    expectGuaranteesHold();
+}
+
 TEST_F(FailureTest, AllProcesses_KilledAndStartedAgain_ServeWithinASecond)
 {
     constexpr std::size_t controls = 3;
--- a/Tests/transport/HttpPairTest.cpp
+++ b/Tests/transport/HttpPairTest.cpp
@@ -377,6 +377,39 @@
     EXPECT_TRUE(m_outcome->failure.mayHaveRun);
 }
 
+TEST_F(HttpClientTest, ResponseThatEndsItsConnection_NextRequest_UsesANewOne)
+{
+    HttpClient::Options options;
+    options.endsConnection = [](const HttpResponse& response) { return response.body == "last"; };
+    m_handlers.emplace_back([](Tcp::socket& socket, const std::string&) { reply(socket, response("a", "last")); });
+    send("a", options);
+    ASSERT_TRUE(waitForOutcome());
+    EXPECT_EQ("last", m_outcome->response.body);
+    for (const char* id : { "b", "c" }) {
+        m_handlers.emplace_back([id](Tcp::socket& socket, const std::string&) { reply(socket, response(id, id)); });
+        send(id, options);
+        ASSERT_TRUE(waitForOutcome());
+    }
+    EXPECT_EQ(2, m_acceptedConnections);
+}
+
+TEST_F(HttpClientTest, RequestsOfTwoPools_ShareNoConnection)
+{
+    HttpClient::Options options;
+    for (const char* pool : { "", "health", "", "health" }) {
+        options.pool = pool;
+        m_handlers.emplace_back([](Tcp::socket& socket, const std::string&) { reply(socket, response("a", "x")); });
+        send("a", options);
+        ASSERT_TRUE(waitForOutcome());
+    }
+    EXPECT_EQ(2, m_acceptedConnections);
+    m_client->closeIdleConnections("127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()));
+    m_handlers.emplace_back([](Tcp::socket& socket, const std::string&) { reply(socket, response("a", "x")); });
+    send("a", options);
+    ASSERT_TRUE(waitForOutcome());
+    EXPECT_EQ(3, m_acceptedConnections);
+}
+
 TEST_F(HttpClientTest, ResponseWithoutLength_ConnectionClosedInOrder_IsComplete)
 {
     m_handlers.emplace_back([](Tcp::socket& socket, const std::string&) {
--- a/Utilities/Load/BackendModes.h
+++ b/Utilities/Load/BackendModes.h
@@ -34,8 +34,10 @@
     std::int64_t coldMs = -1;
     /// Sends the load header in every answer.
     bool reportsLoad = false;
+    /// Refuses each third request as not run, and sends the refusal once more on its connection while the next request runs there.
+    bool repeatsRefusals = false;
 };
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(BackendModes, slowdown, failFast, refuse, coldCalls, coldFactor, freezeAnswers, shortBody, answerDelayMs, requestLimit, leaving, coldMs, reportsLoad)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(BackendModes, slowdown, failFast, refuse, coldCalls, coldFactor, freezeAnswers, shortBody, answerDelayMs, requestLimit, leaving, coldMs, reportsLoad, repeatsRefusals)
 
 } // namespace Knapweedquay::Load
--- a/Utilities/Load/StandInBackend.cpp
+++ b/Utilities/Load/StandInBackend.cpp
@@ -21,6 +21,8 @@
 /// Time after the leave during which calls may still arrive that the node sent before it processed the leave.
 constexpr std::chrono::seconds leaveGrace { 1 };
 constexpr int crashExitCode = 70;
+/// Time after the begin of a request at which an earlier refusal is sent once more.
+constexpr std::chrono::milliseconds repeatDelay { 20 };
 
 HttpMessage jsonRequest(const std::string& target, const nlohmann::json& body)
 {
@@ -74,6 +76,8 @@
         return answerHealthCheck(connection);
     if (m_modes.refuse || m_queue.size() >= m_options.maximumQueue)
         return connection->send(serializeAnswer(withState(textAnswer(503, "refused\n"))));
+    if (m_modes.repeatsRefusals && refuseRepeatedly(connection))
+        return;
     if (m_modes.failFast) {
         m_record.add(request.query("id"));
         return connection->send(serializeAnswer(withState(textAnswer(500, "failed\n"))));
@@ -87,6 +91,25 @@
     startQueued();
 }
 
+bool StandInBackend::refuseRepeatedly(const std::shared_ptr<HttpConnection>& connection)
+{
+    HttpMessage refusal = textAnswer(503, "refused\n");
+    refusal.headers[CallHeaders().notRun] = "1";
+    if (m_refusedConnections.erase(connection) > 0) {
+        const auto timer = std::make_shared<asio::steady_timer>(m_context, repeatDelay);
+        timer->async_wait([timer, weak = std::weak_ptr<HttpConnection>(connection), bytes = serializeAnswer(refusal)](const asio::error_code& error) {
+            if (const auto open = weak.lock(); open && !error)
+                open->send(bytes);
+        });
+        return false;
+    }
+    if (++m_offered % 3 != 0)
+        return false;
+    m_refusedConnections.insert(connection);
+    connection->send(serializeAnswer(refusal));
+    return true;
+}
+
 void StandInBackend::answerHealthCheck(const std::shared_ptr<HttpConnection>& connection)
 {
     const auto timer = std::make_shared<asio::steady_timer>(m_context, std::chrono::milliseconds(m_modes.answerDelayMs));
--- a/Utilities/Load/StandInBackend.h
+++ b/Utilities/Load/StandInBackend.h
@@ -77,6 +77,8 @@
     /// Drops a call whose connection has closed.
     void cancel(const CallPointer&);
     void sendAnswer(const CallPointer&);
+    /// Refuses a request as the mode repeatsRefusals says; false if it is to run.
+    bool refuseRepeatedly(const std::shared_ptr<HttpConnection>&);
     /// Adds the headers in which the backend server tells its state, as its modes say.
     HttpMessage withState(HttpMessage answer) const;
     /// Records the arrival of a request, for GET /arrivals.
@@ -111,6 +113,10 @@
     std::uint64_t m_cancelled = 0;
     /// Times at which requests arrived, by kind: "call", "repeat" or "health_check".
     std::map<std::string, std::deque<Clock::time_point>> m_arrivals;
+    /// Calls that arrived since refusals are repeated.
+    std::uint64_t m_offered = 0;
+    /// Connections whose last request was refused.
+    std::set<std::weak_ptr<HttpConnection>, std::owner_less<std::weak_ptr<HttpConnection>>> m_refusedConnections;
     /// When leave() was called.
     std::optional<Clock::time_point> m_leaveTime;
     /// When a call last started to run.
