Tests: Cut responses in their heads, interim responses and trailers

Another operator's clients got 200 with an empty body when an endpoint stopped in the head of its answer. It can't happen here: a cut after any byte of a head, in or behind an interim response, and in chunks and trailers fails as possibly run.

--- a/Tests/transport/HttpPairTest.cpp
+++ b/Tests/transport/HttpPairTest.cpp
@@ -377,6 +377,38 @@
     EXPECT_TRUE(m_outcome->failure.mayHaveRun);
 }
 
+// An endpoint that stopped in the head of its answer and closed was taken for one that answered 200 with an empty body.
+TEST_F(HttpClientTest, Response_EndsWithinItsHead_FailsAsPossiblyRun)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\n";
+    for (std::size_t length = 1; length < head.size(); ++length) {
+        m_handlers.emplace_back([bytes = head.substr(0, length)](Tcp::socket& socket, const std::string&) {
+            reply(socket, bytes);
+            socket.close();
+        });
+        send("a");
+        ASSERT_TRUE(waitForOutcome());
+        EXPECT_FALSE(m_outcome->succeeded) << length;
+        EXPECT_TRUE(m_outcome->failure.mayHaveRun) << length;
+    }
+}
+
+TEST_F(HttpClientTest, InterimResponseOrTrailer_EndsInTheMiddle_FailsAsPossiblyRun)
+{
+    for (const char* bytes : { "HTTP/1.1 103 Early Hints\r\nLi", "HTTP/1.1 103 Early Hints\r\n\r\n", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nConte",
+             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n",
+             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-Trailer: a" }) {
+        m_handlers.emplace_back([bytes](Tcp::socket& socket, const std::string&) {
+            reply(socket, bytes);
+            socket.close();
+        });
+        send("a");
+        ASSERT_TRUE(waitForOutcome());
+        EXPECT_FALSE(m_outcome->succeeded) << bytes;
+        EXPECT_TRUE(m_outcome->failure.mayHaveRun) << bytes;
+    }
+}
+
 TEST_F(HttpClientTest, ResponseThatEndsItsConnection_NextRequest_UsesANewOne)
 {
     HttpClient::Options options;
