--- a/Tests/platform/DecoderTest.cpp
+++ b/Tests/platform/DecoderTest.cpp
@@ -152,6 +152,33 @@
     EXPECT_EQ(0u, decodeStartTime("not JSON"));
 }
 
+// One odd entry among the announcements ended the processes that read it.
+TEST_F(AnnouncementDecoderTest, OddEntries_Decoded_AreErrors)
+{
+    const std::string text = m_json.dump();
+    constexpr std::size_t depth = 20000;
+    const std::string nested = std::string(depth, '[') + std::string(depth, ']');
+    const auto isRefused = [&text](const std::string& name, const std::string& value) {
+        Json json = Json::parse(text);
+        json.erase(name);
+        const std::string odd = "{\"" + name + "\":" + value + "," + json.dump().substr(1);
+        return decodeAnnouncement("i", odd).has_error();
+    };
+    EXPECT_TRUE(isRefused("Service", nested));
+    EXPECT_TRUE(decodeAnnouncement("i", nested).has_error());
+    EXPECT_TRUE(decodeAnnouncement("i", std::string(depth, '{')).has_error());
+    EXPECT_TRUE(isRefused("ColdRemainingS", "1e400"));
+    for (const char* number : { "1e400", "18446744073709551616", "-1", "99999999999999999999" }) {
+        EXPECT_TRUE(isRefused("Slots", number)) << number;
+        EXPECT_TRUE(isRefused("Sequence", number)) << number;
+        EXPECT_TRUE(isRefused("born", number)) << number;
+    }
+    for (const char* port : { "0", "70000", "-1", "99999999999999999999", "" })
+        EXPECT_TRUE(isRefused("Address", std::string("\"10.128.0.9:") + port + "\"")) << port;
+    // An unknown member is ignored, however odd.
+    EXPECT_FALSE(isRefused("Unknown", nested));
+}
+
 TEST(PathDecoderTest, Segments_Decoded_GiveNamesOrNothing)
 {
     EXPECT_EQ("north-1", Platform::decodePathSegment("north-1"));
