--- a/Source/coordination/quotas/QuotaAssignment.cpp
+++ b/Source/coordination/quotas/QuotaAssignment.cpp
@@ -6,7 +6,9 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <map>
 #include <tuple>
+#include <utility>
 
 namespace Knapweedquay {
 
@@ -77,20 +79,21 @@
     }
 }
 
-std::optional<NodeId> QuotaAssignment::choose(const QuotaHolderDocument& document, QuotaSlice slice, const std::vector<MemberRecord>& members)
+std::optional<NodeId> QuotaAssignment::choose(const QuotaHolderDocument& document, std::size_t index, const std::vector<MemberRecord>& members)
 {
+    std::map<DataCentre, std::size_t> neighbours;
+    const std::size_t first = index / slicesPerQuota * slicesPerQuota;
+    for (std::size_t i = first; i < first + slicesPerQuota; ++i) {
+        if (const MemberRecord* holder = find(members, document.slices.at(i).holder))
+            ++neighbours[holder->dataCentre];
+    }
     std::optional<NodeId> best;
     std::tuple<std::size_t, std::size_t, std::uint64_t> bestRank;
     for (const MemberRecord& member : members) {
         if (!canHold(member))
             continue;
-        std::size_t neighbours = 0;
-        for (const QuotaHolderDocument::Slice& other : document.slices) {
-            const MemberRecord* holder = find(members, other.holder);
-            neighbours += holder && holder->dataCentre == member.dataCentre ? 1 : 0;
-        }
         const std::string& name = member.node.value();
-        const std::tuple<std::size_t, std::size_t, std::uint64_t> rank { holdings(document, member.node), neighbours, XXH3_64bits_withSeed(name.data(), name.size(), slice.value()) };
+        const std::tuple<std::size_t, std::size_t, std::uint64_t> rank { neighbours[member.dataCentre], holdings(document, member.node), XXH3_64bits_withSeed(name.data(), name.size(), index) };
         if (!best || rank < bestRank) {
             best = member.node;
             bestRank = rank;
@@ -99,6 +102,17 @@
     return best;
 }
 
+bool QuotaAssignment::isCrowded(const QuotaHolderDocument& document, std::size_t index, const std::vector<MemberRecord>& members)
+{
+    const NodeId holder = document.slices.at(index).holder;
+    if (holdings(document, holder) <= 1)
+        return false;
+    QuotaHolderDocument without = document;
+    without.slices.at(index).holder = NodeId();
+    const auto chosen = choose(without, index, members);
+    return chosen && holdings(without, *chosen) < holdings(without, holder);
+}
+
 std::optional<QuotaHolderDocument> QuotaAssignment::next(const std::optional<QuotaHolderDocument>& committed, std::uint64_t version, const std::vector<MemberRecord>& members, TimePoint now)
 {
     const QuotaHolderDocument current = committed.value_or(QuotaHolderDocument());
@@ -110,16 +124,19 @@
         if (slice.holder.value().empty()) {
             // Before the first document nobody held a slice.
             const bool isFree = committed ? now - *m_emptySince.at(index) >= m_vacancy : isSettled;
-            if (const auto holder = isFree ? choose(next, QuotaSlice(static_cast<std::uint32_t>(index)), members) : std::nullopt)
+            if (const auto holder = isFree ? choose(next, index, members) : std::nullopt)
                 slice = { *holder, version };
             continue;
         }
-        const bool isGone = m_absentSince.at(index) && now - *m_absentSince.at(index) >= longestAbsence;
-        // One of several slices of a node goes to a node that holds none.
-        const bool isCrowded = isSettled && holdings(next, slice.holder) > 1 && std::any_of(m_candidates.begin(), m_candidates.end(), [&next](const NodeId& node) { return holdings(next, node) == 0; });
-        if (isGone || (isCrowded && next == current))
+        if (m_absentSince.at(index) && now - *m_absentSince.at(index) >= longestAbsence)
             slice.holder = NodeId();
     }
+    // One slice at a time, so that those of a workspace never move together.
+    m_lookedAt = (m_lookedAt + 1) % quotaSlices;
+    const bool isWhole = std::none_of(next.slices.begin(), next.slices.end(), [](const auto& slice) { return slice.holder.value().empty(); })
+        && std::none_of(m_absentSince.begin(), m_absentSince.end(), [](const auto& since) { return since.has_value(); });
+    if (isSettled && isWhole && next == current && isCrowded(next, m_lookedAt, members))
+        next.slices.at(m_lookedAt).holder = NodeId();
     return next == current ? std::nullopt : std::optional<QuotaHolderDocument>(next);
 }
 
--- a/Source/coordination/quotas/QuotaAssignment.h
+++ b/Source/coordination/quotas/QuotaAssignment.h
@@ -31,7 +31,9 @@
 private:
     void observe(const QuotaHolderDocument&, const std::vector<MemberRecord>&, TimePoint now);
     /// The best holder for a slice among the members; not set if there is none.
-    static std::optional<NodeId> choose(const QuotaHolderDocument&, QuotaSlice, const std::vector<MemberRecord>&);
+    static std::optional<NodeId> choose(const QuotaHolderDocument&, std::size_t slice, const std::vector<MemberRecord>&);
+    /// True if a node that holds fewer slices could hold this one as well.
+    static bool isCrowded(const QuotaHolderDocument&, std::size_t slice, const std::vector<MemberRecord>&);
 
     Duration m_vacancy;
     std::uint64_t m_term = 0;
@@ -39,6 +41,8 @@
     /// Nodes that can hold slices, and when their set last changed.
     std::set<NodeId> m_candidates;
     TimePoint m_changedAt;
+    /// Slice that was last looked at whether its holder holds too many.
+    std::size_t m_lookedAt = 0;
     /// When this leader first saw a slice without a holder, or its holder absent; not set otherwise.
     std::array<std::optional<TimePoint>, quotaSlices> m_emptySince;
     std::array<std::optional<TimePoint>, quotaSlices> m_absentSince;
--- a/Source/coordination/quotas/QuotaCredit.cpp
+++ b/Source/coordination/quotas/QuotaCredit.cpp
@@ -42,6 +42,21 @@
 {
 }
 
+void QuotaCredit::setSlices(const std::vector<QuotaSlice>& slices)
+{
+    for (Group& group : m_groups)
+        group.order.clear();
+    for (const QuotaSlice slice : slices)
+        m_groups.at(quotaGroupOf(slice)).order.push_back(slice);
+}
+
+QuotaCredit::Pool& QuotaCredit::poolOf(const WorkspaceName& workspace)
+{
+    Pool& pool = groupOf(workspace).pools[workspace];
+    pool.group = quotaGroupOf(workspace);
+    return pool;
+}
+
 void QuotaCredit::decay(Pool& pool, TimePoint now)
 {
     pool.rate *= std::exp(-inSeconds(now - pool.ratedAt) / demandSeconds);
@@ -59,8 +74,10 @@
 std::uint64_t QuotaCredit::inHand(TimePoint now) const
 {
     std::uint64_t sum = 0;
-    for (const auto& entry : m_pools)
-        sum += inHand(entry.second, now);
+    for (const Group& group : m_groups) {
+        for (const auto& entry : group.pools)
+            sum += inHand(entry.second, now);
+    }
     return sum;
 }
 
@@ -84,8 +101,8 @@
 std::uint64_t QuotaCredit::wanted(const Pool& pool, TimePoint now)
 {
     std::uint64_t held = inHand(pool, now);
-    for (const Request& request : pool.requests)
-        held += now - request.askedAt < answerTimeout ? request.wanted : 0;
+    for (const Request& asked : pool.requests)
+        held += now - asked.askedAt < answerTimeout ? asked.wanted : 0;
     const std::uint64_t need = pool.waiting.size() + target(pool);
     return need > held ? need - held : 0;
 }
@@ -104,8 +121,8 @@
 std::optional<QuotaSlice> QuotaCredit::chooseSlice(const Pool& pool, TimePoint now) const
 {
     std::optional<QuotaSlice> silent;
-    for (const QuotaSlice slice : m_order) {
-        if (pool.requests.at(slice.value()).deniedUntil > now)
+    for (const QuotaSlice slice : order(pool)) {
+        if (request(pool, slice).deniedUntil > now)
             continue;
         if (!isSilent(slice, now))
             return slice;
@@ -118,8 +135,8 @@
 TimePoint QuotaCredit::deniedUntil(const Pool& pool) const
 {
     TimePoint until = TimePoint::max();
-    for (const QuotaSlice slice : m_order)
-        until = std::min(until, pool.requests.at(slice.value()).deniedUntil);
+    for (const QuotaSlice slice : order(pool))
+        until = std::min(until, request(pool, slice).deniedUntil);
     return until;
 }
 
@@ -128,7 +145,7 @@
     Decision decision;
     decision.call = call.call;
     // Only all slices together tell that the quota is used up.
-    const bool isSpent = m_order.size() == quotaSlices && std::all_of(pool.requests.begin(), pool.requests.end(), [&call, now](const Request& request) { return request.deniedUntil > now || request.deniedAt > call.since; });
+    const bool isSpent = order(pool).size() == slicesPerQuota && std::all_of(pool.requests.begin(), pool.requests.end(), [&call, now](const Request& asked) { return asked.deniedUntil > now || asked.deniedAt > call.since; });
     decision.code = isSpent ? ResultCode::QuotaExceeded : ResultCode::QuotaUnproved;
     decision.retryAfter = isSpent ? std::max(deniedUntil(pool) - now, Duration::zero()) : unprovedRetryAfter;
     return decision;
@@ -136,7 +153,7 @@
 
 QuotaCredit::Decision QuotaCredit::take(const WorkspaceName& workspace, std::uint64_t call, TimePoint decideBy, TimePoint now)
 {
-    Pool& pool = m_pools[workspace];
+    Pool& pool = poolOf(workspace);
     decay(pool, now);
     pool.rate += 1 / demandSeconds;
     ++pool.demand;
@@ -153,7 +170,7 @@
         return refusal(pool, { call, now, decideBy }, now);
     pool.waiting.push_back({ call, now, decideBy });
     m_waitingCalls.emplace(call, workspace);
-    m_waitingPools.insert(workspace);
+    groupOf(workspace).waitingPools.insert(workspace);
     return decision;
 }
 
@@ -162,7 +179,7 @@
     const auto entry = m_waitingCalls.find(call);
     if (entry == m_waitingCalls.end())
         return false;
-    auto& waiting = m_pools[entry->second].waiting;
+    auto& waiting = poolOf(entry->second).waiting;
     waiting.erase(std::find_if(waiting.begin(), waiting.end(), [call](const WaitingCall& other) { return other.call == call; }));
     m_waitingCalls.erase(entry);
     return true;
@@ -170,7 +187,7 @@
 
 void QuotaCredit::giveBack(const WorkspaceName& workspace, const QuotaTicket& ticket, TimePoint now)
 {
-    Pool& pool = m_pools[workspace];
+    Pool& pool = poolOf(workspace);
     for (Lot& lot : pool.lots) {
         if (lot.ticket.slice != ticket.slice || lot.ticket.tenure != ticket.tenure || lot.ticket.grant != ticket.grant || lot.used == 0 || lot.expiry <= now)
             continue;
@@ -179,7 +196,7 @@
         return;
     }
     if (ticket.tenure == holder(ticket.slice).tenure)
-        ++pool.requests.at(ticket.slice.value()).refunded;
+        ++request(pool, ticket.slice).refunded;
 }
 
 void QuotaCredit::report(Pool& pool, QuotaSlice slice, QuotaNeed& need, TimePoint now) const
@@ -204,17 +221,17 @@
 void QuotaCredit::addNeed(const WorkspaceName& workspace, Pool& pool, QuotaRequestMessage& message, TimePoint now)
 {
     decay(pool, now);
-    Request& request = pool.requests.at(message.slice.value());
+    Request& asked = request(pool, message.slice);
     QuotaNeed need;
     need.workspace = workspace;
     const bool isAsked = chooseSlice(pool, now) == message.slice;
     need.wanted = isAsked ? wanted(pool, now) : 0;
     report(pool, message.slice, need, now);
-    need.refunded = std::exchange(request.refunded, 0);
+    need.refunded = std::exchange(asked.refunded, 0);
     if (need.wanted > 0) {
-        request.clock = message.clock;
-        request.wanted = need.wanted;
-        request.askedAt = now;
+        asked.clock = message.clock;
+        asked.wanted = need.wanted;
+        asked.askedAt = now;
     }
     if (need.wanted + need.refunded == 0 && need.reports.empty())
         return;
@@ -223,21 +240,21 @@
     message.needs.push_back(std::move(need));
 }
 
-void QuotaCredit::forgetIdle(TimePoint now)
+void QuotaCredit::forgetIdle(Group& group, TimePoint now)
 {
-    for (auto entry = m_pools.begin(); entry != m_pools.end();) {
+    for (auto entry = group.pools.begin(); entry != group.pools.end();) {
         Pool& pool = entry->second;
         decay(pool, now);
         const bool isIdle = pool.lots.empty() && pool.waiting.empty() && pool.rate < negligibleDemand && deniedUntil(pool) <= now;
-        entry = isIdle ? m_pools.erase(entry) : std::next(entry);
+        entry = isIdle ? group.pools.erase(entry) : std::next(entry);
     }
 }
 
-std::optional<QuotaRequestMessage> QuotaCredit::nextRequest(QuotaSlice slice, TimePoint now)
+std::optional<QuotaRequestMessage> QuotaCredit::nextRequest(Group& group, QuotaSlice slice, TimePoint now)
 {
     Holder& asked = holder(slice);
     const bool isDue = now - asked.checkedAt >= reportInterval;
-    if (now - asked.sentAt < urgentInterval || (!isDue && m_waitingPools.empty()))
+    if (now - asked.sentAt < urgentInterval || (!isDue && group.waitingPools.empty()))
         return std::nullopt;
     QuotaRequestMessage message;
     message.slice = slice;
@@ -247,13 +264,13 @@
     message.tenure = asked.tenure;
     if (isDue) {
         asked.checkedAt = now;
-        if (slice == m_order.front())
-            forgetIdle(now);
-        for (auto& [workspace, pool] : m_pools)
+        if (slice == group.order.front())
+            forgetIdle(group, now);
+        for (auto& [workspace, pool] : group.pools)
             addNeed(workspace, pool, message, now);
     } else {
-        for (const WorkspaceName& workspace : m_waitingPools) {
-            Pool& pool = m_pools[workspace];
+        for (const WorkspaceName& workspace : group.waitingPools) {
+            Pool& pool = group.pools[workspace];
             if (!pool.waiting.empty() && wanted(pool, now) > 0 && chooseSlice(pool, now) == slice)
                 addNeed(workspace, pool, message, now);
         }
@@ -271,9 +288,11 @@
 std::vector<QuotaRequestMessage> QuotaCredit::nextRequests(TimePoint now)
 {
     std::vector<QuotaRequestMessage> requests;
-    for (const QuotaSlice slice : m_order) {
-        if (auto request = nextRequest(slice, now))
-            requests.push_back(std::move(*request));
+    for (Group& group : m_groups) {
+        for (const QuotaSlice slice : group.pools.empty() ? std::vector<QuotaSlice>() : group.order) {
+            if (auto request = nextRequest(group, slice, now))
+                requests.push_back(std::move(*request));
+        }
     }
     return requests;
 }
@@ -311,18 +330,19 @@
     sender.unansweredSince.reset();
     const TimePoint expiry = TimePoint(Duration(static_cast<std::int64_t>(message.clock))) + m_lifetime;
     for (const QuotaGrantMessage::Grant& grant : message.grants) {
-        const auto entry = m_pools.find(grant.workspace);
-        if (entry == m_pools.end())
+        Group& group = groupOf(grant.workspace);
+        const auto entry = group.pools.find(grant.workspace);
+        if (entry == group.pools.end() || quotaGroupOf(grant.workspace) != quotaGroupOf(message.slice))
             continue;
         Pool& pool = entry->second;
-        Request& request = pool.requests.at(message.slice.value());
-        if (request.clock == message.clock)
-            request.wanted = 0;
+        Request& asked = request(pool, message.slice);
+        if (asked.clock == message.clock)
+            asked.wanted = 0;
         if (grant.credit > 0 && expiry > now)
             pool.lots.push_back({ { message.slice, message.tenure, message.clock }, expiry, grant.credit, 0 });
         const bool isDenied = grant.wait > Duration::zero();
-        request.deniedAt = isDenied ? now : TimePoint();
-        request.deniedUntil = isDenied ? now + grant.wait : TimePoint();
+        asked.deniedAt = isDenied ? now : TimePoint();
+        asked.deniedUntil = isDenied ? now + grant.wait : TimePoint();
         decideWaiting(pool, now, decisions);
     }
     return decisions;
@@ -331,10 +351,12 @@
 std::vector<QuotaCredit::Decision> QuotaCredit::expire(TimePoint now)
 {
     std::vector<Decision> decisions;
-    for (auto workspace = m_waitingPools.begin(); workspace != m_waitingPools.end();) {
-        Pool& pool = m_pools[*workspace];
-        decideWaiting(pool, now, decisions);
-        workspace = pool.waiting.empty() ? m_waitingPools.erase(workspace) : std::next(workspace);
+    for (Group& group : m_groups) {
+        for (auto workspace = group.waitingPools.begin(); workspace != group.waitingPools.end();) {
+            Pool& pool = group.pools[*workspace];
+            decideWaiting(pool, now, decisions);
+            workspace = pool.waiting.empty() ? group.waitingPools.erase(workspace) : std::next(workspace);
+        }
     }
     return decisions;
 }
@@ -345,30 +367,33 @@
     for (const WaitingCall& call : pool.waiting)
         next = std::min(next, call.decideBy);
     if (wanted(pool, now) == 0) {
-        for (const Request& request : pool.requests)
-            next = request.wanted > 0 && request.askedAt + answerTimeout > now ? std::min(next, request.askedAt + answerTimeout) : next;
+        for (const Request& asked : pool.requests)
+            next = asked.wanted > 0 && asked.askedAt + answerTimeout > now ? std::min(next, asked.askedAt + answerTimeout) : next;
         return next;
     }
     if (const auto slice = chooseSlice(pool, now))
         return std::min(next, holder(*slice).sentAt + urgentInterval);
-    for (const QuotaSlice slice : m_order)
-        next = std::min(next, std::max(pool.requests.at(slice.value()).deniedUntil, isSilent(slice, now) ? holder(slice).sentAt + silentInterval : now));
+    for (const QuotaSlice slice : order(pool))
+        next = std::min(next, std::max(request(pool, slice).deniedUntil, isSilent(slice, now) ? holder(slice).sentAt + silentInterval : now));
     return next;
 }
 
 std::optional<TimePoint> QuotaCredit::nextTime(TimePoint now) const
 {
-    if (m_pools.empty())
-        return std::nullopt;
-    TimePoint next = now + reportInterval;
-    for (const QuotaSlice slice : m_order)
-        next = std::min(next, holder(slice).checkedAt + reportInterval);
-    for (const WorkspaceName& workspace : m_waitingPools) {
-        const Pool& pool = m_pools.at(workspace);
-        if (!pool.waiting.empty())
-            next = std::min(next, nextTime(pool, now));
+    std::optional<TimePoint> next;
+    for (const Group& group : m_groups) {
+        if (group.pools.empty())
+            continue;
+        next = std::min(next.value_or(TimePoint::max()), now + reportInterval);
+        for (const QuotaSlice slice : group.order)
+            next = std::min(*next, holder(slice).checkedAt + reportInterval);
+        for (const WorkspaceName& workspace : group.waitingPools) {
+            const Pool& pool = group.pools.at(workspace);
+            if (!pool.waiting.empty())
+                next = std::min(*next, nextTime(pool, now));
+        }
     }
-    return std::max(next, now + shortestPause);
+    return next ? std::optional(std::max(*next, now + shortestPause)) : std::nullopt;
 }
 
 } // namespace Knapweedquay
--- a/Source/coordination/quotas/QuotaCredit.h
+++ b/Source/coordination/quotas/QuotaCredit.h
@@ -48,7 +48,7 @@
     QuotaCredit(NodeId, Incarnation, Duration lifetime);
 
     /// Sets the slices that have a holder, in the order in which this node asks for credit of them.
-    void setSlices(std::vector<QuotaSlice> slices) { m_order = std::move(slices); }
+    void setSlices(const std::vector<QuotaSlice>&);
     /// Takes a credit for a call. A call without a decision is decided by receive() or expire() by `decideBy`, unless it is
     /// cancelled before.
     Decision take(const WorkspaceName&, std::uint64_t call, TimePoint decideBy, TimePoint now);
@@ -102,7 +102,9 @@
         /// Oldest first.
         std::deque<Lot> lots;
         std::deque<WaitingCall> waiting;
-        std::array<Request, quotaSlices> requests;
+        std::size_t group = 0;
+        /// By the position of the slice in its group.
+        std::array<Request, slicesPerQuota> requests;
         std::uint64_t demand = 0;
         /// Calls per second, with exponential decay.
         double rate = 0;
@@ -118,6 +120,20 @@
         std::optional<TimePoint> unansweredSince;
     };
 
+    /// The workspaces of a group.
+    struct Group {
+        /// Slices that have a holder, in the order in which they are asked.
+        std::vector<QuotaSlice> order;
+        std::map<WorkspaceName, Pool> pools;
+        /// Workspaces with waiting calls, and perhaps some whose last one was cancelled.
+        std::set<WorkspaceName> waitingPools;
+    };
+
+    Group& groupOf(const WorkspaceName& workspace) { return m_groups.at(quotaGroupOf(workspace)); }
+    Pool& poolOf(const WorkspaceName&);
+    const std::vector<QuotaSlice>& order(const Pool& pool) const { return m_groups.at(pool.group).order; }
+    static Request& request(Pool& pool, QuotaSlice slice) { return pool.requests.at(slice.value() % slicesPerQuota); }
+    static const Request& request(const Pool& pool, QuotaSlice slice) { return pool.requests.at(slice.value() % slicesPerQuota); }
     static void decay(Pool&, TimePoint now);
     static std::uint64_t inHand(const Pool&, TimePoint now);
     static std::optional<QuotaTicket> tryTake(Pool&, TimePoint now);
@@ -135,8 +151,8 @@
     void report(Pool&, QuotaSlice, QuotaNeed&, TimePoint now) const;
     /// Adds what the pool asks and reports to the message, if it does.
     void addNeed(const WorkspaceName&, Pool&, QuotaRequestMessage&, TimePoint now);
-    std::optional<QuotaRequestMessage> nextRequest(QuotaSlice, TimePoint now);
-    void forgetIdle(TimePoint now);
+    std::optional<QuotaRequestMessage> nextRequest(Group&, QuotaSlice, TimePoint now);
+    void forgetIdle(Group&, TimePoint now);
     void decideWaiting(Pool&, TimePoint now, std::vector<Decision>&);
     Decision refusal(const Pool&, const WaitingCall&, TimePoint now) const;
     /// When something is to be done for the waiting calls of the pool.
@@ -145,14 +161,11 @@
     NodeId m_node;
     Incarnation m_incarnation;
     Duration m_lifetime;
-    std::vector<QuotaSlice> m_order;
+    std::array<Group, quotaGroups> m_groups;
     std::array<Holder, quotaSlices> m_holders;
     std::uint64_t m_lastClock = 0;
-    std::map<WorkspaceName, Pool> m_pools;
     /// Workspaces of the calls that wait.
     std::unordered_map<std::uint64_t, WorkspaceName> m_waitingCalls;
-    /// Workspaces with waiting calls, and perhaps some whose last one was cancelled.
-    std::set<WorkspaceName> m_waitingPools;
 };
 
 } // namespace Knapweedquay
--- a/Source/coordination/quotas/QuotaHolder.cpp
+++ b/Source/coordination/quotas/QuotaHolder.cpp
@@ -3,6 +3,7 @@
 #include "coordination/quotas/QuotaPlan.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace Knapweedquay {
@@ -27,19 +28,26 @@
             continue;
         held.emplace(Slice { named.tenure, QuotaLedger(m_bound, QuotaSlice(static_cast<std::uint32_t>(index)), named.tenure, now) });
         if (m_workspaces)
-            held->ledger.setQuotas(*m_workspaces, now);
+            held->ledger.setQuotas(workspacesOf(index / slicesPerQuota), now);
     }
 }
 
 void QuotaHolder::setQuotas(const std::vector<Workspace>& workspaces, TimePoint now)
 {
     m_workspaces = workspaces;
-    for (std::optional<Slice>& slice : m_slices) {
-        if (slice)
-            slice->ledger.setQuotas(workspaces, now);
+    for (std::size_t index = 0; index < quotaSlices; ++index) {
+        if (std::optional<Slice>& slice = m_slices.at(index))
+            slice->ledger.setQuotas(workspacesOf(index / slicesPerQuota), now);
     }
 }
 
+std::vector<Workspace> QuotaHolder::workspacesOf(std::size_t group) const
+{
+    std::vector<Workspace> workspaces;
+    std::copy_if(m_workspaces->begin(), m_workspaces->end(), std::back_inserter(workspaces), [group](const Workspace& workspace) { return quotaGroupOf(workspace.name) == group; });
+    return workspaces;
+}
+
 void QuotaHolder::proved(TimePoint provedAt)
 {
     m_provedAt = std::max(m_provedAt.value_or(provedAt), provedAt);
--- a/Source/coordination/quotas/QuotaHolder.h
+++ b/Source/coordination/quotas/QuotaHolder.h
@@ -35,6 +35,8 @@
         QuotaLedger ledger;
     };
 
+    std::vector<Workspace> workspacesOf(std::size_t group) const;
+
     NodeId m_self;
     QuotaBound m_bound;
     /// Credit that an earlier process of this node granted has expired by then.
--- a/Source/coordination/quotas/QuotaPlan.cpp
+++ b/Source/coordination/quotas/QuotaPlan.cpp
@@ -34,7 +34,7 @@
 QuotaPlan planOf(const WorkspaceQuota& quota, const QuotaBound& bound)
 {
     const double window = std::chrono::duration<double>(bound.window).count();
-    constexpr double slices = quotaSlices;
+    constexpr double slices = slicesPerQuota;
     const double limit = (quota.requestsPerSecond * window + quota.burst) / slices;
     const double allowed = ((quota.requestsPerSecond * window + quota.burst) * (1 + bound.overage) + bound.slack) / slices;
     const double reserve = std::max({ allowed - limit, smallestReserve * allowed, std::min(largestShare * allowed, smallestSliceReserve) });
--- a/Source/protocol/Ids.h
+++ b/Source/protocol/Ids.h
@@ -28,7 +28,7 @@
 using PriorityIndex = StrongType<struct PriorityIndexTag, std::uint32_t>;
 
 /// Name of a workspace; empty where a request belongs to none.
-/// Number of one of the equal slices of a quota; below quotaSlices.
+/// Number of a slice of the quotas of one group of workspaces; below quotaSlices.
 using QuotaSlice = StrongType<struct QuotaSliceTag, std::uint32_t>;
 using WorkspaceName = StrongType<struct WorkspaceNameTag, std::string>;
 
--- a/Source/protocol/QuotaMessages.cpp
+++ b/Source/protocol/QuotaMessages.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <xxhash.h>
+
 #include <utility>
 
 namespace Knapweedquay {
@@ -23,6 +25,11 @@
 
 } // namespace
 
+std::size_t quotaGroupOf(const WorkspaceName& workspace)
+{
+    return XXH3_64bits(workspace.value().data(), workspace.value().size()) % quotaGroups;
+}
+
 void appendFields(nlohmann::json& fields, const QuotaRequestMessage& message)
 {
     fields.push_back(message.slice.value());
--- a/Source/protocol/QuotaMessages.h
+++ b/Source/protocol/QuotaMessages.h
@@ -11,7 +11,15 @@
 namespace Knapweedquay {
 
 /// Number of equal slices into which each quota is divided. Each slice has a holder, which grants credit of it.
-constexpr std::size_t quotaSlices = 3;
+constexpr std::size_t slicesPerQuota = 3;
+/// Workspaces are divided into groups, so that each holder has the requests of a part of them only.
+constexpr std::size_t quotaGroups = 8;
+/// Slices of all groups; those of a group follow each other.
+constexpr std::size_t quotaSlices = slicesPerQuota * quotaGroups;
+
+/// Group of a workspace, the same at all nodes.
+std::size_t quotaGroupOf(const WorkspaceName&);
+inline std::size_t quotaGroupOf(QuotaSlice slice) { return slice.value() / slicesPerQuota; }
 
 /// What a node reports and asks about the quota of one workspace.
 struct QuotaNeed {
--- a/Source/state/QuotaHolderDocument.h
+++ b/Source/state/QuotaHolderDocument.h
@@ -14,7 +14,7 @@
 /// Name under which the control store keeps the document of the quotas' holders, next to the service documents.
 inline ServiceName quotaHolderDocumentName() { return ServiceName("@quota-holders"); }
 
-/// The nodes that hold the slices of the quotas.
+/// The nodes that hold the slices of the quotas of all groups of workspaces.
 struct QuotaHolderDocument {
     struct Slice {
         /// Empty while the slice has no holder.
