Tests: Expect the ranks of workspaces behind calls of runs

The priority of calls of running requests is the first one where there are workspaces, so each rank has the next index. Two tests that name indexes were not changed with it; they are as strict as before.

--- a/Tests/coordination/WorkspaceKeysTest.cpp
+++ b/Tests/coordination/WorkspaceKeysTest.cpp
@@ -51,7 +51,7 @@
 TEST_F(WorkspaceKeysTest, KeyTable_KeyOfWorkspace_NamesWorkspaceAndItsPriority)
 {
     EXPECT_EQ(WorkspaceName("archive"), m_table.find(digestOfKey("k2"))->workspace);
-    EXPECT_EQ(PriorityIndex(1), m_table.find(digestOfKey("k2"))->priority) << "ranks 1 and 3";
+    EXPECT_EQ(PriorityIndex(2), m_table.find(digestOfKey("k2"))->priority) << "calls of runs, then ranks 1 and 3";
     EXPECT_FALSE(m_table.find(digestOfKey("k3"))->priority);
     EXPECT_EQ(nullptr, m_table.find(digestOfKey("k4")));
     EXPECT_FALSE(KeyTable(RoutingDocument()).isNeeded());
--- a/Tests/node/CallIntakeTest.cpp
+++ b/Tests/node/CallIntakeTest.cpp
@@ -95,7 +95,7 @@
             }
             EXPECT_EQ(WorkspaceName("archive"), call.value().workspace);
             EXPECT_EQ(digestOfKey("k1"), call.value().callerKey);
-            EXPECT_EQ(PriorityIndex(0), call.value().workspacePriority);
+            EXPECT_EQ(PriorityIndex(runPriorityIndex + 1), call.value().workspacePriority);
             EXPECT_EQ(std::optional<std::uint64_t>(4), call.value().checkedByVersion);
             expectNoCallerHeader(call.value());
         }
