Admission: Reserve no slots for calls of runs

Cause: less urgent calls leave free slots for more urgent ones that are likely to arrive, and all new work is less urgent than calls of runs now. Those are short and take the next slot that becomes free, so nothing is kept for them any more. The new test failed before.

--- a/Source/coordination/admission/AdmissionQueue.cpp
+++ b/Source/coordination/admission/AdmissionQueue.cpp
@@ -218,6 +218,7 @@
         lanes[index].minimumShare = document.priorities[index].minimumShare;
         lanes[index].maximumQueueTime = document.priorities[index].maximumQueueTime;
         lanes[index].target = document.priorities[index].target;
+        lanes[index].reservesSlots = document.priorities[index].reservesSlots;
     }
     for (std::size_t index = 0; index < m_lanes.size(); ++index) {
         auto& target = lanes[newIndex(index)];
@@ -429,6 +430,8 @@
     double forLate = 0;
     for (std::size_t other = 0; other < lateLane(); ++other) {
         const auto& lane = m_lanes[other];
+        if (!lane.reservesSlots)
+            continue;
         if (other < priority)
             forMoreUrgent += expectedSlotDemand(lane, now);
         // If the machine is so slow that the service time alone reaches the target, all calls of the priority are late,
@@ -442,7 +445,7 @@
 bool AdmissionQueue::mayBeEarly(std::size_t priority, bool isLate, TimePoint now) const
 {
     return !isLate && std::none_of(m_lanes.begin(), m_lanes.begin() + static_cast<std::ptrdiff_t>(priority), [&](const Lane& other) {
-        return other.recentStarts * recentDecay(other, now) > minimumRecentStarts;
+        return other.reservesSlots && other.recentStarts * recentDecay(other, now) > minimumRecentStarts;
     });
 }
 
--- a/Source/coordination/admission/AdmissionQueue.h
+++ b/Source/coordination/admission/AdmissionQueue.h
@@ -180,6 +180,7 @@
         double minimumShare = 0;
         Duration maximumQueueTime { 0 };
         Duration target { 0 };
+        bool reservesSlots = false;
         ServiceTimeEstimate serviceTime;
         /// Time since which the queue has not been empty.
         TimePoint backlogSince;
--- a/Source/state/RoutingDocument.cpp
+++ b/Source/state/RoutingDocument.cpp
@@ -188,6 +188,8 @@
     if (!routing.workspaces.empty()) {
         Priority runs;
         runs.name = "runs";
+        // They are short, and wait for the next slot only.
+        runs.reservesSlots = false;
         if (timesOfAllRoutes.timeout > Duration::zero()) {
             runs.target = timesOfAllRoutes.timeout;
             runs.maximumQueueTime = timesOfAllRoutes.timeout;
--- a/Source/state/ServiceDocument.h
+++ b/Source/state/ServiceDocument.h
@@ -22,10 +22,12 @@
     double minimumShare = 0;
     /// Maximum time that a call of this priority may wait in the queue of an endpoint's node.
     Duration maximumQueueTime { 1000000 };
+    /// Whether less urgent calls leave some slots free for calls of this priority that are likely to arrive meanwhile.
+    bool reservesSlots = true;
 
     friend bool operator==(const Priority& a, const Priority& b)
     {
-        return std::tie(a.name, a.target, a.worth, a.minimumShare, a.maximumQueueTime) == std::tie(b.name, b.target, b.worth, b.minimumShare, b.maximumQueueTime);
+        return std::tie(a.name, a.target, a.worth, a.minimumShare, a.maximumQueueTime, a.reservesSlots) == std::tie(b.name, b.target, b.worth, b.minimumShare, b.maximumQueueTime, b.reservesSlots);
     }
 };
 
--- a/Tests/coordination/AdmissionRunsTest.cpp
+++ b/Tests/coordination/AdmissionRunsTest.cpp
@@ -109,3 +109,19 @@
     constexpr double goal = 0.99;
     EXPECT_GT(m_startedRuns, goal * calls);
 }
+
+TEST_F(AdmissionRunsTest, CallsOfRunningRequestsCome_NewWorkTakesAllFreeSlots)
+{
+    const PriorityIndex work = priorityOfRank(m_routing, ranksOf(m_routing), Rank(0));
+    for (int call = 0; call < 100; ++call) {
+        offer(PriorityIndex(runPriorityIndex), runServiceTime, 400 * millisecond, 400 * millisecond);
+        advance(10 * millisecond);
+    }
+    advance(second);
+    // Soon after the last of them more are likely to come.
+    for (int call = 0; call < 3; ++call)
+        offer(PriorityIndex(runPriorityIndex), runServiceTime, 400 * millisecond, 400 * millisecond);
+    advance(runServiceTime);
+    for (std::uint32_t slot = 0; slot < slots; ++slot)
+        EXPECT_EQ(AdmissionKind::Started, offer(work, workServiceTime, 3 * second, 500 * millisecond).kind) << slot;
+}
