Quotas: Test when a holder may grant

Mutations of the design in virtual time: a holder that needs no proof was not noticed by the random fleets, nor one that grants right after the start of its process, nor a slice that is named again at once.

--- a/Tests/control/QuotaHolderStoreTest.cpp
+++ b/Tests/control/QuotaHolderStoreTest.cpp
@@ -142,7 +142,7 @@
         run(20ms);
     EXPECT_FALSE(isHolder(lost));
     takenAway = m_now;
-    run(sliceVacancy(m_bound) - 100ms);
+    run(holderLease + creditLifetime(m_bound));
     EXPECT_TRUE(isHolder(NodeId()));
     run(500ms);
     EXPECT_FALSE(isHolder(NodeId()));
--- a/Tests/coordination/QuotaFleetTest.cpp
+++ b/Tests/coordination/QuotaFleetTest.cpp
@@ -104,6 +104,23 @@
     EXPECT_LE(fleet.result().worstWindow, 1);
 }
 
+// Each data centre is cut off with its holders, while both sides ask for more than there is.
+TEST(QuotaHoldersTest, DataCentresCutOffUnderTooMuchDemand_NoWindowPassesTheBound)
+{
+    QuotaFleet::Settings settings;
+    settings.nodes = 12;
+    settings.workspaces = 3;
+    settings.callsPerSecond = 900;
+    settings.quotaFactor = 0.2;
+    settings.bound.slack = 5;
+    QuotaFleet fleet(settings);
+    constexpr std::size_t dataCentreSize = 4;
+    for (std::size_t node = 0; node < settings.nodes; ++node)
+        fleet.at(seconds(10) + seconds(25 * (node / dataCentreSize)), [&fleet, node] { fleet.cutNode(node, seconds(15)); });
+    fleet.run(seconds(90));
+    EXPECT_LE(fleet.result().worstWindow, 1);
+}
+
 class QuotaGoalTest : public testing::Test {
 protected:
     static QuotaFleet::Result play(const char* name)
