--- a/Source/node/NodeQuotas.cpp
+++ b/Source/node/NodeQuotas.cpp
@@ -77,7 +77,7 @@
             (holder->second == m_self.dataCentre ? near : far).push_back(slice);
     }
     near.insert(near.end(), far.begin(), far.end());
-    m_credit.setSlices(std::move(near));
+    m_credit.setSlices(near);
     update();
 }
 
--- a/Utilities/QuotaBench/QuotaFleet.cpp
+++ b/Utilities/QuotaBench/QuotaFleet.cpp
@@ -183,7 +183,7 @@
             (dataCentreOf(*holder) == dataCentreOf(index) ? order : far).push_back(slice);
     }
     order.insert(order.end(), far.begin(), far.end());
-    node.credit.setSlices(std::move(order));
+    node.credit.setSlices(order);
 }
 
 std::optional<std::size_t> QuotaFleet::holder(QuotaSlice slice) const
