Quotas: Pass over silent holders sooner, and name the time to come back

In zone b calls with 15 ms to wait were refused before a silent holder was passed over, which took 40 ms.

A holder now counts as silent after four times its usual answer time, 8 to 40 ms; calls wait for 40 ms at least; a 503 tells the time that the slices which answered told; a holder that left loses its slice at once, one that is suspected after 1 s instead of 2. Two tests that failed before.

--- a/Source/coordination/quotas/QuotaAssignment.cpp
+++ b/Source/coordination/quotas/QuotaAssignment.cpp
@@ -14,8 +14,8 @@
 
 namespace {
 
-/// A holder that is away for this time loses its slice. A restart is over sooner.
-constexpr Duration longestAbsence { 2000000 };
+/// A holder that is away for this time loses its slice; one that left loses it at once.
+constexpr Duration longestAbsence { 1000000 };
 /// The first holders are chosen once no node has joined for this time.
 constexpr Duration settleTime { 1000000 };
 
@@ -128,7 +128,9 @@
                 slice = { *holder, version };
             continue;
         }
-        if (m_absentSince.at(index) && now - *m_absentSince.at(index) >= longestAbsence)
+        const MemberRecord* holder = find(members, slice.holder);
+        const bool hasLeft = holder && holder->hasLeft();
+        if (hasLeft || (m_absentSince.at(index) && now - *m_absentSince.at(index) >= longestAbsence))
             slice.holder = NodeId();
     }
     // One slice at a time, so that those of a workspace never move together.
--- a/Source/coordination/quotas/QuotaCredit.cpp
+++ b/Source/coordination/quotas/QuotaCredit.cpp
@@ -13,8 +13,13 @@
 constexpr Duration reportInterval { 50000 };
 constexpr Duration urgentInterval { 5000 };
 constexpr Duration shortestPause { 1000 };
-/// A request that was not answered in this time is made again, of another slice if there is one.
-constexpr Duration answerTimeout { 40000 };
+/// A request that was not answered in this multiple of the usual time of the holder's answers, within these limits, is made again, of
+/// another slice if there is one.
+constexpr int answerTimeFactor = 4;
+constexpr Duration shortestTimeout { 8000 };
+constexpr Duration longestTimeout { 40000 };
+/// Weight of a new answer in the usual time.
+constexpr double answerTimeWeight = 0.125;
 /// Interval between requests to a holder that does not answer.
 constexpr Duration silentInterval { 200000 };
 /// Demand of this time is held as credit.
@@ -98,11 +103,16 @@
     return static_cast<std::uint64_t>(pool.rate * prefetchSeconds);
 }
 
-std::uint64_t QuotaCredit::wanted(const Pool& pool, TimePoint now)
+Duration QuotaCredit::answerTimeout(QuotaSlice slice) const
+{
+    return std::clamp(answerTimeFactor * holder(slice).answerTime, shortestTimeout, longestTimeout);
+}
+
+std::uint64_t QuotaCredit::wanted(const Pool& pool, TimePoint now) const
 {
     std::uint64_t held = inHand(pool, now);
-    for (const Request& asked : pool.requests)
-        held += now - asked.askedAt < answerTimeout ? asked.wanted : 0;
+    for (const QuotaSlice slice : order(pool))
+        held += now - request(pool, slice).askedAt < answerTimeout(slice) ? request(pool, slice).wanted : 0;
     const std::uint64_t need = pool.waiting.size() + target(pool);
     return need > held ? need - held : 0;
 }
@@ -115,7 +125,7 @@
 
 bool QuotaCredit::isSilent(QuotaSlice slice, TimePoint now) const
 {
-    return silence(slice, now) >= answerTimeout;
+    return silence(slice, now) >= answerTimeout(slice);
 }
 
 std::optional<QuotaSlice> QuotaCredit::chooseSlice(const Pool& pool, TimePoint now) const
@@ -147,7 +157,9 @@
     // Only all slices together tell that the quota is used up.
     const bool isSpent = order(pool).size() == slicesPerQuota && std::all_of(pool.requests.begin(), pool.requests.end(), [&call, now](const Request& asked) { return asked.deniedUntil > now || asked.deniedAt > call.since; });
     decision.code = isSpent ? ResultCode::QuotaExceeded : ResultCode::QuotaUnproved;
-    decision.retryAfter = isSpent ? std::max(deniedUntil(pool) - now, Duration::zero()) : unprovedRetryAfter;
+    // The slices that did answer tell how long their share of the quota is used up.
+    const Duration denied = order(pool).empty() ? Duration::zero() : std::max(deniedUntil(pool) - now, Duration::zero());
+    decision.retryAfter = isSpent ? denied : std::max(denied, unprovedRetryAfter);
     return decision;
 }
 
@@ -328,6 +340,8 @@
         return decisions;
     sender.tenure = message.tenure;
     sender.unansweredSince.reset();
+    const Duration time = now - TimePoint(Duration(static_cast<std::int64_t>(message.clock)));
+    sender.answerTime += std::chrono::duration_cast<Duration>(answerTimeWeight * (std::min(time, longestTimeout) - sender.answerTime));
     const TimePoint expiry = TimePoint(Duration(static_cast<std::int64_t>(message.clock))) + m_lifetime;
     for (const QuotaGrantMessage::Grant& grant : message.grants) {
         Group& group = groupOf(grant.workspace);
@@ -367,8 +381,11 @@
     for (const WaitingCall& call : pool.waiting)
         next = std::min(next, call.decideBy);
     if (wanted(pool, now) == 0) {
-        for (const Request& asked : pool.requests)
-            next = asked.wanted > 0 && asked.askedAt + answerTimeout > now ? std::min(next, asked.askedAt + answerTimeout) : next;
+        for (const QuotaSlice slice : order(pool)) {
+            const Request& asked = request(pool, slice);
+            const TimePoint timeout = asked.askedAt + answerTimeout(slice);
+            next = asked.wanted > 0 && timeout > now ? std::min(next, timeout) : next;
+        }
         return next;
     }
     if (const auto slice = chooseSlice(pool, now))
--- a/Source/coordination/quotas/QuotaCredit.h
+++ b/Source/coordination/quotas/QuotaCredit.h
@@ -118,6 +118,8 @@
         TimePoint checkedAt;
         /// When the first request was sent that was not answered since.
         std::optional<TimePoint> unansweredSince;
+        /// Usual time from a request to its answer.
+        Duration answerTime { 10000 };
     };
 
     /// The workspaces of a group.
@@ -139,7 +141,9 @@
     static std::optional<QuotaTicket> tryTake(Pool&, TimePoint now);
     /// Credit to hold for the calls of the next moments.
     static std::uint64_t target(const Pool&);
-    static std::uint64_t wanted(const Pool&, TimePoint now);
+    std::uint64_t wanted(const Pool&, TimePoint now) const;
+    /// Time after which a request to the holder of a slice counts as unanswered.
+    Duration answerTimeout(QuotaSlice) const;
     Holder& holder(QuotaSlice slice) { return m_holders.at(slice.value()); }
     const Holder& holder(QuotaSlice slice) const { return m_holders.at(slice.value()); }
     bool isSilent(QuotaSlice, TimePoint now) const;
--- a/Source/node/NodeQuotas.cpp
+++ b/Source/node/NodeQuotas.cpp
@@ -14,7 +14,7 @@
 
 /// Longest wait of a call for credit, and the part of its time to its target that it may take.
 constexpr Duration longestWait { 80000 };
-constexpr Duration shortestWait { 10000 };
+constexpr Duration shortestWait { 40000 };
 constexpr int waitDivisor = 4;
 /// Interval between log lines about refusals.
 constexpr Duration refusalLogInterval { 1000000 };
--- a/Tests/control/QuotaHolderStoreTest.cpp
+++ b/Tests/control/QuotaHolderStoreTest.cpp
@@ -157,7 +157,7 @@
     run(2s);
     const QuotaHolderDocument before = holders();
     m_members.back().health = MemberHealth::Dead;
-    run(1500ms);
+    run(700ms);
     m_members.back() = node("d", "z");
     m_members.back().version.incarnation = Incarnation(2);
     run(10s);
--- a/Tests/coordination/QuotaCreditTest.cpp
+++ b/Tests/coordination/QuotaCreditTest.cpp
@@ -265,6 +265,41 @@
     EXPECT_EQ(refused.code, ResultCode::QuotaUnproved);
 }
 
+// Callers that got 503 for a quota that was used up came back before there was credit.
+TEST_F(QuotaCreditTest, SliceWithoutHolder_RetryAfterIsTheTimeThatTheOthersTold)
+{
+    m_node.setSlices({ slice(0), slice(1) });
+    Duration longest { 0 };
+    for (int i = 0; i < 400; ++i) {
+        for (int call = 0; call < 20; ++call) {
+            const QuotaCredit::Decision taken = take(m_node);
+            longest = taken.code == ResultCode::QuotaUnproved ? std::max(longest, taken.retryAfter) : longest;
+        }
+        exchange(m_node);
+        advance(milliseconds(10));
+        m_node.expire(m_now);
+    }
+    // Without them it is half a second.
+    EXPECT_GT(longest, milliseconds(500));
+}
+
+TEST_F(QuotaCreditTest, HolderAnswersSoon_SilenceIsNoticedSoon)
+{
+    for (int i = 0; i < 40; ++i) {
+        take(m_node);
+        exchange(m_node);
+        advance(milliseconds(400));
+        m_node.expire(m_now);
+    }
+    while (take(m_node).code)
+        ASSERT_LT(m_call, 1000U);
+    EXPECT_EQ(m_node.nextRequests(m_now).at(0).slice, slice(0));
+    advance(milliseconds(8));
+    const auto requests = m_node.nextRequests(m_now);
+    ASSERT_EQ(requests.size(), 1U);
+    EXPECT_EQ(requests[0].slice, slice(1));
+}
+
 TEST_F(QuotaCreditTest, NoHolderKnown_RefusedAtOnce)
 {
     m_node.setSlices({});
