Quotas: Ask a holder again that was silent

One lost answer moved the requests of a node to other slices for good: a holder that had been silent was asked again only when no other slice was left, and nothing else made it answer. So requests went to other data centres, and the loads of holders became uneven. Found by reading; the test failed before.

--- a/Source/coordination/quotas/QuotaCredit.cpp
+++ b/Source/coordination/quotas/QuotaCredit.cpp
@@ -125,21 +125,17 @@
 
 bool QuotaCredit::isSilent(QuotaSlice slice, TimePoint now) const
 {
-    return silence(slice, now) >= answerTimeout(slice);
+    // After a while it is asked again, so that it is noticed when it answers.
+    return silence(slice, now) >= answerTimeout(slice) && now - holder(slice).askedAt < silentInterval;
 }
 
 std::optional<QuotaSlice> QuotaCredit::chooseSlice(const Pool& pool, TimePoint now) const
 {
-    std::optional<QuotaSlice> silent;
     for (const QuotaSlice slice : order(pool)) {
-        if (request(pool, slice).deniedUntil > now)
-            continue;
-        if (!isSilent(slice, now))
+        if (request(pool, slice).deniedUntil <= now && !isSilent(slice, now))
             return slice;
-        if (!silent && now - holder(slice).sentAt >= silentInterval)
-            silent = slice;
     }
-    return silent;
+    return std::nullopt;
 }
 
 TimePoint QuotaCredit::deniedUntil(const Pool& pool) const
@@ -292,8 +288,10 @@
     m_lastClock = message.clock;
     asked.sentAt = now;
     const bool isAnswered = std::any_of(message.needs.begin(), message.needs.end(), [](const QuotaNeed& need) { return need.wanted > 0; });
-    if (isAnswered && !asked.unansweredSince)
-        asked.unansweredSince = now;
+    if (isAnswered) {
+        asked.askedAt = now;
+        asked.unansweredSince = asked.unansweredSince.value_or(now);
+    }
     return message;
 }
 
@@ -391,7 +389,7 @@
     if (const auto slice = chooseSlice(pool, now))
         return std::min(next, holder(*slice).sentAt + urgentInterval);
     for (const QuotaSlice slice : order(pool))
-        next = std::min(next, std::max(request(pool, slice).deniedUntil, isSilent(slice, now) ? holder(slice).sentAt + silentInterval : now));
+        next = std::min(next, std::max(request(pool, slice).deniedUntil, isSilent(slice, now) ? holder(slice).askedAt + silentInterval : now));
     return next;
 }
 
--- a/Source/coordination/quotas/QuotaCredit.h
+++ b/Source/coordination/quotas/QuotaCredit.h
@@ -114,6 +114,8 @@
     struct Holder {
         std::uint64_t tenure = 0;
         TimePoint sentAt;
+        /// When it was last asked for credit.
+        TimePoint askedAt;
         /// When it was last checked whether a report is due.
         TimePoint checkedAt;
         /// When the first request was sent that was not answered since.
--- a/Tests/coordination/QuotaCreditTest.cpp
+++ b/Tests/coordination/QuotaCreditTest.cpp
@@ -5,6 +5,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 using namespace Knapweedquay;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
@@ -265,6 +267,28 @@
     EXPECT_EQ(refused.code, ResultCode::QuotaUnproved);
 }
 
+// One lost answer moved the requests of a data centre to another one for good.
+TEST_F(QuotaCreditTest, HolderWasSilentOnce_IsAskedFirstAgainSoon)
+{
+    EXPECT_FALSE(take(m_node).code);
+    m_node.nextRequests(m_now);
+    advance(milliseconds(40));
+    exchange(m_node);
+    for (int i = 0; i < 10; ++i) {
+        advance(milliseconds(400));
+        take(m_node);
+        exchange(m_node);
+    }
+    advance(milliseconds(10));
+    while (take(m_node).code)
+        ASSERT_LT(m_call, 1000U);
+    const auto requests = m_node.nextRequests(m_now);
+    const auto asksForCredit = [](const QuotaRequestMessage& request) { return request.needs.at(0).wanted > 0; };
+    const auto asked = std::find_if(requests.begin(), requests.end(), asksForCredit);
+    ASSERT_NE(asked, requests.end());
+    EXPECT_EQ(asked->slice, slice(0));
+}
+
 // Callers that got 503 for a quota that was used up came back before there was credit.
 TEST_F(QuotaCreditTest, SliceWithoutHolder_RetryAfterIsTheTimeThatTheOthersTold)
 {
