--- a/Tests/protocol/PeerMessagesTest.cpp
+++ b/Tests/protocol/PeerMessagesTest.cpp
@@ -97,3 +97,19 @@
     fields.back()[1] = "not a number";
     EXPECT_TRUE(decodePeerMessage(encodeCbor(fields)).has_error());
 }
+
+TEST(PeerMessagesTest, QuotaRequestAndGrant_Decoded_AreEqual)
+{
+    QuotaRequestMessage request { QuotaSlice(quotaSlices - 1), NodeId("a"), Incarnation(3), 1000, 7, { { WorkspaceName("harbour"), 4, 5, 6, { { 900, 1, 2 } } } } };
+    const auto decodedRequest = decodePeerMessage(encode(PeerMessage(request)));
+    ASSERT_TRUE(decodedRequest.has_value());
+    EXPECT_EQ(encode(PeerMessage(request)), encode(decodedRequest.value()));
+    EXPECT_EQ(900U, std::get<QuotaRequestMessage>(decodedRequest.value()).needs.at(0).reports.at(0).grant);
+    const QuotaGrantMessage grant { QuotaSlice(1), NodeId("a"), Incarnation(3), 1000, 7, { { WorkspaceName("harbour"), 4, Duration(20000) } } };
+    const auto decodedGrant = decodePeerMessage(encode(PeerMessage(grant)));
+    ASSERT_TRUE(decodedGrant.has_value());
+    EXPECT_EQ(encode(PeerMessage(grant)), encode(decodedGrant.value()));
+    // A holder finds its slice by the number.
+    request.slice = QuotaSlice(quotaSlices);
+    EXPECT_TRUE(decodePeerMessage(encode(PeerMessage(request))).has_error());
+}
