Quotas: Watch the links to holders as those of calls

A holder that had been silent for a second had its link replaced with each request to it, also when it was alive and only lacked proof, as all do when the control store is away for long: attempts under way on these links were sent again. Found by reading. The links are now pinged while an answer is awaited, and replaced only if nothing answers.

--- a/Source/coordination/quotas/QuotaCredit.h
+++ b/Source/coordination/quotas/QuotaCredit.h
@@ -63,8 +63,6 @@
     std::vector<Decision> expire(TimePoint now);
     /// When nextRequests() and expire() are to be called again; not set while there is nothing to do.
     std::optional<TimePoint> nextTime(TimePoint now) const;
-    /// Time for which the holder of a slice has left a request unanswered.
-    Duration silence(QuotaSlice, TimePoint now) const;
 
     /// Credit in hand, of all workspaces.
     std::uint64_t inHand(TimePoint now) const;
@@ -148,6 +146,8 @@
     Duration answerTimeout(QuotaSlice) const;
     Holder& holder(QuotaSlice slice) { return m_holders.at(slice.value()); }
     const Holder& holder(QuotaSlice slice) const { return m_holders.at(slice.value()); }
+    /// Time for which the holder of a slice has left a request unanswered.
+    Duration silence(QuotaSlice, TimePoint now) const;
     bool isSilent(QuotaSlice, TimePoint now) const;
     /// The slice to ask for credit now; not set if none is expected to grant any.
     std::optional<QuotaSlice> chooseSlice(const Pool&, TimePoint now) const;
--- a/Source/node/CallGateway.cpp
+++ b/Source/node/CallGateway.cpp
@@ -99,8 +99,8 @@
               } })
     , m_random(std::random_device {}())
     , m_quotas(context, m_self, m_settings.quotaBound,
-          { [this](const NodeId& holder, const QuotaRequestMessage& request) { m_links.send(holder, request); },
-              [this](const NodeId& holder) { m_links.replaceIfSilent(holder); },
+          { [this](const NodeId& holder, const QuotaRequestMessage& request) { return m_links.send(holder, request); },
+              [this](const NodeId& holder, int change) { m_links.addPendingAnswers(holder, change); },
               [this](const QuotaCredit::Decision& decision) {
                   if (const auto entry = m_sessions.find(decision.call); entry != m_sessions.end())
                       handleCredit(SessionPtr(entry->second), decision);
@@ -792,7 +792,6 @@
 
 void CallGateway::setMember(const MemberRecord& member)
 {
-    m_quotas.setMember(member);
     const auto previous = m_members.find(member.node);
     if (previous != m_members.end()) {
         ServiceTraffic* before = traffic(previous->second.endpoint.service);
@@ -808,6 +807,7 @@
     }
     if (member.node != m_self.node && !member.peerAddress.isEmpty())
         m_links.setAddress(member.node, toText(member.peerAddress));
+    m_quotas.setMember(member);
     ServiceTraffic* service = traffic(member.endpoint.service);
     if (!service)
         return;
--- a/Source/node/NodeQuotas.cpp
+++ b/Source/node/NodeQuotas.cpp
@@ -20,8 +20,6 @@
 constexpr Duration refusalLogInterval { 1000000 };
 /// Interval between log lines about grants.
 constexpr Duration grantLogInterval { 1000000 };
-/// Silence of a holder after which its link is replaced.
-constexpr Duration longestSilence { 1000000 };
 
 } // namespace
 
@@ -48,6 +46,10 @@
 
 void NodeQuotas::setHolders(const QuotaHolderDocument& holders)
 {
+    for (std::uint32_t index = 0; index < quotaSlices; ++index) {
+        if (m_awaited.at(index) != holders.slices.at(index).holder)
+            await(QuotaSlice(index), {});
+    }
     m_holders = holders;
     m_holder.setHolders(holders, steadyNow());
     updateSlices();
@@ -103,9 +105,18 @@
         });
         return;
     }
-    if (m_credit.silence(request.slice, steadyNow()) > longestSilence)
-        m_hooks.replaceLink(holder);
-    m_hooks.request(holder, request);
+    const bool isAnswered = std::any_of(request.needs.begin(), request.needs.end(), [](const QuotaNeed& need) { return need.wanted > 0; });
+    if (m_hooks.request(holder, request) && isAnswered && m_awaited.at(request.slice.value()).value().empty())
+        await(request.slice, holder);
+}
+
+void NodeQuotas::await(QuotaSlice slice, const NodeId& holder)
+{
+    const NodeId previous = std::exchange(m_awaited.at(slice.value()), holder);
+    if (!previous.value().empty())
+        m_hooks.awaitAnswers(previous, -1);
+    if (!holder.value().empty())
+        m_hooks.awaitAnswers(holder, 1);
 }
 
 QuotaCredit::Decision NodeQuotas::take(const WorkspaceName& workspace, std::uint64_t call, Duration timeLeft)
@@ -136,6 +147,7 @@
 void NodeQuotas::receive(const QuotaGrantMessage& message)
 {
     m_answeredAt = steadyNow();
+    await(message.slice, {});
     for (const QuotaGrantMessage::Grant& grant : message.grants)
         m_metrics.quotaGranted(grant.credit);
     pass(m_credit.receive(message, steadyNow()));
--- a/Source/node/NodeQuotas.h
+++ b/Source/node/NodeQuotas.h
@@ -13,6 +13,7 @@
 
 #include <asio/io_context.hpp>
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -28,10 +29,10 @@
 class NodeQuotas {
 public:
     struct Hooks {
-        /// Sends a request for credit to the holder of its slice.
-        std::function<void(const NodeId& holder, const QuotaRequestMessage&)> request;
-        /// Replaces the link to a holder that has been silent for long.
-        std::function<void(const NodeId& holder)> replaceLink;
+        /// Sends a request for credit to the holder of its slice; false if it can't be sent.
+        std::function<bool(const NodeId& holder, const QuotaRequestMessage&)> request;
+        /// Adds to the number of answers that are pending from a holder; negative once they arrived or are no longer awaited.
+        std::function<void(const NodeId& holder, int change)> awaitAnswers;
         /// Passes on the decision about a call for which take() had none.
         std::function<void(const QuotaCredit::Decision&)> decided;
     };
@@ -67,6 +68,8 @@
     /// Sets which slices can be asked: first those that are held in this data centre.
     void updateSlices();
     void send(const QuotaRequestMessage&);
+    /// Begins to await an answer of a slice's holder, so that its link is watched, or ends it with an empty id.
+    void await(QuotaSlice, const NodeId& holder);
 
     asio::io_context& m_context;
     NodeIdentity m_self;
@@ -75,6 +78,8 @@
     QuotaCredit m_credit;
     QuotaHolder m_holder;
     QuotaHolderDocument m_holders;
+    /// Holders whose answers are awaited, by slice; empty ids for none.
+    std::array<NodeId, quotaSlices> m_awaited;
     /// Data centres of the members that are present.
     std::map<NodeId, DataCentre> m_dataCentres;
     TimePoint m_grantsLoggedAt;
