Quotas: Take no slice away from a node of which nothing is known

A holder of which nothing is known, or any while most seem to be away, now loses its slice after 5 s only. Two tests that failed before.

--- a/Source/coordination/quotas/QuotaAssignment.cpp
+++ b/Source/coordination/quotas/QuotaAssignment.cpp
@@ -14,8 +14,11 @@
 
 namespace {
 
-/// A holder that is away for this time loses its slice; one that left loses it at once.
+/// A holder that is known to be away for this time loses its slice; one that left loses it at once.
 constexpr Duration longestAbsence { 1000000 };
+/// A holder of which nothing is known loses it after this time, and so does each while most of them seem to be away: a leader that
+/// has just started, or is cut off itself, knows little.
+constexpr Duration longestIgnorance { 5000000 };
 /// The first holders are chosen once no node has joined for this time.
 constexpr Duration settleTime { 1000000 };
 
@@ -119,6 +122,8 @@
     observe(current, members, now);
     QuotaHolderDocument next = current;
     const bool isSettled = now - m_changedAt >= settleTime;
+    const auto absent = std::count_if(m_absentSince.begin(), m_absentSince.end(), [](const auto& since) { return since.has_value(); });
+    const bool seemsCutOff = 2 * static_cast<std::size_t>(absent) > quotaSlices;
     for (std::size_t index = 0; index < quotaSlices; ++index) {
         QuotaHolderDocument::Slice& slice = next.slices.at(index);
         if (slice.holder.value().empty()) {
@@ -129,8 +134,9 @@
             continue;
         }
         const MemberRecord* holder = find(members, slice.holder);
-        const bool hasLeft = holder && holder->hasLeft();
-        if (hasLeft || (m_absentSince.at(index) && now - *m_absentSince.at(index) >= longestAbsence))
+        const Duration allowed = !holder || seemsCutOff ? longestIgnorance : holder->hasLeft() ? Duration::zero()
+                                                                                               : longestAbsence;
+        if (m_absentSince.at(index) && now - *m_absentSince.at(index) >= allowed)
             slice.holder = NodeId();
     }
     // One slice at a time, so that those of a workspace never move together.
--- a/Tests/control/QuotaHolderStoreTest.cpp
+++ b/Tests/control/QuotaHolderStoreTest.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <memory>
 #include <set>
+#include <utility>
 
 using namespace Knapweedquay;
 using namespace std::chrono_literals;
@@ -164,6 +165,38 @@
     EXPECT_EQ(holders(), before);
 }
 
+// After a restart of the control store all holders lost their slices, before their nodes were heard of again.
+TEST_F(QuotaHolderStoreTest, LeaderKnowsNoMembersYet_TakesNoSliceAway)
+{
+    run(2s);
+    change(1);
+    change(2);
+    run(2s);
+    const QuotaHolderDocument before = holders();
+    const std::vector<MemberRecord> all = std::exchange(m_members, {});
+    run(4s);
+    EXPECT_EQ(holders(), before);
+    m_members = all;
+    run(10s);
+    EXPECT_EQ(holders(), before);
+}
+
+TEST_F(QuotaHolderStoreTest, MostHoldersSuspectedForAMoment_TakesNoSliceAway)
+{
+    run(2s);
+    change(1);
+    change(2);
+    run(2s);
+    const QuotaHolderDocument before = holders();
+    for (MemberRecord& member : m_members)
+        member.health = MemberHealth::Suspect;
+    run(4s);
+    for (MemberRecord& member : m_members)
+        member.health = MemberHealth::Alive;
+    run(10s);
+    EXPECT_EQ(holders(), before);
+}
+
 TEST_F(QuotaHolderStoreTest, OneNodeAtFirst_SlicesMoveToNodesThatJoin)
 {
     const std::vector<MemberRecord> all = m_members;
