--- a/Source/protocol/QuotaMessages.h
+++ b/Source/protocol/QuotaMessages.h
@@ -55,7 +55,7 @@
 };
 
 /// Credit that the holder of a slice grants. The node may use it for a fixed time after the clock of its request, so a grant
-/// that was delayed, or a node that was suspended, never has credit that the owner has forgotten.
+/// that was delayed, or a node that was suspended, never has credit that the holder has forgotten.
 struct QuotaGrantMessage {
     /// Credit for one workspace.
     struct Grant {
--- a/Utilities/QuotaBench/QuotaFleet.h
+++ b/Utilities/QuotaBench/QuotaFleet.h
@@ -87,7 +87,7 @@
     double demand() const { return m_totalDemand; }
     /// Multiplies the calls of a workspace.
     void scaleDemand(std::size_t workspace, double factor);
-    /// Multiplies the quota of a workspace, from now on at the owner.
+    /// Multiplies the quota of a workspace, from now on in the control store.
     void scaleQuota(std::size_t workspace, double factor);
     /// Sends a share of all calls to the first third of the nodes.
     void moveDemand(double share) { m_movedShare = share; }
