--- a/Source/coordination/quotas/QuotaAssignment.cpp
+++ b/Source/coordination/quotas/QuotaAssignment.cpp
@@ -56,7 +56,6 @@
     if (term == m_term)
         return;
     m_term = term;
-    m_leadingSince = now;
     m_changedAt = now;
     m_candidates.clear();
     m_emptySince.fill(std::nullopt);
--- a/Source/coordination/quotas/QuotaAssignment.h
+++ b/Source/coordination/quotas/QuotaAssignment.h
@@ -37,7 +37,6 @@
 
     Duration m_vacancy;
     std::uint64_t m_term = 0;
-    TimePoint m_leadingSince;
     /// Nodes that can hold slices, and when their set last changed.
     std::set<NodeId> m_candidates;
     TimePoint m_changedAt;
