--- a/review/common/deployment.sh
+++ b/review/common/deployment.sh
@@ -180,7 +180,8 @@
     printf '{"Name":"r%s","PathPrefix":"%s","Kind":"%s","TimeoutS":%s,"TargetLatencyS":%s,"Priority":1,"Service":"%s","MaxAttempts":2}' "${1//\//-}" "$1" "$2" "$4" "$5" "$3"
 }
 
-# configuration VERSION "SERVICE..." ROUTE...: writes a configuration and prints its path.
+# configuration VERSION "SERVICE..." ROUTE...: writes a configuration with the limit maximumBodyBytes, or that of the pages, and
+# prints its path.
 configuration() {
     local version=$1 services= name routes
     for name in $2; do
@@ -191,6 +192,6 @@
         IFS=,
         echo "$*"
     )
-    printf '{"Version":"%s","Services":[%s],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":67108864,"HeaderTimeoutS":3,"IdleTimeoutS":15},"VirtualHosts":[{"Host":"shop.example","Paths":[%s]}]}' "$version" "$services" "$routes" >"$work/$version.json"
+    printf '{"Version":"%s","Services":[%s],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":%s,"HeaderTimeoutS":3,"IdleTimeoutS":15},"VirtualHosts":[{"Host":"shop.example","Paths":[%s]}]}' "$version" "$services" "${maximumBodyBytes:-67108864}" "$routes" >"$work/$version.json"
     echo "$work/$version.json"
 }
