--- a/review/common/deployment.sh
+++ b/review/common/deployment.sh
@@ -20,7 +20,7 @@
 
 cleanUp() {
     local pid
-    for pid in "${pids[@]}"; do
+    for pid in "${pids[@]}" $(jobs -p); do
         kill -CONT "$pid" 2>/dev/null || true
         kill -KILL "$pid" 2>/dev/null || true
     done
