--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -30,16 +30,16 @@
 startSidecar 1 dispatch
 startSidecar 2 dispatch
 startEndpoint 0 inventory
-startEndpoint 1 dispatch --slots 60 --work-ms 300
-startEndpoint 2 dispatch --slots 60 --work-ms 300
+startEndpoint 1 dispatch --slots 60 --work-ms 800
+startEndpoint 2 dispatch --slots 60 --work-ms 800
 replaceConfiguration "$(configuration 00000001 "inventory dispatch" "$(route /book/ unsafe dispatch 2.5 1.5)" "$(route /photo/ safe dispatch 2.5 2.5)")" 00000000
 waitUntilReady 3
 
 watchMemory sidecar-0 &
 pids[watch]=$!
-client 0 --method POST --host shop.example --path /book/courier --id booking- --body 500 --deadline-ms 2500 --kept 16 --count 20 &
+client 0 --method POST --host shop.example --path /book/courier --id booking- --body 500 --deadline-ms 2500 --kept 24 --per-second 30 --count 8 &
 bookings=$!
-sleep 1.5
+sleep 3
 if [ "$trouble" != 0 ]; then
     client 0 --method POST --host shop.example --path /photo/parcel --id upload- --body 33000000 --deadline-ms 2500
 fi
