--- a/review/common/deployment.sh
+++ b/review/common/deployment.sh
@@ -24,6 +24,10 @@
         kill -CONT "$pid" 2>/dev/null || true
         kill -KILL "$pid" 2>/dev/null || true
     done
+    # A machine that a background job has started again is known by its file only.
+    for pid in $(cat "$work"/*.pid 2>/dev/null); do
+        ! grep -qs "$work" "/proc/$pid/cmdline" || kill -KILL "$pid" 2>/dev/null || true
+    done
     wait 2>/dev/null || true
     rm -rf "$work"
 }
@@ -41,8 +45,8 @@
 
 # writeSettings NAME CLASS IP BOOTSTRAP [SERVICE]: the settings file of a machine.
 writeSettings() {
-    local serves=sidecar counted=false
-    [ "$2" = core ] && serves=control counted=true
+    local serves=sidecar counted=false memory=260
+    [ "$2" = core ] && serves=control counted=true memory=256
     {
         cat <<SETTINGS
 Node = "$1"
@@ -77,7 +81,7 @@
 [Limits]
 CpuShare = 0.6
 Cores = 1
-MemoryMb = 260
+MemoryMb = $memory
 MaxFds = 4096
 LinkMbps = 1000.0
 DiskMb = 256
@@ -93,6 +97,7 @@
 startMachine() {
     env -i PATH="$PATH" HOME="$work" LANG=C KNAPWEEDQUAY_BOOT="$work/$1.toml" "$programs/$2" --config "$work/$1.toml" >>"$work/$1.log" 2>&1 &
     pids[$1]=$!
+    echo "$!" >"$work/$1.pid"
     disown
 }
 
