Node: Tell in the log what a stop leaves behind

Cause: the log of a stop had one line at its begin and none about what was left, so that it could not tell whether lost requests had arrived late, were being answered, or were read in between the last check and the end. Change: events 107 and 108 give connections, requests in part, calls, attempts and unsent bytes at the order, at the drain and at the end, with the reason of the end; gauges give the same at any time. No decision changed.

--- a/Source/node/CallGateway.cpp
+++ b/Source/node/CallGateway.cpp
@@ -548,9 +548,9 @@
         entry->second.session->trace.add(event, steadyNow(), peer, values);
 }
 
-bool CallGateway::hasCallers() const
+std::size_t CallGateway::pendingCalls() const
 {
-    return std::any_of(m_sessions.begin(), m_sessions.end(), [](const auto& entry) { return !entry.second->isCallerDisconnected || entry.second->claim; });
+    return static_cast<std::size_t>(std::count_if(m_sessions.begin(), m_sessions.end(), [](const auto& entry) { return !entry.second->isCallerDisconnected || entry.second->claim; }));
 }
 
 void CallGateway::logDroppedTraces()
--- a/Source/node/CallGateway.h
+++ b/Source/node/CallGateway.h
@@ -110,8 +110,8 @@
     std::map<ServiceName, std::vector<EndpointStatus>> endpointStatus() const;
     std::uint64_t droppedTraceLines() const { return m_traceSampler.droppedLines(); }
     std::size_t sessionCount() const { return m_sessions.size(); }
-    /// True while a caller waits for its answer, or a key for the outcome of its call.
-    bool hasCallers() const;
+    /// Number of calls whose caller waits for the answer, or whose key waits for the outcome.
+    std::size_t pendingCalls() const;
     const Counters& counters() const { return m_counters; }
 
 private:
--- a/Source/node/EndpointRunner.h
+++ b/Source/node/EndpointRunner.h
@@ -94,6 +94,9 @@
     /// True if no admitted attempt is waiting or running.
     bool isIdle() const { return m_jobs.empty() && m_lostAttempts.empty(); }
 
+    /// Number of attempts that are waiting or running, or whose outcome is not known yet.
+    std::size_t pendingAttempts() const { return m_jobs.size() + m_lostAttempts.size(); }
+
     /// Handles an attempt that was sent or resent by an origin node.
     void receive(const CallRequestMessage&, ConnectionId);
     void cancel(const CallCancelMessage&, ConnectionId);
--- a/Source/node/NodeDaemon.cpp
+++ b/Source/node/NodeDaemon.cpp
@@ -32,6 +32,11 @@
     return Incarnation(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count()));
 }
 
+bool isNothingLeft(const PendingWork& work)
+{
+    return work.partialRequests + work.calls + work.attempts + work.unsentCallerBytes + work.unsentPeerBytes == 0;
+}
+
 nlohmann::json toJson(const EndpointStatus& endpoint)
 {
     const auto age = endpoint.reportedAt ? std::chrono::duration<double, std::milli>(steadyNow() - *endpoint.reportedAt).count() : -1;
@@ -53,7 +58,10 @@
     , m_idleTimer(m_controlContext, [this] { stopWhenIdle(); })
     , m_drainTimer(m_controlContext, [this] {
         m_control->leave();
-        asio::post(m_trafficContext, [this] { m_traffic->drain(); });
+        asio::post(m_trafficContext, [this] {
+            logStop(LogEvent::StopProgress, "drain");
+            m_traffic->drain();
+        });
         m_idleTimer.setAfter(lastRequestsTime);
     })
 {
@@ -85,6 +93,8 @@
     m_controlContext.run();
     m_trafficContext.stop();
     trafficThread.join();
+    if (m_isStopping)
+        logStop(isNothingLeft(m_traffic->pendingWork()) ? LogEvent::StopProgress : LogEvent::StopIncomplete, "end", m_stopReason);
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
@@ -163,7 +173,7 @@
     hooks.backendCold = [this](Duration left) {
         asio::post(m_trafficContext, [this, left] { m_traffic->runner().announcedCold(left); });
     };
-    hooks.superseded = [this] { stop(); };
+    hooks.superseded = [this] { stop("superseded"); };
     hooks.metrics = [this] { return metricsText(); };
     hooks.trafficStatus = [this] { return trafficStatus(); };
     return hooks;
@@ -220,7 +230,7 @@
             return waitForSignal();
         }
         if (std::exchange(m_isStopping, true))
-            return stop();
+            return stop("signal");
         stopGracefully();
         waitForSignal();
     });
@@ -229,10 +239,14 @@
 void NodeDaemon::stopGracefully()
 {
     log(LogEvent::Stopping);
-    m_stopBy = steadyNow() + m_settings.maximumStopTime;
+    m_stopOrderedAt = steadyNow();
+    m_stopBy = m_stopOrderedAt + m_settings.maximumStopTime;
     endProcessAfter(m_settings.maximumStopTime + blockedStopTime);
     m_control->endReadiness();
-    asio::post(m_trafficContext, [this] { m_traffic->announceStop(); });
+    asio::post(m_trafficContext, [this] {
+        logStop(LogEvent::StopProgress, "notice");
+        m_traffic->announceStop();
+    });
     m_drainTimer.setAfter(m_settings.stopNotice);
 }
 
@@ -246,21 +260,34 @@
 void NodeDaemon::stopWhenIdle()
 {
     if (steadyNow() > m_stopBy)
-        return stop();
+        return stop("time");
     asio::post(m_trafficContext, [this] {
         const bool isIdle = m_traffic->isIdle();
         asio::post(m_controlContext, [this, isIdle] {
             if (isIdle && m_control->hasSpreadLeave())
-                stop();
+                stop("idle");
             else
                 m_idleTimer.setAfter(idleCheckInterval);
         });
     });
 }
 
-void NodeDaemon::stop()
+void NodeDaemon::stop(const char* reason)
 {
+    m_stopReason = reason;
     m_controlContext.stop();
 }
 
+void NodeDaemon::logStop(LogEvent event, const char* step, const char* reason) const
+{
+    const PendingWork work = m_traffic->pendingWork();
+    std::vector<LogField> fields { { "step", step }, { "since_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(steadyNow() - m_stopOrderedAt).count()) },
+        { "connections", std::to_string(work.connections) }, { "unused", std::to_string(work.unusedConnections) }, { "partial", std::to_string(work.partialRequests) },
+        { "calls", std::to_string(work.calls) }, { "attempts", std::to_string(work.attempts) }, { "unsent_caller_bytes", std::to_string(work.unsentCallerBytes) },
+        { "unsent_peer_bytes", std::to_string(work.unsentPeerBytes) }, { "lingering", std::to_string(work.lingeringConnections) } };
+    if (*reason)
+        fields.push_back({ "reason", reason });
+    log(event, fields);
+}
+
 } // namespace Knapweedquay
--- a/Source/node/NodeDaemon.h
+++ b/Source/node/NodeDaemon.h
@@ -3,6 +3,7 @@
 #include "node/NodeControl.h"
 #include "node/NodeSettings.h"
 #include "node/NodeTraffic.h"
+#include "transport/Logger.h"
 
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
@@ -39,8 +40,10 @@
     void reload();
     /// Stops if no calls are in progress and the leave was announced, or the maximum stop time has passed.
     void stopWhenIdle();
-    /// Stops immediately.
-    void stop();
+    /// Stops immediately; the reason is for the log.
+    void stop(const char* reason);
+    /// Logs what the node holds at a step of its stop. Runs on the traffic thread, or once that has ended.
+    void logStop(LogEvent, const char* step, const char* reason = "") const;
     std::string trafficStatus();
     std::string metricsText();
     /// Runs a function on the traffic thread and waits for its result; returns "null" if that thread does not respond.
@@ -59,6 +62,8 @@
     Timer m_idleTimer;
     /// Fires at the end of the stop notice.
     Timer m_drainTimer;
+    TimePoint m_stopOrderedAt;
+    const char* m_stopReason = "";
     /// Time at which the process stops even if calls are in progress.
     TimePoint m_stopBy;
     /// True after the first stop signal; a second one stops the process immediately.
--- a/Source/node/NodeMetrics.cpp
+++ b/Source/node/NodeMetrics.cpp
@@ -209,6 +209,22 @@
     gauge("knapweedquay_calls_in_progress", "Calls of callers in progress at this node").Set(static_cast<double>(sessions));
 }
 
+void NodeMetrics::setPendingWork(const PendingWork& work)
+{
+    const auto set = [this](const char* state, std::size_t value) {
+        gauge("knapweedquay_caller_connections", "Open connections of callers", { { "state", state } }).Set(static_cast<double>(value));
+    };
+    set("all", work.connections);
+    set("unused", work.unusedConnections);
+    set("partial_request", work.partialRequests);
+    set("lingering", work.lingeringConnections);
+    const auto setUnsent = [this](const char* to, std::size_t bytes) {
+        gauge("knapweedquay_unsent_bytes", "Bytes that the system has not taken yet", { { "to", to } }).Set(static_cast<double>(bytes));
+    };
+    setUnsent("callers", work.unsentCallerBytes);
+    setUnsent("nodes", work.unsentPeerBytes);
+}
+
 void NodeMetrics::setEndpoint(const LoadReport& load)
 {
     const double limit = load.requestRate ? load.requestRate->value() : std::numeric_limits<double>::infinity();
--- a/Source/node/NodeMetrics.h
+++ b/Source/node/NodeMetrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/stopping/PendingWork.h"
 #include "node/DocumentSender.h"
 #include "node/PeerTraffic.h"
 #include "protocol/Ids.h"
@@ -114,6 +115,8 @@
 
     /// Sets the number of callers' calls in progress.
     void setSessions(std::size_t);
+    /// Sets what this node holds for callers and for other nodes.
+    void setPendingWork(const PendingWork&);
     /// Sets what is known of the local backend server's load, and the attempts that wait for it.
     void setEndpoint(const LoadReport&);
     /// Sets the time for which the local backend server is held to be cold.
--- a/Source/node/NodeTraffic.cpp
+++ b/Source/node/NodeTraffic.cpp
@@ -108,6 +108,22 @@
     m_runner.drain();
 }
 
+PendingWork NodeTraffic::pendingWork() const
+{
+    const HttpServer::Load callers = m_callServer.load();
+    PendingWork work;
+    work.connections = callers.connections;
+    work.unusedConnections = callers.unusedConnections;
+    work.partialRequests = callers.partialRequests;
+    work.unsentCallerBytes = callers.unsentBytes;
+    work.lingeringConnections = callers.lingeringConnections;
+    work.calls = m_gateway.pendingCalls();
+    work.attempts = m_runner.pendingAttempts();
+    for (const auto& entry : m_connections)
+        work.unsentPeerBytes += entry.second.link->unsentBytes();
+    return work;
+}
+
 void NodeTraffic::updateMetrics(NodeMetrics& metrics)
 {
     m_gateway.updateMetrics();
@@ -115,6 +131,7 @@
     const LoadReport load = m_runner.loadReport();
     metrics.setEndpointStarts(m_runner.counters().started);
     metrics.setSessions(m_gateway.sessionCount());
+    metrics.setPendingWork(pendingWork());
     metrics.setEndpoint(load);
     metrics.setEndpointCold(m_runner.coldTimeLeft());
 }
--- a/Source/node/NodeTraffic.h
+++ b/Source/node/NodeTraffic.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/placing/TransitDelay.h"
+#include "coordination/stopping/PendingWork.h"
 #include "node/CallGateway.h"
 #include "node/EndpointRunner.h"
 #include "node/NodeIdentity.h"
@@ -30,7 +31,8 @@
     Result<void> start();
     /// Stops accepting connections from callers and new attempts; calls in progress finish.
     void drain();
-    bool isIdle() const { return !m_gateway.hasCallers() && m_runner.isIdle(); }
+    bool isIdle() const { return m_gateway.pendingCalls() == 0 && m_runner.isIdle(); }
+    PendingWork pendingWork() const;
 
     /// Applies a newer document, and keeps its text to answer requests from other nodes.
     void setDocument(const ServiceDocument&, const DocumentAnswerMessage& source);
--- a/Source/protocol/LogEvent.cpp
+++ b/Source/protocol/LogEvent.cpp
@@ -22,6 +22,8 @@
     { LogEvent::SettingsRefused, LogLevel::Error, "settings refused" },
     { LogEvent::Reloaded, LogLevel::Info, "settings read again" },
     { LogEvent::LogLinesDropped, LogLevel::Warning, "log lines dropped because the output is not read" },
+    { LogEvent::StopProgress, LogLevel::Info, "work left during the stop" },
+    { LogEvent::StopIncomplete, LogLevel::Warning, "stopped with work left" },
     { LogEvent::MemberSuspected, LogLevel::Warning, "member suspected" },
     { LogEvent::MemberDied, LogLevel::Warning, "member declared dead" },
     { LogEvent::MemberLeft, LogLevel::Info, "member left" },
--- a/Source/protocol/LogEvent.h
+++ b/Source/protocol/LogEvent.h
@@ -23,6 +23,8 @@
     SettingsRefused = 104,
     Reloaded = 105,
     LogLinesDropped = 106,
+    StopProgress = 107,
+    StopIncomplete = 108,
 
     // 2xx: membership.
     MemberSuspected = 201,
--- a/Source/transport/HttpServer.cpp
+++ b/Source/transport/HttpServer.cpp
@@ -95,6 +95,7 @@
     void setLimits(const Limits& limits) { m_settings.limits = limits; }
     void closeAfterResponses() { m_closesAfterResponses = true; }
     void stop();
+    Load load() const;
     std::uint16_t port() const { return m_port; }
 
 private:
@@ -152,6 +153,8 @@
     /// Sends the responses that are ready, in the order of the requests.
     void flush();
     bool isClosed() const { return m_isClosed; }
+    /// Adds this connection to the totals of the server.
+    void addTo(Load&) const;
 
 private:
     void handleRead(const asio::error_code&, std::size_t length);
@@ -419,6 +422,15 @@
         close();
 }
 
+void HttpServer::Implementation::Connection::addTo(Load& load) const
+{
+    ++load.connections;
+    load.unusedConnections += !m_hasRequested && !m_isInRequest ? 1 : 0;
+    load.partialRequests += m_isInRequest ? 1 : 0;
+    load.unsentBytes += m_output.size() + m_writing.size();
+    load.lingeringConnections += m_isLingering ? 1 : 0;
+}
+
 void HttpServer::Implementation::Connection::close()
 {
     if (std::exchange(m_isClosed, true))
@@ -540,6 +552,14 @@
         connection->closeIfIdle();
 }
 
+HttpServer::Load HttpServer::Implementation::load() const
+{
+    Load load;
+    for (const Connection* connection : m_connections)
+        connection->addTo(load);
+    return load;
+}
+
 HttpServer::HttpServer(asio::io_context& context, Settings settings, Handler handler)
     : m_implementation(std::make_unique<Implementation>(context, std::move(settings), std::move(handler)))
 {
@@ -567,6 +587,11 @@
     m_implementation->stop();
 }
 
+HttpServer::Load HttpServer::load() const
+{
+    return m_implementation->load();
+}
+
 std::uint16_t HttpServer::port() const
 {
     return m_implementation->port();
--- a/Source/transport/HttpServer.h
+++ b/Source/transport/HttpServer.h
@@ -68,6 +68,19 @@
         std::size_t maximumConnections = 4000;
         Limits limits;
     };
+    /// Open connections, and what they still carry.
+    struct Load {
+        std::size_t connections = 0;
+        /// Connections that have not carried a request yet.
+        std::size_t unusedConnections = 0;
+        /// Requests that were received only in part.
+        std::size_t partialRequests = 0;
+        /// Bytes of responses that the system has not taken yet.
+        std::size_t unsentBytes = 0;
+        /// Connections whose last response was sent and which the caller has not closed yet.
+        std::size_t lingeringConnections = 0;
+    };
+
     /// Called with each complete request.
     using Handler = std::function<void(const HttpExchangePtr&)>;
 
@@ -84,6 +97,7 @@
     /// Stops accepting connections and closes the idle ones. A connection whose request is in progress, is arriving or has
     /// not arrived yet, because the connection is new, is closed after the response.
     void stop();
+    Load load() const;
     /// Port that the server listens on, once started.
     std::uint16_t port() const;
 
--- a/Source/transport/Link.cpp
+++ b/Source/transport/Link.cpp
@@ -113,6 +113,7 @@
             m_lastReceived = now;
         return m_lastReceived;
     }
+    std::size_t unsentBytes() const override { return m_connection->get_buffered_amount(); }
     void setHooks(Hooks hooks) override { m_hooks = std::move(hooks); }
     std::string peerFeatures() const override
     {
--- a/Source/transport/Link.h
+++ b/Source/transport/Link.h
@@ -45,6 +45,8 @@
     /// When the last message or pong was received, or the link was opened; while a large message is on its way in either
     /// direction, the last call at which more of it had passed than at the call before.
     virtual TimePoint lastReceived() = 0;
+    /// Bytes of messages that the system has not taken yet.
+    virtual std::size_t unsentBytes() const { return 0; }
     virtual void setHooks(Hooks) = 0;
     /// Features that the peer named when it opened this link; empty on a link that this process opened.
     virtual std::string peerFeatures() const = 0;
