--- /dev/null
+++ b/Tests/processes/PlannedStopTest.cpp
@@ -0,0 +1,233 @@
+#include "processes/ProcessFixture.h"
+
+#include "Load/Waiting.h"
+#include "transport/HttpParser.h"
+
+#include <asio/write.hpp>
+
+#include <csignal>
+#include <memory>
+
+namespace Knapweedquay::Load {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::chrono::milliseconds answerTimeout { 6000 };
+
+/// A connection to a node that is opened before its requests are sent.
+class EarlyConnection {
+public:
+    explicit EarlyConnection(const std::string& address, int receiveBuffer = 0)
+        : m_socket(m_context)
+    {
+        const auto endpoint = parseEndpoint(address);
+        m_socket.open(endpoint.protocol());
+        if (receiveBuffer > 0)
+            m_socket.set_option(asio::socket_base::receive_buffer_size(receiveBuffer));
+        m_socket.connect(endpoint);
+    }
+
+    /// False if the node has closed the connection.
+    bool send(const std::string& bytes)
+    {
+        asio::error_code error;
+        asio::write(m_socket, asio::buffer(bytes), error);
+        return !error;
+    }
+
+    /// Receives up to this number of responses, until the connection ends or the timeout expires.
+    std::vector<HttpResponse> receive(std::size_t count)
+    {
+        std::vector<HttpResponse> responses;
+        std::function<void()> read = [&] {
+            m_socket.async_read_some(asio::buffer(m_buffer), [&](const asio::error_code& error, std::size_t size) {
+                m_received.append(m_buffer.data(), size);
+                takeResponses(responses);
+                if (!error && responses.size() < count)
+                    read();
+            });
+        };
+        read();
+        m_context.restart();
+        m_context.run_for(answerTimeout);
+        return responses;
+    }
+
+private:
+    void takeResponses(std::vector<HttpResponse>& responses)
+    {
+        while (!m_received.empty()) {
+            std::size_t consumed = 0;
+            const auto progress = m_parser.feed(m_received, consumed);
+            m_received.erase(0, consumed);
+            if (progress != HttpParser::Progress::Complete)
+                return;
+            responses.push_back(m_parser.takeResponse());
+        }
+    }
+
+    asio::io_context m_context;
+    asio::ip::tcp::socket m_socket;
+    HttpParser m_parser { HttpParser::Kind::Responses, {} };
+    std::array<char, 8192> m_buffer {};
+    std::string m_received;
+};
+
+/// Stops node "a" by SIGTERM while its callers go on.
+class PlannedStopTest : public ProcessTest {
+protected:
+    void SetUp() override
+    {
+        ProcessTest::SetUp();
+        plans.resize(2);
+        for (NodePlan& plan : plans) {
+            plan.furtherSettings = "[stop]\nnotice_ms = 400\nmaximum_ms = 2500\n";
+            plan.serviceTimes.emplace_back("/bookings/long=constant:1200");
+        }
+    }
+
+    std::unique_ptr<EarlyConnection> connect(int receiveBuffer = 0) const { return std::make_unique<EarlyConnection>(callAddress("a"), receiveBuffer); }
+
+    void stopNode() { m_deployment->node("a").signal(SIGTERM); }
+
+    static std::string request(const std::string& method, const std::string& path, const std::string& id, std::chrono::milliseconds deadline, std::size_t answerBytes = 100)
+    {
+        return method + " /call/dispatch" + path + "?id=" + id + "&size=" + std::to_string(answerBytes) + " HTTP/1.1\r\nHost: a\r\nKnapweedquay-Deadline-Ms: "
+            + std::to_string(deadline.count()) + "\r\n" + (method == "POST" ? "Content-Length: 4\r\n" : "") + "\r\n" + (method == "POST" ? "body" : "");
+    }
+
+    static std::string outcomeOf(const HttpResponse& response)
+    {
+        const std::string* outcome = findHeader(response.headers, "knapweedquay-outcome");
+        return outcome ? *outcome : std::string();
+    }
+};
+
+} // namespace
+
+// Calls that arrived late in the grace were passed on, and cut when the process ended.
+TEST_F(PlannedStopTest, LateCalls_OnConnectionsOpenedAhead_AreAnsweredOrNotRun)
+{
+    start();
+    std::vector<std::unique_ptr<EarlyConnection>> connections;
+    for (int call = 0; call < 16; ++call)
+        connections.push_back(connect());
+    std::size_t sent = 0;
+    stopNode();
+    for (const auto& connection : connections) {
+        if (!connection->send(request("POST", "/bookings/long", "late-" + std::to_string(sent), 3s)))
+            break;
+        ++sent;
+        std::this_thread::sleep_for(150ms);
+    }
+    std::size_t answered = 0;
+    std::size_t refused = 0;
+    for (std::size_t call = 0; call < sent; ++call) {
+        const auto responses = connections[call]->receive(1);
+        const std::uint64_t runs = executionCount("late-" + std::to_string(call));
+        if (responses.empty()) {
+            EXPECT_EQ(runs, 0u) << "call " << call << " ran, and its connection ended without an answer";
+            continue;
+        }
+        answered += outcomeOf(responses.front()) == "answered" ? 1 : 0;
+        refused += outcomeOf(responses.front()) == "not-run" ? 1 : 0;
+        EXPECT_EQ(runs, outcomeOf(responses.front()) == "answered" ? 1u : 0u) << "call " << call << " status " << responses.front().status;
+    }
+    EXPECT_GT(answered, 0u);
+    EXPECT_GT(refused, 0u);
+}
+
+TEST_F(PlannedStopTest, LateCall_ThatEndsInTime_IsAnswered)
+{
+    start();
+    const auto first = connect();
+    const auto late = connect();
+    ASSERT_TRUE(first->send(request("POST", "/bookings/long", "first", 2s)));
+    std::this_thread::sleep_for(50ms);
+    stopNode();
+    std::this_thread::sleep_for(800ms);
+    ASSERT_TRUE(late->send(request("POST", "/bookings", "late", 500ms)));
+    const auto responses = late->receive(1);
+    ASSERT_EQ(responses.size(), 1u);
+    EXPECT_EQ(outcomeOf(responses.front()), "answered") << responses.front().body;
+    EXPECT_EQ(first->receive(1).size(), 1u);
+}
+
+// A call counted as ended once its response was queued at the connection, and the rest of it ended with the process.
+TEST_F(PlannedStopTest, LongAnswers_ReadSlowly_ArriveWhole)
+{
+    constexpr std::size_t pipelined = 100;
+    constexpr std::size_t answerBytes = 60000;
+    constexpr int receiveBuffer = 4096;
+    start();
+    std::vector<std::unique_ptr<EarlyConnection>> connections;
+    for (int caller = 0; caller < 4; ++caller) {
+        connections.push_back(connect(receiveBuffer));
+        std::string requests;
+        for (std::size_t index = 0; index < pipelined; ++index)
+            requests += request("GET", "/stock", "long-" + std::to_string(caller) + "-" + std::to_string(index), 5s, answerBytes);
+        ASSERT_TRUE(connections.back()->send(requests));
+    }
+    std::this_thread::sleep_for(500ms);
+    stopNode();
+    std::this_thread::sleep_for(1s);
+    for (const auto& connection : connections)
+        EXPECT_EQ(connection->receive(pipelined).size(), pipelined);
+}
+
+// The process ended while the rest of a request was on its way.
+TEST_F(PlannedStopTest, RequestInPart_AtTheDrain_IsAnswered)
+{
+    start();
+    const auto connection = connect();
+    const std::string text = request("POST", "/bookings", "part", 500ms);
+    ASSERT_TRUE(connection->send(text.substr(0, text.size() - 2)));
+    stopNode();
+    std::this_thread::sleep_for(1500ms);
+    EXPECT_TRUE(connection->send(text.substr(text.size() - 2)));
+    EXPECT_EQ(connection->receive(1).size(), 1u);
+}
+
+TEST_F(PlannedStopTest, RequestInPart_ThatIsNeverWhole_IsRefusedBeforeTheEnd)
+{
+    start();
+    const auto connection = connect();
+    const std::string text = request("POST", "/bookings", "half", 500ms);
+    ASSERT_TRUE(connection->send(text.substr(0, text.size() - 2)));
+    stopNode();
+    const auto responses = connection->receive(1);
+    ASSERT_EQ(responses.size(), 1u);
+    EXPECT_EQ(outcomeOf(responses.front()), "not-run");
+    EXPECT_TRUE(waitUntil([&] { return !m_deployment->node("a").isRunning(); }, 3s));
+}
+
+// A platform may repeat its order to stop; the second one ended the process at once.
+TEST_F(PlannedStopTest, Sigterm_Repeated_CallInFlightIsAnswered)
+{
+    start();
+    const auto connection = connect();
+    ASSERT_TRUE(connection->send(request("POST", "/bookings/long", "running", 2s)));
+    std::this_thread::sleep_for(100ms);
+    stopNode();
+    std::this_thread::sleep_for(200ms);
+    stopNode();
+    EXPECT_EQ(connection->receive(1).size(), 1u);
+    EXPECT_TRUE(waitUntil([&] { return !m_deployment->node("a").isRunning(); }, 3s));
+    EXPECT_EQ(m_deployment->node("a").exitCode(), 0);
+}
+
+// The process waited for connections that carry nothing.
+TEST_F(PlannedStopTest, Node_WithUnusedConnections_EndsOnceIdle)
+{
+    start();
+    const auto connection = connect();
+    const auto orderedAt = std::chrono::steady_clock::now();
+    stopNode();
+    EXPECT_TRUE(waitUntil([&] { return !m_deployment->node("a").isRunning(); }, 3s));
+    EXPECT_LT(std::chrono::steady_clock::now() - orderedAt, 2s);
+    EXPECT_EQ(m_deployment->node("a").exitCode(), 0);
+}
+
+} // namespace Knapweedquay::Load
