Node: Decide the steps of a stop in one place

The steps of a planned stop were spread over timers of NodeDaemon on two threads. GracefulStop decides them on the traffic thread, without I/O, from the order's time and the work that is left; NodeStop performs them. When which step comes is unchanged: notice, drain, end once calls and attempts are done and the leave is spread, or at the end of the time.

--- /dev/null
+++ b/Source/coordination/stopping/GracefulStop.cpp
@@ -0,0 +1,31 @@
+#include "coordination/stopping/GracefulStop.h"
+
+namespace Knapweedquay {
+
+void GracefulStop::order(TimePoint now)
+{
+    if (isOrdered())
+        return;
+    m_phase = Phase::Notice;
+    m_orderedAt = now;
+}
+
+GracefulStop::Step GracefulStop::next(TimePoint now, const PendingWork& work)
+{
+    if (!isOrdered())
+        return Step::Wait;
+    if (now >= m_orderedAt + m_settings.maximum)
+        return Step::EndLate;
+    if (m_phase == Phase::Notice) {
+        if (now < m_orderedAt + m_settings.notice)
+            return Step::Wait;
+        m_phase = Phase::Draining;
+        m_drainedAt = now;
+        return Step::Drain;
+    }
+    if (now < m_drainedAt + m_settings.settling || !work.isAnswered() || !work.isLeaveSpread)
+        return Step::Wait;
+    return Step::EndIdle;
+}
+
+} // namespace Knapweedquay
--- /dev/null
+++ b/Source/coordination/stopping/GracefulStop.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "coordination/stopping/PendingWork.h"
+#include "protocol/Time.h"
+
+#include <cstdint>
+
+namespace Knapweedquay {
+
+/// Decides how a node stops, and when its process may end.
+///
+/// Load pattern: callers that go on sending while the node stops, over connections that they opened before.
+class GracefulStop {
+public:
+    struct Settings {
+        /// Time for which all calls are taken, since callers learn of the stop with a delay.
+        Duration notice { 0 };
+        /// Time from the order to the end of the process, whatever is left then.
+        Duration maximum { 30000000 };
+        /// Least time from the drain to the end, for requests that are on their way on open connections.
+        Duration settling { 250000 };
+    };
+
+    /// What the node does next.
+    enum class Step : std::uint8_t {
+        /// Goes on; asks again soon.
+        Wait,
+        /// Closes its listening sockets and idle connections.
+        Drain,
+        /// Ends: nothing is left, and nothing can arrive.
+        EndIdle,
+        /// Ends although work is left.
+        EndLate,
+    };
+
+    explicit GracefulStop(Settings settings)
+        : m_settings(settings)
+    {
+    }
+
+    /// Handles the order to stop. A repeated order changes nothing.
+    void order(TimePoint now);
+    bool isOrdered() const { return m_phase != Phase::Running; }
+    bool isDraining() const { return m_phase >= Phase::Draining; }
+    TimePoint orderedAt() const { return m_orderedAt; }
+
+    /// Returns the next step; Drain is returned once.
+    Step next(TimePoint now, const PendingWork&);
+
+private:
+    enum class Phase : std::uint8_t {
+        Running,
+        Notice,
+        Draining,
+    };
+
+    Settings m_settings;
+    Phase m_phase = Phase::Running;
+    TimePoint m_orderedAt;
+    TimePoint m_drainedAt;
+};
+
+} // namespace Knapweedquay
--- a/Source/coordination/stopping/PendingWork.h
+++ b/Source/coordination/stopping/PendingWork.h
@@ -22,6 +22,13 @@
     std::size_t unsentPeerBytes = 0;
     /// Connections whose last response was sent and which the caller has not closed yet.
     std::size_t lingeringConnections = 0;
+    /// Open links from other nodes.
+    std::size_t links = 0;
+    /// True once the other nodes know that this one leaves, so that they send it no more attempts.
+    bool isLeaveSpread = false;
+
+    /// True if every call is answered.
+    bool isAnswered() const { return calls + attempts == 0; }
 };
 
 } // namespace Knapweedquay
--- a/Source/node/NodeDaemon.cpp
+++ b/Source/node/NodeDaemon.cpp
@@ -18,10 +18,6 @@
 
 namespace {
 
-/// Interval between checks for calls in progress during shutdown.
-constexpr Duration idleCheckInterval { 20000 };
-/// Time from the end of accepting to the first such check, for requests that are on their way on accepted connections.
-constexpr Duration lastRequestsTime { 250000 };
 /// Time beyond the maximum stop time after which the process ends although a thread is blocked.
 constexpr Duration blockedStopTime { 200000 };
 
@@ -32,11 +28,6 @@
     return Incarnation(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count()));
 }
 
-bool isNothingLeft(const PendingWork& work)
-{
-    return work.partialRequests + work.calls + work.attempts + work.unsentCallerBytes + work.unsentPeerBytes == 0;
-}
-
 nlohmann::json toJson(const EndpointStatus& endpoint)
 {
     const auto age = endpoint.reportedAt ? std::chrono::duration<double, std::milli>(steadyNow() - *endpoint.reportedAt).count() : -1;
@@ -55,15 +46,7 @@
     , m_traffic(std::make_unique<NodeTraffic>(m_trafficContext, m_self, settings, claimHooks(), m_metrics))
     , m_control(std::make_unique<NodeControl>(m_controlContext, m_self, settings, controlHooks()))
     , m_signals(m_controlContext, SIGINT, SIGTERM, SIGHUP)
-    , m_idleTimer(m_controlContext, [this] { stopWhenIdle(); })
-    , m_drainTimer(m_controlContext, [this] {
-        m_control->leave();
-        asio::post(m_trafficContext, [this] {
-            logStop(LogEvent::StopProgress, "drain");
-            m_traffic->drain();
-        });
-        m_idleTimer.setAfter(lastRequestsTime);
-    })
+    , m_stop(m_controlContext, m_trafficContext, *m_control, *m_traffic, [this] { end(""); })
 {
 }
 
@@ -93,8 +76,7 @@
     m_controlContext.run();
     m_trafficContext.stop();
     trafficThread.join();
-    if (m_isStopping)
-        logStop(isNothingLeft(m_traffic->pendingWork()) ? LogEvent::StopProgress : LogEvent::StopIncomplete, "end", m_stopReason);
+    m_stop.logEnd(m_endReason);
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
@@ -173,7 +155,7 @@
     hooks.backendCold = [this](Duration left) {
         asio::post(m_trafficContext, [this, left] { m_traffic->runner().announcedCold(left); });
     };
-    hooks.superseded = [this] { stop("superseded"); };
+    hooks.superseded = [this] { end("superseded"); };
     hooks.metrics = [this] { return metricsText(); };
     hooks.trafficStatus = [this] { return trafficStatus(); };
     return hooks;
@@ -225,29 +207,19 @@
     m_signals.async_wait([this](const asio::error_code& error, int signal) {
         if (error)
             return;
-        if (signal == SIGHUP) {
-            reload();
-            return waitForSignal();
-        }
-        if (std::exchange(m_isStopping, true))
-            return stop("signal");
-        stopGracefully();
+        handleSignal(signal);
         waitForSignal();
     });
 }
 
-void NodeDaemon::stopGracefully()
+void NodeDaemon::handleSignal(int signal)
 {
-    log(LogEvent::Stopping);
-    m_stopOrderedAt = steadyNow();
-    m_stopBy = m_stopOrderedAt + m_settings.maximumStopTime;
+    if (signal == SIGHUP)
+        return reload();
+    if (std::exchange(m_isStopping, true))
+        return end("signal");
     endProcessAfter(m_settings.maximumStopTime + blockedStopTime);
-    m_control->endReadiness();
-    asio::post(m_trafficContext, [this] {
-        logStop(LogEvent::StopProgress, "notice");
-        m_traffic->announceStop();
-    });
-    m_drainTimer.setAfter(m_settings.stopNotice);
+    m_stop.order();
 }
 
 void NodeDaemon::reload()
@@ -257,37 +229,10 @@
         m_extension.reload(*m_control);
 }
 
-void NodeDaemon::stopWhenIdle()
-{
-    if (steadyNow() > m_stopBy)
-        return stop("time");
-    asio::post(m_trafficContext, [this] {
-        const bool isIdle = m_traffic->isIdle();
-        asio::post(m_controlContext, [this, isIdle] {
-            if (isIdle && m_control->hasSpreadLeave())
-                stop("idle");
-            else
-                m_idleTimer.setAfter(idleCheckInterval);
-        });
-    });
-}
-
-void NodeDaemon::stop(const char* reason)
+void NodeDaemon::end(const char* reason)
 {
-    m_stopReason = reason;
+    m_endReason = reason;
     m_controlContext.stop();
 }
 
-void NodeDaemon::logStop(LogEvent event, const char* step, const char* reason) const
-{
-    const PendingWork work = m_traffic->pendingWork();
-    std::vector<LogField> fields { { "step", step }, { "since_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(steadyNow() - m_stopOrderedAt).count()) },
-        { "connections", std::to_string(work.connections) }, { "unused", std::to_string(work.unusedConnections) }, { "partial", std::to_string(work.partialRequests) },
-        { "calls", std::to_string(work.calls) }, { "attempts", std::to_string(work.attempts) }, { "unsent_caller_bytes", std::to_string(work.unsentCallerBytes) },
-        { "unsent_peer_bytes", std::to_string(work.unsentPeerBytes) }, { "lingering", std::to_string(work.lingeringConnections) } };
-    if (*reason)
-        fields.push_back({ "reason", reason });
-    log(event, fields);
-}
-
 } // namespace Knapweedquay
--- a/Source/node/NodeDaemon.h
+++ b/Source/node/NodeDaemon.h
@@ -2,8 +2,8 @@
 
 #include "node/NodeControl.h"
 #include "node/NodeSettings.h"
+#include "node/NodeStop.h"
 #include "node/NodeTraffic.h"
-#include "transport/Logger.h"
 
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
@@ -35,15 +35,10 @@
     NodeControl::Hooks controlHooks();
     CallGateway::ClaimHooks claimHooks();
     void waitForSignal();
-    /// Starts the graceful shutdown: notice to callers, drain, then stop once idle.
-    void stopGracefully();
+    void handleSignal(int signal);
     void reload();
-    /// Stops if no calls are in progress and the leave was announced, or the maximum stop time has passed.
-    void stopWhenIdle();
-    /// Stops immediately; the reason is for the log.
-    void stop(const char* reason);
-    /// Logs what the node holds at a step of its stop. Runs on the traffic thread, or once that has ended.
-    void logStop(LogEvent, const char* step, const char* reason = "") const;
+    /// Ends run() now; the reason is for the log, if a graceful stop is cut short by it.
+    void end(const char* reason);
     std::string trafficStatus();
     std::string metricsText();
     /// Runs a function on the traffic thread and waits for its result; returns "null" if that thread does not respond.
@@ -58,15 +53,9 @@
     std::unique_ptr<NodeTraffic> m_traffic;
     std::unique_ptr<NodeControl> m_control;
     asio::signal_set m_signals;
-    /// Triggers checks for calls in progress after the drain began.
-    Timer m_idleTimer;
-    /// Fires at the end of the stop notice.
-    Timer m_drainTimer;
-    TimePoint m_stopOrderedAt;
-    const char* m_stopReason = "";
-    /// Time at which the process stops even if calls are in progress.
-    TimePoint m_stopBy;
-    /// True after the first stop signal; a second one stops the process immediately.
+    NodeStop m_stop;
+    const char* m_endReason = "";
+    /// True after the first order to stop.
     bool m_isStopping = false;
 };
 
--- a/Source/node/NodeTraffic.cpp
+++ b/Source/node/NodeTraffic.cpp
@@ -11,6 +11,14 @@
 
 namespace {
 
+GracefulStop::Settings stopSettings(const NodeSettings& settings)
+{
+    GracefulStop::Settings stop;
+    stop.notice = settings.stopNotice;
+    stop.maximum = settings.maximumStopTime;
+    return stop;
+}
+
 HttpServer::Settings callServerSettings(const NodeSettings& settings)
 {
     HttpServer::Settings server;
@@ -78,6 +86,7 @@
     : m_self(std::move(self))
     , m_settings(settings)
     , m_metrics(metrics)
+    , m_stop(stopSettings(settings))
     , m_client(context)
     , m_quarantine(m_self, metrics)
     , m_keyChecks(settings.keyRevocationTime, metrics)
@@ -102,6 +111,19 @@
     return m_linkServer.start(m_settings.peers.ip, m_settings.peers.port);
 }
 
+void NodeTraffic::orderStop()
+{
+    m_stop.order(steadyNow());
+    m_callServer.closeAfterResponses();
+}
+
+GracefulStop::Step NodeTraffic::stopStep(bool isLeaveSpread)
+{
+    PendingWork work = pendingWork();
+    work.isLeaveSpread = isLeaveSpread;
+    return m_stop.next(steadyNow(), work);
+}
+
 void NodeTraffic::drain()
 {
     m_callServer.stop();
@@ -119,6 +141,7 @@
     work.lingeringConnections = callers.lingeringConnections;
     work.calls = m_gateway.pendingCalls();
     work.attempts = m_runner.pendingAttempts();
+    work.links = m_connections.size();
     for (const auto& entry : m_connections)
         work.unsentPeerBytes += entry.second.link->unsentBytes();
     return work;
--- a/Source/node/NodeTraffic.h
+++ b/Source/node/NodeTraffic.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "coordination/placing/TransitDelay.h"
-#include "coordination/stopping/PendingWork.h"
+#include "coordination/stopping/GracefulStop.h"
 #include "node/CallGateway.h"
 #include "node/EndpointRunner.h"
 #include "node/NodeIdentity.h"
@@ -29,9 +29,13 @@
     NodeTraffic(asio::io_context&, NodeIdentity, const NodeSettings&, CallGateway::ClaimHooks, NodeMetrics&);
 
     Result<void> start();
+    /// Starts the graceful stop: asks callers to close their connections. They are still served.
+    void orderStop();
+    /// Next step of the graceful stop; isLeaveSpread: see PendingWork.
+    GracefulStop::Step stopStep(bool isLeaveSpread);
     /// Stops accepting connections from callers and new attempts; calls in progress finish.
     void drain();
-    bool isIdle() const { return m_gateway.pendingCalls() == 0 && m_runner.isIdle(); }
+    const GracefulStop& stop() const { return m_stop; }
     PendingWork pendingWork() const;
 
     /// Applies a newer document, and keeps its text to answer requests from other nodes.
@@ -44,8 +48,6 @@
     void setEvacuations(const EvacuationDocument&, const DocumentAnswerMessage& source);
     /// Applies which nodes hold the slices of the quotas, and keeps the text to answer requests from other nodes.
     void setQuotaHolders(const QuotaHolderDocument&, const DocumentAnswerMessage& source);
-    /// Asks callers to close their connections; they are still served until drain().
-    void announceStop() { m_callServer.closeAfterResponses(); }
     /// Sets the local backend server after an announcement, and stops refusing attempts.
     void setBackend(const LocalBackend&);
 
@@ -89,6 +91,7 @@
     NodeIdentity m_self;
     NodeSettings m_settings;
     NodeMetrics& m_metrics;
+    GracefulStop m_stop;
     HttpClient m_client;
     NodeQuarantine m_quarantine;
     NodeKeys m_keyChecks;
