--- a/Tests/processes/PlannedStopTest.cpp
+++ b/Tests/processes/PlannedStopTest.cpp
@@ -170,7 +170,8 @@
             requests += request("GET", "/stock", "long-" + std::to_string(caller) + "-" + std::to_string(index), 5s, answerBytes);
         ASSERT_TRUE(connections.back()->send(requests));
     }
-    std::this_thread::sleep_for(500ms);
+    ASSERT_TRUE(waitUntil([&] { return executedBy("a") + executedBy("b") >= connections.size() * pipelined; }, 10s));
+    std::this_thread::sleep_for(100ms);
     stopNode();
     std::this_thread::sleep_for(1s);
     for (const auto& connection : connections)
