Node: Close all connections before a stop ends

Callers whose request had arrived in part, or arrived just as the process ended, got no answer. Cause: the last check looked at calls alone. A request in part is no call yet, and one that was read between the check on the traffic thread and the end on the control thread could be passed on and cut. Change: once all is answered the node closes the connections that carry nothing, and then its links, by a handshake, so that the peers have what was sent before. It ends when none is left, so that nothing can be read any more. A request in part keeps the node waiting; shortly before the end of the time it is refused, not run.

--- a/Source/coordination/stopping/GracefulStop.cpp
+++ b/Source/coordination/stopping/GracefulStop.cpp
@@ -23,9 +23,14 @@
         m_drainedAt = now;
         return Step::Drain;
     }
+    if (m_phase == Phase::Draining && now >= lastDeadline()) {
+        m_phase = Phase::Delivering;
+        return Step::RefusePartialRequests;
+    }
     if (now < m_drainedAt + m_settings.settling || !work.isAnswered() || !work.isLeaveSpread)
         return Step::Wait;
-    return Step::EndIdle;
+    // A connection that is open may still bring a request, and a link the rest of an answer.
+    return work.connections + work.links > 0 ? Step::CloseConnections : Step::EndIdle;
 }
 
 } // namespace Knapweedquay
--- a/Source/coordination/stopping/GracefulStop.h
+++ b/Source/coordination/stopping/GracefulStop.h
@@ -7,9 +7,10 @@
 
 namespace Knapweedquay {
 
-/// Decides how a node stops, and when its process may end.
+/// Decides how a node stops: which calls it still takes, and when its process may end.
 ///
-/// Load pattern: callers that go on sending while the node stops, over connections that they opened before.
+/// Load pattern: callers that go on sending while the node stops, over connections that they opened before. The process
+/// only ends by itself once nothing is left and nothing more can arrive.
 class GracefulStop {
 public:
     struct Settings {
@@ -17,6 +18,8 @@
         Duration notice { 0 };
         /// Time from the order to the end of the process, whatever is left then.
         Duration maximum { 30000000 };
+        /// Part of the maximum that is kept for the delivery of the last answers.
+        Duration delivery { 400000 };
         /// Least time from the drain to the end, for requests that are on their way on open connections.
         Duration settling { 250000 };
     };
@@ -27,6 +30,10 @@
         Wait,
         /// Closes its listening sockets and idle connections.
         Drain,
+        /// Refuses the requests that it received only in part, since they can't end in time any more.
+        RefusePartialRequests,
+        /// Closes the connections without a request, and the links to other nodes.
+        CloseConnections,
         /// Ends: nothing is left, and nothing can arrive.
         EndIdle,
         /// Ends although work is left.
@@ -44,7 +51,7 @@
     bool isDraining() const { return m_phase >= Phase::Draining; }
     TimePoint orderedAt() const { return m_orderedAt; }
 
-    /// Returns the next step; Drain is returned once.
+    /// Returns the next step; Drain and RefusePartialRequests are returned once each.
     Step next(TimePoint now, const PendingWork&);
 
 private:
@@ -52,8 +59,13 @@
         Running,
         Notice,
         Draining,
+        /// Like Draining, and the requests received in part were refused.
+        Delivering,
     };
 
+    /// Latest time at which an answer may still be made.
+    TimePoint lastDeadline() const { return m_orderedAt + m_settings.maximum - m_settings.delivery; }
+
     Settings m_settings;
     Phase m_phase = Phase::Running;
     TimePoint m_orderedAt;
--- a/Source/coordination/stopping/PendingWork.h
+++ b/Source/coordination/stopping/PendingWork.h
@@ -27,8 +27,8 @@
     /// True once the other nodes know that this one leaves, so that they send it no more attempts.
     bool isLeaveSpread = false;
 
-    /// True if every call is answered and every answer was handed over.
-    bool isAnswered() const { return calls + attempts + unsentCallerBytes + unsentPeerBytes == 0; }
+    /// True if every request that was received is answered and every answer was handed over.
+    bool isAnswered() const { return partialRequests + calls + attempts + unsentCallerBytes + unsentPeerBytes == 0; }
 };
 
 } // namespace Knapweedquay
--- a/Source/node/NodeStop.cpp
+++ b/Source/node/NodeStop.cpp
@@ -69,6 +69,10 @@
     case GracefulStop::Step::Drain:
         logWork(LogEvent::StopProgress, "drain");
         return m_traffic.drain();
+    case GracefulStop::Step::RefusePartialRequests:
+        return m_traffic.refusePartialRequests();
+    case GracefulStop::Step::CloseConnections:
+        return m_traffic.closeConnections();
     case GracefulStop::Step::Wait:
     case GracefulStop::Step::EndIdle:
     case GracefulStop::Step::EndLate:
--- a/Source/node/NodeTraffic.cpp
+++ b/Source/node/NodeTraffic.cpp
@@ -124,6 +124,19 @@
     return m_stop.next(steadyNow(), work);
 }
 
+void NodeTraffic::refusePartialRequests()
+{
+    m_callServer.refusePartialRequests({ ResultCode::Draining, "this node stops before the request could end" });
+}
+
+void NodeTraffic::closeConnections()
+{
+    m_callServer.closeUnused();
+    m_linkServer.stop();
+    for (const auto& entry : std::map<ConnectionId, Connection>(m_connections))
+        entry.second.link->finish();
+}
+
 void NodeTraffic::drain()
 {
     m_callServer.stop();
--- a/Source/node/NodeTraffic.h
+++ b/Source/node/NodeTraffic.h
@@ -35,6 +35,10 @@
     GracefulStop::Step stopStep(bool isLeaveSpread);
     /// Stops accepting connections from callers and new attempts; calls in progress finish.
     void drain();
+    /// Refuses the requests that were received only in part.
+    void refusePartialRequests();
+    /// Closes the connections without a request, and the links from other nodes once their messages have arrived.
+    void closeConnections();
     const GracefulStop& stop() const { return m_stop; }
     PendingWork pendingWork() const;
 
--- a/Source/transport/HttpServer.cpp
+++ b/Source/transport/HttpServer.cpp
@@ -95,6 +95,8 @@
     void setLimits(const Limits& limits) { m_settings.limits = limits; }
     void closeAfterResponses() { m_closesAfterResponses = true; }
     void stop();
+    void closeUnused();
+    void refusePartialRequests(const Error&);
     Load load() const;
     std::uint16_t port() const { return m_port; }
 
@@ -145,8 +147,11 @@
     void read();
     /// Closes the connection or refuses the request when a timeout has expired.
     void checkTimeouts(TimePoint now);
-    /// Closes the connection if its last request was answered and no byte of another one has arrived.
+    /// Closes the connection if its requests are answered and no byte of another one has arrived.
     void closeIfIdle();
+    bool hasRequested() const { return m_hasRequested; }
+    /// Answers a request that was received only in part with a problem document.
+    void refuseIfPartial(const Error&);
     /// Closes the connection without access to the server, which is being destroyed.
     void detach();
     void close();
@@ -418,15 +423,21 @@
 {
     asio::error_code error;
     const bool hasUnreadBytes = m_socket.available(error) > 0 || !m_input.empty() || m_isInRequest;
-    if (m_hasRequested && m_exchanges.empty() && m_writing.empty() && m_output.empty() && !hasUnreadBytes)
+    if (m_exchanges.empty() && m_writing.empty() && m_output.empty() && !m_isLingering && !hasUnreadBytes)
         close();
 }
 
+void HttpServer::Implementation::Connection::refuseIfPartial(const Error& error)
+{
+    if (m_isInRequest && !m_isLastRequest)
+        refuse(error);
+}
+
 void HttpServer::Implementation::Connection::addTo(Load& load) const
 {
     ++load.connections;
     load.unusedConnections += !m_hasRequested && !m_isInRequest ? 1 : 0;
-    load.partialRequests += m_isInRequest ? 1 : 0;
+    load.partialRequests += m_isInRequest && !m_isLastRequest ? 1 : 0;
     load.unsentBytes += m_output.size() + m_writing.size();
     load.lingeringConnections += m_isLingering ? 1 : 0;
 }
@@ -547,11 +558,27 @@
     acceptEstablished();
     asio::error_code ignored;
     m_acceptor.close(ignored);
+    const std::vector<ConnectionPtr> keptAlive(m_connections.begin(), m_connections.end());
+    for (const ConnectionPtr& connection : keptAlive) {
+        if (connection->hasRequested())
+            connection->closeIfIdle();
+    }
+}
+
+void HttpServer::Implementation::closeUnused()
+{
     const std::vector<ConnectionPtr> keptAlive(m_connections.begin(), m_connections.end());
     for (const ConnectionPtr& connection : keptAlive)
         connection->closeIfIdle();
 }
 
+void HttpServer::Implementation::refusePartialRequests(const Error& error)
+{
+    const std::vector<ConnectionPtr> keptAlive(m_connections.begin(), m_connections.end());
+    for (const ConnectionPtr& connection : keptAlive)
+        connection->refuseIfPartial(error);
+}
+
 HttpServer::Load HttpServer::Implementation::load() const
 {
     Load load;
@@ -587,6 +614,16 @@
     m_implementation->stop();
 }
 
+void HttpServer::closeUnused()
+{
+    m_implementation->closeUnused();
+}
+
+void HttpServer::refusePartialRequests(const Error& error)
+{
+    m_implementation->refusePartialRequests(error);
+}
+
 HttpServer::Load HttpServer::load() const
 {
     return m_implementation->load();
--- a/Source/transport/Link.cpp
+++ b/Source/transport/Link.cpp
@@ -36,6 +36,8 @@
 constexpr Duration progressInterval { 100000 };
 /// Longest time for the WebSocket opening handshake.
 constexpr long openTimeoutMilliseconds = 1000;
+/// Longest time for the WebSocket closing handshake.
+constexpr long closeTimeoutMilliseconds = 500;
 /// Header of the opening handshake.
 constexpr const char* featuresHeader = "Knapweedquay-Features";
 
@@ -99,6 +101,16 @@
         handleClosed();
     }
 
+    void finish() override
+    {
+        if (!std::exchange(m_isOpen, false))
+            return;
+        websocketpp::lib::error_code error;
+        m_connection->close(websocketpp::close::status::going_away, {}, error);
+        if (error)
+            abort();
+    }
+
     bool isOpen() const override { return m_isOpen; }
     bool isReached() const override
     {
@@ -192,6 +204,7 @@
     endpoint.init_asio(&context);
     endpoint.set_max_message_size(maximumMessageBytes);
     endpoint.set_open_handshake_timeout(openTimeoutMilliseconds);
+    endpoint.set_close_handshake_timeout(closeTimeoutMilliseconds);
 }
 
 } // namespace
--- a/Source/transport/Link.h
+++ b/Source/transport/Link.h
@@ -38,6 +38,9 @@
     virtual void ping() = 0;
     /// Closes the link immediately, without a closing handshake, since an unresponsive peer would not answer it.
     virtual void abort() = 0;
+    /// Closes the link once the peer has received the messages before; send() fails from now on. A peer that does not
+    /// respond is given up after half a second.
+    virtual void finish() { abort(); }
     virtual bool isOpen() const = 0;
     /// True once the peer's system has accepted the connection, even if its process has not answered yet. A machine without
     /// power accepts none.
