Node: Refuse late calls that cannot end before a stop

Cause: connections opened ahead stay open at the drain, and what arrived on them was passed on as before until the process ended, though it could not end by then. Deadlines bound all that a call may wait for (retries, nested calls, slow machines), so that no estimate is needed.

--- a/Source/coordination/stopping/GracefulStop.h
+++ b/Source/coordination/stopping/GracefulStop.h
@@ -9,8 +9,9 @@
 
 /// Decides how a node stops: which calls it still takes, and when its process may end.
 ///
-/// Load pattern: callers that go on sending while the node stops, over connections that they opened before. The process
-/// only ends by itself once nothing is left and nothing more can arrive.
+/// Load pattern: callers that go on sending while the node stops, over connections that they opened before. What is taken must
+/// be answered before the platform kills the process, so a call is only taken if its deadline and the delivery of its answer
+/// lie before the end. Any other call is refused before it is passed on.
 class GracefulStop {
 public:
     struct Settings {
@@ -51,6 +52,9 @@
     bool isDraining() const { return m_phase >= Phase::Draining; }
     TimePoint orderedAt() const { return m_orderedAt; }
 
+    /// True if a call that arrives now and ends by its deadline may be passed on.
+    bool mayTake(TimePoint deadline) const { return !isDraining() || deadline <= lastDeadline(); }
+
     /// Returns the next step; Drain and RefusePartialRequests are returned once each.
     Step next(TimePoint now, const PendingWork&);
 
@@ -63,7 +67,7 @@
         Delivering,
     };
 
-    /// Latest time at which an answer may still be made.
+    /// Latest deadline of a call that is taken while the node drains.
     TimePoint lastDeadline() const { return m_orderedAt + m_settings.maximum - m_settings.delivery; }
 
     Settings m_settings;
--- a/Source/node/CallGateway.cpp
+++ b/Source/node/CallGateway.cpp
@@ -78,12 +78,13 @@
 
 } // namespace
 
-CallGateway::CallGateway(asio::io_context& context, NodeIdentity self, EndpointRunner& local, NodeQuarantine& quarantine, NodeKeys& keyChecks, Settings settings, ClaimHooks claims, NodeMetrics& metrics)
+CallGateway::CallGateway(asio::io_context& context, NodeIdentity self, EndpointRunner& local, NodeQuarantine& quarantine, NodeKeys& keyChecks, const GracefulStop& stop, Settings settings, ClaimHooks claims, NodeMetrics& metrics)
     : m_context(context)
     , m_self(std::move(self))
     , m_localRunner(local)
     , m_quarantine(quarantine)
     , m_keyChecks(keyChecks)
+    , m_stop(stop)
     , m_settings(std::move(settings))
     , m_intake(m_settings.headers, m_settings.callerService, m_settings.needsRouting, randomShare())
     , m_claimHooks(std::move(claims))
@@ -140,6 +141,10 @@
     }
     if (session.has_error())
         return refuse(exchange, session.error());
+    if (!m_stop.mayTake(session.value()->deadline)) {
+        ++m_counters.refusedLate;
+        return refuse(exchange, { ResultCode::Draining, "this node stops before the call could end" }, refusalRetryAfter);
+    }
     startSession(session.value());
 }
 
--- a/Source/node/CallGateway.h
+++ b/Source/node/CallGateway.h
@@ -3,6 +3,7 @@
 #include "coordination/attempts/IdempotencyKeyTable.h"
 #include "coordination/placing/EmptiedDataCentres.h"
 #include "coordination/routing/CallerDeadlines.h"
+#include "coordination/stopping/GracefulStop.h"
 #include "node/CallIntake.h"
 #include "node/CallSession.h"
 #include "node/EndpointRunner.h"
@@ -55,6 +56,8 @@
         /// Attempts sent, without resends of the same attempt.
         std::uint64_t attempts = 0;
         std::uint64_t resends = 0;
+        /// Calls that arrived during the stop of the node and could not end before it.
+        std::uint64_t refusedLate = 0;
     };
 
     /// Settings of a gateway, taken from those of the node.
@@ -70,7 +73,7 @@
         QuotaBound quotaBound;
     };
 
-    CallGateway(asio::io_context&, NodeIdentity self, EndpointRunner& local, NodeQuarantine&, NodeKeys&, Settings, ClaimHooks, NodeMetrics&);
+    CallGateway(asio::io_context&, NodeIdentity self, EndpointRunner& local, NodeQuarantine&, NodeKeys&, const GracefulStop&, Settings, ClaimHooks, NodeMetrics&);
     ~CallGateway();
 
     /// Starts the call of a caller's request, or refuses it.
@@ -198,6 +201,7 @@
     EndpointRunner& m_localRunner;
     NodeQuarantine& m_quarantine;
     NodeKeys& m_keyChecks;
+    const GracefulStop& m_stop;
     Settings m_settings;
     CallIntake m_intake;
     CallerDeadlines m_callerDeadlines;
--- a/Source/node/NodeStop.cpp
+++ b/Source/node/NodeStop.cpp
@@ -93,7 +93,8 @@
     std::vector<LogField> fields { { "step", step }, { "since_ms", std::to_string(since.count()) }, { "connections", std::to_string(work.connections) },
         { "unused", std::to_string(work.unusedConnections) }, { "partial", std::to_string(work.partialRequests) }, { "calls", std::to_string(work.calls) },
         { "attempts", std::to_string(work.attempts) }, { "unsent_caller_bytes", std::to_string(work.unsentCallerBytes) },
-        { "unsent_peer_bytes", std::to_string(work.unsentPeerBytes) }, { "lingering", std::to_string(work.lingeringConnections) } };
+        { "unsent_peer_bytes", std::to_string(work.unsentPeerBytes) }, { "lingering", std::to_string(work.lingeringConnections) },
+        { "late_calls_refused", std::to_string(m_traffic.gateway().counters().refusedLate) } };
     if (*reason)
         fields.push_back({ "reason", reason });
     log(event, fields);
