Node: Go on with a stop when SIGTERM is repeated

Callers lost the calls that were running when a platform sent SIGTERM once more during the grace. Cause: any second signal ended the process at once, meant for a person at a terminal. Change: only SIGINT does so now; a repeated SIGTERM changes nothing, and the time of the first order bounds the stop. PlannedStopTest.Sigterm_Repeated_CallInFlightIsAnswered failed before.

--- a/Source/node/NodeDaemon.cpp
+++ b/Source/node/NodeDaemon.cpp
@@ -216,8 +216,12 @@
 {
     if (signal == SIGHUP)
         return reload();
-    if (std::exchange(m_isStopping, true))
-        return end("signal");
+    if (std::exchange(m_isStopping, true)) {
+        // Platforms repeat SIGTERM; only a person at a terminal means it literally.
+        if (signal == SIGINT)
+            end("signal");
+        return;
+    }
     endProcessAfter(m_settings.maximumStopTime + blockedStopTime);
     m_stop.order();
 }
--- a/Source/node/NodeDaemon.h
+++ b/Source/node/NodeDaemon.h
@@ -35,6 +35,7 @@
     NodeControl::Hooks controlHooks();
     CallGateway::ClaimHooks claimHooks();
     void waitForSignal();
+    /// The first SIGTERM or SIGINT orders the graceful stop, and a SIGINT after it ends the process at once.
     void handleSignal(int signal);
     void reload();
     /// Ends run() now; the reason is for the log, if a graceful stop is cut short by it.
