--- a/Source/coordination/stopping/GracefulStop.h
+++ b/Source/coordination/stopping/GracefulStop.h
@@ -49,11 +49,11 @@
     /// Handles the order to stop. A repeated order changes nothing.
     void order(TimePoint now);
     bool isOrdered() const { return m_phase != Phase::Running; }
-    bool isDraining() const { return m_phase >= Phase::Draining; }
     TimePoint orderedAt() const { return m_orderedAt; }
 
-    /// True if a call that arrives now and ends by its deadline may be passed on.
-    bool mayTake(TimePoint deadline) const { return !isDraining() || deadline <= lastDeadline(); }
+    /// True if a call that arrives now and ends by its deadline may be passed on. This depends on the times alone, since a
+    /// process that was suspended may receive calls before it takes its next step.
+    bool mayTake(TimePoint now, TimePoint deadline) const { return !isOrdered() || now < m_orderedAt + m_settings.notice || deadline <= lastDeadline(); }
 
     /// Returns the next step; Drain and RefusePartialRequests are returned once each.
     Step next(TimePoint now, const PendingWork&);
--- a/Source/node/CallGateway.cpp
+++ b/Source/node/CallGateway.cpp
@@ -141,7 +141,7 @@
     }
     if (session.has_error())
         return refuse(exchange, session.error());
-    if (!m_stop.mayTake(session.value()->deadline)) {
+    if (!m_stop.mayTake(session.value()->startedAt, session.value()->deadline)) {
         ++m_counters.refusedLate;
         return refuse(exchange, { ResultCode::Draining, "this node stops before the call could end" }, refusalRetryAfter);
     }
