HttpServer: Keep a connection until its last response has arrived

Callers that read slowly lost the end of an answer that had been sent whole: the server closed the connection a second after its last write, or at once when a stop found it idle, and the next byte of the caller made the system reset it, with all that had not arrived. Likewise an answer was cut when its writing took over 10 s, though it went on. Cause: written was taken for received, and the limits ran from the start instead of the latest progress. Change: a connection lingers while the caller's system acknowledges more bytes, a stop closes only idle connections whose bytes were acknowledged, and the limit of a write counts from its latest progress. HttpServerTest.LastResponse_CallerReadsLateAndSendsMore_ArrivesWhole and Stop_LastResponseIsOnItsWayOnAnIdleConnection_ArrivesWhole failed before.

--- a/Source/transport/HttpServer.cpp
+++ b/Source/transport/HttpServer.cpp
@@ -6,7 +6,6 @@
 #include "transport/SteadyTime.h"
 
 #include <asio/ip/tcp.hpp>
-#include <asio/write.hpp>
 
 #include <algorithm>
 #include <array>
@@ -26,9 +25,9 @@
 /// Maximum total size of the bodies of all unanswered requests of a server; requests beyond it are refused as
 /// Overloaded.
 constexpr std::size_t maximumPendingBodyBytes = 32 * 1024 * 1024;
-/// Longest time for one write, after which the connection is closed.
+/// Longest time for one write without progress, after which the connection is closed.
 constexpr Duration writeTimeout { 10000000 };
-/// Time that a caller has to read the last response before the connection is closed.
+/// Time that a caller has to close the connection after it has received the last response.
 constexpr Duration lingerTimeout { 1000000 };
 /// Interval at which the timeouts of all connections are checked.
 constexpr Duration sweepInterval { 250000 };
@@ -170,6 +169,8 @@
     /// Answers with a problem document and reads no further request.
     void refuse(const Error&);
     void write();
+    /// Writes what is left of the write in progress.
+    void continueWrite();
     void handleWritten(const asio::error_code&);
     /// Shuts down the sending side and waits for the caller to close the connection.
     void linger();
@@ -191,6 +192,9 @@
     std::string m_output;
     /// Bytes of the write in progress; empty when none is.
     std::string m_writing;
+    /// Number of these bytes that the system has taken.
+    std::size_t m_writtenBytes = 0;
+    /// Start of the write in progress, or of the latest progress.
     TimePoint m_writeStartedAt;
     /// Start of the current wait: for a request, for its headers, for its body, or for the caller to close.
     TimePoint m_waitStartedAt;
@@ -209,6 +213,8 @@
     bool m_closesAfterWrite = false;
     /// True from the shutdown of the sending side until the connection is closed.
     bool m_isLingering = false;
+    /// While lingering: sent bytes that the caller had not received at the last check.
+    std::size_t m_unacknowledgedBytes = 0;
     bool m_isClosed = false;
 };
 
@@ -368,19 +374,28 @@
     if (!m_writing.empty() || m_output.empty() || m_isClosed)
         return;
     m_writing.swap(m_output);
+    m_writtenBytes = 0;
+    continueWrite();
+}
+
+void HttpServer::Implementation::Connection::continueWrite()
+{
     m_writeStartedAt = steadyNow();
-    asio::async_write(m_socket, asio::buffer(m_writing), [self = ConnectionPtr(this)](const asio::error_code& error, std::size_t) {
+    m_socket.async_write_some(asio::buffer(m_writing) + m_writtenBytes, [self = ConnectionPtr(this)](const asio::error_code& error, std::size_t length) {
+        self->m_writtenBytes += length;
         self->handleWritten(error);
     });
 }
 
 void HttpServer::Implementation::Connection::handleWritten(const asio::error_code& error)
 {
-    m_writing.clear();
     if (m_isClosed)
         return;
     if (error)
         return close();
+    if (m_writtenBytes < m_writing.size())
+        return continueWrite();
+    m_writing.clear();
     if (!m_output.empty())
         return write();
     if (m_closesAfterWrite)
@@ -406,7 +421,10 @@
     const Limits& limits = m_server->m_settings.limits;
     const Duration waited = now - m_waitStartedAt;
     if (m_isLingering) {
-        if (waited > lingerTimeout)
+        const std::size_t unacknowledged = unacknowledgedBytes(m_socket);
+        if (std::exchange(m_unacknowledgedBytes, unacknowledged) != unacknowledged)
+            m_waitStartedAt = now;
+        else if (waited > (unacknowledged > 0 ? writeTimeout : lingerTimeout))
             close();
     } else if (!m_writing.empty()) {
         if (now - m_writeStartedAt > writeTimeout)
@@ -423,7 +441,11 @@
 {
     asio::error_code error;
     const bool hasUnreadBytes = m_socket.available(error) > 0 || !m_input.empty() || m_isInRequest;
-    if (m_exchanges.empty() && m_writing.empty() && m_output.empty() && !m_isLingering && !hasUnreadBytes)
+    if (!m_exchanges.empty() || !m_writing.empty() || !m_output.empty() || m_isLingering || hasUnreadBytes)
+        return;
+    if (unacknowledgedBytes(m_socket) > 0)
+        linger();
+    else
         close();
 }
 
@@ -438,7 +460,7 @@
     ++load.connections;
     load.unusedConnections += !m_hasRequested && !m_isInRequest ? 1 : 0;
     load.partialRequests += m_isInRequest && !m_isLastRequest ? 1 : 0;
-    load.unsentBytes += m_output.size() + m_writing.size();
+    load.unsentBytes += m_output.size() + m_writing.size() - (m_writing.empty() ? 0 : m_writtenBytes);
     load.lingeringConnections += m_isLingering ? 1 : 0;
 }
 
--- a/Source/transport/SocketOptions.cpp
+++ b/Source/transport/SocketOptions.cpp
@@ -1,7 +1,9 @@
 #include "transport/SocketOptions.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace Knapweedquay {
@@ -34,4 +36,10 @@
     setOption(handle, IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
 }
 
+std::size_t unacknowledgedBytes(asio::ip::tcp::socket& socket)
+{
+    int bytes = 0;
+    return ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0 ? static_cast<std::size_t>(bytes) : 0;
+}
+
 } // namespace Knapweedquay
--- a/Tests/transport/HttpPairTest.cpp
+++ b/Tests/transport/HttpPairTest.cpp
@@ -316,6 +316,42 @@
     EXPECT_NE(std::string::npos, received.find("second"));
 }
 
+// The connection was closed a second after the last write, and the next byte of the caller reset it.
+TEST_F(HttpServerTest, LastResponse_CallerReadsLateAndSendsMore_ArrivesWhole)
+{
+    const std::string body(400000, 'x');
+    start();
+    m_socket.close();
+    m_socket.open(Tcp::v4());
+    m_socket.set_option(asio::socket_base::receive_buffer_size(4096));
+    m_socket.connect({ asio::ip::make_address("127.0.0.1"), m_server->port() });
+    send("GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    ASSERT_TRUE(waitForRequests(1));
+    m_requests[0]->respond({ 200, {}, body });
+    m_context.run_for(1800ms);
+    send("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    m_context.run_for(50ms);
+    EXPECT_NE(std::string::npos, receive().find(body));
+}
+
+TEST_F(HttpServerTest, Stop_LastResponseIsOnItsWayOnAnIdleConnection_ArrivesWhole)
+{
+    const std::string body(400000, 'x');
+    start();
+    m_socket.close();
+    m_socket.open(Tcp::v4());
+    m_socket.set_option(asio::socket_base::receive_buffer_size(4096));
+    m_socket.connect({ asio::ip::make_address("127.0.0.1"), m_server->port() });
+    send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(waitForRequests(1));
+    m_requests[0]->respond({ 200, {}, body });
+    m_context.run_for(200ms);
+    m_server->stop();
+    send("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    m_context.run_for(50ms);
+    EXPECT_NE(std::string::npos, receive().find(body));
+}
+
 TEST_F(HttpServerTest, Request_AfterOneWithConnectionClose_IsNotRead)
 {
     start();
