Node: Bound the bytes that a node holds by its memory

Operators saw a faulty endpoint send bytes without end; the machine that had called it kept them all, ran out of memory, and took the requests of other clients with it. Cause: each message had a bound of its own, up to the configured 64 MB, but all of them together had none: bodies received in part were not counted, and responses to pipelined requests piled up while their caller did not read. Change: a sixteenth of the process's memory (memory.maximum_mb, MemoryMb of the platform) each bounds the bodies of requests, in part or whole, those of attempts, the responses received in part, and the responses not read. An upload beyond it is refused at once by its announced length, or when it grows beyond it; of responses in part the largest is cut off; a connection is not read while it has 1 MB to write.

--- a/Source/node/EndpointRunner.cpp
+++ b/Source/node/EndpointRunner.cpp
@@ -16,8 +16,6 @@
 constexpr Duration confirmationDelay { 20000 };
 /// Interval between removals of expired entries from the fate table.
 constexpr Duration expiryInterval { 1000000 };
-/// Attempts are refused if the bodies of all admitted attempts would exceed this size.
-constexpr std::size_t maximumJobBodyBytes = 32 * 1024 * 1024;
 /// Retry-After of attempts that are refused because the endpoint is not available, for example while it is draining.
 constexpr Duration unavailableRetryAfter { 200000 };
 /// Retry-After of attempts that the backend server refused without one of its own: approximately the time in which a fully loaded backend
@@ -216,7 +214,7 @@
         return m_quarantine.refuse(job.digest, verdict);
     if (const auto refusal = m_keyChecks.check(job.message.caller))
         return refusal;
-    if (m_jobBodyBytes + job.message.request.body.size() > maximumJobBodyBytes)
+    if (m_jobBodyBytes + job.message.request.body.size() > m_settings.maximumBodyBytes)
         return Refusal { ResultCode::Overloaded, unavailableRetryAfter };
     return std::nullopt;
 }
--- a/Source/node/EndpointRunner.h
+++ b/Source/node/EndpointRunner.h
@@ -55,6 +55,8 @@
         Duration loadInterval { 40000 };
         ColdBound coldBound;
         TraceSampler::Settings traces;
+        /// Attempts are refused if the bodies of all admitted attempts would exceed this size, in bytes.
+        std::size_t maximumBodyBytes = 32 * 1024 * 1024;
     };
 
     EndpointRunner(asio::io_context&, NodeIdentity self, Settings, HttpClient&, ReplyHook, NodeQuarantine&, NodeKeys&, NodeMetrics&);
--- a/Source/node/NodeSettings.cpp
+++ b/Source/node/NodeSettings.cpp
@@ -82,6 +82,15 @@
     stop.finish();
 }
 
+void readMemory(TomlReader memory, NodeSettings& settings)
+{
+    constexpr std::uint64_t bytesPerMegabyte = 1024 * 1024;
+    constexpr std::uint64_t minimumMegabytes = 64;
+    constexpr std::uint64_t maximumMegabytes = 1024 * 1024;
+    settings.memoryBytes = memory.integer("maximum_mb", settings.memoryBytes / bytesPerMegabyte, minimumMegabytes, maximumMegabytes) * bytesPerMegabyte;
+    memory.finish();
+}
+
 void readBackend(TomlReader backend, NodeSettings& settings)
 {
     constexpr Duration maximumInterval = std::chrono::minutes(10);
@@ -124,6 +133,7 @@
     readBackend(reader.section("backend"), settings);
     readTraces(reader.section("trails"), settings);
     readStop(reader.section("stop"), settings);
+    readMemory(reader.section("memory"), settings);
     settings.log = readLogSettings(reader);
     settings.log.node = settings.node.value();
 }
--- a/Source/node/NodeSettings.h
+++ b/Source/node/NodeSettings.h
@@ -61,6 +61,8 @@
     std::optional<Duration> keyRevocationTime;
     QuotaBound quotaBound;
     ColdBound coldBound;
+    /// Memory that the process may use, in bytes.
+    std::size_t memoryBytes = std::size_t { 512 } * 1024 * 1024;
     LogSettings log;
     TraceSampler::Settings traces;
     /// Parser of the routing document; set by the program, not in the settings file.
--- a/Source/node/NodeTraffic.cpp
+++ b/Source/node/NodeTraffic.cpp
@@ -1,5 +1,6 @@
 #include "node/NodeTraffic.h"
 
+#include "coordination/admission/MemoryShares.h"
 #include "transport/Logger.h"
 
 #include <xxhash.h>
@@ -24,6 +25,9 @@
     HttpServer::Settings server;
     server.address = settings.calls.ip;
     server.port = settings.calls.port;
+    const MemoryShares memory = MemoryShares::of(settings.memoryBytes);
+    server.maximumPendingBodyBytes = memory.requestBodies;
+    server.maximumUnsentBytes = memory.unsentResponses;
     return server;
 }
 
@@ -87,11 +91,11 @@
     , m_settings(settings)
     , m_metrics(metrics)
     , m_stop(stopSettings(settings))
-    , m_client(context)
+    , m_client(context, MemoryShares::of(settings.memoryBytes).responseBodies)
     , m_quarantine(m_self, metrics)
     , m_keyChecks(settings.keyRevocationTime, metrics)
     , m_runner(
-          context, m_self, { settings.headers, settings.backendLoadInterval, settings.coldBound, settings.traces }, m_client, [this](ConnectionId connection, const PeerMessage& message) { reply(connection, message); }, m_quarantine, m_keyChecks, metrics)
+          context, m_self, { settings.headers, settings.backendLoadInterval, settings.coldBound, settings.traces, MemoryShares::of(settings.memoryBytes).attemptBodies }, m_client, [this](ConnectionId connection, const PeerMessage& message) { reply(connection, message); }, m_quarantine, m_keyChecks, metrics)
     , m_gateway(context, m_self, m_runner, m_quarantine, m_keyChecks, m_stop, { settings.headers, settings.callerService, settings.needsRouting, choiceSettings(settings), settings.fleetRetryBurst, settings.traces, settings.quotaBound }, std::move(claims), metrics)
     , m_callServer(context, callServerSettings(settings), [this](const HttpExchangePtr& exchange) { m_gateway.handle(exchange); })
     , m_linkServer(context, maximumPeerMessageBytes, [this](const LinkPtr& link) { accept(link); })
--- a/Source/transport/HttpClient.cpp
+++ b/Source/transport/HttpClient.cpp
@@ -97,8 +97,9 @@
         bool wasResent = false;
     };
 
-    explicit Implementation(asio::io_context& context)
+    Implementation(asio::io_context& context, std::size_t maximumPartialBytes)
         : m_context(context)
+        , m_maximumPartialBytes(maximumPartialBytes)
         , m_lifetime(std::make_shared<char>())
         , m_timer(context, [this] { expire(); })
     {
@@ -111,6 +112,9 @@
     const Counters& counters() const { return m_counters; }
 
 private:
+    /// Adds to the size of the response bodies that were received in part, and fails the request with the largest one if they
+    /// are too large together.
+    void addPartialBytes(std::ptrdiff_t);
     /// Sends the request on an idle connection, or opens a new one.
     void startExchange(Exchange&);
     /// Removes a usable connection from its pool; null when there is none.
@@ -129,6 +133,9 @@
     void expire();
 
     asio::io_context& m_context;
+    std::size_t m_maximumPartialBytes;
+    /// Size of the response bodies that were received in part, of all connections.
+    std::size_t m_partialBytes = 0;
     /// Destroyed with the client; pending Asio handlers detect by a weak reference that the client no longer exists.
     std::shared_ptr<char> m_lifetime;
     RequestId m_lastId = 0;
@@ -164,6 +171,10 @@
     bool isClosed() const { return m_isClosed; }
     PoolName poolName() const { return { m_server, m_pool }; }
     RequestId exchange() const { return m_exchange; }
+    /// Size of the response body that was received in part.
+    std::size_t partialBytes() const { return m_partialBytes; }
+    /// Closes the connection, and fails its request since the responses in progress are too large.
+    void failTooLarge() { failExchange(ResultCode::AnswerIncomplete, "the answers that are being received are too large", true); }
     /// True when the server had probably closed the connection before the request reached it.
     bool wasStale() const { return m_wasPooled && !m_hasReceived && steadyNow() - m_sentAt <= staleConnectionWindow; }
     bool hasSent() const { return m_hasSent; }
@@ -180,6 +191,8 @@
     void handleRead(const asio::error_code&, std::size_t length);
     /// Parses the buffered input and handles complete responses.
     void process();
+    /// Counts the response body that is being received.
+    void countPartialBody(std::size_t);
     void handleResponse();
     /// Closes the connection and reports the failure to the client.
     void failExchange(Failure);
@@ -211,6 +224,8 @@
     /// True once a byte was received since that write was started.
     bool m_hasReceived = false;
     bool m_wasPooled = false;
+    /// Size of the response body that was received in part.
+    std::size_t m_partialBytes = 0;
     /// Responses that were read over for the current request.
     int m_skippedResponses = 0;
     /// True after an unmatched response or a failed write, after which the connection must not be reused.
@@ -318,10 +333,13 @@
         m_input.erase(0, consumed);
         if (progress == HttpParser::Progress::Failed)
             return failExchange(ResultCode::AnswerIncomplete, "the answer is not well-formed HTTP/1.1, or too large", m_parser.failure() != HttpParser::Failure::Malformed);
-        if (progress == HttpParser::Progress::Complete)
-            handleResponse();
-        else
+        if (progress != HttpParser::Progress::Complete) {
+            const ConnectionPtr keptAlive(this);
+            countPartialBody(m_parser.bodyBytes());
             break;
+        }
+        countPartialBody(0);
+        handleResponse();
     }
     if (!m_isClosed)
         read();
@@ -372,10 +390,19 @@
     m_client->handleConnectionFailure(*this, failure);
 }
 
+void HttpClient::Implementation::Connection::countPartialBody(std::size_t bytes)
+{
+    const auto change = static_cast<std::ptrdiff_t>(bytes) - static_cast<std::ptrdiff_t>(std::exchange(m_partialBytes, bytes));
+    if (change != 0 && !m_lifetime.expired())
+        m_client->addPartialBytes(change);
+}
+
 void HttpClient::Implementation::Connection::close()
 {
     if (std::exchange(m_isClosed, true))
         return;
+    countPartialBody(0);
+    m_parser.discardBody();
     asio::error_code ignored;
     m_socket.close(ignored);
 }
@@ -410,6 +437,20 @@
     return id;
 }
 
+void HttpClient::Implementation::addPartialBytes(std::ptrdiff_t bytes)
+{
+    m_partialBytes += static_cast<std::size_t>(bytes);
+    if (bytes < 0 || m_partialBytes <= m_maximumPartialBytes)
+        return;
+    ConnectionPtr largest;
+    for (const auto& [id, exchange] : m_exchanges) {
+        if (exchange.connection && (!largest || exchange.connection->partialBytes() > largest->partialBytes()))
+            largest = exchange.connection;
+    }
+    if (largest)
+        largest->failTooLarge();
+}
+
 void HttpClient::Implementation::startExchange(Exchange& exchange)
 {
     exchange.connection = exchange.wasResent ? nullptr : takeIdle({ exchange.server, exchange.options.pool }, exchange.options.maximumIdle);
@@ -559,8 +600,8 @@
         schedule(std::max(m_deadlines.begin()->first, now + expiryGranularity));
 }
 
-HttpClient::HttpClient(asio::io_context& context)
-    : m_implementation(std::make_unique<Implementation>(context))
+HttpClient::HttpClient(asio::io_context& context, std::size_t maximumPartialBytes)
+    : m_implementation(std::make_unique<Implementation>(context, maximumPartialBytes))
 {
 }
 
--- a/Source/transport/HttpClient.h
+++ b/Source/transport/HttpClient.h
@@ -78,7 +78,9 @@
         std::uint64_t unmatchedResponses = 0;
     };
 
-    explicit HttpClient(asio::io_context&);
+    /// maximumPartialBytes: largest total size of the bodies of responses that were received in part; beyond it the request
+    /// with the largest one fails, as too large.
+    explicit HttpClient(asio::io_context&, std::size_t maximumPartialBytes = 32 * 1024 * 1024);
     ~HttpClient();
 
     /// Sends a request to "address:port"; the hook runs once, unless the request is cancelled first.
--- a/Source/transport/HttpParser.cpp
+++ b/Source/transport/HttpParser.cpp
@@ -75,6 +75,7 @@
     m_target.clear();
     m_headers.clear();
     m_body.clear();
+    m_announcedBodyBytes.reset();
     m_bodyDigest.reset();
     return continueParsing;
 }
@@ -121,6 +122,8 @@
     const bool hasLength = (m_parser.flags & F_CONTENTLENGTH) != 0 && m_parser.content_length != noLength;
     if (m_expectsNoBody)
         return skipBody;
+    if (hasLength)
+        m_announcedBodyBytes = m_parser.content_length;
     if (hasLength && m_parser.content_length > m_limits.bodyBytes)
         return fail(Failure::BodyTooLarge);
     return continueParsing;
--- a/Source/transport/HttpParser.h
+++ b/Source/transport/HttpParser.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -69,6 +70,12 @@
     bool hasHeaders() const { return m_hasHeaders; }
     /// Headers that were parsed so far.
     const HttpHeaders& headers() const { return m_headers; }
+    /// Bytes of the body that were parsed so far and not taken.
+    std::size_t bodyBytes() const { return m_body.size(); }
+    /// Length of the body as its headers announce it; nothing if they don't.
+    std::optional<std::uint64_t> announcedBodyBytes() const { return m_announcedBodyBytes; }
+    /// Frees the body that was parsed so far, of a message that is not needed any more.
+    void discardBody() { std::string().swap(m_body); }
     Failure failure() const { return m_failure; }
     /// Valid once a message is complete: false when its connection must not carry another message.
     bool keepsConnection() const { return m_keepsConnection; }
@@ -113,6 +120,7 @@
     std::string m_target;
     HttpHeaders m_headers;
     std::string m_body;
+    std::optional<std::uint64_t> m_announcedBodyBytes;
     /// Digest of the body of a request; null until its first byte.
     std::unique_ptr<DigestBuilder> m_bodyDigest;
 };
--- a/Source/transport/HttpServer.cpp
+++ b/Source/transport/HttpServer.cpp
@@ -22,9 +22,8 @@
 constexpr std::size_t readBufferBytes = 8 * 1024;
 /// Maximum number of requests of one connection in progress; further ones stay unread.
 constexpr std::size_t maximumPipelinedRequests = 16;
-/// Maximum total size of the bodies of all unanswered requests of a server; requests beyond it are refused as
-/// Overloaded.
-constexpr std::size_t maximumPendingBodyBytes = 32 * 1024 * 1024;
+/// No further request of a connection is read while it has this many bytes of responses to write.
+constexpr std::size_t maximumUnsentBytesPerConnection = 1024 * 1024;
 /// Longest time for one write without progress, after which the connection is closed.
 constexpr Duration writeTimeout { 10000000 };
 /// Time that a caller has to close the connection after it has received the last response.
@@ -120,8 +119,10 @@
     /// True once connections close after the responses to their requests in progress.
     bool m_closesAfterResponses = false;
     bool m_isStopped = false;
-    /// Total size of the bodies of the unanswered requests of all connections.
+    /// Total size of the bodies of the unanswered requests of all connections, also of those received in part.
     std::size_t m_pendingBodyBytes = 0;
+    /// Bytes of responses that the system has not taken yet, of all connections.
+    std::size_t m_unsentBytes = 0;
     std::vector<Connection*> m_connections;
 };
 
@@ -164,6 +165,16 @@
     void handleRead(const asio::error_code&, std::size_t length);
     /// Parses the buffered input and passes complete requests to the handler.
     void process();
+    /// True if another request may be read.
+    bool hasRoom() const { return m_exchanges.size() < maximumPipelinedRequests && unsentBytes() < maximumUnsentBytesPerConnection; }
+    /// Bytes of responses that the system has not taken yet.
+    std::size_t unsentBytes() const { return m_output.size() + m_writing.size() - m_writtenBytes; }
+    /// Counts the body of the request that is being received; false if the server holds too many bytes with it.
+    bool countPartialBody(std::size_t);
+    /// Changes the size of the bodies of this connection's unanswered requests.
+    void addPendingBytes(std::ptrdiff_t);
+    /// Adds a response to those that are to be written.
+    void addOutput(const std::string&);
     /// Passes the request that the parser has completed to the handler.
     void addRequest();
     /// Answers with a problem document and reads no further request.
@@ -198,8 +209,10 @@
     TimePoint m_writeStartedAt;
     /// Start of the current wait: for a request, for its headers, for its body, or for the caller to close.
     TimePoint m_waitStartedAt;
-    /// Total size of the bodies of the unanswered requests of this connection.
+    /// Total size of the bodies of the unanswered requests of this connection, also of the one received in part.
     std::size_t m_pendingBodyBytes = 0;
+    /// Size of the body of the request that was received in part.
+    std::size_t m_partialBodyBytes = 0;
     bool m_isReading = false;
     /// True once a request was received.
     bool m_hasRequested = false;
@@ -265,8 +278,7 @@
 {
     if (m_isReading || m_isClosed)
         return;
-    const bool hasRoom = m_exchanges.size() < maximumPipelinedRequests && m_input.empty();
-    if (!hasRoom && !m_isLingering)
+    if ((!hasRoom() || !m_input.empty()) && !m_isLingering)
         return;
     m_isReading = true;
     m_socket.async_read_some(asio::buffer(m_buffer), [self = ConnectionPtr(this)](const asio::error_code& error, std::size_t length) {
@@ -290,7 +302,7 @@
 
 void HttpServer::Implementation::Connection::process()
 {
-    while (!m_input.empty() && !m_isLastRequest && !m_isClosed && m_exchanges.size() < maximumPipelinedRequests) {
+    while (!m_input.empty() && !m_isLastRequest && !m_isClosed && hasRoom()) {
         std::size_t consumed = 0;
         m_parser.setLimits({ m_server->m_settings.limits.headerBytes, m_server->m_settings.limits.bodyBytes });
         const HttpParser::Progress progress = m_parser.feed(m_input, consumed);
@@ -308,11 +320,11 @@
             m_waitStartedAt = steadyNow();
         m_isInRequest = m_parser.isInMessage();
         if (isInBody && !m_isInBody && findHeader(m_parser.headers(), "Expect") && m_exchanges.empty()) {
-            m_output += serialize({ statusContinue, {}, {} }, false, false);
+            addOutput(serialize({ statusContinue, {}, {} }, false, false));
             write();
         }
         m_isInBody = isInBody;
-        if (m_server->m_pendingBodyBytes + m_input.size() > maximumPendingBodyBytes)
+        if (!countPartialBody(m_parser.bodyBytes()))
             return refuse({ ResultCode::Overloaded, "too many bytes of requests are waiting at this process" });
     }
 }
@@ -323,10 +335,12 @@
     m_isLastRequest = !m_parser.keepsConnection();
     const ExchangePtr exchange(new Exchange(ConnectionPtr(this), m_parser.takeRequest()));
     const std::size_t bytes = exchange->request().body.size();
-    if (m_server->m_pendingBodyBytes + bytes > maximumPendingBodyBytes)
+    if (!countPartialBody(bytes))
         return refuse({ ResultCode::Overloaded, "too many bytes of requests are waiting at this process" });
-    m_pendingBodyBytes += bytes;
-    m_server->m_pendingBodyBytes += bytes;
+    if (m_server->m_unsentBytes > m_server->m_settings.maximumUnsentBytes)
+        return refuse({ ResultCode::Overloaded, "callers have not read too many bytes of their responses" });
+    // From now on the exchange counts, until its response is written.
+    m_partialBodyBytes = 0;
     m_exchanges.push_back(exchange);
     m_server->m_handler(exchange);
 }
@@ -335,6 +349,8 @@
 {
     m_isLastRequest = true;
     m_input.clear();
+    m_parser.discardBody();
+    countPartialBody(0);
     const ExchangePtr exchange(new Exchange(ConnectionPtr(this), {}));
     m_exchanges.push_back(exchange);
     exchange->respond(problemResponse(error, CallOutcomeKind::NotRun));
@@ -350,12 +366,8 @@
         const bool serverCloses = m_server && (m_server->m_closesAfterResponses || m_server->m_isStopped);
         // The connection may only close after the response to its last request in progress.
         const bool closes = m_exchanges.empty() && (m_isLastRequest || serverCloses);
-        const std::size_t bytes = exchange->request().body.size();
-        if (m_server && m_pendingBodyBytes >= bytes) {
-            m_pendingBodyBytes -= bytes;
-            m_server->m_pendingBodyBytes -= bytes;
-        }
-        m_output += serialize(*exchange->response(), exchange->request().method == "HEAD", closes);
+        addPendingBytes(-static_cast<std::ptrdiff_t>(exchange->request().body.size()));
+        addOutput(serialize(*exchange->response(), exchange->request().method == "HEAD", closes));
         if (closes) {
             m_isLastRequest = true;
             m_closesAfterWrite = true;
@@ -383,6 +395,8 @@
     m_writeStartedAt = steadyNow();
     m_socket.async_write_some(asio::buffer(m_writing) + m_writtenBytes, [self = ConnectionPtr(this)](const asio::error_code& error, std::size_t length) {
         self->m_writtenBytes += length;
+        if (self->m_server)
+            self->m_server->m_unsentBytes -= length;
         self->handleWritten(error);
     });
 }
@@ -396,10 +410,41 @@
     if (m_writtenBytes < m_writing.size())
         return continueWrite();
     m_writing.clear();
+    m_writtenBytes = 0;
     if (!m_output.empty())
-        return write();
-    if (m_closesAfterWrite)
-        linger();
+        write();
+    else if (m_closesAfterWrite)
+        return linger();
+    // Requests may have waited for room.
+    if (!m_input.empty() && m_server)
+        process();
+    read();
+}
+
+bool HttpServer::Implementation::Connection::countPartialBody(std::size_t bytes)
+{
+    addPendingBytes(static_cast<std::ptrdiff_t>(bytes) - static_cast<std::ptrdiff_t>(m_partialBodyBytes));
+    m_partialBodyBytes = bytes;
+    if (!m_server)
+        return true;
+    const std::uint64_t announced = m_isInBody ? m_parser.announcedBodyBytes().value_or(0) : 0;
+    const std::uint64_t expected = announced > bytes ? announced - bytes : 0;
+    return m_server->m_pendingBodyBytes + expected <= m_server->m_settings.maximumPendingBodyBytes;
+}
+
+void HttpServer::Implementation::Connection::addPendingBytes(std::ptrdiff_t bytes)
+{
+    if (!m_server)
+        return;
+    m_pendingBodyBytes += static_cast<std::size_t>(bytes);
+    m_server->m_pendingBodyBytes += static_cast<std::size_t>(bytes);
+}
+
+void HttpServer::Implementation::Connection::addOutput(const std::string& bytes)
+{
+    m_output += bytes;
+    if (m_server)
+        m_server->m_unsentBytes += bytes.size();
 }
 
 // Closing a socket with unread bytes resets the connection, so that the caller might lose the last response.
@@ -460,7 +505,7 @@
     ++load.connections;
     load.unusedConnections += !m_hasRequested && !m_isInRequest ? 1 : 0;
     load.partialRequests += m_isInRequest && !m_isLastRequest ? 1 : 0;
-    load.unsentBytes += m_output.size() + m_writing.size() - (m_writing.empty() ? 0 : m_writtenBytes);
+    load.unsentBytes += unsentBytes();
     load.lingeringConnections += m_isLingering ? 1 : 0;
 }
 
@@ -488,6 +533,7 @@
         return;
     Implementation& server = *std::exchange(m_server, nullptr);
     server.m_pendingBodyBytes -= m_pendingBodyBytes;
+    server.m_unsentBytes -= unsentBytes();
     m_pendingBodyBytes = 0;
     server.m_connections.erase(std::remove(server.m_connections.begin(), server.m_connections.end(), this), server.m_connections.end());
 }
--- a/Source/transport/HttpServer.h
+++ b/Source/transport/HttpServer.h
@@ -66,6 +66,11 @@
         std::uint16_t port = 0;
         /// Connections beyond this number are closed unread.
         std::size_t maximumConnections = 4000;
+        /// Largest total size of the bodies of all unanswered requests, also of those that were received only in part; requests
+        /// beyond it are refused as Overloaded.
+        std::size_t maximumPendingBodyBytes = 32 * 1024 * 1024;
+        /// Further requests are refused as Overloaded while callers have not read this many bytes of their responses.
+        std::size_t maximumUnsentBytes = 32 * 1024 * 1024;
         Limits limits;
     };
     /// Open connections, and what they still carry.
--- a/Tests/processes/ProcessFixture.cpp
+++ b/Tests/processes/ProcessFixture.cpp
@@ -102,6 +102,16 @@
         throw std::runtime_error("not every node is ready: " + m_deployment->nodeStatus("a").dump() + "; " + m_deployment->describe());
 }
 
+void ProcessTest::allowLargeBodies()
+{
+    const std::string limit = "maximum_body_bytes = 65536";
+    std::string document = dispatchDocument;
+    document.replace(document.find(limit), limit.size(), "maximum_body_bytes = 67108864");
+    if (!m_deployment->apply(document, 1, startTimeout) || !m_deployment->waitUntilReady(startTimeout))
+        throw std::runtime_error("the document with large bodies is not in force; " + m_deployment->describe());
+    m_caller.runFor(std::chrono::seconds(1));
+}
+
 void ProcessTest::sendMany(std::size_t count, const std::string& node, const std::string& method, const std::string& path, std::chrono::milliseconds deadline)
 {
     for (std::size_t sent = 0; sent < count; ++sent) {
--- a/Tests/processes/ProcessFixture.h
+++ b/Tests/processes/ProcessFixture.h
@@ -17,6 +17,8 @@
     void SetUp() override;
     /// Starts all processes and waits until every node is ready. Each test calls it first.
     void start(std::size_t controls = 1);
+    /// Raises the limit of bodies to 64 MiB, once the processes have started.
+    void allowLargeBodies();
     /// The nodes that start() starts; a test may modify them before.
     std::vector<NodePlan> plans;
 
--- a/Tests/transport/HttpPairTest.cpp
+++ b/Tests/transport/HttpPairTest.cpp
@@ -31,6 +31,11 @@
     {
         HttpServer::Settings settings;
         settings.limits = limits;
+        start(settings);
+    }
+
+    void start(const HttpServer::Settings& settings)
+    {
         m_server = std::make_unique<HttpServer>(m_context, settings, [this](const HttpExchangePtr& exchange) {
             exchange->setDisconnectHook([this] { ++m_disconnects; });
             m_requests.push_back(exchange);
@@ -352,6 +357,63 @@
     EXPECT_NE(std::string::npos, receive().find(body));
 }
 
+// Bodies that had arrived in part were not counted, so that a few uploads took the process beyond its memory.
+TEST_F(HttpServerTest, Bodies_InPartBeyondTheBound_AreRefused)
+{
+    HttpServer::Settings settings;
+    settings.maximumPendingBodyBytes = 1000000;
+    start(settings);
+    const std::string chunk = "93ff8\r\n" + std::string(0x93ff8, 'x') + "\r\n";
+    Tcp::socket other(m_context);
+    other.connect({ asio::ip::make_address("127.0.0.1"), m_server->port() });
+    asio::write(other, asio::buffer("POST /1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk));
+    m_context.run_for(100ms);
+    send("POST /2 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk);
+    EXPECT_NE(std::string::npos, receive().find("HTTP/1.1 503"));
+    asio::write(other, asio::buffer(std::string("0\r\n\r\n")));
+    ASSERT_TRUE(waitForRequests(1));
+    EXPECT_EQ(m_requests.front()->request().body.size(), 0x93ff8u);
+}
+
+TEST_F(HttpServerTest, Body_AnnouncedBeyondTheBound_IsRefusedAtOnce)
+{
+    HttpServer::Settings settings;
+    settings.maximumPendingBodyBytes = 1000000;
+    start(settings);
+    send("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 1000001\r\n\r\nx");
+    EXPECT_NE(std::string::npos, receive().find("HTTP/1.1 503"));
+    EXPECT_TRUE(m_requests.empty());
+}
+
+// Responses to pipelined requests piled up without bound while their caller did not read.
+TEST_F(HttpServerTest, PipelinedRequests_ResponsesAreNotRead_NoFurtherOnesArePassedOn)
+{
+    constexpr std::size_t inProgress = 16;
+    constexpr std::size_t sent = 20;
+    start();
+    std::string requests;
+    for (std::size_t index = 0; index < sent; ++index)
+        requests += "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+    send(requests);
+    ASSERT_TRUE(waitForRequests(inProgress));
+    for (std::size_t index = 0; index < inProgress; ++index)
+        m_requests[index]->respond({ 200, {}, std::string(4000000, 'x') });
+    m_context.run_for(100ms);
+    EXPECT_EQ(m_requests.size(), inProgress);
+    // They are once the caller reads.
+    std::array<char, 65536> buffer {};
+    std::function<void()> readOn = [&] {
+        m_socket.async_read_some(asio::buffer(buffer), [&](const asio::error_code& error, std::size_t) {
+            if (!error)
+                readOn();
+        });
+    };
+    readOn();
+    EXPECT_TRUE(waitForRequests(sent));
+    m_socket.close();
+    m_context.run_for(20ms);
+}
+
 TEST_F(HttpServerTest, Request_AfterOneWithConnectionClose_IsNotRead)
 {
     start();
@@ -606,6 +668,26 @@
     EXPECT_EQ(0, asked);
 }
 
+// One answer without end took the process beyond its memory, and all other requests with it.
+TEST_F(HttpClientTest, Responses_InPartBeyondTheBound_OnlyTheLargestFails)
+{
+    m_client = std::make_unique<HttpClient>(m_context, 300000);
+    m_handlers.emplace_back([](Tcp::socket& socket, const std::string&) { reply(socket, "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 100000\r\n\r\n" + std::string(50000, 'x')); });
+    send("a");
+    m_context.run_for(100ms);
+    ASSERT_EQ(m_sockets.size(), 1u);
+    m_handlers.emplace_back([](Tcp::socket& socket, const std::string&) { reply(socket, "HTTP/1.1 200 OK\r\nX-Id: b\r\n\r\n" + std::string(400000, 'x')); });
+    send("b");
+    ASSERT_TRUE(waitForOutcome());
+    EXPECT_FALSE(m_outcome->succeeded);
+    EXPECT_TRUE(m_outcome->failure.isTooLarge);
+    m_outcome.reset();
+    reply(*m_sockets.front(), std::string(50000, 'x'));
+    ASSERT_TRUE(waitForOutcome());
+    EXPECT_TRUE(m_outcome->succeeded);
+    EXPECT_EQ(m_outcome->response.body.size(), 100000u);
+}
+
 /// Bytes without end that a server sends in place of an answer.
 struct EndlessBytes {
     const char* name;
--- a/Utilities/Load/BackendModes.h
+++ b/Utilities/Load/BackendModes.h
@@ -36,8 +36,10 @@
     bool reportsLoad = false;
     /// Refuses each third request as not run, and sends the refusal once more on its connection while the next request runs there.
     bool repeatsRefusals = false;
+    /// Answers with a body that has no length and does not end.
+    bool endlessBody = false;
 };
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(BackendModes, slowdown, failFast, refuse, coldCalls, coldFactor, freezeAnswers, shortBody, answerDelayMs, requestLimit, leaving, coldMs, reportsLoad, repeatsRefusals)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(BackendModes, slowdown, failFast, refuse, coldCalls, coldFactor, freezeAnswers, shortBody, answerDelayMs, requestLimit, leaving, coldMs, reportsLoad, repeatsRefusals, endlessBody)
 
 } // namespace Knapweedquay::Load
--- a/Utilities/Load/HttpConnection.cpp
+++ b/Utilities/Load/HttpConnection.cpp
@@ -28,6 +28,18 @@
     });
 }
 
+void HttpConnection::sendEndless(const std::string& start)
+{
+    constexpr std::size_t blockBytes = 64 * 1024;
+    auto buffer = std::make_shared<std::string>(start + std::string(blockBytes, 'x'));
+    asio::async_write(m_socket, asio::buffer(*buffer), [self = shared_from_this(), buffer](const asio::error_code& error, std::size_t) {
+        if (error)
+            self->close();
+        else
+            self->sendEndless({});
+    });
+}
+
 void HttpConnection::close()
 {
     asio::error_code ignored;
--- a/Utilities/Load/HttpConnection.h
+++ b/Utilities/Load/HttpConnection.h
@@ -21,6 +21,8 @@
     void start();
     /// Writes the bytes unchanged, and then closes the connection if closeAfter is set.
     void send(std::string bytes, bool closeAfter = false);
+    /// Writes the bytes, and then others without end until the connection closes.
+    void sendEndless(const std::string& start);
     void close();
     bool isOpen() const { return m_socket.is_open(); }
     /// Called once when the connection closes, whichever end closed it.
--- a/Utilities/Load/StandInBackend.cpp
+++ b/Utilities/Load/StandInBackend.cpp
@@ -191,6 +191,10 @@
     const std::string body = echoAnswer(call->request.query("id"), call->request.body, size.empty() ? 0 : std::stoul(size));
     std::string bytes = serializeAnswer(withState(textAnswer(200, body)));
     call->connection->onClosed = nullptr;
+    if (m_modes.endlessBody) {
+        call->connection->sendEndless("HTTP/1.1 200 OK\r\n\r\n");
+        return releaseSlot(call);
+    }
     if (m_modes.shortBody)
         bytes.resize(bytes.size() - body.size() / 2);
     call->connection->send(std::move(bytes), m_modes.shortBody);
