Node: Answer calls that nobody has in hand before a stop ends

Cause: after the loss of its link an attempt is detached and its call waits for the deadline, which may lie beyond the end of the stop. Change: 0.4 s before the end, when requests in part are refused, calls end that no endpoint's node is known to have in hand: 503 if nothing was sent or all was refused, otherwise 504. Attempts in hand go on. OutgoingCallTest.NodeEnds_* and PlannedStopTest.TwoNodes_* show it. Two tests of PlannedStopTest now ask for the backend server's answer and one run, not only for a response.

--- a/Source/coordination/attempts/CallEvents.h
+++ b/Source/coordination/attempts/CallEvents.h
@@ -68,10 +68,12 @@
 struct TimerFired { };
 /// The caller closed its connection; may precede CallStarted while the claim of an idempotency key is pending.
 struct CallerDisconnected { };
+/// The node of the call ends soon; may precede CallStarted.
+struct NodeEnds { };
 
 /// An event that OutgoingCall::handle() accepts.
 using CallEvent = std::variant<CallStarted, EndpointChosen, NoEndpointAvailable, AttemptAccepted, AttemptAnswered, AttemptFailed, EndpointSlowed, AttemptRefused,
-    AttemptUnknown, CancelAcknowledged, LinkLost, LinkRestored, TimerFired, CallerDisconnected>;
+    AttemptUnknown, CancelAcknowledged, LinkLost, LinkRestored, TimerFired, CallerDisconnected, NodeEnds>;
 
 /// Choose an endpoint by policy, except the excluded ones, and reply with EndpointChosen or NoEndpointAvailable.
 struct ChooseEndpoint {
--- a/Source/coordination/attempts/OutgoingCall.cpp
+++ b/Source/coordination/attempts/OutgoingCall.cpp
@@ -178,6 +178,17 @@
     finishIfNoneOutstanding();
 }
 
+void OutgoingCall::on(const NodeEnds&)
+{
+    const bool isInHand = std::any_of(m_attempts.begin(), m_attempts.end(), [](const Attempt& attempt) {
+        return attempt.state == AttemptState::Sent || attempt.state == AttemptState::Accepted;
+    });
+    if (m_phase == Phase::Finished || isInHand)
+        return;
+    giveBack(std::exchange(m_taken, {}));
+    finishUnanswered({ ResultCode::Draining });
+}
+
 void OutgoingCall::on(const LinkLost& event)
 {
     bool hasLostAttempt = false;
--- a/Source/coordination/attempts/OutgoingCall.h
+++ b/Source/coordination/attempts/OutgoingCall.h
@@ -120,6 +120,8 @@
     void on(const LinkRestored&);
     void on(const TimerFired&);
     void on(const CallerDisconnected&);
+    /// Ends the call unless an endpoint's node is known to have an attempt in hand: nobody else can bring its answer in time.
+    void on(const NodeEnds&);
 
     void checkDueTimes();
     void checkAcceptance();
--- a/Source/coordination/stopping/GracefulStop.cpp
+++ b/Source/coordination/stopping/GracefulStop.cpp
@@ -25,7 +25,7 @@
     }
     if (m_phase == Phase::Draining && now >= lastDeadline()) {
         m_phase = Phase::Delivering;
-        return Step::RefusePartialRequests;
+        return Step::EndWaitingWork;
     }
     if (now < m_drainedAt + m_settings.settling || !work.isAnswered() || !work.isLeaveSpread)
         return Step::Wait;
--- a/Source/coordination/stopping/GracefulStop.h
+++ b/Source/coordination/stopping/GracefulStop.h
@@ -31,8 +31,9 @@
         Wait,
         /// Closes its listening sockets and idle connections.
         Drain,
-        /// Refuses the requests that it received only in part, since they can't end in time any more.
-        RefusePartialRequests,
+        /// Ends what can't end in time any more: refuses the requests that it received only in part, and answers the calls that
+        /// no endpoint's node has in hand.
+        EndWaitingWork,
         /// Closes the connections without a request, and the links to other nodes.
         CloseConnections,
         /// Ends: nothing is left, and nothing can arrive.
@@ -55,7 +56,7 @@
     /// process that was suspended may receive calls before it takes its next step.
     bool mayTake(TimePoint now, TimePoint deadline) const { return !isOrdered() || now < m_orderedAt + m_settings.notice || deadline <= lastDeadline(); }
 
-    /// Returns the next step; Drain and RefusePartialRequests are returned once each.
+    /// Returns the next step; Drain and EndWaitingWork are returned once each.
     Step next(TimePoint now, const PendingWork&);
 
 private:
@@ -63,7 +64,7 @@
         Running,
         Notice,
         Draining,
-        /// Like Draining, and the requests received in part were refused.
+        /// Like Draining, and what could not end in time was ended.
         Delivering,
     };
 
--- a/Source/node/CallGateway.cpp
+++ b/Source/node/CallGateway.cpp
@@ -362,6 +362,12 @@
         handleEvent(session, CallStarted());
 }
 
+void CallGateway::endWaitingCalls()
+{
+    for (const auto& entry : std::unordered_map<std::uint64_t, SessionPtr>(m_sessions))
+        handleEvent(entry.second, NodeEnds());
+}
+
 void CallGateway::handleEvent(const SessionPtr& session, const CallEvent& event)
 {
     const CallActions actions = session->call->handle(event, steadyNow());
--- a/Source/node/CallGateway.h
+++ b/Source/node/CallGateway.h
@@ -102,6 +102,9 @@
     /// Handles the reply to ClaimHooks::request: Ok if the claim was granted, otherwise the code of the refusal.
     void claimAnswered(const ClaimOwner&, ResultCode);
 
+    /// Answers the calls that no endpoint's node has in hand, since this node ends soon.
+    void endWaitingCalls();
+
     NodeQuotas& quotas() { return m_quotas; }
 
     /// Handles a message from the local endpoint runner or another node: about an attempt of this node, a probe, the
--- a/Source/node/NodeStop.cpp
+++ b/Source/node/NodeStop.cpp
@@ -69,8 +69,8 @@
     case GracefulStop::Step::Drain:
         logWork(LogEvent::StopProgress, "drain");
         return m_traffic.drain();
-    case GracefulStop::Step::RefusePartialRequests:
-        return m_traffic.refusePartialRequests();
+    case GracefulStop::Step::EndWaitingWork:
+        return m_traffic.endWaitingWork();
     case GracefulStop::Step::CloseConnections:
         return m_traffic.closeConnections();
     case GracefulStop::Step::Wait:
--- a/Source/node/NodeTraffic.cpp
+++ b/Source/node/NodeTraffic.cpp
@@ -128,8 +128,9 @@
     return m_stop.next(steadyNow(), work);
 }
 
-void NodeTraffic::refusePartialRequests()
+void NodeTraffic::endWaitingWork()
 {
+    m_gateway.endWaitingCalls();
     m_callServer.refusePartialRequests({ ResultCode::Draining, "this node stops before the request could end" });
 }
 
--- a/Source/node/NodeTraffic.h
+++ b/Source/node/NodeTraffic.h
@@ -35,8 +35,8 @@
     GracefulStop::Step stopStep(bool isLeaveSpread);
     /// Stops accepting connections from callers and new attempts; calls in progress finish.
     void drain();
-    /// Refuses the requests that were received only in part.
-    void refusePartialRequests();
+    /// Refuses the requests that were received only in part, and ends the calls that no endpoint's node has in hand.
+    void endWaitingWork();
     /// Closes the connections without a request, and the links from other nodes once their messages have arrived.
     void closeConnections();
     const GracefulStop& stop() const { return m_stop; }
--- a/Tests/coordination/GracefulStopTest.cpp
+++ b/Tests/coordination/GracefulStopTest.cpp
@@ -119,11 +119,11 @@
     EXPECT_EQ(next(2550ms, nothingLeft()), Step::EndIdle);
 }
 
-TEST_F(GracefulStopTest, RequestInPart_ShortlyBeforeTheEnd_IsRefusedOnce)
+TEST_F(GracefulStopTest, WaitingWork_ShortlyBeforeTheEnd_IsEndedOnce)
 {
     drain();
     EXPECT_EQ(next(5199ms, left(&PendingWork::partialRequests)), Step::Wait);
-    EXPECT_EQ(next(5200ms, left(&PendingWork::partialRequests)), Step::RefusePartialRequests);
+    EXPECT_EQ(next(5200ms, left(&PendingWork::partialRequests)), Step::EndWaitingWork);
     EXPECT_EQ(next(5220ms, left(&PendingWork::unsentCallerBytes)), Step::Wait);
     EXPECT_EQ(next(5600ms, left(&PendingWork::unsentCallerBytes)), Step::EndLate);
 }
--- a/Tests/coordination/OutgoingCallTest.cpp
+++ b/Tests/coordination/OutgoingCallTest.cpp
@@ -82,6 +82,32 @@
     expectOutcome(CallOutcome::Kind::NotRun, ResultCode::DeadlineExpired);
 }
 
+// A call whose attempt was lost with the endpoint's node was held until its own node ended, and cut.
+TEST_F(OutgoingCallTest, NodeEnds_AttemptsAreLost_IsUnknownAtOnce)
+{
+    begin();
+    handle(LinkLost { NodeId("a") });
+    handle(NodeEnds {});
+    expectOutcome(CallOutcome::Kind::Unknown, ResultCode::OutcomeUnknown);
+}
+
+TEST_F(OutgoingCallTest, NodeEnds_AttemptIsInHand_GoesOn)
+{
+    begin();
+    handle(AttemptAccepted { attempt(1) });
+    handle(NodeEnds {});
+    EXPECT_FALSE(m_call->isFinished());
+    handle(AttemptAnswered { attempt(1), std::make_shared<const std::string>("answer") });
+    expectOutcome(CallOutcome::Kind::Answered, ResultCode::Ok);
+}
+
+TEST_F(OutgoingCallTest, NodeEnds_NothingWasSent_IsNotRun)
+{
+    m_call = std::make_unique<OutgoingCall>(m_parameters, CallBudgets { m_retries, m_hedges }, [this] { return attempt(++m_sequence); });
+    handle(NodeEnds {});
+    expectOutcome(CallOutcome::Kind::NotRun, ResultCode::Draining);
+}
+
 TEST_F(OutgoingCallTest, Attempt_Answered_FinishesWithItsAnswer)
 {
     begin();
--- a/Tests/processes/PlannedStopTest.cpp
+++ b/Tests/processes/PlannedStopTest.cpp
@@ -98,6 +98,14 @@
             + std::to_string(deadline.count()) + "\r\n" + (method == "POST" ? "Content-Length: 4\r\n" : "") + "\r\n" + (method == "POST" ? "body" : "");
     }
 
+    void expectAnswered(EarlyConnection& connection, const std::string& id) const
+    {
+        const auto responses = connection.receive(1);
+        ASSERT_EQ(responses.size(), 1u);
+        EXPECT_EQ(outcomeOf(responses.front()), "answered") << responses.front().body;
+        EXPECT_EQ(executionCount(id), 1u);
+    }
+
     static std::string outcomeOf(const HttpResponse& response)
     {
         const std::string* outcome = findHeader(response.headers, "knapweedquay-outcome");
@@ -178,6 +186,25 @@
     }
 }
 
+// Calls whose endpoint's node had ended were held until their own node ended too, and cut.
+TEST_F(PlannedStopTest, TwoNodes_EndpointsNodeEndsFirst_CallsAreAnswered)
+{
+    plans.front().hasBackend = false;
+    plans.back().furtherSettings = "[stop]\nnotice_ms = 100\nmaximum_ms = 800\n";
+    start();
+    std::vector<std::unique_ptr<EarlyConnection>> connections;
+    for (int call = 0; call < 4; ++call) {
+        connections.push_back(connect());
+        ASSERT_TRUE(connections.back()->send(request("POST", "/bookings/long", "held-" + std::to_string(call), 10s)));
+    }
+    std::this_thread::sleep_for(100ms);
+    stopNode();
+    m_deployment->node("b").signal(SIGTERM);
+    for (const auto& connection : connections)
+        EXPECT_EQ(connection->receive(1).size(), 1u);
+    expectGuaranteesHold();
+}
+
 // The process ended while the rest of a request was on its way.
 TEST_F(PlannedStopTest, RequestInPart_AtTheDrain_IsAnswered)
 {
@@ -188,7 +215,7 @@
     stopNode();
     std::this_thread::sleep_for(1500ms);
     EXPECT_TRUE(connection->send(text.substr(text.size() - 2)));
-    EXPECT_EQ(connection->receive(1).size(), 1u);
+    expectAnswered(*connection, "part");
 }
 
 TEST_F(PlannedStopTest, RequestInPart_ThatIsNeverWhole_IsRefusedBeforeTheEnd)
@@ -214,12 +241,11 @@
     stopNode();
     std::this_thread::sleep_for(200ms);
     stopNode();
-    EXPECT_EQ(connection->receive(1).size(), 1u);
+    expectAnswered(*connection, "running");
     EXPECT_TRUE(waitUntil([&] { return !m_deployment->node("a").isRunning(); }, 3s));
     EXPECT_EQ(m_deployment->node("a").exitCode(), 0);
 }
 
-// The process waited for connections that carry nothing.
 TEST_F(PlannedStopTest, Node_WithUnusedConnections_EndsOnceIdle)
 {
     start();
