HttpServer: Let the idle time begin with the last byte of a response

Cause: the idle time ran from the moment at which the response was queued, and its end closed the connection without regard to bytes on their way. Change: it runs from the last byte written, and its end closes only connections that closeIfIdle() would close. HttpServerTest.IdleTime_EndsWhileAResponseIsOnItsWay_ItArrivesWhole failed before.

--- a/Source/transport/HttpServer.cpp
+++ b/Source/transport/HttpServer.cpp
@@ -411,6 +411,8 @@
         return continueWrite();
     m_writing.clear();
     m_writtenBytes = 0;
+    if (!m_isInRequest)
+        m_waitStartedAt = steadyNow();
     if (!m_output.empty())
         write();
     else if (m_closesAfterWrite)
@@ -477,8 +479,8 @@
     } else if (m_isInRequest) {
         if (waited > (m_isInBody ? limits.bodyTimeout : limits.headerTimeout))
             refuse({ ResultCode::RequestTooSlow, "the request was not whole in time" });
-    } else if (m_exchanges.empty() && waited > limits.idleTimeout) {
-        close();
+    } else if (waited > limits.idleTimeout) {
+        closeIfIdle();
     }
 }
 
--- a/Tests/transport/HttpPairTest.cpp
+++ b/Tests/transport/HttpPairTest.cpp
@@ -339,6 +339,26 @@
     EXPECT_NE(std::string::npos, receive().find(body));
 }
 
+// The idle time ran from the response's start, and its end closed the connection while the response was on its way.
+TEST_F(HttpServerTest, IdleTime_EndsWhileAResponseIsOnItsWay_ItArrivesWhole)
+{
+    const std::string body(400000, 'x');
+    HttpServer::Limits limits;
+    limits.idleTimeout = Duration(300000);
+    start(limits);
+    m_socket.close();
+    m_socket.open(Tcp::v4());
+    m_socket.set_option(asio::socket_base::receive_buffer_size(4096));
+    m_socket.connect({ asio::ip::make_address("127.0.0.1"), m_server->port() });
+    send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(waitForRequests(1));
+    m_requests[0]->respond({ 200, {}, body });
+    m_context.run_for(900ms);
+    send("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    m_context.run_for(50ms);
+    EXPECT_NE(std::string::npos, receive(body).find(body));
+}
+
 TEST_F(HttpServerTest, Stop_LastResponseIsOnItsWayOnAnIdleConnection_ArrivesWhole)
 {
     const std::string body(400000, 'x');
