HttpServer: Refuse a stalled request once, and tell when to return

A request that was refused still counted as being received. Refusals for lack of room or because of a stop carried no Retry-After, and an upload that announced too much was first asked to continue. HttpServerTest.Request_StallsBehindARunningOne_IsRefusedOnce and Body_AnnouncedBeyondTheBound_IsRefusedAtOnce show it.

--- a/Source/transport/HttpServer.cpp
+++ b/Source/transport/HttpServer.cpp
@@ -30,6 +30,8 @@
 constexpr Duration lingerTimeout { 1000000 };
 /// Interval at which the timeouts of all connections are checked.
 constexpr Duration sweepInterval { 250000 };
+/// Retry-After of requests that are refused for lack of room or because of a stop.
+constexpr Duration refusalRetryAfter { 200000 };
 /// Delay after a failed accept, most often for lack of file descriptors.
 constexpr Duration acceptRetryInterval { 100000 };
 constexpr std::uint16_t statusContinue = 100;
@@ -319,13 +321,14 @@
         if (m_parser.isInMessage() && (!m_isInRequest || isInBody != m_isInBody))
             m_waitStartedAt = steadyNow();
         m_isInRequest = m_parser.isInMessage();
-        if (isInBody && !m_isInBody && findHeader(m_parser.headers(), "Expect") && m_exchanges.empty()) {
-            addOutput(serialize({ statusContinue, {}, {} }, false, false));
-            write();
-        }
+        const bool hasBegunBody = isInBody && !m_isInBody;
         m_isInBody = isInBody;
         if (!countPartialBody(m_parser.bodyBytes()))
             return refuse({ ResultCode::Overloaded, "too many bytes of requests are waiting at this process" });
+        if (hasBegunBody && findHeader(m_parser.headers(), "Expect") && m_exchanges.empty()) {
+            addOutput(serialize({ statusContinue, {}, {} }, false, false));
+            write();
+        }
     }
 }
 
@@ -348,12 +351,15 @@
 void HttpServer::Implementation::Connection::refuse(const Error& error)
 {
     m_isLastRequest = true;
+    m_isInRequest = false;
+    m_isInBody = false;
     m_input.clear();
     m_parser.discardBody();
     countPartialBody(0);
     const ExchangePtr exchange(new Exchange(ConnectionPtr(this), {}));
     m_exchanges.push_back(exchange);
-    exchange->respond(problemResponse(error, CallOutcomeKind::NotRun));
+    const bool mayReturn = error.code == ResultCode::Overloaded || error.code == ResultCode::Draining;
+    exchange->respond(problemResponse(error, CallOutcomeKind::NotRun, mayReturn ? refusalRetryAfter : Duration::zero()));
 }
 
 void HttpServer::Implementation::Connection::flush()
--- a/Tests/transport/HttpPairTest.cpp
+++ b/Tests/transport/HttpPairTest.cpp
@@ -395,13 +395,30 @@
     EXPECT_EQ(m_requests.front()->request().body.size(), 0x93ff8u);
 }
 
+// A request that stalled behind a running one was refused again at each check.
+TEST_F(HttpServerTest, Request_StallsBehindARunningOne_IsRefusedOnce)
+{
+    HttpServer::Limits limits;
+    limits.headerTimeout = Duration(100000);
+    start(limits);
+    send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHo");
+    ASSERT_TRUE(waitForRequests(1));
+    m_context.run_for(1200ms);
+    m_requests[0]->respond({ 200, {}, "first" });
+    const std::string received = receive();
+    EXPECT_NE(std::string::npos, received.find("HTTP/1.1 408"));
+    EXPECT_EQ(received.find("HTTP/1.1 408"), received.rfind("HTTP/1.1 408"));
+}
+
 TEST_F(HttpServerTest, Body_AnnouncedBeyondTheBound_IsRefusedAtOnce)
 {
     HttpServer::Settings settings;
     settings.maximumPendingBodyBytes = 1000000;
     start(settings);
-    send("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 1000001\r\n\r\nx");
-    EXPECT_NE(std::string::npos, receive().find("HTTP/1.1 503"));
+    send("POST /1 HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 1000001\r\n\r\nx");
+    const std::string received = receive();
+    EXPECT_EQ(0u, received.find("HTTP/1.1 503"));
+    EXPECT_NE(std::string::npos, received.find("Retry-After"));
     EXPECT_TRUE(m_requests.empty());
 }
 
