--- a/Source/node/NodeStop.cpp
+++ b/Source/node/NodeStop.cpp
@@ -40,8 +40,8 @@
         return;
     log(LogEvent::Stopping);
     m_control.endReadiness();
-    asio::post(m_trafficContext, [this] {
-        m_traffic.orderStop();
+    asio::post(m_trafficContext, [this, now = steadyNow()] {
+        m_traffic.orderStop(now);
         logWork(LogEvent::StopProgress, "notice");
     });
     check();
--- a/Source/node/NodeTraffic.cpp
+++ b/Source/node/NodeTraffic.cpp
@@ -115,9 +115,9 @@
     return m_linkServer.start(m_settings.peers.ip, m_settings.peers.port);
 }
 
-void NodeTraffic::orderStop()
+void NodeTraffic::orderStop(TimePoint now)
 {
-    m_stop.order(steadyNow());
+    m_stop.order(now);
     m_callServer.closeAfterResponses();
 }
 
@@ -344,7 +344,8 @@
 {
     m_backendService = backend.service;
     m_runner.setBackend(backend);
-    m_runner.undrain();
+    if (!m_stop.isOrdered())
+        m_runner.undrain();
     applyRoutedService();
     if (const auto document = documentOf(backend.service))
         m_runner.setDocument(*document);
--- a/Source/node/NodeTraffic.h
+++ b/Source/node/NodeTraffic.h
@@ -30,7 +30,7 @@
 
     Result<void> start();
     /// Starts the graceful stop: asks callers to close their connections. They are still served.
-    void orderStop();
+    void orderStop(TimePoint now);
     /// Next step of the graceful stop; isLeaveSpread: see PendingWork.
     GracefulStop::Step stopStep(bool isLeaveSpread);
     /// Stops accepting connections from callers and new attempts; calls in progress finish.
--- a/Tests/platform/MachineSettingsTest.cpp
+++ b/Tests/platform/MachineSettingsTest.cpp
@@ -76,6 +76,16 @@
     EXPECT_GT(node.maximumStopTime, 5s);
 }
 
+// The notice lasted longer than the grace, so that the node ended without a drain.
+TEST_F(MachineSettingsTest, Grace_ShorterThanTheNotice_LeavesHalfForTheDrain)
+{
+    MachineSettings machine = load(settingsText).value();
+    machine.stopGrace = 2s;
+    EXPECT_EQ(nodeSettings(machine).stopNotice, nodeSettings(machine).maximumStopTime / 2);
+    machine.stopGrace = 100ms;
+    EXPECT_EQ(nodeSettings(machine).maximumStopTime, Duration::zero());
+}
+
 TEST_F(MachineSettingsTest, Complete_Loaded_ConvertsToControlSettings)
 {
     const ControlSettings control = controlSettings(load(settingsText).value());
