HttpServer: Take the connections that were accepted just before a stop

Operators lost the answer of one change at the stop of a busy control replica: its connection was closed with the change unread. Nodes use the same server. Cause: the system had accepted the connection for the process, but stop() came before the handler of that completion, which then dropped the socket. Change: the handler adds the connection also after stop(), and only doesn't accept a further one. HttpServerTest.Stop_ConnectionAcceptedButNotHandled_IsAnswered failed before.

--- a/Source/transport/HttpServer.cpp
+++ b/Source/transport/HttpServer.cpp
@@ -576,11 +576,15 @@
 void HttpServer::Implementation::accept()
 {
     m_acceptor.async_accept([this, lifetime = std::weak_ptr<char>(m_lifetime)](const asio::error_code& error, asio::ip::tcp::socket socket) {
-        if (lifetime.expired() || m_isStopped || error == asio::error::operation_aborted)
+        if (lifetime.expired() || error == asio::error::operation_aborted)
+            return;
+        // The system may have accepted a connection just before stop(), which this handler did not run before.
+        if (!error)
+            addConnection(std::move(socket));
+        if (m_isStopped)
             return;
         if (error)
             return m_acceptTimer.setAfter(acceptRetryInterval);
-        addConnection(std::move(socket));
         accept();
     });
 }
--- a/Tests/transport/HttpPairTest.cpp
+++ b/Tests/transport/HttpPairTest.cpp
@@ -278,6 +278,27 @@
     }
 }
 
+// A connection that the system had accepted for the process was dropped when the stop came before its handler.
+TEST_F(HttpServerTest, Stop_ConnectionAcceptedButNotHandled_IsAnswered)
+{
+    start();
+    std::vector<Tcp::socket> sockets;
+    for (int caller = 0; caller < 20; ++caller) {
+        sockets.emplace_back(m_context);
+        sockets.back().connect({ asio::ip::make_address("127.0.0.1"), m_server->port() });
+        asio::write(sockets.back(), asio::buffer(std::string("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx")));
+    }
+    m_context.run_one();
+    m_server->stop();
+    ASSERT_TRUE(waitForRequests(sockets.size()));
+    for (const HttpExchangePtr& exchange : m_requests)
+        exchange->respond({ 200, {}, "whole" });
+    for (Tcp::socket& socket : sockets) {
+        m_socket = std::move(socket);
+        EXPECT_NE(std::string::npos, receive().find("whole"));
+    }
+}
+
 // A request that waited unread on an idle connection was cut off by the stop.
 TEST_F(HttpServerTest, Stop_NextRequestHasArrivedOnAnIdleConnection_IsAnswered)
 {
