Control: Answer the changes in flight before a stop ends

Operators saw the connections of changes end without an answer when a control replica was stopped: changes that waited for their commit or for the leader, that were received in part, or whose answer was partly written. Some of them were accepted all the same. Cause: SIGTERM stopped the event loop at once. Change: ControlStop performs the steps of GracefulStop. From the order on new changes are refused before anything is proposed (503, code 202; the command line then turns to the next replica) and no connections are accepted; reads are served until the end. The process ends once all requests, also those of other replicas, are answered and all connections closed, after stop.maximum_ms at the latest (3 s; on the platform the grace less its margin). A thread that is blocked is ended 0.2 s later. SIGTERM repeated changes nothing, SIGINT then ends the process at once. The leader leads until it ends. Events 101, 107 and 108 tell of the stop. CommandsTest.Apply_FirstReplicaStops_SendsToTheNext fails without the change. EarlyConnection.h was part of PlannedStopTest.cpp.

--- a/Source/cli/ControlClient.cpp
+++ b/Source/cli/ControlClient.cpp
@@ -11,7 +11,7 @@
 
 bool mayTryNextReplica(ResultCode code)
 {
-    return code == ResultCode::NotLeader || code == ResultCode::NoQuorum || code == ResultCode::ConnectionFailed || code == ResultCode::TimedOut || code == ResultCode::StaleConfiguration;
+    return code == ResultCode::NotLeader || code == ResultCode::NoQuorum || code == ResultCode::ConnectionFailed || code == ResultCode::TimedOut || code == ResultCode::StaleConfiguration || code == ResultCode::Draining;
 }
 
 // True when the edit may have been accepted. Such a failure must not be replaced by a later refusal of another replica.
--- a/Source/control/ControlDaemon.cpp
+++ b/Source/control/ControlDaemon.cpp
@@ -1,6 +1,7 @@
 #include "control/ControlDaemon.h"
 
 #include "transport/Logger.h"
+#include "transport/StopDeadline.h"
 
 #include "protocol/LinkChannel.h"
 
@@ -17,6 +18,8 @@
 namespace {
 
 constexpr Duration tickInterval { 20000 };
+/// Time beyond the maximum stop time after which the process ends although a thread is blocked.
+constexpr Duration blockedStopTime { 200000 };
 constexpr std::uint64_t microsecondsPerMillisecond = 1000;
 /// Bounds the memory for claims that wait for the leader's answer.
 constexpr std::size_t maximumForwardedClaims = 10000;
@@ -52,6 +55,7 @@
     , m_replicaLinks(m_context, maximumReplicaMessageBytes + 1, [this](std::string_view bytes) { receiveFromReplica(bytes); })
     , m_linkServer(m_context, maximumReplicaMessageBytes + 1, [this](const LinkPtr& link) { accept(link); })
     , m_httpServer(m_context, httpSettings(settings), [this](const HttpExchangePtr& exchange) { handleHttp(exchange); })
+    , m_stop(m_context, m_httpServer, settings.maximumStopTime, { [this] { return m_forwardedChanges; }, [this] { m_context.stop(); } })
     , m_signals(m_context, SIGINT, SIGTERM, SIGHUP)
     , m_tickTimer(m_context, [this] { tick(); })
 {
@@ -75,6 +79,7 @@
     tick();
     m_context.restart();
     m_context.run();
+    m_stop.logEnd(m_runResult.has_error() ? "storage" : "signal");
     return m_runResult;
 }
 
@@ -83,13 +88,27 @@
     m_signals.async_wait([this](const asio::error_code& error, int signal) {
         if (error)
             return;
-        if (signal != SIGHUP)
-            return m_context.stop();
+        handleSignal(signal);
+        waitForSignal();
+    });
+}
+
+void ControlDaemon::handleSignal(int signal)
+{
+    if (signal == SIGHUP) {
         log(LogEvent::Reloaded);
         if (m_extension.reload)
             m_extension.reload(*this);
-        waitForSignal();
-    });
+        return;
+    }
+    if (m_stop.isOrdered()) {
+        // Platforms repeat SIGTERM; only a person at a terminal means it literally.
+        if (signal == SIGINT)
+            m_context.stop();
+        return;
+    }
+    endProcessAfter(m_settings.maximumStopTime + blockedStopTime);
+    m_stop.order();
 }
 
 Result<void> ControlDaemon::startMembership()
@@ -117,6 +136,8 @@
 
 void ControlDaemon::handleHttp(const HttpExchangePtr& exchange)
 {
+    if (m_stop.refuse(exchange))
+        return;
     if (!m_extension.handle || !m_extension.handle(exchange, { *m_routing, *m_evacuations }))
         m_operators->handle(exchange);
 }
@@ -339,7 +360,9 @@
     // Without an extension, changes come to the operators' interface alone, which asks for a credential.
     if (!m_extension.handle)
         return;
+    ++m_forwardedChanges;
     m_routing->changeAsLeader({ message.text, message.baseVersion, message.author }, [this, id, request = message.request](const Result<std::uint64_t>& result) {
+        --m_forwardedChanges;
         const Error error = result.has_error() ? result.error() : Error { ResultCode::Ok, {} };
         m_subscriptions->send(id, RoutingChangeAnswerMessage { request, error.code, error.detail });
     });
@@ -350,7 +373,9 @@
     if (!m_extension.handle)
         return;
     const EvacuationOrder order { message.dataCentre, message.isStart ? EvacuationOrder::Action::Start : EvacuationOrder::Action::Finish, message.author };
+    ++m_forwardedChanges;
     m_evacuations->orderAsLeader(order, message.expected, [this, id, request = message.request](const Result<std::uint64_t>& result) {
+        --m_forwardedChanges;
         const Error error = result.has_error() ? result.error() : Error { ResultCode::Ok, {} };
         m_subscriptions->send(id, EvacuationAnswerMessage { request, error.code, error.detail });
     });
--- a/Source/control/ControlDaemon.h
+++ b/Source/control/ControlDaemon.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control/ControlSettings.h"
+#include "control/ControlStop.h"
 #include "control/EvacuationStore.h"
 #include "control/NodeSubscriptions.h"
 #include "control/OperatorInterface.h"
@@ -49,7 +50,7 @@
     explicit ControlDaemon(const ControlSettings&, Extension = {});
     ~ControlDaemon();
 
-    /// Runs until SIGINT, SIGTERM or a storage failure. Returns the error of a failed start or of the storage.
+    /// Runs until SIGINT, SIGTERM or a storage failure. After a signal the requests in flight are answered first. Returns the error of a failed start or of the storage.
     Result<void> run();
     /// Replaces the other replicas' link addresses and the gossip seeds after the settings were reloaded.
     void setContacts(const std::vector<std::string>& peers, const std::vector<SocketAddress>& seeds);
@@ -66,6 +67,7 @@
     Result<void> openStore();
     Result<void> startMembership();
     void waitForSignal();
+    void handleSignal(int signal);
     void handleHttp(const HttpExchangePtr&);
     ReplicaListMessage replicaList() const;
     void accept(const LinkPtr&);
@@ -102,12 +104,15 @@
     ReplicaLinks m_replicaLinks;
     LinkServer m_linkServer;
     HttpServer m_httpServer;
+    ControlStop m_stop;
     asio::signal_set m_signals;
     Timer m_tickTimer;
     /// True while a flush of the service is posted but has not run.
     bool m_isFlushScheduled = false;
     /// Claims that were forwarded to the leader, by their owner.
     std::map<AttemptId, ForwardedClaim> m_forwardedClaims;
+    /// Changes of other replicas that wait for their result.
+    std::size_t m_forwardedChanges = 0;
     /// Result of run(); the error of the storage once it has stopped.
     Result<void> m_runResult = BOOST_OUTCOME_V2_NAMESPACE::success();
 };
--- a/Source/control/ControlSettings.cpp
+++ b/Source/control/ControlSettings.cpp
@@ -44,6 +44,13 @@
         settings.credentials[team] = credentials.text(team, {}, isSecret, "a secret of 1 to 256 bytes");
 }
 
+void readStop(TomlReader stop, ControlSettings& settings)
+{
+    constexpr Duration longestStop = std::chrono::minutes(10);
+    settings.maximumStopTime = stop.milliseconds("maximum_ms", settings.maximumStopTime, Duration::zero(), longestStop);
+    stop.finish();
+}
+
 void read(TomlReader& reader, ControlSettings& settings)
 {
     settings.folder = reader.requiredText("folder", isPath, "the path of the data folder");
@@ -54,6 +61,7 @@
     readStore(reader.section("store"), settings);
     readMembership(reader.section("membership"), settings);
     readCredentials(reader.section("credentials"), settings);
+    readStop(reader.section("stop"), settings);
     settings.log = readLogSettings(reader);
 }
 
--- a/Source/control/ControlSettings.h
+++ b/Source/control/ControlSettings.h
@@ -3,6 +3,7 @@
 #include "protocol/Result.h"
 #include "protocol/SocketAddress.h"
 #include "protocol/Ids.h"
+#include "protocol/Time.h"
 #include "state/RoutingParser.h"
 #include "state/SettingsFile.h"
 #include "transport/Logger.h"
@@ -45,6 +46,8 @@
     /// All data centres of the deployment; empty where the settings don't list them.
     std::vector<DataCentre> dataCentres;
     QuotaBound quotaBound;
+    /// Maximum time after a stop signal for the requests in progress; the process then ends and aborts them.
+    Duration maximumStopTime { 3000000 };
     LogSettings log;
     /// Parses the routing document; set by the program, not by the settings file.
     RoutingParser parseRouting = parseRoutingToml;
--- a/Source/coordination/stopping/GracefulStop.h
+++ b/Source/coordination/stopping/GracefulStop.h
@@ -7,9 +7,9 @@
 
 namespace Knapweedquay {
 
-/// Decides how a node stops: which calls it still takes, and when its process may end.
+/// Decides how a node or a control replica stops: which calls it still takes, and when its process may end.
 ///
-/// Load pattern: callers that go on sending while the node stops, over connections that they opened before. What is taken must
+/// Load pattern: callers that go on sending while the process stops, over connections that they opened before. What is taken must
 /// be answered before the platform kills the process, so a call is only taken if its deadline and the delivery of its answer
 /// lie before the end. Any other call is refused before it is passed on.
 class GracefulStop {
--- a/Source/coordination/stopping/PendingWork.h
+++ b/Source/coordination/stopping/PendingWork.h
@@ -4,7 +4,7 @@
 
 namespace Knapweedquay {
 
-/// What a node still holds for callers and for other nodes.
+/// What a process still holds for callers and for other processes.
 struct PendingWork {
     /// Open connections of callers.
     std::size_t connections = 0;
--- a/Source/transport/HttpServer.cpp
+++ b/Source/transport/HttpServer.cpp
@@ -505,6 +505,7 @@
     ++load.connections;
     load.unusedConnections += !m_hasRequested && !m_isInRequest ? 1 : 0;
     load.partialRequests += m_isInRequest && !m_isLastRequest ? 1 : 0;
+    load.unansweredRequests += m_exchanges.size();
     load.unsentBytes += unsentBytes();
     load.lingeringConnections += m_isLingering ? 1 : 0;
 }
--- a/Source/transport/HttpServer.h
+++ b/Source/transport/HttpServer.h
@@ -80,6 +80,8 @@
         std::size_t unusedConnections = 0;
         /// Requests that were received only in part.
         std::size_t partialRequests = 0;
+        /// Requests whose response is not ready yet, or waits for an earlier one of the same connection.
+        std::size_t unansweredRequests = 0;
         /// Bytes of responses that the system has not taken yet.
         std::size_t unsentBytes = 0;
         /// Connections whose last response was sent and which the caller has not closed yet.
--- a/Tests/cli/CommandsTest.cpp
+++ b/Tests/cli/CommandsTest.cpp
@@ -84,6 +84,13 @@
     EXPECT_NE(std::string::npos, output.str().find("dispatch: version 5 accepted"));
 }
 
+TEST_F(CommandsTest, Apply_FirstReplicaStops_SendsToTheNext)
+{
+    answers.emplace("10.0.0.1:1 PUT /v1/documents/dispatch", problemResponse(ResultCode::Draining));
+    answers.emplace("10.0.0.2:1 PUT /v1/documents/dispatch", okResponse({ { "version", 5 } }));
+    EXPECT_EQ(ExitCode::Done, run({ "apply", "file.toml", "--expected-version", "4" })) << errors.str();
+}
+
 TEST_F(CommandsTest, Apply_Refused_ReturnsExitCodeOfTheReason)
 {
     const std::pair<ResultCode, ExitCode> cases[] = { { ResultCode::VersionConflict, ExitCode::VersionConflict }, { ResultCode::NotAuthorized, ExitCode::NotAuthorized }, { ResultCode::InvalidDocument, ExitCode::InvalidDocument }, { ResultCode::StorageFailed, ExitCode::Failed } };
--- a/Tests/platform/MachineSettingsTest.cpp
+++ b/Tests/platform/MachineSettingsTest.cpp
@@ -84,6 +84,8 @@
     EXPECT_EQ(control.peers, control.founders);
     EXPECT_EQ(4u, control.minimumVoters);
     EXPECT_EQ(5u, control.targetVoters);
+    EXPECT_LT(control.maximumStopTime, 6500ms);
+    EXPECT_GT(control.maximumStopTime, 5s);
 }
 
 TEST_F(MachineSettingsTest, SinglePort_Loaded_IsInvalid)
--- a/Tests/processes/PlannedStopTest.cpp
+++ b/Tests/processes/PlannedStopTest.cpp
@@ -1,9 +1,7 @@
+#include "processes/EarlyConnection.h"
 #include "processes/ProcessFixture.h"
 
 #include "Load/Waiting.h"
-#include "transport/HttpParser.h"
-
-#include <asio/write.hpp>
 
 #include <csignal>
 #include <memory>
@@ -14,67 +12,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::chrono::milliseconds answerTimeout { 6000 };
-
-/// A connection to a node that is opened before its requests are sent.
-class EarlyConnection {
-public:
-    explicit EarlyConnection(const std::string& address, int receiveBuffer = 0)
-        : m_socket(m_context)
-    {
-        const auto endpoint = parseEndpoint(address);
-        m_socket.open(endpoint.protocol());
-        if (receiveBuffer > 0)
-            m_socket.set_option(asio::socket_base::receive_buffer_size(receiveBuffer));
-        m_socket.connect(endpoint);
-    }
-
-    /// False if the node has closed the connection.
-    bool send(const std::string& bytes)
-    {
-        asio::error_code error;
-        asio::write(m_socket, asio::buffer(bytes), error);
-        return !error;
-    }
-
-    /// Receives up to this number of responses, until the connection ends or the timeout expires.
-    std::vector<HttpResponse> receive(std::size_t count)
-    {
-        std::vector<HttpResponse> responses;
-        std::function<void()> read = [&] {
-            m_socket.async_read_some(asio::buffer(m_buffer), [&](const asio::error_code& error, std::size_t size) {
-                m_received.append(m_buffer.data(), size);
-                takeResponses(responses);
-                if (!error && responses.size() < count)
-                    read();
-            });
-        };
-        read();
-        m_context.restart();
-        m_context.run_for(answerTimeout);
-        return responses;
-    }
-
-private:
-    void takeResponses(std::vector<HttpResponse>& responses)
-    {
-        while (!m_received.empty()) {
-            std::size_t consumed = 0;
-            const auto progress = m_parser.feed(m_received, consumed);
-            m_received.erase(0, consumed);
-            if (progress != HttpParser::Progress::Complete)
-                return;
-            responses.push_back(m_parser.takeResponse());
-        }
-    }
-
-    asio::io_context m_context;
-    asio::ip::tcp::socket m_socket;
-    HttpParser m_parser { HttpParser::Kind::Responses, {} };
-    std::array<char, 8192> m_buffer {};
-    std::string m_received;
-};
-
 /// Stops node "a" by SIGTERM while its callers go on.
 class PlannedStopTest : public ProcessTest {
 protected:
