--- a/Source/control/ControlStop.cpp
+++ b/Source/control/ControlStop.cpp
@@ -65,7 +65,7 @@
         logWork(LogEvent::StopProgress, "drain");
         m_server.stop();
         break;
-    case GracefulStop::Step::RefusePartialRequests:
+    case GracefulStop::Step::EndWaitingWork:
         m_server.refusePartialRequests(refusal());
         break;
     case GracefulStop::Step::CloseConnections:
