--- a/Tests/state/FakeFileSystem.cpp
+++ b/Tests/state/FakeFileSystem.cpp
@@ -1,5 +1,7 @@
 #include "state/FakeFileSystem.h"
 
+#include <algorithm>
+
 namespace Knapweedquay {
 
 class FakeFileSystem::Handle final : public AppendFile {
@@ -13,8 +15,7 @@
     Result<void> append(std::string_view bytes) override
     {
         BOOST_OUTCOME_TRYV(m_owner.countOperation("append"));
-        m_file->content += bytes;
-        return BOOST_OUTCOME_V2_NAMESPACE::success();
+        return m_owner.append(*m_file, bytes);
     }
 
     Result<void> sync() override
@@ -39,6 +40,24 @@
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
+Result<void> FakeFileSystem::append(File& file, std::string_view bytes)
+{
+    const std::size_t fitting = std::min(bytes.size(), m_room);
+    file.content += bytes.substr(0, fitting);
+    if (m_room != unlimited)
+        m_room -= fitting;
+    if (fitting < bytes.size())
+        return Error { ResultCode::StorageFailed, "append: no space left on device" };
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+void FakeFileSystem::release(const std::string& path)
+{
+    const auto file = m_files.find(path);
+    if (file != m_files.end() && m_room != unlimited)
+        m_room += file->second->content.size();
+}
+
 Result<std::vector<std::string>> FakeFileSystem::list(const std::string& folder)
 {
     BOOST_OUTCOME_TRYV(countOperation("list"));
@@ -61,6 +80,7 @@
 Result<std::unique_ptr<AppendFile>> FakeFileSystem::create(const std::string& path)
 {
     BOOST_OUTCOME_TRYV(countOperation("create"));
+    release(path);
     m_files[path] = std::make_shared<File>();
     return std::unique_ptr<AppendFile>(new Handle(*this, m_files[path]));
 }
@@ -82,6 +102,7 @@
 Result<void> FakeFileSystem::remove(const std::string& path)
 {
     BOOST_OUTCOME_TRYV(countOperation("remove"));
+    release(path);
     m_files.erase(path);
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
--- a/Tests/state/FakeFileSystem.h
+++ b/Tests/state/FakeFileSystem.h
@@ -27,6 +27,9 @@
     /// Lets the given number of further operations succeed and all later ones fail.
     void failAfter(std::size_t operations) { m_operationsLeft = operations; }
     void recover() { m_operationsLeft = unlimited; }
+    /// Leaves room for this many further bytes. A longer append writes those that fit and fails; a removal makes room.
+    void fill(std::size_t room) { m_room = room; }
+    void makeRoom() { m_room = unlimited; }
     /// Content of a file, which tests may damage.
     std::string& content(const std::string& path) { return m_files.at(path)->content; }
     std::size_t syncCount() const { return m_syncs; }
@@ -45,11 +48,15 @@
 
     /// Counts an operation, and fails it when failAfter() requires that.
     Result<void> countOperation(const char* name);
+    /// Appends the bytes that there is room for.
+    Result<void> append(File&, std::string_view);
+    void release(const std::string& path);
 
     Names m_files;
     /// Files of the folder at its last sync.
     Names m_syncedNames;
     std::size_t m_operationsLeft = unlimited;
+    std::size_t m_room = unlimited;
     std::size_t m_syncs = 0;
 };
 
--- a/Tests/state/StoreSimulation.cpp
+++ b/Tests/state/StoreSimulation.cpp
@@ -18,22 +18,26 @@
 } // namespace
 
 StoreSimulation::StoreSimulation(std::size_t replicas, std::uint64_t seed, std::size_t snapshotEntries)
-    : StoreSimulation(replicas, 0, 0, seed, snapshotEntries)
+    : StoreSimulation(replicas, 0, 0, seed, SnapshotSizes { snapshotEntries, SnapshotSizes().chunkBytes })
 {
 }
 
 StoreSimulation StoreSimulation::withFounders(std::size_t founders, std::size_t replicas, std::size_t voters, std::uint64_t seed)
 {
-    constexpr std::size_t snapshotEntries = 8;
-    return StoreSimulation(replicas, founders, voters, seed, snapshotEntries);
+    return StoreSimulation(replicas, founders, voters, seed, SnapshotSizes());
 }
 
-StoreSimulation::StoreSimulation(std::size_t replicas, std::size_t founders, std::size_t voters, std::uint64_t seed, std::size_t snapshotEntries)
+StoreSimulation StoreSimulation::withFounders(std::size_t founders, std::size_t replicas, std::size_t voters, std::uint64_t seed, SnapshotSizes sizes)
+{
+    return StoreSimulation(replicas, founders, voters, seed, sizes);
+}
+
+StoreSimulation::StoreSimulation(std::size_t replicas, std::size_t founders, std::size_t voters, std::uint64_t seed, SnapshotSizes snapshotSizes)
     : m_random(seed)
     , m_founders(founders)
     , m_voters(voters)
     , m_replicas(replicas)
-    , m_snapshotEntries(snapshotEntries)
+    , m_snapshotSizes(snapshotSizes)
     , m_isStorageSlow(seed % 2 == 0)
 {
     for (std::size_t i = 0; i < replicas; ++i)
@@ -60,9 +64,9 @@
     settings.newReplica = ReplicaId(m_nextId++);
     settings.newCluster = ClusterId(clusterId);
     settings.minimumVoters = m_voters > 0 ? m_voters - 1 : m_replicas.size() / 2 + 1;
-    settings.snapshotEntries = m_snapshotEntries;
+    settings.snapshotEntries = m_snapshotSizes.entries;
     settings.log.seed = m_random();
-    settings.log.snapshotChunkBytes = 256;
+    settings.log.snapshotChunkBytes = m_snapshotSizes.chunkBytes;
     ControlServiceHooks hooks;
     hooks.send = [this, index](const std::string& address, const ReplicaMessage& message) { sendMessage(index, address, message); };
     const std::size_t startNumber = ++replica.startCount;
@@ -183,6 +187,12 @@
         start(index);
 }
 
+void StoreSimulation::endProcess(std::size_t index)
+{
+    m_replicas[index].service.reset();
+    m_replicas[index].seenVersions.clear();
+}
+
 void StoreSimulation::loseDisk(std::size_t index)
 {
     crash(index);
@@ -302,7 +312,17 @@
     return true;
 }
 
-void StoreSimulation::sendEdit(std::size_t replica, const std::string& service, std::uint64_t versionOffset)
+bool StoreSimulation::holdAllAccepted() const
+{
+    return std::all_of(m_replicas.begin(), m_replicas.end(), [this](const Replica& replica) {
+        return replica.service && std::all_of(m_accepted.begin(), m_accepted.end(), [&replica](const auto& accepted) {
+            const StoredDocument* document = replica.service->state().documents().find(accepted.first);
+            return document && (accepted.second.empty() || document->version >= accepted.second.rbegin()->first);
+        });
+    });
+}
+
+void StoreSimulation::sendEdit(std::size_t replica, const std::string& service, std::uint64_t versionOffset, std::size_t textBytes)
 {
     if (!isRunning(replica))
         return;
@@ -312,6 +332,7 @@
     edit.expected = DocumentVersion((document ? document->version.value() : 0) + versionOffset);
     edit.change = ChangeId("change-" + std::to_string(m_nextChange++));
     edit.text = "text of " + edit.change.value();
+    edit.text.resize(std::max(edit.text.size(), textBytes), '.');
     edit.author = "operator";
     edit.authenticatedTeam = "team-" + service;
     m_sent.push_back(edit);
--- a/Tests/state/StoreSimulation.h
+++ b/Tests/state/StoreSimulation.h
@@ -26,10 +26,17 @@
         unsigned longDelay = 0;
     };
 
+    /// Bounds that decide when a replica writes and sends a snapshot.
+    struct SnapshotSizes {
+        std::size_t entries = 8;
+        std::size_t chunkBytes = 256;
+    };
+
     StoreSimulation(std::size_t replicas, std::uint64_t seed, std::size_t snapshotEntries = 8);
     /// Replicas that form a store without an operator: the first `founders` replicas create it together, and all
     /// replicas have only their addresses. Replicas beyond the number of voters stay learners.
     static StoreSimulation withFounders(std::size_t founders, std::size_t replicas, std::size_t voters, std::uint64_t seed);
+    static StoreSimulation withFounders(std::size_t founders, std::size_t replicas, std::size_t voters, std::uint64_t seed, SnapshotSizes);
 
     void run(Duration);
     /// Runs until the condition holds or the time has passed, and returns whether the condition holds.
@@ -38,6 +45,8 @@
     void setFaults(Faults faults) { m_faults = faults; }
     void crash(std::size_t);
     void restart(std::size_t);
+    /// Ends the process alone; its machine and disk keep all that was written.
+    void endProcess(std::size_t);
     void loseDisk(std::size_t);
     void freeze(std::size_t, Duration);
     void setIsolated(std::size_t, bool);
@@ -51,7 +60,7 @@
     void replaceMachine(std::size_t);
 
     /// Sends an edit to a replica. The expected version is that of the replica's document plus the offset.
-    void sendEdit(std::size_t replica, const std::string& service, std::uint64_t versionOffset = 0);
+    void sendEdit(std::size_t replica, const std::string& service, std::uint64_t versionOffset = 0, std::size_t textBytes = 0);
     /// Resends a random earlier edit to a random replica.
     void resendEdit();
     /// Sends a claim of a random idempotency key. Granting a key to more than one attempt is a violation.
@@ -66,6 +75,8 @@
     /// True when every replica is a fresh member, the target number of them are voters, and all have applied the same
     /// log.
     bool haveAllConverged() const;
+    /// True when every replica runs and has applied the newest accepted edit of each service.
+    bool holdAllAccepted() const;
     std::size_t acceptedCount() const { return m_acceptedCount; }
     TimePoint now() const { return m_now; }
     std::mt19937_64& random() { return m_random; }
@@ -126,7 +137,7 @@
     void checkDocuments(std::size_t);
     void report(const std::string&);
 
-    StoreSimulation(std::size_t replicas, std::size_t founders, std::size_t voters, std::uint64_t seed, std::size_t snapshotEntries);
+    StoreSimulation(std::size_t replicas, std::size_t founders, std::size_t voters, std::uint64_t seed, SnapshotSizes);
 
     std::mt19937_64 m_random;
     /// Number of founders; 0 when the first replica creates the store alone.
@@ -135,7 +146,7 @@
     std::size_t m_voters = 0;
     std::vector<Replica> m_replicas;
     std::multimap<TimePoint, MessageInFlight> m_messagesInFlight;
-    std::size_t m_snapshotEntries;
+    SnapshotSizes m_snapshotSizes;
     /// Whether storage jobs run asynchronously with a random duration.
     bool m_isStorageSlow;
     std::multimap<TimePoint, PendingJob> m_jobs;
