ControlService: Tell a replaced replica when its replacement leads

Cause: the store has more machines than voters, and a learner replaces a voter that stays silent. The replaced replica asks only the voters of its last member list for a pre-vote, and only a leader answers that it was removed. When the leader is a learner in that list, nobody tells it, and nobody who leads sends to it.

Change: a follower passes a vote request from a replica that isn't a member on to its leader, which answers as before, with its own committed member list. A request that was passed on names another receiver and isn't passed on again.

--- a/Source/state/ControlService.cpp
+++ b/Source/state/ControlService.cpp
@@ -171,9 +171,23 @@
         sendTo(message.fromAddress, { m_log->cluster(), m_log->self(), message.from, JoinResponse { ResultCode::UnknownReplica, m_log->cluster() }, {} });
         return;
     }
+    reportNonMember(message);
     m_log->receive(message, now);
 }
 
+// Passes the vote request of a replica that is no member on to the leader, which alone knows whether it was removed. A
+// removed replica asks only the voters that it knows, and the leader may not be one of them.
+void ControlService::reportNonMember(const ReplicaMessage& message)
+{
+    // A request that was already passed on names another receiver.
+    const bool isDirect = std::holds_alternative<VoteRequest>(message.body) && message.to == m_log->self();
+    if (!isDirect || m_log->isLeader() || findMember(m_log->members(), message.from))
+        return;
+    const std::string leader = leaderAddress();
+    if (!leader.empty() && m_hooks.send)
+        m_hooks.send(leader, message);
+}
+
 void ControlService::flush(TimePoint now)
 {
     while (m_log && !m_failure) {
--- a/Source/state/ControlService.h
+++ b/Source/state/ControlService.h
@@ -147,6 +147,7 @@
     // Admission of a replica with an empty disk.
     void requestAdmission(TimePoint);
     void handleJoinRequest(const ReplicaMessage&, TimePoint);
+    void reportNonMember(const ReplicaMessage&);
     void handleRemoval();
     void handleJoinResponse(const JoinResponse&, const std::string& from, TimePoint);
     void sendTo(const std::string& address, ReplicaMessage);
--- a/Tests/state/StoreSimulationTest.cpp
+++ b/Tests/state/StoreSimulationTest.cpp
@@ -336,4 +336,39 @@
     EXPECT_TRUE(store.violations().empty()) << join(store.violations());
 }
 
+TEST_F(StoreFormingTest, ReplacedVoter_FormerLearnerLeads_JoinsAgain)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        StoreSimulation store = StoreSimulation::withFounders(3, 5, 3, seed);
+        ASSERT_TRUE(waitUntilFormed(store)) << seed;
+        std::size_t replaced = 0;
+        while (replaced == *store.leader())
+            ++replaced;
+        const MemberList known = store.service(replaced)->log()->members();
+        const ReplicaId oldId = store.service(replaced)->log()->self();
+        store.endProcess(replaced);
+        ASSERT_TRUE(store.runUntil([&] { return store.leader() && !findMember(store.service(*store.leader())->log()->members(), oldId) && store.survivesAnotherLoss(); }, 30s)) << seed;
+        // The replaced replica knows the new leader as a learner, which it asks for no vote.
+        const auto isFormerLearner = [&](std::size_t replica) { return !isVoter(known, store.service(replica)->log()->self()); };
+        for (int change = 0; change < 20 && !isFormerLearner(*store.leader()); ++change) {
+            const std::size_t leader = *store.leader();
+            store.freeze(leader, 2s);
+            ASSERT_TRUE(store.runUntil([&] { return store.leader() && *store.leader() != leader; }, 20s)) << seed;
+            store.run(3s);
+            ASSERT_TRUE(store.runUntil([&] { return store.leader().has_value(); }, 20s)) << seed;
+        }
+        ASSERT_TRUE(isFormerLearner(*store.leader())) << seed;
+        store.restart(replaced);
+        EXPECT_TRUE(store.runUntil([&] {
+            if (store.service(replaced) && store.service(replaced)->isStopped())
+                store.endProcess(replaced);
+            store.restart(replaced);
+            return store.haveAllConverged();
+        },
+            30s))
+            << seed;
+        EXPECT_TRUE(store.violations().empty()) << join(store.violations());
+    }
+}
+
 } // namespace
