Control: End when the storage fails in the first tick

By reading: restart() after the first tick undid the end that a storage failure in it had asked for, so that the process would have run on with a stopped replica.

--- a/Source/control/ControlDaemon.cpp
+++ b/Source/control/ControlDaemon.cpp
@@ -76,8 +76,9 @@
     if (m_extension.started)
         m_extension.started(m_context, *this);
     waitForSignal();
-    tick();
+    // restart() would undo the end that a failure in the first tick asks for.
     m_context.restart();
+    tick();
     m_context.run();
     m_stop.logEnd(m_runResult.has_error() ? "storage" : "signal");
     return m_runResult;
