--- a/Tests/processes/ControlStopTest.cpp
+++ b/Tests/processes/ControlStopTest.cpp
@@ -208,7 +208,7 @@
     for (const std::size_t index : { follower(), *leader() }) {
         const auto connections = connect(index, 2);
         m_deployment->control(index).signal(SIGTERM);
-        EXPECT_TRUE(waitUntil([&] { return !m_deployment->control(index).isRunning(); }, 2s)) << readLog(index);
+        EXPECT_TRUE(waitUntil([&] { return !m_deployment->control(index).isRunning(); }, 1s)) << readLog(index);
         EXPECT_EQ(m_deployment->control(index).exitCode(), 0);
     }
 }
