--- a/Source/control/ControlStop.cpp
+++ b/Source/control/ControlStop.cpp
@@ -69,7 +69,7 @@
         m_server.refusePartialRequests(refusal());
         break;
     case GracefulStop::Step::CloseConnections:
-        m_server.closeUnused();
+        m_server.closeIdleConnections();
         break;
     case GracefulStop::Step::EndIdle:
     case GracefulStop::Step::EndLate:
--- a/Source/node/NodeTraffic.cpp
+++ b/Source/node/NodeTraffic.cpp
@@ -136,7 +136,7 @@
 
 void NodeTraffic::closeConnections()
 {
-    m_callServer.closeUnused();
+    m_callServer.closeIdleConnections();
     m_linkServer.stop();
     for (const auto& entry : std::map<ConnectionId, Connection>(m_connections))
         entry.second.link->finish();
--- a/Source/transport/HttpServer.cpp
+++ b/Source/transport/HttpServer.cpp
@@ -95,7 +95,7 @@
     void setLimits(const Limits& limits) { m_settings.limits = limits; }
     void closeAfterResponses() { m_closesAfterResponses = true; }
     void stop();
-    void closeUnused();
+    void closeIdleConnections();
     void refusePartialRequests(const Error&);
     Load load() const;
     std::uint16_t port() const { return m_port; }
@@ -646,7 +646,7 @@
     }
 }
 
-void HttpServer::Implementation::closeUnused()
+void HttpServer::Implementation::closeIdleConnections()
 {
     const std::vector<ConnectionPtr> keptAlive(m_connections.begin(), m_connections.end());
     for (const ConnectionPtr& connection : keptAlive)
@@ -695,9 +695,9 @@
     m_implementation->stop();
 }
 
-void HttpServer::closeUnused()
+void HttpServer::closeIdleConnections()
 {
-    m_implementation->closeUnused();
+    m_implementation->closeIdleConnections();
 }
 
 void HttpServer::refusePartialRequests(const Error& error)
--- a/Source/transport/HttpServer.h
+++ b/Source/transport/HttpServer.h
@@ -104,8 +104,8 @@
     /// Stops accepting connections and closes the idle ones. A connection whose request is in progress, is arriving or has
     /// not arrived yet, because the connection is new, is closed after the response.
     void stop();
-    /// After stop(): also closes the connections that have not carried a request yet, unless one has arrived.
-    void closeUnused();
+    /// Closes all idle connections, also those that have not carried a request yet, unless one has arrived.
+    void closeIdleConnections();
     /// Answers the requests that were received only in part with a problem document, and closes their connections.
     void refusePartialRequests(const Error&);
     Load load() const;
