--- a/Tests/processes/PlannedStopTest.cpp
+++ b/Tests/processes/PlannedStopTest.cpp
@@ -57,7 +57,9 @@
 {
     start();
     std::vector<std::unique_ptr<EarlyConnection>> connections;
-    for (int call = 0; call < 16; ++call)
+    constexpr std::size_t calls = 16;
+    connections.reserve(calls);
+    for (std::size_t call = 0; call < calls; ++call)
         connections.push_back(connect());
     std::size_t sent = 0;
     stopNode();
