Stopping: Write what nodes and control replicas share once

NodeStop and ControlStop each built the same log fields, the same reason of the end and the same counts of a server's connections, and both daemons added the same time to the bound of a stop. HttpPairTest, PlannedStopTest and ControlStopTest pass, and the linter on the changed files.

--- a/Source/control/ControlDaemon.cpp
+++ b/Source/control/ControlDaemon.cpp
@@ -18,8 +18,6 @@
 namespace {
 
 constexpr Duration tickInterval { 20000 };
-/// Time beyond the maximum stop time after which the process ends although a thread is blocked.
-constexpr Duration blockedStopTime { 200000 };
 constexpr std::uint64_t microsecondsPerMillisecond = 1000;
 /// Bounds the memory for claims that wait for the leader's answer.
 constexpr std::size_t maximumForwardedClaims = 10000;
@@ -108,7 +106,7 @@
             m_context.stop();
         return;
     }
-    endProcessAfter(m_settings.maximumStopTime + blockedStopTime);
+    endProcessAfter(m_settings.maximumStopTime);
     m_stop.order();
 }
 
--- a/Source/control/ControlStop.cpp
+++ b/Source/control/ControlStop.cpp
@@ -1,9 +1,8 @@
 #include "control/ControlStop.h"
 
 #include "protocol/ProblemDetails.h"
-#include "transport/Logger.h"
+#include "transport/StopLog.h"
 
-#include <chrono>
 #include <string>
 #include <utility>
 #include <vector>
@@ -12,8 +11,6 @@
 
 namespace {
 
-constexpr Duration checkInterval { 20000 };
-
 GracefulStop::Settings stopSettings(Duration maximum)
 {
     GracefulStop::Settings settings;
@@ -62,7 +59,7 @@
     case GracefulStop::Step::Wait:
         break;
     case GracefulStop::Step::Drain:
-        logWork(LogEvent::StopProgress, "drain");
+        logStopStep("drain", m_stop.orderedAt(), pendingWork(), logDetails());
         m_server.stop();
         break;
     case GracefulStop::Step::EndWaitingWork:
@@ -76,20 +73,15 @@
         m_end = step;
         return m_hooks.ended();
     }
-    m_checkTimer.setAfter(checkInterval);
+    m_checkTimer.setAfter(stopCheckInterval);
 }
 
 PendingWork ControlStop::pendingWork() const
 {
     const HttpServer::Load load = m_server.load();
-    PendingWork work;
-    work.connections = load.connections;
-    work.unusedConnections = load.unusedConnections;
-    work.partialRequests = load.partialRequests;
+    PendingWork work = pendingWorkOf(load);
     work.calls = load.unansweredRequests;
     work.attempts = m_hooks.forwardedChanges();
-    work.unsentCallerBytes = load.unsentBytes;
-    work.lingeringConnections = load.lingeringConnections;
     // Nodes and replicas detect by their links that this one has ended.
     work.isLeaveSpread = true;
     return work;
@@ -97,23 +89,14 @@
 
 void ControlStop::logEnd(const char* reason) const
 {
-    if (!m_stop.isOrdered())
-        return;
-    const char* const late = m_end == GracefulStop::Step::EndLate ? "time" : reason;
-    logWork(pendingWork().isAnswered() ? LogEvent::StopProgress : LogEvent::StopIncomplete, "end", m_end == GracefulStop::Step::EndIdle ? "idle" : late);
+    if (m_stop.isOrdered())
+        logStopEnd(m_end, reason, m_stop.orderedAt(), pendingWork(), logDetails());
 }
 
-void ControlStop::logWork(LogEvent event, const char* step, const char* reason) const
+std::vector<LogField> ControlStop::logDetails() const
 {
     const PendingWork work = pendingWork();
-    const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(steadyNow() - m_stop.orderedAt());
-    std::vector<LogField> fields { { "step", step }, { "since_ms", std::to_string(since.count()) }, { "connections", std::to_string(work.connections) },
-        { "unused", std::to_string(work.unusedConnections) }, { "partial", std::to_string(work.partialRequests) }, { "requests", std::to_string(work.calls) },
-        { "forwarded_changes", std::to_string(work.attempts) }, { "unsent_caller_bytes", std::to_string(work.unsentCallerBytes) },
-        { "lingering", std::to_string(work.lingeringConnections) }, { "changes_refused", std::to_string(m_refusedChanges) } };
-    if (*reason)
-        fields.push_back({ "reason", reason });
-    log(event, fields);
+    return { { "requests", std::to_string(work.calls) }, { "forwarded_changes", std::to_string(work.attempts) }, { "changes_refused", std::to_string(m_refusedChanges) } };
 }
 
 } // namespace Knapweedquay
--- a/Source/control/ControlStop.h
+++ b/Source/control/ControlStop.h
@@ -1,14 +1,15 @@
 #pragma once
 
 #include "coordination/stopping/GracefulStop.h"
-#include "protocol/LogEvent.h"
 #include "transport/HttpServer.h"
+#include "transport/Logger.h"
 #include "transport/SteadyTime.h"
 
 #include <asio/io_context.hpp>
 
 #include <cstddef>
 #include <functional>
+#include <vector>
 
 namespace Knapweedquay {
 
@@ -40,7 +41,8 @@
     /// Performs the next step, and asks again soon.
     void check();
     PendingWork pendingWork() const;
-    void logWork(LogEvent, const char* step, const char* reason = "") const;
+    /// Fields of the log that only control replicas have.
+    std::vector<LogField> logDetails() const;
 
     HttpServer& m_server;
     Hooks m_hooks;
--- a/Source/coordination/stopping/GracefulStop.h
+++ b/Source/coordination/stopping/GracefulStop.h
@@ -7,6 +7,9 @@
 
 namespace Knapweedquay {
 
+/// Time after which a process that stops asks for its next step again.
+constexpr Duration stopCheckInterval { 20000 };
+
 /// Decides how a node or a control replica stops: which calls it still takes, and when its process may end.
 ///
 /// Load pattern: callers that go on sending while the process stops, over connections that they opened before. What is taken must
--- a/Source/node/EndpointRunner.h
+++ b/Source/node/EndpointRunner.h
@@ -94,7 +94,7 @@
     /// unrun, and running ones finish.
     void setEmptied(bool);
     /// True if no admitted attempt is waiting or running.
-    bool isIdle() const { return m_jobs.empty() && m_lostAttempts.empty(); }
+    bool isIdle() const { return pendingAttempts() == 0; }
 
     /// Number of attempts that are waiting or running, or whose outcome is not known yet.
     std::size_t pendingAttempts() const { return m_jobs.size() + m_lostAttempts.size(); }
--- a/Source/node/NodeDaemon.cpp
+++ b/Source/node/NodeDaemon.cpp
@@ -18,9 +18,6 @@
 
 namespace {
 
-/// Time beyond the maximum stop time after which the process ends although a thread is blocked.
-constexpr Duration blockedStopTime { 200000 };
-
 /// Milliseconds since 1970, so that each start of a node has a greater incarnation without storing the previous one.
 Incarnation newIncarnation()
 {
@@ -216,13 +213,13 @@
 {
     if (signal == SIGHUP)
         return reload();
-    if (std::exchange(m_isStopping, true)) {
+    if (m_stop.isOrdered()) {
         // Platforms repeat SIGTERM; only a person at a terminal means it literally.
         if (signal == SIGINT)
             end("signal");
         return;
     }
-    endProcessAfter(m_settings.maximumStopTime + blockedStopTime);
+    endProcessAfter(m_settings.maximumStopTime);
     m_stop.order();
 }
 
--- a/Source/node/NodeDaemon.h
+++ b/Source/node/NodeDaemon.h
@@ -56,8 +56,6 @@
     asio::signal_set m_signals;
     NodeStop m_stop;
     const char* m_endReason = "";
-    /// True after the first order to stop.
-    bool m_isStopping = false;
 };
 
 } // namespace Knapweedquay
--- a/Source/node/NodeStop.cpp
+++ b/Source/node/NodeStop.cpp
@@ -1,29 +1,15 @@
 #include "node/NodeStop.h"
 
-#include "transport/Logger.h"
+#include "transport/StopLog.h"
 
 #include <asio/post.hpp>
 
-#include <chrono>
 #include <string>
 #include <utility>
 #include <vector>
 
 namespace Knapweedquay {
 
-namespace {
-
-constexpr Duration checkInterval { 20000 };
-
-const char* reasonOf(GracefulStop::Step end, const char* otherwise)
-{
-    if (end == GracefulStop::Step::EndIdle)
-        return "idle";
-    return end == GracefulStop::Step::EndLate ? "time" : otherwise;
-}
-
-} // namespace
-
 NodeStop::NodeStop(asio::io_context& control, asio::io_context& traffic, NodeControl& nodeControl, NodeTraffic& nodeTraffic, std::function<void()> ended)
     : m_controlContext(control)
     , m_trafficContext(traffic)
@@ -42,7 +28,7 @@
     m_control.endReadiness();
     asio::post(m_trafficContext, [this, now = steadyNow()] {
         m_traffic.orderStop(now);
-        logWork(LogEvent::StopProgress, "notice");
+        logStep("notice");
     });
     check();
 }
@@ -56,7 +42,7 @@
             if (step == GracefulStop::Step::Drain)
                 m_control.leave();
             if (step != GracefulStop::Step::EndIdle && step != GracefulStop::Step::EndLate)
-                return m_checkTimer.setAfter(checkInterval);
+                return m_checkTimer.setAfter(stopCheckInterval);
             m_end = step;
             m_ended();
         });
@@ -67,7 +53,7 @@
 {
     switch (step) {
     case GracefulStop::Step::Drain:
-        logWork(LogEvent::StopProgress, "drain");
+        logStep("drain");
         return m_traffic.drain();
     case GracefulStop::Step::EndWaitingWork:
         return m_traffic.endWaitingWork();
@@ -80,24 +66,22 @@
     }
 }
 
+void NodeStop::logStep(const char* step) const
+{
+    logStopStep(step, m_traffic.stop().orderedAt(), m_traffic.pendingWork(), logDetails());
+}
+
 void NodeStop::logEnd(const char* reason) const
 {
     if (m_isOrdered)
-        logWork(m_traffic.pendingWork().isAnswered() ? LogEvent::StopProgress : LogEvent::StopIncomplete, "end", reasonOf(m_end, reason));
+        logStopEnd(m_end, reason, m_traffic.stop().orderedAt(), m_traffic.pendingWork(), logDetails());
 }
 
-void NodeStop::logWork(LogEvent event, const char* step, const char* reason) const
+std::vector<LogField> NodeStop::logDetails() const
 {
     const PendingWork work = m_traffic.pendingWork();
-    const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(steadyNow() - m_traffic.stop().orderedAt());
-    std::vector<LogField> fields { { "step", step }, { "since_ms", std::to_string(since.count()) }, { "connections", std::to_string(work.connections) },
-        { "unused", std::to_string(work.unusedConnections) }, { "partial", std::to_string(work.partialRequests) }, { "calls", std::to_string(work.calls) },
-        { "attempts", std::to_string(work.attempts) }, { "unsent_caller_bytes", std::to_string(work.unsentCallerBytes) },
-        { "unsent_peer_bytes", std::to_string(work.unsentPeerBytes) }, { "lingering", std::to_string(work.lingeringConnections) },
+    return { { "calls", std::to_string(work.calls) }, { "attempts", std::to_string(work.attempts) }, { "unsent_peer_bytes", std::to_string(work.unsentPeerBytes) },
         { "late_calls_refused", std::to_string(m_traffic.gateway().counters().refusedLate) } };
-    if (*reason)
-        fields.push_back({ "reason", reason });
-    log(event, fields);
 }
 
 } // namespace Knapweedquay
--- a/Source/node/NodeStop.h
+++ b/Source/node/NodeStop.h
@@ -2,12 +2,13 @@
 
 #include "node/NodeControl.h"
 #include "node/NodeTraffic.h"
-#include "protocol/LogEvent.h"
+#include "transport/Logger.h"
 #include "transport/SteadyTime.h"
 
 #include <asio/io_context.hpp>
 
 #include <functional>
+#include <vector>
 
 namespace Knapweedquay {
 
@@ -20,6 +21,7 @@
 
     /// Handles the order to stop, on the control thread. A repeated order changes nothing.
     void order();
+    bool isOrdered() const { return m_isOrdered; }
     /// Logs how the process ends, once both threads have ended. An unfinished stop was cut short for this reason.
     void logEnd(const char* reason) const;
 
@@ -27,7 +29,9 @@
     /// Asks for the next step on the traffic thread, performs it there, and asks again soon.
     void check();
     void perform(GracefulStop::Step);
-    void logWork(LogEvent, const char* step, const char* reason = "") const;
+    void logStep(const char* step) const;
+    /// Fields of the log that only nodes have.
+    std::vector<LogField> logDetails() const;
 
     asio::io_context& m_controlContext;
     asio::io_context& m_trafficContext;
--- a/Source/node/NodeTraffic.cpp
+++ b/Source/node/NodeTraffic.cpp
@@ -1,7 +1,7 @@
 #include "node/NodeTraffic.h"
 
 #include "coordination/admission/MemoryShares.h"
-#include "transport/Logger.h"
+#include "transport/StopLog.h"
 
 #include <xxhash.h>
 
@@ -150,13 +150,7 @@
 
 PendingWork NodeTraffic::pendingWork() const
 {
-    const HttpServer::Load callers = m_callServer.load();
-    PendingWork work;
-    work.connections = callers.connections;
-    work.unusedConnections = callers.unusedConnections;
-    work.partialRequests = callers.partialRequests;
-    work.unsentCallerBytes = callers.unsentBytes;
-    work.lingeringConnections = callers.lingeringConnections;
+    PendingWork work = pendingWorkOf(m_callServer.load());
     work.calls = m_gateway.pendingCalls();
     work.attempts = m_runner.pendingAttempts();
     work.links = m_connections.size();
--- a/Source/transport/HttpServer.cpp
+++ b/Source/transport/HttpServer.cpp
@@ -109,6 +109,9 @@
     void addConnection(asio::ip::tcp::socket);
     /// Checks the timeouts of all connections.
     void sweep();
+    /// Calls the action with each connection that is open then; it may close any of them.
+    template <typename Action>
+    void forEachConnection(Action);
 
     Settings m_settings;
     Handler m_handler;
@@ -392,7 +395,6 @@
     if (!m_writing.empty() || m_output.empty() || m_isClosed)
         return;
     m_writing.swap(m_output);
-    m_writtenBytes = 0;
     continueWrite();
 }
 
@@ -619,15 +621,20 @@
     connection->read();
 }
 
-void HttpServer::Implementation::sweep()
+template <typename Action>
+void HttpServer::Implementation::forEachConnection(Action action)
 {
-    const TimePoint now = steadyNow();
-    const std::vector<Connection*> connections = m_connections;
-    std::vector<ConnectionPtr> keptAlive(connections.begin(), connections.end());
+    const std::vector<ConnectionPtr> keptAlive(m_connections.begin(), m_connections.end());
     for (const ConnectionPtr& connection : keptAlive) {
         if (!connection->isClosed())
-            connection->checkTimeouts(now);
+            action(*connection);
     }
+}
+
+void HttpServer::Implementation::sweep()
+{
+    const TimePoint now = steadyNow();
+    forEachConnection([now](Connection& connection) { connection.checkTimeouts(now); });
     m_sweepTimer.setAfter(sweepInterval);
 }
 
@@ -639,25 +646,20 @@
     acceptEstablished();
     asio::error_code ignored;
     m_acceptor.close(ignored);
-    const std::vector<ConnectionPtr> keptAlive(m_connections.begin(), m_connections.end());
-    for (const ConnectionPtr& connection : keptAlive) {
-        if (connection->hasRequested())
-            connection->closeIfIdle();
-    }
+    forEachConnection([](Connection& connection) {
+        if (connection.hasRequested())
+            connection.closeIfIdle();
+    });
 }
 
 void HttpServer::Implementation::closeIdleConnections()
 {
-    const std::vector<ConnectionPtr> keptAlive(m_connections.begin(), m_connections.end());
-    for (const ConnectionPtr& connection : keptAlive)
-        connection->closeIfIdle();
+    forEachConnection([](Connection& connection) { connection.closeIfIdle(); });
 }
 
 void HttpServer::Implementation::refusePartialRequests(const Error& error)
 {
-    const std::vector<ConnectionPtr> keptAlive(m_connections.begin(), m_connections.end());
-    for (const ConnectionPtr& connection : keptAlive)
-        connection->refuseIfPartial(error);
+    forEachConnection([&error](Connection& connection) { connection.refuseIfPartial(error); });
 }
 
 HttpServer::Load HttpServer::Implementation::load() const
