--- a/Source/control/ControlDaemon.cpp
+++ b/Source/control/ControlDaemon.cpp
@@ -106,7 +106,7 @@
             m_context.stop();
         return;
     }
-    endProcessAfter(m_settings.maximumStopTime);
+    endProcessAfter(m_settings.maximumStopTime + blockedStopTime);
     m_stop.order();
 }
 
--- a/Source/node/NodeDaemon.cpp
+++ b/Source/node/NodeDaemon.cpp
@@ -219,7 +219,7 @@
             end("signal");
         return;
     }
-    endProcessAfter(m_settings.maximumStopTime);
+    endProcessAfter(m_settings.maximumStopTime + blockedStopTime);
     m_stop.order();
 }
 
--- a/Source/transport/StopDeadline.cpp
+++ b/Source/transport/StopDeadline.cpp
@@ -12,8 +12,6 @@
 
 namespace {
 
-/// Time beyond the maximum stop time after which the process ends although a thread is blocked.
-constexpr Duration blockedStopTime { 200000 };
 /// Time for the log line, which may itself wait for a blocked thread.
 constexpr std::chrono::milliseconds logTime { 50 };
 
@@ -24,9 +22,8 @@
 
 } // namespace
 
-void endProcessAfter(Duration maximumStopTime)
+void endProcessAfter(Duration time)
 {
-    const Duration time = maximumStopTime + blockedStopTime;
     std::thread([time] {
         std::this_thread::sleep_for(time);
         std::thread(logForcedEnd, time).detach();
