Node: Tell what determined the service of a call

No line of the log and no counter told by which route, or by none, a call had found its service.

The counter knapweedquay_calls_resolved_total counts accepted calls by route and by target, and event 610 names the route. knapweedquay_callers_refused_total counts all requests that are refused on arrival, not only those with bad keys.

--- a/Source/node/CallGateway.cpp
+++ b/Source/node/CallGateway.cpp
@@ -135,12 +135,8 @@
     const auto session = createSession(exchange);
     if (session.has_error() && session.error().code == ResultCode::UnknownRoute && steadyNow() - *m_configurationProvedAt > maximumProofAgeToDenyRoutes)
         return refuse(exchange, { ResultCode::StaleConfiguration, "no route, but newer routes may exist" }, refusalRetryAfter);
-    if (session.has_error() && (session.error().code == ResultCode::UnknownKey || session.error().code == ResultCode::KeyUnproved)) {
-        m_keyChecks.callRefused(session.error().code);
-        return refuse(exchange, session.error(), session.error().code == ResultCode::KeyUnproved ? refusalRetryAfter : Duration::zero());
-    }
     if (session.has_error())
-        return refuse(exchange, session.error());
+        return refuse(exchange, session.error(), session.error().code == ResultCode::KeyUnproved ? refusalRetryAfter : Duration::zero());
     if (!m_stop.mayTake(session.value()->startedAt, session.value()->deadline)) {
         ++m_counters.refusedLate;
         return refuse(exchange, { ResultCode::Draining, "this node stops before the call could end" }, refusalRetryAfter);
@@ -151,6 +147,7 @@
 void CallGateway::refuse(const HttpExchangePtr& exchange, const Error& error, Duration retryAfter)
 {
     ++m_counters.notRun;
+    m_metrics.callerRefused(error.code);
     exchange->respond(refusalResponse(error, CallOutcomeKind::NotRun, retryAfter));
 }
 
@@ -239,6 +236,7 @@
 void CallGateway::startSession(const SessionPtr& session)
 {
     m_sessions.emplace(session->id, session);
+    m_metrics.callResolved(session->parsed.route ? CallResolution::Route : CallResolution::Target);
     const std::int64_t version = session->routing ? static_cast<std::int64_t>(session->routing->document().version) : 0;
     session->trace.add(LogEvent::CallAccepted, session->startedAt, {}, { session->priority.value(), (session->deadline - session->startedAt).count(), session->elapsedBefore.count(), version });
     session->timer = std::make_unique<Timer>(m_context, [this, weak = std::weak_ptr<CallSession>(session)] {
@@ -548,8 +546,10 @@
 {
     const TimePoint now = steadyNow();
     session.trace.add(LogEvent::CallEnded, now, {}, { status, code, (now - session.startedAt).count(), static_cast<std::int64_t>(session.attempts.size()) });
-    if (m_traceSampler.admits(session.parsed.requestId, hasFailed, session.trace.size(), now))
-        session.trace.write(session.parsed.requestId, session.parsed.service);
+    if (!m_traceSampler.admits(session.parsed.requestId, hasFailed, session.trace.size(), now))
+        return;
+    const RoutingTable::Entry* route = session.parsed.route;
+    session.trace.write(session.parsed.requestId, session.parsed.service, route ? route->rule.host + route->rule.pathPrefix : std::string());
 }
 
 void CallGateway::traceAttempt(const AttemptId& attempt, LogEvent event, const NodeId& peer, CallTrace::Values values)
--- a/Source/node/CallTrace.cpp
+++ b/Source/node/CallTrace.cpp
@@ -51,7 +51,7 @@
     }
 }
 
-void CallTrace::write(const std::string& request, const ServiceName& service) const
+void CallTrace::write(const std::string& request, const ServiceName& service, const std::string& route) const
 {
     const TimePoint now = steadyNow();
     const std::uint64_t wall = wallNow().value();
@@ -66,6 +66,8 @@
             if (names[index][0] != '\0')
                 fields.push_back({ names[index], std::to_string(entry.values[index]) });
         }
+        if (entry.event == LogEvent::CallAccepted)
+            fields.push_back({ "route", route });
         log(entry.event, fields);
     }
 }
--- a/Source/node/CallTrace.h
+++ b/Source/node/CallTrace.h
@@ -25,8 +25,9 @@
     /// event.
     void add(LogEvent, TimePoint, const NodeId& peer = {}, Values = {});
     std::size_t size() const { return m_entries.size(); }
-    /// Writes one log line per decision, with the wall clock time at which it was made.
-    void write(const std::string& request, const ServiceName&) const;
+    /// Writes one log line per decision, with the wall clock time at which it was made. route: host and prefix of the route
+    /// that determined the service; empty if the request named it.
+    void write(const std::string& request, const ServiceName&, const std::string& route = {}) const;
 
 private:
     /// One recorded decision.
--- a/Source/node/NodeKeys.cpp
+++ b/Source/node/NodeKeys.cpp
@@ -41,9 +41,4 @@
     return Refusal { ResultCode::KeyUnproved, unprovedRetryAfter };
 }
 
-void NodeKeys::callRefused(ResultCode code)
-{
-    m_metrics.callerRefused(code);
-}
-
 } // namespace Knapweedquay
--- a/Source/node/NodeKeys.h
+++ b/Source/node/NodeKeys.h
@@ -22,8 +22,6 @@
 
     /// Refusal of a call that may not go on, or of its attempt; not set if it may.
     std::optional<Refusal> check(const std::optional<CallerProof>&);
-    /// Counts a call that was refused because of its key when it arrived.
-    void callRefused(ResultCode);
 
 private:
     KeyGuard m_guard;
--- a/Source/node/NodeMetrics.cpp
+++ b/Source/node/NodeMetrics.cpp
@@ -57,6 +57,14 @@
     return { kind("call"), kind("repeat"), kind("resent"), kind("health_check") };
 }
 
+std::array<prometheus::Counter*, 2> resolvedCallCounters(prometheus::Registry& registry)
+{
+    const auto by = [&registry](const char* value) {
+        return &counter(registry, "knapweedquay_calls_resolved_total", "Accepted requests, by what determined their service", { { "by", value } });
+    };
+    return { by("route"), by("target") };
+}
+
 constexpr std::array<const char*, peerTrafficKinds> peerTrafficNames { "call", "answer", "outcome", "probe", "load_update", "document", "hello", "membership", "quota" };
 
 std::array<std::array<prometheus::Counter*, 2>, peerTrafficKinds> peerByteCounters(prometheus::Registry& registry)
@@ -178,10 +186,11 @@
     , m_quarantineRefusals(&counter(*m_registry, "knapweedquay_quarantine_refusals_total", "Calls and attempts refused because their requests are held"))
     , m_quarantined(&gaugeOf(*m_registry, "knapweedquay_quarantined_requests", "Requests held because backend servers crashed while they ran them"))
     , m_backendRequests(backendRequestCounters(*m_registry))
+    , m_resolvedCalls(resolvedCallCounters(*m_registry))
     , m_peerBytes(peerByteCounters(*m_registry))
     , m_measurementTime(&counter(*m_registry, "knapweedquay_measurement_cpu_seconds_total", "Processor time spent on sending and reading probes"))
     , m_rejections(*m_registry, "knapweedquay_endpoint_rejections_total", "Attempts that this node rejected, by result code")
-    , m_refusedCallers(*m_registry, "knapweedquay_callers_refused_total", "Requests refused because of their keys when they arrived, by result code")
+    , m_refusedCallers(*m_registry, "knapweedquay_callers_refused_total", "Requests refused when they arrived, by result code")
     , m_quotaRequests(&counter(*m_registry, "knapweedquay_quota_requests_total", "Requests to the control store for credit of quotas"))
     , m_quotaCredit(&counter(*m_registry, "knapweedquay_quota_credit_total", "Credit of quotas granted to this node"))
     , m_quotaRefusals(*m_registry, "knapweedquay_quota_refusals_total", "Calls refused for the quotas of their workspaces, by result code")
@@ -256,6 +265,11 @@
     m_refusedCallers.increment(code);
 }
 
+void NodeMetrics::callResolved(CallResolution resolution)
+{
+    m_resolvedCalls[static_cast<std::size_t>(resolution)]->Increment();
+}
+
 void NodeMetrics::attemptRejected(ResultCode code)
 {
     m_rejections.increment(code);
--- a/Source/node/NodeMetrics.h
+++ b/Source/node/NodeMetrics.h
@@ -95,6 +95,13 @@
     HealthCheck,
 };
 
+/// What determined the service of a call.
+enum class CallResolution {
+    Route,
+    /// The request named the service in its target.
+    Target,
+};
+
 /// All metrics of a node process; docs/METRICS.md lists them.
 ///
 /// Counters and gauges may be set by any thread; the text is generated on the control thread.
@@ -125,8 +132,10 @@
     void setEndpointStarts(std::uint64_t);
     /// Counts a request to the local backend server.
     void backendRequestSent(BackendRequestKind);
-    /// Counts a caller's request that was refused because of its key when it arrived.
+    /// Counts a caller's request that was refused when it arrived.
     void callerRefused(ResultCode);
+    /// Counts a caller's request that was accepted.
+    void callResolved(CallResolution);
     /// Counts an attempt for the local backend server that this node refused.
     void attemptRejected(ResultCode);
     /// Records the time from the admission of an attempt to its start.
@@ -177,6 +186,8 @@
     prometheus::Gauge* m_quarantined;
     /// By BackendRequestKind.
     std::array<prometheus::Counter*, 4> m_backendRequests;
+    /// By CallResolution.
+    std::array<prometheus::Counter*, 2> m_resolvedCalls;
     /// By PeerTraffic; the first of each pair counts bytes to the same data centre, the second those to others.
     std::array<std::array<prometheus::Counter*, 2>, peerTrafficKinds> m_peerBytes;
     prometheus::Counter* m_measurementTime;
