NodeControl: List the resources of the admin port in one table

A test of what must not answer on the port for calls can then take them from the code, so that a new resource is covered.

--- a/Source/node/NodeControl.cpp
+++ b/Source/node/NodeControl.cpp
@@ -254,23 +254,39 @@
     m_subscription.offer(message, { false, sender.value(), message.text.size() });
 }
 
+const std::array<NodeControl::AdminResource, 6>& NodeControl::adminResources()
+{
+    static constexpr std::array<AdminResource, 6> resources { {
+        { "POST", "/announce", &NodeControl::handleAnnounce },
+        { "POST", "/leave", &NodeControl::handleLeave },
+        { "POST", "/return", &NodeControl::handleReturn },
+        { "POST", "/release", &NodeControl::handleRelease },
+        { "GET", "/metrics", &NodeControl::handleMetrics },
+        { "GET", "/status", &NodeControl::handleStatus },
+    } };
+    return resources;
+}
+
 void NodeControl::handleAdmin(const HttpExchangePtr& exchange)
 {
     const HttpRequest& request = exchange->request();
-    if (request.method == "POST" && request.target == "/announce")
-        exchange->respond(handleAnnounce(request));
-    else if (request.method == "POST" && request.target == "/leave")
-        exchange->respond(handleLeave());
-    else if (request.method == "POST" && request.target == "/return")
-        exchange->respond(handleReturn());
-    else if (request.method == "POST" && request.target == "/release")
-        exchange->respond(handleRelease(request));
-    else if (request.method == "GET" && request.target == "/metrics")
-        exchange->respond({ 200, { { "Content-Type", "text/plain; version=0.0.4" } }, m_hooks.metrics() });
-    else if (request.method == "GET" && request.target == "/status")
-        exchange->respond({ 200, { { "Content-Type", "application/json" } }, status() });
-    else
-        exchange->respond(problemResponse({ ResultCode::UnknownResource, "POST /announce, POST /leave, POST /return, POST /release, GET /metrics, GET /status" }, CallOutcomeKind::NotRun));
+    std::string known;
+    for (const AdminResource& resource : adminResources()) {
+        if (request.method == resource.method && request.target == resource.path)
+            return exchange->respond((this->*resource.handle)(request));
+        known += std::string(known.empty() ? "" : ", ") + resource.method + ' ' + resource.path;
+    }
+    exchange->respond(problemResponse({ ResultCode::UnknownResource, known }, CallOutcomeKind::NotRun));
+}
+
+HttpResponse NodeControl::handleMetrics(const HttpRequest&)
+{
+    return { 200, { { "Content-Type", "text/plain; version=0.0.4" } }, m_hooks.metrics() };
+}
+
+HttpResponse NodeControl::handleStatus(const HttpRequest&)
+{
+    return { 200, { { "Content-Type", "application/json" } }, status() };
 }
 
 HttpResponse NodeControl::handleAnnounce(const HttpRequest& request)
@@ -299,13 +315,13 @@
     apply(m_presence.startLeaving(backend.instance, backend.startedAt), "response");
 }
 
-HttpResponse NodeControl::handleLeave()
+HttpResponse NodeControl::handleLeave(const HttpRequest&)
 {
     apply(m_presence.drain(), "operator");
     return jsonResponse(202, { { "node", m_self.node.value() }, { "draining", true } });
 }
 
-HttpResponse NodeControl::handleReturn()
+HttpResponse NodeControl::handleReturn(const HttpRequest&)
 {
     if (!m_presence.current())
         return problemResponse({ ResultCode::NoEndpoint, "no backend server is announced here" }, CallOutcomeKind::NotRun);
--- a/Source/node/NodeControl.h
+++ b/Source/node/NodeControl.h
@@ -17,6 +17,7 @@
 
 #include <asio/io_context.hpp>
 
+#include <array>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -63,8 +64,18 @@
         std::function<std::string()> trafficStatus;
     };
 
+    /// A request that the admin port answers, and the function that does.
+    struct AdminResource {
+        const char* method;
+        const char* path;
+        HttpResponse (NodeControl::*handle)(const HttpRequest&);
+    };
+
     NodeControl(asio::io_context&, NodeIdentity, const NodeSettings&, Hooks);
 
+    /// All requests that the admin port answers.
+    static const std::array<AdminResource, 6>& adminResources();
+
     /// Opens the admin port, then starts membership, which advertises the given peer port, and the subscription.
     Result<void> start(std::uint16_t peersPort);
     /// Makes isReady() false, so that callers use other nodes.
@@ -96,11 +107,13 @@
     void handleAdmin(const HttpExchangePtr&);
     HttpResponse handleAnnounce(const HttpRequest&);
     /// Starts draining the local backend server.
-    HttpResponse handleLeave();
+    HttpResponse handleLeave(const HttpRequest&);
     /// Stops draining the local backend server.
-    HttpResponse handleReturn();
+    HttpResponse handleReturn(const HttpRequest&);
     /// Releases the held request whose digest the body names.
     HttpResponse handleRelease(const HttpRequest&);
+    HttpResponse handleMetrics(const HttpRequest&);
+    HttpResponse handleStatus(const HttpRequest&);
     ControlSubscription::Hooks subscriptionHooks();
     /// Checks the subscription, and again after its interval.
     void checkSubscription();
