Node: Let routes alone lead to services where they are required

Cause: CallIntake took a target /call/SERVICE/PATH as a call of the product's own interface wherever no route matched. routing.required only chose between 404 and 503 for the other requests, so nothing said whether a deployment offers that interface to its callers.

Change: CallResolver decides in one place, without I/O, which service a request goes to, and with routing.required only a route in force leads to one. The platform's program sets it, as before. It works in every state, since the decision takes nothing but the request, the routes in force and the age of their proof; without routes there is nothing to find. A refusal for want of recent routes now has a Retry-After in each case.

CallIntakeTest.RequestThatNamesItsService_ WithWorkspaces_NeedsKey pinned the fault with routes required: it keeps its checks where the interface is offered, and a test beside it asks for a refusal with and without a key where routes decide.

--- a/Source/node/CallGateway.cpp
+++ b/Source/node/CallGateway.cpp
@@ -18,8 +18,6 @@
 constexpr std::size_t maximumSessions = 20000;
 /// Retry-After of refusals that originate at this node.
 constexpr Duration refusalRetryAfter { 200000 };
-/// With an older proof, the node does not claim that a route does not exist: callers do not retry after that.
-constexpr Duration maximumProofAgeToDenyRoutes { 1000000 };
 /// Retry-After is at most a third of the caller's remaining time, which leaves two thirds for the next attempt.
 constexpr int retryAfterDivisor = 3;
 /// Interval between removals of expired idempotency keys, and between log lines about dropped traces.
@@ -86,7 +84,7 @@
     , m_keyChecks(keyChecks)
     , m_stop(stop)
     , m_settings(std::move(settings))
-    , m_intake(m_settings.headers, m_settings.callerService, m_settings.needsRouting, randomShare())
+    , m_intake(m_settings.headers, m_settings.callerService, CallResolver(m_settings.callInterface, randomShare()))
     , m_claimHooks(std::move(claims))
     , m_metrics(metrics)
     , m_links(context, m_self,
@@ -133,10 +131,11 @@
     if (m_sessions.size() >= maximumSessions)
         return refuse(exchange, { ResultCode::Overloaded, "this node has too many calls in progress" }, refusalRetryAfter);
     const auto session = createSession(exchange);
-    if (session.has_error() && session.error().code == ResultCode::UnknownRoute && steadyNow() - *m_configurationProvedAt > maximumProofAgeToDenyRoutes)
-        return refuse(exchange, { ResultCode::StaleConfiguration, "no route, but newer routes may exist" }, refusalRetryAfter);
-    if (session.has_error())
-        return refuse(exchange, session.error(), session.error().code == ResultCode::KeyUnproved ? refusalRetryAfter : Duration::zero());
+    if (session.has_error()) {
+        const ResultCode code = session.error().code;
+        const bool mayPassLater = code == ResultCode::StaleConfiguration || code == ResultCode::KeyUnproved;
+        return refuse(exchange, session.error(), mayPassLater ? refusalRetryAfter : Duration::zero());
+    }
     if (!m_stop.mayTake(session.value()->startedAt, session.value()->deadline)) {
         ++m_counters.refusedLate;
         return refuse(exchange, { ResultCode::Draining, "this node stops before the call could end" }, refusalRetryAfter);
--- a/Source/node/CallGateway.h
+++ b/Source/node/CallGateway.h
@@ -63,9 +63,8 @@
     /// Settings of a gateway, taken from those of the node.
     struct Settings {
         CallHeaders headers;
-        /// See the constructor of CallIntake for these two.
         ServiceName callerService;
-        bool needsRouting = false;
+        CallInterface callInterface = CallInterface::RoutesAndTargets;
         ChoiceSettings choice;
         /// Extra attempts beyond the shares of a service's document that all nodes together may make at once.
         double fleetRetryBurst = 0;
--- a/Source/node/CallRequestParser.cpp
+++ b/Source/node/CallRequestParser.cpp
@@ -5,12 +5,12 @@
 #include <algorithm>
 #include <array>
 #include <string_view>
+#include <utility>
 
 namespace Knapweedquay {
 
 namespace {
 
-constexpr std::string_view callPrefix = "/call/";
 constexpr std::uint64_t maximumDeadlineMilliseconds = 24ULL * 3600 * 1000;
 /// Largest number of levels in a chain of calls.
 constexpr std::uint64_t maximumDepth = 32;
@@ -82,22 +82,6 @@
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
-Result<void> readTarget(const HttpRequest& source, ParsedCall& call)
-{
-    const std::string_view target = source.target;
-    if (target.substr(0, callPrefix.size()) != callPrefix)
-        return Error { ResultCode::UnknownResource, "calls go to " + std::string(callPrefix) + "SERVICE/PATH" };
-    const std::string_view rest = target.substr(callPrefix.size());
-    const std::size_t end = std::min(rest.find_first_of("/?"), rest.size());
-    if (end == 0)
-        return Error { ResultCode::UnknownResource, "calls go to " + std::string(callPrefix) + "SERVICE/PATH" };
-    call.service = ServiceName(std::string(rest.substr(0, end)));
-    call.request.target = std::string(rest.substr(end));
-    if (call.request.target.empty() || call.request.target.front() != '/')
-        call.request.target.insert(0, 1, '/');
-    return BOOST_OUTCOME_V2_NAMESPACE::success();
-}
-
 Result<void> readHeaders(const HttpRequest& source, const CallHeaders& names, ParsedCall& call)
 {
     BOOST_OUTCOME_TRYV(readDeadline(source.headers, names.deadline, call));
@@ -126,26 +110,15 @@
     return CallerProof { *checkedByVersion, workspace, callerKey };
 }
 
-bool namesService(const HttpRequest& source)
-{
-    return std::string_view(source.target).substr(0, callPrefix.size()) == callPrefix;
-}
-
-Result<ParsedCall> parseCall(const HttpRequest& source, const CallHeaders& names)
-{
-    ParsedCall call;
-    BOOST_OUTCOME_TRYV(readTarget(source, call));
-    BOOST_OUTCOME_TRYV(readHeaders(source, names, call));
-    return call;
-}
-
-Result<ParsedCall> parseRoutedCall(const HttpRequest& source, const CallHeaders& names, const RoutingTable::Entry& route)
+Result<ParsedCall> parseCall(const HttpRequest& source, ResolvedCall resolved, const CallHeaders& names)
 {
     ParsedCall call;
     BOOST_OUTCOME_TRYV(readHeaders(source, names, call));
-    call.request.target = source.target;
-    call.route = &route;
-    if (const std::string* host = findHeader(source.headers, "Host"))
+    call.service = std::move(resolved.service);
+    call.request.target = std::move(resolved.target);
+    call.route = resolved.route;
+    const std::string* host = call.route ? findHeader(source.headers, "Host") : nullptr;
+    if (host)
         call.request.headers.push_back({ "Host", *host });
     return call;
 }
--- a/Source/node/CallRequestParser.h
+++ b/Source/node/CallRequestParser.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/routing/RoutingTable.h"
+#include "coordination/routing/CallResolver.h"
 #include "protocol/CallHeaders.h"
 #include "protocol/CallerProof.h"
 #include "protocol/HttpMessage.h"
@@ -48,17 +48,9 @@
     std::optional<CallerProof> callerProof() const;
 };
 
-/// Parses a request for "/call/SERVICE/PATH" and the headers listed in docs/PROTOCOL.md.
+/// Reads the headers of a request whose service is determined.
 ///
-/// Errors: UnknownResource, InvalidDeadline, TooManyLevels, InvalidIdempotencyKey, InvalidHeader.
-Result<ParsedCall> parseCall(const HttpRequest&, const CallHeaders& = {});
-
-/// Parses a request whose service is determined by its route; the target is forwarded unchanged.
-///
-/// Errors: those of parseCall() except UnknownResource.
-Result<ParsedCall> parseRoutedCall(const HttpRequest&, const CallHeaders&, const RoutingTable::Entry&);
-
-/// True if the request names its service in its target.
-bool namesService(const HttpRequest&);
+/// Errors: InvalidDeadline, TooManyLevels, InvalidIdempotencyKey, InvalidHeader.
+Result<ParsedCall> parseCall(const HttpRequest&, ResolvedCall, const CallHeaders& = {});
 
 } // namespace Knapweedquay
--- a/Source/node/NodeSettings.cpp
+++ b/Source/node/NodeSettings.cpp
@@ -54,7 +54,8 @@
 
 void readRouting(TomlReader routing, NodeSettings& settings)
 {
-    settings.needsRouting = routing.boolean("required", settings.needsRouting);
+    if (routing.boolean("required", settings.callInterface == CallInterface::RoutesOnly))
+        settings.callInterface = CallInterface::RoutesOnly;
     routing.finish();
 }
 
--- a/Source/node/NodeSettings.h
+++ b/Source/node/NodeSettings.h
@@ -2,6 +2,7 @@
 
 #include "coordination/admission/ColdPace.h"
 #include "coordination/placing/EndpointChooser.h"
+#include "coordination/routing/CallResolver.h"
 #include "node/CallTrace.h"
 #include "protocol/CallHeaders.h"
 #include "protocol/Ids.h"
@@ -45,9 +46,8 @@
     /// Interval between polls of the local backend server's load while no response reports it.
     Duration backendLoadInterval { 40000 };
     CallHeaders headers;
-    /// While there is no routing document, requests that do not name their service are refused with StaleConfiguration
-    /// instead of UnknownResource.
-    bool needsRouting = false;
+    /// How callers address services; must be the same at all nodes.
+    CallInterface callInterface = CallInterface::RoutesAndTargets;
     /// Service of the local backend server, sent in a header to the backend servers that it calls. May be empty.
     ServiceName callerService;
     /// A backend server is removed if it has not repeated its announcement for this time.
--- a/Source/node/NodeTraffic.cpp
+++ b/Source/node/NodeTraffic.cpp
@@ -96,7 +96,7 @@
     , m_keyChecks(settings.keyRevocationTime, metrics)
     , m_runner(
           context, m_self, { settings.headers, settings.backendLoadInterval, settings.coldBound, settings.traces, MemoryShares::of(settings.memoryBytes).attemptBodies }, m_client, [this](ConnectionId connection, const PeerMessage& message) { reply(connection, message); }, m_quarantine, m_keyChecks, metrics)
-    , m_gateway(context, m_self, m_runner, m_quarantine, m_keyChecks, m_stop, { settings.headers, settings.callerService, settings.needsRouting, choiceSettings(settings), settings.fleetRetryBurst, settings.traces, settings.quotaBound }, std::move(claims), metrics)
+    , m_gateway(context, m_self, m_runner, m_quarantine, m_keyChecks, m_stop, { settings.headers, settings.callerService, settings.callInterface, choiceSettings(settings), settings.fleetRetryBurst, settings.traces, settings.quotaBound }, std::move(claims), metrics)
     , m_callServer(context, callServerSettings(settings), [this](const HttpExchangePtr& exchange) { m_gateway.handle(exchange); })
     , m_linkServer(context, maximumPeerMessageBytes, [this](const LinkPtr& link) { accept(link); })
     , m_loadTimer(context, [this] { sendLoadUpdates(); })
--- a/Tests/node/CallIntakeTest.cpp
+++ b/Tests/node/CallIntakeTest.cpp
@@ -33,6 +33,11 @@
 rank = 2
 )";
 
+CallIntake intakeWith(CallInterface interface)
+{
+    return { CallHeaders(), ServiceName("dispatch"), CallResolver(interface, 0) };
+}
+
 /// Reads requests as callers send them, byte for byte.
 class CallIntakeTest : public testing::Test {
 protected:
@@ -60,7 +65,7 @@
     }
 
     RunningRequests m_running;
-    CallIntake m_intake { CallHeaders(), ServiceName("dispatch"), true, 0 };
+    CallIntake m_intake = intakeWith(CallInterface::RoutesOnly);
 };
 
 const std::vector<std::string> rogueHeaders {
@@ -144,9 +149,21 @@
 
 TEST_F(CallIntakeTest, RequestThatNamesItsService_WithWorkspaces_NeedsKey)
 {
+    m_intake = intakeWith(CallInterface::RoutesAndTargets);
     setRouting(std::string(routing) + workspaces);
     EXPECT_EQ(ResultCode::UnknownKey, read("/call/dispatch/x", "").error().code);
     const auto call = read("/call/dispatch/x", "Authorization: Bearer k2\r\n");
     ASSERT_TRUE(call.has_value());
     EXPECT_EQ(WorkspaceName("archive"), call.value().workspace);
 }
+
+// Where routes alone lead to services, a key opened every service to a request that named it.
+TEST_F(CallIntakeTest, RequestThatNamesItsService_WhereRoutesDecide_IsRefusedWithAndWithoutKey)
+{
+    setRouting(std::string(routing) + workspaces);
+    for (const char* headers : { "", "Authorization: Bearer k2\r\n" }) {
+        const auto call = read("/call/dispatch/x", headers);
+        ASSERT_TRUE(call.has_error()) << headers;
+        EXPECT_EQ(ResultCode::UnknownRoute, call.error().code);
+    }
+}
--- a/Tests/platform/MachineSettingsTest.cpp
+++ b/Tests/platform/MachineSettingsTest.cpp
@@ -68,6 +68,7 @@
     EXPECT_EQ(1.4, node.coldBound.overage);
     EXPECT_EQ(8, node.coldBound.slack);
     EXPECT_EQ("X-Cold-Ms", node.headers.cold);
+    EXPECT_EQ(CallInterface::RoutesOnly, node.callInterface);
     EXPECT_EQ((SocketAddress { "10.1.0.35", 8141 }), node.calls);
     EXPECT_EQ((SocketAddress { "10.1.0.35", 7660 }), node.peers);
     EXPECT_EQ((std::vector<std::string> { "10.1.0.39:7660", "10.2.0.31:7660" }), node.controlReplicas);
