Node: Forward callers' headers unread where routes alone decide

A key or attempt of another form than the product's was answered 400, a depth of 99 508, and none of these headers reached the backend server.

Headers of the product's own interface were read and removed on routed calls too, in deployments that give them no meaning.

Evidence: RoutesOnlyTest.RequestsWithOneIdempotencyKey_OnARoute_AllRun failed before: 1 of 3 requests ran, 409 at the other node.

Change: with routing.required these headers are forwarded as they came and nothing is read from them; nodes send no levels to backend servers. All headers of the interface are in one table, the only one that the parser reads, so that a header added later is covered by the setting and by the test, which takes them from there. CallIntakeTest.HeadersOfOwnInterface_WhereRoutesDecide_* fails where the setting is ignored. Where the interface is offered nothing changes, on routes and targets; a test that was missing shows it.

--- a/Source/node/CallIntake.cpp
+++ b/Source/node/CallIntake.cpp
@@ -14,7 +14,7 @@
 Result<ParsedCall> CallIntake::read(const HttpRequest& request, Duration proofAge, const RunningRequests& running)
 {
     BOOST_OUTCOME_TRY(resolved, m_resolver.resolve(request, proofAge));
-    BOOST_OUTCOME_TRY(call, parseCall(request, std::move(resolved), m_headers));
+    BOOST_OUTCOME_TRY(call, parseCall(request, std::move(resolved), m_resolver.callInterface(), m_headers));
     if (call.route && !m_callerService.value().empty())
         call.request.headers.push_back({ m_headers.callerService, m_callerService.value() });
     BOOST_OUTCOME_TRYV(identifyCaller(request, proofAge, running, call));
--- a/Source/node/CallRequestParser.cpp
+++ b/Source/node/CallRequestParser.cpp
@@ -3,7 +3,6 @@
 #include "protocol/ProblemDetails.h"
 
 #include <algorithm>
-#include <array>
 #include <string_view>
 #include <utility>
 
@@ -16,22 +15,6 @@
 constexpr std::uint64_t maximumDepth = 32;
 constexpr std::size_t maximumKeyBytes = 255;
 
-/// Headers of callers that are not forwarded, in addition to those with configurable names.
-constexpr std::array consumedHeaders = {
-    HeaderName::priority,
-    HeaderName::attempt,
-    HeaderName::depth,
-    HeaderName::idempotencyKey,
-    HeaderName::outcome,
-};
-
-bool isConsumedHeader(std::string_view name, const CallHeaders& headers)
-{
-    if (equalHeaderNames(name, headers.deadline) || equalHeaderNames(name, headers.expectedInstance) || equalHeaderNames(name, headers.callerService))
-        return true;
-    return std::any_of(consumedHeaders.begin(), consumedHeaders.end(), [name](const char* consumed) { return equalHeaderNames(name, consumed); });
-}
-
 bool isValidKey(std::string_view key)
 {
     constexpr char firstVisible = 0x21;
@@ -52,55 +35,60 @@
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
-Result<void> readLevels(const HttpHeaders& headers, ParsedCall& call)
+Result<void> readPriority(const std::string& text, ParsedCall& call)
 {
-    if (const std::string* attempt = findHeader(headers, HeaderName::attempt)) {
-        const auto number = parseNumber(*attempt);
-        if (!number)
-            return Error { ResultCode::InvalidHeader, std::string(HeaderName::attempt) + " must be a whole number" };
-        call.isRepeat = *number > 0;
-    }
-    if (const std::string* depth = findHeader(headers, HeaderName::depth)) {
-        const auto number = parseNumber(*depth);
-        if (!number)
-            return Error { ResultCode::InvalidHeader, std::string(HeaderName::depth) + " must be a whole number" };
-        if (*number > maximumDepth)
-            return Error { ResultCode::TooManyLevels, "a chain of calls may have at most " + std::to_string(maximumDepth) + " levels" };
-        call.depth = static_cast<std::uint32_t>(*number);
-    }
+    call.priority = text;
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
-Result<void> readKey(const HttpHeaders& headers, ParsedCall& call)
+Result<void> readAttempt(const std::string& text, ParsedCall& call)
 {
-    const std::string* key = findHeader(headers, HeaderName::idempotencyKey);
-    if (!key)
-        return BOOST_OUTCOME_V2_NAMESPACE::success();
-    if (!isValidKey(*key))
+    const auto number = parseNumber(text);
+    if (!number)
+        return Error { ResultCode::InvalidHeader, std::string(HeaderName::attempt) + " must be a whole number" };
+    call.isRepeat = *number > 0;
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+Result<void> readDepth(const std::string& text, ParsedCall& call)
+{
+    const auto number = parseNumber(text);
+    if (!number)
+        return Error { ResultCode::InvalidHeader, std::string(HeaderName::depth) + " must be a whole number" };
+    if (*number > maximumDepth)
+        return Error { ResultCode::TooManyLevels, "a chain of calls may have at most " + std::to_string(maximumDepth) + " levels" };
+    call.depth = static_cast<std::uint32_t>(*number);
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+Result<void> readKey(const std::string& text, ParsedCall& call)
+{
+    if (!isValidKey(text))
         return Error { ResultCode::InvalidIdempotencyKey, std::string(HeaderName::idempotencyKey) + " must have 1 to " + std::to_string(maximumKeyBytes) + " printable ASCII characters" };
-    call.key = IdempotencyKey(*key);
+    call.key = IdempotencyKey(text);
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
-Result<void> readHeaders(const HttpRequest& source, const CallHeaders& names, ParsedCall& call)
+Result<void> readInterfaceHeaders(const HttpHeaders& headers, ParsedCall& call)
 {
-    BOOST_OUTCOME_TRYV(readDeadline(source.headers, names.deadline, call));
-    BOOST_OUTCOME_TRYV(readLevels(source.headers, call));
-    BOOST_OUTCOME_TRYV(readKey(source.headers, call));
-    if (const std::string* priority = findHeader(source.headers, HeaderName::priority))
-        call.priority = *priority;
-    if (const std::string* id = findHeader(source.headers, names.requestId))
-        call.requestId = *id;
-    call.request.method = source.method;
-    call.request.body = source.body;
-    call.request.bodyDigest = source.bodyDigest;
-    for (const HttpHeader& header : source.headers) {
-        if (!isHopByHopHeader(header.name) && !isConsumedHeader(header.name, names))
-            call.request.headers.push_back(header);
+    for (const InterfaceHeader& known : interfaceHeaders()) {
+        const std::string* value = known.read ? findHeader(headers, known.name) : nullptr;
+        if (value) {
+            BOOST_OUTCOME_TRYV(known.read(*value, call));
+        }
     }
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
+/// True for headers that the node reads itself, or sets for backend servers.
+bool isConsumedHeader(std::string_view name, CallInterface callInterface, const CallHeaders& names)
+{
+    if (equalHeaderNames(name, names.deadline) || equalHeaderNames(name, names.expectedInstance) || equalHeaderNames(name, names.callerService))
+        return true;
+    return callInterface == CallInterface::RoutesAndTargets
+        && std::any_of(interfaceHeaders().begin(), interfaceHeaders().end(), [name](const InterfaceHeader& known) { return equalHeaderNames(name, known.name); });
+}
+
 } // namespace
 
 std::optional<CallerProof> ParsedCall::callerProof() const
@@ -110,13 +98,37 @@
     return CallerProof { *checkedByVersion, workspace, callerKey };
 }
 
-Result<ParsedCall> parseCall(const HttpRequest& source, ResolvedCall resolved, const CallHeaders& names)
+const std::array<InterfaceHeader, 5>& interfaceHeaders()
+{
+    static constexpr std::array<InterfaceHeader, 5> headers { {
+        { HeaderName::priority, &readPriority },
+        { HeaderName::attempt, &readAttempt },
+        { HeaderName::depth, &readDepth },
+        { HeaderName::idempotencyKey, &readKey },
+        { HeaderName::outcome, nullptr },
+    } };
+    return headers;
+}
+
+Result<ParsedCall> parseCall(const HttpRequest& source, ResolvedCall resolved, CallInterface callInterface, const CallHeaders& names)
 {
     ParsedCall call;
-    BOOST_OUTCOME_TRYV(readHeaders(source, names, call));
     call.service = std::move(resolved.service);
-    call.request.target = std::move(resolved.target);
     call.route = resolved.route;
+    BOOST_OUTCOME_TRYV(readDeadline(source.headers, names.deadline, call));
+    if (callInterface == CallInterface::RoutesAndTargets) {
+        BOOST_OUTCOME_TRYV(readInterfaceHeaders(source.headers, call));
+    }
+    if (const std::string* id = findHeader(source.headers, names.requestId))
+        call.requestId = *id;
+    call.request.method = source.method;
+    call.request.target = std::move(resolved.target);
+    call.request.body = source.body;
+    call.request.bodyDigest = source.bodyDigest;
+    for (const HttpHeader& header : source.headers) {
+        if (!isHopByHopHeader(header.name) && !isConsumedHeader(header.name, callInterface, names))
+            call.request.headers.push_back(header);
+    }
     const std::string* host = call.route ? findHeader(source.headers, "Host") : nullptr;
     if (host)
         call.request.headers.push_back({ "Host", *host });
--- a/Source/node/CallRequestParser.h
+++ b/Source/node/CallRequestParser.h
@@ -9,6 +9,7 @@
 #include "protocol/Result.h"
 #include "protocol/Time.h"
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -48,9 +49,21 @@
     std::optional<CallerProof> callerProof() const;
 };
 
-/// Reads the headers of a request whose service is determined.
+/// A header of the product's own interface for calls. Backend servers get it from nodes only, if at all.
+struct InterfaceHeader {
+    const char* name;
+    /// Reads the value into the call; null for a header that callers cannot set. Errors: TooManyLevels, InvalidIdempotencyKey,
+    /// InvalidHeader.
+    Result<void> (*read)(const std::string& value, ParsedCall&);
+};
+
+/// All headers that apply where the product's own interface is offered, in addition to those of CallHeaders.
+const std::array<InterfaceHeader, 5>& interfaceHeaders();
+
+/// Reads the headers of a request whose service is determined. Where the product's own interface is not offered, its headers
+/// are forwarded as they came.
 ///
-/// Errors: InvalidDeadline, TooManyLevels, InvalidIdempotencyKey, InvalidHeader.
-Result<ParsedCall> parseCall(const HttpRequest&, ResolvedCall, const CallHeaders& = {});
+/// Errors: InvalidDeadline, and those of the interface's headers.
+Result<ParsedCall> parseCall(const HttpRequest&, ResolvedCall, CallInterface, const CallHeaders&);
 
 } // namespace Knapweedquay
--- a/Source/node/NodeTraffic.cpp
+++ b/Source/node/NodeTraffic.cpp
@@ -84,6 +84,15 @@
     return isNearLimit && 3 * difference > now.concurrencyLimit;
 }
 
+/// Headers of requests to the backend server. Where nodes read no levels from callers, they send none either: callers' headers of
+/// these names are passed on.
+CallHeaders backendHeaders(const NodeSettings& settings)
+{
+    CallHeaders headers = settings.headers;
+    headers.sendsNodeHeaders = headers.sendsNodeHeaders && settings.callInterface == CallInterface::RoutesAndTargets;
+    return headers;
+}
+
 } // namespace
 
 NodeTraffic::NodeTraffic(asio::io_context& context, NodeIdentity self, const NodeSettings& settings, CallGateway::ClaimHooks claims, NodeMetrics& metrics)
@@ -95,7 +104,7 @@
     , m_quarantine(m_self, metrics)
     , m_keyChecks(settings.keyRevocationTime, metrics)
     , m_runner(
-          context, m_self, { settings.headers, settings.backendLoadInterval, settings.coldBound, settings.traces, MemoryShares::of(settings.memoryBytes).attemptBodies }, m_client, [this](ConnectionId connection, const PeerMessage& message) { reply(connection, message); }, m_quarantine, m_keyChecks, metrics)
+          context, m_self, { backendHeaders(settings), settings.backendLoadInterval, settings.coldBound, settings.traces, MemoryShares::of(settings.memoryBytes).attemptBodies }, m_client, [this](ConnectionId connection, const PeerMessage& message) { reply(connection, message); }, m_quarantine, m_keyChecks, metrics)
     , m_gateway(context, m_self, m_runner, m_quarantine, m_keyChecks, m_stop, { settings.headers, settings.callerService, settings.callInterface, choiceSettings(settings), settings.fleetRetryBurst, settings.traces, settings.quotaBound }, std::move(claims), metrics)
     , m_callServer(context, callServerSettings(settings), [this](const HttpExchangePtr& exchange) { m_gateway.handle(exchange); })
     , m_linkServer(context, maximumPeerMessageBytes, [this](const LinkPtr& link) { accept(link); })
--- a/Tests/node/CallIntakeTest.cpp
+++ b/Tests/node/CallIntakeTest.cpp
@@ -88,6 +88,48 @@
     EXPECT_EQ(5u, call.value().request.headers.size()) << "these three, Host and the caller's service";
 }
 
+// The product's own headers decided on repeats, levels and keys of calls in deployments that give them no meaning.
+TEST_F(CallIntakeTest, HeadersOfOwnInterface_WhereRoutesDecide_AreForwardedAndDecideNothing)
+{
+    setRouting(routing);
+    const auto plain = read("/keyed/x", "");
+    ASSERT_TRUE(plain.has_value());
+    for (const InterfaceHeader& header : interfaceHeaders()) {
+        for (const char* value : { "0", "1", "99", "booking", "not a number", "" }) {
+            const auto call = read("/keyed/x", std::string(header.name) + ": " + value + "\r\n");
+            ASSERT_TRUE(call.has_value()) << header.name << value;
+            EXPECT_EQ(plain.value().isRepeat, call.value().isRepeat) << header.name << value;
+            EXPECT_EQ(plain.value().depth, call.value().depth) << header.name << value;
+            EXPECT_EQ(plain.value().key, call.value().key) << header.name << value;
+            EXPECT_EQ(plain.value().priority, call.value().priority) << header.name << value;
+            EXPECT_EQ(plain.value().deadline, call.value().deadline) << header.name << value;
+            EXPECT_EQ(plain.value().request.headers.size() + 1, call.value().request.headers.size());
+            const std::string* forwarded = findHeader(call.value().request.headers, header.name);
+            ASSERT_NE(nullptr, forwarded) << header.name;
+            EXPECT_EQ(value, *forwarded) << header.name;
+        }
+    }
+}
+
+TEST_F(CallIntakeTest, HeadersOfOwnInterface_WhereItIsOffered_AreReadOnRoutesAndTargets)
+{
+    m_intake = intakeWith(CallInterface::RoutesAndTargets);
+    setRouting(routing);
+    for (const char* path : { "/keyed/x", "/call/dispatch/x" }) {
+        const auto call = read(path, "Knapweedquay-Attempt: 1\r\nKnapweedquay-Depth: 7\r\nIdempotency-Key: k\r\nKnapweedquay-Priority: booking\r\nKnapweedquay-Outcome: x\r\n");
+        ASSERT_TRUE(call.has_value()) << path;
+        EXPECT_TRUE(call.value().isRepeat);
+        EXPECT_EQ(7u, call.value().depth);
+        EXPECT_EQ(IdempotencyKey("k"), call.value().key);
+        EXPECT_EQ("booking", call.value().priority.value_or(""));
+        for (const InterfaceHeader& header : interfaceHeaders())
+            EXPECT_EQ(nullptr, findHeader(call.value().request.headers, header.name)) << header.name;
+        EXPECT_EQ(ResultCode::TooManyLevels, read(path, "Knapweedquay-Depth: 99\r\n").error().code);
+        EXPECT_EQ(ResultCode::InvalidHeader, read(path, "Knapweedquay-Attempt: x\r\n").error().code);
+        EXPECT_EQ(ResultCode::InvalidIdempotencyKey, read(path, "Idempotency-Key:\r\n").error().code);
+    }
+}
+
 TEST_F(CallIntakeTest, KeyedRoute_RogueHeaders_NeitherKeyNorTheirWorkspaceGoesOn)
 {
     setRouting(std::string(routing) + workspaces);
--- a/Tests/processes/RoutesOnlyTest.cpp
+++ b/Tests/processes/RoutesOnlyTest.cpp
@@ -123,4 +123,14 @@
     EXPECT_EQ(executed, executions());
 }
 
+// The second request with a caller's Idempotency-Key did not run and got the first one's answer, or 409 at another node.
+TEST_F(RoutesOnlyTest, RequestsWithOneIdempotencyKey_OnARoute_AllRun)
+{
+    start();
+    applyRoutes(routingText(1, { "/u/" }), 0);
+    for (const char* node : { "a", "a", "b" })
+        EXPECT_EQ(200u, request(callAddress(node), "POST", "/u/?id=keyed&size=10", "orders.example", { { "idempotency-key", "k" } }).status) << node;
+    EXPECT_EQ(3u, executionCount("keyed"));
+}
+
 } // namespace Knapweedquay::Load
