Node: End the calls of a running request with its deadline

Callers saw: a call that a backend server made while it ran a request, without a deadline of its own, was held to its route's timeout: 2.5 s where its parent had 0.8 s left. Nobody waits for its answer any longer, and where callers' levels are not read nothing bounded a ring of such calls.

Cause: the node recognises these calls by the id of their parent, but kept of the parent only whether it repeats an attempt.

Evidence: RoutesOnlyTest.CallOfRunningRequest_WithoutDeadline_ EndsWithItsParent failed before (answered after 2.5 s, bound 1.3 s: the parent's 0.8 s and the 0.5 s that the platform allows) and passes.

Change: RunningRequests keeps the deadline of the run, and the gateway gives its calls no later one.

--- a/Source/coordination/routing/RunningRequests.h
+++ b/Source/coordination/routing/RunningRequests.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "protocol/Time.h"
+
 #include <cstddef>
 #include <optional>
 #include <string>
@@ -18,6 +20,9 @@
     struct Run {
         /// The run repeats an earlier attempt, or belongs to a call that a repeated run made.
         bool isRepeat = false;
+        /// The calls that the run makes end by then: nobody waits for them any longer, and calls that lead back to their service
+        /// end with the first one.
+        TimePoint deadline = TimePoint::max();
     };
 
     /// Records a request that started to run; one without an id is ignored.
--- a/Source/node/CallGateway.cpp
+++ b/Source/node/CallGateway.cpp
@@ -187,6 +187,7 @@
     BOOST_OUTCOME_TRYV(classify(*session, *service));
     session->targetAt = session->startedAt - session->elapsedBefore + session->target;
     if (const auto parent = m_localRunner.running().parentOf(session->parsed.requestId)) {
+        session->deadline = std::min(session->deadline, parent->deadline);
         session->targetAt = session->deadline;
         session->isCallOfRun = true;
         if (session->parsed.route && !session->routing->document().workspaces.empty())
--- a/Source/node/CallSession.h
+++ b/Source/node/CallSession.h
@@ -37,7 +37,8 @@
     /// Time by which the answer should arrive to meet the latency target; a later answer is worth little. For a call
     /// made by a request that the local backend server is running, this is the deadline.
     TimePoint targetAt;
-    /// The call is not run, or its outcome is unknown, if there is no answer by then.
+    /// The call is not run, or its outcome is unknown, if there is no answer by then. For a call made by a request that the local
+    /// backend server is running, this is no later than that request's.
     TimePoint deadline;
     /// Made by a request that the local backend server is running.
     bool isCallOfRun = false;
--- a/Source/node/EndpointRunner.cpp
+++ b/Source/node/EndpointRunner.cpp
@@ -377,7 +377,7 @@
     job.isRunning = true;
     job.backendRun = m_monitor.run();
     m_metrics.attemptStarted(job.startedAt - job.receivedAt);
-    m_running.started(job.requestId, { job.message.isRepeat });
+    m_running.started(job.requestId, { job.message.isRepeat, job.deadline });
     m_metrics.backendRequestSent(job.message.isRepeat ? BackendRequestKind::Repeat : BackendRequestKind::Call);
     job.request = m_client.send(m_backend->address, backendRequest(job), backendOptions(job),
         [this, jobPointer](HttpClient::Outcome outcome) { handleOutcome(jobPointer, std::move(outcome)); });
--- a/Tests/coordination/RunningRequestsTest.cpp
+++ b/Tests/coordination/RunningRequestsTest.cpp
@@ -50,4 +50,10 @@
     EXPECT_FALSE(m_requests.parentOf("b1.x")->isRepeat);
 }
 
+TEST_F(RunningRequestsTest, RunningRequest_CallsWithItsPrefix_KnowItsDeadline)
+{
+    m_requests.started("a1", { false, TimePoint(Duration(7)) });
+    EXPECT_EQ(TimePoint(Duration(7)), m_requests.parentOf("a1.x")->deadline);
+}
+
 } // namespace
--- a/Tests/processes/RoutesOnlyTest.cpp
+++ b/Tests/processes/RoutesOnlyTest.cpp
@@ -5,6 +5,7 @@
 #include "node/NodeControl.h"
 
 #include <csignal>
+#include <thread>
 
 namespace Knapweedquay::Load {
 
@@ -12,12 +13,12 @@
 
 using namespace std::chrono_literals;
 
-/// A routing document with the route /u/ and, besides, the routes to the given prefixes.
-std::string routingText(int version, const std::vector<std::string>& prefixes)
+/// A routing document with a route for each prefix.
+std::string routingText(int version, const std::vector<std::string>& prefixes, int timeoutMs = 1000)
 {
     std::string text = "version = " + std::to_string(version) + "\n[[services]]\nname = \"dispatch\"\n";
     for (const std::string& prefix : prefixes)
-        text += "[[routes]]\nhost = \"orders.example\"\npath = \"" + prefix + "\"\n[[routes.targets]]\nservice = \"dispatch\"\n";
+        text += "[[routes]]\nhost = \"orders.example\"\npath = \"" + prefix + "\"\ntimeout_ms = " + std::to_string(timeoutMs) + "\n[[routes.targets]]\nservice = \"dispatch\"\n";
     return text;
 }
 
@@ -133,4 +134,23 @@
     EXPECT_EQ(3u, executionCount("keyed"));
 }
 
+// A call that named no deadline outlived the request that made it, so that nothing bounded a ring of calls.
+TEST_F(RoutesOnlyTest, CallOfRunningRequest_WithoutDeadline_EndsWithItsParent)
+{
+    plans = { plans[0] };
+    start();
+    ASSERT_TRUE(m_deployment->applyRouting(routingText(1, { "/u/" }, 2500), 5s));
+    ASSERT_TRUE(waitUntil([&] { return isInForce("a", 1); }, 5s));
+    ASSERT_TRUE(m_deployment->setModes("a", { { "freezeAnswers", true } }));
+    std::thread parent([this] {
+        EXPECT_EQ(504u, request(callAddress("a"), "POST", "/u/?id=parent&size=10", "orders.example", { { "knapweedquay-request-id", "p" }, { "knapweedquay-deadline-ms", "800" } }).status);
+    });
+    EXPECT_TRUE(waitUntil([&] { return executionCount("parent") == 1; }, 2s));
+    const auto sentAt = std::chrono::steady_clock::now();
+    EXPECT_EQ(504u, request(callAddress("a"), "POST", "/u/?id=child&size=10", "orders.example", { { "knapweedquay-request-id", "p.1" } }).status);
+    EXPECT_LT(std::chrono::steady_clock::now() - sentAt, 1300ms);
+    EXPECT_EQ(1u, executionCount("child"));
+    parent.join();
+}
+
 } // namespace Knapweedquay::Load
