Routing: Read hosts alike where routes are checked and applied

All IPv6 addresses were one host.

Cause: checkRouting() compared hosts as written, RoutingTable without port and capitals, overwriting what was there; the port was cut at the first colon, also within an IPv6 address.

Change: normalizedHost() is the one reading. checkHosts() refuses a change with two routes that nodes would read as one, naming both, at either interface of the operators. It isn't part of reading a document, so that one acknowledged by an older release stays in force and can be replaced (a test shows both). A property takes any hosts and prefixes: a document is accepted exactly where each route is found as itself.

--- a/Source/control/OperatorInterface.cpp
+++ b/Source/control/OperatorInterface.cpp
@@ -133,10 +133,13 @@
     return {};
 }
 
-Result<std::string> OperatorInterface::validateAndFindOwner(const std::string& service, const std::string& text) const
+Result<std::string> OperatorInterface::validateAndFindOwner(const std::string& service, const std::string& text, const ChangeId& change) const
 {
     if (service == routingDocumentName().value()) {
         BOOST_OUTCOME_TRY(routing, m_settings.parseRouting(text));
+        if (!m_service.state().documents().wasAccepted(routingDocumentName(), change)) {
+            BOOST_OUTCOME_TRYV(checkHosts(routing));
+        }
         const StoredDocument* stored = m_service.state().documents().find(routingDocumentName());
         const auto current = stored ? m_settings.parseRouting(stored->text) : Result<RoutingDocument>(RoutingDocument {});
         // A resent edit may carry the version that is already in force; the store recognizes it by its change id.
@@ -158,7 +161,7 @@
     const auto version = expected ? parseNumber(*expected) : std::nullopt;
     if (!version || !change || change->empty())
         return exchange->respond(errorResponse({ ResultCode::MalformedRequest, std::string(expectedVersionHeader) + " and " + changeIdHeader + " are needed" }));
-    const auto owner = validateAndFindOwner(service, request.body);
+    const auto owner = validateAndFindOwner(service, request.body, ChangeId(*change));
     if (owner.has_error())
         return exchange->respond(errorResponse(owner.error()));
     DocumentEdit edit;
--- a/Source/control/OperatorInterface.h
+++ b/Source/control/OperatorInterface.h
@@ -20,8 +20,8 @@
     void handle(const HttpExchangePtr&);
 
 private:
-    /// Validates the text and returns the team that owns the document of the service. Errors: InvalidDocument.
-    Result<std::string> validateAndFindOwner(const std::string& service, const std::string& text) const;
+    /// Validates the text of a change and returns the team that owns the document of the service. Errors: InvalidDocument.
+    Result<std::string> validateAndFindOwner(const std::string& service, const std::string& text, const ChangeId&) const;
     void putDocument(const HttpExchangePtr&, const std::string& service);
     /// Empties a data centre, or takes it back.
     void orderEvacuation(const HttpExchangePtr&, const std::string& dataCentre, EvacuationOrder::Action);
--- a/Source/control/RoutingStore.cpp
+++ b/Source/control/RoutingStore.cpp
@@ -63,6 +63,13 @@
     return m_parsedVersion->second;
 }
 
+Result<RoutingDocument> RoutingStore::parseChange(const std::string& text) const
+{
+    BOOST_OUTCOME_TRY(routing, m_parse(text));
+    BOOST_OUTCOME_TRYV(checkHosts(routing));
+    return routing;
+}
+
 DocumentEdit RoutingStore::makeEdit(const RoutingChange& change, const ChangeId& id, DocumentVersion expected)
 {
     DocumentEdit edit;
@@ -86,7 +93,7 @@
     const ChangeId id = changeIdOf(change);
     if (isAccepted(id) || canAccept() || !m_hooks.forward)
         return changeAsLeader(change, handler);
-    const auto routing = m_parse(change.text);
+    const auto routing = parseChange(change.text);
     if (routing.has_error())
         return handler(routing.error());
     WaitingChanges::Change waiting { id, change.baseVersion, routing.value().version, {}, {}, handler };
@@ -99,7 +106,7 @@
 void RoutingStore::changeAsLeader(const RoutingChange& change, const RoutingChangeHandler& handler)
 {
     const ChangeId id = changeIdOf(change);
-    const auto routing = m_parse(change.text);
+    const auto routing = isAccepted(id) ? m_parse(change.text) : parseChange(change.text);
     if (routing.has_error())
         return handler(routing.error());
     const std::uint64_t version = routing.value().version;
--- a/Source/control/RoutingStore.h
+++ b/Source/control/RoutingStore.h
@@ -62,6 +62,8 @@
     const StoredDocument* storedDocument() const;
     /// Version in the text of the stored document; 0 when there is none.
     Result<std::uint64_t> currentVersion();
+    /// Parses a document that is to come into force. Errors: InvalidDocument.
+    Result<RoutingDocument> parseChange(const std::string& text) const;
     static DocumentEdit makeEdit(const RoutingChange&, const ChangeId&, DocumentVersion expected);
     /// True if this replica can accept changes now. Until it can, it may lack accepted ones and would refuse changes based
     /// on them.
--- a/Source/coordination/routing/RoutingTable.cpp
+++ b/Source/coordination/routing/RoutingTable.cpp
@@ -1,24 +1,9 @@
 #include "coordination/routing/RoutingTable.h"
 
-#include <algorithm>
-#include <set>
 #include <utility>
 
 namespace Knapweedquay {
 
-namespace {
-
-std::string normalizedHost(std::string_view host)
-{
-    std::string normalized(host.substr(0, host.find(':')));
-    std::transform(normalized.begin(), normalized.end(), normalized.begin(), [](char letter) {
-        return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
-    });
-    return normalized;
-}
-
-} // namespace
-
 RoutingTable::RoutingTable(RoutingDocument document)
     : m_document(std::move(document))
     , m_keys(m_document)
--- a/Source/state/RoutingDocument.cpp
+++ b/Source/state/RoutingDocument.cpp
@@ -148,6 +148,31 @@
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
+std::string normalizedHost(std::string_view host)
+{
+    const std::size_t addressEnd = host.substr(0, 1) == "[" ? host.find(']') : std::string_view::npos;
+    const std::size_t portSeparator = host.find(':', addressEnd == std::string_view::npos ? 0 : addressEnd);
+    std::string normalized(host.substr(0, portSeparator));
+    std::transform(normalized.begin(), normalized.end(), normalized.begin(), [](char letter) {
+        return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
+    });
+    return normalized;
+}
+
+Result<void> checkHosts(const RoutingDocument& routing)
+{
+    std::map<std::pair<std::string, std::string_view>, const RoutingRule*> seen;
+    for (const RoutingRule& rule : routing.rules) {
+        const std::string host = normalizedHost(rule.host);
+        if (host.empty())
+            return invalidDocument("route " + rule.host + rule.pathPrefix + ": needs a host");
+        const auto [other, isNew] = seen.emplace(std::make_pair(host, std::string_view(rule.pathPrefix)), &rule);
+        if (!isNew)
+            return invalidDocument("routes " + other->second->host + rule.pathPrefix + " and " + rule.host + rule.pathPrefix + " are one: ports of hosts and capitals don't count");
+    }
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
 PriorityIndex priorityOfRank(const RoutingDocument& routing, const std::vector<Rank>& ranks, Rank rank)
 {
     const auto position = std::lower_bound(ranks.begin(), ranks.end(), rank);
--- a/Source/state/RoutingDocument.h
+++ b/Source/state/RoutingDocument.h
@@ -87,6 +87,13 @@
 /// Validates a routing document, independently of its text format. Errors: InvalidDocument with the first problem.
 Result<void> checkRouting(const RoutingDocument&);
 
+/// Host by which routes are found: without a port, with lower-case letters. An IPv6 address keeps its brackets.
+std::string normalizedHost(std::string_view);
+
+/// Checks that no two routes have the same normalized host and prefix, for a document that is to come into force; one that an older
+/// release accepted stays in force without. Errors: InvalidDocument.
+Result<void> checkHosts(const RoutingDocument&);
+
 /// Priority index, in service documents derived from routes, of the calls that running requests make, where the routing document
 /// has workspaces. Work that has begun is finished before new work: all that its callers wait for, and all that was spent
 /// on it, depends on these calls.
--- a/Tests/control/RoutingStoreTest.cpp
+++ b/Tests/control/RoutingStoreTest.cpp
@@ -9,6 +9,7 @@
 #include <deque>
 #include <optional>
 #include <utility>
+#include <vector>
 
 using namespace Knapweedquay;
 using namespace std::chrono_literals;
@@ -20,6 +21,15 @@
     return "version = " + std::to_string(version) + "\n[[services]]\nname = \"s\"\n[[routes]]\nhost = \"h\"\npath = \"" + prefix + "\"\n[[routes.targets]]\nservice = \"s\"\n";
 }
 
+/// A routing document with one route of each host, all with the same prefix.
+std::string routingOfHosts(std::uint64_t version, const std::vector<std::string>& hosts)
+{
+    std::string text = "version = " + std::to_string(version) + "\n[[services]]\nname = \"s\"\n";
+    for (const std::string& host : hosts)
+        text += "[[routes]]\nhost = \"" + host + "\"\npath = \"/a/\"\n[[routes.targets]]\nservice = \"s\"\n";
+    return text;
+}
+
 /// A single replica that leads its store, with a simulated clock. Edits are flushed immediately.
 class RoutingStoreTest : public ::testing::Test {
 protected:
@@ -212,6 +222,35 @@
     EXPECT_EQ(routingText(3), m_service->state().documents().find(routingDocumentName())->text);
 }
 
+// Two routes that nodes read as one were acknowledged, and the requests of both ran at the service of the later one.
+TEST_F(RoutingStoreTest, RoutesThatNodesReadAsOne_Sent_AreRefused)
+{
+    for (const auto& [first, second] : std::vector<std::pair<std::string, std::string>> { { "f.example", "F.example" }, { "f.example", "f.example:8141" }, { "f.example:1", "f.example:2" }, { "[::1]", "[::1]:8141" }, { ":1", "f.example" } }) {
+        EXPECT_EQ(ResultCode::InvalidDocument, change(routingOfHosts(1, { first, second }), 0)) << first << ' ' << second;
+        EXPECT_EQ(ResultCode::InvalidDocument, change(routingOfHosts(1, { second, first }), 0)) << first << ' ' << second;
+    }
+    EXPECT_EQ(ResultCode::Ok, change(routingOfHosts(1, { "f.example", "g.example:8141", "[::1]", "[::2]" }), 0));
+}
+
+// A release that refuses what an older one acknowledged would have no configuration after an upgrade.
+TEST_F(RoutingStoreTest, RoutesThatNodesReadAsOne_AcknowledgedByAnOlderRelease_StayInForceAndCanBeReplaced)
+{
+    const std::string text = routingOfHosts(1, { "f.example", "f.example:8141" });
+    DocumentEdit edit;
+    edit.service = routingDocumentName();
+    edit.change = ChangeId("older");
+    edit.text = text;
+    edit.author = "operator";
+    edit.authenticatedTeam = "operations";
+    bool isAccepted = false;
+    m_service->edit(
+        edit, [&isAccepted](const Result<EditResult>& result) { isAccepted = result.has_value() && result.value().code == ResultCode::Ok; }, m_now);
+    m_service->flush(m_now);
+    ASSERT_TRUE(isAccepted);
+    EXPECT_EQ(ResultCode::VersionConflict, change(routingText(2), 0));
+    EXPECT_EQ(ResultCode::Ok, change(routingText(2), 1));
+}
+
 TEST_F(RoutingStoreTest, Read_NoProofInTime_IsRefused)
 {
     ASSERT_EQ(ResultCode::Ok, change(routingText(3), 0));
--- a/Tests/coordination/RoutingTableTest.cpp
+++ b/Tests/coordination/RoutingTableTest.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
 #include <cmath>
 #include <map>
 
@@ -68,6 +69,32 @@
     EXPECT_EQ(PriorityIndex(2), priorityOfRank(m_table.document(), ranksOf(m_table.document()), Rank(4)));
 }
 
+// Addresses of IPv6 were one host, "[".
+TEST_F(RoutingTableTest, Host_WithIPv6Address_IsFoundByItsAddress)
+{
+    const RoutingTable table(document({ rule("[::1]", "/one/"), rule("[::2]:8141", "/two/") }));
+    EXPECT_NE(nullptr, table.find("[::1]:8141", "/one/"));
+    EXPECT_NE(nullptr, table.find("[::2]", "/two/"));
+    EXPECT_EQ(nullptr, table.find("[::2]", "/one/"));
+}
+
+// Hosts had one reading where routes were checked and another where they were applied, so that a route took the place of another.
+RC_GTEST_PROP(RoutingTableProperty, AcceptedRoutes_WithAnyHosts_AreEachFoundAsThemselves, ())
+{
+    const std::vector<std::string> hosts { "f.example", "F.example", "f.Example:8141", "f.example:1", "g.example", "[::1]", "[::1]:1", "[::A]", "[::a]", "[", "[:1", "::1" };
+    std::vector<RoutingRule> rules;
+    for (int count = *rc::gen::inRange(1, 6); count > 0; --count) {
+        RoutingRule route = rule(*rc::gen::elementOf(hosts), *rc::gen::elementOf(std::vector<std::string> { "/", "/x/", "/X/" }));
+        route.name = std::to_string(count);
+        rules.push_back(route);
+    }
+    const RoutingDocument routing = document(rules);
+    const RoutingTable table(routing);
+    const bool areAllFound = std::all_of(rules.begin(), rules.end(), [&table](const RoutingRule& route) { return table.find(route.host, route.pathPrefix)->rule.name == route.name; });
+    const bool haveAllHosts = std::none_of(rules.begin(), rules.end(), [](const RoutingRule& route) { return normalizedHost(route.host).empty(); });
+    RC_ASSERT(checkHosts(routing).has_value() == (areAllFound && haveAllHosts));
+}
+
 // Compares the lookup with a linear search over all routes.
 RC_GTEST_PROP(RoutingTableProperty, AnyPaths_Found_AsByLinearSearch, ())
 {
