Node: Take an attempt for not run only if no copy of it was sent

Cause: PeerLinks queued messages for an open link with too many unsent bytes, and nothing sent them before the link closed. The call sent its attempt again meanwhile, and that copy arrived. When the link closed, the first copy came back as unsent, and the gateway asked whether it was the first copy, not whether another one had been sent.

Change: AttemptTransmission keeps what became of all copies of an attempt, over any number of links; only an attempt that was never sent and has no copy waiting is certainly not run. Otherwise the call goes on waiting and sends it again. An open link without room refuses at once, so that the call goes elsewhere, and a copy that still waits isn't sent beside itself.

A waiting copy of each attempt was too much to search (out of memory), so the model has it for one attempt.

--- a/Source/node/CallGateway.cpp
+++ b/Source/node/CallGateway.cpp
@@ -91,10 +91,15 @@
           { [this](const NodeId& from, const PeerMessage& message) { receive(from, message); },
               [this](const NodeId& node) { handleNodeEvent(node, LinkLost { node }); },
               [this](const NodeId& node, Incarnation incarnation) { handleNodeEvent(node, LinkRestored { node, incarnation }); },
-              [this](const NodeId& node, const PeerMessage& message, std::size_t bytes) { m_metrics.addPeerBytes(trafficOf(message), isInLocalDataCentre(node), bytes); },
+              [this](const NodeId& node, const PeerMessage& message, std::size_t bytes) {
+                  m_metrics.addPeerBytes(trafficOf(message), isInLocalDataCentre(node), bytes);
+                  const auto* request = std::get_if<CallRequestMessage>(&message);
+                  if (AttemptTransmission* transmission = request ? transmissionOf(request->attempt) : nullptr)
+                      transmission->copySent();
+              },
               [this](const NodeId&, const PeerMessage& message) {
-                  if (const auto* request = std::get_if<CallRequestMessage>(&message); request && !request->isResend)
-                      handleAttemptEvent(request->attempt, AttemptRefused { request->attempt, { ResultCode::PeerUnreachable, refusalRetryAfter } });
+                  if (const auto* request = std::get_if<CallRequestMessage>(&message))
+                      copyReturned(request->attempt);
               } })
     , m_random(std::random_device {}())
     , m_quotas(context, m_self, m_settings.quotaBound,
@@ -440,6 +445,8 @@
 {
     ServiceTraffic& service = *traffic(session->parsed.service);
     if (action.isResend) {
+        if (const AttemptTransmission* transmission = transmissionOf(action.attempt); transmission && transmission->hasWaitingCopy())
+            return;
         ++m_counters.resends;
     } else {
         ++m_counters.attempts;
@@ -611,13 +618,25 @@
         });
         return;
     }
-    if (m_links.send(node, message))
-        return;
-    if (const auto* request = std::get_if<CallRequestMessage>(&message); request && !request->isResend) {
-        m_context.post([this, attempt = request->attempt] {
-            handleAttemptEvent(attempt, AttemptRefused { attempt, { ResultCode::PeerUnreachable, refusalRetryAfter } });
-        });
-    }
+    const auto* request = std::get_if<CallRequestMessage>(&message);
+    if (AttemptTransmission* transmission = request ? transmissionOf(request->attempt) : nullptr)
+        transmission->copyHandedOver();
+    // Posted, so that a refusal cannot arrive while the session is still executing its actions.
+    if (!m_links.send(node, message) && request)
+        m_context.post([this, attempt = request->attempt] { copyReturned(attempt); });
+}
+
+AttemptTransmission* CallGateway::transmissionOf(const AttemptId& attempt)
+{
+    const auto entry = m_attempts.find(attempt.sequence);
+    return entry == m_attempts.end() || attempt.incarnation != m_self.incarnation ? nullptr : &entry->second.transmission;
+}
+
+void CallGateway::copyReturned(const AttemptId& attempt)
+{
+    AttemptTransmission* transmission = transmissionOf(attempt);
+    if (transmission && transmission->copyReturned())
+        handleAttemptEvent(attempt, AttemptRefused { attempt, { ResultCode::PeerUnreachable, refusalRetryAfter } });
 }
 
 void CallGateway::finishAttempt(const AttemptId& attempt, CallEnd end)
--- a/Source/node/CallGateway.h
+++ b/Source/node/CallGateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/attempts/AttemptTransmission.h"
 #include "coordination/attempts/IdempotencyKeyTable.h"
 #include "coordination/placing/EmptiedDataCentres.h"
 #include "coordination/routing/CallerDeadlines.h"
@@ -126,6 +127,7 @@
     struct OutgoingAttempt {
         SessionPtr session;
         NodeId node;
+        AttemptTransmission transmission {};
     };
 
     /// A probe without an answer.
@@ -182,6 +184,11 @@
     void traceAttempt(const AttemptId&, LogEvent, const NodeId& peer, CallTrace::Values);
 
     void sendTo(const NodeId&, const PeerMessage&);
+    /// What became of the copies of an attempt; null once it has an outcome.
+    AttemptTransmission* transmissionOf(const AttemptId&);
+    /// Handles that a copy of an attempt was not sent: the attempt is refused if it has certainly not run. Otherwise its call
+    /// resends it when nothing is heard of it.
+    void copyReturned(const AttemptId&);
     /// Sends one probe if an endpoint's load report is old and the service's measurement budget allows it. The load of
     /// the local endpoint is read without a probe.
     void probeIfDue(ServiceTraffic&);
--- a/Source/node/PeerLinks.cpp
+++ b/Source/node/PeerLinks.cpp
@@ -61,10 +61,10 @@
     peer.lastSent = steadyNow();
     if (peer.isReady) {
         const std::string bytes = encode(message);
-        if (peer.link->send(bytes)) {
-            m_hooks.sent(peer.node, message, bytes.size());
-            return true;
-        }
+        if (!peer.link->send(bytes))
+            return false;
+        m_hooks.sent(peer.node, message, bytes.size());
+        return true;
     }
     if (peer.queuedMessages.size() >= maximumQueuedMessages)
         return false;
@@ -151,8 +151,10 @@
     const std::deque<QueuedMessage> queuedMessages = std::exchange(peer.queuedMessages, {});
     if (std::exchange(peer.wasLost, false))
         m_hooks.restored(peer.node, hello.incarnation);
-    for (const QueuedMessage& queued : queuedMessages)
-        send(peer.node, queued.message);
+    for (const QueuedMessage& queued : queuedMessages) {
+        if (!send(peer.node, queued.message))
+            m_hooks.unsent(peer.node, queued.message);
+    }
 }
 
 void PeerLinks::handleClosed(Peer& peer)
--- a/Tests/coordination/CallSimulation.cpp
+++ b/Tests/coordination/CallSimulation.cpp
@@ -106,6 +106,7 @@
 {
     if (!std::exchange(endpoint.isLinkUp, false))
         return;
+    returnCopies(endpoint);
     dispatchToAll(LinkLost { endpoint.node });
     schedule(randomUpTo(longestReconnectTime), [this, &endpoint] { restoreLink(endpoint); });
 }
@@ -115,7 +116,25 @@
     endpoint.isLinkUp = true;
     endpoint.isLinkUnresponsive = false;
     endpoint.connection = ConnectionId(endpoint.connection.value() + 1);
+    const std::vector<SendAttempt> waitingCopies = std::exchange(endpoint.waitingCopies, {});
     dispatchToAll(LinkRestored { endpoint.node, endpoint.incarnation });
+    for (const SendAttempt& send : waitingCopies)
+        sendCopy(endpoint, send);
+}
+
+void CallSimulation::sendCopy(Endpoint& target, const SendAttempt& send)
+{
+    m_transmissions[send.attempt].copySent();
+    const AttemptRequest request { send.attempt, send.target, send.isResend, target.connection };
+    transmit(target, [this, &target, request, send] { performFate(target, target.table->receive(request, m_now), send.remaining); });
+}
+
+void CallSimulation::returnCopies(Endpoint& endpoint)
+{
+    for (const SendAttempt& send : std::exchange(endpoint.waitingCopies, {})) {
+        if (m_transmissions[send.attempt].copyReturned())
+            dispatch(m_callOf.at(send.attempt), AttemptRefused { send.attempt, { ResultCode::PeerUnreachable } });
+    }
 }
 
 void CallSimulation::restart(Endpoint& endpoint)
@@ -156,12 +175,15 @@
 void CallSimulation::perform(std::size_t call, const SendAttempt& send)
 {
     Endpoint& target = endpointOf(send.node);
+    AttemptTransmission& transmission = m_transmissions[send.attempt];
+    if (send.isResend && transmission.hasWaitingCopy())
+        return;
     m_calls[call].attempts += !send.isResend;
-    if (!target.isLinkUp && !send.isResend) {
-        return schedule(Duration(0), [this, call, send] { dispatch(call, AttemptRefused { send.attempt, { ResultCode::PeerUnreachable } }); });
-    }
-    const AttemptRequest request { send.attempt, send.target, send.isResend, target.connection };
-    transmit(target, [this, &target, request, send] { performFate(target, target.table->receive(request, m_now), send.remaining); });
+    transmission.copyHandedOver();
+    if (target.isLinkUp && !chance(m_faultProbabilities.copyWaits))
+        return sendCopy(target, send);
+    target.waitingCopies.push_back(send);
+    schedule(randomUpTo(longestReconnectTime), [this, &target] { returnCopies(target); });
 }
 
 void CallSimulation::perform(std::size_t, const CancelAttempt& cancel)
--- a/Tests/coordination/CallSimulation.h
+++ b/Tests/coordination/CallSimulation.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/attempts/AttemptTransmission.h"
 #include "coordination/attempts/FateTable.h"
 #include "coordination/attempts/OutgoingCall.h"
 
@@ -16,6 +17,8 @@
 
 /// Probabilities of the faults that a CallSimulation injects, each 0..1.
 struct FaultProbabilities {
+    /// Per copy of an attempt: it waits for its link, also while that is up.
+    double copyWaits = 0;
     /// Per message.
     double messageLost = 0;
     double messageDuplicated = 0;
@@ -70,8 +73,9 @@
         std::set<AttemptId> queued;
         /// Id of the current link; it changes whenever the link is restored.
         ConnectionId connection { 1 };
-        /// False from a detected loss of the link until it is restored; no new attempts are sent meanwhile.
+        /// False from a detected loss of the link until it is restored; copies of attempts wait meanwhile.
         bool isLinkUp = true;
+        std::vector<SendAttempt> waitingCopies {};
         /// While true, every message is lost although the link is not reported as lost.
         bool isLinkUnresponsive = false;
     };
@@ -83,6 +87,9 @@
 
     void startCall();
     void injectFaults(Endpoint&);
+    void sendCopy(Endpoint&, const SendAttempt&);
+    /// Gives the waiting copies back unsent.
+    void returnCopies(Endpoint&);
     void loseLink(Endpoint&);
     void restoreLink(Endpoint&);
     void restart(Endpoint&);
@@ -111,6 +118,7 @@
     std::vector<Call> m_calls;
     /// Index of the call that each attempt belongs to.
     std::map<AttemptId, std::size_t> m_callOf;
+    std::map<AttemptId, AttemptTransmission> m_transmissions;
     RetryBudget m_retries;
     RetryBudget m_hedges;
     std::uint64_t m_sequence = 0;
--- a/Tests/node/PeerLinksTest.cpp
+++ b/Tests/node/PeerLinksTest.cpp
@@ -125,4 +125,26 @@
     EXPECT_EQ(0, m_closed);
 }
 
+// A message for an open link with too many unsent bytes waited until the link closed, though later messages were sent over it.
+TEST_F(PeerLinksTest, OpenLink_WithTooManyUnsentBytes_RefusesMessagesUntilThereIsRoom)
+{
+    EXPECT_TRUE(sendProbe());
+    runFor(150ms);
+    CallRequestMessage large;
+    large.service = ServiceName("s");
+    large.request.body = std::string(4 * 1024 * 1024, 'x');
+    int sent = 0;
+    while (sent < 20 && m_links.send(m_peer, large))
+        ++sent;
+    EXPECT_LT(sent, 20);
+    EXPECT_FALSE(sendProbe());
+    runFor(1s);
+    EXPECT_TRUE(sendProbe());
+    runFor(150ms);
+    EXPECT_EQ(2, m_probes);
+    m_serverLinks.back()->abort();
+    runFor(50ms);
+    EXPECT_EQ(0, m_unsent);
+}
+
 } // namespace
--- a/Utilities/Models/AtMostOnce.pml
+++ b/Utilities/Models/AtMostOnce.pml
@@ -31,6 +31,10 @@
 byte incarnation[ENDPOINTS] = 1;
 mtype fate[ATTEMPTS] = Unseen;
 
+/* A copy of attempt 0 waits at the origin for its link, which sends or returns it at any time. The other attempts are sent at
+ * once, which keeps the search small. */
+bool copyWaits;
+
 /* Messages in the network */
 bool requestSent[ATTEMPTS];
 bool cancelSent[ATTEMPTS];
@@ -100,9 +104,30 @@
     :: atomic { state == Sending ->
         a = attemptOf(o, k);
         target[a] = incarnation[endpointOf(a)];
-        requestSent[a] = true;
+        if
+        :: requestSent[a] = true
+        :: a == 0 -> copyWaits = true
+        fi;
         state = Waiting
     }
+    /* The attempt is sent again beside the copy that waits. */
+    :: atomic { state == Waiting && a == 0 && copyWaits && !requestSent[a] -> requestSent[a] = true }
+    /* The link returns the copy unsent. */
+    :: atomic { (state == Waiting || state == Cancelling) && a == 0 && copyWaits ->
+        copyWaits = false;
+        if
+#ifndef RETURNED_COPY_PROVES_NOT_RUN
+        :: requestSent[a] -> skip
+        :: !requestSent[a] ->
+#else
+        :: true ->
+#endif
+            if
+            :: tellNotRun(o)
+            :: state == Waiting && k + 1 < ENDPOINTS -> k++; state = Sending
+            fi
+        fi
+    }
     :: atomic { (state == Waiting || state == Cancelling) && answerSent[a] ->
         tell(o, ToldAnswered)
     }
@@ -228,6 +253,8 @@
 proctype Endpoint(byte a) {
 end:
     do
+    /* The link sends the copy that waited. */
+    :: atomic { a == 0 && copyWaits -> copyWaits = false; requestSent[a] = true }
     :: atomic { requestSent[a] -> receiveRequest(a) }
     :: atomic { cancelSent[a] -> receiveCancel(a) }
     :: atomic { fate[a] == Queued -> start(a) }
