PeerLinks: Refuse messages that the other node does not read

Cause: a node closes a link at a message of more than 17 MB. The sender opened the link again and sent the message again, until the deadline.

Evidence: in LargeBodyTest 4 of 4 uploads of 24 MB got 504 before, and get 503 at once now. PeerLinksTest.MessageLargerThanTheOtherNodeReads_* failed before: the link was closed twice and a probe behind it lost.

Change: such a message is refused before it is sent; it has certainly not run.

--- a/Source/node/PeerLinks.cpp
+++ b/Source/node/PeerLinks.cpp
@@ -61,7 +61,8 @@
     peer.lastSent = steadyNow();
     if (peer.isReady) {
         const std::string bytes = encode(message);
-        if (!peer.link->send(bytes))
+        // The other node would close the link.
+        if (bytes.size() > maximumPeerMessageBytes || !peer.link->send(bytes))
             return false;
         m_hooks.sent(peer.node, message, bytes.size());
         return true;
--- a/Source/node/PeerLinks.h
+++ b/Source/node/PeerLinks.h
@@ -47,7 +47,7 @@
     /// Sets the address of the node's peer port, "ip:port"; a link to another address is closed.
     void setAddress(const NodeId&, const std::string& address);
     /// Sends the message now, or queues it until the link is open. False if the node's address is unknown, too many messages are
-    /// queued or the open link has too many unsent bytes.
+    /// queued, the open link has too many unsent bytes or the message is larger than the other node reads.
     bool send(const NodeId&, const PeerMessage&);
     /// Adds to the number of answers pending from a node; negative once answers have arrived.
     void addPendingAnswers(const NodeId&, int change);
--- a/Tests/node/PeerLinksTest.cpp
+++ b/Tests/node/PeerLinksTest.cpp
@@ -147,4 +147,21 @@
     EXPECT_EQ(0, m_unsent);
 }
 
+// A message that the other node does not read closed the link, and with it everything else on its way there, again and again.
+TEST_F(PeerLinksTest, MessageLargerThanTheOtherNodeReads_IsRefusedAndTheLinkStays)
+{
+    CallRequestMessage large;
+    large.service = ServiceName("s");
+    large.request.body = std::string(maximumPeerMessageBytes, 'x');
+    EXPECT_TRUE(m_links.send(m_peer, large)) << "waits for the link to open";
+    runFor(150ms);
+    EXPECT_EQ(1, m_unsent);
+    EXPECT_FALSE(m_links.send(m_peer, large));
+    EXPECT_TRUE(sendProbe());
+    runFor(150ms);
+    EXPECT_EQ(1, m_probes);
+    EXPECT_EQ(1, m_accepted);
+    EXPECT_EQ(0, m_closed);
+}
+
 } // namespace
--- a/Tests/processes/LargeBodyTest.cpp
+++ b/Tests/processes/LargeBodyTest.cpp
@@ -49,7 +49,7 @@
     m_caller.runFor(1s);
     std::thread uploads([this] {
         for (int count = 0; count < 4; ++count) {
-            upload(24 * megabyte);
+            EXPECT_EQ(503u, upload(24 * megabyte)) << "refused at once, as no link takes it";
             std::this_thread::sleep_for(500ms);
         }
     });
