Tests: Send the platform's own paths to the port for calls

The regression tests of routing.required took the paths of the product's own interfaces; those of the platform's API are taken from its table of names now.

--- a/Tests/platform/MachineSettingsTest.cpp
+++ b/Tests/platform/MachineSettingsTest.cpp
@@ -1,9 +1,12 @@
+#include "platform/ConfigurationDecoder.h"
 #include "platform/MachineSettings.h"
+#include "platform/WireNames.h"
 
 #include <gtest/gtest.h>
 
 #include <cstdlib>
 #include <fstream>
+#include <memory>
 
 #include <unistd.h>
 
@@ -35,6 +38,9 @@
 Machines = 2
 )";
 
+constexpr const char* oneRoute = R"({"Version":"1","Services":[{"Name":"huvo11a"}],
+ "VirtualHosts":[{"Host":"ficu95.example","Paths":[{"PathPrefix":"/u/","Kind":"safe","TimeoutS":1,"Service":"huvo11a"}]}]})";
+
 class MachineSettingsTest : public ::testing::Test {
 protected:
     void SetUp() override
@@ -77,6 +83,25 @@
     EXPECT_GT(node.maximumStopTime, 5s);
 }
 
+TEST_F(MachineSettingsTest, PathsOfThePlatformsCalls_AtThePortForCalls_LeadNowhere)
+{
+    CallResolver resolver(nodeSettings(load(settingsText).value()).callInterface, 0);
+    HttpRequest request;
+    request.headers = { { "Host", "ficu95.example" } };
+    for (const bool hasRoutes : { false, true }) {
+        if (hasRoutes)
+            resolver.setRouting(std::make_shared<const RoutingTable>(decodeConfiguration(oneRoute).value()));
+        for (const char* path : { WireCall::readiness, WireCall::heartbeat, WireCall::deregister, WireCall::replaceConfiguration, WireCall::readConfiguration, WireCall::startEvacuation, WireCall::finishEvacuation }) {
+            request.target = path;
+            const auto call = resolver.resolve(request, Duration(0));
+            ASSERT_TRUE(call.has_error()) << path;
+            EXPECT_EQ(hasRoutes ? ResultCode::UnknownRoute : ResultCode::StaleConfiguration, call.error().code) << path;
+        }
+    }
+    request.target = "/u/x";
+    EXPECT_TRUE(resolver.resolve(request, Duration(0)).has_value());
+}
+
 // The notice lasted longer than the grace, so that the node ended without a drain.
 TEST_F(MachineSettingsTest, Grace_ShorterThanTheNotice_LeavesHalfForTheDrain)
 {
