--- a/Source/node/NodeKeys.cpp
+++ b/Source/node/NodeKeys.cpp
@@ -16,9 +16,8 @@
 
 } // namespace
 
-NodeKeys::NodeKeys(std::optional<Duration> revocationTime, NodeMetrics& metrics)
+NodeKeys::NodeKeys(std::optional<Duration> revocationTime)
     : m_guard(revocationTime)
-    , m_metrics(metrics)
 {
 }
 
--- a/Source/node/NodeKeys.h
+++ b/Source/node/NodeKeys.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "coordination/workspaces/KeyGuard.h"
-#include "node/NodeMetrics.h"
 #include "protocol/AttemptOutcome.h"
 
 #include <cstdint>
@@ -10,11 +9,11 @@
 
 namespace Knapweedquay {
 
-/// The checks of callers' keys on this node's traffic thread: logs and counts their decisions.
+/// The checks of callers' keys on this node's traffic thread: logs their decisions.
 class NodeKeys {
 public:
     /// revocationTime: see RevocationLease.
-    NodeKeys(std::optional<Duration> revocationTime, NodeMetrics&);
+    explicit NodeKeys(std::optional<Duration> revocationTime);
 
     void setRouting(const std::shared_ptr<const RoutingTable>& routing) { m_guard.setRouting(routing); }
     /// Registers that all documents that were committed at that time are in force.
@@ -25,7 +24,6 @@
 
 private:
     KeyGuard m_guard;
-    NodeMetrics& m_metrics;
     TimePoint m_provedAt;
     /// Refusals since the lease ended; 0 while it is held.
     std::uint64_t m_refusals = 0;
--- a/Source/node/NodeTraffic.cpp
+++ b/Source/node/NodeTraffic.cpp
@@ -102,7 +102,7 @@
     , m_stop(stopSettings(settings))
     , m_client(context, MemoryShares::of(settings.memoryBytes).responseBodies)
     , m_quarantine(m_self, metrics)
-    , m_keyChecks(settings.keyRevocationTime, metrics)
+    , m_keyChecks(settings.keyRevocationTime)
     , m_runner(
           context, m_self, { backendHeaders(settings), settings.backendLoadInterval, settings.coldBound, settings.traces, MemoryShares::of(settings.memoryBytes).attemptBodies }, m_client, [this](ConnectionId connection, const PeerMessage& message) { reply(connection, message); }, m_quarantine, m_keyChecks, metrics)
     , m_gateway(context, m_self, m_runner, m_quarantine, m_keyChecks, m_stop, { settings.headers, settings.callerService, settings.callInterface, choiceSettings(settings), settings.fleetRetryBurst, settings.traces, settings.quotaBound }, std::move(claims), metrics)
