EndpointRunner: Bound answers by the node's memory, not by the limit of requests

Cause: the limit of bodies, which bounds what callers may send, was also the limit of the backend server's answers. Change: answers are bounded by the share of the memory for large ones. LargeBodyTest.AnswersLargerThanRequestsMayBe_*: 502 before, 200 after, and a request beyond the limit still gets 413.

--- a/Source/node/EndpointRunner.cpp
+++ b/Source/node/EndpointRunner.cpp
@@ -398,7 +398,7 @@
 {
     HttpClient::Options options;
     options.timeout = std::max(job.deadline - steadyNow(), Duration(1000));
-    options.maximumBodyBytes = m_document->maximumBodyBytes;
+    options.maximumBodyBytes = m_settings.maximumResponseBytes;
     options.maximumIdle = job.message.isIdempotent ? maximumIdleIfIdempotent : maximumIdleIfNotIdempotent;
     if (job.message.isIdempotent && !job.message.isRepeat)
         options.allowsResend = [this, digest = job.digest, caller = job.message.caller] { return m_quarantine.verdict(digest).state == QuarantineState::Clear && !m_keyChecks.check(caller) && tryResend(); };
--- a/Source/node/EndpointRunner.h
+++ b/Source/node/EndpointRunner.h
@@ -58,6 +58,8 @@
         /// Attempts are refused if the bodies of all admitted attempts would exceed this size, in bytes. Bodies that a budget counts
         /// don't count.
         std::size_t maximumBodyBytes = 32 * 1024 * 1024;
+        /// Largest body of a response, in bytes.
+        std::size_t maximumResponseBytes = 32 * 1024 * 1024;
     };
 
     EndpointRunner(asio::io_context&, NodeIdentity self, Settings, HttpClient&, ReplyHook, NodeQuarantine&, NodeKeys&, NodeMetrics&);
--- a/Source/node/NodeTraffic.cpp
+++ b/Source/node/NodeTraffic.cpp
@@ -111,7 +111,7 @@
     , m_quarantine(m_self, metrics)
     , m_keyChecks(settings.keyRevocationTime)
     , m_runner(
-          context, m_self, { backendHeaders(settings), settings.backendLoadInterval, settings.coldBound, settings.traces, MemoryShares::of(settings.memoryBytes).attemptBodies }, m_client, [this](ConnectionId connection, const PeerMessage& message) { reply(connection, message); }, m_quarantine, m_keyChecks, metrics)
+          context, m_self, { backendHeaders(settings), settings.backendLoadInterval, settings.coldBound, settings.traces, MemoryShares::of(settings.memoryBytes).attemptBodies, m_bodies.responses->limits().largeBytes }, m_client, [this](ConnectionId connection, const PeerMessage& message) { reply(connection, message); }, m_quarantine, m_keyChecks, metrics)
     , m_gateway(context, m_self, m_runner, m_quarantine, m_keyChecks, m_stop, { settings.headers, settings.callerService, settings.callInterface, choiceSettings(settings), settings.fleetRetryBurst, settings.traces, settings.quotaBound, m_bodies }, std::move(claims), metrics)
     , m_callServer(context, callServerSettings(settings, m_bodies), [this](const HttpExchangePtr& exchange) { m_gateway.handle(exchange); })
     , m_linkServer(context, maximumPeerMessageBytes, [this](const LinkPtr& link) { accept(link); })
--- a/Source/state/ServiceDocument.h
+++ b/Source/state/ServiceDocument.h
@@ -79,7 +79,7 @@
     Duration defaultDeadline { 1000000 };
     /// Maximum time limit of a call; larger limits of callers are reduced to it.
     Duration maximumDeadline { 30000000 };
-    /// Maximum size of a request or response body in bytes.
+    /// Maximum size of a request body in bytes.
     std::uint64_t maximumBodyBytes = 1048576;
     /// Time after its start during which an endpoint's share of the calls grows from a tenth to the full share.
     Duration rampTime { 5000000 };
--- a/Tests/processes/LargeBodyTest.cpp
+++ b/Tests/processes/LargeBodyTest.cpp
@@ -144,4 +144,13 @@
     }
 }
 
+// Calls that had run were answered 502 where their answers were larger than the requests that the configuration allows.
+TEST_F(LargeBodyTest, AnswersLargerThanRequestsMayBe_ReachTheirCallers)
+{
+    constexpr std::size_t answerBytes = 10 * megabyte;
+    start();
+    EXPECT_EQ(200u, upload(60000, answerBytes)) << "requests have at most 65536 bytes";
+    EXPECT_EQ(413u, upload(70000));
+}
+
 } // namespace Knapweedquay::Load
