HttpServer: Refuse a body that never fits with 413

Cause: the refusal for lack of room did not ask whether the room would do once all of it is free. Change: such a body is refused as too large; one that finds no room now still gets 503 and Retry-After.

HttpServerTest.Body_AnnouncedBeyondTheBound_* asked for 503 for a body of one byte more than all room, with nothing waiting: it pinned the fault. In its place Body_AnnouncedBeyondAllRoom_IsRefusedForGood asks for 413 without Retry-After, and Body_AnnouncedBeyondTheRoomLeft_IsRefusedAtOnce for the former refusal beside another upload. The first one failed before.

--- a/Source/transport/HttpServer.cpp
+++ b/Source/transport/HttpServer.cpp
@@ -191,8 +191,9 @@
     bool hasRoom() const { return m_exchanges.size() < maximumPipelinedRequests && unsentBytes() < maximumUnsentBytesPerConnection; }
     /// Bytes of responses that the system has not taken yet.
     std::size_t unsentBytes() const { return m_unsentBytes; }
-    /// Reserves room for the body of the request that is being received, which takes so many bytes now; false if there is none.
-    bool reserveBody(std::size_t);
+    /// Reserves room for the body of the request that is being received, of which so many bytes have arrived. Returns why the request has
+    /// to be refused if there is none.
+    std::optional<Error> reserveBody(std::size_t);
     /// Adds a response to those that are to be written: its text, and the body if that is sent apart.
     void addOutput(std::string text, const Body& = {});
     /// Passes the request that the parser has completed to the handler.
@@ -339,8 +340,8 @@
         m_isInRequest = m_parser.isInMessage();
         const bool hasBegunBody = isInBody && !m_isInBody;
         m_isInBody = isInBody;
-        if (!reserveBody(m_parser.bodyMemory()))
-            return refuse({ ResultCode::Overloaded, "too many bytes of requests are waiting at this process" });
+        if (const auto error = reserveBody(m_parser.bodyBytes()))
+            return refuse(*error);
         if (hasBegunBody && findHeader(m_parser.headers(), "Expect") && m_exchanges.empty()) {
             addOutput(serialize({ statusContinue, {}, {} }, false, false));
             write();
@@ -352,8 +353,8 @@
 {
     m_hasRequested = true;
     m_isLastRequest = !m_parser.keepsConnection();
-    if (!reserveBody(m_parser.bodyMemory()))
-        return refuse({ ResultCode::Overloaded, "too many bytes of requests are waiting at this process" });
+    if (const auto error = reserveBody(m_parser.bodyBytes()))
+        return refuse(*error);
     if (m_server->m_unsentBytes > m_server->m_settings.maximumUnsentBytes)
         return refuse({ ResultCode::Overloaded, "callers have not read too many bytes of their responses" });
     const ExchangePtr exchange(new Exchange(ConnectionPtr(this), m_parser.takeRequest(std::exchange(m_bodyReservation, nullptr))));
@@ -448,21 +449,22 @@
     read();
 }
 
-bool HttpServer::Implementation::Connection::reserveBody(std::size_t memory)
+std::optional<Error> HttpServer::Implementation::Connection::reserveBody(std::size_t received)
 {
     // Room for all of it, so that no two bodies that arrive wait for each other's end.
-    const std::size_t expected = std::max(memory, m_isInBody ? static_cast<std::size_t>(m_parser.announcedBodyBytes().value_or(0)) : 0);
+    const std::size_t expected = std::max(received, m_isInBody ? static_cast<std::size_t>(m_parser.announcedBodyBytes().value_or(0)) : 0);
     if (expected == 0 || !m_server)
-        return true;
+        return std::nullopt;
+    const BodyBudgetPointer& budget = m_server->m_settings.bodies;
+    if (expected > largeBodyBytes && expected > budget->limits().largeBytes)
+        return Error { ResultCode::RequestTooLarge, "this process has no room for a body of " + std::to_string(expected) + " bytes" };
     if (!m_bodyReservation)
-        m_bodyReservation = std::make_shared<BodyReservation>(m_server->m_settings.bodies);
-    if (expected <= m_bodyReservation->bytes())
-        return true;
-    if (!m_bodyReservation->tryResize(expected))
-        return false;
-    if (expected > memory)
+        m_bodyReservation = std::make_shared<BodyReservation>(budget);
+    if (!m_bodyReservation->tryResize(std::max(expected, m_bodyReservation->bytes())))
+        return Error { ResultCode::Overloaded, "too many bytes of requests are waiting at this process" };
+    if (expected > received)
         m_parser.reserveBody(expected);
-    return true;
+    return std::nullopt;
 }
 
 void HttpServer::Implementation::Connection::addOutput(std::string text, const Body& body)
--- a/Tests/transport/HttpServerTest.cpp
+++ b/Tests/transport/HttpServerTest.cpp
@@ -335,13 +335,30 @@
     EXPECT_EQ(received.find("HTTP/1.1 408"), received.rfind("HTTP/1.1 408"));
 }
 
-TEST_F(HttpServerTest, Body_AnnouncedBeyondTheBound_IsRefusedAtOnce)
+// A body that no room would ever do for was refused with a time to come back, again and again.
+TEST_F(HttpServerTest, Body_AnnouncedBeyondAllRoom_IsRefusedForGood)
 {
     HttpServer::Settings settings;
     settings.bodies = std::make_shared<BodyBudget>(BodyBudget::Limits { 1000000, 1000000 });
     start(settings);
     send("POST /1 HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 1000001\r\n\r\nx");
     const std::string received = receive();
+    EXPECT_EQ(0u, received.find("HTTP/1.1 413"));
+    EXPECT_EQ(std::string::npos, received.find("Retry-After"));
+    EXPECT_TRUE(m_requests.empty());
+}
+
+TEST_F(HttpServerTest, Body_AnnouncedBeyondTheRoomLeft_IsRefusedAtOnce)
+{
+    HttpServer::Settings settings;
+    settings.bodies = std::make_shared<BodyBudget>(BodyBudget::Limits { 1000000, 1000000 });
+    start(settings);
+    Tcp::socket other(m_context);
+    other.connect({ asio::ip::make_address("127.0.0.1"), m_server->port() });
+    asio::write(other, asio::buffer(std::string("POST /0 HTTP/1.1\r\nHost: h\r\nContent-Length: 900000\r\n\r\nx")));
+    m_context.run_for(50ms);
+    send("POST /1 HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 100001\r\n\r\nx");
+    const std::string received = receive();
     EXPECT_EQ(0u, received.find("HTTP/1.1 503"));
     EXPECT_NE(std::string::npos, received.find("Retry-After"));
     EXPECT_TRUE(m_requests.empty());
