HttpParser: Collect bodies of unknown length in pieces

Change: GrowingBody keeps them in pieces and frees each as it joins it; the allocator returns blocks of more than 256 KiB to the system, instead of keeping ever larger ones.

--- a/Source/transport/DaemonMain.cpp
+++ b/Source/transport/DaemonMain.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/program_options.hpp>
 
+#include <malloc.h>
+
 #include <iostream>
 #include <utility>
 
@@ -44,6 +46,9 @@
 
 int DaemonMain::run(int argc, const char* const* argv)
 {
+    // Otherwise the allocator keeps the memory of large bodies once some were freed.
+    constexpr int largestKeptBlock = 256 * 1024;
+    mallopt(M_MMAP_THRESHOLD, largestKeptBlock);
     const Options::options_description description = describeOptions(m_program);
     Options::variables_map values;
     try {
--- a/Source/transport/HttpClient.cpp
+++ b/Source/transport/HttpClient.cpp
@@ -417,7 +417,7 @@
 bool HttpClient::Implementation::Connection::reserveBody()
 {
     const std::size_t announced = m_parser.hasHeaders() ? static_cast<std::size_t>(m_parser.announcedBodyBytes().value_or(0)) : 0;
-    const std::size_t expected = std::max(m_parser.bodyMemory(), announced);
+    const std::size_t expected = std::max(m_parser.bodyBytes(), announced);
     if (m_bodyReservation ? expected <= m_bodyReservation->bytes() : expected == 0)
         return true;
     if (!m_bodyReservation)
--- a/Source/transport/HttpParser.cpp
+++ b/Source/transport/HttpParser.cpp
@@ -1,6 +1,5 @@
 #include "transport/HttpParser.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace Knapweedquay {
@@ -11,8 +10,6 @@
 constexpr int continueParsing = 0;
 constexpr int skipBody = 1;
 constexpr int abortParsing = -1;
-/// A large body of unknown length grows by this part of its size at a time.
-constexpr std::size_t growthDivisor = 4;
 
 } // namespace
 
@@ -136,8 +133,6 @@
 {
     if (m_body.size() + bytes.size() > m_limits.bodyBytes)
         return fail(Failure::BodyTooLarge);
-    if (m_body.size() + bytes.size() > std::max(m_body.capacity(), largeBodyBytes))
-        growBody(std::min(m_limits.bodyBytes, m_body.size() + bytes.size() + m_body.size() / growthDivisor));
     m_body.append(bytes);
     if (m_parser.type == HTTP_REQUEST) {
         if (!m_bodyDigest)
@@ -147,15 +142,6 @@
     return continueParsing;
 }
 
-// A string itself grows to twice its size at once.
-void HttpParser::growBody(std::size_t bytes)
-{
-    std::string body;
-    body.reserve(bytes);
-    body += m_body;
-    m_body.swap(body);
-}
-
 int HttpParser::endMessage()
 {
     m_keepsConnection = http_should_keep_alive(&m_parser) != 0 && m_parser.upgrade == 0;
@@ -174,7 +160,7 @@
 
 HttpRequest HttpParser::takeRequest(std::shared_ptr<const void> reservation)
 {
-    HttpRequest request { std::move(m_method), std::move(m_target), std::move(m_headers), Body(std::exchange(m_body, {}), std::move(reservation)) };
+    HttpRequest request { std::move(m_method), std::move(m_target), std::move(m_headers), Body(m_body.take(), std::move(reservation)) };
     if (m_bodyDigest)
         request.bodyDigest = m_bodyDigest->finish();
     return request;
@@ -182,7 +168,7 @@
 
 HttpResponse HttpParser::takeResponse(std::shared_ptr<const void> reservation)
 {
-    return { m_status, std::move(m_headers), Body(std::exchange(m_body, {}), std::move(reservation)) };
+    return { m_status, std::move(m_headers), Body(m_body.take(), std::move(reservation)) };
 }
 
 } // namespace Knapweedquay
--- a/Source/transport/HttpParser.h
+++ b/Source/transport/HttpParser.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "protocol/HttpMessage.h"
+#include "transport/GrowingBody.h"
 
 #include <http_parser.h>
 
@@ -72,13 +73,11 @@
     const HttpHeaders& headers() const { return m_headers; }
     /// Bytes of the body that were parsed so far and not taken.
     std::size_t bodyBytes() const { return m_body.size(); }
-    /// Bytes of memory that the body takes. One of unknown length takes more than was parsed, since it grows in steps.
-    std::size_t bodyMemory() const { return m_body.size() > largeBodyBytes ? m_body.capacity() : m_body.size(); }
     /// Length of the body as its headers announce it; nothing if they don't.
     std::optional<std::uint64_t> announcedBodyBytes() const { return m_announcedBodyBytes; }
     /// Frees the body that was parsed so far, of a message that is not needed any more.
-    void discardBody() { std::string().swap(m_body); }
-    /// Provides room for a body of this size, which then isn't moved while it arrives.
+    void discardBody() { m_body.clear(); }
+    /// Provides room for a body of known length.
     void reserveBody(std::size_t bytes) { m_body.reserve(bytes); }
     Failure failure() const { return m_failure; }
     /// Valid once a message is complete: false when its connection must not carry another message.
@@ -101,8 +100,6 @@
     int endHeaders();
     int addBody(std::string_view);
     int endMessage();
-    /// Moves the body to memory of this size.
-    void growBody(std::size_t bytes);
     /// Adds to the size of the headers; false when the limit is exceeded.
     bool countHeaderBytes(std::size_t);
     /// Records the failure and returns the callback result that stops http_parser.
@@ -125,7 +122,7 @@
     std::uint16_t m_status = 0;
     std::string m_target;
     HttpHeaders m_headers;
-    std::string m_body;
+    GrowingBody m_body;
     std::optional<std::uint64_t> m_announcedBodyBytes;
     /// Digest of the body of a request; null until its first byte.
     std::unique_ptr<DigestBuilder> m_bodyDigest;
