ControlService: Trim the log by its bytes as well

Cause: the log was trimmed by its number of entries alone, and each holds a whole configuration: 512 of 786 kB are 400 MB. Change: it is trimmed once it has 8 MiB, too, if that is more than the state.

--- a/Source/state/ControlService.cpp
+++ b/Source/state/ControlService.cpp
@@ -568,7 +568,8 @@
 {
     const LogBuffer& log = m_log->log();
     const std::uint64_t applied = m_log->appliedIndex().value() - log.snapshot().lastIndex.value();
-    if (applied < m_settings.snapshotEntries)
+    const bool isLong = applied >= m_settings.snapshotEntries || log.entryBytes() >= m_settings.snapshotBytes;
+    if (applied == 0 || !isLong)
         return;
     // Trims the log only when it is larger than the state, because a snapshot writes the complete state. The factor
     // bounds the log when its entries are small.
--- a/Source/state/ControlService.h
+++ b/Source/state/ControlService.h
@@ -46,6 +46,8 @@
     Duration joinInterval { 200000 };
     /// Number of applied entries after which the log is trimmed if it is larger than the state.
     std::size_t snapshotEntries = 512;
+    /// Size of the log, in bytes, after which it is trimmed if it is larger than the state, however few its entries are.
+    std::size_t snapshotBytes = 8 * 1024 * 1024;
     /// Timing and bounds of the replicated log. ControlService sets the ids in it.
     ReplicatedLogSettings log;
 };
--- a/Tests/state/FakeFileSystem.cpp
+++ b/Tests/state/FakeFileSystem.cpp
@@ -1,6 +1,7 @@
 #include "state/FakeFileSystem.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace Knapweedquay {
 
@@ -133,6 +134,11 @@
     recover();
 }
 
+std::size_t FakeFileSystem::usedBytes() const
+{
+    return std::accumulate(m_files.begin(), m_files.end(), std::size_t { 0 }, [](std::size_t sum, const auto& entry) { return sum + entry.second->content.size(); });
+}
+
 void FakeFileSystem::loseDisk()
 {
     m_files.clear();
--- a/Tests/state/FakeFileSystem.h
+++ b/Tests/state/FakeFileSystem.h
@@ -32,6 +32,8 @@
     void makeRoom() { m_room = unlimited; }
     /// Content of a file, which tests may damage.
     std::string& content(const std::string& path) { return m_files.at(path)->content; }
+    /// Bytes of all files.
+    std::size_t usedBytes() const;
     std::size_t syncCount() const { return m_syncs; }
 
 private:
--- a/Tests/state/StoreSimulation.cpp
+++ b/Tests/state/StoreSimulation.cpp
@@ -65,6 +65,7 @@
     settings.newCluster = ClusterId(clusterId);
     settings.minimumVoters = m_voters > 0 ? m_voters - 1 : m_replicas.size() / 2 + 1;
     settings.snapshotEntries = m_snapshotSizes.entries;
+    settings.snapshotBytes = m_snapshotSizes.logBytes;
     settings.log.seed = m_random();
     settings.log.snapshotChunkBytes = m_snapshotSizes.chunkBytes;
     ControlServiceHooks hooks;
--- a/Tests/state/StoreSimulation.h
+++ b/Tests/state/StoreSimulation.h
@@ -30,6 +30,7 @@
     struct SnapshotSizes {
         std::size_t entries = 8;
         std::size_t chunkBytes = 256;
+        std::size_t logBytes = 8 * 1024 * 1024;
     };
 
     StoreSimulation(std::size_t replicas, std::uint64_t seed, std::size_t snapshotEntries = 8);
