RoutingStore: Compare a change with all that is committed

Cause: a leader applies only what its own disk has, while a majority without it may have committed more, and compared changes with what it had applied. Change: a leader whose state lacks committed entries lets changes of routes and evacuation orders wait, as during an election. RoutingStoresTest.ChangeOnAcknowledgedVersion_LeadersDiskIsSlow_IsNoConflict: 412 before, accepted after.

--- a/Source/control/EvacuationStore.cpp
+++ b/Source/control/EvacuationStore.cpp
@@ -70,7 +70,8 @@
 
 bool EvacuationStore::canAccept() const
 {
-    return m_service.log() && m_service.log()->canAccept(m_hooks.now());
+    // Otherwise a change on top of a version that another replica has acknowledged would be told a conflict with an older one.
+    return m_service.log() && m_service.log()->canAccept(m_hooks.now()) && m_service.log()->hasAppliedCommitted();
 }
 
 Error EvacuationStore::refusal() const
--- a/Source/control/RoutingStore.cpp
+++ b/Source/control/RoutingStore.cpp
@@ -85,7 +85,8 @@
 
 bool RoutingStore::canAccept() const
 {
-    return m_service.log() && m_service.log()->canAccept(m_hooks.now());
+    // Otherwise a change on top of a version that another replica has acknowledged would be told a conflict with an older one.
+    return m_service.log() && m_service.log()->canAccept(m_hooks.now()) && m_service.log()->hasAppliedCommitted();
 }
 
 void RoutingStore::change(const RoutingChange& change, const RoutingChangeHandler& handler)
--- a/Source/state/ReplicatedLog.h
+++ b/Source/state/ReplicatedLog.h
@@ -119,6 +119,8 @@
     LogIndex commitIndex() const { return m_commitIndex; }
     /// Index of the last entry that takeActions() has returned for applying.
     LogIndex appliedIndex() const { return m_takenIndex; }
+    /// True if the state has all committed entries. Followers may have applied more than a leader whose own disk is slow.
+    bool hasAppliedCommitted() const { return m_takenIndex >= m_commitIndex; }
     const LogBuffer& log() const { return m_log; }
     const MemberList& members() const { return m_log.members(); }
     /// Age of the applied state; empty when it is unproven.
--- a/Tests/control/RoutingStoreTest.cpp
+++ b/Tests/control/RoutingStoreTest.cpp
@@ -81,6 +81,9 @@
         std::unique_ptr<ControlService> service;
         std::unique_ptr<RoutingStore> store;
         bool isCut = false;
+        /// Jobs of its storage wait while its disk is slow.
+        bool isDiskSlow = false;
+        std::vector<std::pair<std::function<Result<void>()>, std::function<void(Result<void>, TimePoint)>>> jobs;
     };
 
     void SetUp() override
@@ -106,6 +109,9 @@
         hooks.send = [this, index](const std::string& address, const ReplicaMessage& message) {
             post(index, std::stoul(address), [this, message](Replica& receiver) { receiver.service->receive(message, m_now); });
         };
+        hooks.runStorageJob = [&replica](std::function<Result<void>()> job, std::function<void(Result<void>, TimePoint)> done) {
+            replica.jobs.emplace_back(std::move(job), std::move(done));
+        };
         replica.service = std::move(ControlService::open(settings, replica.files, hooks, m_now).value());
         RoutingStore::Hooks storeHooks { [this] { return m_now; }, [&replica, this] { replica.service->flush(m_now); }, {} };
         storeHooks.forward = [this, index](const std::string& address, const ControlMessage& sent) {
@@ -136,8 +142,19 @@
             const auto message = std::move(m_messages.front());
             m_messages.pop_front();
             message();
-            for (Replica& replica : m_replicas)
+            flushAll();
+        }
+    }
+
+    void flushAll()
+    {
+        for (Replica& replica : m_replicas) {
+            replica.service->flush(m_now);
+            while (!replica.isDiskSlow && !replica.jobs.empty()) {
+                for (const auto& [job, done] : std::exchange(replica.jobs, {}))
+                    done(job(), m_now);
                 replica.service->flush(m_now);
+            }
         }
     }
 
@@ -147,7 +164,7 @@
             m_now += 20ms;
             for (Replica& replica : m_replicas) {
                 replica.service->tick(m_now);
-                replica.service->flush(m_now);
+                flushAll();
                 deliverAll();
                 replica.store->tick(m_now);
                 deliverAll();
@@ -304,6 +321,28 @@
     EXPECT_LE(time, Duration(800ms));
 }
 
+// A change on top of the version that a follower had acknowledged was told a conflict with an older one, while the leader's disk was slow.
+TEST_F(RoutingStoresTest, ChangeOnAcknowledgedVersion_LeadersDiskIsSlow_IsNoConflict)
+{
+    Replica& leading = m_replicas[leader()];
+    const std::size_t follower = (leader() + 1) % replicaCount;
+    ASSERT_EQ(ResultCode::Ok, change(follower, routingText(3), 0).first);
+    leading.isDiskSlow = true;
+    ASSERT_EQ(ResultCode::Ok, change(follower, routingText(4), 3).first);
+    std::optional<ResultCode> code;
+    m_replicas[follower].store->change({ routingText(5), 4, "tester" }, [&code](const Result<std::uint64_t>& result) {
+        code = result.has_error() ? result.error().code : ResultCode::Ok;
+    });
+    const TimePoint sentAt = m_now;
+    runUntil([&] { return m_now - sentAt > 200ms; });
+    EXPECT_FALSE(code.has_value());
+    leading.isDiskSlow = false;
+    runUntil([&] { return code.has_value(); });
+    EXPECT_EQ(ResultCode::Ok, code.value_or(ResultCode::TimedOut));
+    // A true conflict is told as before.
+    EXPECT_EQ(ResultCode::VersionConflict, change(follower, routingText(6), 3).first);
+}
+
 TEST_F(RoutingStoresTest, LeadersAnswer_Lost_CommitAnswersTheChange)
 {
     m_loseAnswers = true;
