BackendPresence: Let a leave end the run that it names only

Cause: each run that had started before the latest one that left was taken for late news, for good. Change: only the run that left can't return; an earlier one counts once it goes on announcing itself, as beside a present run. BackendPresenceTest.LeaveWithAStartTimeInTheFuture_ShutsNobodyOut: failed before.

--- a/Source/coordination/presence/BackendPresence.cpp
+++ b/Source/coordination/presence/BackendPresence.cpp
@@ -29,22 +29,22 @@
 
 bool BackendPresence::belongsToEndedRun(const BackendAnnouncement& announcement) const
 {
-    if (!m_ended || announcement.startedAt == 0)
-        return false;
-    return announcement.startedAt < m_ended->startedAt || (announcement.instance == m_ended->instance && announcement.startedAt == m_ended->startedAt);
+    return m_ended && announcement.startedAt != 0 && announcement.instance == m_ended->instance && announcement.startedAt == m_ended->startedAt;
+}
+
+bool BackendPresence::isEarlierRun(const BackendAnnouncement& announcement) const
+{
+    const std::uint64_t latest = std::max(m_ended ? m_ended->startedAt : 0, m_current ? m_current->startedAt : 0);
+    return announcement.startedAt != 0 && announcement.startedAt < latest;
 }
 
 PresenceChange BackendPresence::announce(const BackendAnnouncement& announcement, TimePoint now)
 {
     if (belongsToEndedRun(announcement))
         return PresenceChange::None;
-    if (!m_current)
-        return adopt(announcement, now);
-    if (announcement.instance == m_current->instance && announcement.startedAt == m_current->startedAt)
+    if (m_current && announcement.instance == m_current->instance && announcement.startedAt == m_current->startedAt)
         return update(announcement, now);
-    if (announcement.startedAt != 0 && announcement.startedAt < m_current->startedAt)
-        return considerCandidate(announcement, now);
-    return adopt(announcement, now);
+    return isEarlierRun(announcement) ? considerCandidate(announcement, now) : adopt(announcement, now);
 }
 
 bool BackendPresence::isLatest(const BackendAnnouncement& announcement) const
@@ -79,7 +79,8 @@
     return m_current->draining ? PresenceChange::Draining : PresenceChange::Arrived;
 }
 
-// The machine's clock may have been set back between two runs. Only a live run sends new announcements.
+// The machine's clock may have been set back between two runs, or a notice may have named a start time that no run had. Only a live
+// run sends new announcements.
 PresenceChange BackendPresence::considerCandidate(const BackendAnnouncement& announcement, TimePoint now)
 {
     const bool isSameRun = m_candidate && m_candidate->announcement.instance == announcement.instance && m_candidate->announcement.startedAt == announcement.startedAt;
@@ -99,7 +100,7 @@
 {
     const bool isCurrent = m_current && m_current->instance == instance && (startedAt == 0 || startedAt == m_current->startedAt);
     const std::uint64_t endedStart = isCurrent ? m_current->startedAt : startedAt;
-    if (!m_ended || endedStart >= m_ended->startedAt)
+    if (isCurrent || !m_ended || endedStart >= m_ended->startedAt)
         m_ended = Run { instance, endedStart };
     if (!isCurrent)
         return PresenceChange::None;
--- a/Source/coordination/presence/BackendPresence.h
+++ b/Source/coordination/presence/BackendPresence.h
@@ -46,8 +46,8 @@
 /// Announcements may arrive seconds late and out of order, even after their sender has ended. A later run replaces an
 /// earlier one, and a higher sequence number a lower one. A draining run drains until an operator ends the draining, or
 /// until it announces other properties without draining. A run that told that it leaves drains to its end, whatever it
-/// announces. A run that left cannot return if its announcements specify
-/// its start time.
+/// announces. A run that left cannot return if its announcements specify its start time; one that started before it can, if it goes on
+/// announcing itself.
 class BackendPresence {
 public:
     /// announcementTimeout: time without an announcement after which the backend server is no longer present.
@@ -78,7 +78,7 @@
         /// 0 when not specified.
         std::uint64_t startedAt = 0;
     };
-    /// A run whose start time is earlier than that of the present run, but which continues to announce itself.
+    /// A run whose start time is earlier than that of the present run or of one that left, but which continues to announce itself.
     struct Candidate {
         BackendAnnouncement announcement;
         /// Number of its announcements that count towards replacing the present run.
@@ -87,6 +87,8 @@
 
     bool isLeaving(const BackendAnnouncement&) const;
     bool belongsToEndedRun(const BackendAnnouncement&) const;
+    /// True for a run that started before the present one, or before the latest one that left.
+    bool isEarlierRun(const BackendAnnouncement&) const;
     PresenceChange update(const BackendAnnouncement&, TimePoint now);
     PresenceChange adopt(const BackendAnnouncement&, TimePoint now);
     PresenceChange considerCandidate(const BackendAnnouncement&, TimePoint now);
--- a/Tests/coordination/BackendPresenceTest.cpp
+++ b/Tests/coordination/BackendPresenceTest.cpp
@@ -76,6 +76,39 @@
     EXPECT_EQ(PresenceChange::Arrived, announce(announcement("a", 11, 1)));
 }
 
+// A notice with a start time beyond all others shut out all later runs of the machine for good.
+TEST_F(BackendPresenceTest, LeaveWithAStartTimeInTheFuture_ShutsNobodyOut)
+{
+    announce(announcement("a", 10, 1));
+    EXPECT_EQ(PresenceChange::None, m_presence.leave("z", 1000000, m_now));
+    m_now += 1500ms;
+    announce(announcement("a", 10, 2));
+    EXPECT_TRUE(m_presence.isLatest(announcement("a", 10, 2)));
+    EXPECT_EQ(PresenceChange::Gone, m_presence.leave("a", 10, m_now));
+    EXPECT_EQ(PresenceChange::None, announce(announcement("a", 10, 3))) << "late news of a run that left";
+    EXPECT_EQ(PresenceChange::Arrived, announce(announcement("b", 20, 1)));
+    EXPECT_EQ(PresenceChange::None, m_presence.leave("z", 1000000, m_now));
+    m_now += 7s;
+    EXPECT_EQ(PresenceChange::Gone, m_presence.expire(m_now));
+    std::uint64_t sequence = 0;
+    while (!m_presence.current() && sequence < 5) {
+        m_now += 1500ms;
+        announce(announcement("c", 30, ++sequence));
+    }
+    ASSERT_TRUE(m_presence.current());
+    EXPECT_EQ("c", m_presence.current()->instance);
+}
+
+TEST_F(BackendPresenceTest, EarlierRunsAfterOneThatLeft_AnnouncedLate_StayGone)
+{
+    announce(announcement("b", 20, 1));
+    EXPECT_EQ(PresenceChange::Gone, m_presence.leave("b", 20, m_now));
+    EXPECT_EQ(PresenceChange::None, announce(announcement("a", 10, 8)));
+    EXPECT_EQ(PresenceChange::None, announce(announcement("a", 10, 9)));
+    EXPECT_EQ(PresenceChange::None, announce(announcement("a", 10, 8)));
+    EXPECT_FALSE(m_presence.current());
+}
+
 TEST_F(BackendPresenceTest, LeaveOfPredecessor_Late_KeepsPresentRun)
 {
     announce(announcement("b", 20, 1));
