BackendPresence: Let no service without a configuration displace one that has one

Cause: the latest run was the present one, whatever service it named. Change: a run of a service that the configuration doesn't have never takes the place of one that it has. Where nothing else is announced it is kept as before, for a configuration to come. BackendPresenceTest.ServiceThatNoConfigurationHas_Announced_DisplacesNobody: failed before (checked with the condition taken out).

--- a/Source/coordination/presence/BackendPresence.cpp
+++ b/Source/coordination/presence/BackendPresence.cpp
@@ -1,6 +1,7 @@
 #include "coordination/presence/BackendPresence.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Knapweedquay {
 
@@ -17,8 +18,9 @@
 
 } // namespace
 
-BackendPresence::BackendPresence(Duration announcementTimeout)
+BackendPresence::BackendPresence(Duration announcementTimeout, KnownServices isKnown)
     : m_announcementTimeout(announcementTimeout)
+    , m_isKnown(std::move(isKnown))
 {
 }
 
@@ -42,6 +44,8 @@
 {
     if (belongsToEndedRun(announcement))
         return PresenceChange::None;
+    if (m_current && isKnown(announcement.service) != isKnown(m_current->service))
+        return isKnown(announcement.service) ? adopt(announcement, now) : PresenceChange::None;
     if (m_current && announcement.instance == m_current->instance && announcement.startedAt == m_current->startedAt)
         return update(announcement, now);
     return isEarlierRun(announcement) ? considerCandidate(announcement, now) : adopt(announcement, now);
--- a/Source/coordination/presence/BackendPresence.h
+++ b/Source/coordination/presence/BackendPresence.h
@@ -5,6 +5,7 @@
 #include "protocol/Time.h"
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -47,11 +48,16 @@
 /// earlier one, and a higher sequence number a lower one. A draining run drains until an operator ends the draining, or
 /// until it announces other properties without draining. A run that told that it leaves drains to its end, whatever it
 /// announces. A run that left cannot return if its announcements specify its start time; one that started before it can, if it goes on
-/// announcing itself.
+/// announcing itself. A run of a service that the configuration
+/// doesn't have never takes the place of one that it has.
 class BackendPresence {
 public:
-    /// announcementTimeout: time without an announcement after which the backend server is no longer present.
-    explicit BackendPresence(Duration announcementTimeout);
+    /// Returns whether the configuration has a service.
+    using KnownServices = std::function<bool(const ServiceName&)>;
+
+    /// announcementTimeout: time without an announcement after which the backend server is no longer present. isKnown: when
+    /// unset, all services are known.
+    explicit BackendPresence(Duration announcementTimeout, KnownServices isKnown = {});
 
     PresenceChange announce(const BackendAnnouncement&, TimePoint now);
     /// Handles the notice that a run of the backend server is leaving. startedAt: 0 when not specified.
@@ -86,6 +92,7 @@
     };
 
     bool isLeaving(const BackendAnnouncement&) const;
+    bool isKnown(const ServiceName& service) const { return !m_isKnown || m_isKnown(service); }
     bool belongsToEndedRun(const BackendAnnouncement&) const;
     /// True for a run that started before the present one, or before the latest one that left.
     bool isEarlierRun(const BackendAnnouncement&) const;
@@ -94,6 +101,7 @@
     PresenceChange considerCandidate(const BackendAnnouncement&, TimePoint now);
 
     Duration m_announcementTimeout;
+    KnownServices m_isKnown;
     std::optional<BackendAnnouncement> m_current;
     /// The latest run that left.
     std::optional<Run> m_ended;
--- a/Source/node/NodeControl.cpp
+++ b/Source/node/NodeControl.cpp
@@ -98,7 +98,7 @@
     , m_membership(context, [this](const MembershipAction& action) { apply(action); })
     , m_controlLinks(context, maximumControlMessageBytes)
     , m_subscription(m_self, settings.controlReplicas, settings.discoversReplicas, subscriptionHooks())
-    , m_presence(settings.announcementTimeout)
+    , m_presence(settings.announcementTimeout, [this](const ServiceName& service) { return m_routedServices.count(service) > 0 || m_subscription.inForce().count(service) > 0; })
     , m_backendTimer(context, [this] { checkBackend(); })
     , m_subscriptionTimer(context, [this] { checkSubscription(); })
 {
@@ -180,6 +180,9 @@
         return false;
     }
     const LogField label { "label", std::to_string(routing.value().version) };
+    m_routedServices.clear();
+    for (const RoutedService& service : routing.value().services)
+        m_routedServices.insert(service.name);
     const LogField routes { "routes", std::to_string(routing.value().rules.size()) };
     m_hooks.routingChanged(std::make_shared<const RoutingTable>(std::move(routing.value())), message);
     m_hasRouting = true;
--- a/Source/node/NodeControl.h
+++ b/Source/node/NodeControl.h
@@ -20,6 +20,7 @@
 #include <array>
 #include <functional>
 #include <memory>
+#include <set>
 #include <optional>
 #include <string>
 #include <vector>
@@ -144,6 +145,8 @@
     MembershipAgent m_membership;
     LinkClient m_controlLinks;
     ControlSubscription m_subscription;
+    /// Services of the routing document in force.
+    std::set<ServiceName> m_routedServices;
     BackendPresence m_presence;
     /// State of the local endpoint, as last published to the other members.
     EndpointState m_endpoint;
--- a/Tests/coordination/BackendPresenceTest.cpp
+++ b/Tests/coordination/BackendPresenceTest.cpp
@@ -76,6 +76,24 @@
     EXPECT_EQ(PresenceChange::Arrived, announce(announcement("a", 11, 1)));
 }
 
+// One announcement of a service that no configuration has kept the sound backend server of its machine out for five seconds.
+TEST_F(BackendPresenceTest, ServiceThatNoConfigurationHas_Announced_DisplacesNobody)
+{
+    BackendPresence presence(6s, [](const ServiceName& service) { return service == ServiceName("dispatch"); });
+    BackendAnnouncement unknown = announcement("z", 1000, 1);
+    unknown.service = ServiceName("unknown");
+    EXPECT_EQ(PresenceChange::Arrived, presence.announce(unknown, m_now)) << "nothing else is there";
+    EXPECT_EQ(PresenceChange::Arrived, presence.announce(announcement("a", 10, 1), m_now));
+    unknown.sequence = 2;
+    EXPECT_EQ(PresenceChange::None, presence.announce(unknown, m_now));
+    unknown = announcement("a", 10, 3);
+    unknown.service = ServiceName("unknown");
+    EXPECT_EQ(PresenceChange::None, presence.announce(unknown, m_now));
+    EXPECT_EQ("a", presence.current()->instance);
+    EXPECT_EQ(ServiceName("dispatch"), presence.current()->service);
+    EXPECT_EQ(PresenceChange::Gone, presence.expire(m_now + 6001ms)) << "it counts for nothing";
+}
+
 // A notice with a start time beyond all others shut out all later runs of the machine for good.
 TEST_F(BackendPresenceTest, LeaveWithAStartTimeInTheFuture_ShutsNobodyOut)
 {
