KeyTable: Ask for keys where the list of workspaces is empty

Cause: keys were asked for if there was a workspace, so that an empty list read like none. Change: a document that has the list asks for keys; with an empty one no key is valid. The other reading, "no tenants, no keys", would open a deployment to all when its last key is withdrawn. ConfigurationDecoderTest.EmptyListOfTenants_Decoded_StillAsksForKeys: failed before.

--- a/Source/coordination/workspaces/KeyTable.cpp
+++ b/Source/coordination/workspaces/KeyTable.cpp
@@ -3,7 +3,7 @@
 namespace Knapweedquay {
 
 KeyTable::KeyTable(const RoutingDocument& routing)
-    : m_isNeeded(!routing.workspaces.empty())
+    : m_isNeeded(routing.needsKeys())
     , m_version(routing.version)
 {
     if (!m_isNeeded)
--- a/Source/state/RoutingDocument.h
+++ b/Source/state/RoutingDocument.h
@@ -77,8 +77,12 @@
     std::vector<RoutedService> services;
     std::vector<RoutingRule> rules;
     CallerLimits limits;
-    /// Empty where calls need no key.
     std::vector<Workspace> workspaces;
+    /// True if the document lists workspaces, also if the list is empty; see needsKeys().
+    bool listsWorkspaces = false;
+
+    /// True if calls need a key. An empty list leaves none that is valid, as after the last one was withdrawn.
+    bool needsKeys() const { return listsWorkspaces || !workspaces.empty(); }
 };
 
 /// Function that parses a routing document. Errors: InvalidDocument.
--- a/Source/state/RoutingParser.cpp
+++ b/Source/state/RoutingParser.cpp
@@ -111,6 +111,7 @@
             routing.services.push_back(readService(section));
         for (TomlReader& section : reader.sections("routes", 0, maximumRoutes))
             routing.rules.push_back(readRule(section));
+        routing.listsWorkspaces = reader.has("workspaces");
         for (TomlReader& section : reader.sections("workspaces", 0, maximumWorkspaces))
             routing.workspaces.push_back(readWorkspace(section));
         reader.finish();
--- a/Tests/platform/DecoderTest.cpp
+++ b/Tests/platform/DecoderTest.cpp
@@ -1,5 +1,6 @@
 #include "platform/AnnouncementDecoder.h"
 #include "platform/ConfigurationDecoder.h"
+#include "coordination/workspaces/KeyTable.h"
 #include "platform/PathDecoder.h"
 
 #include <gtest/gtest.h>
@@ -106,6 +107,15 @@
     EXPECT_TRUE(decoded.value().rules[0].allowsAnonymous);
 }
 
+// After the last tenant was withdrawn by an empty list, calls with withdrawn and unknown keys were served.
+TEST_F(ConfigurationDecoderTest, EmptyListOfTenants_Decoded_StillAsksForKeys)
+{
+    Json json = Json::parse(configuration);
+    EXPECT_FALSE(KeyTable(decodeConfiguration(json.dump()).value()).isNeeded());
+    json["Tenants"] = Json::array();
+    EXPECT_TRUE(KeyTable(decodeConfiguration(json.dump()).value()).isNeeded());
+}
+
 TEST_F(ConfigurationDecoderTest, UnknownMembers_Decoded_AreIgnored)
 {
     Json json = Json::parse(configuration);
--- a/Tests/state/RoutingDocumentTest.cpp
+++ b/Tests/state/RoutingDocumentTest.cpp
@@ -73,6 +73,13 @@
 
 } // namespace
 
+TEST_F(RoutingDocumentTest, EmptyListOfWorkspaces_Parsed_NeedsKeys)
+{
+    EXPECT_FALSE(parseRoutingToml(validText).value().needsKeys());
+    EXPECT_TRUE(parseRoutingToml(validText + workspacesText).value().needsKeys());
+    EXPECT_TRUE(parseRoutingToml("workspaces = []\n" + validText).value().needsKeys());
+}
+
 TEST_F(RoutingDocumentTest, ValidText_Parsed_HasAllValues)
 {
     const auto routing = parseRoutingToml(validText);
