HttpParser: End responses without a body with their headers

Cause: the parser waited for the announced bytes, which responses of 1xx, 204 and 304 never have (RFC 9112, 6.3). HttpClientTest.ResponseWithoutABody_AnnouncesALength_IsComplete: timed out before, passes after, on one connection.

--- a/Source/transport/HttpParser.cpp
+++ b/Source/transport/HttpParser.cpp
@@ -10,6 +10,10 @@
 constexpr int continueParsing = 0;
 constexpr int skipBody = 1;
 constexpr int abortParsing = -1;
+// Responses of these statuses have no body, whatever length they announce (RFC 9112, 6.3).
+constexpr std::uint16_t firstStatusWithBody = 200;
+constexpr std::uint16_t statusNoContent = 204;
+constexpr std::uint16_t statusNotModified = 304;
 
 } // namespace
 
@@ -120,7 +124,8 @@
         m_method = http_method_str(static_cast<http_method>(m_parser.method));
     constexpr std::uint64_t noLength = UINT64_MAX;
     const bool hasLength = (m_parser.flags & F_CONTENTLENGTH) != 0 && m_parser.content_length != noLength;
-    if (m_expectsNoBody)
+    const bool isBodiless = m_parser.type == HTTP_RESPONSE && (m_status < firstStatusWithBody || m_status == statusNoContent || m_status == statusNotModified);
+    if (m_expectsNoBody || isBodiless)
         return skipBody;
     if (hasLength)
         m_announcedBodyBytes = m_parser.content_length;
--- a/Tests/transport/HttpClientTest.cpp
+++ b/Tests/transport/HttpClientTest.cpp
@@ -173,6 +173,20 @@
 }
 
 // An endpoint that stopped in the head of its answer and closed was taken for one that answered 200 with an empty body.
+// A response "not modified" with the length of the document was waited for until the deadline, and answered 504.
+TEST_F(HttpClientTest, ResponseWithoutABody_AnnouncesALength_IsComplete)
+{
+    for (const char* status : { "304 Not Modified", "204 No Content" }) {
+        m_handlers.emplace_back([status](Tcp::socket& socket, const std::string&) { reply(socket, std::string("HTTP/1.1 ") + status + "\r\nContent-Length: 5000\r\nETag: \"1\"\r\n\r\n"); });
+        m_outcome.reset();
+        send("a");
+        ASSERT_TRUE(waitForOutcome());
+        EXPECT_TRUE(m_outcome->succeeded) << m_outcome->failure.error.detail;
+        EXPECT_TRUE(m_outcome->response.body.empty());
+    }
+    EXPECT_EQ(1U, m_client->counters().connectionsOpened) << "the connection is kept";
+}
+
 TEST_F(HttpClientTest, Response_EndsWithinItsHead_FailsAsPossiblyRun)
 {
     const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\n";
