PeerMessages: Read as many headers as nodes accept

Cause: headers were bounded by their bytes where a request enters, by their number where the link is read. PeerMessagesTest.AsManyHeadersAsANodeAccepts_AreRead fails with the former bound.

--- a/Source/protocol/HttpMessage.h
+++ b/Source/protocol/HttpMessage.h
@@ -3,6 +3,7 @@
 #include "protocol/Body.h"
 #include "protocol/RequestDigest.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -19,6 +20,9 @@
 
 using HttpHeaders = std::vector<HttpHeader>;
 
+/// Headers of one message that a process accepts.
+constexpr std::size_t maximumHeaders = 4096;
+
 /// A complete HTTP request.
 struct HttpRequest {
     std::string method;
--- a/Source/protocol/PeerMessages.cpp
+++ b/Source/protocol/PeerMessages.cpp
@@ -14,7 +14,6 @@
 
 using Json = nlohmann::json;
 
-constexpr std::size_t maximumHeaders = 200;
 // Service documents derived from a routing document have up to 32 ranks and the priority of calls of runs, others up to 16.
 constexpr std::size_t maximumReportedPriorities = 33;
 /// First byte of a part of a body, and the size of what precedes its bytes.
@@ -108,7 +107,8 @@
 HttpHeaders readHeaders(FieldReader& reader)
 {
     const Json& list = reader.array();
-    if (list.size() > 2 * maximumHeaders)
+    // Nodes add some of their own to those that they accept.
+    if (list.size() > 2 * 2 * maximumHeaders)
         reader.fail("too many headers");
     HttpHeaders headers;
     FieldReader pairs(list);
--- a/Source/transport/HttpParser.cpp
+++ b/Source/transport/HttpParser.cpp
@@ -98,6 +98,8 @@
         return continueParsing;
     if (m_isInValue || m_headers.empty())
         m_headers.emplace_back();
+    if (m_headers.size() > maximumHeaders)
+        return fail(Failure::HeadersTooLarge);
     m_isInValue = false;
     m_headers.back().name.append(bytes);
     return countHeaderBytes(bytes.size()) ? continueParsing : fail(Failure::HeadersTooLarge);
--- a/Tests/protocol/PeerMessagesTest.cpp
+++ b/Tests/protocol/PeerMessagesTest.cpp
@@ -41,6 +41,23 @@
     }
 }
 
+// A request of more than 200 headers, which its node had accepted, closed the link to the endpoint's node, again with each resend.
+TEST(PeerMessagesTest, AsManyHeadersAsANodeAccepts_AreRead)
+{
+    CallRequestMessage request = requestOf(std::nullopt);
+    CallAnswerMessage answer;
+    while (request.request.headers.size() < maximumHeaders + 10)
+        request.request.headers.push_back({ "X", "1" });
+    answer.response.headers = request.request.headers;
+    const auto read = decodePeerMessage(encode(request));
+    ASSERT_TRUE(read.has_value());
+    EXPECT_EQ(request.request.headers.size(), std::get<CallRequestMessage>(read.value()).request.headers.size());
+    EXPECT_TRUE(decodePeerMessage(encode(answer)).has_value());
+    while (request.request.headers.size() <= 2 * maximumHeaders)
+        request.request.headers.push_back({ "X", "1" });
+    EXPECT_TRUE(decodePeerMessage(encode(request)).has_error());
+}
+
 // Nodes of earlier releases close the link on a request with further fields, so one without a caller has none.
 TEST(PeerMessagesTest, Request_WithoutCaller_HasTheFieldsOfEarlierReleases)
 {
--- a/Tests/transport/HttpServerTest.cpp
+++ b/Tests/transport/HttpServerTest.cpp
@@ -167,6 +167,19 @@
     EXPECT_TRUE(m_requests.empty());
 }
 
+TEST_F(HttpServerTest, MoreHeadersThanALinkPassesOn_AreRefused)
+{
+    HttpServer::Limits limits;
+    limits.headerBytes = 1024 * 1024;
+    start(limits);
+    std::string headers;
+    for (std::size_t index = 0; index < maximumHeaders; ++index)
+        headers += "A: b\r\n";
+    send("GET /1 HTTP/1.1\r\nHost: h\r\n" + headers + "\r\n");
+    EXPECT_NE(std::string::npos, receive().find("HTTP/1.1 431"));
+    EXPECT_TRUE(m_requests.empty());
+}
+
 // A header that only this node may set was passed on from callers who wrote a blank before its colon.
 TEST_F(HttpServerTest, HeaderName_WithABlank_IsRefusedAndNotRun)
 {
