OutgoingCall: Set the timer before an endpoint is chosen

Cause: the timer was an event's last action. The choice of an endpoint is answered while it is performed, with the timer of the attempt, which the former event's deadline then replaced. Change: the timer is the first action. OutgoingCallTest.ChoiceAnsweredWhileItIsPerformed_LastTimerIsThatOfTheAttempt: failed before.

--- a/Source/coordination/attempts/OutgoingCall.cpp
+++ b/Source/coordination/attempts/OutgoingCall.cpp
@@ -1,6 +1,7 @@
 #include "coordination/attempts/OutgoingCall.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace Knapweedquay {
@@ -418,7 +419,10 @@
     if (m_timer == next)
         return;
     m_timer = next;
-    m_actions.push_back(SetTimer { next });
+    // First, since a choice of an endpoint is answered while it is performed, and then sets the next timer.
+    CallActions actions { SetTimer { next } };
+    std::move(m_actions.begin(), m_actions.end(), std::back_inserter(actions));
+    m_actions = std::move(actions);
 }
 
 OutgoingCall::Attempt* OutgoingCall::find(const AttemptId& id)
--- a/Tests/coordination/OutgoingCallTest.cpp
+++ b/Tests/coordination/OutgoingCallTest.cpp
@@ -3,7 +3,9 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <functional>
 #include <memory>
+#include <optional>
 
 using namespace Knapweedquay;
 
@@ -15,9 +17,11 @@
 
     static AttemptId attempt(std::uint64_t sequence) { return { NodeId("origin"), Incarnation(1), sequence }; }
 
+    void makeCall() { m_call = std::make_unique<OutgoingCall>(m_parameters, CallBudgets { m_retries, m_hedges }, [this] { return attempt(++m_sequence); }); }
+
     void begin()
     {
-        m_call = std::make_unique<OutgoingCall>(m_parameters, CallBudgets { m_retries, m_hedges }, [this] { return attempt(++m_sequence); });
+        makeCall();
         handle(CallStarted {});
         handle(EndpointChosen { NodeId("a"), Incarnation(1) });
     }
@@ -73,6 +77,28 @@
     CallActions m_actions;
 };
 
+// The timer of the first attempt was overwritten by that of the event before, so that neither a silent link nor a due hedge was noticed.
+TEST_F(OutgoingCallTest, ChoiceAnsweredWhileItIsPerformed_LastTimerIsThatOfTheAttempt)
+{
+    m_parameters.isIdempotent = true;
+    m_parameters.hedgeDelay = Duration(1000);
+    makeCall();
+    std::optional<TimePoint> timer;
+    const std::function<void(const CallEvent&)> perform = [&](const CallEvent& event) {
+        for (const CallAction& action : m_call->handle(event, m_now)) {
+            if (std::holds_alternative<ChooseEndpoint>(action))
+                perform(EndpointChosen { NodeId("a"), Incarnation(1) });
+            else if (const auto* set = std::get_if<SetTimer>(&action))
+                timer = set->at;
+        }
+    };
+    perform(CallStarted {});
+    ASSERT_TRUE(timer);
+    EXPECT_EQ(m_now + Duration(1000), *timer);
+    perform(AttemptAccepted { attempt(1) });
+    EXPECT_EQ(m_now + Duration(1000), *timer);
+}
+
 TEST_F(OutgoingCallTest, ExpiredCall_Started_IsNotRun)
 {
     m_parameters.deadline = m_now + hopMargin;
