NodeTraffic: Leave descriptors for links and the backend server

Cause: a node accepted 4000 connections whatever the descriptors of its process. Change: `descriptors.maximum` (the platform's MaxFds); of these less 200, three quarters bound the connections of callers. HttpInputTest.IdleConnectionsOfCallers_BeyondAllDescriptors_*: 503 to each call without the bound, 200 with it.

--- a/Source/node/NodeSettings.cpp
+++ b/Source/node/NodeSettings.cpp
@@ -92,6 +92,14 @@
     memory.finish();
 }
 
+void readDescriptors(TomlReader descriptors, NodeSettings& settings)
+{
+    constexpr std::uint64_t minimum = 256;
+    constexpr std::uint64_t maximum = 1024 * 1024;
+    settings.descriptors = descriptors.integer("maximum", settings.descriptors, minimum, maximum);
+    descriptors.finish();
+}
+
 void readBackend(TomlReader backend, NodeSettings& settings)
 {
     constexpr Duration maximumInterval = std::chrono::minutes(10);
@@ -135,6 +143,7 @@
     readTraces(reader.section("trails"), settings);
     readStop(reader.section("stop"), settings);
     readMemory(reader.section("memory"), settings);
+    readDescriptors(reader.section("descriptors"), settings);
     settings.log = readLogSettings(reader);
     settings.log.node = settings.node.value();
 }
--- a/Source/node/NodeSettings.h
+++ b/Source/node/NodeSettings.h
@@ -63,6 +63,8 @@
     ColdBound coldBound;
     /// Memory that the process may use, in bytes.
     std::size_t memoryBytes = std::size_t { 512 } * 1024 * 1024;
+    /// Descriptors that the process may use.
+    std::size_t descriptors = 4096;
     LogSettings log;
     TraceSampler::Settings traces;
     /// Parser of the routing document; set by the program, not in the settings file.
--- a/Source/node/NodeTraffic.cpp
+++ b/Source/node/NodeTraffic.cpp
@@ -1,5 +1,6 @@
 #include "node/NodeTraffic.h"
 
+#include "coordination/admission/DescriptorShares.h"
 #include "coordination/admission/MemoryShares.h"
 #include "transport/StopLog.h"
 
@@ -31,6 +32,7 @@
     HttpServer::Settings server;
     server.address = settings.calls.ip;
     server.port = settings.calls.port;
+    server.maximumConnections = DescriptorShares::of(settings.descriptors).callers;
     server.bodies = bodies.requests;
     server.maximumUnsentBytes = MemoryShares::of(settings.memoryBytes).unsentResponses;
     return server;
--- a/Tests/processes/HttpInputTest.cpp
+++ b/Tests/processes/HttpInputTest.cpp
@@ -1,12 +1,17 @@
 #include "processes/ProcessFixture.h"
 
 #include "Load/Waiting.h"
+#include "processes/EarlyConnection.h"
 #include "transport/HttpParser.h"
 
 #include <asio/read.hpp>
 #include <asio/write.hpp>
 
+#include <sys/resource.h>
+
 #include <algorithm>
+#include <memory>
+#include <vector>
 
 namespace Knapweedquay::Load {
 
@@ -135,4 +140,28 @@
     EXPECT_EQ(executionCount("cut"), 0u);
 }
 
+// Idle connections took all descriptors of a node, so that it could open neither a link nor a connection to its backend server.
+TEST_F(HttpInputTest, IdleConnectionsOfCallers_BeyondAllDescriptors_CallsAreStillAnswered)
+{
+    constexpr rlim_t descriptors = 400;
+    for (NodePlan& plan : plans)
+        plan.furtherSettings = "[descriptors]\nmaximum = " + std::to_string(descriptors) + "\n";
+    start();
+    const rlimit limit { descriptors, descriptors };
+    ASSERT_EQ(0, prlimit(m_deployment->node("a").pid(), RLIMIT_NOFILE, &limit, nullptr));
+    const auto early = std::make_unique<EarlyConnection>(callAddress("a"));
+    std::vector<std::unique_ptr<EarlyConnection>> idle;
+    while (idle.size() < descriptors)
+        idle.push_back(std::make_unique<EarlyConnection>(callAddress("a")));
+    m_caller.runFor(500ms);
+    for (int call = 0; call < 3; ++call) {
+        ASSERT_TRUE(early->send("GET /call/dispatch/stock?id=early&size=10 HTTP/1.1\r\nHost: a\r\n\r\n"));
+        const auto responses = early->receive(1);
+        ASSERT_EQ(1u, responses.size());
+        EXPECT_EQ(200u, responses.front().status) << responses.front().body;
+    }
+    const auto answer = exchangeOnce(m_deployment->addresses("a").admin, plainRequest("GET", "/status"), 2s);
+    EXPECT_EQ(200u, answer.status);
+}
+
 } // namespace Knapweedquay::Load
