--- a/Tests/coordination/OutgoingCallTest.cpp
+++ b/Tests/coordination/OutgoingCallTest.cpp
@@ -17,7 +17,10 @@
 
     static AttemptId attempt(std::uint64_t sequence) { return { NodeId("origin"), Incarnation(1), sequence }; }
 
-    void makeCall() { m_call = std::make_unique<OutgoingCall>(m_parameters, CallBudgets { m_retries, m_hedges }, [this] { return attempt(++m_sequence); }); }
+    void makeCall()
+    {
+        m_call = std::make_unique<OutgoingCall>(m_parameters, CallBudgets { m_retries, m_hedges }, [this] { return attempt(++m_sequence); });
+    }
 
     void begin()
     {
--- a/Tests/platform/MachineSettingsTest.cpp
+++ b/Tests/platform/MachineSettingsTest.cpp
@@ -34,6 +34,9 @@
 Outbound = "10.1.0.35:8141"
 Ready = "10.1.0.35:8140"
 Control = "10.1.0.35:8146"
+[Limits]
+MemoryMb = 260
+MaxFds = 4100
 [FaultTolerance]
 Machines = 2
 )";
@@ -75,6 +78,8 @@
     EXPECT_EQ(8, node.coldBound.slack);
     EXPECT_EQ("X-Cold-Ms", node.headers.cold);
     EXPECT_EQ(CallInterface::RoutesOnly, node.callInterface);
+    EXPECT_EQ(260U * 1024 * 1024, node.memoryBytes);
+    EXPECT_EQ(4100U, node.descriptors);
     EXPECT_EQ((SocketAddress { "10.1.0.35", 8141 }), node.calls);
     EXPECT_EQ((SocketAddress { "10.1.0.35", 7660 }), node.peers);
     EXPECT_EQ((std::vector<std::string> { "10.1.0.39:7660", "10.2.0.31:7660" }), node.controlReplicas);
