EndpointRunner: Keep a large answer until its origin has it

What callers saw: a call that had run was answered 504, or 409 (ran already), if its link was lost under an answer of more than 8 MiB. Cause: the fate table keeps answers of 8 MiB together, and the endpoint's node went on sending over a link that was lost silently, so that the resend found no answer, and later answers no room. Change: a large answer is kept until all of it is acknowledged, 30 s at most. A resend ends the attempt's transfers over other links, and a transfer without progress for 30 s is given up. HttpClient fails a small response of unknown length for small ones only.

--- a/Source/coordination/transfers/TransferSchedule.cpp
+++ b/Source/coordination/transfers/TransferSchedule.cpp
@@ -11,22 +11,24 @@
     m_unsentBytes += bytes;
 }
 
-void TransferSchedule::grant(TransferId id, std::size_t bytes)
+bool TransferSchedule::grant(TransferId id, std::size_t bytes)
 {
     const auto entry = m_transfers.find(id);
     if (entry == m_transfers.end())
-        return;
+        return false;
     Transfer& transfer = entry->second;
     transfer.allowed += bytes;
     if (!transfer.isOpen) {
         transfer.isOpen = true;
-        return;
+        return false;
     }
     const std::size_t acknowledged = std::min(bytes, transfer.unacknowledged);
     transfer.unacknowledged -= acknowledged;
     m_unacknowledgedBytes -= acknowledged;
-    if (transfer.sent == transfer.bytes && transfer.unacknowledged == 0)
-        m_transfers.erase(entry);
+    if (transfer.sent < transfer.bytes || transfer.unacknowledged > 0)
+        return false;
+    m_transfers.erase(entry);
+    return true;
 }
 
 void TransferSchedule::remove(TransferId id)
--- a/Source/coordination/transfers/TransferSchedule.h
+++ b/Source/coordination/transfers/TransferSchedule.h
@@ -42,7 +42,8 @@
     /// Adds a body, of which nothing is sent until the receiver opens its window.
     void add(TransferId, std::size_t bytes);
     /// The receiver has room for so many more bytes. The first such message opens the window, the others acknowledge as many bytes.
-    void grant(TransferId, std::size_t bytes);
+    /// Returns true once the whole body is acknowledged.
+    bool grant(TransferId, std::size_t bytes);
     /// Ends the transfer of a body.
     void remove(TransferId);
     /// Next part to send, if any may be sent now.
--- a/Source/node/EndpointRunner.cpp
+++ b/Source/node/EndpointRunner.cpp
@@ -5,6 +5,7 @@
 #include "transport/Logger.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace Knapweedquay {
@@ -16,6 +17,8 @@
 constexpr Duration confirmationDelay { 20000 };
 /// Interval between removals of expired entries from the fate table.
 constexpr Duration expiryInterval { 1000000 };
+/// Longest time for which a large answer that was not delivered is kept for a resend; it takes room that others may need.
+constexpr Duration maximumResendTime { 30000000 };
 /// Retry-After of attempts that are refused because the endpoint is not available, for example while it is draining.
 constexpr Duration unavailableRetryAfter { 200000 };
 /// Retry-After of attempts that the backend server refused without one of its own: approximately the time in which a fully loaded backend
@@ -296,8 +299,11 @@
 {
     ++m_counters.answered;
     // It is on its way for a while, in which its origin must not take the attempt for lost.
-    if (action.answer->body.isLarge())
+    if (action.answer->body.isLarge()) {
         m_replyHook(action.connection, CallAcceptedMessage { action.attempt, loadReport() });
+        if (action.connection != ConnectionId())
+            m_largeAnswers[action.attempt] = { action.answer, steadyNow() };
+    }
     m_replyHook(action.connection, CallAnswerMessage { action.attempt, loadReport(), *action.answer });
 }
 
@@ -310,6 +316,8 @@
 
 void EndpointRunner::perform(const SendUnknown& action)
 {
+    if (const auto kept = m_largeAnswers.find(action.attempt); kept != m_largeAnswers.end())
+        return perform(SendAnswer { action.connection, action.attempt, AnswerPointer(kept->second.answer) });
     ++m_counters.unknown;
     m_replyHook(action.connection, CallUnknownMessage { action.attempt, loadReport(), action.code });
 }
@@ -610,6 +618,8 @@
 void EndpointRunner::expire()
 {
     m_fates.expire(steadyNow());
+    for (auto entry = m_largeAnswers.begin(); entry != m_largeAnswers.end();)
+        entry = steadyNow() - entry->second.sentAt > maximumResendTime ? m_largeAnswers.erase(entry) : std::next(entry);
     m_quarantine.expire();
     m_expiryTimer.setAfter(expiryInterval);
 }
--- a/Source/node/EndpointRunner.h
+++ b/Source/node/EndpointRunner.h
@@ -107,6 +107,8 @@
     /// Handles an attempt that was sent or resent by an origin node.
     void receive(const CallRequestMessage&, ConnectionId);
     void cancel(const CallCancelMessage&, ConnectionId);
+    /// Handles that all of a large answer has reached the origin of its attempt, or that the origin does not need it.
+    void answerDelivered(const AttemptId& attempt) { m_largeAnswers.erase(attempt); }
     /// Answers a probe with the current load.
     void probe(const ProbeMessage&, ConnectionId);
 
@@ -152,6 +154,12 @@
         TimePoint lostAt;
     };
 
+    /// A large answer that has not reached the origin of its attempt.
+    struct LargeAnswer {
+        AnswerPointer answer;
+        TimePoint sentAt;
+    };
+
     /// Counts a rejected attempt and finishes its trace.
     void recordRejection(Job&, const Refusal&, TimePoint now);
     void perform(const FateActions&);
@@ -239,6 +247,8 @@
     /// first.
     std::deque<std::pair<AttemptId, TimePoint>> m_unconfirmed;
     std::vector<LostAttempt> m_lostAttempts;
+    /// Large answers on their way, for resends. The fate table keeps none of their size for long.
+    std::unordered_map<AttemptId, LargeAnswer> m_largeAnswers;
     BackendMonitor m_monitor;
     std::uint32_t m_maximumConnections = 0;
     std::function<void()> m_loadHook;
--- a/Source/node/NodeTraffic.cpp
+++ b/Source/node/NodeTraffic.cpp
@@ -225,6 +225,7 @@
         if (entry != m_connections.end())
             m_metrics.addPeerBytes(trafficOf(message), entry->second.isSameDataCentre, bytes);
     };
+    hooks.delivered = [this](const AttemptId& attempt) { m_runner.answerDelivered(attempt); };
     return hooks;
 }
 
@@ -286,10 +287,20 @@
     const Duration delay = excessDelay(connection, request.sentAt);
     request.remaining -= delay;
     request.targetRemaining -= delay;
+    if (request.isResend)
+        endTransfersElsewhere(request.attempt, id);
     connection.lastRequestAt = steadyNow();
     m_runner.receive(request, id);
 }
 
+void NodeTraffic::endTransfersElsewhere(const AttemptId& attempt, ConnectionId id)
+{
+    for (const auto& entry : m_connections) {
+        if (entry.first != id)
+            entry.second.channel->forget(attempt);
+    }
+}
+
 void NodeTraffic::sendLoadUpdates()
 {
     m_isLoadUpdateScheduled = false;
--- a/Source/node/NodeTraffic.h
+++ b/Source/node/NodeTraffic.h
@@ -93,6 +93,8 @@
     /// Time that a message spent in transit beyond the usual transit time of the connection.
     static Duration excessDelay(Connection&, std::uint64_t sentAt);
     void receiveCall(Connection&, CallRequestMessage, ConnectionId);
+    /// Ends the transfers of an attempt over other links than the one that its origin uses now.
+    void endTransfersElsewhere(const AttemptId&, ConnectionId);
     void reply(ConnectionId, const PeerMessage&);
     void send(const Connection&, const PeerMessage&);
     /// Sends the current load to nodes that sent calls recently, if it differs significantly from the load last sent.
--- a/Source/node/PeerChannel.cpp
+++ b/Source/node/PeerChannel.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 #include <variant>
+#include <vector>
 
 namespace Knapweedquay {
 
@@ -14,6 +15,9 @@
 constexpr std::size_t maximumUnsentLinkBytes = 1024 * 1024;
 /// Interval between checks whether what waits for room can go on.
 constexpr Duration waitInterval { 5000 };
+/// Longest time without progress of a transfer; the node that opened the link replaces a silent one much earlier.
+constexpr Duration maximumStall { 30000000 };
+constexpr Duration expiryInterval { 1000000 };
 
 } // namespace
 
@@ -22,6 +26,7 @@
     , m_budgets(std::move(budgets))
     , m_hooks(std::move(hooks))
     , m_timer(context, [this] { continueWaiting(); })
+    , m_expiryTimer(context, [this] { expireTransfers(); })
 {
 }
 
@@ -36,6 +41,9 @@
         return false;
     if (m_hooks.sent)
         m_hooks.sent(message, bytes.size());
+    // Such a node acknowledges nothing.
+    if (body && body->isLarge() && m_hooks.delivered)
+        m_hooks.delivered(*attemptOf(message));
     return true;
 }
 
@@ -49,14 +57,16 @@
     const std::string bytes = encode(TransferStartMessage { id, body.size(), encode(head, encoding) });
     if (!m_link->send(bytes))
         return false;
-    m_outgoing.emplace(id, Outgoing { message, bytes.size() });
+    if (m_outgoing.empty())
+        m_expiryTimer.setAfter(expiryInterval);
+    m_outgoing.emplace(id, Outgoing { message, bytes.size(), steadyNow() });
     m_schedule.add(id, body.size());
     return true;
 }
 
 bool PeerChannel::isUnderWay(const AttemptId& attempt) const
 {
-    return std::any_of(m_outgoing.begin(), m_outgoing.end(), [&attempt](const auto& entry) { return *attemptOf(entry.second.message) == attempt; });
+    return std::any_of(m_outgoing.begin(), m_outgoing.end(), [&attempt](const auto& entry) { return !entry.second.isSent && *attemptOf(entry.second.message) == attempt; });
 }
 
 bool PeerChannel::receive(std::string_view bytes)
@@ -151,7 +161,15 @@
 
 void PeerChannel::handle(const TransferCreditMessage& credit)
 {
-    m_schedule.grant(credit.transfer, credit.bytes);
+    const bool isWhole = m_schedule.grant(credit.transfer, credit.bytes);
+    const auto entry = m_outgoing.find(credit.transfer);
+    if (entry != m_outgoing.end() && isWhole) {
+        const AttemptId attempt = *attemptOf(entry->second.message);
+        m_outgoing.erase(entry);
+        if (m_hooks.delivered)
+            m_hooks.delivered(attempt);
+    } else if (entry != m_outgoing.end())
+        entry->second.lastProgress = steadyNow();
     sendParts();
 }
 
@@ -167,10 +185,12 @@
     if (entry != m_outgoing.end()) {
         const Outgoing outgoing = std::move(entry->second);
         m_outgoing.erase(entry);
-        if (refused.code == ResultCode::Ok && m_hooks.sent)
-            m_hooks.sent(outgoing.message, outgoing.sentBytes);
-        else if (refused.code != ResultCode::Ok && m_hooks.returned)
+        if (refused.code != ResultCode::Ok && !outgoing.isSent && m_hooks.returned)
             m_hooks.returned(outgoing.message, refused.code);
+        if (refused.code == ResultCode::Ok && !outgoing.isSent && m_hooks.sent)
+            m_hooks.sent(outgoing.message, outgoing.sentBytes);
+        if (refused.code == ResultCode::Ok && m_hooks.delivered)
+            m_hooks.delivered(*attemptOf(outgoing.message));
     }
     sendParts();
 }
@@ -192,10 +212,11 @@
         entry->second.sentBytes += bytes.size();
         if (!part->isLast)
             continue;
-        const Outgoing outgoing = std::move(entry->second);
-        m_outgoing.erase(entry);
+        entry->second.isSent = true;
+        const PeerMessage message = entry->second.message;
+        const std::size_t sentBytes = entry->second.sentBytes;
         if (m_hooks.sent)
-            m_hooks.sent(outgoing.message, outgoing.sentBytes);
+            m_hooks.sent(message, sentBytes);
     }
 }
 
@@ -212,6 +233,20 @@
     sendParts();
 }
 
+void PeerChannel::expireTransfers()
+{
+    const TimePoint now = steadyNow();
+    std::vector<AttemptId> stalled;
+    for (const auto& entry : m_outgoing) {
+        if (now - entry.second.lastProgress > maximumStall)
+            stalled.push_back(*attemptOf(entry.second.message));
+    }
+    for (const AttemptId& attempt : stalled)
+        forget(attempt);
+    if (!m_outgoing.empty())
+        m_expiryTimer.setAfter(expiryInterval);
+}
+
 void PeerChannel::forget(const AttemptId& attempt)
 {
     const auto isOf = [&attempt](const PeerMessage& message) { return *attemptOf(message) == attempt; };
@@ -231,12 +266,13 @@
 void PeerChannel::close()
 {
     m_timer.cancel();
+    m_expiryTimer.cancel();
     m_incoming.clear();
     m_waiting.clear();
     const std::unordered_map<TransferId, Outgoing> outgoing = std::exchange(m_outgoing, {});
     for (const auto& entry : outgoing) {
         m_schedule.remove(entry.first);
-        if (m_hooks.returned)
+        if (!entry.second.isSent && m_hooks.returned)
             m_hooks.returned(entry.second.message, ResultCode::PeerUnreachable);
     }
 }
--- a/Source/node/PeerChannel.h
+++ b/Source/node/PeerChannel.h
@@ -42,7 +42,7 @@
         None
     };
 
-    /// Handlers of messages; an unset one is not called.
+    /// Handlers of messages; of these only the first must be set.
     struct Hooks {
         /// Runs with each message that has arrived whole, and with those of which only the head is needed.
         std::function<void(const PeerMessage&)> received;
@@ -50,6 +50,8 @@
         std::function<Interest(const PeerMessage& head)> announced;
         /// Runs once the link has all bytes of a message.
         std::function<void(const PeerMessage&, std::size_t bytes)> sent;
+        /// Runs once the other node has acknowledged all of a large body, or said that it needs no more of it.
+        std::function<void(const AttemptId&)> delivered;
         /// Runs with a message that certainly does not arrive, and why: not all of its bytes were sent when the link closed, or the
         /// other node refused it.
         std::function<void(const PeerMessage&, ResultCode)> returned;
@@ -67,7 +69,7 @@
     void close();
     /// Ends the transfers of an attempt whose outcome is known.
     void forget(const AttemptId&);
-    /// Bytes of bodies that were not sent yet.
+    /// Bytes of bodies that were not sent yet. A transfer over a silent link is given up in the end.
     std::size_t unsentBytes() const { return m_schedule.unsentBytes(); }
 
 private:
@@ -76,6 +78,10 @@
         PeerMessage message;
         /// Bytes that were sent of it so far.
         std::size_t sentBytes = 0;
+        /// When the receiver last acknowledged a part, or the transfer began.
+        TimePoint lastProgress;
+        /// True once all parts were passed to the link.
+        bool isSent = false;
     };
 
     /// A message whose body is being received.
@@ -105,6 +111,8 @@
     void sendParts();
     /// Goes on with what waits for room in the budget or on the link.
     void continueWaiting();
+    /// Gives up the transfers that the other node has stopped to take.
+    void expireTransfers();
 
     LinkPtr m_link;
     BodyBudgets m_budgets;
@@ -117,6 +125,7 @@
     /// Transfers that wait for room, in the order of arrival.
     std::deque<TransferId> m_waiting;
     Timer m_timer;
+    Timer m_expiryTimer;
 };
 
 using PeerChannelPointer = std::shared_ptr<PeerChannel>;
--- a/Source/transport/HttpClient.cpp
+++ b/Source/transport/HttpClient.cpp
@@ -122,8 +122,9 @@
     const Counters& counters() const { return m_counters; }
 
 private:
-    /// Fails the request with the largest response body of unknown length. Returns false if there is none.
-    bool failLargestBody();
+    /// Fails the request with the largest response body of unknown length, among large bodies or small ones. Returns false if
+    /// there is none.
+    bool failLargestBody(bool isLarge);
     /// Reads on where there is room now for a body that waits for it.
     void continueWaitingBodies();
     /// Sends the request on an idle connection, or opens a new one.
@@ -431,7 +432,7 @@
         m_client->m_roomTimer.setAfter(roomInterval);
         return false;
     }
-    while (!m_isClosed && m_client->failLargestBody()) {
+    while (!m_isClosed && m_client->failLargestBody(expected > largeBodyBytes)) {
         if (!m_isClosed && m_bodyReservation->tryResize(expected))
             return true;
     }
@@ -494,15 +495,16 @@
     return id;
 }
 
-bool HttpClient::Implementation::failLargestBody()
+bool HttpClient::Implementation::failLargestBody(bool isLarge)
 {
     ConnectionPtr largest;
     std::size_t bytes = 0;
     for (const auto& [id, exchange] : m_exchanges) {
-        if (!exchange.connection || exchange.connection->unboundedBytes() <= bytes)
+        const std::size_t unbounded = exchange.connection ? exchange.connection->unboundedBytes() : 0;
+        if (unbounded <= bytes || (unbounded > largeBodyBytes) != isLarge)
             continue;
         largest = exchange.connection;
-        bytes = largest->unboundedBytes();
+        bytes = unbounded;
     }
     if (!largest)
         return false;
--- a/Tests/processes/LargeBodyTest.cpp
+++ b/Tests/processes/LargeBodyTest.cpp
@@ -35,12 +35,12 @@
     }
 
     /// Uploads a body through node "a" and returns the status of the answer; 0 if the answer isn't the one to it.
-    unsigned upload(std::size_t bytes, std::size_t answerBytes = 10)
+    unsigned upload(std::size_t bytes, std::size_t answerBytes = 10, std::chrono::milliseconds deadline = 2500ms)
     {
         const std::string target = "/call/dispatch/uploads?id=upload&size=" + std::to_string(answerBytes);
         HttpMessage message = plainRequest("POST", target, std::string(bytes, 'x'));
-        message.headers["knapweedquay-deadline-ms"] = "2500";
-        const HttpMessage answer = exchangeOnce(callAddress("a"), message, 4s);
+        message.headers["knapweedquay-deadline-ms"] = std::to_string(deadline.count());
+        const HttpMessage answer = exchangeOnce(callAddress("a"), message, deadline + 1500ms);
         return answer.status != 200 || answer.body == echoAnswer("upload", message.body, answerBytes) ? answer.status : 0;
     }
 
@@ -153,4 +153,19 @@
     EXPECT_EQ(413u, upload(70000));
 }
 
+// A call that had run was answered 504 where its link closed under an answer larger than those that are kept for resends.
+TEST_F(LargeBodyTest, LinkLost_UnderALargeAnswer_ItStillReachesItsCaller)
+{
+    plans = { plans[0], plans[1] };
+    plans[1].arePeersForwarded = true;
+    start();
+    allowLargeBodies();
+    for (const std::chrono::milliseconds delay : { 30ms, 50ms, 70ms, 90ms, 110ms }) {
+        std::thread call([this] { EXPECT_EQ(200u, upload(1000, 60 * megabyte, 8s)); });
+        std::this_thread::sleep_for(delay);
+        Deployment::command(m_deployment->peerLink("b"), "/silence");
+        call.join();
+    }
+}
+
 } // namespace Knapweedquay::Load
