--- a/Utilities/Scripts/measure-bodies.sh
+++ b/Utilities/Scripts/measure-bodies.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Measures 200 bookings a second beside large bodies that pass the same two nodes, each of which may use 260 MB. Starts one control
 # replica, two nodes and one test backend server. Usage: measure-bodies.sh COUNT MEGABYTES upload|answer [seconds] [build folder];
-# COUNT bodies at once, 0 for none.
+# COUNT bodies at once, 0 for none. Needs curl.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 count=${1:?bodies at once}
