ReplicatedLog: Replace a voter before its process ends as planned

Operators saw: after a planned replacement of a control replica (its successor had run for 4.5 s) and the loss of two disks 2 s later, the acknowledged configuration was never read again, and none was accepted. Three planned replacements in a row did the same without any loss.

Cause: the store learned of a planned stop by silence alone, after 5 s. Until then five voters were counted, of which one had ended for good, and the successor, which held everything, waited as a learner. With two more losses two voters of five are left, and only a leader can change the voters.

Change: a replica that is stopped asks the leader for its place to be taken and ends once the committed members lack it. The leader promotes a learner that has caught up and then removes the leaver, itself last. Where no learner waits the replica keeps its place, as before.

Ruled out: a promotion alone, since an ended voter among six makes the majority four.

Why it works: at each moment the running voters outnumber a majority by the tolerated losses.

--- a/Source/control/ControlDaemon.cpp
+++ b/Source/control/ControlDaemon.cpp
@@ -53,7 +53,7 @@
     , m_replicaLinks(m_context, maximumReplicaMessageBytes + 1, [this](std::string_view bytes) { receiveFromReplica(bytes); })
     , m_linkServer(m_context, maximumReplicaMessageBytes + 1, [this](const LinkPtr& link) { accept(link); })
     , m_httpServer(m_context, httpSettings(settings), [this](const HttpExchangePtr& exchange) { handleHttp(exchange); })
-    , m_stop(m_context, m_httpServer, settings.maximumStopTime, { [this] { return m_forwardedChanges; }, [this] { m_context.stop(); } })
+    , m_stop(m_context, m_httpServer, settings.maximumStopTime, { [this] { return m_forwardedChanges; }, [this] { m_service->leave(steadyNow()); }, [this] { return m_service->isLeavePending(steadyNow()); }, [this] { m_context.stop(); } })
     , m_signals(m_context, SIGINT, SIGTERM, SIGHUP)
     , m_tickTimer(m_context, [this] { tick(); })
 {
--- a/Source/control/ControlStop.cpp
+++ b/Source/control/ControlStop.cpp
@@ -39,6 +39,7 @@
         return;
     log(LogEvent::Stopping);
     m_stop.order(steadyNow());
+    m_hooks.leave();
     check();
 }
 
@@ -82,8 +83,8 @@
     PendingWork work = pendingWorkOf(load);
     work.calls = load.unansweredRequests;
     work.attempts = m_hooks.forwardedChanges();
-    // Nodes and replicas detect by their links that this one has ended.
-    work.isLeaveSpread = true;
+    // Nodes detect by their links that this replica has ended.
+    work.isLeaveSpread = !m_hooks.isLeavePending();
     return work;
 }
 
@@ -96,7 +97,7 @@
 std::vector<LogField> ControlStop::logDetails() const
 {
     const PendingWork work = pendingWork();
-    return { { "requests", std::to_string(work.calls) }, { "forwarded_changes", std::to_string(work.attempts) }, { "changes_refused", std::to_string(m_refusedChanges) } };
+    return { { "requests", std::to_string(work.calls) }, { "forwarded_changes", std::to_string(work.attempts) }, { "changes_refused", std::to_string(m_refusedChanges) }, { "leave_pending", m_hooks.isLeavePending() ? "1" : "0" } };
 }
 
 } // namespace Knapweedquay
--- a/Source/control/ControlStop.h
+++ b/Source/control/ControlStop.h
@@ -16,12 +16,17 @@
 /// Performs the steps of a control replica's graceful stop.
 ///
 /// Operators send changes over connections that they opened before the order. From the order on a change is refused before
-/// anything is proposed; those in flight are answered, and their answers handed over, before the process ends.
+/// anything is proposed; those in flight are answered, and their answers handed over, before the process ends. So does the change of voters, if another replica waits to take
+/// the place of this one: what ended without it would count as a lost voter until its silence is noticed.
 class ControlStop {
 public:
     struct Hooks {
         /// Number of changes of other replicas that wait for this one.
         std::function<std::size_t()> forwardedChanges;
+        /// Called once, with the order to stop: asks for another replica to take the place of this one.
+        std::function<void()> leave;
+        /// True while another replica is taking the place of this one.
+        std::function<bool()> isLeavePending;
         /// Called once, when the process may end.
         std::function<void()> ended;
     };
--- a/Source/protocol/ReplicaMessages.cpp
+++ b/Source/protocol/ReplicaMessages.cpp
@@ -18,6 +18,8 @@
     SnapshotResponse = 6,
     JoinRequest = 7,
     JoinResponse = 8,
+    LeaveRequest = 9,
+    LeaveResponse = 10,
 };
 
 // An array of fields that starts with the message type.
@@ -117,6 +119,18 @@
     return fields;
 }
 
+Json encodeBody(const LeaveRequest&)
+{
+    return beginMessage(MessageType::LeaveRequest);
+}
+
+Json encodeBody(const LeaveResponse& response)
+{
+    Json fields = beginMessage(MessageType::LeaveResponse);
+    fields.push_back(static_cast<std::uint64_t>(response.progress));
+    return fields;
+}
+
 LogEntry decodeEntry(const Json& fields, FieldReader& parent)
 {
     FieldReader reader(fields);
@@ -235,6 +249,14 @@
     return response;
 }
 
+LeaveResponse decodeLeaveResponse(FieldReader& reader)
+{
+    const std::uint64_t progress = reader.unsignedInteger();
+    if (progress > static_cast<std::uint64_t>(LeaveProgress::Removed))
+        reader.fail("unknown progress of a leave");
+    return { static_cast<LeaveProgress>(progress) };
+}
+
 ReplicaMessageBody decodeBody(FieldReader& reader)
 {
     switch (static_cast<MessageType>(reader.unsignedInteger())) {
@@ -254,6 +276,10 @@
         return JoinRequest {};
     case MessageType::JoinResponse:
         return decodeJoinResponse(reader);
+    case MessageType::LeaveRequest:
+        return LeaveRequest {};
+    case MessageType::LeaveResponse:
+        return decodeLeaveResponse(reader);
     }
     reader.fail("unknown kind of message");
     return VoteRequest {};
--- a/Source/protocol/ReplicaMessages.h
+++ b/Source/protocol/ReplicaMessages.h
@@ -113,7 +113,26 @@
     ClusterId cluster;
 };
 
-using ReplicaMessageBody = std::variant<VoteRequest, VoteResponse, AppendRequest, AppendResponse, SnapshotChunk, SnapshotResponse, JoinRequest, JoinResponse>;
+/// A replica that is being stopped asks the leader for a learner to take its place. Repeated until the reply says that it may end.
+struct LeaveRequest { };
+
+/// What becomes of the place of a replica that asked to leave. The numbers are part of the messages.
+enum class LeaveProgress : std::uint8_t {
+    /// No learner can take its place, or it has no vote; it stays a member and may end.
+    Unneeded = 0,
+    /// A learner is taking its place; until it has, the end of the replica would cost the store a voter.
+    Pending = 1,
+    /// It is no longer a member, by a committed list.
+    Removed = 2,
+};
+
+/// Reply to a LeaveRequest.
+struct LeaveResponse {
+    LeaveProgress progress = LeaveProgress::Unneeded;
+};
+
+using ReplicaMessageBody
+    = std::variant<VoteRequest, VoteResponse, AppendRequest, AppendResponse, SnapshotChunk, SnapshotResponse, JoinRequest, JoinResponse, LeaveRequest, LeaveResponse>;
 
 /// A message between two replicas. The receiver drops a message that is addressed to another id or store.
 struct ReplicaMessage {
--- a/Source/state/ControlService.cpp
+++ b/Source/state/ControlService.cpp
@@ -13,6 +13,10 @@
 // Name of the marker file that is written when the store has removed this replica. The other files in the folder are
 // then obsolete.
 constexpr const char* removalMarker = "removed";
+// Interval between two requests to leave.
+constexpr Duration leaveInterval { 50000 };
+// Time without a leader's word after which a replica ends without having been replaced; longer than an election.
+constexpr Duration leaveTimeout { 2000000 };
 
 std::uint64_t idFromText(const std::string& text)
 {
@@ -146,6 +150,51 @@
         requestAdmission(now);
     if (m_log)
         m_log->tick(now);
+    if (m_leave && now >= m_leave->nextRequest)
+        requestLeave(now);
+}
+
+void ControlService::leave(TimePoint now)
+{
+    const bool isMember = m_log && findMember(m_log->members(), m_log->self());
+    if (isMember && !m_failure && !m_leave)
+        m_leave = Leave { now, now };
+}
+
+bool ControlService::isLeavePending(TimePoint now) const
+{
+    return m_leave && now < m_leave->confirmedAt + leaveTimeout;
+}
+
+void ControlService::requestLeave(TimePoint now)
+{
+    m_leave->nextRequest = now + leaveInterval;
+    // A leader that has removed itself hears of no other member's answer.
+    const bool isRemoved = !findMember(m_log->members(), m_log->self()) && m_log->log().membersIndex() <= m_log->commitIndex();
+    if (isRemoved)
+        handleLeaveProgress(LeaveProgress::Removed, now);
+    else if (m_log->isLeader())
+        handleLeaveProgress(m_log->requestLeave(m_log->self(), now), now);
+    else if (const Member* leader = findMember(m_log->members(), m_log->leader()))
+        sendTo(leader->address, { m_log->cluster(), m_log->self(), leader->id, LeaveRequest {}, {} });
+}
+
+void ControlService::handleLeaveProgress(LeaveProgress progress, TimePoint now)
+{
+    if (!m_leave)
+        return;
+    m_leave->confirmedAt = now;
+    if (progress == LeaveProgress::Pending)
+        return;
+    m_leave.reset();
+    if (progress == LeaveProgress::Unneeded)
+        return;
+    const Result<void> marked = markRemoved();
+    if (marked.has_error())
+        return stop(marked.error());
+    // The owner ends the process when the requests in progress are answered.
+    m_failure = Error { ResultCode::UnknownReplica, "the place of this replica was taken by another" };
+    failProposals(*m_failure);
 }
 
 void ControlService::receive(const ReplicaMessage& message, TimePoint now)
@@ -165,9 +214,12 @@
     }
     if (!m_log || message.cluster != m_log->cluster())
         return;
+    if (const auto* response = std::get_if<LeaveResponse>(&message.body))
+        return message.to == m_log->self() ? handleLeaveProgress(response->progress, now) : void();
     if (m_senderAddresses.size() < maximumSenderAddresses || m_senderAddresses.count(message.from) > 0)
         m_senderAddresses[message.from] = message.fromAddress;
-    if (m_log->isKnownNonMember(message.from, now)) {
+    const bool isLeaveRequest = std::holds_alternative<LeaveRequest>(message.body);
+    if (!isLeaveRequest && m_log->isKnownNonMember(message.from, now)) {
         sendTo(message.fromAddress, { m_log->cluster(), m_log->self(), message.from, JoinResponse { ResultCode::UnknownReplica, m_log->cluster() }, {} });
         return;
     }
@@ -360,15 +412,18 @@
 
 // Another replica has replaced this one, whose identity must not vote again. The marker file makes the next start clear
 // the folder.
+Result<void> ControlService::markRemoved()
+{
+    BOOST_OUTCOME_TRY(marker, m_fileSystem.create(m_settings.folder + "/" + removalMarker));
+    BOOST_OUTCOME_TRYV(marker->sync());
+    return m_fileSystem.syncFolder(m_settings.folder);
+}
+
 void ControlService::handleRemoval()
 {
-    auto marker = m_fileSystem.create(m_settings.folder + "/" + removalMarker);
-    if (marker.has_error())
-        return stop(marker.error());
-    const Result<void> synced = marker.value()->sync();
-    const Result<void> folderSynced = m_fileSystem.syncFolder(m_settings.folder);
-    if (synced.has_error() || folderSynced.has_error())
-        return stop(synced.has_error() ? synced.error() : folderSynced.error());
+    const Result<void> marked = markRemoved();
+    if (marked.has_error())
+        return stop(marked.error());
     stop({ ResultCode::UnknownReplica, "the store has removed this replica; it joins again with an empty folder" });
 }
 
--- a/Source/state/ControlService.h
+++ b/Source/state/ControlService.h
@@ -113,6 +113,12 @@
     /// Proposes the removal of a member. Errors as for ReplicatedLog::removeMember().
     Result<void> removeMember(ReplicaId, TimePoint);
 
+    /// Handles that this replica is being stopped: asks the leader, with each tick, for a learner to take its place.
+    void leave(TimePoint);
+    /// True while another replica is taking the place of this one, so that its end would cost the store a voter. False once
+    /// there is nothing to wait for: it was replaced, no replica can take its place, or no leader has answered for a while.
+    bool isLeavePending(TimePoint) const;
+
     /// Replaces the addresses of the replicas that are asked for admission.
     void setPeers(const std::vector<std::string>& peers) { m_settings.peers = peers; }
 
@@ -150,7 +156,10 @@
     void requestAdmission(TimePoint);
     void handleJoinRequest(const ReplicaMessage&, TimePoint);
     void reportNonMember(const ReplicaMessage&);
+    Result<void> markRemoved();
     void handleRemoval();
+    void requestLeave(TimePoint);
+    void handleLeaveProgress(LeaveProgress, TimePoint);
     void handleJoinResponse(const JoinResponse&, const std::string& from, TimePoint);
     void sendTo(const std::string& address, ReplicaMessage);
 
@@ -193,6 +202,14 @@
     std::deque<std::variant<WriteLog, StoreSnapshot>> m_writes;
     /// Detects that the service was destroyed before a storage job finished; the result is then ignored.
     std::shared_ptr<char> m_lifetime = std::make_shared<char>();
+    /// A stop that was ordered, while it waits for the leader's word.
+    struct Leave {
+        TimePoint nextRequest;
+        /// When the leader last said that the place is being taken, or when the stop was ordered.
+        TimePoint confirmedAt;
+    };
+    /// Empty before the order to stop, and once this replica may end.
+    std::optional<Leave> m_leave;
     /// Time of the next admission request.
     TimePoint m_nextJoin;
     /// Peers that have reported since the start that they have no store either.
--- a/Source/state/ReplicatedLog.h
+++ b/Source/state/ReplicatedLog.h
@@ -99,6 +99,10 @@
     Result<void> addLearner(ReplicaId, const std::string& address, ReplicaId replaces, TimePoint);
     /// Removes a member. Errors: NotLeader, MembershipChangeRefused, UnknownReplica.
     Result<void> removeMember(ReplicaId, TimePoint);
+    /// Handles that a member is being stopped. A voter's place goes to a learner that has caught up, if there is one: the learner
+    /// is promoted before the voter is removed, so that the store tolerates as many losses at each moment. Only valid on the
+    /// leader, which may itself be the member. Must be repeated, since a member that is heard without it has started again.
+    LeaveProgress requestLeave(ReplicaId, TimePoint);
     /// Must be called when the storage has synced all writes up to the given one.
     void synced(WriteSequence, TimePoint);
     /// Starts storing a snapshot and trims the log. The state must include all entries returned by takeActions() so
@@ -181,6 +185,9 @@
     // Joining is handled by the owner of the log, which has the addresses.
     void handle(ReplicaId, const JoinRequest&) { }
     void handle(ReplicaId, const JoinResponse&) { }
+    void handle(ReplicaId, const LeaveRequest&);
+    // The owner of the log handles the replies, since it decides when the process ends.
+    void handle(ReplicaId, const LeaveResponse&) { }
     bool acceptLeader(ReplicaId, Term);
     bool isLogUpToDate(const VoteRequest&) const;
     void appendFromLeader(const AppendRequest&);
@@ -200,7 +207,10 @@
     void updateCommit();
     void advanceLearners();
     void advanceLearner(const Member&);
+    void removeVoter(const Member&);
     const Member* findLostVoter() const;
+    const Member* findLeavingVoter() const;
+    bool isLeaving(ReplicaId) const;
     Result<void> proposeMembers(const MemberList&);
     bool isCaughtUp(ReplicaId) const;
     bool isReachable(ReplicaId, TimePoint) const;
@@ -237,6 +247,8 @@
     std::map<ReplicaId, Peer> m_peers;
     QuorumRounds m_rounds;
     TimePoint m_leadingSince;
+    /// When each member that is being stopped has last asked to leave; kept by the leader.
+    std::map<ReplicaId, TimePoint> m_leaving;
     TimePoint m_nextHeartbeat;
     /// Index of the barrier entry that this leader appended at the start of its term.
     LogIndex m_barrierIndex;
--- a/Source/state/ReplicatedLogElection.cpp
+++ b/Source/state/ReplicatedLogElection.cpp
@@ -17,6 +17,7 @@
     m_leader = leader;
     m_votes.clear();
     m_peers.clear();
+    m_leaving.clear();
     resetElectionDeadline();
     if (wasLeader)
         m_actions.push_back(LeadershipChanged { false, m_hardState.term });
--- a/Source/state/ReplicatedLogMembership.cpp
+++ b/Source/state/ReplicatedLogMembership.cpp
@@ -83,8 +83,13 @@
 {
     if (m_commitIndex < m_barrierIndex || m_log.membersIndex() > m_commitIndex)
         return;
+    if (m_settings.targetVoters > 0 && voterCount(members()) > m_settings.targetVoters) {
+        const Member* lost = findLostVoter();
+        if (const Member* replaced = lost ? lost : findLeavingVoter())
+            return removeVoter(*replaced);
+    }
     for (const Member& member : members()) {
-        if (member.voter || !isCaughtUp(member.id))
+        if (member.voter || !isCaughtUp(member.id) || isLeaving(member.id))
             continue;
         advanceLearner(Member(member));
         return;
@@ -94,14 +99,15 @@
 void ReplicatedLog::advanceLearner(const Member& learner)
 {
     // Removes the lost voter before the promotion, because it counts towards the majority without responding.
-    if (findMember(members(), learner.replaces)) {
-        static_cast<void>(removeMember(learner.replaces, m_now));
-        return;
-    }
+    if (const Member* replaced = findMember(members(), learner.replaces))
+        return removeVoter(*replaced);
     if (m_settings.targetVoters > 0 && voterCount(members()) >= m_settings.targetVoters) {
         if (const Member* lost = findLostVoter())
-            static_cast<void>(removeMember(ReplicaId(lost->id), m_now));
-        return;
+            return removeVoter(*lost);
+        // A voter that leaves still responds, so the learner is promoted first.
+        const bool hasSurplus = voterCount(members()) > m_settings.targetVoters;
+        if (hasSurplus || !findLeavingVoter())
+            return;
     }
     MemberList changed = members();
     for (Member& member : changed)
@@ -110,13 +116,60 @@
     static_cast<void>(proposeMembers(changed));
 }
 
+// A refused removal is tried again with the next round.
+void ReplicatedLog::removeVoter(const Member& voter)
+{
+    static_cast<void>(removeMember(ReplicaId(voter.id), m_now));
+}
+
+LeaveProgress ReplicatedLog::requestLeave(ReplicaId id, TimePoint now)
+{
+    advanceTime(now);
+    if (!findMember(members(), id))
+        return m_log.membersIndex() <= m_commitIndex ? LeaveProgress::Removed : LeaveProgress::Pending;
+    m_leaving[id] = m_now;
+    if (!isVoter(members(), id) || m_settings.targetVoters == 0)
+        return LeaveProgress::Unneeded;
+    // A learner that has been silent for a while may have a slow disk, and a new leader has not heard from any.
+    const bool hasLearner = std::any_of(members().begin(), members().end(), [this](const Member& member) {
+        const TimePoint heardAt = std::max(m_rounds.acknowledgedSentAt(member.id), m_leadingSince);
+        return !member.voter && heardAt + m_settings.replaceAfter >= m_now && !isLeaving(member.id);
+    });
+    const bool isRemovalNext = voterCount(members()) > m_settings.targetVoters;
+    return hasLearner || isRemovalNext ? LeaveProgress::Pending : LeaveProgress::Unneeded;
+}
+
+void ReplicatedLog::handle(ReplicaId from, const LeaveRequest&)
+{
+    if (isLeader())
+        send(from, LeaveResponse { requestLeave(from, m_now) });
+}
+
+bool ReplicatedLog::isLeaving(ReplicaId id) const
+{
+    const auto request = m_leaving.find(id);
+    return request != m_leaving.end() && m_rounds.acknowledgedSentAt(id) <= request->second + m_settings.electionTimeout;
+}
+
+const Member* ReplicatedLog::findLeavingVoter() const
+{
+    const Member* leaving = nullptr;
+    for (const Member& member : members()) {
+        // The leader itself goes last, as the others' places are its to give.
+        if (member.voter && isLeaving(member.id) && (!leaving || leaving->id == self()))
+            leaving = &member;
+    }
+    return leaving;
+}
+
 const Member* ReplicatedLog::findLostVoter() const
 {
     for (const Member& member : members()) {
         if (!member.voter || member.id == self())
             continue;
         const TimePoint heardAt = std::max(m_rounds.acknowledgedSentAt(member.id), m_leadingSince);
-        if (heardAt + m_settings.replaceAfter < m_now)
+        const Duration patience = isLeaving(member.id) ? m_settings.electionTimeout : m_settings.replaceAfter;
+        if (heardAt + patience < m_now)
             return &member;
     }
     return nullptr;
--- a/Tests/protocol/ReplicaMessagesTest.cpp
+++ b/Tests/protocol/ReplicaMessagesTest.cpp
@@ -13,7 +13,7 @@
 {
     const std::vector<LogEntry> entries { { LogIndex(8), Term(2), LogEntryKind::Command, "edit" }, { LogIndex(9), Term(3), LogEntryKind::Barrier, "" } };
     const MemberList members { { ReplicaId(random()), "127.0.0.1:9", true, noReplica() }, { ReplicaId(2), "127.0.0.1:8", false, ReplicaId(1) } };
-    switch (random() % 8) {
+    switch (random() % 10) {
     case 0:
         return VoteRequest { Term(random()), true, LogIndex(random()), Term(3) };
     case 1:
@@ -28,6 +28,10 @@
         return SnapshotResponse { Term(random()), LogIndex(9), QuorumRound(5), 9, random() };
     case 6:
         return JoinRequest {};
+    case 7:
+        return LeaveRequest {};
+    case 8:
+        return LeaveResponse { static_cast<LeaveProgress>(random() % 3) };
     default:
         return JoinResponse { ResultCode::NotLeader, ClusterId(random()) };
     }
--- a/Tests/state/StoreSimulation.h
+++ b/Tests/state/StoreSimulation.h
@@ -67,6 +67,7 @@
     /// Sends a claim of a random idempotency key. Granting a key to more than one attempt is a violation.
     void sendClaim(std::size_t replica);
 
+    std::size_t size() const { return m_replicas.size(); }
     ControlService* service(std::size_t replica) { return m_replicas[replica].service.get(); }
     FakeFileSystem& disk(std::size_t replica) { return m_replicas[replica].disk; }
     /// Index of a running, connected replica that can accept edits; unset when there is none.
--- a/Tests/state/StoreSimulationTest.cpp
+++ b/Tests/state/StoreSimulationTest.cpp
@@ -371,4 +371,131 @@
     }
 }
 
+/// Replicas that a platform stops for good while their successors wait as learners.
+class StoreReplacementTest : public StoreFormingTest {
+protected:
+    static constexpr std::size_t voters = 5;
+
+    static bool isVoting(StoreSimulation& store, std::size_t replica)
+    {
+        const ControlService* service = store.service(replica);
+        return service && service->log() && isVoter(service->log()->members(), service->log()->self());
+    }
+
+    /// A voter, which is the leader or is not.
+    static std::size_t voter(StoreSimulation& store, bool isLeader)
+    {
+        std::vector<std::size_t> found;
+        for (std::size_t replica = 0; replica < store.size(); ++replica)
+            if (isVoting(store, replica) && (replica == store.leader()) == isLeader)
+                found.push_back(replica);
+        return found[store.random()() % found.size()];
+    }
+
+    /// Stops these replicas at the same moment, and ends each process once it may end.
+    static void stop(StoreSimulation& store, const std::vector<std::size_t>& replicas)
+    {
+        for (const std::size_t replica : replicas)
+            store.service(replica)->leave(store.now());
+        const auto mayEnd = [&] { return std::none_of(replicas.begin(), replicas.end(), [&](std::size_t replica) { return store.service(replica)->isLeavePending(store.now()); }); };
+        // The platform kills a process that has not ended by then.
+        constexpr Duration grace { 5600000 };
+        EXPECT_TRUE(store.runUntil(mayEnd, grace));
+        for (const std::size_t replica : replicas)
+            store.endProcess(replica);
+    }
+
+    /// Loses the disks of two voters at once, one of them the leader's if there is one; their processes start again after a second.
+    static void loseTwoDisks(StoreSimulation& store)
+    {
+        std::vector<std::size_t> lost;
+        if (const auto leader = store.leader())
+            lost.push_back(*leader);
+        for (std::size_t replica = 0; lost.size() < 2 && replica < store.size(); ++replica)
+            if (isVoting(store, replica) && std::find(lost.begin(), lost.end(), replica) == lost.end())
+                lost.push_back(replica);
+        for (const std::size_t replica : lost)
+            store.loseDisk(replica);
+        store.run(1s);
+        for (const std::size_t replica : lost)
+            store.restart(replica);
+    }
+};
+
+// The acknowledged configuration could not be read any more, and none was accepted, after a planned replacement and the loss of two disks.
+TEST_F(StoreReplacementTest, VoterStoppedAsPlanned_ThenTwoDisksLost_EditsAreAccepted)
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        StoreSimulation store = StoreSimulation::withFounders(3, voters + 1, voters, seed);
+        ASSERT_TRUE(waitUntilFormed(store)) << seed;
+        stop(store, { voter(store, seed % 4 < 2) });
+        loseTwoDisks(store);
+        ASSERT_TRUE(acceptEdit(store)) << seed;
+        EXPECT_TRUE(store.violations().empty()) << join(store.violations());
+    }
+}
+
+// Without any loss, three planned replacements within four seconds left no majority of voters.
+TEST_F(StoreReplacementTest, ThreeVotersStoppedOneAfterAnother_EditsAreAccepted)
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        StoreSimulation store = StoreSimulation::withFounders(3, voters + 3, voters, seed);
+        ASSERT_TRUE(waitUntilFormed(store)) << seed;
+        for (int stopped = 0; stopped < 3; ++stopped) {
+            ASSERT_TRUE(store.runUntil([&] { return store.leader().has_value(); }, 5s)) << seed;
+            stop(store, { voter(store, seed % 3 == 0) });
+            store.run(1300ms);
+        }
+        ASSERT_TRUE(acceptEdit(store)) << seed;
+        EXPECT_TRUE(store.violations().empty()) << join(store.violations());
+    }
+}
+
+TEST_F(StoreReplacementTest, TwoVotersStoppedAtOnce_ThenTwoDisksLost_EditsAreAccepted)
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        StoreSimulation store = StoreSimulation::withFounders(3, voters + 2, voters, seed);
+        ASSERT_TRUE(waitUntilFormed(store)) << seed;
+        const std::size_t first = voter(store, true);
+        stop(store, { first, voter(store, false) });
+        loseTwoDisks(store);
+        ASSERT_TRUE(acceptEdit(store)) << seed;
+        EXPECT_TRUE(store.violations().empty()) << join(store.violations());
+    }
+}
+
+TEST_F(StoreReplacementTest, VoterStoppedWithoutLearner_StartsAgain_KeepsItsPlace)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        StoreSimulation store = StoreSimulation::withFounders(3, voters, voters, seed);
+        ASSERT_TRUE(waitUntilFormed(store)) << seed;
+        const std::size_t stopped = voter(store, seed % 2 == 0);
+        const ReplicaId id = store.service(stopped)->log()->self();
+        store.service(stopped)->leave(store.now());
+        EXPECT_TRUE(store.runUntil([&] { return !store.service(stopped)->isLeavePending(store.now()); }, 1s)) << seed;
+        store.endProcess(stopped);
+        store.run(1s);
+        store.restart(stopped);
+        ASSERT_TRUE(store.runUntil([&] { return store.haveAllConverged(); }, 10s)) << seed;
+        EXPECT_EQ(id, store.service(stopped)->log()->self()) << seed;
+    }
+}
+
+// SIGKILL may follow at once; the leader knows that the voter was about to leave.
+TEST_F(StoreReplacementTest, VoterKilledWhileItLeaves_IsReplacedSoon)
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        StoreSimulation store = StoreSimulation::withFounders(3, voters + 1, voters, seed);
+        ASSERT_TRUE(waitUntilFormed(store)) << seed;
+        const std::size_t killed = voter(store, false);
+        std::size_t learner = 0;
+        while (isVoting(store, learner))
+            ++learner;
+        store.service(killed)->leave(store.now());
+        store.run(15ms);
+        store.endProcess(killed);
+        EXPECT_TRUE(store.runUntil([&] { return store.survivesAnotherLoss() && isVoting(store, learner); }, 3s)) << seed;
+    }
+}
+
 } // namespace
