NodeControl: Acknowledge a departure once the control store has it

Callers saw: an endpoint had deregistered, and its node had acknowledged that. The node's process ended and started again, took a heartbeat from before the deregistration for a ready endpoint, and for 7.5 s bookings went there: 198 of 817 later than the rule allows.

Cause: what a run said was kept in the memory of the process that acknowledged it. Nothing in a heartbeat tells when it was sent.

Change: a node acknowledges that a run drains or leaves once the control store has recorded it, as a claim. A run that the process doesn't know is used once the store denies a departure, or once it announces itself again with a higher number.

Why it works: the acknowledgement is now a statement of the store, which the next process asks, through the log, before it uses the run. Until it has an answer it behaves as if the run had left.

--- a/Source/control/ControlDaemon.cpp
+++ b/Source/control/ControlDaemon.cpp
@@ -270,6 +270,8 @@
         m_subscriptions->acceptUpdates(id);
     else if (const auto* claim = std::get_if<ClaimRequestMessage>(&message))
         handleClaim(id, *claim);
+    else if (const auto* query = std::get_if<ClaimQueryMessage>(&message))
+        handleClaimQuery(id, *query);
     else if (const auto* end = std::get_if<ClaimEndMessage>(&message))
         handleClaimEnd(*end);
     else if (const auto* change = std::get_if<RoutingChangeMessage>(&message))
@@ -303,14 +305,8 @@
 
 void ControlDaemon::handleClaim(NodeSubscriptions::SubscriberId id, const ClaimRequestMessage& message)
 {
-    if (!m_service->isLeading()) {
-        if (m_forwardedClaims.size() >= maximumForwardedClaims) {
-            m_subscriptions->send(id, ClaimAnswerMessage { message.owner, ResultCode::ClaimUnavailable });
-            return;
-        }
-        m_forwardedClaims[message.owner] = { id, steadyNow() + forwardedClaimTimeout };
-        return forwardToLeader(message);
-    }
+    if (!m_service->isLeading())
+        return forwardClaim(id, message.owner, message);
     ClaimRequest request;
     request.key = { message.service, message.key };
     request.fingerprint = message.fingerprint;
@@ -318,15 +314,34 @@
     request.node = message.owner.node;
     request.time = wallNow();
     request.expiry = WallTime(request.time.value() + claimRetentionMicroseconds);
-    m_service->claim(
-        request, [this, id, owner = message.owner](Result<ClaimResult> result) {
-            const ResultCode code = result.has_error() ? ResultCode::ClaimUnavailable : result.value().code;
-            m_subscriptions->send(id, ClaimAnswerMessage { owner, code });
-        },
-        steadyNow());
+    m_service->claim(request, answerClaim(id, message.owner), steadyNow());
+    scheduleFlush();
+}
+
+void ControlDaemon::handleClaimQuery(NodeSubscriptions::SubscriberId id, const ClaimQueryMessage& message)
+{
+    if (!m_service->isLeading())
+        return forwardClaim(id, message.owner, message);
+    m_service->query({ { message.service, message.key } }, answerClaim(id, message.owner), steadyNow());
     scheduleFlush();
 }
 
+void ControlDaemon::forwardClaim(NodeSubscriptions::SubscriberId id, const AttemptId& owner, const ControlMessage& message)
+{
+    if (m_forwardedClaims.size() >= maximumForwardedClaims)
+        return m_subscriptions->send(id, ClaimAnswerMessage { owner, ResultCode::ClaimUnavailable });
+    m_forwardedClaims[owner] = { id, steadyNow() + forwardedClaimTimeout };
+    forwardToLeader(message);
+}
+
+ControlService::ClaimHandler ControlDaemon::answerClaim(NodeSubscriptions::SubscriberId id, const AttemptId& owner)
+{
+    return [this, id, owner](const Result<ClaimResult>& result) {
+        const ResultCode code = result.has_error() ? ResultCode::ClaimUnavailable : result.value().code;
+        m_subscriptions->send(id, ClaimAnswerMessage { owner, code });
+    };
+}
+
 void ControlDaemon::handleClaimEnd(const ClaimEndMessage& message)
 {
     if (!m_service->isLeading())
--- a/Source/control/ControlDaemon.h
+++ b/Source/control/ControlDaemon.h
@@ -74,7 +74,12 @@
     void receiveNodeMessage(NodeSubscriptions::SubscriberId, std::string_view bytes);
     void receiveFromReplica(std::string_view bytes);
     void handleClaim(NodeSubscriptions::SubscriberId, const ClaimRequestMessage&);
+    void handleClaimQuery(NodeSubscriptions::SubscriberId, const ClaimQueryMessage&);
     void handleClaimEnd(const ClaimEndMessage&);
+    /// Passes a claim or a question for one on to the leader, whose answer goes back to the subscriber.
+    void forwardClaim(NodeSubscriptions::SubscriberId, const AttemptId& owner, const ControlMessage&);
+    /// Returns a handler that answers a claim or a question for one.
+    ControlService::ClaimHandler answerClaim(NodeSubscriptions::SubscriberId, const AttemptId& owner);
     /// Sends a node's message to the leader; drops it if no other replica is known to lead.
     void forwardToLeader(const ControlMessage&);
     void sendToReplica(const std::string& address, const ControlMessage&);
--- a/Source/coordination/presence/BackendPresence.cpp
+++ b/Source/coordination/presence/BackendPresence.cpp
@@ -10,12 +10,18 @@
 /// Announcements with increasing sequence numbers after which a run replaces the present one although its start time
 /// is earlier. All but the first count only once the present run has not announced itself for half the timeout.
 constexpr std::uint32_t announcementsToReplaceNewerRun = 3;
+constexpr std::size_t maximumConfirmedRuns = 16;
 
 bool hasSameProperties(const BackendAnnouncement& a, const BackendAnnouncement& b)
 {
     return a.service == b.service && a.address.ip == b.address.ip && a.address.port == b.address.port && a.slots == b.slots;
 }
 
+BackendRun runOf(const BackendAnnouncement& announcement)
+{
+    return { announcement.instance, announcement.startedAt };
+}
+
 } // namespace
 
 BackendPresence::BackendPresence(Duration announcementTimeout, KnownServices isKnown)
@@ -40,10 +46,54 @@
     return announcement.startedAt != 0 && announcement.startedAt < latest;
 }
 
+bool BackendPresence::isConfirmed(const BackendAnnouncement& announcement) const
+{
+    // Without a start time, a later run could not be told from one that left. A run that drains gets no work anyway.
+    if (!m_requiresConfirmation || announcement.startedAt == 0 || announcement.draining)
+        return true;
+    return std::find(m_confirmed.begin(), m_confirmed.end(), runOf(announcement)) != m_confirmed.end();
+}
+
+void BackendPresence::addConfirmed(const BackendRun& run)
+{
+    m_confirmed.push_back(run);
+    if (m_confirmed.size() > maximumConfirmedRuns)
+        m_confirmed.pop_front();
+}
+
+PresenceChange BackendPresence::considerUnconfirmed(const BackendAnnouncement& announcement, TimePoint now)
+{
+    const bool isSameRun = m_unconfirmed && runOf(m_unconfirmed->announcement) == runOf(announcement);
+    const bool isRepeated = isSameRun && (announcement.sequence == 0 || announcement.sequence > m_unconfirmed->announcement.sequence);
+    if (isRepeated) {
+        m_unconfirmed.reset();
+        addConfirmed(runOf(announcement));
+        return announce(announcement, now);
+    }
+    if (!isSameRun)
+        m_unconfirmed = Unconfirmed { announcement, now };
+    return PresenceChange::Unconfirmed;
+}
+
+PresenceChange BackendPresence::confirm(const BackendRun& run, bool hasDeparted, TimePoint now)
+{
+    const auto held = m_unconfirmed && runOf(m_unconfirmed->announcement) == run ? std::exchange(m_unconfirmed, std::nullopt) : std::nullopt;
+    if (hasDeparted) {
+        m_leaving = run;
+        if (m_current && runOf(*m_current) == run)
+            return drain();
+    }
+    addConfirmed(run);
+    const bool isRecent = held && now - held->receivedAt <= m_announcementTimeout;
+    return isRecent ? announce(held->announcement, now) : PresenceChange::None;
+}
+
 PresenceChange BackendPresence::announce(const BackendAnnouncement& announcement, TimePoint now)
 {
     if (belongsToEndedRun(announcement))
         return PresenceChange::None;
+    if (!isConfirmed(announcement))
+        return considerUnconfirmed(announcement, now);
     if (m_current && isKnown(announcement.service) != isKnown(m_current->service))
         return isKnown(announcement.service) ? adopt(announcement, now) : PresenceChange::None;
     if (m_current && announcement.instance == m_current->instance && announcement.startedAt == m_current->startedAt)
@@ -105,7 +155,7 @@
     const bool isCurrent = m_current && m_current->instance == instance && (startedAt == 0 || startedAt == m_current->startedAt);
     const std::uint64_t endedStart = isCurrent ? m_current->startedAt : startedAt;
     if (isCurrent || !m_ended || endedStart >= m_ended->startedAt)
-        m_ended = Run { instance, endedStart };
+        m_ended = BackendRun { instance, endedStart };
     if (!isCurrent)
         return PresenceChange::None;
     m_current.reset();
@@ -116,7 +166,7 @@
 {
     if (!m_current || m_current->instance != instance || m_current->startedAt != startedAt)
         return PresenceChange::None;
-    m_leaving = Run { instance, startedAt };
+    m_leaving = BackendRun { instance, startedAt };
     return drain();
 }
 
--- a/Source/coordination/presence/BackendPresence.h
+++ b/Source/coordination/presence/BackendPresence.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "coordination/presence/DepartureRecords.h"
 #include "protocol/Ids.h"
 #include "protocol/SocketAddress.h"
 #include "protocol/Time.h"
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <optional>
 #include <string>
@@ -40,6 +42,9 @@
     Draining,
     /// The present run left, or its announcements timed out.
     Gone,
+    /// A run that this process doesn't know announced itself; it may have left before the process started. It is used once
+    /// confirm() is called, or once it announces itself again.
+    Unconfirmed,
 };
 
 /// Tracks the presence of this node's backend server from its announcements.
@@ -50,6 +55,10 @@
 /// announces. A run that left cannot return if its announcements specify its start time; one that started before it can, if it goes on
 /// announcing itself. A run of a service that the configuration
 /// doesn't have never takes the place of one that it has.
+///
+/// An announcement that was sent before this process started proves nothing: an earlier process may have acknowledged since that
+/// the run leaves. So a run that specifies its start time is used once the store denies that, or once a second
+/// announcement of it with a higher sequence number arrives, as nothing more is announced once a departure is acknowledged.
 class BackendPresence {
 public:
     /// Returns whether the configuration has a service.
@@ -59,6 +68,10 @@
     /// unset, all services are known.
     explicit BackendPresence(Duration announcementTimeout, KnownServices isKnown = {});
 
+    /// Makes announce() return Unconfirmed for runs that this process doesn't know.
+    void requireConfirmation() { m_requiresConfirmation = true; }
+    /// Handles whether a run has told an earlier process that it leaves. If so, it drains to its end.
+    PresenceChange confirm(const BackendRun&, bool hasDeparted, TimePoint now);
     PresenceChange announce(const BackendAnnouncement&, TimePoint now);
     /// Handles the notice that a run of the backend server is leaving. startedAt: 0 when not specified.
     PresenceChange leave(const std::string& instance, std::uint64_t startedAt, TimePoint now);
@@ -78,12 +91,6 @@
     bool isDraining() const { return m_current && m_current->draining; }
 
 private:
-    /// Identifies one run of the backend server.
-    struct Run {
-        std::string instance;
-        /// 0 when not specified.
-        std::uint64_t startedAt = 0;
-    };
     /// A run whose start time is earlier than that of the present run or of one that left, but which continues to announce itself.
     struct Candidate {
         BackendAnnouncement announcement;
@@ -91,6 +98,15 @@
         std::uint32_t count = 0;
     };
 
+    /// The latest announcement of a run that is not confirmed.
+    struct Unconfirmed {
+        BackendAnnouncement announcement;
+        TimePoint receivedAt;
+    };
+
+    bool isConfirmed(const BackendAnnouncement&) const;
+    void addConfirmed(const BackendRun&);
+    PresenceChange considerUnconfirmed(const BackendAnnouncement&, TimePoint now);
     bool isLeaving(const BackendAnnouncement&) const;
     bool isKnown(const ServiceName& service) const { return !m_isKnown || m_isKnown(service); }
     bool belongsToEndedRun(const BackendAnnouncement&) const;
@@ -104,9 +120,13 @@
     KnownServices m_isKnown;
     std::optional<BackendAnnouncement> m_current;
     /// The latest run that left.
-    std::optional<Run> m_ended;
+    std::optional<BackendRun> m_ended;
     /// The latest run that told that it leaves.
-    std::optional<Run> m_leaving;
+    std::optional<BackendRun> m_leaving;
+    bool m_requiresConfirmation = false;
+    std::optional<Unconfirmed> m_unconfirmed;
+    /// The latest runs that may be used as they announce themselves.
+    std::deque<BackendRun> m_confirmed;
     std::optional<Candidate> m_candidate;
     /// When the latest announcement of the present run was received.
     TimePoint m_announcedAt;
--- a/Source/node/ControlSubscription.cpp
+++ b/Source/node/ControlSubscription.cpp
@@ -254,12 +254,22 @@
 }
 
 void ControlSubscription::requestClaim(const ClaimRequestMessage& message, Duration timeout)
+{
+    sendClaim(message.owner, message, timeout);
+}
+
+void ControlSubscription::queryClaim(const ClaimQueryMessage& message, Duration timeout)
+{
+    sendClaim(message.owner, message, timeout);
+}
+
+void ControlSubscription::sendClaim(const AttemptId& owner, const ControlMessage& message, Duration timeout)
 {
     if (m_pendingClaims.size() >= maximumPendingClaims) {
-        m_hooks.claimAnswered(message.owner, ResultCode::ClaimUnavailable);
+        m_hooks.claimAnswered(owner, ResultCode::ClaimUnavailable);
         return;
     }
-    m_pendingClaims[message.owner] = { message, m_hooks.now() + timeout };
+    m_pendingClaims[owner] = { message, m_hooks.now() + timeout };
     if (m_link)
         send(message);
 }
--- a/Source/node/ControlSubscription.h
+++ b/Source/node/ControlSubscription.h
@@ -35,7 +35,7 @@
         std::function<void(const NodeId&, const ServiceName&)> fetchFromNode;
         /// Called with each proof: all that was committed at that time is in force.
         std::function<void(TimePoint provedAt)> proved;
-        /// Receives the reply to requestClaim(); ClaimUnavailable if there was none in time.
+        /// Receives the reply to requestClaim() or queryClaim(); ClaimUnavailable if there was none in time.
         std::function<void(const AttemptId& owner, ResultCode)> claimAnswered;
     };
 
@@ -55,6 +55,8 @@
     void setReplicas(const std::vector<std::string>&);
     /// Requests a claim; it is sent again to each replica that the node connects to before the timeout.
     void requestClaim(const ClaimRequestMessage&, Duration timeout);
+    /// Asks whether a key is claimed; otherwise as requestClaim().
+    void queryClaim(const ClaimQueryMessage&, Duration timeout);
     /// Sends the end of a claim, or queues it until a link is open.
     void endClaim(const ClaimEndMessage&);
     /// Records that another node has this version in force. It is fetched from there only if no replica can be expected to
@@ -73,9 +75,9 @@
     std::string currentReplica() const;
 
 private:
-    /// A claim that the store has not replied to.
+    /// A claim, or a question for one, that the store has not replied to.
     struct PendingClaim {
-        ClaimRequestMessage message;
+        ControlMessage message;
         /// When the claim is answered with ClaimUnavailable if the store has not replied.
         TimePoint expiry;
     };
@@ -104,6 +106,7 @@
     /// Ends an opening without a report to handleClosed().
     static void abandon(const LinkPtr&);
     bool send(const ControlMessage&);
+    void sendClaim(const AttemptId& owner, const ControlMessage&, Duration timeout);
     void handleReceived(std::string_view bytes);
     void handle(const DocumentMessage&);
     void handle(const DocumentUpdateMessage&);
@@ -116,6 +119,7 @@
     void handle(const InForceMessage&) { }
     void handle(const ClaimRequestMessage&) { }
     void handle(const ClaimEndMessage&) { }
+    void handle(const ClaimQueryMessage&) { }
     void handle(const RoutingChangeMessage&) { }
     void handle(const RoutingChangeAnswerMessage&) { }
     void handle(const EvacuationOrderMessage&) { }
--- a/Source/node/NodeControl.cpp
+++ b/Source/node/NodeControl.cpp
@@ -14,6 +14,11 @@
 
 /// Interval between checks for missing announcements of the backend server.
 constexpr Duration backendCheckInterval { 500000 };
+/// Name under which departures are claimed in the control store; no service has it, as names of services have no such character.
+constexpr const char* departureService = "@departures";
+/// Claims for departures take the upper half of the numbers of attempts, of which calls use the lower.
+constexpr std::uint64_t firstDepartureNumber = std::uint64_t(1) << 63;
+constexpr Duration departureAnswerTimeout { 2000000 };
 
 HttpServer::Settings adminServerSettings(const NodeSettings& settings)
 {
@@ -99,9 +104,37 @@
     , m_controlLinks(context, maximumControlMessageBytes)
     , m_subscription(m_self, settings.controlReplicas, settings.discoversReplicas, subscriptionHooks())
     , m_presence(settings.announcementTimeout, [this](const ServiceName& service) { return m_routedServices.count(service) > 0 || m_subscription.inForce().count(service) > 0; })
+    , m_departures(departureHooks())
     , m_backendTimer(context, [this] { checkBackend(); })
     , m_subscriptionTimer(context, [this] { checkSubscription(); })
 {
+    m_presence.requireConfirmation();
+}
+
+DepartureRecords::Hooks NodeControl::departureHooks()
+{
+    DepartureRecords::Hooks hooks;
+    hooks.send = [this](std::uint64_t number, const BackendRun& run, DepartureRecords::Request request) {
+        const AttemptId owner { m_self.node, m_self.incarnation, firstDepartureNumber + number };
+        const IdempotencyKey key(m_self.node.value() + '/' + run.instance + '/' + std::to_string(run.startedAt));
+        if (request == DepartureRecords::Request::Record)
+            m_subscription.requestClaim({ owner, ServiceName(departureService), key, 0 }, departureAnswerTimeout);
+        else
+            m_subscription.queryClaim({ owner, ServiceName(departureService), key }, departureAnswerTimeout);
+    };
+    hooks.lookedUp = [this](const BackendRun& run, bool hasDeparted) {
+        log(LogEvent::BackendConfirmed, { { "instance", run.instance }, { "departed", hasDeparted ? "1" : "0" } });
+        apply(m_presence.confirm(run, hasDeparted, steadyNow()), "record");
+    };
+    return hooks;
+}
+
+void NodeControl::recordDeparture(const BackendRun& run, const Acknowledge& acknowledge)
+{
+    // A run without a start time can't be told from a later one of its name, which must be used.
+    if (run.startedAt == 0)
+        return acknowledge(true);
+    m_departures.record(run, steadyNow(), acknowledge);
 }
 
 ControlSubscription::Hooks NodeControl::subscriptionHooks()
@@ -119,13 +152,19 @@
             log(LogEvent::ConfigurationFresh);
         m_hooks.configurationProved(provedAt);
     };
-    hooks.claimAnswered = [this](const AttemptId& owner, ResultCode code) { m_hooks.claimAnswered(owner, code); };
+    hooks.claimAnswered = [this](const AttemptId& owner, ResultCode code) {
+        if (owner.sequence >= firstDepartureNumber)
+            m_departures.answered(owner.sequence - firstDepartureNumber, code);
+        else
+            m_hooks.claimAnswered(owner, code);
+    };
     return hooks;
 }
 
 void NodeControl::checkSubscription()
 {
     m_subscription.check();
+    m_departures.check(steadyNow());
     m_subscriptionTimer.setAfter(m_subscription.nextCheck());
 }
 
@@ -297,19 +336,30 @@
     const auto announcement = parseAnnouncement(request.body);
     if (announcement.has_error())
         return problemResponse(announcement.error(), CallOutcomeKind::NotRun);
-    announce(announcement.value());
+    announce(announcement.value(), [](bool) {});
     return jsonResponse(200, { { "node", m_self.node.value() }, { "accepted", true } });
 }
 
-void NodeControl::announce(const BackendAnnouncement& announcement)
+void NodeControl::announce(const BackendAnnouncement& announcement, const Acknowledge& acknowledge)
 {
-    apply(m_presence.announce(announcement, steadyNow()));
+    const BackendRun run { announcement.instance, announcement.startedAt };
+    const PresenceChange change = m_presence.announce(announcement, steadyNow());
+    apply(change);
+    if (change == PresenceChange::Unconfirmed)
+        m_departures.lookUp(run, steadyNow());
+    if (announcement.draining)
+        recordDeparture(run, acknowledge);
+    else
+        acknowledge(true);
     if (announcement.warmUp > Duration::zero() && m_presence.isLatest(announcement))
         m_hooks.backendCold(announcement.warmUp);
 }
 
-void NodeControl::announceLeave(const std::string& instance, std::uint64_t startedAt)
+void NodeControl::announceLeave(const std::string& instance, std::uint64_t startedAt, const Acknowledge& acknowledge)
 {
+    const auto& current = m_presence.current();
+    const bool isCurrent = current && current->instance == instance && startedAt == 0;
+    recordDeparture({ instance, isCurrent ? current->startedAt : startedAt }, acknowledge);
     apply(m_presence.leave(instance, startedAt, steadyNow()));
 }
 
@@ -354,6 +404,7 @@
     const auto& current = m_presence.current();
     switch (change) {
     case PresenceChange::None:
+    case PresenceChange::Unconfirmed:
         return;
     case PresenceChange::Arrived:
     case PresenceChange::Changed:
--- a/Source/node/NodeControl.h
+++ b/Source/node/NodeControl.h
@@ -90,10 +90,13 @@
     void offerDocument(const DocumentMessage&, const NodeId& sender);
     /// Passes evidence about requests that were running in crashes to the other members, first to the recipients.
     void spreadEvidence(const std::vector<CrashEvidence>&, const std::vector<NodeId>& recipients);
-    /// Handles an announcement of the local backend server.
-    void announce(const BackendAnnouncement&);
-    /// Handles a message that a run of the local backend server is leaving; startedAt is the start time of that run.
-    void announceLeave(const std::string& instance, std::uint64_t startedAt);
+    /// Receives whether what the backend server announced may be acknowledged; if not, it was not recorded in time.
+    using Acknowledge = std::function<void(bool)>;
+    /// Handles an announcement of the local backend server. That it drains is acknowledged once the store has recorded it.
+    void announce(const BackendAnnouncement&, const Acknowledge&);
+    /// Handles a message that a run of the local backend server is leaving; startedAt is the start time of that run. Acknowledged
+    /// once the store has recorded it.
+    void announceLeave(const std::string& instance, std::uint64_t startedAt, const Acknowledge&);
     /// Handles that the backend server told in its responses that it leaves.
     void backendLeaves(const LocalBackend&);
     /// True if callers may use this node: its documents were proved recent, it has a routing document and it is not
@@ -116,6 +119,8 @@
     HttpResponse handleMetrics(const HttpRequest&);
     HttpResponse handleStatus(const HttpRequest&);
     ControlSubscription::Hooks subscriptionHooks();
+    DepartureRecords::Hooks departureHooks();
+    void recordDeparture(const BackendRun&, const Acknowledge&);
     /// Checks the subscription, and again after its interval.
     void checkSubscription();
     /// Reports a change of the local backend server through the hooks and to the other members.
@@ -148,6 +153,7 @@
     /// Services of the routing document in force.
     std::set<ServiceName> m_routedServices;
     BackendPresence m_presence;
+    DepartureRecords m_departures;
     /// State of the local endpoint, as last published to the other members.
     EndpointState m_endpoint;
     /// True once the documents were proved recent for the first time.
--- a/Source/protocol/ControlMessages.cpp
+++ b/Source/protocol/ControlMessages.cpp
@@ -130,6 +130,16 @@
     message.fingerprint = reader.unsignedInteger();
 }
 
+void appendFields(Json& fields, const ClaimQueryMessage& message)
+{
+    appendClaimKey(fields, message);
+}
+
+void readFields(FieldReader& reader, ClaimQueryMessage& message)
+{
+    readClaimKey(reader, message);
+}
+
 void appendFields(Json& fields, const ClaimEndMessage& message)
 {
     appendClaimKey(fields, message);
--- a/Source/protocol/ControlMessages.h
+++ b/Source/protocol/ControlMessages.h
@@ -70,10 +70,18 @@
     std::uint64_t fingerprint = 0;
 };
 
-/// Reply to a ClaimRequestMessage.
+/// Asks whether a key is claimed, without claiming it.
+struct ClaimQueryMessage {
+    /// Identifies the question.
+    AttemptId owner;
+    ServiceName service;
+    IdempotencyKey key;
+};
+
+/// Reply to a ClaimRequestMessage or a ClaimQueryMessage.
 struct ClaimAnswerMessage {
     AttemptId owner;
-    /// Ok when the owner holds the claim; otherwise AlreadyRunning, AlreadyRan, KeyReusedForOtherRequest or
+    /// Ok when the owner holds the claim, or nobody does for a question; otherwise AlreadyRunning, AlreadyRan, KeyReusedForOtherRequest or
     /// ClaimUnavailable.
     ResultCode code = ResultCode::ClaimUnavailable;
 };
@@ -157,7 +165,7 @@
 
 using ControlMessage = std::variant<SubscribeMessage, DocumentMessage, FreshnessRequestMessage, FreshnessMessage, InForceMessage, ClaimRequestMessage,
     ClaimAnswerMessage, ClaimEndMessage, ReplicaListMessage, DocumentUpdateMessage, UpdatesAcceptedMessage, RoutingChangeMessage, RoutingChangeAnswerMessage,
-    EvacuationOrderMessage, EvacuationAnswerMessage>;
+    EvacuationOrderMessage, EvacuationAnswerMessage, ClaimQueryMessage>;
 
 /// Encodes a message as the CBOR array [type, fields...]; docs/PROTOCOL.md lists the types.
 std::string encode(const ControlMessage&);
--- a/Source/protocol/LogEvent.cpp
+++ b/Source/protocol/LogEvent.cpp
@@ -50,6 +50,7 @@
     { LogEvent::RequestReleased, LogLevel::Info, "request no longer held" },
     { LogEvent::QuarantineRefusals, LogLevel::Info, "held requests refused" },
     { LogEvent::QuarantineTrial, LogLevel::Info, "one run of a held request admitted" },
+    { LogEvent::BackendConfirmed, LogLevel::Info, "departures of a backend server looked up" },
     { LogEvent::CallAccepted, LogLevel::Info, "call accepted" },
     { LogEvent::EndpointChosen, LogLevel::Info, "endpoint chosen" },
     { LogEvent::AttemptRefused, LogLevel::Info, "attempt refused by the endpoint's node" },
--- a/Source/state/ClaimTable.cpp
+++ b/Source/state/ClaimTable.cpp
@@ -51,6 +51,15 @@
     return { ResultCode::Ok, update.attempt, update.node };
 }
 
+ClaimResult ClaimTable::apply(const ClaimQuery& query) const
+{
+    const auto found = m_claims.find(query.key);
+    if (found == m_claims.end())
+        return {};
+    const Claim& claim = found->second;
+    return { claim.completed ? ResultCode::AlreadyRan : ResultCode::AlreadyRunning, claim.attempt, claim.node };
+}
+
 void ClaimTable::advanceTime(WallTime time)
 {
     m_time = std::max(m_time, time);
--- a/Source/state/ClaimTable.h
+++ b/Source/state/ClaimTable.h
@@ -55,8 +55,14 @@
     WallTime time;
 };
 
-/// Result of a claim request or update. The code is Ok when the attempt holds the claim; otherwise it is
-/// AlreadyRunning, AlreadyRan, KeyReusedForOtherRequest or ClaimUnavailable.
+/// Question whether a key is claimed, which changes nothing. It goes through the log, so that its result covers all that was
+/// committed before.
+struct ClaimQuery {
+    ClaimKey key;
+};
+
+/// Result of a claim request, update or query. The code is Ok when the attempt holds the claim, or nobody does for a query;
+/// otherwise it is AlreadyRunning, AlreadyRan, KeyReusedForOtherRequest or ClaimUnavailable.
 struct ClaimResult {
     ResultCode code = ResultCode::Ok;
     /// Attempt that holds the claim, or the requesting attempt when the claim was granted, removed or unavailable.
@@ -77,6 +83,7 @@
 
     ClaimResult apply(const ClaimRequest&);
     ClaimResult apply(const ClaimUpdate&);
+    ClaimResult apply(const ClaimQuery&) const;
 
     std::size_t size() const { return m_claims.size(); }
 
--- a/Source/state/ControlService.cpp
+++ b/Source/state/ControlService.cpp
@@ -269,6 +269,11 @@
     propose(request, typedHandler<ClaimResult>(std::move(handler)), now);
 }
 
+void ControlService::query(const ClaimQuery& query, ClaimHandler handler, TimePoint now)
+{
+    propose(query, typedHandler<ClaimResult>(std::move(handler)), now);
+}
+
 void ControlService::update(const ClaimUpdate& update, ClaimHandler handler, TimePoint now)
 {
     propose(update, typedHandler<ClaimResult>(std::move(handler)), now);
--- a/Source/state/ControlService.h
+++ b/Source/state/ControlService.h
@@ -108,6 +108,8 @@
     void edit(const DocumentEdit&, EditHandler, TimePoint);
     /// Proposes a claim of an idempotency key. Errors as for edit().
     void claim(const ClaimRequest&, ClaimHandler, TimePoint);
+    /// Proposes the question whether a key is claimed. Errors as for edit().
+    void query(const ClaimQuery&, ClaimHandler, TimePoint);
     /// Proposes the completion or release of a claim. Errors as for edit().
     void update(const ClaimUpdate&, ClaimHandler, TimePoint);
     /// Proposes the removal of a member. Errors as for ReplicatedLog::removeMember().
--- a/Source/state/ControlState.cpp
+++ b/Source/state/ControlState.cpp
@@ -16,6 +16,7 @@
     DocumentEdit = 1,
     ClaimRequest = 2,
     ClaimUpdate = 3,
+    ClaimQuery = 4,
 };
 
 // Version of the encoding of snapshots.
@@ -47,6 +48,11 @@
     return fields;
 }
 
+Json encode(const ClaimQuery& query)
+{
+    return Json::array({ static_cast<std::uint64_t>(Kind::ClaimQuery), query.key.service.value(), query.key.key.value() });
+}
+
 DocumentEdit decodeEdit(FieldReader& reader)
 {
     DocumentEdit edit;
@@ -88,6 +94,14 @@
     return update;
 }
 
+ClaimQuery decodeClaimQuery(FieldReader& reader)
+{
+    ClaimQuery query;
+    query.key.service = ServiceName(reader.text());
+    query.key.key = IdempotencyKey(reader.text());
+    return query;
+}
+
 ControlCommand decodeKind(FieldReader& reader)
 {
     switch (static_cast<Kind>(reader.unsignedInteger())) {
@@ -97,6 +111,8 @@
         return decodeClaimRequest(reader);
     case Kind::ClaimUpdate:
         return decodeClaimUpdate(reader);
+    case Kind::ClaimQuery:
+        return decodeClaimQuery(reader);
     }
     reader.fail("unknown kind of command");
     return ClaimUpdate {};
@@ -125,6 +141,8 @@
         return ControlResult(m_documents.apply(*edit));
     if (const auto* request = std::get_if<ClaimRequest>(&command))
         return ControlResult(m_claims.apply(*request));
+    if (const auto* query = std::get_if<ClaimQuery>(&command))
+        return ControlResult(m_claims.apply(*query));
     return ControlResult(m_claims.apply(std::get<ClaimUpdate>(command)));
 }
 
--- a/Source/state/ControlState.h
+++ b/Source/state/ControlState.h
@@ -11,9 +11,9 @@
 namespace Knapweedquay {
 
 /// A command of the replicated log.
-using ControlCommand = std::variant<DocumentEdit, ClaimRequest, ClaimUpdate>;
+using ControlCommand = std::variant<DocumentEdit, ClaimRequest, ClaimUpdate, ClaimQuery>;
 
-/// Result of a command. A ClaimRequest and a ClaimUpdate both give a ClaimResult.
+/// Result of a command. All commands for claims give a ClaimResult.
 using ControlResult = std::variant<EditResult, ClaimResult>;
 
 /// Encodes a command as CBOR for a log entry.
--- a/Tests/coordination/BackendPresenceTest.cpp
+++ b/Tests/coordination/BackendPresenceTest.cpp
@@ -30,6 +30,49 @@
 
 } // namespace
 
+// A node that started again took a late announcement of a run that had deregistered, and bookings went to it for seconds.
+TEST_F(BackendPresenceTest, LateAnnouncement_AfterRestart_IsNotUsedUntilConfirmed)
+{
+    m_presence.requireConfirmation();
+    EXPECT_EQ(PresenceChange::Unconfirmed, announce(announcement("a", 10, 4)));
+    EXPECT_EQ(PresenceChange::Unconfirmed, announce(announcement("a", 10, 4)));
+    EXPECT_EQ(PresenceChange::Unconfirmed, announce(announcement("a", 10, 3)));
+    EXPECT_FALSE(m_presence.current());
+    EXPECT_EQ(PresenceChange::Draining, m_presence.confirm({ "a", 10 }, true, m_now));
+    EXPECT_EQ(PresenceChange::None, announce(announcement("a", 10, 5)));
+    EXPECT_TRUE(m_presence.isDraining());
+}
+
+TEST_F(BackendPresenceTest, UnknownRun_ConfirmedOrAnnouncedAgain_IsUsed)
+{
+    m_presence.requireConfirmation();
+    EXPECT_EQ(PresenceChange::Unconfirmed, announce(announcement("a", 10, 4)));
+    EXPECT_EQ(PresenceChange::Arrived, m_presence.confirm({ "a", 10 }, false, m_now));
+    EXPECT_EQ(PresenceChange::None, m_presence.confirm({ "a", 10 }, false, m_now));
+    EXPECT_EQ(PresenceChange::Unconfirmed, announce(announcement("b", 20, 1)));
+    EXPECT_EQ("a", m_presence.current()->instance);
+    EXPECT_EQ(PresenceChange::Arrived, announce(announcement("b", 20, 2)));
+    EXPECT_EQ("b", m_presence.current()->instance);
+}
+
+TEST_F(BackendPresenceTest, AnnouncementOfLongAgo_Confirmed_IsNotUsed)
+{
+    m_presence.requireConfirmation();
+    EXPECT_EQ(PresenceChange::Unconfirmed, announce(announcement("a", 10, 4)));
+    m_now += 7s;
+    EXPECT_EQ(PresenceChange::None, m_presence.confirm({ "a", 10 }, false, m_now));
+    EXPECT_FALSE(m_presence.current());
+}
+
+TEST_F(BackendPresenceTest, DrainingRun_UnknownHere_DrainsAtOnce)
+{
+    m_presence.requireConfirmation();
+    EXPECT_EQ(PresenceChange::Draining, announce(announcement("a", 10, 5, true)));
+    EXPECT_EQ(PresenceChange::Unconfirmed, announce(announcement("a", 10, 4)));
+    EXPECT_EQ(PresenceChange::None, m_presence.confirm({ "a", 10 }, true, m_now));
+    EXPECT_TRUE(m_presence.isDraining());
+}
+
 TEST_F(BackendPresenceTest, RunningBackend_AnnouncedRepeatedly_ArrivesOnce)
 {
     EXPECT_EQ(PresenceChange::Arrived, announce(announcement("a", 10, 1)));
--- a/Tests/state/ClaimTableTest.cpp
+++ b/Tests/state/ClaimTableTest.cpp
@@ -30,6 +30,15 @@
     EXPECT_EQ(ResultCode::KeyReusedForOtherRequest, m_table.apply(request("k", 3, 0, 6)).code);
 }
 
+TEST_F(ClaimTableTest, Query_TellsHolder_AndClaimsNothing)
+{
+    const ClaimQuery query { request("k", 1).key };
+    EXPECT_EQ(ResultCode::Ok, m_table.apply(query).code);
+    EXPECT_EQ(0u, m_table.size());
+    EXPECT_EQ(ResultCode::Ok, m_table.apply(request("k", 1)).code);
+    EXPECT_EQ(ResultCode::AlreadyRunning, m_table.apply(query).code);
+}
+
 TEST_F(ClaimTableTest, Release_ByHolderOnly_FreesKey)
 {
     m_table.apply(request("k", 1));
