EndpointRunner: Check the service of an attempt when it is sent

Callers saw: bookings that waited at a node for an endpoint that had fallen silent ran at an endpoint of another service, which had taken its address: 12 of 108, with that endpoint's 200 as their answer.

Cause: the service of an attempt was compared with the backend server's when it was admitted, not when it was sent. The queue outlived the run that it was for, and the request named whatever run was present then, so that no endpoint could tell.

Change: one check of the service at both moments, and also once a connection has opened and before a request is sent once more. The queue ends when the backend server is gone or one of another service takes its place; what it held goes back to its origin as not run. The document of a former service is no longer taken for that of the next one.

Ruled out: a connection of the former endpoint (none was reused) and admissions after the change (checkPreconditions refuses them).

Why it works: what was queued was never sent, so it is certain not to have run, and nothing is sent without the check right before.

--- a/Source/node/EndpointRunner.cpp
+++ b/Source/node/EndpointRunner.cpp
@@ -94,8 +94,11 @@
     if (m_backend && m_backend->instance != backend.instance)
         m_client.closeIdleConnections(m_backend->address);
     m_backend = backend;
-    if (isOtherService)
+    if (m_document && m_document->service != backend.service)
         m_document.reset();
+    // Ends what waits for the former service, which must not run at this one.
+    if (isOtherService && m_queue)
+        refuseQueued();
     if (m_queue)
         m_queue->setBackend(slots());
     m_monitor.setBackend(backend);
@@ -108,6 +111,8 @@
         m_client.closeIdleConnections(m_backend->address);
     m_backend.reset();
     m_monitor.removeBackend();
+    if (m_queue)
+        refuseQueued();
 }
 
 void EndpointRunner::setDocument(const ServiceDocument& document)
@@ -205,11 +210,18 @@
         std::visit([this](const auto& typed) { perform(typed); }, action);
 }
 
-std::optional<Refusal> EndpointRunner::checkPreconditions(const Job& job) const
+std::optional<Refusal> EndpointRunner::checkService(const ServiceName& service) const
 {
-    if (!m_backend || m_backend->service != job.message.service)
+    if (!m_backend || m_backend->service != service)
         return Refusal { ResultCode::Draining, unavailableRetryAfter };
-    if (!m_queue)
+    return std::nullopt;
+}
+
+std::optional<Refusal> EndpointRunner::checkPreconditions(const Job& job) const
+{
+    if (const auto refusal = checkService(job.message.service))
+        return refusal;
+    if (!m_queue || !m_document)
         return Refusal { ResultCode::StaleConfiguration, unavailableRetryAfter };
     if (!m_monitor.mayTry(steadyNow()))
         return Refusal { ResultCode::PeerUnreachable, unavailableRetryAfter };
@@ -367,6 +379,8 @@
 
 std::optional<Refusal> EndpointRunner::checkRun(const Job& job)
 {
+    if (const auto refusal = checkService(job.message.service))
+        return refusal;
     if (const auto refusal = m_keyChecks.check(job.message.caller))
         return refusal;
     return m_quarantine.checkRun(job.digest);
@@ -382,7 +396,7 @@
         perform(m_fates.refuse(job.message.attempt, *refusal, now));
         return false;
     }
-    if (!m_fates.tryStart(job.message.attempt) || !m_backend) {
+    if (!m_fates.tryStart(job.message.attempt)) {
         finish(jobPointer, BackendOutcome::Abandoned);
         perform(m_fates.refuse(job.message.attempt, { ResultCode::Draining, unavailableRetryAfter }, steadyNow()));
         return false;
@@ -408,11 +422,11 @@
     options.timeout = std::max(job.deadline - steadyNow(), Duration(1000));
     options.maximumBodyBytes = m_settings.maximumResponseBytes;
     options.maximumIdle = job.message.isIdempotent ? maximumIdleIfIdempotent : maximumIdleIfNotIdempotent;
+    // While a connection opened the node may have been frozen, and the address may have gone to another backend server.
+    const auto maySend = [this, backend = *m_backend, caller = job.message.caller] { return m_backend && m_backend->isSameRun(backend) && !m_keyChecks.check(caller); };
+    options.maySend = maySend;
     if (job.message.isIdempotent && !job.message.isRepeat)
-        options.allowsResend = [this, digest = job.digest, caller = job.message.caller] { return m_quarantine.verdict(digest).state == QuarantineState::Clear && !m_keyChecks.check(caller) && tryResend(); };
-    // The node may have been frozen while a connection opened.
-    if (job.message.caller && job.message.caller->key)
-        options.maySend = [this, caller = job.message.caller] { return !m_keyChecks.check(caller); };
+        options.allowsResend = [this, digest = job.digest, maySend] { return m_quarantine.verdict(digest).state == QuarantineState::Clear && maySend() && tryResend(); };
     options.endsConnection = [names = m_settings.headers](const HttpResponse& response) { return mayBeSentAgain(response, names); };
     if (job.requestId.empty())
         return options;
@@ -491,10 +505,12 @@
             perform(m_fates.recordUnknownOutcome(attempt, outcome.failure.error.code, now));
     } else {
         const bool isExpired = outcome.failure.error.code == ResultCode::TimedOut;
-        // Options::maySend only asks for the key.
-        const bool isUnproved = outcome.failure.error.code == ResultCode::CancelledBeforeStart;
-        finish(job, isExpired || isUnproved ? BackendOutcome::Abandoned : BackendOutcome::Failed);
-        const ResultCode reason = isUnproved ? ResultCode::KeyUnproved : ResultCode::PeerUnreachable;
+        const bool isForbidden = outcome.failure.error.code == ResultCode::CancelledBeforeStart;
+        finish(job, isExpired || isForbidden ? BackendOutcome::Abandoned : BackendOutcome::Failed);
+        // Options::maySend asks for the key and for the run of the backend server.
+        const auto unproved = isForbidden ? m_keyChecks.check(job->message.caller) : std::nullopt;
+        const ResultCode forbidden = unproved ? unproved->code : ResultCode::Draining;
+        const ResultCode reason = isForbidden ? forbidden : ResultCode::PeerUnreachable;
         perform(m_fates.refuse(attempt, { isExpired ? ResultCode::DeadlineExpired : reason, unavailableRetryAfter }, now));
     }
     startReadyJobs();
--- a/Source/node/EndpointRunner.h
+++ b/Source/node/EndpointRunner.h
@@ -172,6 +172,9 @@
     void perform(const SendUnknown&);
     void perform(const SendCancelResult&);
 
+    /// Returns why nothing of this service may run here, if it isn't the service of the present backend server. Asked when an attempt
+    /// is admitted and again when it is sent, since its address may have gone to another backend server while it waited.
+    std::optional<Refusal> checkService(const ServiceName&) const;
     /// Returns why the attempt must not run although it was admitted, if anything forbids it. What was learned while it was
     /// waiting counts too.
     std::optional<Refusal> checkRun(const Job&);
