HttpClient: Take a body without length as whole only if its end is certain

Callers saw: an endpoint answered an upload of 24 MB at its head with a 200 without a length, sent part of the body and reset the connection under the upload. The client got that part as a complete 200, every time; uploads of 3 MB never.

Cause: the system reports a reset once, to write or read. The write in progress took the error, the read saw an end in order, and the client kept from a failed write only that the connection must not be reused.

Change: such a body is whole only if the end is in order, all of the request was written and no write failed. The command line takes only answers with a length, a known version and a status, as replicas always send them.

Evidence: HttpClientTest.ResponseWithoutLength_ResetUnderTheUpload_Fails failed before; ResponseWithoutLength_ConnectionReset_Fails (no upload) held, which rules out that any end was taken.

Why it works: the error that the read can't see is the write's, and an end that comes while a write is in progress proves nothing.

--- a/Source/cli/CurlExchange.cpp
+++ b/Source/cli/CurlExchange.cpp
@@ -12,6 +12,8 @@
 
 constexpr std::size_t maximumResponseBytes = 16 * 1024 * 1024;
 constexpr long connectTimeoutMilliseconds = 2000;
+constexpr long firstStatus = 100;
+constexpr long lastStatus = 599;
 
 std::size_t appendBody(const char* bytes, std::size_t size, std::size_t count, void* target)
 {
@@ -56,6 +58,14 @@
         return Error { ResultCode::TimedOut, address + ": " + curl_easy_strerror(code) };
     long status = 0;
     curl_easy_getinfo(curl.get(), CURLINFO_RESPONSE_CODE, &status);
+    long version = 0;
+    curl_easy_getinfo(curl.get(), CURLINFO_HTTP_VERSION, &version);
+    curl_off_t length = -1;
+    curl_easy_getinfo(curl.get(), CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &length);
+    // Replicas always tell the length. A body that lasts until the end of its connection may have been cut.
+    const bool isKnownVersion = version == CURL_HTTP_VERSION_1_0 || version == CURL_HTTP_VERSION_1_1;
+    if (!isKnownVersion || status < firstStatus || status > lastStatus || length != static_cast<curl_off_t>(body.size()))
+        return Error { ResultCode::AnswerIncomplete, address + ": the answer is no whole HTTP/1.1 response with a length" };
     response.status = static_cast<std::uint16_t>(status);
     response.body = std::move(body);
     return response;
--- a/Source/transport/HttpClient.cpp
+++ b/Source/transport/HttpClient.cpp
@@ -245,8 +245,9 @@
     BodyReservationPointer m_bodyReservation;
     /// Responses that were read over for the current request.
     int m_skippedResponses = 0;
-    /// True after an unmatched response or a failed write, after which the connection must not be reused.
+    /// True after an unmatched response, after which the connection must not be reused.
     bool m_preventsReuse = false;
+    bool m_hasWriteFailed = false;
     bool m_isClosed = false;
 };
 
@@ -309,7 +310,7 @@
         self->m_isWriting = false;
         // A response that has already arrived may still be read; the failure is reported when reading ends.
         if (error && self->isAlive())
-            self->m_preventsReuse = true;
+            self->m_hasWriteFailed = true;
     });
 }
 
@@ -334,7 +335,9 @@
         return;
     }
     if (error) {
-        const bool isComplete = error == asio::error::eof && m_parser.isInMessage() && m_parser.finish() == HttpParser::Progress::Complete;
+        // A reset is reported to one of write and read; the other one sees an end in order.
+        const bool isInOrder = error == asio::error::eof && !m_isWriting && !m_hasWriteFailed;
+        const bool isComplete = isInOrder && m_parser.isInMessage() && m_parser.finish() == HttpParser::Progress::Complete;
         if (isComplete)
             return handleResponse();
         return failExchange(ResultCode::AnswerIncomplete, "the connection ended before the answer was whole: " + error.message());
@@ -393,7 +396,7 @@
     m_maximumIdleTime = advertisedIdleTime(response.headers);
     if (!m_isWriting)
         m_outputBody = Body();
-    if (keepsConnection && !isEnd && !m_isWriting && !m_preventsReuse && m_input.empty())
+    if (keepsConnection && !isEnd && !m_isWriting && !m_hasWriteFailed && !m_preventsReuse && m_input.empty())
         m_client->returnToPool(keptAlive);
     else
         close();
--- a/Tests/transport/HttpClientTest.cpp
+++ b/Tests/transport/HttpClientTest.cpp
@@ -2,6 +2,7 @@
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 
 #include <gtest/gtest.h>
@@ -62,7 +63,7 @@
                 m_handlers.pop_front();
                 handler(socket, request);
             }
-            if (socket.is_open())
+            if (socket.is_open() && !m_readsOnce)
                 read(socket);
         });
     }
@@ -86,6 +87,15 @@
             [this](HttpClient::Outcome outcome) { m_outcome = std::move(outcome); });
     }
 
+    void sendBody(std::string body)
+    {
+        HttpClient::Options options;
+        options.timeout = 5s;
+        m_outcome.reset();
+        m_client->send("127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()), { "POST", "/x", {}, Body(std::move(body)) }, options,
+            [this](HttpClient::Outcome outcome) { m_outcome = std::move(outcome); });
+    }
+
     /// Runs the event loop until the request has an outcome; false on a timeout.
     bool waitForOutcome()
     {
@@ -113,6 +123,8 @@
     std::deque<RequestHandler> m_handlers;
     std::vector<std::unique_ptr<Tcp::socket>> m_sockets;
     std::vector<std::string> m_received;
+    /// True if the server reads only the first part of each request.
+    bool m_readsOnce = false;
     int m_acceptedConnections = 0;
     int m_closedConnections = 0;
     std::optional<HttpClient::Outcome> m_outcome;
@@ -284,6 +296,26 @@
     EXPECT_FALSE(m_outcome->succeeded);
 }
 
+// The client of a long upload got the first part of a 200 without a length as a complete one: the writer had taken the error of the reset.
+TEST_F(HttpClientTest, ResponseWithoutLength_ResetUnderTheUpload_Fails)
+{
+    constexpr std::size_t uploadBytes = 24 * 1024 * 1024;
+    asio::steady_timer reset(m_context);
+    m_handlers.emplace_back([&reset](Tcp::socket& socket, const std::string&) {
+        reply(socket, "HTTP/1.1 200 OK\r\n\r\npart of it");
+        reset.expires_after(150ms);
+        reset.async_wait([&socket](const asio::error_code&) {
+            socket.set_option(asio::socket_base::linger(true, 0));
+            socket.close();
+        });
+    });
+    m_readsOnce = true;
+    sendBody(std::string(uploadBytes, 'x'));
+    ASSERT_TRUE(waitForOutcome());
+    EXPECT_FALSE(m_outcome->succeeded);
+    EXPECT_TRUE(m_outcome->failure.mayHaveRun);
+}
+
 TEST_F(HttpClientTest, Request_WithoutListener_FailsAsNotRun)
 {
     m_acceptor.close();
