HttpParser: Refuse responses that RFC 9112 does not define

Callers saw: bytes of an endpoint in trouble that only resemble a response came as one: other protocols and versions, statuses beyond 599, lines without CR, folded fields, a blank before the colon of a length, codings that are not "chunked" alone, chunk sizes with more behind them.

Cause: http_parser is built without its strict checks where we get it, and nothing else looked at the bytes. Framing by one reading and forwarding by another is how a body could differ from the endpoint's.

Change: ResponseFraming checks each byte of a response against RFC 9112, 4 to 7.1, before http_parser reads it, and finds the end on its own; where the two differ the response is malformed. A blank before a colon is still removed (RFC 9112, 5.1), but not for the fields that frame the body.

Why it works: each reader of HTTP responses but the command line's libcurl goes through this parser.

--- a/Source/transport/HttpParser.cpp
+++ b/Source/transport/HttpParser.cpp
@@ -24,6 +24,15 @@
 {
     http_parser_init(&m_parser, kind == Kind::Requests ? HTTP_REQUEST : HTTP_RESPONSE);
     m_parser.data = this;
+    if (kind == Kind::Responses)
+        m_framing.emplace(limits.headerBytes);
+}
+
+void HttpParser::expectNoBody(bool expected)
+{
+    m_expectsNoBody = expected;
+    if (m_framing)
+        m_framing->expectNoBody(expected);
 }
 
 const http_parser_settings& HttpParser::settings()
@@ -46,13 +55,32 @@
 HttpParser::Progress HttpParser::feed(std::string_view bytes, std::size_t& consumed)
 {
     m_isComplete = false;
+    if (m_framing) {
+        const std::optional<std::size_t> checked = m_framing->check(bytes);
+        if (!checked) {
+            consumed = 0;
+            m_failure = m_framing->isTooLong() ? Failure::HeadersTooLarge : Failure::Malformed;
+            return Progress::Failed;
+        }
+        bytes = bytes.substr(0, *checked);
+    }
     consumed = bytes.empty() ? 0 : http_parser_execute(&m_parser, &settings(), bytes.data(), bytes.size());
-    return progress();
+    const Progress reached = progress();
+    const bool isEndDisputed = m_framing && reached != Progress::Failed && m_framing->isComplete() != (reached == Progress::Complete);
+    if (isEndDisputed && !bytes.empty()) {
+        m_failure = Failure::Malformed;
+        return Progress::Failed;
+    }
+    return reached;
 }
 
 HttpParser::Progress HttpParser::finish()
 {
     m_isComplete = false;
+    if (m_framing && !m_framing->lastsUntilEnd()) {
+        m_failure = Failure::Malformed;
+        return Progress::Failed;
+    }
     http_parser_execute(&m_parser, &settings(), nullptr, 0);
     return progress();
 }
--- a/Source/transport/HttpParser.h
+++ b/Source/transport/HttpParser.h
@@ -2,6 +2,7 @@
 
 #include "protocol/HttpMessage.h"
 #include "transport/GrowingBody.h"
+#include "transport/ResponseFraming.h"
 
 #include <http_parser.h>
 
@@ -16,6 +17,7 @@
 
 /// Incremental parser for one direction of an HTTP/1.1 connection, based on http_parser.
 ///
+/// Responses must also pass ResponseFraming, and both must find the same end.
 /// Parsing stops at the end of each message; the bytes after it remain with the caller. Trailers are discarded.
 class HttpParser {
 public:
@@ -58,7 +60,7 @@
     /// Sets the limits for bytes that are parsed from now on.
     void setLimits(Limits limits) { m_limits = limits; }
     /// Set for the response to a HEAD request, which has no body even if it has a Content-Length.
-    void expectNoBody(bool expected) { m_expectsNoBody = expected; }
+    void expectNoBody(bool expected);
 
     /// Parses at most to the end of one message; consumed is set to the number of bytes parsed.
     Progress feed(std::string_view bytes, std::size_t& consumed);
@@ -108,6 +110,8 @@
     Progress progress();
 
     http_parser m_parser {};
+    /// Set for responses.
+    std::optional<ResponseFraming> m_framing;
     Limits m_limits;
     bool m_expectsNoBody = false;
     bool m_isInMessage = false;
--- a/Tests/transport/HttpClientTest.cpp
+++ b/Tests/transport/HttpClientTest.cpp
@@ -87,6 +87,13 @@
             [this](HttpClient::Outcome outcome) { m_outcome = std::move(outcome); });
     }
 
+    static HttpClient::Options ownConnection()
+    {
+        HttpClient::Options options;
+        options.maximumIdle = Duration::zero();
+        return options;
+    }
+
     void sendBody(std::string body)
     {
         HttpClient::Options options;
@@ -316,6 +323,119 @@
     EXPECT_TRUE(m_outcome->failure.mayHaveRun);
 }
 
+// Servers in trouble sent bytes that only resemble a response, and clients got them as one.
+TEST_F(HttpClientTest, BytesThatAreNoResponse_Received_FailAsPossiblyRun)
+{
+    const std::string end = "\r\nContent-Length: 2\r\n\r\nok";
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::vector<std::string> cases {
+        "HTTP/1.1 000 OK" + end,
+        "HTTP/1.1 099 OK" + end,
+        "HTTP/1.1 600 OK" + end,
+        "HTTP/1.1 999 OK" + end,
+        "HTTP/1.1 20 OK" + end,
+        "HTTP/1.1 2000 OK" + end,
+        "HTTP/1.1 2x0 OK" + end,
+        "HTTP/1.1  200 OK" + end,
+        "HTTP/1.1\t200 OK" + end,
+        "HTTP/1.1 200" + end,
+        "HTTP/1.1 200 O\x01K" + end,
+        " HTTP/1.1 200 OK" + end,
+        "HTTQ/1.1 200 OK" + end,
+        "http/1.1 200 OK" + end,
+        "HTTP/2.0 200 OK" + end,
+        "HTTP/1.2 200 OK" + end,
+        "HTTP/11 200 OK" + end,
+        "\r\n\r\n",
+        "HTTP/1.1 200 OK\nContent-Length: 2\r\n\r\nok",
+        head + "X Y: a" + end,
+        head + "X\x01Y: a" + end,
+        head + "X\x7FY: a" + end,
+        head + "X(Y): a" + end,
+        head + ": a" + end,
+        head + "X" + end,
+        head + " X: a" + end,
+        head + "X: a\r\n b" + end,
+        head + "X: a\x01" + end,
+        head + std::string("X: a\0b", 6) + end,
+        head + "X: a\rb" + end,
+        head + "X: a\x7F" + end,
+        head + "X: a\nY: b" + end,
+        head + "Content-Length: 2\r\nContent-Length: 2\r\n\r\nok",
+        head + "Content-Length: 2, 2\r\n\r\nok",
+        head + "Content-Length: +2\r\n\r\nok",
+        head + "Content-Length: 2 2\r\n\r\nok",
+        head + "Content-Length: -2\r\n\r\nok",
+        head + "Content-Length:\r\n\r\nok",
+        head + "Content-Length: 0x2\r\n\r\nok",
+        head + "Content-Length: 99999999999999999999\r\n\r\nok",
+        head + "Content-Length : 2\r\n\r\nok",
+        head + "Content-Length\t: 2\r\n\r\nok",
+        head + "Content Length: 2\r\n\r\nok",
+        head + "Content-Length: 2;\r\n\r\nok",
+        head + "Transfer-Encoding: chunked\r\nContent-Length: 2" + end,
+        head + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        head + "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+        head + "Transfer-Encoding: identity" + end,
+        head + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        head + "Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n",
+        "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        chunked + "2\r\nokay\r\n0\r\n\r\n",
+        chunked + "2\r\nok0\r\n\r\n",
+        chunked + "2\nok\r\n0\r\n\r\n",
+        chunked + "x\r\nok\r\n0\r\n\r\n",
+        chunked + "\r\n0\r\n\r\n",
+        chunked + "-2\r\nok\r\n0\r\n\r\n",
+        chunked + "2 x\r\nok\r\n0\r\n\r\n",
+        chunked + "10000000000000002\r\nok\r\n0\r\n\r\n",
+        chunked + "2\r\nok\r\n0\r\nX Y: a\r\n\r\n",
+        chunked + "2\r\nok\r\n0\r\n",
+        "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "0\r\n\r\n",
+    };
+    for (const std::string& bytes : cases) {
+        m_handlers.emplace_back([&bytes](Tcp::socket& socket, const std::string&) {
+            reply(socket, bytes);
+            socket.close();
+        });
+        send("a", ownConnection());
+        ASSERT_TRUE(waitForOutcome());
+        EXPECT_FALSE(m_outcome->succeeded) << bytes;
+        EXPECT_TRUE(m_outcome->failure.mayHaveRun) << bytes;
+    }
+}
+
+TEST_F(HttpClientTest, UnusualResponses_Received_AreComplete)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::vector<std::string> cases {
+        "HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/1.1 200 \r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/1.1 200 \xC3\xBC  b\r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/1.1 599 X\r\ncontent-length:2\r\n\r\nok",
+        head + "X:\r\nContent-Length: \t2 \r\n\r\nok",
+        head + "X!#$%&'*+-.^_`|~9: \xFF\tb\r\nContent-Length: 002\r\n\r\nok",
+        head + "X : a\r\nContent-Length: 2\r\n\r\nok",
+        head + "\r\nok",
+        head + "transfer-encoding: CHUNKED\r\n\r\n002;a=b;c=\"d\"\r\nok\r\n0\r\nX: a\r\n\r\n",
+        head + "Transfer-Encoding: chunked\r\n\r\n1\r\no\r\n1\r\nk\r\n000\r\n\r\n",
+        "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + head + "Content-Length: 2\r\n\r\nok",
+    };
+    for (const std::string& bytes : cases) {
+        m_handlers.emplace_back([&bytes](Tcp::socket& socket, const std::string&) {
+            for (const char byte : bytes)
+                reply(socket, std::string(1, byte));
+            socket.close();
+        });
+        send("a", ownConnection());
+        ASSERT_TRUE(waitForOutcome());
+        EXPECT_TRUE(m_outcome->succeeded) << bytes << m_outcome->failure.error.detail;
+        EXPECT_EQ("ok", m_outcome->response.body) << bytes;
+    }
+}
+
 TEST_F(HttpClientTest, Request_WithoutListener_FailsAsNotRun)
 {
     m_acceptor.close();
