EndpointRunner: Read over responses without the request's identifier

Cause: a response without an identifier was taken for the one to its request; the identifier was compared only if it was there.

Change: where backend servers repeat the identifier in all responses but refusals, which the platform's program sets, a response without it belongs to no request. It is read over, and the connection is not used again.

Why it works: the identifier is the one thing by which a response tells its request.

--- a/Source/node/EndpointRunner.cpp
+++ b/Source/node/EndpointRunner.cpp
@@ -57,13 +57,17 @@
     return !outcome.succeeded && outcome.failure.mayHaveRun && outcome.failure.error.code != ResultCode::TimedOut;
 }
 
+bool isRefusal(const HttpResponse& response, const CallHeaders& names)
+{
+    return response.status == misdirectedStatus || findHeader(response.headers, names.notRun);
+}
+
 /// True for a response that could not be told from the one to a later request if the backend server sent it once more. A refusal
 /// ends its connection whatever it carries, since the same request may come again.
 bool mayBeSentAgain(const HttpResponse& response, const CallHeaders& names)
 {
-    const bool isRefusal = response.status == misdirectedStatus || findHeader(response.headers, names.notRun);
     const bool isUnnamedError = response.status >= firstErrorStatus && !findHeader(response.headers, names.requestId);
-    return isRefusal || isUnnamedError;
+    return isRefusal(response, names) || isUnnamedError;
 }
 
 } // namespace
@@ -430,9 +434,9 @@
     options.endsConnection = [names = m_settings.headers](const HttpResponse& response) { return mayBeSentAgain(response, names); };
     if (job.requestId.empty())
         return options;
-    options.matchesRequest = [name = m_settings.headers.requestId, id = job.requestId](const HttpResponse& response) {
-        const std::string* echoed = findHeader(response.headers, name);
-        return !echoed || *echoed == id;
+    options.matchesRequest = [names = m_settings.headers, id = job.requestId](const HttpResponse& response) {
+        const std::string* repeated = findHeader(response.headers, names.requestId);
+        return repeated ? *repeated == id : !names.isRequestIdAlwaysRepeated || isRefusal(response, names);
     };
     return options;
 }
--- a/Source/protocol/CallHeaders.h
+++ b/Source/protocol/CallHeaders.h
@@ -30,6 +30,8 @@
     std::string cold = "Knapweedquay-Cold-Ms";
     /// True when backend servers also receive the headers that only nodes interpret, such as the depth of a call.
     bool sendsNodeHeaders = true;
+    /// True when backend servers repeat the identifier in all responses but refusals, so that a response without it is the one to no request.
+    bool isRequestIdAlwaysRepeated = false;
     /// True when Retry-After may have a fraction of a second; otherwise it has whole seconds, rounded up.
     bool hasFractionalRetryAfter = false;
 };
--- a/Tests/node/EndpointRunnerTest.cpp
+++ b/Tests/node/EndpointRunnerTest.cpp
@@ -111,8 +111,64 @@
     EndpointRunner m_runner { m_context, m_self, m_settings, m_client, [this](ConnectionId, const PeerMessage& reply) { m_replies.push_back(reply); }, m_quarantine, m_keys, m_metrics };
 };
 
+CallHeaders headersWithRepeatedId()
+{
+    CallHeaders headers;
+    headers.isRequestIdAlwaysRepeated = true;
+    return headers;
+}
+
+/// Backend servers repeat the identifier of each request in their responses.
+class RepeatedIdTest : public EndpointRunnerTest {
+protected:
+    RepeatedIdTest()
+        : EndpointRunnerTest(headersWithRepeatedId())
+    {
+    }
+
+    /// Answers a request with this status and header, and returns whether its origin gets that as the answer.
+    bool isPassedOn(std::uint16_t status, HttpHeaders headers)
+    {
+        setBackend(backend("dispatch", "i-1"));
+        send(1, "dispatch", 1500ms);
+        if (!runUntil([this] { return hasReceived("/1"); })) {
+            ADD_FAILURE() << "the request was not sent";
+            return false;
+        }
+        find("/1")->respond({ status, std::move(headers), {} });
+        EXPECT_TRUE(runUntil([this] { return !replies<CallAnswerMessage>().empty() || !replies<CallUnknownMessage>().empty() || !replies<CallRefusalMessage>().empty(); }));
+        return !replies<CallAnswerMessage>().empty();
+    }
+};
+
 } // namespace
 
+// Callers got the additional bytes of a faulty endpoint, in the form of a response without an identifier, as a success.
+TEST_F(RepeatedIdTest, SuccessWithoutId_IsNotPassedOn)
+{
+    EXPECT_FALSE(isPassedOn(200, {}));
+    EXPECT_EQ(1u, replies<CallUnknownMessage>().size());
+}
+
+// In the form of a status that promises that the request did not run, they made bookings that ran look as if they had not.
+TEST_F(RepeatedIdTest, TimeoutStatusWithoutId_IsNotPassedOn)
+{
+    EXPECT_FALSE(isPassedOn(408, {}));
+    EXPECT_EQ(1u, replies<CallUnknownMessage>().size());
+}
+
+TEST_F(RepeatedIdTest, ResponseWithId_IsPassedOn)
+{
+    EXPECT_TRUE(isPassedOn(200, { { CallHeaders().requestId, "1" } }));
+}
+
+// Refusals carry no identifier.
+TEST_F(RepeatedIdTest, RefusalWithoutId_IsARefusal)
+{
+    EXPECT_FALSE(isPassedOn(503, { { CallHeaders().notRun, "1" } }));
+    EXPECT_EQ(1u, replies<CallRefusalMessage>().size());
+}
+
 // Bookings that waited for an endpoint that had fallen silent ran at one of another service, which took its address.
 TEST_F(EndpointRunnerTest, QueuedAttempt_AddressGoesToAnotherService_IsRefusedUnrun)
 {
