NodeSubscriptions: Tell nodes when the members of the store change

Callers saw: after a planned replacement of the three seeds, nodes went on running requests on a route that an acknowledged change had dropped: 83 of 83.

Cause: the addresses of the members were sent once, in answer to a subscription. A node that had connected before the other replicas joined knew the seeds alone, and found no replica once they were gone.

Change: replicas send the list again to all subscribed nodes whenever it changes.

Why it works: a planned replacement adds the successor to the members before its predecessor goes, and nodes are connected to one of them then.

--- a/Source/control/ControlDaemon.cpp
+++ b/Source/control/ControlDaemon.cpp
@@ -65,7 +65,7 @@
 {
     BOOST_OUTCOME_TRYV(openStore());
     BOOST_OUTCOME_TRYV(m_linkServer.start(m_settings.links.ip, m_settings.links.port));
-    for (const std::string& address : replicaList().addresses) {
+    for (const std::string& address : m_subscriptions->replicas().addresses) {
         if (address != toText(m_settings.links))
             m_replicaLinks.open(address);
     }
@@ -141,16 +141,6 @@
         m_operators->handle(exchange);
 }
 
-ReplicaListMessage ControlDaemon::replicaList() const
-{
-    ReplicaListMessage list;
-    if (!m_service->log())
-        return list;
-    for (const Member& member : m_service->log()->members())
-        list.addresses.push_back(member.address);
-    return list;
-}
-
 Result<void> ControlDaemon::openStore()
 {
     BOOST_OUTCOME_TRY(folderLock, FolderLock::acquire(m_settings.folder));
@@ -215,6 +205,7 @@
     m_service->tick(now);
     m_service->flush(now);
     m_subscriptions->answerWaiting(now);
+    m_subscriptions->spreadReplicas();
     m_routing->tick(now);
     m_evacuations->tick(now);
     if (m_membership.isStarted())
@@ -260,7 +251,7 @@
         return;
     const ControlMessage& message = decoded.value();
     if (const auto* subscribe = std::get_if<SubscribeMessage>(&message)) {
-        m_subscriptions->send(id, replicaList());
+        m_subscriptions->send(id, m_subscriptions->replicas());
         m_subscriptions->subscribe(id, *subscribe);
     } else if (const auto* request = std::get_if<FreshnessRequestMessage>(&message))
         m_subscriptions->answerFreshness(id, *request, steadyNow());
--- a/Source/control/ControlDaemon.h
+++ b/Source/control/ControlDaemon.h
@@ -69,7 +69,6 @@
     void waitForSignal();
     void handleSignal(int signal);
     void handleHttp(const HttpExchangePtr&);
-    ReplicaListMessage replicaList() const;
     void accept(const LinkPtr&);
     void receiveNodeMessage(NodeSubscriptions::SubscriberId, std::string_view bytes);
     void receiveFromReplica(std::string_view bytes);
--- a/Source/control/NodeSubscriptions.cpp
+++ b/Source/control/NodeSubscriptions.cpp
@@ -71,6 +71,32 @@
         entry->second.link->send(LinkChannel::wrap(LinkChannel::node, encode(message)));
 }
 
+ReplicaListMessage NodeSubscriptions::replicas() const
+{
+    ReplicaListMessage list;
+    if (!m_service.log())
+        return list;
+    for (const Member& member : m_service.log()->members())
+        list.addresses.push_back(member.address);
+    return list;
+}
+
+void NodeSubscriptions::spreadReplicas()
+{
+    ReplicaListMessage list = replicas();
+    if (list.addresses == m_spreadReplicas)
+        return;
+    m_spreadReplicas = list.addresses;
+    // A full link closes, and so removes its subscriber.
+    std::vector<SubscriberId> subscribed;
+    for (const auto& [id, subscriber] : m_subscribers) {
+        if (subscriber.isSubscribed)
+            subscribed.push_back(id);
+    }
+    for (const SubscriberId id : subscribed)
+        send(id, list);
+}
+
 void NodeSubscriptions::documentsChanged()
 {
     std::vector<LinkPtr> stalledLinks;
--- a/Source/control/NodeSubscriptions.h
+++ b/Source/control/NodeSubscriptions.h
@@ -64,6 +64,11 @@
     /// Records the document versions that the node reports as in force, and sends what was held back until this report.
     void reportInForce(SubscriberId, const InForceMessage&, TimePoint now);
     void send(SubscriberId, const ControlMessage&);
+    /// Addresses of all members of the store, as this replica knows them; empty while it belongs to none.
+    ReplicaListMessage replicas() const;
+    /// Sends all subscribed nodes the addresses of the members if they have changed since the last call. A node that only knew members
+    /// which were replaced would find no other.
+    void spreadReplicas();
     /// Sends newly applied versions of documents to all subscribed nodes.
     void documentsChanged();
     /// Sends the replica's current proof of freshness, once the newest version of each document was sent and there is a proof.
@@ -98,6 +103,8 @@
     /// Those of the newest version, since many nodes need the same one.
     std::map<ServiceName, CompressedTexts> m_compressedTexts;
     std::map<SubscriberId, Subscriber> m_subscribers;
+    /// Addresses that were sent last.
+    std::vector<std::string> m_spreadReplicas;
     SubscriberId m_lastId = 0;
     /// True while a request may wait for the first proof.
     bool m_lacksProof = false;
