MachineSettings: Replace silent voters within the time that successors get

Operators would see: a control replica that ends for good without SIGTERM counts as lost until its successor has had CatchUpS; from then on two others may be lost. The store still counted it for 5 s of silence, and for an election more if it led.

Change: the platform's program sets the silence after which a voter is replaced, by a replica that waits for its place, to half of CatchUpS.

Why it works: an election and the two changes of the members take under 2 s, so the successor votes before the other losses are allowed.

--- a/Source/control/ControlDaemon.cpp
+++ b/Source/control/ControlDaemon.cpp
@@ -152,6 +152,7 @@
     settings.bootstrap = m_settings.bootstrap;
     settings.founders = m_settings.founders;
     settings.log.targetVoters = m_settings.targetVoters;
+    settings.log.replaceAfter = m_settings.replaceAfter;
     settings.newReplica = ReplicaId(randomId());
     settings.newCluster = ClusterId(randomId());
     settings.minimumVoters = m_settings.minimumVoters;
--- a/Source/control/ControlSettings.h
+++ b/Source/control/ControlSettings.h
@@ -31,6 +31,8 @@
     std::vector<std::string> founders;
     /// Target number of voters; 0 makes every replica a voter.
     std::size_t targetVoters = 0;
+    /// Time without acknowledgements after which a voter is replaced by a replica that waits for its place.
+    Duration replaceAfter { 5000000 };
     /// Edits are refused while the store has fewer voters than this.
     std::size_t minimumVoters = 1;
     /// Secrets that operators send as bearer tokens, by team name.
--- a/Tests/platform/MachineSettingsTest.cpp
+++ b/Tests/platform/MachineSettingsTest.cpp
@@ -27,7 +27,7 @@
 DataDir = "/data"
 HeartbeatS = 1.5
 Service = "huvo11a"
-Bounds = ["SeedLagS=3","GraceS=6.5","ColdOverage=1.4","ColdSlack=8"]
+Bounds = ["SeedLagS=3","GraceS=6.5","CatchUpS=4","ColdOverage=1.4","ColdSlack=8"]
 NewKey = { a = 1 }
 [Listen]
 Inbound = "10.1.0.35:8145"
@@ -68,6 +68,17 @@
 
 } // namespace
 
+// With a longer silence, a voter that was lost for good was still counted when its successor had had its time.
+TEST_F(MachineSettingsTest, CatchUpTime_DecidesWhenSilentVotersAreReplaced)
+{
+    MachineSettings machine;
+    EXPECT_EQ(ControlSettings().replaceAfter, controlSettings(machine).replaceAfter);
+    machine.catchUpTime = 4s;
+    EXPECT_EQ(Duration(2s), controlSettings(machine).replaceAfter);
+    machine.catchUpTime = 100ms;
+    EXPECT_EQ(Duration(1s), controlSettings(machine).replaceAfter);
+}
+
 TEST_F(MachineSettingsTest, Complete_Loaded_ConvertsToNodeSettings)
 {
     const auto machine = load(settingsText);
--- a/Tests/state/StoreSimulation.cpp
+++ b/Tests/state/StoreSimulation.cpp
@@ -61,6 +61,7 @@
         settings.founders = settings.peers;
     settings.bootstrap = m_founders > 0 ? replica.hasOriginalDisk : replica.createsStoreAlone;
     settings.log.targetVoters = m_voters;
+    settings.log.replaceAfter = m_replaceAfter;
     settings.newReplica = ReplicaId(m_nextId++);
     settings.newCluster = ClusterId(clusterId);
     settings.minimumVoters = m_voters > 0 ? m_voters - 1 : m_replicas.size() / 2 + 1;
--- a/Tests/state/StoreSimulation.h
+++ b/Tests/state/StoreSimulation.h
@@ -39,6 +39,9 @@
     static StoreSimulation withFounders(std::size_t founders, std::size_t replicas, std::size_t voters, std::uint64_t seed);
     static StoreSimulation withFounders(std::size_t founders, std::size_t replicas, std::size_t voters, std::uint64_t seed, SnapshotSizes);
 
+    /// Sets the silence after which voters are replaced, for replicas that start from now on.
+    void setReplaceAfter(Duration replaceAfter) { m_replaceAfter = replaceAfter; }
+
     void run(Duration);
     /// Runs until the condition holds or the time has passed, and returns whether the condition holds.
     bool runUntil(const std::function<bool()>&, Duration);
@@ -146,6 +149,7 @@
     std::size_t m_founders = 0;
     /// Target number of voters; 0 when every replica is a voter.
     std::size_t m_voters = 0;
+    Duration m_replaceAfter = ReplicatedLogSettings().replaceAfter;
     std::vector<Replica> m_replicas;
     std::multimap<TimePoint, MessageInFlight> m_messagesInFlight;
     SnapshotSizes m_snapshotSizes;
--- a/Tests/state/StoreSimulationTest.cpp
+++ b/Tests/state/StoreSimulationTest.cpp
@@ -451,6 +451,28 @@
     }
 }
 
+// A voter that ended for good, unannounced, was still counted when its successor had had its time, and two more losses left no majority.
+TEST_F(StoreReplacementTest, VoterLostForGood_SuccessorHasCaughtUp_TwoDisksMayBeLost)
+{
+    constexpr Duration catchUpTime = 4s;
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        StoreSimulation store = StoreSimulation::withFounders(3, voters + 1, voters, seed);
+        ASSERT_TRUE(waitUntilFormed(store)) << seed;
+        // Half of the time in which a new replica counts as lost, as the platform sets it.
+        store.setReplaceAfter(catchUpTime / 2);
+        for (std::size_t replica = 0; replica < store.size(); ++replica) {
+            store.endProcess(replica);
+            store.restart(replica);
+        }
+        ASSERT_TRUE(waitUntilFormed(store)) << seed;
+        store.endProcess(voter(store, seed % 4 < 2));
+        store.run(catchUpTime);
+        loseTwoDisks(store);
+        ASSERT_TRUE(acceptEdit(store)) << seed;
+        EXPECT_TRUE(store.violations().empty()) << join(store.violations());
+    }
+}
+
 TEST_F(StoreReplacementTest, TwoVotersStoppedAtOnce_ThenTwoDisksLost_EditsAreAccepted)
 {
     for (std::uint64_t seed = 1; seed <= 40; ++seed) {
