NodeSettings: Add headers.request_id_repeated

The platform's program set this for its backend servers; customers whose backend servers repeat the identifier can say so as well. Without the key nothing changes.

--- a/Source/node/NodeSettings.cpp
+++ b/Source/node/NodeSettings.cpp
@@ -47,6 +47,7 @@
     names.requestLimit = headers.text("request_limit", names.requestLimit, isHeaderName, expectation);
     names.leaving = headers.text("leaving", names.leaving, isHeaderName, expectation);
     names.cold = headers.text("cold", names.cold, isHeaderName, expectation);
+    names.isRequestIdAlwaysRepeated = headers.boolean("request_id_repeated", names.isRequestIdAlwaysRepeated);
     names.sendsNodeHeaders = headers.boolean("send_levels", names.sendsNodeHeaders);
     names.hasFractionalRetryAfter = headers.boolean("fractional_retry_after", names.hasFractionalRetryAfter);
     headers.finish();
