--- a/Utilities/Scripts/check-fuzz.sh
+++ b/Utilities/Scripts/check-fuzz.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 runs=${1:-20000}
-names="ControlMessages Document GossipMessages LogRecord PeerMessages ReplicaMessages"
+names="ControlMessages Document GossipMessages LogRecord PeerMessages ReplicaMessages Responses"
 cmake --preset fuzz >/dev/null
 targets=$(for name in $names; do printf '%sFuzz ' "$name"; done)
 # shellcheck disable=SC2086
