BackendPresence: Keep departed runs apart from the run that leaves

A late announcement of a run that had departed took the place of the present run's word that it leaves, so that an operator's order could have ended its drain (by reading; LateAnnouncementOfADepartedRun_LeavesThePresentRunAsItIs). A departure that is not recorded in time is logged (416).

--- a/Source/coordination/presence/BackendPresence.cpp
+++ b/Source/coordination/presence/BackendPresence.cpp
@@ -10,7 +10,7 @@
 /// Announcements with increasing sequence numbers after which a run replaces the present one although its start time
 /// is earlier. All but the first count only once the present run has not announced itself for half the timeout.
 constexpr std::uint32_t announcementsToReplaceNewerRun = 3;
-constexpr std::size_t maximumConfirmedRuns = 16;
+constexpr std::size_t maximumKnownRuns = 16;
 
 bool hasSameProperties(const BackendAnnouncement& a, const BackendAnnouncement& b)
 {
@@ -32,7 +32,8 @@
 
 bool BackendPresence::isLeaving(const BackendAnnouncement& announcement) const
 {
-    return m_leaving && m_leaving->instance == announcement.instance && m_leaving->startedAt == announcement.startedAt;
+    const BackendRun run = runOf(announcement);
+    return (m_leaving && *m_leaving == run) || std::find(m_departed.begin(), m_departed.end(), run) != m_departed.end();
 }
 
 bool BackendPresence::belongsToEndedRun(const BackendAnnouncement& announcement) const
@@ -54,11 +55,11 @@
     return std::find(m_confirmed.begin(), m_confirmed.end(), runOf(announcement)) != m_confirmed.end();
 }
 
-void BackendPresence::addConfirmed(const BackendRun& run)
+void BackendPresence::addRun(std::deque<BackendRun>& runs, const BackendRun& run)
 {
-    m_confirmed.push_back(run);
-    if (m_confirmed.size() > maximumConfirmedRuns)
-        m_confirmed.pop_front();
+    runs.push_back(run);
+    if (runs.size() > maximumKnownRuns)
+        runs.pop_front();
 }
 
 PresenceChange BackendPresence::considerUnconfirmed(const BackendAnnouncement& announcement, TimePoint now)
@@ -67,7 +68,7 @@
     const bool isRepeated = isSameRun && (announcement.sequence == 0 || announcement.sequence > m_unconfirmed->announcement.sequence);
     if (isRepeated) {
         m_unconfirmed.reset();
-        addConfirmed(runOf(announcement));
+        addRun(m_confirmed, runOf(announcement));
         return announce(announcement, now);
     }
     if (!isSameRun)
@@ -79,11 +80,11 @@
 {
     const auto held = m_unconfirmed && runOf(m_unconfirmed->announcement) == run ? std::exchange(m_unconfirmed, std::nullopt) : std::nullopt;
     if (hasDeparted) {
-        m_leaving = run;
+        addRun(m_departed, run);
         if (m_current && runOf(*m_current) == run)
             return drain();
     }
-    addConfirmed(run);
+    addRun(m_confirmed, run);
     const bool isRecent = held && now - held->receivedAt <= m_announcementTimeout;
     return isRecent ? announce(held->announcement, now) : PresenceChange::None;
 }
@@ -124,10 +125,11 @@
 PresenceChange BackendPresence::adopt(const BackendAnnouncement& announcement, TimePoint now)
 {
     const bool hasIdentity = !announcement.instance.empty() || announcement.startedAt != 0;
-    if (!hasIdentity || !isLeaving(announcement))
+    const bool isLeavingRun = hasIdentity && isLeaving(announcement);
+    if (!isLeavingRun)
         m_leaving.reset();
     m_current = announcement;
-    m_current->draining = announcement.draining || m_leaving;
+    m_current->draining = announcement.draining || isLeavingRun;
     m_announcedAt = now;
     m_candidate.reset();
     return m_current->draining ? PresenceChange::Draining : PresenceChange::Arrived;
--- a/Source/coordination/presence/BackendPresence.h
+++ b/Source/coordination/presence/BackendPresence.h
@@ -105,7 +105,7 @@
     };
 
     bool isConfirmed(const BackendAnnouncement&) const;
-    void addConfirmed(const BackendRun&);
+    static void addRun(std::deque<BackendRun>&, const BackendRun&);
     PresenceChange considerUnconfirmed(const BackendAnnouncement&, TimePoint now);
     bool isLeaving(const BackendAnnouncement&) const;
     bool isKnown(const ServiceName& service) const { return !m_isKnown || m_isKnown(service); }
@@ -127,6 +127,8 @@
     std::optional<Unconfirmed> m_unconfirmed;
     /// The latest runs that may be used as they announce themselves.
     std::deque<BackendRun> m_confirmed;
+    /// The latest runs that told an earlier process that they leave.
+    std::deque<BackendRun> m_departed;
     std::optional<Candidate> m_candidate;
     /// When the latest announcement of the present run was received.
     TimePoint m_announcedAt;
--- a/Source/node/NodeControl.cpp
+++ b/Source/node/NodeControl.cpp
@@ -134,7 +134,11 @@
     // A run without a start time can't be told from a later one of its name, which must be used.
     if (run.startedAt == 0)
         return acknowledge(true);
-    m_departures.record(run, steadyNow(), acknowledge);
+    m_departures.record(run, steadyNow(), [instance = run.instance, acknowledge](bool isRecorded) {
+        if (!isRecorded)
+            log(LogEvent::DepartureUnrecorded, { { "instance", instance } });
+        acknowledge(isRecorded);
+    });
 }
 
 ControlSubscription::Hooks NodeControl::subscriptionHooks()
--- a/Source/protocol/LogEvent.cpp
+++ b/Source/protocol/LogEvent.cpp
@@ -51,6 +51,7 @@
     { LogEvent::QuarantineRefusals, LogLevel::Info, "held requests refused" },
     { LogEvent::QuarantineTrial, LogLevel::Info, "one run of a held request admitted" },
     { LogEvent::BackendConfirmed, LogLevel::Info, "departures of a backend server looked up" },
+    { LogEvent::DepartureUnrecorded, LogLevel::Warning, "departure of the backend server not recorded in time" },
     { LogEvent::CallAccepted, LogLevel::Info, "call accepted" },
     { LogEvent::EndpointChosen, LogLevel::Info, "endpoint chosen" },
     { LogEvent::AttemptRefused, LogLevel::Info, "attempt refused by the endpoint's node" },
--- a/Source/protocol/LogEvent.h
+++ b/Source/protocol/LogEvent.h
@@ -58,6 +58,7 @@
     QuarantineRefusals = 413,
     QuarantineTrial = 414,
     BackendConfirmed = 415,
+    DepartureUnrecorded = 416,
 
     // 6xx: calls, at the node that accepted them (61x) and at the endpoint's node (62x).
     CallAccepted = 610,
--- a/Tests/coordination/BackendPresenceTest.cpp
+++ b/Tests/coordination/BackendPresenceTest.cpp
@@ -43,6 +43,18 @@
     EXPECT_TRUE(m_presence.isDraining());
 }
 
+TEST_F(BackendPresenceTest, LateAnnouncementOfADepartedRun_LeavesThePresentRunAsItIs)
+{
+    m_presence.requireConfirmation();
+    announce(announcement("b", 20, 1));
+    m_presence.confirm({ "b", 20 }, false, m_now);
+    EXPECT_EQ(PresenceChange::Draining, m_presence.startLeaving("b", 20));
+    EXPECT_EQ(PresenceChange::Unconfirmed, announce(announcement("a", 10, 4)));
+    EXPECT_EQ(PresenceChange::None, m_presence.confirm({ "a", 10 }, true, m_now));
+    EXPECT_EQ("b", m_presence.current()->instance);
+    EXPECT_EQ(PresenceChange::None, m_presence.undrain()) << "a run that told that it leaves drains to its end";
+}
+
 TEST_F(BackendPresenceTest, UnknownRun_ConfirmedOrAnnouncedAgain_IsUsed)
 {
     m_presence.requireConfirmation();
