--- a/Tests/transport/HttpClientTest.cpp
+++ b/Tests/transport/HttpClientTest.cpp
@@ -394,8 +394,7 @@
         chunked + "2\r\nok\r\n0\r\nX Y: a\r\n\r\n",
         chunked + "2\r\nok\r\n0\r\n",
         "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n",
-        "HTTP/1.1 100 Continue\r\nTransfer-Encoding: chunked\r\n\r\n"
-        "0\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
     };
     for (const std::string& bytes : cases) {
         m_handlers.emplace_back([&bytes](Tcp::socket& socket, const std::string&) {
