--- a/Source/state/ControlService.cpp
+++ b/Source/state/ControlService.cpp
@@ -169,7 +169,7 @@
 void ControlService::requestLeave(TimePoint now)
 {
     m_leave->nextRequest = now + leaveInterval;
-    // A leader that has removed itself hears of no other member's answer.
+    // A leader that has removed itself leads no more, and its own log tells it.
     const bool isRemoved = !findMember(m_log->members(), m_log->self()) && m_log->log().membersIndex() <= m_log->commitIndex();
     if (isRemoved)
         handleLeaveProgress(LeaveProgress::Removed, now);
