--- a/review/standins-3/SmallDeployment.cpp
+++ b/review/standins-3/SmallDeployment.cpp
@@ -508,8 +508,11 @@
 std::string Deployment::boundsText() const
 {
     std::string text;
-    for (const auto& [name, value] : m_bounds)
-        text.append(text.empty() ? "" : ",").append(inQuotes(name + '=' + value));
+    for (const auto& [name, value] : m_bounds) {
+        std::string bound = name;
+        bound.append("=").append(value);
+        text.append(text.empty() ? "" : ",").append(inQuotes(bound));
+    }
     return text;
 }
 
