--- a/review/standins-3/SmallDeployment.cpp
+++ b/review/standins-3/SmallDeployment.cpp
@@ -28,6 +28,7 @@
 const Clock::time_point programStart = Clock::now();
 constexpr std::size_t readBytes = 65536;
 constexpr double pollStep = 0.005;
+const std::string okStatus = "HTTP/1.1 200 ";
 
 std::string lower(std::string text)
 {
@@ -319,9 +320,31 @@
         const std::string answer = answerTo(request, connection, drops);
         if (drops || !connection.send(answer))
             return;
+        if (answer.compare(0, okStatus.size(), okStatus) == 0 && request.second != "/health")
+            sendAdditionalBytes(socket);
     }
 }
 
+void Endpoint::sendAdditionalBytes(int socket)
+{
+    thread_local std::mt19937 random(std::random_device {}());
+    if (m_settings.additionalBytes.empty() || std::uniform_real_distribution<double>(0, 1)(random) >= m_additionalShare)
+        return;
+    // Its own descriptor, so that the number can't go to another connection meanwhile.
+    const int copy = ::fcntl(socket, F_DUPFD_CLOEXEC, 0);
+    ++m_connections;
+    std::thread([this, copy] {
+        sleepFor(m_settings.additionalDelay);
+        const std::string& bytes = m_settings.additionalBytes;
+        if (::send(copy, bytes.data(), bytes.size(), MSG_NOSIGNAL) > 0) {
+            ++m_additionalSent;
+            m_record.add("endpoint " + m_settings.instance + " sends additional bytes");
+        }
+        ::close(copy);
+        --m_connections;
+    }).detach();
+}
+
 std::string Endpoint::answerTo(const Message& request, Connection& connection, bool& drops)
 {
     const std::string load = std::to_string(m_running) + "," + std::to_string(m_waiting) + "," + std::to_string(m_settings.slots);
@@ -337,7 +360,7 @@
     const double deadline = now() + (deadlineMs > 0 ? deadlineMs / 1000 : 600);
     if (++m_waiting > m_settings.queue + m_settings.slots) {
         --m_waiting;
-        return "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nX-Request-Id: " + id + "\r\nContent-Length: 0\r\n\r\n";
+        return "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
     }
     while (true) {
         int running = m_running;
@@ -346,7 +369,7 @@
         drops = connection.isClosedByPeer();
         if (drops || now() >= deadline || m_isStopped) {
             --m_waiting;
-            return "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nX-Request-Id: " + id + "\r\nContent-Length: 0\r\n\r\n";
+            return "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
         }
         sleepFor(pollStep);
     }
--- a/review/standins-3/SmallDeployment.h
+++ b/review/standins-3/SmallDeployment.h
@@ -142,6 +142,9 @@
         int slots = 4;
         int queue = 4;
         double heartbeat = 1.5;
+        /// Bytes that a faulty endpoint sends behind a complete response, and how long after it; none when empty.
+        std::string additionalBytes;
+        double additionalDelay = 0.02;
     };
 
     Endpoint(Settings, Record&);
@@ -152,6 +155,9 @@
     /// Starts to listen and to send heartbeats.
     bool start();
     void stop();
+    /// From now on this share of the responses to requests that ran is followed by the additional bytes.
+    void setAdditionalShare(double share) { m_additionalShare = share; }
+    int additionalSent() const { return m_additionalSent; }
     /// Number of acknowledged heartbeats.
     int acknowledged() const { return m_acknowledged; }
     std::vector<Run> runs() const;
@@ -159,6 +165,8 @@
 private:
     void accept();
     void serve(int socket);
+    /// Sends the additional bytes a moment later, if it is this response's turn.
+    void sendAdditionalBytes(int socket);
     void beat();
     std::string answerTo(const Message&, Connection&, bool& drops);
 
@@ -171,6 +179,8 @@
     std::atomic<int> m_running { 0 };
     std::atomic<int> m_waiting { 0 };
     std::atomic<int> m_connections { 0 };
+    std::atomic<double> m_additionalShare { 0 };
+    std::atomic<int> m_additionalSent { 0 };
     mutable std::mutex m_mutex;
     std::vector<Run> m_runs;
     std::thread m_acceptor;
