--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-compile() { "${CXX:-g++}" -std=c++17 -O1 -Wall -Wextra -Wno-missing-field-initializers -pthread "$@"; }
+compile() { "${CXX:-g++}" -std=c++17 -O1 -Wall -Wextra -pthread "$@"; }
 compile -c -o target/review-3/SmallDeployment.o review/standins-3/SmallDeployment.cpp
 for source in review/1[1-5]/*.cpp; do
     [ -e "$source" ] || continue
--- a/review/standins-3/SmallDeployment.h
+++ b/review/standins-3/SmallDeployment.h
@@ -143,7 +143,7 @@
         int queue = 4;
         double heartbeat = 1.5;
         /// Bytes that a faulty endpoint sends behind a complete response, and how long after it; none when empty.
-        std::string additionalBytes;
+        std::string additionalBytes {};
         double additionalDelay = 0.02;
     };
 
