OutgoingCall: Limit attempts to the time in which a stopping node can pass their answers on

Cause: for its origin an accepted attempt is in hand, whether it waits or runs, and the endpoint's node goes by the caller's deadline alone, which lies behind the end of the origin. Evidence: with real processes what waits at another node is cut at the maximum and runs later, also where no call is taken late in the notice, so that taking fewer calls would not be enough.

A node that stops now tells the node of each accepted attempt by when its answer is needed, if the deadline is later. That one refuses in time what can't be expected to end by then, by the same queue and the same fate table that refuse for a deadline, so that it has certainly not run and never will; what runs goes on. The caller gets 503 with Retry-After. Related paths: hedges, resends, later acceptance, the node's own queue, a connection that is still opening, a large body sent in part, a link that is lost in the last 0.4 s.

Nodes of earlier releases get no limits.

--- a/Source/coordination/admission/AdmissionQueue.cpp
+++ b/Source/coordination/admission/AdmissionQueue.cpp
@@ -168,6 +168,17 @@
     m_calls.erase(found);
 }
 
+void AdmissionQueue::limitAnswer(CallTicket ticket, TimePoint answerBy)
+{
+    const auto found = m_calls.find(ticket);
+    if (found == m_calls.end() || !found->second.expiryHook.is_linked())
+        return;
+    auto& call = found->second;
+    const auto latestStart = answerBy - atCurrentSpeed(m_lanes[call.priority].serviceTime.mean());
+    if (latestStart < call.expiry)
+        setExpiry(call, latestStart, ResultCode::DeadlineCannotBeMet);
+}
+
 CancelResult AdmissionQueue::cancel(CallTicket ticket)
 {
     const auto found = m_calls.find(ticket);
@@ -290,13 +301,8 @@
 {
     m_draining = true;
     const auto latestStart = now + queueTime;
-    while (hasQueued() && m_expiryOrder.rbegin()->expiry > latestStart) {
-        auto& call = *m_expiryOrder.rbegin();
-        m_expiryOrder.erase(m_expiryOrder.iterator_to(call));
-        call.expiry = latestStart;
-        call.expiryCode = code;
-        m_expiryOrder.insert(call);
-    }
+    while (hasQueued() && m_expiryOrder.rbegin()->expiry > latestStart)
+        setExpiry(*m_expiryOrder.rbegin(), latestStart, code);
 }
 
 LoadReport AdmissionQueue::report() const
@@ -494,6 +500,14 @@
     m_expiryOrder.erase(m_expiryOrder.iterator_to(call));
 }
 
+void AdmissionQueue::setExpiry(Call& call, TimePoint expiry, ResultCode code)
+{
+    m_expiryOrder.erase(m_expiryOrder.iterator_to(call));
+    call.expiry = expiry;
+    call.expiryCode = code;
+    m_expiryOrder.insert(call);
+}
+
 void AdmissionQueue::start(Call& call, TimePoint now)
 {
     ++m_running;
--- a/Source/coordination/admission/AdmissionQueue.h
+++ b/Source/coordination/admission/AdmissionQueue.h
@@ -100,6 +100,8 @@
     AdmissionDecision offer(CallTicket, PriorityIndex, TimePoint deadline, TimePoint now, TimePoint targetAt = TimePoint::max());
     /// Registers that a started call ended. Unknown tickets are ignored.
     void finished(CallTicket, BackendOutcome, TimePoint now);
+    /// Gives a queued call up in time if it can't be expected to be answered by then, with the code DeadlineCannotBeMet.
+    void limitAnswer(CallTicket, TimePoint answerBy);
     /// Removes a call that is still queued. A running call is not stopped.
     CancelResult cancel(CallTicket);
     /// Starts queued calls on the free slots and gives up those whose time in the queue has expired.
@@ -246,6 +248,8 @@
     std::optional<std::size_t> nextLane(TimePoint now) const;
     void enqueue(Call&, TimePoint now);
     void dequeue(Call&);
+    /// Makes a queued call expire at another time, with this code.
+    void setExpiry(Call&, TimePoint, ResultCode);
     void start(Call&, TimePoint now);
     void giveUpExpired(TimePoint now, std::vector<GivenUpCall>&);
     void countOutcome(bool failed);
--- a/Source/coordination/attempts/CallEvents.h
+++ b/Source/coordination/attempts/CallEvents.h
@@ -68,12 +68,16 @@
 struct TimerFired { };
 /// The caller closed its connection; may precede CallStarted while the claim of an idempotency key is pending.
 struct CallerDisconnected { };
+/// The node of the call stops, and can pass answers on until this time; may precede CallStarted.
+struct NodeStops {
+    TimePoint answersBy;
+};
 /// The node of the call ends soon; may precede CallStarted.
 struct NodeEnds { };
 
 /// An event that OutgoingCall::handle() accepts.
 using CallEvent = std::variant<CallStarted, EndpointChosen, NoEndpointAvailable, AttemptAccepted, AttemptAnswered, AttemptFailed, EndpointSlowed, AttemptRefused,
-    AttemptUnknown, CancelAcknowledged, LinkLost, LinkRestored, TimerFired, CallerDisconnected, NodeEnds>;
+    AttemptUnknown, CancelAcknowledged, LinkLost, LinkRestored, TimerFired, CallerDisconnected, NodeStops, NodeEnds>;
 
 /// Choose an endpoint by policy, except the excluded ones, and reply with EndpointChosen or NoEndpointAvailable.
 struct ChooseEndpoint {
@@ -101,6 +105,15 @@
     NodeId node;
     Incarnation target;
 };
+/// Tell the endpoint's node when the answer of the attempt is of no use any more. An attempt that can't be expected to end by then
+/// must not start; it is refused instead. One that runs goes on.
+struct LimitAttempt {
+    AttemptId attempt;
+    NodeId node;
+    Incarnation target;
+    /// Time left until then.
+    Duration answerWithin { 0 };
+};
 /// The link to this node is unresponsive: open a new connection and report LinkRestored.
 struct ReplaceLink {
     NodeId node;
@@ -137,7 +150,7 @@
 };
 
 /// An action that OutgoingCall::handle() requests.
-using CallAction = std::variant<ChooseEndpoint, SendAttempt, CancelAttempt, ReplaceLink, SetTimer, ClearTimer, FinishCall>;
+using CallAction = std::variant<ChooseEndpoint, SendAttempt, CancelAttempt, LimitAttempt, ReplaceLink, SetTimer, ClearTimer, FinishCall>;
 using CallActions = std::vector<CallAction>;
 
 } // namespace Knapweedquay
--- a/Source/coordination/attempts/OutgoingCall.cpp
+++ b/Source/coordination/attempts/OutgoingCall.cpp
@@ -42,6 +42,8 @@
         checkDueTimes();
     if (m_phase != Phase::Finished)
         std::visit([this](const auto& typedEvent) { on(typedEvent); }, event);
+    if (m_isNodeEnding)
+        endUnlessInHand();
     if (m_phase != Phase::Finished)
         updateTimer();
     return std::move(m_actions);
@@ -63,7 +65,7 @@
     else if (hasTimeLeft())
         requestEndpoint(false);
     else
-        finishUnanswered({ ResultCode::DeadlineExpired });
+        finishUnanswered(timeIsUp());
 }
 
 void OutgoingCall::on(const EndpointChosen& chosen)
@@ -72,7 +74,7 @@
         return;
     if (!hasTimeLeft()) {
         if (m_attempts.empty())
-            m_refusal = { ResultCode::DeadlineExpired };
+            m_refusal = timeIsUp();
         return finishIfNoneOutstanding();
     }
     if (m_attempts.empty())
@@ -95,8 +97,10 @@
 void OutgoingCall::on(const AttemptAccepted& event)
 {
     Attempt* attempt = find(event.attempt);
-    if (attempt && isOutstanding(*attempt))
-        attempt->state = AttemptState::Accepted;
+    if (!attempt || !isOutstanding(*attempt))
+        return;
+    attempt->state = AttemptState::Accepted;
+    limit(*attempt);
 }
 
 void OutgoingCall::on(const AttemptAnswered& event)
@@ -140,6 +144,9 @@
     if (!attempt->reachedBackend)
         giveBack(std::exchange(attempt->taken, {}));
     m_refusal = event.refusal;
+    // The endpoint's node refuses a limited attempt as one whose deadline is near.
+    if (m_answersBy && (event.refusal.code == ResultCode::DeadlineCannotBeMet || event.refusal.code == ResultCode::DeadlineExpired))
+        m_refusal.code = ResultCode::Draining;
     if (!hasOutstanding())
         tryRetryAfterRefusal(event.refusal);
     finishIfNoneOutstanding();
@@ -179,7 +186,23 @@
     finishIfNoneOutstanding();
 }
 
+void OutgoingCall::on(const NodeStops& event)
+{
+    if (event.answersBy >= m_parameters.deadline)
+        return;
+    m_answersBy = event.answersBy;
+    for (const Attempt& attempt : m_attempts) {
+        if (attempt.state == AttemptState::Accepted)
+            limit(attempt);
+    }
+}
+
 void OutgoingCall::on(const NodeEnds&)
+{
+    m_isNodeEnding = true;
+}
+
+void OutgoingCall::endUnlessInHand()
 {
     const bool isInHand = std::any_of(m_attempts.begin(), m_attempts.end(), [](const Attempt& attempt) {
         return attempt.state == AttemptState::Sent || attempt.state == AttemptState::Accepted;
@@ -318,6 +341,12 @@
     m_actions.push_back(CancelAttempt { attempt.id, attempt.node, attempt.incarnation });
 }
 
+void OutgoingCall::limit(const Attempt& attempt)
+{
+    if (m_answersBy)
+        m_actions.push_back(LimitAttempt { attempt.id, attempt.node, attempt.incarnation, std::max(*m_answersBy - m_now, Duration(0)) });
+}
+
 void OutgoingCall::tryRetryAfterRefusal(const Refusal& refusal)
 {
     if (!canStartAttempt() || !canAnotherEndpointAccept(refusal))
@@ -369,7 +398,7 @@
 
 bool OutgoingCall::hasTimeLeft() const
 {
-    return m_parameters.deadline - m_now > hopMargin;
+    return std::min(m_parameters.deadline, m_answersBy.value_or(TimePoint::max())) - m_now > hopMargin;
 }
 
 void OutgoingCall::finishIfNoneOutstanding()
--- a/Source/coordination/attempts/OutgoingCall.h
+++ b/Source/coordination/attempts/OutgoingCall.h
@@ -54,6 +54,9 @@
 /// proves nothing, because a buffered message may still arrive. A non-idempotent call has at most one attempt at a time
 /// that may run. Extra attempts stay within the budgets, and a call that is itself a repeat starts none that could add
 /// load downstream, so that the retries of nested calls do not multiply.
+///
+/// Load pattern of a stop: calls that wait at busy endpoints while their own node stops. They must not start so late that their
+/// answers find it gone, so each accepted attempt is limited to the time in which its answer can still be passed on.
 class OutgoingCall {
 public:
     /// nextAttemptId returns a new id each time; its sequence numbers start at 1.
@@ -120,9 +123,17 @@
     void on(const LinkRestored&);
     void on(const TimerFired&);
     void on(const CallerDisconnected&);
-    /// Ends the call unless an endpoint's node is known to have an attempt in hand: nobody else can bring its answer in time.
+    /// Limits the accepted attempts, and those that are accepted later.
+    void on(const NodeStops&);
+    /// Ends the call, now or later, once no endpoint's node is known to have an attempt in hand: nobody else can bring its answer
+    /// in time.
     void on(const NodeEnds&);
 
+    void endUnlessInHand();
+    void limit(const Attempt&);
+    /// Reason of a call for which there is no time left.
+    Refusal timeIsUp() const { return { m_answersBy ? ResultCode::Draining : ResultCode::DeadlineExpired }; }
+
     void checkDueTimes();
     void checkAcceptance();
     void checkHedge();
@@ -173,6 +184,10 @@
     /// What the endpoint being chosen is for has taken from the budgets.
     TakenBudgets m_taken;
     bool m_isCallerDisconnected = false;
+    /// Time until which this node can pass an answer on; set once it stops, if that is before the deadline.
+    std::optional<TimePoint> m_answersBy;
+    /// True after NodeEnds.
+    bool m_isNodeEnding = false;
     TimePoint m_firstSentAt;
     /// End of the wait in phase Cancelling.
     TimePoint m_giveUpAt;
--- a/Source/coordination/stopping/GracefulStop.cpp
+++ b/Source/coordination/stopping/GracefulStop.cpp
@@ -23,7 +23,7 @@
         m_drainedAt = now;
         return Step::Drain;
     }
-    if (m_phase == Phase::Draining && now >= lastDeadline()) {
+    if (m_phase == Phase::Draining && now >= lastAnswersAt()) {
         m_phase = Phase::Delivering;
         return Step::EndWaitingWork;
     }
--- a/Source/coordination/stopping/GracefulStop.h
+++ b/Source/coordination/stopping/GracefulStop.h
@@ -57,7 +57,11 @@
 
     /// True if a call that arrives now and ends by its deadline may be passed on. This depends on the times alone, since a
     /// process that was suspended may receive calls before it takes its next step.
-    bool mayTake(TimePoint now, TimePoint deadline) const { return !isOrdered() || now < m_orderedAt + m_settings.notice || deadline <= lastDeadline(); }
+    bool mayTake(TimePoint now, TimePoint deadline) const { return !isOrdered() || now < m_orderedAt + m_settings.notice || deadline <= lastAnswersAt(); }
+
+    /// Time by which the endpoints' nodes have to answer or refuse what they hold for this node, so that the last answers are
+    /// delivered. Only set once the stop is ordered.
+    TimePoint lastAnswersAt() const { return m_orderedAt + m_settings.maximum - m_settings.delivery; }
 
     /// Returns the next step; Drain and EndWaitingWork are returned once each.
     Step next(TimePoint now, const PendingWork&);
@@ -71,9 +75,6 @@
         Delivering,
     };
 
-    /// Latest deadline of a call that is taken while the node drains.
-    TimePoint lastDeadline() const { return m_orderedAt + m_settings.maximum - m_settings.delivery; }
-
     Settings m_settings;
     Phase m_phase = Phase::Running;
     TimePoint m_orderedAt;
--- a/Source/node/CallGateway.cpp
+++ b/Source/node/CallGateway.cpp
@@ -271,6 +271,8 @@
     parameters.target = session->target;
     session->call = std::make_unique<OutgoingCall>(parameters, service.budgets(),
         [this] { return AttemptId { m_self.node, m_self.incarnation, ++m_lastSequence }; });
+    if (m_stop.isOrdered())
+        handleEvent(session, NodeStops { m_stop.lastAnswersAt() });
     startWithCredit(session);
 }
 
@@ -373,8 +375,15 @@
         handleEvent(session, CallStarted());
 }
 
+void CallGateway::limitCalls()
+{
+    for (const auto& entry : std::unordered_map<std::uint64_t, SessionPtr>(m_sessions))
+        handleEvent(entry.second, NodeStops { m_stop.lastAnswersAt() });
+}
+
 void CallGateway::endWaitingCalls()
 {
+    withdrawUnsentAttempts();
     for (const auto& entry : std::unordered_map<std::uint64_t, SessionPtr>(m_sessions))
         handleEvent(entry.second, NodeEnds());
 }
@@ -490,6 +499,11 @@
     sendTo(action.node, CallCancelMessage { action.attempt, action.target });
 }
 
+void CallGateway::perform(const SessionPtr&, const LimitAttempt& action)
+{
+    sendTo(action.node, CallLimitMessage { action.attempt, action.target, action.answerWithin, steadyMicroseconds() });
+}
+
 void CallGateway::perform(const SessionPtr& session, const ReplaceLink& action)
 {
     if (action.node == m_self.node || !m_links.replaceIfSilent(action.node)) {
@@ -621,6 +635,8 @@
                 m_localRunner.receive(*request, ConnectionId());
             else if (const auto* cancel = std::get_if<CallCancelMessage>(&message))
                 m_localRunner.cancel(*cancel, ConnectionId());
+            else if (const auto* limit = std::get_if<CallLimitMessage>(&message))
+                m_localRunner.limit(*limit);
         });
         return;
     }
@@ -645,6 +661,19 @@
         handleAttemptEvent(attempt, AttemptRefused { attempt, { code, refusalRetryAfter } });
 }
 
+void CallGateway::withdrawUnsentAttempts()
+{
+    std::vector<std::pair<NodeId, AttemptId>> waiting;
+    for (const auto& [sequence, attempt] : m_attempts) {
+        if (attempt.transmission.hasWaitingCopy())
+            waiting.emplace_back(attempt.node, AttemptId { m_self.node, m_self.incarnation, sequence });
+    }
+    for (const auto& [node, attempt] : waiting) {
+        if (m_links.forget(node, attempt))
+            copyReturned(attempt, ResultCode::Draining);
+    }
+}
+
 void CallGateway::finishAttempt(const AttemptId& attempt, CallEnd end)
 {
     const auto entry = m_attempts.find(attempt.sequence);
--- a/Source/node/CallGateway.h
+++ b/Source/node/CallGateway.h
@@ -103,6 +103,8 @@
     /// Handles the reply to ClaimHooks::request: Ok if the claim was granted, otherwise the code of the refusal.
     void claimAnswered(const ClaimOwner&, ResultCode);
 
+    /// Limits the calls in progress to the time in which this node, whose stop was ordered, can still pass their answers on.
+    void limitCalls();
     /// Answers the calls that no endpoint's node has in hand, since this node ends soon.
     void endWaitingCalls();
 
@@ -168,6 +170,7 @@
     std::optional<EndpointId> trialEndpoint(const CallSession&) const;
     void perform(const SessionPtr&, const SendAttempt&);
     void perform(const SessionPtr&, const CancelAttempt&);
+    void perform(const SessionPtr&, const LimitAttempt&);
     void perform(const SessionPtr&, const ReplaceLink&);
     void perform(const SessionPtr&, const SetTimer&);
     void perform(const SessionPtr&, const ClearTimer&);
@@ -190,6 +193,8 @@
     /// Handles that a copy of an attempt was not sent, and why: the attempt is refused if it has certainly not run. Otherwise its
     /// call resends it when nothing is heard of it.
     void copyReturned(const AttemptId&, ResultCode);
+    /// Takes back the attempts of which no copy was sent whole.
+    void withdrawUnsentAttempts();
     /// Sends one probe if an endpoint's load report is old and the service's measurement budget allows it. The load of
     /// the local endpoint is read without a probe.
     void probeIfDue(ServiceTraffic&);
--- a/Source/node/EndpointRunner.cpp
+++ b/Source/node/EndpointRunner.cpp
@@ -203,6 +203,17 @@
     startReadyJobs();
 }
 
+void EndpointRunner::limit(const CallLimitMessage& message)
+{
+    const auto entry = m_jobs.find(message.attempt);
+    if (message.targetIncarnation != m_self.incarnation || entry == m_jobs.end())
+        return;
+    Job& job = *entry->second;
+    job.answerBy = std::min(job.answerBy, steadyNow() + message.answerWithin);
+    m_queue->limitAnswer(job.ticket, job.answerBy);
+    startReadyJobs();
+}
+
 void EndpointRunner::probe(const ProbeMessage& message, ConnectionId connection)
 {
     m_replyHook(connection, ProbeAnswerMessage { message.sequence, message.service, loadReport() });
@@ -414,20 +425,24 @@
     m_metrics.attemptStarted(job.startedAt - job.receivedAt);
     m_running.started(job.requestId, { job.message.isRepeat, job.deadline });
     m_metrics.backendRequestSent(job.message.isRepeat ? BackendRequestKind::Repeat : BackendRequestKind::Call);
-    job.request = m_client.send(m_backend->address, backendRequest(job), backendOptions(job),
+    job.request = m_client.send(m_backend->address, backendRequest(job), backendOptions(jobPointer),
         [this, jobPointer](HttpClient::Outcome outcome) { handleOutcome(jobPointer, std::move(outcome)); });
     m_monitor.requestSent(job.startedAt);
     return true;
 }
 
-HttpClient::Options EndpointRunner::backendOptions(const Job& job) const
+HttpClient::Options EndpointRunner::backendOptions(const JobPtr& jobPointer) const
 {
+    const Job& job = *jobPointer;
     HttpClient::Options options;
     options.timeout = std::max(job.deadline - steadyNow(), Duration(1000));
     options.maximumBodyBytes = m_settings.maximumResponseBytes;
     options.maximumIdle = job.message.isIdempotent ? maximumIdleIfIdempotent : maximumIdleIfNotIdempotent;
-    // While a connection opened the node may have been frozen, and the address may have gone to another backend server.
-    const auto maySend = [this, backend = *m_backend, caller = job.message.caller] { return m_backend && m_backend->isSameRun(backend) && !m_keyChecks.check(caller); };
+    // While a connection opened the node may have been frozen, the address may have gone to another backend server, and the origin may
+    // have ended.
+    const auto maySend = [this, backend = *m_backend, jobPointer] {
+        return m_backend && m_backend->isSameRun(backend) && !m_keyChecks.check(jobPointer->message.caller) && steadyNow() < jobPointer->answerBy;
+    };
     options.maySend = maySend;
     if (job.message.isIdempotent && !job.message.isRepeat)
         options.allowsResend = [this, digest = job.digest, maySend] { return m_quarantine.verdict(digest).state == QuarantineState::Clear && maySend() && tryResend(); };
--- a/Source/node/EndpointRunner.h
+++ b/Source/node/EndpointRunner.h
@@ -107,6 +107,9 @@
     /// Handles an attempt that was sent or resent by an origin node.
     void receive(const CallRequestMessage&, ConnectionId);
     void cancel(const CallCancelMessage&, ConnectionId);
+    /// Handles that the answer of an attempt is of no use after some time. If it can't be expected by then, the attempt is refused
+    /// unless it runs already.
+    void limit(const CallLimitMessage&);
     /// Handles that all of a large answer has reached the origin of its attempt, or that the origin does not need it.
     void answerDelivered(const AttemptId& attempt) { m_largeAnswers.erase(attempt); }
     /// Answers a probe with the current load.
@@ -130,6 +133,8 @@
         ConnectionId connection;
         /// Time by which the answer is needed, from the remaining time in the message.
         TimePoint deadline;
+        /// Time after which the answer is of no use to the origin, which stops.
+        TimePoint answerBy = TimePoint::max();
         CallTrace trace;
         /// When the attempt was received and offered to the admission queue.
         TimePoint receivedAt;
@@ -192,7 +197,7 @@
     void handleOutcome(const JobPtr&, HttpClient::Outcome);
     void finish(const JobPtr&, BackendOutcome);
     HttpRequest backendRequest(const Job&) const;
-    HttpClient::Options backendOptions(const Job&) const;
+    HttpClient::Options backendOptions(const JobPtr&) const;
     /// Asks the resend hook, and counts the request if it is sent once more.
     bool tryResend() const;
     /// Adds the last event to the trace, and writes it if the attempt failed or is sampled.
--- a/Source/node/NodeTraffic.cpp
+++ b/Source/node/NodeTraffic.cpp
@@ -91,6 +91,12 @@
     return isNearLimit && 3 * difference > now.concurrencyLimit;
 }
 
+/// Features of the links that other nodes open to this one.
+std::string acceptedFeatures()
+{
+    return std::string(bodyPartsFeature) + ' ' + answerLimitsFeature;
+}
+
 /// Headers of requests to the backend server. Where nodes read no levels from callers, they send none either: callers' headers of
 /// these names are passed on.
 CallHeaders backendHeaders(const NodeSettings& settings)
@@ -137,6 +143,7 @@
 {
     m_stop.order(now);
     m_callServer.closeAfterResponses();
+    m_gateway.limitCalls();
 }
 
 GracefulStop::Step NodeTraffic::stopStep(bool isLeaveSpread)
@@ -199,7 +206,7 @@
     const bool takesParts = hasFeature(features, bodyPartsFeature);
     channel->setTakesParts(takesParts);
     Link::Hooks hooks;
-    hooks.opened = [this, id, takesParts] { reply(id, HelloMessage { m_self.node, m_self.incarnation, steadyMicroseconds(), takesParts ? bodyPartsFeature : "" }); };
+    hooks.opened = [this, id, takesParts] { reply(id, HelloMessage { m_self.node, m_self.incarnation, steadyMicroseconds(), takesParts ? acceptedFeatures() : "" }); };
     // The link owns its hooks, and the channel the link.
     hooks.received = [this, id](std::string_view bytes) { receive(id, bytes); };
     hooks.closed = [this, id] {
@@ -265,6 +272,8 @@
         receiveCall(entry->second, *request, id);
     else if (const auto* cancel = std::get_if<CallCancelMessage>(&message))
         m_runner.cancel(*cancel, id);
+    else if (const auto* limit = std::get_if<CallLimitMessage>(&message))
+        receiveLimit(entry->second, *limit);
     else if (const auto* probe = std::get_if<ProbeMessage>(&message)) {
         entry->second.lastRequestAt = steadyNow();
         m_runner.probe(*probe, id);
@@ -293,6 +302,12 @@
     m_runner.receive(request, id);
 }
 
+void NodeTraffic::receiveLimit(Connection& connection, CallLimitMessage limit)
+{
+    limit.answerWithin -= excessDelay(connection, limit.sentAt);
+    m_runner.limit(limit);
+}
+
 void NodeTraffic::endTransfersElsewhere(const AttemptId& attempt, ConnectionId id)
 {
     for (const auto& entry : m_connections) {
--- a/Source/node/NodeTraffic.h
+++ b/Source/node/NodeTraffic.h
@@ -93,6 +93,7 @@
     /// Time that a message spent in transit beyond the usual transit time of the connection.
     static Duration excessDelay(Connection&, std::uint64_t sentAt);
     void receiveCall(Connection&, CallRequestMessage, ConnectionId);
+    void receiveLimit(Connection&, CallLimitMessage);
     /// Ends the transfers of an attempt over other links than the one that its origin uses now.
     void endTransfersElsewhere(const AttemptId&, ConnectionId);
     void reply(ConnectionId, const PeerMessage&);
--- a/Source/node/PeerChannel.cpp
+++ b/Source/node/PeerChannel.cpp
@@ -247,13 +247,15 @@
         m_expiryTimer.setAfter(expiryInterval);
 }
 
-void PeerChannel::forget(const AttemptId& attempt)
+bool PeerChannel::forget(const AttemptId& attempt)
 {
+    bool isWithdrawn = false;
     const auto isOf = [&attempt](const PeerMessage& message) { return *attemptOf(message) == attempt; };
     const auto outgoing = std::find_if(m_outgoing.begin(), m_outgoing.end(), [&isOf](const auto& entry) { return isOf(entry.second.message); });
     if (outgoing != m_outgoing.end()) {
         m_schedule.remove(outgoing->first);
         m_link->send(encode(TransferWithdrawnMessage { outgoing->first }));
+        isWithdrawn = !outgoing->second.isSent;
         m_outgoing.erase(outgoing);
     }
     const auto incoming = std::find_if(m_incoming.begin(), m_incoming.end(), [&isOf](const auto& entry) { return isOf(entry.second.head); });
@@ -261,6 +263,7 @@
         refuse(incoming->first, ResultCode::Ok);
         m_incoming.erase(incoming);
     }
+    return isWithdrawn;
 }
 
 void PeerChannel::close()
--- a/Source/node/PeerChannel.h
+++ b/Source/node/PeerChannel.h
@@ -67,8 +67,9 @@
     bool receive(std::string_view bytes);
     /// Handles the end of the link.
     void close();
-    /// Ends the transfers of an attempt whose outcome is known.
-    void forget(const AttemptId&);
+    /// Ends the transfers of an attempt whose outcome is known or not needed. True if its body was not sent whole, so that the message
+    /// certainly does not arrive.
+    bool forget(const AttemptId&);
     /// Bytes of bodies that were not sent yet. A transfer over a silent link is given up in the end.
     std::size_t unsentBytes() const { return m_schedule.unsentBytes(); }
 
--- a/Source/node/PeerLinks.cpp
+++ b/Source/node/PeerLinks.cpp
@@ -67,6 +67,8 @@
         return false;
     Peer& peer = *entry->second;
     peer.lastSent = steadyNow();
+    if (peer.isReady && !peer.takesLimits && std::holds_alternative<CallLimitMessage>(message))
+        return true;
     if (peer.isReady)
         return peer.channel->send(message);
     if (peer.queuedMessages.size() >= maximumQueuedMessages)
@@ -91,11 +93,10 @@
     return static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), [](const auto& entry) { return entry.second->link != nullptr; }));
 }
 
-void PeerLinks::forget(const NodeId& node, const AttemptId& attempt)
+bool PeerLinks::forget(const NodeId& node, const AttemptId& attempt)
 {
     const auto entry = m_peers.find(node);
-    if (entry != m_peers.end() && entry->second->channel)
-        entry->second->channel->forget(attempt);
+    return entry != m_peers.end() && entry->second->channel && entry->second->channel->forget(attempt);
 }
 
 bool PeerLinks::replaceIfSilent(const NodeId& node)
@@ -168,6 +169,7 @@
     }
     peer.isReady = true;
     peer.channel->setTakesParts(hasFeature(hello.features, bodyPartsFeature));
+    peer.takesLimits = hasFeature(hello.features, answerLimitsFeature);
     peer.incarnation = hello.incarnation;
     peer.backoff = Duration::zero();
     const std::deque<QueuedMessage> queuedMessages = std::exchange(peer.queuedMessages, {});
--- a/Source/node/PeerLinks.h
+++ b/Source/node/PeerLinks.h
@@ -50,13 +50,14 @@
 
     /// Sets the address of the node's peer port, "ip:port"; a link to another address is closed.
     void setAddress(const NodeId&, const std::string& address);
-    /// Sends the message now, or queues it until the link is open. False if the node's address is unknown, too many messages are
+    /// Sends the message now, or queues it until the link is open. A message that the other node doesn't understand is left out. False if the node's address is unknown, too many messages are
     /// queued, the open link has too many unsent bytes or the message is larger than the other node reads.
     bool send(const NodeId&, const PeerMessage&);
     /// Adds to the number of answers pending from a node; negative once answers have arrived.
     void addPendingAnswers(const NodeId&, int change);
-    /// Ends the transfers of an attempt whose outcome is known.
-    void forget(const NodeId&, const AttemptId&);
+    /// Ends the transfers of an attempt whose outcome is known or not needed. True if one of its copies was not sent whole, so that it
+    /// certainly does not arrive.
+    bool forget(const NodeId&, const AttemptId&);
     /// Closes the link to a node unless it received data recently, so that a new one is opened. False if the link
     /// stays.
     bool replaceIfSilent(const NodeId&);
@@ -83,6 +84,8 @@
         PeerChannelPointer channel;
         /// True once the node at the other end identified itself.
         bool isReady = false;
+        /// True if the node understands CallLimitMessage.
+        bool takesLimits = false;
         /// True from the loss of a ready link until the next one is ready.
         bool wasLost = false;
         /// Incarnation of the node, as it last identified itself.
--- a/Source/node/PeerTraffic.cpp
+++ b/Source/node/PeerTraffic.cpp
@@ -7,6 +7,7 @@
 struct TrafficVisitor {
     PeerTraffic operator()(const CallRequestMessage&) const { return PeerTraffic::Call; }
     PeerTraffic operator()(const CallCancelMessage&) const { return PeerTraffic::Call; }
+    PeerTraffic operator()(const CallLimitMessage&) const { return PeerTraffic::Call; }
     PeerTraffic operator()(const CallAnswerMessage&) const { return PeerTraffic::Answer; }
     PeerTraffic operator()(const CallAcceptedMessage&) const { return PeerTraffic::Outcome; }
     PeerTraffic operator()(const CallRefusalMessage&) const { return PeerTraffic::Outcome; }
--- a/Source/protocol/PeerMessages.cpp
+++ b/Source/protocol/PeerMessages.cpp
@@ -412,6 +412,22 @@
     message.code = readCode(reader);
 }
 
+void appendFields(Json& fields, const CallLimitMessage& message)
+{
+    append(fields, message.attempt);
+    fields.push_back(message.targetIncarnation.value());
+    fields.push_back(message.answerWithin.count());
+    fields.push_back(message.sentAt);
+}
+
+void readFields(FieldReader& reader, CallLimitMessage& message)
+{
+    message.attempt = readAttempt(reader);
+    message.targetIncarnation = Incarnation(reader.unsignedInteger());
+    message.answerWithin = reader.duration();
+    message.sentAt = reader.unsignedInteger();
+}
+
 /// Load report of a message of this type; null if the type has none.
 template <typename Message>
 auto loadField(Message& message, int) -> decltype(&message.load)
--- a/Source/protocol/PeerMessages.h
+++ b/Source/protocol/PeerMessages.h
@@ -104,6 +104,18 @@
     CancelResult result = CancelResult::Unknown;
 };
 
+/// Tells when the answer of an attempt is of no use to its origin any more, since that stops. An attempt that can't be expected to end
+/// by then is refused instead of started. Only sent to nodes that understand answerLimitsFeature.
+struct CallLimitMessage {
+    AttemptId attempt;
+    /// Run of the endpoint's node that the attempt was first sent to.
+    Incarnation targetIncarnation;
+    /// Time left when the message was sent.
+    Duration answerWithin { 0 };
+    /// Monotonic clock of the sender in microseconds when the message was sent.
+    std::uint64_t sentAt = 0;
+};
+
 /// Requests the current load of an endpoint.
 struct ProbeMessage {
     /// Number that matches the reply to the probe.
@@ -168,7 +180,7 @@
 
 using PeerMessage = std::variant<HelloMessage, CallRequestMessage, CallAcceptedMessage, CallAnswerMessage, CallRefusalMessage, CallUnknownMessage,
     CallCancelMessage, CallCancelledMessage, ProbeMessage, ProbeAnswerMessage, DocumentRequestMessage, DocumentAnswerMessage, LoadUpdateMessage, QuotaRequestMessage,
-    QuotaGrantMessage, TransferStartMessage, TransferCreditMessage, TransferWithdrawnMessage, TransferRefusedMessage>;
+    QuotaGrantMessage, TransferStartMessage, TransferCreditMessage, TransferWithdrawnMessage, TransferRefusedMessage, CallLimitMessage>;
 
 /// Fields of a load report that the receiver of a message can read.
 enum class LoadEncoding {
@@ -184,6 +196,9 @@
 /// Feature of a link whose node takes bodies in parts.
 constexpr const char* bodyPartsFeature = "body-parts";
 
+/// Feature of a link whose node understands CallLimitMessage.
+constexpr const char* answerLimitsFeature = "answer-limits";
+
 /// True if a list of features, which are separated by spaces, has this one.
 bool hasFeature(std::string_view features, std::string_view feature);
 
--- a/Tests/coordination/AdmissionQueueTest.cpp
+++ b/Tests/coordination/AdmissionQueueTest.cpp
@@ -218,6 +218,27 @@
     EXPECT_TRUE(started().empty());
 }
 
+// A call whose origin stops must not start when its answer would find nobody.
+TEST_F(AdmissionQueueTest, LimitedAnswer_QueuedAndRunningCalls_OnlyQueuedOnesAreGivenUpInTime)
+{
+    learnServiceTime(10 * millisecond);
+    fillSlots();
+    ASSERT_EQ(AdmissionKind::Queued, offer(3, 0).kind);
+    ASSERT_EQ(AdmissionKind::Queued, offer(4, 0).kind);
+    for (const std::uint64_t ticket : { 1, 3 })
+        m_queue.limitAnswer(CallTicket(ticket), m_now + 100 * millisecond);
+    EXPECT_TRUE(m_queue.takeStartable(m_now).givenUp.empty());
+    ASSERT_TRUE(m_queue.nextTimer());
+    EXPECT_EQ(m_now + 90 * millisecond, *m_queue.nextTimer()) << "the time that a call takes is kept for it";
+    m_now += 90 * millisecond;
+    const auto calls = m_queue.takeStartable(m_now);
+    ASSERT_EQ(1u, calls.givenUp.size());
+    EXPECT_EQ(CallTicket(3), calls.givenUp.front().ticket);
+    EXPECT_EQ(ResultCode::DeadlineCannotBeMet, calls.givenUp.front().code);
+    finish(1);
+    EXPECT_EQ(std::vector<std::uint64_t>({ 4 }), started());
+}
+
 TEST_F(AdmissionQueueTest, Drain_CallsQueuedAndRunning_NewCallsAreRefusedAndQueuedCallsEndSoon)
 {
     fillSlots();
--- a/Tests/coordination/CallSimulation.cpp
+++ b/Tests/coordination/CallSimulation.cpp
@@ -40,6 +40,8 @@
         for (Duration at = faultInterval; at < startWindow + longestDeadline; at += faultInterval)
             schedule(at, [this, &endpoint] { injectFaults(endpoint); });
     }
+    if (chance(m_faultProbabilities.originStops))
+        schedule(randomUpTo(startWindow), [this] { stopOrigin(); });
     while (!m_eventQueue.empty()) {
         auto next = m_eventQueue.extract(m_eventQueue.begin());
         m_now = next.key();
@@ -89,9 +91,19 @@
     });
     if (chance(m_faultProbabilities.callerDisconnected))
         schedule(randomUpTo(longestDeadline), [this, index] { dispatch(index, CallerDisconnected {}); });
+    if (m_answersBy)
+        dispatch(index, NodeStops { *m_answersBy });
     dispatch(index, CallStarted {});
 }
 
+void CallSimulation::stopOrigin()
+{
+    const Duration notice = randomUpTo(longestDeadline);
+    m_answersBy = m_now + notice;
+    dispatchToAll(NodeStops { *m_answersBy });
+    schedule(notice, [this] { dispatchToAll(NodeEnds {}); });
+}
+
 void CallSimulation::injectFaults(Endpoint& endpoint)
 {
     if (chance(m_faultProbabilities.nodeRestarted))
@@ -195,6 +207,17 @@
     });
 }
 
+void CallSimulation::perform(std::size_t, const LimitAttempt& limit)
+{
+    Endpoint& target = endpointOf(limit.node);
+    transmit(target, [this, &target, limit] {
+        schedule(limit.answerWithin, [this, &target, limit] {
+            if (target.incarnation == limit.target && target.queued.erase(limit.attempt))
+                performFate(target, target.table->refuse(limit.attempt, { ResultCode::DeadlineCannotBeMet, Duration(1) }, m_now), Duration(0));
+        });
+    });
+}
+
 void CallSimulation::perform(std::size_t, const ReplaceLink& replace)
 {
     Endpoint& target = endpointOf(replace.node);
--- a/Tests/coordination/CallSimulation.h
+++ b/Tests/coordination/CallSimulation.h
@@ -30,6 +30,8 @@
     double refused = 0;
     /// Per call.
     double callerDisconnected = 0;
+    /// Per simulation: the origin node stops at some time.
+    double originStops = 0;
 };
 
 /// Simulates one origin node and several endpoint nodes with real fate tables, over a faulty network in virtual time.
@@ -86,6 +88,8 @@
     Duration randomUpTo(Duration longest) { return Duration(std::uniform_int_distribution<std::int64_t>(1, longest.count())(m_random)); }
 
     void startCall();
+    /// Lets the origin node stop: its calls are limited, those that start later, too, and what waits at its end is ended.
+    void stopOrigin();
     void injectFaults(Endpoint&);
     void sendCopy(Endpoint&, const SendAttempt&);
     /// Gives the waiting copies back unsent.
@@ -99,6 +103,7 @@
     void perform(std::size_t call, const ChooseEndpoint&);
     void perform(std::size_t call, const SendAttempt&);
     void perform(std::size_t call, const CancelAttempt&);
+    void perform(std::size_t call, const LimitAttempt&);
     void perform(std::size_t call, const ReplaceLink&);
     void perform(std::size_t call, const SetTimer&);
     void perform(std::size_t call, const ClearTimer&);
@@ -123,6 +128,8 @@
     RetryBudget m_hedges;
     std::uint64_t m_sequence = 0;
     std::size_t m_nonRepeatCalls = 0;
+    /// Time until which answers are passed on; set once the origin node stops.
+    std::optional<TimePoint> m_answersBy;
 };
 
 } // namespace Knapweedquay
--- a/Tests/coordination/OutgoingCallPropertyTest.cpp
+++ b/Tests/coordination/OutgoingCallPropertyTest.cpp
@@ -18,7 +18,7 @@
 FaultProbabilities anyFaults()
 {
     const auto upToPercent = [](int percent) { return *rc::gen::inRange(0, percent + 1) / 100.0; };
-    return { upToPercent(30), upToPercent(30), upToPercent(20), upToPercent(20), upToPercent(20), upToPercent(10), upToPercent(50), upToPercent(20) };
+    return { upToPercent(30), upToPercent(30), upToPercent(20), upToPercent(20), upToPercent(20), upToPercent(10), upToPercent(50), upToPercent(20), upToPercent(100) };
 }
 
 // Whatever the faults are, a non-idempotent call runs at most once, and a call reported as "not run" did not run.
--- a/Tests/coordination/OutgoingCallTest.cpp
+++ b/Tests/coordination/OutgoingCallTest.cpp
@@ -137,6 +137,73 @@
     expectOutcome(CallOutcome::Kind::NotRun, ResultCode::Draining);
 }
 
+// Calls that waited at another node when theirs stopped were cut, and ran afterwards.
+TEST_F(OutgoingCallTest, NodeStops_AttemptWaitsElsewhere_IsLimitedAndThenNotRun)
+{
+    begin();
+    handle(AttemptAccepted { attempt(1) });
+    handle(NodeStops { m_now + Duration(400000) });
+    ASSERT_EQ(1u, count<LimitAttempt>());
+    EXPECT_EQ(Duration(400000), last<LimitAttempt>().answerWithin);
+    handle(AttemptRefused { attempt(1), { ResultCode::DeadlineCannotBeMet } });
+    handle(NoEndpointAvailable {});
+    expectOutcome(CallOutcome::Kind::NotRun, ResultCode::Draining);
+}
+
+// An attempt is limited once its endpoint's node has it: after the order, over another link, or whole at last.
+TEST_F(OutgoingCallTest, NodeStops_AttemptIsAcceptedLater_IsLimitedThen)
+{
+    begin();
+    handle(NodeStops { m_now + Duration(400000) });
+    EXPECT_EQ(0u, count<LimitAttempt>());
+    advance(Duration(100000));
+    handle(AttemptAccepted { attempt(1) });
+    EXPECT_EQ(Duration(300000), last<LimitAttempt>().answerWithin);
+    handle(LinkLost { NodeId("a") });
+    handle(LinkRestored { NodeId("a"), Incarnation(1) });
+    handle(AttemptAccepted { attempt(1) });
+    EXPECT_EQ(2u, count<LimitAttempt>());
+}
+
+TEST_F(OutgoingCallTest, NodeStops_HedgedCall_BothAttemptsAreLimited)
+{
+    beginUntilHedge();
+    handle(EndpointChosen { NodeId("b"), Incarnation(1) });
+    handle(AttemptAccepted { attempt(2) });
+    handle(NodeStops { m_now + Duration(400000) });
+    EXPECT_EQ(2u, count<LimitAttempt>());
+}
+
+TEST_F(OutgoingCallTest, NodeStops_DeadlineIsEarlier_NothingIsLimited)
+{
+    begin();
+    handle(AttemptAccepted { attempt(1) });
+    handle(NodeStops { m_parameters.deadline });
+    EXPECT_EQ(0u, count<LimitAttempt>());
+}
+
+TEST_F(OutgoingCallTest, NodeStops_TimeIsUp_NoOtherAttemptIsSent)
+{
+    begin();
+    handle(AttemptAccepted { attempt(1) });
+    handle(NodeStops { m_now + Duration(400000) });
+    advance(Duration(400000));
+    handle(AttemptRefused { attempt(1), { ResultCode::DeadlineCannotBeMet } });
+    EXPECT_EQ(1u, count<ChooseEndpoint>());
+    expectOutcome(CallOutcome::Kind::NotRun, ResultCode::Draining);
+}
+
+// An attempt that was in hand when its node was about to end was cut if its link was lost only then.
+TEST_F(OutgoingCallTest, NodeEnds_AttemptIsLostAfterwards_IsUnknownAtOnce)
+{
+    begin();
+    handle(AttemptAccepted { attempt(1) });
+    handle(NodeEnds {});
+    EXPECT_FALSE(m_call->isFinished());
+    handle(LinkLost { NodeId("a") });
+    expectOutcome(CallOutcome::Kind::Unknown, ResultCode::OutcomeUnknown);
+}
+
 TEST_F(OutgoingCallTest, Attempt_Answered_FinishesWithItsAnswer)
 {
     begin();
--- a/Tests/node/EndpointRunnerTest.cpp
+++ b/Tests/node/EndpointRunnerTest.cpp
@@ -69,6 +69,11 @@
         m_runner.receive(message, ConnectionId(1));
     }
 
+    void limit(std::uint64_t sequence, Duration answerWithin, Incarnation target)
+    {
+        m_runner.limit({ { NodeId("origin"), Incarnation(1), sequence }, target, answerWithin, 0 });
+    }
+
     template <typename Condition>
     bool runUntil(Condition condition)
     {
@@ -217,6 +222,24 @@
     EXPECT_TRUE(replies<CallRefusalMessage>().empty());
 }
 
+// What waited for a slot when its origin had ended ran without anybody to answer to.
+TEST_F(EndpointRunnerTest, LimitedAttempt_WaitsUntilItsOriginEnds_IsRefusedUnrun)
+{
+    setBackend(backend("dispatch", "i-1"));
+    for (const std::uint64_t sequence : { 1, 2, 3 })
+        send(sequence, "dispatch");
+    ASSERT_TRUE(runUntil([this] { return hasReceived("/1"); }));
+    limit(1, 50ms, m_self.incarnation);
+    limit(2, 50ms, m_self.incarnation);
+    limit(3, 50ms, Incarnation(1));
+    ASSERT_TRUE(runUntil([this] { return !replies<CallRefusalMessage>().empty(); }));
+    EXPECT_EQ(2u, replies<CallRefusalMessage>().front().attempt.sequence);
+    answer("/1");
+    EXPECT_TRUE(runUntil([this] { return hasReceived("/3"); })) << "the limit was for an attempt at an earlier run of this node";
+    EXPECT_FALSE(hasReceived("/2"));
+    EXPECT_EQ(1u, replies<CallAnswerMessage>().size()) << "what runs goes on";
+}
+
 // Until the documents of the new service are known, nothing is admitted by those of the former one.
 TEST_F(EndpointRunnerTest, Attempt_DocumentOfAnotherService_IsRefused)
 {
--- a/Tests/node/PeerChannelTest.cpp
+++ b/Tests/node/PeerChannelTest.cpp
@@ -244,6 +244,25 @@
     EXPECT_EQ(0U, m_farBudgets.requests->use().largeBytes);
 }
 
+// An upload on its way when its node was about to end was cut, though it had certainly not run.
+TEST_F(PeerChannelTest, Transfer_Forgotten_TellsWhetherItWasSentWhole)
+{
+    const AttemptId attempt { NodeId("a"), Incarnation(1), 1 };
+    m_near.channel.send(request(megabyte));
+    deliverOne(m_near, m_far);
+    deliverOne(m_far, m_near);
+    EXPECT_TRUE(m_near.channel.forget(attempt));
+    EXPECT_FALSE(m_near.channel.forget(attempt)) << "nothing is left of it";
+    deliver();
+    EXPECT_TRUE(m_far.received.empty());
+    m_near.channel.send(request(megabyte));
+    while (m_near.sent == 0) {
+        deliverOne(m_near, m_far);
+        deliverOne(m_far, m_near);
+    }
+    EXPECT_FALSE(m_near.channel.forget(attempt)) << "all parts are on their way";
+}
+
 TEST_F(PeerChannelTest, NodeThatTakesNoParts_GetsWholeMessages)
 {
     m_near.channel.setTakesParts(false);
--- a/Tests/node/PeerLinksTest.cpp
+++ b/Tests/node/PeerLinksTest.cpp
@@ -7,6 +7,7 @@
 #include <gtest/gtest.h>
 
 #include <chrono>
+#include <string>
 #include <vector>
 
 using namespace Knapweedquay;
@@ -29,10 +30,11 @@
         ++m_accepted;
         Link::Hooks hooks;
         // The link owns its hooks, so they refer to it by a plain pointer.
-        hooks.opened = [this, opened = link.get()] { opened->send(encode(HelloMessage { m_peer, Incarnation(1), 0 })); };
+        hooks.opened = [this, opened = link.get()] { opened->send(encode(HelloMessage { m_peer, Incarnation(1), 0, m_features })); };
         hooks.received = [this](std::string_view bytes) {
             const auto message = decodePeerMessage(bytes);
             m_probes += message.has_value() && std::holds_alternative<ProbeMessage>(message.value()) ? 1 : 0;
+            m_limits += message.has_value() && std::holds_alternative<CallLimitMessage>(message.value()) ? 1 : 0;
         };
         hooks.closed = [this] { ++m_closed; };
         link->setHooks(std::move(hooks));
@@ -66,7 +68,10 @@
     int m_accepted = 0;
     int m_closed = 0;
     int m_probes = 0;
+    int m_limits = 0;
     int m_unsent = 0;
+    /// What the other node tells that it understands.
+    std::string m_features;
     PeerLinks m_links { m_context, { NodeId("self"), Incarnation(1), DataCentre("a") }, {}, { [](const NodeId&, const PeerMessage&) {}, [](const NodeId&) {}, [](const NodeId&, Incarnation) {}, [](const NodeId&, const PeerMessage&, std::size_t) {}, [this](const NodeId&, const PeerMessage&, ResultCode) { ++m_unsent; } }, 300ms };
 };
 
@@ -85,6 +90,22 @@
     EXPECT_EQ(2, m_probes);
 }
 
+// A node of an earlier release closes the link on a message that it doesn't know.
+TEST_F(PeerLinksTest, Limit_ToANodeThatDoesNotKnowIt_IsLeftOut)
+{
+    const auto sendLimit = [this] { return m_links.send(m_peer, CallLimitMessage { { NodeId("self"), Incarnation(1), 1 }, Incarnation(1), 1s, 0 }); };
+    EXPECT_TRUE(sendLimit());
+    runFor(150ms);
+    EXPECT_TRUE(sendLimit());
+    runFor(50ms);
+    EXPECT_EQ(0, m_limits);
+    runFor(700ms);
+    m_features = std::string(bodyPartsFeature) + ' ' + answerLimitsFeature;
+    EXPECT_TRUE(sendLimit());
+    runFor(150ms);
+    EXPECT_EQ(1, m_limits);
+}
+
 // Callers got "the outcome is unknown" at their deadline for attempts that had never left this node.
 TEST_F(PeerLinksTest, MachineThatDoesNotAnswer_AttemptIsReturnedUnsentSoon)
 {
--- a/Tests/processes/PlannedStopTest.cpp
+++ b/Tests/processes/PlannedStopTest.cpp
@@ -3,8 +3,11 @@
 
 #include "Load/Waiting.h"
 
+#include <chrono>
 #include <csignal>
 #include <memory>
+#include <string>
+#include <vector>
 
 namespace Knapweedquay::Load {
 
@@ -29,6 +32,35 @@
 
     void stopNode() { m_deployment->node("a").signal(SIGTERM); }
 
+    /// Starts the nodes with one slot at "b", which one long call occupies beyond the end of "a".
+    void startWithBusyEndpoint()
+    {
+        plans.front().hasBackend = false;
+        plans.front().furtherSettings = "[stop]\nnotice_ms = 400\nmaximum_ms = 2000\n";
+        plans.back().slots = 1;
+        plans.back().serviceTimes.emplace_back("/bookings/hold=constant:2600");
+        start();
+        m_occupant = std::make_unique<EarlyConnection>(callAddress("b"));
+        ASSERT_TRUE(m_occupant->send(request("POST", "/bookings/hold", "hold", 5s)));
+        ASSERT_TRUE(waitUntil([&] { return executionCount("hold") == 1; }, 2s));
+    }
+
+    /// Expects that no call of "a" that waits for "b" is cut, and that none of them runs afterwards.
+    void expectRefusedUnrun(const std::vector<std::pair<std::string, std::unique_ptr<EarlyConnection>>>& calls)
+    {
+        for (const auto& [id, connection] : calls) {
+            const auto responses = connection->receive(1);
+            ASSERT_EQ(responses.size(), 1u) << id << " was cut";
+            EXPECT_EQ(responses.front().status, 503) << id;
+            EXPECT_EQ(outcomeOf(responses.front()), "not-run") << id;
+            EXPECT_NE(findHeader(responses.front().headers, "Retry-After"), nullptr) << id;
+        }
+        EXPECT_EQ(m_occupant->receive(1).size(), 1u);
+        std::this_thread::sleep_for(1s);
+        for (const auto& call : calls)
+            EXPECT_EQ(executionCount(call.first), 0u) << call.first << " ran after it was refused";
+    }
+
     static std::string request(const std::string& method, const std::string& path, const std::string& id, std::chrono::milliseconds deadline, std::size_t answerBytes = 100)
     {
         return method + " /call/dispatch" + path + "?id=" + id + "&size=" + std::to_string(answerBytes) + " HTTP/1.1\r\nHost: a\r\nKnapweedquay-Deadline-Ms: "
@@ -48,6 +80,8 @@
         const std::string* outcome = findHeader(response.headers, "knapweedquay-outcome");
         return outcome ? *outcome : std::string();
     }
+
+    std::unique_ptr<EarlyConnection> m_occupant;
 };
 
 } // namespace
@@ -144,6 +178,39 @@
     expectGuaranteesHold();
 }
 
+// Calls that waited in another node's queue were cut when their node ended, and ran afterwards.
+TEST_F(PlannedStopTest, CallsQueuedAtAnotherNode_AtTheEnd_AreRefusedUnrun)
+{
+    startWithBusyEndpoint();
+    std::vector<std::pair<std::string, std::unique_ptr<EarlyConnection>>> calls;
+    const auto send = [&](const std::string& method, const std::string& path, const std::string& id) {
+        calls.emplace_back(id, connect());
+        ASSERT_TRUE(calls.back().second->send(request(method, path, id, 6s)));
+    };
+    send("POST", "/bookings", "before-the-stop");
+    std::this_thread::sleep_for(50ms);
+    stopNode();
+    std::this_thread::sleep_for(150ms);
+    send("POST", "/bookings", "booking");
+    send("GET", "/catalogue", "lookup");
+    expectRefusedUnrun(calls);
+}
+
+// The same, while the node in whose queue they waited stopped as well, later.
+TEST_F(PlannedStopTest, CallsQueuedAtAnotherNode_ThatStopsLater_AreRefusedUnrun)
+{
+    plans.back().furtherSettings = "[stop]\nnotice_ms = 400\nmaximum_ms = 4000\n";
+    startWithBusyEndpoint();
+    std::vector<std::pair<std::string, std::unique_ptr<EarlyConnection>>> calls;
+    stopNode();
+    std::this_thread::sleep_for(150ms);
+    calls.emplace_back("booking", connect());
+    ASSERT_TRUE(calls.back().second->send(request("POST", "/bookings", "booking", 6s)));
+    std::this_thread::sleep_for(850ms);
+    m_deployment->node("b").signal(SIGTERM);
+    expectRefusedUnrun(calls);
+}
+
 // The process ended while the rest of a request was on its way.
 TEST_F(PlannedStopTest, RequestInPart_AtTheDrain_IsAnswered)
 {
--- a/Tests/protocol/PeerMessagesTest.cpp
+++ b/Tests/protocol/PeerMessagesTest.cpp
@@ -70,6 +70,18 @@
     EXPECT_FALSE(std::get<CallRequestMessage>(decoded.value()).caller);
 }
 
+TEST(PeerMessagesTest, Limit_Decoded_IsEqual)
+{
+    const CallLimitMessage limit { { NodeId("a"), Incarnation(3), 7 }, Incarnation(9), Duration(250000), 1234 };
+    const auto decoded = decodePeerMessage(encode(limit));
+    ASSERT_TRUE(decoded.has_value());
+    const auto& read = std::get<CallLimitMessage>(decoded.value());
+    EXPECT_EQ(limit.attempt, read.attempt);
+    EXPECT_EQ(limit.targetIncarnation, read.targetIncarnation);
+    EXPECT_EQ(limit.answerWithin, read.answerWithin);
+    EXPECT_EQ(limit.sentAt, read.sentAt);
+}
+
 TEST(PeerMessagesTest, Request_WithInvalidCaller_IsRefused)
 {
     const auto fields = decodeCbor(encode(requestOf(std::nullopt)), maximumPeerMessageBytes).value();
