GracefulStop: Keep finished answers from waiting for calls that outlast the process

Cause: answers leave in the order of requests, and whatever is behind a call that outlasts the process is cut with it. Evidence: event 108 of the end has calls=1 and the reason "time", so the process does wait, but for the call ahead; a pair that was passed on before the SIGTERM loses its second answer in the same way.

From the order on, requests behind a call that may outlast the process are left unread. The response to that call announces the end of the connection, so that the caller knows that they were not run. For pairs that were passed on before, the call ahead gets 504 0.2 s before the maximum, when it is the only thing between a finished answer and its caller; it would have been cut then.

--- a/Source/control/ControlStop.cpp
+++ b/Source/control/ControlStop.cpp
@@ -58,6 +58,7 @@
     const GracefulStop::Step step = m_stop.next(steadyNow(), pendingWork());
     switch (step) {
     case GracefulStop::Step::Wait:
+    case GracefulStop::Step::EndBlockingWork:
         break;
     case GracefulStop::Step::Drain:
         logStopStep("drain", m_stop.orderedAt(), pendingWork(), logDetails());
--- a/Source/coordination/attempts/CallEvents.h
+++ b/Source/coordination/attempts/CallEvents.h
@@ -74,10 +74,12 @@
 };
 /// The node of the call ends soon; may precede CallStarted.
 struct NodeEnds { };
+/// The call ends now, although an endpoint may be at work on it.
+struct CallGivenUp { };
 
 /// An event that OutgoingCall::handle() accepts.
 using CallEvent = std::variant<CallStarted, EndpointChosen, NoEndpointAvailable, AttemptAccepted, AttemptAnswered, AttemptFailed, EndpointSlowed, AttemptRefused,
-    AttemptUnknown, CancelAcknowledged, LinkLost, LinkRestored, TimerFired, CallerDisconnected, NodeStops, NodeEnds>;
+    AttemptUnknown, CancelAcknowledged, LinkLost, LinkRestored, TimerFired, CallerDisconnected, NodeStops, NodeEnds, CallGivenUp>;
 
 /// Choose an endpoint by policy, except the excluded ones, and reply with EndpointChosen or NoEndpointAvailable.
 struct ChooseEndpoint {
--- a/Source/coordination/attempts/OutgoingCall.cpp
+++ b/Source/coordination/attempts/OutgoingCall.cpp
@@ -202,6 +202,12 @@
     m_isNodeEnding = true;
 }
 
+void OutgoingCall::on(const CallGivenUp&)
+{
+    giveBack(std::exchange(m_taken, {}));
+    finishUnanswered({ ResultCode::Draining });
+}
+
 void OutgoingCall::endUnlessInHand()
 {
     const bool isInHand = std::any_of(m_attempts.begin(), m_attempts.end(), [](const Attempt& attempt) {
--- a/Source/coordination/attempts/OutgoingCall.h
+++ b/Source/coordination/attempts/OutgoingCall.h
@@ -128,6 +128,7 @@
     /// Ends the call, now or later, once no endpoint's node is known to have an attempt in hand: nobody else can bring its answer
     /// in time.
     void on(const NodeEnds&);
+    void on(const CallGivenUp&);
 
     void endUnlessInHand();
     void limit(const Attempt&);
--- a/Source/coordination/stopping/GracefulStop.cpp
+++ b/Source/coordination/stopping/GracefulStop.cpp
@@ -27,6 +27,10 @@
         m_phase = Phase::Delivering;
         return Step::EndWaitingWork;
     }
+    if (m_phase == Phase::Delivering && now >= m_orderedAt + m_settings.maximum - m_settings.handOver) {
+        m_phase = Phase::HandingOver;
+        return Step::EndBlockingWork;
+    }
     if (now < m_drainedAt + m_settings.settling || !work.isAnswered() || !work.isLeaveSpread)
         return Step::Wait;
     // A connection that is open may still bring a request, and a link the rest of an answer.
--- a/Source/coordination/stopping/GracefulStop.h
+++ b/Source/coordination/stopping/GracefulStop.h
@@ -24,6 +24,8 @@
         Duration maximum { 30000000 };
         /// Part of the maximum that is kept for the delivery of the last answers.
         Duration delivery { 400000 };
+        /// Part of this in which answers that wait for a slower one of their connection are delivered without it.
+        Duration handOver { 200000 };
         /// Least time from the drain to the end, for requests that are on their way on open connections.
         Duration settling { 250000 };
     };
@@ -37,6 +39,8 @@
         /// Ends what can't end in time any more: refuses the requests that it received only in part, and answers the calls that
         /// no endpoint's node has in hand.
         EndWaitingWork,
+        /// Ends the calls that hold back the answers of others: their own answers can't come in time any more.
+        EndBlockingWork,
         /// Closes the connections without a request, and the links to other nodes.
         CloseConnections,
         /// Ends: nothing is left, and nothing can arrive.
@@ -62,8 +66,10 @@
     /// Time by which the endpoints' nodes have to answer or refuse what they hold for this node, so that the last answers are
     /// delivered. Only set once the stop is ordered.
     TimePoint lastAnswersAt() const { return m_orderedAt + m_settings.maximum - m_settings.delivery; }
+    /// True if a call with this deadline may last longer than this process, so that no answer should have to wait for it.
+    bool mayOutlast(TimePoint deadline) const { return isOrdered() && deadline > lastAnswersAt(); }
 
-    /// Returns the next step; Drain and EndWaitingWork are returned once each.
+    /// Returns the next step; Drain, EndWaitingWork and EndBlockingWork are returned once each.
     Step next(TimePoint now, const PendingWork&);
 
 private:
@@ -73,6 +79,8 @@
         Draining,
         /// Like Draining, and what could not end in time was ended.
         Delivering,
+        /// Like Delivering, and no answer waits for a slower one.
+        HandingOver,
     };
 
     Settings m_settings;
--- a/Source/node/CallGateway.cpp
+++ b/Source/node/CallGateway.cpp
@@ -271,8 +271,7 @@
     parameters.target = session->target;
     session->call = std::make_unique<OutgoingCall>(parameters, service.budgets(),
         [this] { return AttemptId { m_self.node, m_self.incarnation, ++m_lastSequence }; });
-    if (m_stop.isOrdered())
-        handleEvent(session, NodeStops { m_stop.lastAnswersAt() });
+    limitCall(session);
     startWithCredit(session);
 }
 
@@ -378,7 +377,23 @@
 void CallGateway::limitCalls()
 {
     for (const auto& entry : std::unordered_map<std::uint64_t, SessionPtr>(m_sessions))
-        handleEvent(entry.second, NodeStops { m_stop.lastAnswersAt() });
+        limitCall(entry.second);
+}
+
+void CallGateway::limitCall(const SessionPtr& session)
+{
+    if (!m_stop.mayOutlast(session->deadline))
+        return;
+    session->exchange->holdFollowing();
+    handleEvent(session, NodeStops { m_stop.lastAnswersAt() });
+}
+
+void CallGateway::endBlockingCalls()
+{
+    for (const auto& entry : std::unordered_map<std::uint64_t, SessionPtr>(m_sessions)) {
+        if (entry.second->exchange->holdsBackResponse())
+            handleEvent(entry.second, CallGivenUp());
+    }
 }
 
 void CallGateway::endWaitingCalls()
--- a/Source/node/CallGateway.h
+++ b/Source/node/CallGateway.h
@@ -103,11 +103,15 @@
     /// Handles the reply to ClaimHooks::request: Ok if the claim was granted, otherwise the code of the refusal.
     void claimAnswered(const ClaimOwner&, ResultCode);
 
-    /// Limits the calls in progress to the time in which this node, whose stop was ordered, can still pass their answers on.
+    /// Limits the calls in progress to the time in which this node, whose stop was ordered, can still pass their answers on. No
+    /// request is passed on behind one that may take longer.
     void limitCalls();
     /// Answers the calls that no endpoint's node has in hand, since this node ends soon.
     void endWaitingCalls();
 
+    /// Ends the calls that hold back answers of their connections.
+    void endBlockingCalls();
+
     NodeQuotas& quotas() { return m_quotas; }
 
     /// Handles a message from the local endpoint runner or another node: about an attempt of this node, a probe, the
@@ -152,6 +156,8 @@
     /// cut in two must not spend its burst twice.
     double retryBurst() const { return RetryBudget::burstOfNode(m_settings.fleetRetryBurst, m_members.size()); }
     void startSession(const SessionPtr&);
+    /// Adapts a call to the stop of this node, if that is ordered.
+    void limitCall(const SessionPtr&);
     /// Starts the call if its workspace has credit, refuses it, or leaves it waiting for credit.
     void startWithCredit(const SessionPtr&);
     void handleCredit(const SessionPtr&, const QuotaCredit::Decision&);
--- a/Source/node/NodeStop.cpp
+++ b/Source/node/NodeStop.cpp
@@ -57,6 +57,8 @@
         return m_traffic.drain();
     case GracefulStop::Step::EndWaitingWork:
         return m_traffic.endWaitingWork();
+    case GracefulStop::Step::EndBlockingWork:
+        return m_traffic.gateway().endBlockingCalls();
     case GracefulStop::Step::CloseConnections:
         return m_traffic.closeConnections();
     case GracefulStop::Step::Wait:
--- a/Source/transport/HttpServer.cpp
+++ b/Source/transport/HttpServer.cpp
@@ -169,6 +169,8 @@
     /// Sends the responses that are ready, in the order of the requests.
     void flush();
     bool isClosed() const { return m_isClosed; }
+    /// True if the response to a later request than this one is ready.
+    bool isResponseReadyBehind(const Exchange&) const;
     /// Adds this connection to the totals of the server.
     void addTo(Load&) const;
 
@@ -189,6 +191,8 @@
     void process();
     /// True if another request may be read.
     bool hasRoom() const { return m_exchanges.size() < maximumPipelinedRequests && unsentBytes() < maximumUnsentBytesPerConnection; }
+    /// True if a request in progress holds those behind it.
+    bool isHeld() const;
     /// Bytes of responses that the system has not taken yet.
     std::size_t unsentBytes() const { return m_unsentBytes; }
     /// Reserves room for the body of the request that is being received, of which so many bytes have arrived. Returns why the request has
@@ -273,6 +277,11 @@
             connection->flush();
     }
 
+    void holdFollowing() override { m_holdsFollowing = true; }
+    bool doesHoldFollowing() const { return m_holdsFollowing; }
+
+    bool holdsBackResponse() const override { return m_connection && m_connection->isResponseReadyBehind(*this); }
+
     void handleDisconnect()
     {
         if (m_isDone)
@@ -289,10 +298,22 @@
     ConnectionPtr m_connection;
     HttpRequest m_request;
     std::optional<HttpResponse> m_response;
+    bool m_holdsFollowing = false;
     /// True once respond() was called or the caller has disconnected.
     bool m_isDone = false;
 };
 
+bool HttpServer::Implementation::Connection::isHeld() const
+{
+    return std::any_of(m_exchanges.begin(), m_exchanges.end(), [](const ExchangePtr& exchange) { return exchange->doesHoldFollowing(); });
+}
+
+bool HttpServer::Implementation::Connection::isResponseReadyBehind(const Exchange& exchange) const
+{
+    const auto position = std::find_if(m_exchanges.begin(), m_exchanges.end(), [&exchange](const ExchangePtr& other) { return other.get() == &exchange; });
+    return std::any_of(position, m_exchanges.end(), [](const ExchangePtr& other) { return other->response().has_value(); });
+}
+
 void HttpServer::Implementation::Connection::read()
 {
     if (m_isReading || m_isClosed)
@@ -321,7 +342,7 @@
 
 void HttpServer::Implementation::Connection::process()
 {
-    while (!m_input.empty() && !m_isLastRequest && !m_isClosed && hasRoom()) {
+    while (!m_input.empty() && !m_isLastRequest && !m_isClosed && hasRoom() && !isHeld()) {
         std::size_t consumed = 0;
         m_parser.setLimits({ m_server->m_settings.limits.headerBytes, m_server->m_settings.limits.bodyBytes });
         const HttpParser::Progress progress = m_parser.feed(m_input, consumed);
--- a/Source/transport/HttpServer.h
+++ b/Source/transport/HttpServer.h
@@ -29,6 +29,11 @@
     virtual const HttpRequest& request() const = 0;
     /// Sends the response. A second response, and one to a caller that has disconnected, are discarded.
     virtual void respond(const HttpResponse&) = 0;
+    /// Leaves the requests behind this one on its connection unread until it is answered. If the response to it then announces the end
+    /// of the connection, the caller knows that they were not run.
+    virtual void holdFollowing() = 0;
+    /// True if a response that is ready waits for the one to this request.
+    virtual bool holdsBackResponse() const = 0;
     /// Sets a hook that runs at most once, when the caller's connection ends before respond() was called.
     void setDisconnectHook(std::function<void()> hook) { m_disconnectHook = std::move(hook); }
 
@@ -40,7 +45,7 @@
 
 /// HTTP/1.1 server on the event loop of its thread, based on http_parser and Asio.
 ///
-/// Pipelined requests are passed to the handler as they arrive and answered in the order of arrival. A connection is
+/// Pipelined requests are passed to the handler as they arrive, unless an earlier one holds them, and answered in the order of arrival. A connection is
 /// read while a request is in progress, so that a disconnect of the caller is detected at once. Requests that are
 /// malformed, too large or too slow are answered with a problem document before their connection is closed.
 class HttpServer {
--- a/Tests/coordination/GracefulStopTest.cpp
+++ b/Tests/coordination/GracefulStopTest.cpp
@@ -128,6 +128,24 @@
     EXPECT_EQ(next(5600ms, left(&PendingWork::unsentCallerBytes)), Step::EndLate);
 }
 
+// An answer that waited for a slower one of its connection ended with the process.
+TEST_F(GracefulStopTest, BlockingWork_JustBeforeTheEnd_IsEndedOnce)
+{
+    drain();
+    ASSERT_EQ(next(5200ms, left(&PendingWork::calls)), Step::EndWaitingWork);
+    EXPECT_EQ(next(5399ms, left(&PendingWork::calls)), Step::Wait);
+    EXPECT_EQ(next(5400ms, left(&PendingWork::calls)), Step::EndBlockingWork);
+    EXPECT_EQ(next(5420ms, left(&PendingWork::calls)), Step::Wait);
+}
+
+TEST_F(GracefulStopTest, Call_ByDeadline_MayOutlastTheProcess)
+{
+    EXPECT_FALSE(m_stop.mayOutlast(orderedAt + 1h)) << "no stop is ordered";
+    m_stop.order(orderedAt);
+    EXPECT_FALSE(m_stop.mayOutlast(orderedAt + 5200ms));
+    EXPECT_TRUE(m_stop.mayOutlast(orderedAt + 5201ms));
+}
+
 TEST_F(GracefulStopTest, Order_Repeated_ChangesNothing)
 {
     drain();
--- a/Tests/coordination/OutgoingCallTest.cpp
+++ b/Tests/coordination/OutgoingCallTest.cpp
@@ -193,6 +193,15 @@
     expectOutcome(CallOutcome::Kind::NotRun, ResultCode::Draining);
 }
 
+TEST_F(OutgoingCallTest, GivenUp_AttemptIsInHand_IsUnknownAndCancelled)
+{
+    begin();
+    handle(AttemptAccepted { attempt(1) });
+    handle(CallGivenUp {});
+    EXPECT_EQ(1u, count<CancelAttempt>());
+    expectOutcome(CallOutcome::Kind::Unknown, ResultCode::OutcomeUnknown);
+}
+
 // An attempt that was in hand when its node was about to end was cut if its link was lost only then.
 TEST_F(OutgoingCallTest, NodeEnds_AttemptIsLostAfterwards_IsUnknownAtOnce)
 {
--- a/Tests/processes/PlannedStopTest.cpp
+++ b/Tests/processes/PlannedStopTest.cpp
@@ -211,6 +211,37 @@
     expectRefusedUnrun(calls);
 }
 
+// An answer that waited for an earlier, slower one of its connection was dropped when the process ended.
+TEST_F(PlannedStopTest, PipelinedCall_BehindOneThatOutlastsTheNode_IsNotRun)
+{
+    plans.front().furtherSettings = "[stop]\nnotice_ms = 400\nmaximum_ms = 2000\n";
+    start();
+    const auto connection = connect();
+    stopNode();
+    std::this_thread::sleep_for(200ms);
+    ASSERT_TRUE(connection->send(request("GET", "/catalogue/slow", "slow", 6s) + request("GET", "/stock", "quick", 6s)));
+    const auto responses = connection->receive(2);
+    EXPECT_TRUE(waitUntil([&] { return !m_deployment->node("a").isRunning(); }, 3s));
+    EXPECT_TRUE(responses.size() == 2 || executionCount("quick") == 0) << "quick ran, and its answer was dropped";
+}
+
+// The same, with both passed on before the stop: the answer must not be lost for the sake of one that can't come in time.
+TEST_F(PlannedStopTest, PipelinedAnswer_BehindOneThatOutlastsTheNode_IsDelivered)
+{
+    plans.front().furtherSettings = "[stop]\nnotice_ms = 400\nmaximum_ms = 2000\n";
+    plans.front().serviceTimes.emplace_back("/catalogue/long=constant:3000");
+    plans.back().serviceTimes.emplace_back("/catalogue/long=constant:3000");
+    start();
+    const auto connection = connect();
+    ASSERT_TRUE(connection->send(request("GET", "/catalogue/long", "slow", 6s) + request("GET", "/stock", "quick", 6s)));
+    ASSERT_TRUE(waitUntil([&] { return executionCount("quick") == 1; }, 2s));
+    stopNode();
+    const auto responses = connection->receive(2);
+    ASSERT_EQ(responses.size(), 2u);
+    EXPECT_EQ(outcomeOf(responses.front()), "unknown");
+    EXPECT_EQ(outcomeOf(responses.back()), "answered") << responses.back().body;
+}
+
 // The process ended while the rest of a request was on its way.
 TEST_F(PlannedStopTest, RequestInPart_AtTheDrain_IsAnswered)
 {
--- a/Tests/transport/HttpServerTest.cpp
+++ b/Tests/transport/HttpServerTest.cpp
@@ -133,6 +133,62 @@
     EXPECT_LT(received.find("second"), received.find("third"));
 }
 
+// A request behind one that outlasted the process was passed on, and its response ended with the process.
+TEST_F(HttpServerTest, PipelinedRequests_BehindOneThatHoldsThem_AreNotPassedOnAndTheCallerKnows)
+{
+    start();
+    m_server->closeAfterResponses();
+    send("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(waitForRequests(1));
+    m_requests[0]->holdFollowing();
+    send("GET /quick HTTP/1.1\r\nHost: h\r\n\r\n");
+    m_context.run_for(50ms);
+    EXPECT_EQ(1U, m_requests.size());
+    m_requests[0]->respond({ 200, {}, "slow" });
+    EXPECT_NE(std::string::npos, receive().find("Connection: close"));
+    EXPECT_EQ(1U, m_requests.size());
+}
+
+TEST_F(HttpServerTest, PipelinedRequests_OneThatHoldsThemIsAnswered_ArePassedOn)
+{
+    start();
+    send("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(waitForRequests(1));
+    m_requests[0]->holdFollowing();
+    send("GET /quick HTTP/1.1\r\nHost: h\r\n\r\n");
+    m_context.run_for(50ms);
+    m_requests[0]->respond({ 200, {}, "slow" });
+    ASSERT_TRUE(waitForRequests(2));
+    m_requests[1]->respond({ 200, {}, "quick" });
+    EXPECT_NE(std::string::npos, receive("quick").find("slow"));
+}
+
+TEST_F(HttpServerTest, RequestThatHoldsOthers_CallerDisconnects_IsTold)
+{
+    start();
+    send("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(waitForRequests(1));
+    m_requests[0]->holdFollowing();
+    m_socket.close();
+    EXPECT_TRUE(runUntil([this] { return m_disconnects == 1; }));
+}
+
+TEST_F(HttpServerTest, PipelinedRequests_LaterResponseIsReady_EarlierRequestsHoldItBack)
+{
+    start();
+    send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\nGET /3 HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(waitForRequests(3));
+    EXPECT_FALSE(m_requests[0]->holdsBackResponse());
+    m_requests[1]->respond({ 200, {}, "second" });
+    EXPECT_TRUE(m_requests[0]->holdsBackResponse());
+    EXPECT_FALSE(m_requests[2]->holdsBackResponse());
+    m_requests[0]->respond({ 504, {}, "first" });
+    EXPECT_NE(std::string::npos, receive("second").find("first"));
+    m_socket.close();
+    ASSERT_TRUE(runUntil([this] { return m_disconnects == 1; }));
+    EXPECT_FALSE(m_requests[2]->holdsBackResponse());
+}
+
 TEST_F(HttpServerTest, ChunkedBody_ReceivedInPieces_IsReassembled)
 {
     start();
