--- a/Source/control/ControlDaemon.cpp
+++ b/Source/control/ControlDaemon.cpp
@@ -95,10 +95,10 @@
 void ControlDaemon::handleSignal(int signal)
 {
     if (signal == SIGHUP) {
+        if (!m_extension.reload)
+            return log(LogEvent::SettingsNeedRestart, { { "fields", "all" } });
         log(LogEvent::Reloaded);
-        if (m_extension.reload)
-            m_extension.reload(*this);
-        return;
+        return m_extension.reload(*this);
     }
     if (m_stop.isOrdered()) {
         // Platforms repeat SIGTERM; only a person at a terminal means it literally.
--- a/Source/node/NodeDaemon.cpp
+++ b/Source/node/NodeDaemon.cpp
@@ -225,9 +225,10 @@
 
 void NodeDaemon::reload()
 {
+    if (!m_extension.reload)
+        return log(LogEvent::SettingsNeedRestart, { { "fields", "all" } });
     log(LogEvent::Reloaded);
-    if (m_extension.reload)
-        m_extension.reload(*m_control);
+    m_extension.reload(*m_control);
 }
 
 void NodeDaemon::end(const char* reason)
--- a/Source/protocol/LogEvent.cpp
+++ b/Source/protocol/LogEvent.cpp
@@ -24,6 +24,7 @@
     { LogEvent::LogLinesDropped, LogLevel::Warning, "log lines dropped because the output is not read" },
     { LogEvent::StopProgress, LogLevel::Info, "work left during the stop" },
     { LogEvent::StopIncomplete, LogLevel::Warning, "stopped with work left" },
+    { LogEvent::SettingsNeedRestart, LogLevel::Warning, "changed settings need a restart" },
     { LogEvent::MemberSuspected, LogLevel::Warning, "member suspected" },
     { LogEvent::MemberDied, LogLevel::Warning, "member declared dead" },
     { LogEvent::MemberLeft, LogLevel::Info, "member left" },
--- a/Source/protocol/LogEvent.h
+++ b/Source/protocol/LogEvent.h
@@ -25,6 +25,7 @@
     LogLinesDropped = 106,
     StopProgress = 107,
     StopIncomplete = 108,
+    SettingsNeedRestart = 109,
 
     // 2xx: membership.
     MemberSuspected = 201,
--- a/Tests/platform/MachineSettingsTest.cpp
+++ b/Tests/platform/MachineSettingsTest.cpp
@@ -7,6 +7,8 @@
 #include <cstdlib>
 #include <fstream>
 #include <memory>
+#include <string>
+#include <vector>
 
 #include <unistd.h>
 
@@ -162,3 +164,53 @@
     }
     EXPECT_FALSE(nodeSettings(load(settingsText).value()).keyRevocationTime);
 }
+
+// Settings that a running process doesn't take were ignored without a word.
+TEST_F(MachineSettingsTest, ChangedSetting_ByField_IsTakenOrNeedsARestart)
+{
+    struct Case {
+        const char* from;
+        const char* to;
+        /// Empty if the running process takes the setting, or needs it only at its start.
+        std::vector<std::string> needsRestart;
+    };
+    const std::vector<Case> cases {
+        { "Service = \"huvo11a\"", "Service = \"wuno96b\"", {} },
+        { "10.1.0.39:8146", "10.1.0.40:8146", {} },
+        { "Bootstrap = true", "Bootstrap = false", {} },
+        { "NewKey = { a = 1 }", "NewKey = { a = 2 }", {} },
+        { "Node = \"sidecar-1\"", "Node = \"sidecar-2\"", { "Node" } },
+        { "Zone = \"amman\"", "Zone = \"marka\"", { "Zone" } },
+        { "Ip = \"10.1.0.35\"", "Ip = \"10.1.0.36\"", { "Ip" } },
+        { "[7660,7675]", "[7661,7675]", { "InnerPorts" } },
+        { "DataDir = \"/data\"", "DataDir = \"/other\"", { "DataDir" } },
+        { "HeartbeatS = 1.5", "HeartbeatS = 2", { "HeartbeatS" } },
+        { "10.1.0.35:8141", "10.1.0.35:9141", { "Outbound" } },
+        { "10.1.0.35:8140", "10.1.0.35:9140", { "Ready" } },
+        { "10.1.0.35:8146", "10.1.0.35:9146", { "Control" } },
+        { "GraceS=6.5", "GraceS=7", { "GraceS" } },
+        { "CatchUpS=4", "CatchUpS=5", { "CatchUpS" } },
+        { "SeedLagS=3", "RetryBudgetSlack=9", { "RetryBudgetSlack" } },
+        { "SeedLagS=3", "StrictRevocation=true\",\"RevokeS=3", { "RevokeS" } },
+        { "SeedLagS=3", "QuotaWindowS=3", { "QuotaWindowS" } },
+        { "SeedLagS=3", "QuotaOverage=0.3", { "QuotaOverage" } },
+        { "SeedLagS=3", "QuotaSlack=3", { "QuotaSlack" } },
+        { "ColdOverage=1.4", "ColdOverage=1.6", { "ColdOverage" } },
+        { "ColdSlack=8", "ColdSlack=9", { "ColdSlack" } },
+        { "MemoryMb = 260", "MemoryMb = 300", { "MemoryMb" } },
+        { "MaxFds = 4100", "MaxFds = 4000", { "MaxFds" } },
+        { "Machines = 2", "Machines = 1", { "Machines" } },
+        { "[FaultTolerance]", "[Zones]\nmarka = \"amman\"\n[FaultTolerance]", { "Zones" } },
+    };
+    const MachineSettings before = load(settingsText).value();
+    for (const Case& each : cases) {
+        std::string text = settingsText;
+        const std::string from = each.from;
+        ASSERT_NE(std::string::npos, text.find(from)) << from;
+        text.replace(text.find(from), from.size(), each.to);
+        const auto after = load(text);
+        ASSERT_TRUE(after.has_value()) << each.to;
+        const auto names = settingsThatNeedRestart(before, after.value());
+        EXPECT_EQ(each.needsRestart, std::vector<std::string>(names.begin(), names.end())) << each.to;
+    }
+}
--- a/Tests/processes/LifecycleTest.cpp
+++ b/Tests/processes/LifecycleTest.cpp
@@ -196,4 +196,23 @@
     EXPECT_GT(refused, 0u);
 }
 
+// Changed settings were ignored without a word.
+TEST_F(LifecycleTest, Sighup_ProgramThatReadsSettingsOnce_TellsThatItNeedsARestart)
+{
+    start();
+    m_deployment->node("a").signal(SIGHUP);
+    m_deployment->control(0).signal(SIGHUP);
+    for (const char* name : { "a", "control-0" }) {
+        EXPECT_TRUE(waitUntil(
+            [&] {
+                std::ifstream log(m_deployment->folder() + "/" + name + ".out");
+                const std::string text((std::istreambuf_iterator<char>(log)), {});
+                return text.find("changed settings need a restart") != std::string::npos;
+            },
+            3s))
+            << name;
+    }
+    EXPECT_TRUE(m_deployment->node("a").isRunning());
+}
+
 } // namespace Knapweedquay::Load
