LocalService: Name the service that the address of a node's backend server goes to

Cause: the service was copied from the settings at the start of the process. Evidence: with a restart the case holds; without SIGHUP, and with the new endpoint's heartbeats first, it is broken as well, so neither of the two sources reached what names the service.

LocalService decides, without I/O, by what changed last: the setting, or the service of the backend server that is present, if the configuration has it. A late announcement of the former one changes nothing. A request keeps the name that it began with.

--- a/Source/node/CallGateway.h
+++ b/Source/node/CallGateway.h
@@ -64,6 +64,7 @@
     /// Settings of a gateway, taken from those of the node.
     struct Settings {
         CallHeaders headers;
+        /// Until setCallerService() is called.
         ServiceName callerService;
         CallInterface callInterface = CallInterface::RoutesAndTargets;
         ChoiceSettings choice;
@@ -80,6 +81,8 @@
     /// Starts the call of a caller's request, or refuses it.
     void handle(const HttpExchangePtr&);
 
+    /// Sets the service that requests name from now on as that of the local backend server.
+    void setCallerService(const ServiceName& service) { m_intake.setCallerService(service); }
     /// Applies a newer document of a service.
     void setDocument(const ServiceDocument&);
     /// Applies newer routes, and documents derived from them to the services that have no document of their own.
--- a/Source/node/NodeControl.cpp
+++ b/Source/node/NodeControl.cpp
@@ -103,7 +103,8 @@
     , m_membership(context, [this](const MembershipAction& action) { apply(action); })
     , m_controlLinks(context, maximumControlMessageBytes)
     , m_subscription(m_self, settings.controlReplicas, settings.discoversReplicas, subscriptionHooks())
-    , m_presence(settings.announcementTimeout, [this](const ServiceName& service) { return m_routedServices.count(service) > 0 || m_subscription.inForce().count(service) > 0; })
+    , m_presence(settings.announcementTimeout, [this](const ServiceName& service) { return isKnown(service); })
+    , m_localService(settings.callerService)
     , m_departures(departureHooks())
     , m_backendTimer(context, [this] { checkBackend(); })
     , m_subscriptionTimer(context, [this] { checkSubscription(); })
@@ -229,6 +230,7 @@
     const LogField routes { "routes", std::to_string(routing.value().rules.size()) };
     m_hooks.routingChanged(std::make_shared<const RoutingTable>(std::move(routing.value())), message);
     m_hasRouting = true;
+    considerAnnouncedService();
     m_context.post([this] { publishDocuments(); });
     log(LogEvent::DocumentInForce, { name, version, label, routes, { "sender", sender.name }, { "bytes", std::to_string(sender.receivedBytes) }, { "read_us", std::to_string((steadyNow() - startedAt).count()) } });
     return true;
@@ -403,8 +405,33 @@
         m_membership.perform(m_membership.membership().spreadEvidence(evidence, recipients, steadyNow()));
 }
 
+bool NodeControl::isKnown(const ServiceName& service) const
+{
+    return m_routedServices.count(service) > 0 || m_subscription.inForce().count(service) > 0;
+}
+
+void NodeControl::setLocalService(const ServiceName& service)
+{
+    if (m_localService.configure(service))
+        reportLocalService("settings");
+}
+
+void NodeControl::considerAnnouncedService()
+{
+    const auto& current = m_presence.current();
+    if (current && isKnown(current->service) && m_localService.announced(current->service))
+        reportLocalService("announcement");
+}
+
+void NodeControl::reportLocalService(const char* source)
+{
+    log(LogEvent::LocalServiceChanged, { { "service", m_localService.name().value() }, { "source", source } });
+    m_hooks.localServiceChanged(m_localService.name());
+}
+
 void NodeControl::apply(PresenceChange change, const char* source)
 {
+    considerAnnouncedService();
     const auto& current = m_presence.current();
     switch (change) {
     case PresenceChange::None:
--- a/Source/node/NodeControl.h
+++ b/Source/node/NodeControl.h
@@ -2,6 +2,7 @@
 
 #include "coordination/membership/Membership.h"
 #include "coordination/presence/BackendPresence.h"
+#include "coordination/presence/LocalService.h"
 #include "coordination/routing/RoutingTable.h"
 #include "node/ControlSubscription.h"
 #include "node/EndpointRunner.h"
@@ -57,6 +58,8 @@
         std::function<void()> backendDraining;
         /// The present run announced that it stays cold for this time.
         std::function<void(Duration left)> backendCold;
+        /// The requests that begin here name another service from now on.
+        std::function<void(const ServiceName&)> localServiceChanged;
         /// Another process with a newer incarnation uses this node's id.
         std::function<void()> superseded;
         /// Returns the text of all metrics, for the admin port.
@@ -104,6 +107,8 @@
     bool isReady() const { return m_subscription.isFresh() && m_hasRouting && !m_isStopping; }
     /// Replaces seeds and control replicas after the settings file was reloaded.
     void setContacts(const std::vector<std::string>& controlReplicas, const std::vector<SocketAddress>& seeds);
+    /// Sets the service of the local backend server after the settings file was reloaded.
+    void setLocalService(const ServiceName&);
     ControlSubscription& subscription() { return m_subscription; }
     std::uint16_t adminPort() const { return m_adminServer.port(); }
 
@@ -126,6 +131,12 @@
     /// Reports a change of the local backend server through the hooks and to the other members.
     /// source: what caused the change, for the log.
     void apply(PresenceChange, const char* source = "announcement");
+    /// True if the configuration has a service.
+    bool isKnown(const ServiceName&) const;
+    /// Takes the service of the present backend server for that of this node, if the configuration has it.
+    void considerAnnouncedService();
+    /// Reports another service of this node. source: what named it, for the log.
+    void reportLocalService(const char* source);
     /// Like applyDocument(), for the routing document.
     bool applyRouting(const DocumentMessage&, const DocumentSender&);
     /// Like applyDocument(), for the evacuation document.
@@ -153,6 +164,7 @@
     /// Services of the routing document in force.
     std::set<ServiceName> m_routedServices;
     BackendPresence m_presence;
+    LocalService m_localService;
     DepartureRecords m_departures;
     /// State of the local endpoint, as last published to the other members.
     EndpointState m_endpoint;
--- a/Source/node/NodeDaemon.cpp
+++ b/Source/node/NodeDaemon.cpp
@@ -152,6 +152,9 @@
     hooks.backendCold = [this](Duration left) {
         asio::post(m_trafficContext, [this, left] { m_traffic->runner().announcedCold(left); });
     };
+    hooks.localServiceChanged = [this](const ServiceName& service) {
+        asio::post(m_trafficContext, [this, service] { m_traffic->gateway().setCallerService(service); });
+    };
     hooks.superseded = [this] { end("superseded"); };
     hooks.metrics = [this] { return metricsText(); };
     hooks.trafficStatus = [this] { return trafficStatus(); };
--- a/Source/protocol/LogEvent.cpp
+++ b/Source/protocol/LogEvent.cpp
@@ -53,6 +53,7 @@
     { LogEvent::QuarantineTrial, LogLevel::Info, "one run of a held request admitted" },
     { LogEvent::BackendConfirmed, LogLevel::Info, "departures of a backend server looked up" },
     { LogEvent::DepartureUnrecorded, LogLevel::Warning, "departure of the backend server not recorded in time" },
+    { LogEvent::LocalServiceChanged, LogLevel::Info, "service of this node changed" },
     { LogEvent::CallAccepted, LogLevel::Info, "call accepted" },
     { LogEvent::EndpointChosen, LogLevel::Info, "endpoint chosen" },
     { LogEvent::AttemptRefused, LogLevel::Info, "attempt refused by the endpoint's node" },
--- a/Source/protocol/LogEvent.h
+++ b/Source/protocol/LogEvent.h
@@ -60,6 +60,7 @@
     QuarantineTrial = 414,
     BackendConfirmed = 415,
     DepartureUnrecorded = 416,
+    LocalServiceChanged = 417,
 
     // 6xx: calls, at the node that accepted them (61x) and at the endpoint's node (62x).
     CallAccepted = 610,
