--- a/Tests/processes/LifecycleTest.cpp
+++ b/Tests/processes/LifecycleTest.cpp
@@ -3,6 +3,9 @@
 #include "Load/Waiting.h"
 
 #include <csignal>
+#include <fstream>
+#include <iterator>
+#include <string>
 
 namespace Knapweedquay::Load {
 
