--- a/Utilities/Load/Deployment.cpp
+++ b/Utilities/Load/Deployment.cpp
@@ -4,6 +4,8 @@
 #include "state/RoutingDocument.h"
 
 #include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/ip/udp.hpp>
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -50,12 +52,16 @@
     return "secret-of-" + team;
 }
 
+/// Returns whether the port is free for connections and for datagrams.
 bool canBind(std::uint16_t port)
 {
     asio::io_context context;
     asio::ip::tcp::acceptor acceptor(context, asio::ip::tcp::v4());
+    asio::ip::udp::socket socket(context, asio::ip::udp::v4());
     asio::error_code error;
     acceptor.bind({ asio::ip::address_v4::loopback(), port }, error);
+    if (!error)
+        socket.bind({ asio::ip::address_v4::loopback(), port }, error);
     return !error;
 }
 
