EndpointRunner: Take no refusal without an identifier as proof on a reused connection

Cause: endpoints name no request in a refusal, so each was taken for the outcome of the request in progress, also on a connection that had carried another request. Evidence: a refusal on a connection of its own is certain, and the case needs a connection that is used again.

For requests that must not be repeated, such a refusal is doubtful now: the client waits for the response that names the request, which comes if the bytes were additional, until the request's target at most; then the outcome is unknown. For 10 s such requests get connections of their own, so that an endpoint that truly refuses leaves few in doubt. Nothing changes for safe requests.

--- a/Source/node/EndpointRunner.cpp
+++ b/Source/node/EndpointRunner.cpp
@@ -28,6 +28,11 @@
 /// A request that must not be repeated therefore only reuses a connection that was used very recently.
 constexpr Duration maximumIdleIfIdempotent { 4000000 };
 constexpr Duration maximumIdleIfNotIdempotent { 400000 };
+/// Time for which requests that must not be repeated get connections of their own, after a refusal that may have belonged to another
+/// request of its connection. On a connection of its own a refusal is certain.
+constexpr Duration doubtfulRefusalTime { 10000000 };
+/// Least time for which such a request waits for the response that proves the refusal wrong.
+constexpr Duration minimumDoubt { 100000 };
 /// Time from the end of an attempt's connection to the check whether the backend server still runs. The connections of all that
 /// it ran end together, and an attempt that is still running shows that it lives.
 constexpr Duration crashCheckDelay { 5000 };
@@ -431,13 +436,16 @@
     return true;
 }
 
-HttpClient::Options EndpointRunner::backendOptions(const JobPtr& jobPointer) const
+HttpClient::Options EndpointRunner::backendOptions(const JobPtr& jobPointer)
 {
     const Job& job = *jobPointer;
     HttpClient::Options options;
     options.timeout = std::max(job.deadline - steadyNow(), Duration(1000));
     options.maximumBodyBytes = m_settings.maximumResponseBytes;
     options.maximumIdle = job.message.isIdempotent ? maximumIdleIfIdempotent : maximumIdleIfNotIdempotent;
+    if (!job.message.isIdempotent && m_unnamedRefusalAt && steadyNow() - *m_unnamedRefusalAt < doubtfulRefusalTime)
+        options.maximumIdle = Duration::zero();
+    options.maximumDoubt = std::max(job.targetLeft(steadyNow()), minimumDoubt);
     // While a connection opened the node may have been frozen, the address may have gone to another backend server, and the origin may
     // have ended.
     const auto maySend = [this, backend = *m_backend, jobPointer] {
@@ -449,13 +457,26 @@
     options.endsConnection = [names = m_settings.headers](const HttpResponse& response) { return mayBeSentAgain(response, names); };
     if (job.requestId.empty())
         return options;
-    options.matchesRequest = [names = m_settings.headers, id = job.requestId](const HttpResponse& response) {
-        const std::string* repeated = findHeader(response.headers, names.requestId);
-        return repeated ? *repeated == id : !names.isRequestIdAlwaysRepeated || isRefusal(response, names);
-    };
+    options.matchesRequest = [this, jobPointer](const HttpResponse& response, bool isReused) { return match(*jobPointer, response, isReused); };
     return options;
 }
 
+HttpClient::Match EndpointRunner::match(const Job& job, const HttpResponse& response, bool isReused)
+{
+    const CallHeaders& names = m_settings.headers;
+    if (const std::string* repeated = findHeader(response.headers, names.requestId))
+        return *repeated == job.requestId ? HttpClient::Match::Yes : HttpClient::Match::No;
+    if (!names.isRequestIdAlwaysRepeated)
+        return HttpClient::Match::Yes;
+    if (!isRefusal(response, names))
+        return HttpClient::Match::No;
+    if (!isReused)
+        return HttpClient::Match::Yes;
+    m_unnamedRefusalAt = steadyNow();
+    // A safe request may be tried elsewhere, whether it runs here or not.
+    return job.message.isIdempotent ? HttpClient::Match::Yes : HttpClient::Match::Doubtful;
+}
+
 bool EndpointRunner::tryResend() const
 {
     if (!m_backend || m_isEmptied || !m_resendHook || !m_resendHook(m_backend->service))
--- a/Source/node/EndpointRunner.h
+++ b/Source/node/EndpointRunner.h
@@ -197,7 +197,9 @@
     void handleOutcome(const JobPtr&, HttpClient::Outcome);
     void finish(const JobPtr&, BackendOutcome);
     HttpRequest backendRequest(const Job&) const;
-    HttpClient::Options backendOptions(const JobPtr&) const;
+    HttpClient::Options backendOptions(const JobPtr&);
+    /// Tells whether a response of the backend server is the one to this request.
+    HttpClient::Match match(const Job&, const HttpResponse&, bool isReused);
     /// Asks the resend hook, and counts the request if it is sent once more.
     bool tryResend() const;
     /// Adds the last event to the trace, and writes it if the attempt failed or is sampled.
@@ -257,6 +259,8 @@
     std::vector<LostAttempt> m_lostAttempts;
     /// Large answers on their way, for resends. The fate table keeps none of their size for long.
     std::unordered_map<AttemptId, LargeAnswer> m_largeAnswers;
+    /// When a refusal that names no request last came over a connection that had carried another one.
+    std::optional<TimePoint> m_unnamedRefusalAt;
     BackendMonitor m_monitor;
     std::uint32_t m_maximumConnections = 0;
     std::function<void()> m_loadHook;
--- a/Source/transport/HttpClient.cpp
+++ b/Source/transport/HttpClient.cpp
@@ -127,6 +127,8 @@
     bool failLargestBody(bool isLarge);
     /// Reads on where there is room now for a body that waits for it.
     void continueWaitingBodies();
+    /// Limits the wait of a request for another response to Options::maximumDoubt from now.
+    void limitWait(RequestId);
     /// Sends the request on an idle connection, or opens a new one.
     void startExchange(Exchange&);
     /// Removes a usable connection from its pool; null when there is none.
@@ -228,7 +230,7 @@
     Body m_outputBody;
     /// The exchange in progress; 0 while the connection is idle.
     RequestId m_exchange = 0;
-    std::function<bool(const HttpResponse&)> m_matchesRequest;
+    std::function<Match(const HttpResponse&, bool isReused)> m_matchesRequest;
     std::function<bool(const HttpResponse&)> m_endsConnection;
     Duration m_maximumIdleTime = Duration::max();
     TimePoint m_idleSince;
@@ -376,7 +378,8 @@
         reservation.reset();
     HttpResponse response = m_parser.takeResponse(std::move(reservation));
     const bool isInterim = response.status < firstFinalStatus;
-    const bool isUnmatched = !isInterim && m_matchesRequest && !m_matchesRequest(response);
+    const Match match = !isInterim && m_matchesRequest ? m_matchesRequest(response, m_wasPooled) : Match::Yes;
+    const bool isUnmatched = match != Match::Yes;
     if ((isInterim || isUnmatched) && ++m_skippedResponses > maximumSkippedResponses)
         return failExchange(ResultCode::AnswerIncomplete, "too many responses before the one to this request", true);
     if (isInterim)
@@ -386,6 +389,8 @@
         m_preventsReuse = true;
         if (!keepsConnection)
             failExchange(ResultCode::AnswerIncomplete, "the connection ended behind an answer to another request");
+        else if (match == Match::Doubtful)
+            m_client->limitWait(m_exchange);
         return;
     }
     const ConnectionPtr keptAlive(this);
@@ -523,6 +528,14 @@
         m_roomTimer.setAfter(roomInterval);
 }
 
+void HttpClient::Implementation::limitWait(RequestId id)
+{
+    Exchange& exchange = m_exchanges.at(id);
+    exchange.deadline = std::min(exchange.deadline, steadyNow() + exchange.options.maximumDoubt);
+    m_deadlines.emplace(exchange.deadline, id);
+    schedule(exchange.deadline);
+}
+
 void HttpClient::Implementation::startExchange(Exchange& exchange)
 {
     exchange.connection = exchange.wasResent ? nullptr : takeIdle({ exchange.server, exchange.options.pool }, exchange.options.maximumIdle);
--- a/Source/transport/HttpClient.h
+++ b/Source/transport/HttpClient.h
@@ -24,6 +24,16 @@
 public:
     using RequestId = std::uint64_t;
 
+    /// Whether a response is the one to the request that waits on its connection.
+    enum class Match {
+        Yes,
+        /// It belongs to another request, so the client waits for the next response.
+        No,
+        /// It may belong to an earlier request of the connection. The client waits for the next response for a limited time; without
+        /// one, the request may have run.
+        Doubtful,
+    };
+
     /// How a request is sent, and which response is accepted for it.
     struct Options {
         /// Longest time from send() to the complete response, including the time to open a connection.
@@ -39,8 +49,11 @@
         /// Asked once a new connection is open, right before the request is sent on it. If false, the request ends with the code
         /// CancelledBeforeStart and certainly did not run. When unset, the request is always sent.
         std::function<bool()> maySend;
-        /// Decides whether a response is the one to this request; when unset, every response is.
-        std::function<bool(const HttpResponse&)> matchesRequest;
+        /// Decides whether a response is the one to this request; when unset, every response is. isReused: the connection carried
+        /// an earlier request.
+        std::function<Match(const HttpResponse&, bool isReused)> matchesRequest;
+        /// Longest wait for another response behind a doubtful one.
+        Duration maximumDoubt { 100000 };
         /// Decides whether the connection is closed behind the response to this request, for a response that would be mistaken for
         /// the one to a later request if the server sent it once more; when unset, it is kept.
         std::function<bool(const HttpResponse&)> endsConnection;
--- a/Tests/node/EndpointRunnerTest.cpp
+++ b/Tests/node/EndpointRunnerTest.cpp
@@ -57,14 +57,14 @@
         m_runner.setDocument(document);
     }
 
-    void send(std::uint64_t sequence, const std::string& service, Duration remaining = 8s)
+    void send(std::uint64_t sequence, const std::string& service, Duration remaining = 8s, Duration target = 4s)
     {
         CallRequestMessage message;
         message.attempt = { NodeId("origin"), Incarnation(1), sequence };
         message.targetIncarnation = m_self.incarnation;
         message.service = ServiceName(service);
         message.remaining = remaining;
-        message.targetRemaining = 4s;
+        message.targetRemaining = target;
         message.request = { "POST", "/" + std::to_string(sequence), { { CallHeaders().requestId, std::to_string(sequence) } }, Body("booking") };
         m_runner.receive(message, ConnectionId(1));
     }
@@ -174,6 +174,26 @@
     EXPECT_EQ(1u, replies<CallRefusalMessage>().size());
 }
 
+// Additional bytes of a faulty endpoint in the form of a refusal made the next booking on their connection run at another endpoint, too.
+TEST_F(RepeatedIdTest, RefusalWithoutId_OnAReusedConnection_IsNoProof)
+{
+    setBackend(backend("dispatch", "i-1"));
+    send(1, "dispatch");
+    ASSERT_TRUE(runUntil([this] { return hasReceived("/1"); }));
+    find("/1")->respond({ 200, { { CallHeaders().requestId, "1" } }, {} });
+    ASSERT_TRUE(runUntil([this] { return replies<CallAnswerMessage>().size() == 1; }));
+    send(2, "dispatch", 8s, 200ms);
+    ASSERT_TRUE(runUntil([this] { return hasReceived("/2"); }));
+    find("/2")->respond({ 503, { { CallHeaders().notRun, "1" } }, {} });
+    ASSERT_TRUE(runUntil([this] { return !replies<CallUnknownMessage>().empty() || !replies<CallRefusalMessage>().empty(); }));
+    EXPECT_TRUE(replies<CallRefusalMessage>().empty());
+    // The next one gets a connection of its own, on which a refusal is certain.
+    send(3, "dispatch");
+    ASSERT_TRUE(runUntil([this] { return hasReceived("/3"); }));
+    find("/3")->respond({ 503, { { CallHeaders().notRun, "1" } }, {} });
+    EXPECT_TRUE(runUntil([this] { return replies<CallRefusalMessage>().size() == 1; }));
+}
+
 // Bookings that waited for an endpoint that had fallen silent ran at one of another service, which took its address.
 TEST_F(EndpointRunnerTest, QueuedAttempt_AddressGoesToAnotherService_IsRefusedUnrun)
 {
--- a/Tests/transport/HttpClientTest.cpp
+++ b/Tests/transport/HttpClientTest.cpp
@@ -23,6 +23,8 @@
 using Tcp = asio::ip::tcp;
 
 constexpr std::chrono::seconds waitTimeout { 10 };
+constexpr std::uint16_t refusalStatus = 503;
+constexpr const char* unnamedRefusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
 
 /// An HTTP client, and a backend server that handles each read with the next handler of the test.
 class HttpClientTest : public ::testing::Test {
@@ -78,9 +80,11 @@
     HttpClient::RequestId send(const std::string& id, HttpClient::Options options = {})
     {
         options.timeout = std::min(options.timeout, Duration(5s));
-        options.matchesRequest = [id](const HttpResponse& response) {
+        options.matchesRequest = [id](const HttpResponse& response, bool isReused) {
             const std::string* echoed = findHeader(response.headers, "X-Id");
-            return !echoed || *echoed == id;
+            if (!echoed && isReused && response.status == refusalStatus)
+                return HttpClient::Match::Doubtful;
+            return !echoed || *echoed == id ? HttpClient::Match::Yes : HttpClient::Match::No;
         };
         m_outcome.reset();
         return m_client->send("127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()), { "GET", "/x", { { "X-Id", id } }, {} }, options,
@@ -125,6 +129,14 @@
         EXPECT_EQ(2, m_acceptedConnections);
     }
 
+    /// Exchanges one request, so that the next one finds a connection in the pool.
+    void useConnection()
+    {
+        m_handlers.emplace_back([](Tcp::socket& socket, const std::string&) { reply(socket, response("first", "first")); });
+        send("first");
+        ASSERT_TRUE(waitForOutcome());
+    }
+
     asio::io_context m_context;
     Tcp::acceptor m_acceptor;
     std::deque<RequestHandler> m_handlers;
@@ -166,6 +178,40 @@
     EXPECT_EQ(2, m_acceptedConnections);
 }
 
+// Additional bytes in the form of a refusal were taken for the answer to the next request of their connection.
+TEST_F(HttpClientTest, DoubtfulResponse_OwnOneFollows_IsDiscarded)
+{
+    useConnection();
+    m_handlers.emplace_back([](Tcp::socket& socket, const std::string&) { reply(socket, unnamedRefusal + response("a", "own")); });
+    send("a");
+    ASSERT_TRUE(waitForOutcome());
+    EXPECT_EQ("own", m_outcome->response.body);
+    EXPECT_EQ(1, m_acceptedConnections);
+}
+
+TEST_F(HttpClientTest, DoubtfulResponse_NothingFollows_FailsAsPossiblyRunSoon)
+{
+    useConnection();
+    m_handlers.emplace_back([](Tcp::socket& socket, const std::string&) { reply(socket, unnamedRefusal); });
+    const auto startedAt = std::chrono::steady_clock::now();
+    send("a");
+    ASSERT_TRUE(waitForOutcome());
+    EXPECT_FALSE(m_outcome->succeeded);
+    EXPECT_TRUE(m_outcome->failure.mayHaveRun);
+    EXPECT_LT(std::chrono::steady_clock::now() - startedAt, 2s) << "the request has a timeout of 5 s";
+    useConnection();
+    EXPECT_EQ(2, m_acceptedConnections);
+}
+
+TEST_F(HttpClientTest, UnnamedRefusal_OnANewConnection_IsTheResponse)
+{
+    m_handlers.emplace_back([](Tcp::socket& socket, const std::string&) { reply(socket, unnamedRefusal); });
+    send("a");
+    ASSERT_TRUE(waitForOutcome());
+    EXPECT_TRUE(m_outcome->succeeded);
+    EXPECT_EQ(refusalStatus, m_outcome->response.status);
+}
+
 TEST_F(HttpClientTest, Connection_WithBytesAfterResponse_IsNotReused)
 {
     m_handlers.emplace_back([](Tcp::socket& socket, const std::string&) { reply(socket, response("a", "own") + "rubbish"); });
