--- a/Tests/processes/StopSeriesTest.cpp
+++ b/Tests/processes/StopSeriesTest.cpp
@@ -65,6 +65,8 @@
         }
     }
 
+    void TearDown() override { endCallers(); }
+
     void startCallers()
     {
         for (std::size_t caller = 0; caller < callerCount; ++caller)
@@ -102,6 +104,7 @@
         m_isEnding = true;
         for (std::thread& caller : m_callers)
             caller.join();
+        m_callers.clear();
     }
 
     void expectNothingLost() const
